--- /dev/null
+++ b/api.go
@@ -0,0 +1,251 @@
+// Package cherrywinch makes the decisions of an HTTP load balancer that runs as a
+// small bank of proxies. This file is its whole interface; the decisions are
+// in balancer.go.
+//
+// A Balancer is one proxy's decision maker. Its caller tells it what happened
+// by calling one method an event, and it answers by calling the Host. The
+// contract:
+//
+//   - One goroutine at a time. A Balancer starts none and takes no lock.
+//   - No input or output, no wall clock and no global state. Time is the
+//     caller's: each event carries now, a span on a clock that starts anywhere
+//     and never goes back. Equal seeds and events give equal actions.
+//   - Host methods are called from within the event methods. They must not
+//     call the Balancer back; what they cause comes as later events.
+//   - Identifiers are opaque. Backends keep theirs over a restart; a request
+//     identifier is never used again.
+package cherrywinch
+
+import "time"
+
+// BackendID names a backend, the same one at every proxy.
+type BackendID uint32
+
+// RequestID names one try of a client.
+type RequestID uint32
+
+// Everyone addresses Host.Tell to every peer.
+const Everyone = ^uint32(0)
+
+// Effect says what repeating a request of a class may do.
+type Effect uint8
+
+// The effects. Unsafe is the zero value: the careful one.
+const (
+	Unsafe Effect = iota // must never run twice
+	Keyed                // repeats are dropped within a group and a window
+	Safe                 // may be repeated freely
+)
+
+// Group says which backends drop repeats of a keyed request.
+type Group uint8
+
+// The groups. GroupCell is the zero value: the narrowest one.
+const (
+	GroupCell Group = iota
+	GroupZone
+	GroupAll
+)
+
+// Class is a kind of request.
+type Class struct {
+	Name       string
+	Aim        time.Duration // an answer within it earns the full worth
+	AimStretch float64       // the aim is longer by this multiple of the request's own work
+	GiveUp     time.Duration // how long a client waits over all its tries
+	Effect     Effect
+	Group      Group         // for Keyed
+	Window     time.Duration // for Keyed: how long repeats are dropped, from the first send that may have run
+	LateShare  float64       // share of the worth that a late answer earns
+	Stream     bool          // the answer begins with FirstByte
+	Value      float64       // worth of a request
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	Name      string
+	Share     float64
+	QuotaPerS float64 // requests a second within its share, over all proxies
+}
+
+// Goal weighs the parts of the result.
+type Goal struct{ Whole, WorstClass, WorstTenant, WorstWindow float64 }
+
+// Prices are taken off the result, each times its rate.
+type Prices struct {
+	Connection, CrossZone, Discovery, Handshake, LateFail, Peer, Probe, Waste float64
+}
+
+// Obligations are the figures of the four rules.
+type Obligations struct {
+	AnswerSlack   time.Duration // how late after the deadline a final answer still counts
+	AskEvery      time.Duration // where the list must be asked for: how old an answer may grow
+	Cold          time.Duration // a started backend is warm after this
+	DrainGrace    time.Duration // sends to a draining backend must cease within this
+	Fall          time.Duration // the window of the cold budget
+	FallMultiple  float64       // a cold backend falls over beyond this many times its capacity
+	StartCapacity float64       // share of its capacity that a started backend has at least
+}
+
+// Caps is what the site allows.
+type Caps struct {
+	Cancel, Peers, Probes, RetryAfter, SecondCopies bool
+
+	ConnIdle, ConnectTimeout, MaxRetryAfter time.Duration
+	MaxAttempts, StreamsPerConn             int
+}
+
+// ReportField names a figure of a load report.
+type ReportField uint8
+
+// The fields of load reports. FieldOther is one that is not used here.
+const (
+	FieldOther   ReportField = iota
+	FieldHeld                // requests in hand
+	FieldWaiting             // requests waiting
+	FieldErrors              // errors a second
+)
+
+// WeightKind says what Backend.Weight stands for.
+type WeightKind uint8
+
+// The kinds of weight.
+const (
+	WeightNone    WeightKind = iota // nothing
+	WeightNominal                   // registered size, exact or about
+	WeightLive                      // size over load: it varies
+)
+
+// Config is what a Balancer is told at its start.
+type Config struct {
+	Instances, Rank int // how many proxies there are, and which this one is
+	Zone            int // where it is
+	Tick            time.Duration
+	Classes         []Class
+	Tenants         []Tenant
+	OverShareWorth  float64 // worth of traffic beyond a tenant's share, as a share
+	WorthByWork     bool    // worth counts by work, not by request
+	WarmKeys        bool    // a backend that met a key lately serves it with less work
+	MarksRetry      bool    // clients mark their repeats
+	OnRequest       bool    // the list comes only when asked for
+	Weights         WeightKind
+	Report          []ReportField // order of the values of a load report
+	Goal            Goal
+	Prices          Prices
+	Obligations     Obligations
+	Caps            Caps
+}
+
+// Request is one try of a client that the proxy has taken.
+type Request struct {
+	ID       RequestID
+	Class    int
+	Tenant   int
+	Key      uint64        // 0 is none
+	Cost     time.Duration // expected work; 0 is unknown
+	Deadline time.Duration // the clock time at which the client leaves
+	Repeat   bool          // the client has marked it as a repeat
+}
+
+// State is what the list says of a backend.
+type State uint8
+
+// The states.
+const (
+	Gone State = iota
+	Ready
+	Draining
+)
+
+// Backend is an entry of the list.
+type Backend struct {
+	ID               BackendID
+	Zone, Kind, Cell int
+	State            State
+	Weight           float64
+	Started          time.Duration // clock time of its last start; 0 is long ago
+}
+
+// ListKind says how a Membership is to be read.
+type ListKind uint8
+
+// The kinds of list.
+const (
+	ListDelta  ListKind = iota // changed entries only
+	ListFull                   // the whole list
+	ListCached                 // the whole list as last held, maybe old
+	ListFailed                 // a Watch or Fetch failed; the old list stands
+)
+
+// Membership is what discovery says.
+type Membership struct {
+	Kind     ListKind
+	Version  uint32
+	Backends []Backend
+}
+
+// Result is how an attempt or a probe ended.
+type Result uint8
+
+// The results.
+const (
+	OK            Result = iota
+	Error                // answered with an error; it may have run
+	Full                 // turned away unseen
+	Timeout              // no timely answer; it may run
+	ConnectFailed        // no connection; it never ran
+	Reset                // the connection broke; it may have run
+	Cancelled            // called off; it may have run
+	Moot                 // never sent
+)
+
+// NeverRan tells whether the result proves that the attempt did not run.
+func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
+
+// Outcome is the end of an attempt.
+type Outcome struct {
+	ID      RequestID
+	Attempt int
+	Backend BackendID
+	Result  Result
+	Took    time.Duration
+	Final   bool // the request is over; not set: a final answer is still owed
+	Load    []float32
+}
+
+// ProbeResult is the end of a probe.
+type ProbeResult struct {
+	Backend BackendID
+	Result  Result
+	Took    time.Duration
+	Load    []float32
+}
+
+// FirstByte says that a streamed answer has begun.
+type FirstByte struct {
+	ID      RequestID
+	Attempt int
+	Backend BackendID
+	Took    time.Duration
+}
+
+// PeerMessage comes from another proxy.
+type PeerMessage struct {
+	From int
+	Body []byte
+}
+
+// Host carries out a Balancer's actions, in the order of the calls.
+type Host interface {
+	Send(id RequestID, to BackendID, until time.Duration) // until: clock time; 0 is the client's deadline
+	Refuse(id RequestID, retryAfter time.Duration)        // final: coming again is harmless
+	Fail(id RequestID)                                    // final: nothing is promised
+	Cancel(id RequestID, attempt int)
+	Probe(b BackendID)
+	Release(b BackendID) // give back idle connections
+	Watch(on bool)       // ask for the list's changes from here on
+	Fetch()              // ask for the whole list once
+	Tell(peer uint32, body []byte)
+	After(d time.Duration, token uint64) // calls for Balancer.Timer
+	Log(line string)
+}
--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,506 @@
+package cherrywinch
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	safe = iota
+	keyed
+	unsafe
+	anywhere
+)
+
+func TestNewNamesTheSettingThatMakesNoSense(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		break_ func(*Config)
+	}{
+		{"Classes", func(c *Config) { c.Classes = nil }},
+		{"Classes[0]", func(c *Config) { c.Classes[0].Aim = 0 }},
+		{"Classes[1]", func(c *Config) { c.Classes[1].Window = -1 }},
+		{"Obligations", func(c *Config) { c.Obligations.Cold = -1 }},
+		{"Tick", func(c *Config) { c.Tick = -1 }},
+		{"Instances", func(c *Config) { c.Instances = 0 }},
+	} {
+		cfg := testConfig()
+		c.break_(&cfg)
+		if _, err := New(cfg, 1, &recorder{}); err == nil || !strings.Contains(err.Error(), c.name) {
+			t.Errorf("%s: error %v", c.name, err)
+		}
+	}
+}
+
+// How a request that got the given result may go on, by its class's effect.
+func TestFurtherAttemptsByEffect(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		result Result
+		want   string
+	}{
+		{safe, Error, "send"}, {safe, Reset, "send"}, {safe, ConnectFailed, "send"}, {safe, Full, "send"},
+		{keyed, Error, "send"}, {keyed, ConnectFailed, "send"},
+		{anywhere, Error, "send"}, {anywhere, Reset, "send"},
+		{unsafe, Error, "fail"}, {unsafe, Reset, "fail"}, {unsafe, Cancelled, "fail"},
+		{unsafe, ConnectFailed, "send"}, {unsafe, Full, "send"},
+	} {
+		b, h := newBalancer(t, testConfig(), 6)
+		b.Request(second, Request{ID: 9, Class: c.class, Deadline: 4 * second})
+		first := h.take("send")
+		if len(first) != 1 {
+			t.Fatalf("class %d: %d sends at first", c.class, len(first))
+		}
+		b.Outcome(second+10*milli, Outcome{ID: 9, Backend: first[0].to, Result: c.result, Took: 10 * milli})
+		next := h.take("send", "fail", "refuse")
+		if len(next) != 1 || next[0].verb != c.want {
+			t.Errorf("class %d after result %d: %v, want one %s", c.class, c.result, next, c.want)
+			continue
+		}
+		if c.want == "send" && next[0].to == first[0].to {
+			t.Errorf("class %d: sent again to the backend that failed", c.class)
+		}
+		if c.class == keyed && !c.result.NeverRan() && (next[0].to-first[0].to)%2 != 0 {
+			t.Errorf("a keyed request left its zone after it may have run")
+		}
+	}
+}
+
+func TestNoBackendsMeansARefusalInTime(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 0)
+	b.Request(second, Request{ID: 1, Class: unsafe, Deadline: 2 * second})
+	b.Timer(2*second-100*milli, timerDispatch<<56)
+	if got := h.take("send", "refuse", "fail"); len(got) != 1 || got[0].verb != "refuse" {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestAListThatComesInTimeServesWhatWaits(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 0)
+	b.Request(second, Request{ID: 1, Class: unsafe, Deadline: 2 * second})
+	b.Membership(second+50*milli, Membership{Kind: ListDelta, Backends: list(1)})
+	b.Timer(second+60*milli, timerDispatch<<56)
+	if got := h.take("send", "refuse", "fail"); len(got) != 1 || got[0].verb != "send" {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestNothingNewGoesToADrainingOrGoneBackend(t *testing.T) {
+	for _, state := range []State{Draining, Gone} {
+		b, h := newBalancer(t, testConfig(), 3)
+		b.Membership(second, Membership{Kind: ListDelta, Backends: []Backend{{ID: 2, State: state}}})
+		for i := range 200 {
+			b.Request(second, Request{ID: RequestID(i), Deadline: 4 * second})
+		}
+		b.Timer(9*second, timerSweep<<56)
+		for _, a := range h.take("send", "probe") {
+			if a.to == 2 {
+				t.Fatalf("state %d: %s to backend 2", state, a.verb)
+			}
+		}
+	}
+}
+
+func TestHealthOutlivesListChanges(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 3)
+	for now := second; now < 12*second; now += b.interval / sweeps {
+		b.Timer(now, timerSweep<<56)
+		for _, p := range h.take("probe") {
+			r := OK
+			if p.to == 1 {
+				r = Timeout
+			}
+			b.Probed(now, ProbeResult{Backend: p.to, Result: r})
+		}
+	}
+	b.Membership(12*second, Membership{Kind: ListFull, Version: 2, Backends: list(5)})
+	for i := range 100 {
+		b.Request(12*second, Request{ID: RequestID(i), Deadline: 14 * second})
+	}
+	for _, a := range h.take("send") {
+		if a.to == 1 {
+			t.Fatal("an unhealthy backend got a request after a list change")
+		}
+	}
+}
+
+// A late attempt that was alone at its backend is no sign of a crowd: the limit sinks a little, not to it.
+func TestOneLateAttemptAloneDoesNotCloseABackend(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 1)
+	only := b.targets[0]
+	only.limit = 20
+	b.Request(second, Request{ID: 1, Deadline: 4 * second})
+	b.Outcome(second+900*milli, Outcome{ID: 1, Backend: h.take("send")[0].to, Result: OK, Final: true})
+	if only.limit >= 20 || only.limit < 15 {
+		t.Errorf("limit %v after one late answer", only.limit)
+	}
+}
+
+// Waiting for a late attempt's end would show a crowd when the server has tipped.
+func TestAnAttemptCountsAsLateWhileStillOut(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 1)
+	only := b.targets[0]
+	only.limit = 20
+	b.Request(second, Request{ID: 1, Deadline: 4 * second})
+	b.Timer(second+600*milli, timerSweep<<56)
+	once := only.limit
+	b.Timer(second+650*milli, timerSweep<<56)
+	if once >= 20 || only.limit < once*0.95 { // it may sink a little by itself
+		t.Errorf("limits %v, then %v", once, only.limit)
+	}
+}
+
+// A backend that turns requests away at once must not look idle.
+func TestAFullBackendDoesNotLookIdle(t *testing.T) {
+	cfg := testConfig()
+	cfg.Zone = 9 // no backend is near
+	b, h := newBalancer(t, cfg, 2)
+	b.Request(second, Request{ID: 1, Deadline: 4 * second})
+	full := h.take("send")[0].to
+	before := b.byID[full].limit
+	b.Outcome(second+milli, Outcome{ID: 1, Backend: full, Result: Full})
+	b.Request(second+2*milli, Request{ID: 2, Deadline: 4 * second})
+	for _, a := range h.take("send") {
+		if a.to == full {
+			t.Error("sent to a backend that had just said that it is full")
+		}
+	}
+	if now := b.byID[full].limit; now >= before {
+		t.Errorf("its limit was %v and is %v", before, now)
+	}
+}
+
+// One out at each of many proxies is a crowd too: below one, a limit spaces attempts out.
+func TestALimitBelowOneSpacesAttemptsOut(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 1)
+	only := b.targets[0]
+	b.mean, only.limit = 200, 0.5
+	sent := 0 * second
+	for at := second; at < 3*second; at += 10 * milli {
+		only.limit, b.mean, only.delays, only.answers = 0.5, 200, fading{}, fading{}
+		b.median = 1
+		b.Request(at, Request{ID: RequestID(at), Class: safe, Deadline: at + 3*second})
+		b.Timer(at, timerDispatch<<56)
+		for _, a := range h.take("send") {
+			if gap := at - sent; sent > 0 && gap < 380*milli {
+				t.Fatalf("a send %v after the one before", gap)
+			}
+			sent = at
+			b.Outcome(at+milli, Outcome{ID: a.id, Attempt: a.attempt, Backend: 1, Result: OK, Final: true})
+		}
+	}
+	if sent < 2*second {
+		t.Errorf("last send at %v", sent)
+	}
+}
+
+// A backend that breaks fast has nothing out, so it looks idle; its probes may pass all the while.
+func TestABackendThatAnswersErrorsGetsLittle(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 4)
+	sends, broken, unsafeLost := 0, 0, 0
+	out := map[RequestID]action{}
+	for at := second; at < 9*second; at += 10 * milli {
+		id := RequestID(at / milli)
+		b.Request(at, Request{ID: id, Class: []int{safe, unsafe}[id/10%2], Deadline: at + 3*second})
+		b.Timer(at, timerDispatch<<56)
+		for _, a := range h.take("send") {
+			sends++
+			if a.to == 2 {
+				broken++
+				if id/10%2 == 1 && at > 3*second {
+					unsafeLost++
+				}
+				b.Outcome(at, Outcome{ID: a.id, Attempt: a.attempt, Backend: 2, Result: Error})
+				for _, again := range h.take("send") {
+					out[again.id] = again
+				}
+				continue
+			}
+			out[a.id] = a
+		}
+		for old := id - 200; old <= id-100; old += 10 {
+			if a, ok := out[old]; ok {
+				delete(out, old)
+				b.Outcome(at, Outcome{ID: old, Attempt: a.attempt, Backend: a.to, Result: OK, Final: true})
+			}
+		}
+		b.Timer(at, timerSweep<<56)
+		h.take()
+	}
+	if sends < 500 || broken > sends/50 || broken < 4 || unsafeLost > 2 {
+		t.Errorf("%d of %d sends went to the broken one, %d unsafe ones late on", broken, sends, unsafeLost)
+	}
+}
+
+// Keys that go wherever there is room find nothing warm, and their extra work keeps all at their limits.
+func TestAKeyWaitsForItsOwnBackendsBeforeItGoesElsewhere(t *testing.T) {
+	cfg := testConfig()
+	cfg.WarmKeys = true
+	b, h := newBalancer(t, cfg, 6)
+	ask := func(id RequestID) {
+		b.Request(second, Request{ID: id, Class: safe, Key: 77, Deadline: 4 * second})
+	}
+	own := map[BackendID]bool{}
+	for id := RequestID(1); len(b.waiting) == 0; id++ {
+		if id > 100 {
+			t.Fatal("a hundred requests of one key and none waits")
+		}
+		ask(id)
+		for _, a := range h.take("send") {
+			own[a.to] = true
+		}
+	}
+	if len(own) != 2 {
+		t.Fatalf("one key's requests went to %v", own)
+	}
+	b.Timer(second+50*milli, timerDispatch<<56)
+	if early := h.take("send"); len(early) != 0 {
+		t.Errorf("after 50 ms: %v", early)
+	}
+	b.Timer(second+200*milli, timerDispatch<<56)
+	if late := h.take("send"); len(late) != 1 || own[late[0].to] {
+		t.Errorf("after a fifth of the aim, with room elsewhere: %v", late)
+	}
+}
+
+// A backend may die and come back before the list says so: until warm it counts as just started.
+func TestASuspectedStartCountsAsOne(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(b *Balancer, h *recorder, now time.Duration)
+	}{
+		{"probes fail", func(b *Balancer, h *recorder, now time.Duration) {
+			for range probeRun {
+				b.targets[0].probing = true
+				b.Probed(now, ProbeResult{Backend: 1, Result: ConnectFailed})
+			}
+		}},
+		{"connections fail", func(b *Balancer, h *recorder, now time.Duration) {
+			for id := range RequestID(2) {
+				b.Request(now, Request{ID: id + 1, Class: unsafe, Deadline: now + second})
+				if got := h.take("send"); len(got) == 0 {
+					t.Fatal("nothing was sent")
+				}
+				b.Outcome(now, Outcome{ID: id + 1, Backend: 1, Result: ConnectFailed})
+				h.take()
+			}
+		}},
+	} {
+		b, h := newBalancer(t, testConfig(), 1)
+		now := 30 * second
+		if _, cold := b.cold(b.targets[0]); cold {
+			t.Fatalf("%s: cold before", c.name)
+		}
+		c.fail(b, h, now)
+		b.now = now + second
+		if share, cold := b.cold(b.targets[0]); !cold || share > 0.3 {
+			t.Errorf("%s: cold %v, share %v a second later", c.name, cold, share)
+		}
+		b.now = now + 21*second
+		if _, cold := b.cold(b.targets[0]); cold {
+			t.Errorf("%s: still cold after the cold span", c.name)
+		}
+	}
+}
+
+// A second copy beside a slow attempt feeds the overload that made it slow.
+func TestAnOverdueAttemptIsLeftAlone(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 4)
+	b.Request(second, Request{ID: 1, Class: safe, Deadline: 4 * second})
+	for _, a := range h.take("after") {
+		b.Timer(second+a.at, a.token)
+	}
+	b.Timer(second+800*milli, timerSweep<<56)
+	if got := h.take("send", "cancel"); len(got) != 0 {
+		t.Errorf("got %v", got)
+	}
+}
+
+// In an overload all attempts time out: a backend that still answers others is only slow, and
+// however many fail, attempts alone put out no more than half.
+func TestEjectionSparesTheSlowAndTheHalf(t *testing.T) {
+	fail := func(b *Balancer, to *target, sent, now time.Duration) {
+		b.now = now
+		b.judge(&attempt{to: to, sent: sent}, Timeout)
+	}
+	b, _ := newBalancer(t, testConfig(), 4)
+	slow := b.targets[0]
+	for i := range 5 {
+		now := second + time.Duration(i)*100*milli
+		b.now = now
+		b.judge(&attempt{to: slow, sent: now - 50*milli}, OK)
+		for range badRun {
+			fail(b, slow, now-50*milli, now+50*milli)
+		}
+	}
+	if !b.fit(slow) {
+		t.Error("a backend that answered others since they were sent was ejected")
+	}
+	now := 10 * second
+	out := 0
+	for _, to := range b.targets {
+		for range badRun {
+			fail(b, to, now-milli, now)
+		}
+		if !b.fit(to) {
+			out++
+		}
+	}
+	if out != 2 {
+		t.Errorf("%d of 4 ejected", out)
+	}
+}
+
+// A heavy request is too much for a cold backend even alone.
+func TestAHeavyRequestDoesNotGoAloneToAColdBackend(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 1)
+	only := b.targets[0]
+	only.coldSince, b.meanWork, only.tokens = second, 100, 10
+	if !b.coldAllows(only, 150) {
+		t.Error("a usual request may go alone")
+	}
+	if b.coldAllows(only, 250) {
+		t.Error("a heavy one may not")
+	}
+}
+
+// A limit far above the need would let a burst tip the server before answers tell.
+func TestALimitThatIsNotUsedSinks(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 1)
+	only := b.targets[0]
+	only.limit = 100
+	for at := second; at < 11*second; at += 50 * milli {
+		b.Timer(at, timerSweep<<56)
+	}
+	if only.limit > 2*crowdStart/b.sharers() || only.limit < crowdStart/b.sharers() {
+		t.Errorf("limit %v after ten idle seconds", only.limit)
+	}
+}
+
+// While all fail, what failures count for must not raise the median that they are measured by.
+func TestFailuresAllRoundDoNotFeedTheMedian(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 4)
+	now := second
+	for id := range RequestID(400) {
+		b.Request(now, Request{ID: id + 1, Class: unsafe, Deadline: now + 3*second})
+		now += 50 * milli
+		b.Timer(now, timerSweep<<56)
+		for _, a := range h.take("send") {
+			b.Outcome(now, Outcome{ID: a.id, Attempt: a.attempt, Backend: a.to, Result: Error})
+		}
+	}
+	if most := 2 * 1000 / b.expected(unsafe, 0); b.median < 1 || b.median > most {
+		t.Errorf("median %v of the expected delay; %v at most", b.median, most)
+	}
+}
+
+// What a backend served before it restarted says nothing of what it can do cold.
+func TestARestartForgetsWhatWasServed(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 2)
+	b.targets[0].servedLately.add(5000, second, second)
+	b.Membership(2*second, Membership{Kind: ListDelta, Backends: []Backend{
+		{ID: b.targets[0].ID, State: Ready, Started: 2 * second}}})
+	b.coldRates()
+	if got := b.targets[0].coldRate; got > 100 {
+		t.Errorf("may be sent %v ms of work a second right after its start", got)
+	}
+}
+
+// Light requests fit any budget of work, but each costs a handshake.
+func TestLightRequestsCountForTheMeanInAColdBudget(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 1)
+	only := b.targets[0]
+	b.meanWork, only.coldSince, only.tokens = 50, second, 100
+	sent := 0
+	for i := range 50 {
+		r := &request{Request: Request{ID: RequestID(i), Cost: milli, Deadline: 4 * second}, arrived: second, aimAt: 2 * second}
+		b.requests[r.ID] = r
+		if b.send(r, only) {
+			sent++
+		}
+	}
+	if sent == 0 || sent > 3 {
+		t.Errorf("%d light requests in a budget of two mean ones", sent)
+	}
+}
+
+// Without a bound, a burst makes each outcome walk a waiting room of thousands.
+func TestTheWaitingRoomIsBounded(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 3)
+	for i := range 2000 {
+		b.Request(second, Request{ID: RequestID(i), Deadline: 4 * second})
+	}
+	if n := len(b.waiting); n > waitingEach*4 {
+		t.Errorf("%d wait", n)
+	}
+}
+
+// Under pressure the request that adds more to the goal goes first.
+func TestWorthGoesFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[anywhere].Value = 10
+	b, h := newBalancer(t, cfg, 1)
+	for i := range 12 {
+		b.Request(second, Request{ID: RequestID(i), Class: []int{safe, anywhere}[i%2], Deadline: 4 * second})
+	}
+	first := h.take("send")
+	if len(b.waiting) < 3 {
+		t.Fatalf("%d wait after %d sends", len(b.waiting), len(first))
+	}
+	b.Outcome(second+50*milli, Outcome{ID: first[0].id, Backend: 1, Result: OK, Final: true})
+	next := h.take("send")
+	if len(next) == 0 || next[0].id%2 != 1 {
+		t.Errorf("sent next: %v", next)
+	}
+}
+
+func TestTheListIsAskedForAgainAfterAFailure(t *testing.T) {
+	cfg := testConfig()
+	cfg.OnRequest = true
+	h := &recorder{}
+	b, err := New(cfg, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(second)
+	for i := range 10 {
+		var timer action
+		for _, a := range h.take("after") {
+			if a.token == timerDiscover<<56 {
+				timer = a
+			}
+		}
+		if timer.verb == "" || timer.at > cfg.Obligations.AskEvery {
+			t.Fatalf("round %d: next call after %v", i, timer.at)
+		}
+		b.Timer(second, timer.token)
+		if len(h.take("watch")) != 1 {
+			t.Fatalf("round %d: not asked", i)
+		}
+		b.Membership(second, Membership{Kind: ListFailed})
+	}
+}
+
+func TestOddInputIsPassedOver(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 2)
+	twice := append(list(2), list(2)...)
+	b.Membership(second, Membership{Kind: ListFull, Backends: twice})
+	if len(b.ready) != 2 {
+		t.Errorf("%d ready after a list that names each twice", len(b.ready))
+	}
+	b.Request(second, Request{ID: 1, Class: 99, Tenant: 99, Deadline: 0})
+	b.Request(second, Request{ID: 1})
+	b.Outcome(second, Outcome{ID: 1, Attempt: 7})
+	b.Outcome(second, Outcome{ID: 5})
+	b.Probed(second, ProbeResult{Backend: 99})
+	b.FirstByte(second, FirstByte{ID: 99})
+	b.Timer(second, ^uint64(0))
+	b.Membership(second, Membership{Kind: ListFull})
+	if len(b.ready) != 0 {
+		t.Error("an empty list leaves ready backends")
+	}
+	if got := h.take("send"); len(got) > 0 {
+		t.Errorf("a request past its deadline was sent: %v", got)
+	}
+}
--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,55 @@
+package cherrywinch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// nobody is a Host that does nothing but remember the last send.
+type nobody struct {
+	recorder
+	to BackendID
+}
+
+func (h *nobody) Send(_ RequestID, to BackendID, _ time.Duration) { h.to = to }
+func (h *nobody) Refuse(RequestID, time.Duration)                 { h.to = 0 }
+func (h *nobody) Fail(RequestID)                                  { h.to = 0 }
+func (h *nobody) Probe(BackendID)                                 {}
+func (h *nobody) After(time.Duration, uint64)                     {}
+
+// BenchmarkRequest is a request's whole life: arrival, choice, send and answer, with a sweep of the
+// timers every hundred. Keyed requests choose by their key.
+func BenchmarkRequest(b *testing.B) {
+	for _, backends := range []int{10, 50} {
+		for _, keyed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("backends=%d/keyed=%v", backends, keyed), func(b *testing.B) {
+				cfg, h := testConfig(), &nobody{}
+				cfg.WarmKeys = keyed
+				m, err := New(cfg, 1, h)
+				if err != nil {
+					b.Fatal(err)
+				}
+				m.Start(second)
+				m.Membership(second, Membership{Kind: ListFull, Version: 1, Backends: list(backends)})
+				b.ReportAllocs()
+				now, answered := second, 0
+				for i := range b.N {
+					now += milli
+					h.to = 0
+					m.Request(now, Request{ID: RequestID(i), Class: i % 4, Key: uint64(i % 100), Deadline: now + 3*second})
+					if h.to != 0 {
+						m.Outcome(now+100*time.Microsecond, Outcome{ID: RequestID(i), Backend: h.to, Result: OK, Final: true})
+						answered++
+					}
+					if i%100 == 0 {
+						m.Timer(now, timerSweep<<56)
+					}
+				}
+				if answered < b.N/2 {
+					b.Fatalf("%d of %d answered", answered, b.N)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/host_test.go
@@ -0,0 +1,98 @@
+package cherrywinch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// recorder is a Host that keeps what it was asked for.
+type recorder struct {
+	acts []action
+}
+
+type action struct {
+	verb    string
+	id      RequestID
+	to      BackendID
+	attempt int
+	at      time.Duration // until, retryAfter or d
+	token   uint64
+	text    string
+}
+
+func (h *recorder) add(a action) { h.acts = append(h.acts, a) }
+func (h *recorder) Send(id RequestID, to BackendID, until time.Duration) {
+	h.add(action{verb: "send", id: id, to: to, at: until})
+}
+func (h *recorder) Refuse(id RequestID, d time.Duration) {
+	h.add(action{verb: "refuse", id: id, at: d})
+}
+func (h *recorder) Fail(id RequestID)          { h.add(action{verb: "fail", id: id}) }
+func (h *recorder) Cancel(id RequestID, n int) { h.add(action{verb: "cancel", id: id, attempt: n}) }
+func (h *recorder) Probe(b BackendID)          { h.add(action{verb: "probe", to: b}) }
+func (h *recorder) Release(b BackendID)        { h.add(action{verb: "release", to: b}) }
+func (h *recorder) Watch(on bool)              { h.add(action{verb: "watch"}) }
+func (h *recorder) Fetch()                     { h.add(action{verb: "fetch"}) }
+func (h *recorder) Tell(peer uint32, body []byte) {
+	h.add(action{verb: "tell", text: fmt.Sprintf("%d %x", peer, body)})
+}
+func (h *recorder) After(d time.Duration, token uint64) {
+	h.add(action{verb: "after", at: d, token: token})
+}
+func (h *recorder) Log(line string) { h.add(action{verb: "log", text: line}) }
+
+// take gives the actions of the verbs since the last call of it, and forgets all.
+func (h *recorder) take(verbs ...string) []action {
+	var out []action
+	for _, a := range h.acts {
+		for _, v := range verbs {
+			if a.verb == v {
+				out = append(out, a)
+			}
+		}
+	}
+	h.acts = nil
+	return out
+}
+
+const second, milli = time.Second, time.Millisecond
+
+// testConfig has one class of each effect; all else is allowed.
+func testConfig() Config {
+	return Config{Instances: 2, Tick: 5 * milli, OverShareWorth: 1,
+		Classes: []Class{
+			{Name: "safe", Aim: second, GiveUp: 3 * second, Effect: Safe, Value: 1},
+			{Name: "keyed", Aim: second, GiveUp: 3 * second, Effect: Keyed, Group: GroupZone, Window: second, Value: 1},
+			{Name: "unsafe", Aim: second, GiveUp: 3 * second, Effect: Unsafe, Value: 1},
+			{Name: "anywhere", Aim: second, GiveUp: 3 * second, Effect: Keyed, Group: GroupAll, Window: 2 * second, Value: 1},
+		},
+		Goal: Goal{Whole: 1},
+		Obligations: Obligations{AnswerSlack: 20 * milli, AskEvery: 10 * second, Cold: 20 * second,
+			DrainGrace: 250 * milli, Fall: 2 * second, FallMultiple: 2.5, StartCapacity: 0.2},
+		Caps: Caps{Cancel: true, Peers: true, Probes: true, RetryAfter: true, SecondCopies: true,
+			ConnIdle: 15 * second, ConnectTimeout: 250 * milli, MaxRetryAfter: 2 * second,
+			MaxAttempts: 4, StreamsPerConn: 1},
+	}
+}
+
+func list(n int) []Backend {
+	var bs []Backend
+	for i := range n {
+		bs = append(bs, Backend{ID: BackendID(i + 1), Zone: i % 2, Cell: i % 3, State: Ready, Weight: 1})
+	}
+	return bs
+}
+
+func newBalancer(t *testing.T, cfg Config, n int) (*Balancer, *recorder) {
+	t.Helper()
+	h := &recorder{}
+	b, err := New(cfg, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(second)
+	b.Membership(second, Membership{Kind: ListFull, Version: 1, Backends: list(n)})
+	h.take()
+	return b, h
+}
--- /dev/null
+++ b/internal/wire/bootinfo_test.go
@@ -0,0 +1,72 @@
+package wire
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"cherrywinch"
+)
+
+func TestSettings(t *testing.T) {
+	c, err := ParseBootInfo(strings.Join([]string{
+		"Balancers=3", "Rank=2", "Zone=1", "Tick=5.0", "Caps.Cancel=true", "Caps.MaxAttempts=6", "Discovery=on_request",
+		"Caps.ConnectTimeout=250.0", "Extra.WarmKeys=true", "Feedback.How=on_probe",
+		"Feedback.Names=failed_ps,busy_reqs,new_one", "Weights=rough", "WorthBy=work", "Obligations.FallMultiple=2.5",
+		"Services.count=2", "Services.0.Name=a", "Services.0.Aim=1000.0", "Services.0.GiveUp=3000.0",
+		"Services.0.Effect=retryable", "Services.0.Group=all", "Services.1.Name=b", "Services.1.Aim=400",
+		"Services.1.GiveUp=900", "Services.1.Effect=dedup", "Services.1.Group=zone", "Services.1.Window=1200.5",
+		"Tenants.count=1", "Tenants.0.Name=t", "Tenants.0.QuotaPerS=12.5", "Brand.New=what", "",
+	}, "\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := cherrywinch.Config{Instances: 3, Rank: 2, Zone: 1, Tick: 5 * ms, OnRequest: true, WarmKeys: true,
+		OverShareWorth: 1, WorthByWork: true, Weights: cherrywinch.WeightNominal,
+		Report: []cherrywinch.ReportField{cherrywinch.FieldErrors, cherrywinch.FieldHeld, cherrywinch.FieldOther},
+		Goal:   cherrywinch.Goal{Whole: 1},
+		Classes: []cherrywinch.Class{
+			{Name: "a", Aim: time.Second, GiveUp: 3 * time.Second, Effect: cherrywinch.Safe, Group: cherrywinch.GroupAll, Value: 1},
+			{Name: "b", Aim: 400 * ms, GiveUp: 900 * ms, Effect: cherrywinch.Keyed, Group: cherrywinch.GroupZone, Value: 1,
+				Window: 1200*ms + 500*time.Microsecond},
+		},
+		Tenants:     []cherrywinch.Tenant{{Name: "t", QuotaPerS: 12.5}},
+		Obligations: cherrywinch.Obligations{FallMultiple: 2.5, StartCapacity: 1},
+		Caps:        cherrywinch.Caps{Cancel: true, ConnectTimeout: 250 * ms, MaxAttempts: 6, StreamsPerConn: 1},
+	}
+	if !reflect.DeepEqual(c, want) {
+		t.Errorf("got  %+v\nwant %+v", c, want)
+	}
+}
+
+func TestMalformedSettingsNameTheirLine(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"Balancers=1\nnonsense", "line 2"},
+		{"=5", "line 1"},
+		{"Tick=soon", "line 1: Tick"},
+		{"Tick=NaN", "line 1: Tick"},
+		{"Tick=1e300", "line 1: Tick"},
+		{"Balancers=1.5", "line 1: Balancers"},
+		{"Caps.Cancel=maybe", "line 1: Caps.Cancel"},
+		{"A=1\nDiscovery=shouted", "line 2: Discovery"},
+		{"Services.count=-1", "line 1: Services.count"},
+		{"Services.count=99999999", "line 1: Services.count"},
+		{"Services.count=1\nServices.0.Effect=odd", "line 2: Services.0.Effect"},
+	} {
+		if _, err := ParseBootInfo(c.text); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: error %v, want %q in it", c.text, err, c.want)
+		}
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add("Services.count=2\nServices.1.Aim=5\n")
+	f.Add("Tick=1e9\nFeedback.How=inline\nFeedback.Names=,,\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := ParseBootInfo(text)
+		if err == nil && len(c.Classes) > maxItems {
+			t.Error("a list longer than the bound")
+		}
+	})
+}
--- /dev/null
+++ b/stats.go
@@ -0,0 +1,116 @@
+package cherrywinch
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// fading is a sum whose parts fade with their age.
+type fading struct {
+	sum float64
+	at  time.Duration
+}
+
+// fade brings the sum to the time now; span is how long a part takes to fade to 1/e.
+func (f *fading) fade(now, span time.Duration) float64 {
+	if span > 0 && now > f.at {
+		f.sum *= math.Exp(-float64(now-f.at) / float64(span))
+	}
+	f.at = now
+	return f.sum
+}
+
+func (f *fading) add(v float64, now, span time.Duration) {
+	f.fade(now, span)
+	f.sum += v
+}
+
+// perSecond is the rate at which v is added.
+func (f *fading) perSecond(now, span time.Duration) float64 {
+	return f.fade(now, span) / max(span, time.Millisecond).Seconds()
+}
+
+// line is a least-squares line through points of which old ones fade with the number of newer ones.
+type line struct{ n, x, y, xx, xy float64 }
+
+func (l *line) learn(x, y, keep float64) {
+	l.n, l.x, l.y = l.n*keep+1, l.x*keep+x, l.y*keep+y
+	l.xx, l.xy = l.xx*keep+x*x, l.xy*keep+x*y
+}
+
+// mean is the points' mean y. There must be a point.
+func (l *line) mean() float64 { return l.y / l.n }
+
+// at is the line's y; the line never falls, and it is flat if the points don't say otherwise.
+func (l *line) at(x float64) float64 {
+	slope, spread := 0.0, l.xx-l.x*l.x/l.n
+	if spread > 1e-9*l.xx {
+		slope = max(0, (l.xy-l.x*l.y/l.n)/spread)
+	}
+	return l.mean() + slope*(x-l.x/l.n)
+}
+
+// tail follows a quantile: a part of the values seen lies beyond it. least is the least that it was
+// lately.
+type tail struct{ n, at, least float64 }
+
+// learn takes in a value; step is by how much one moves the quantile at most.
+func (q *tail) learn(v, part, step float64) {
+	switch q.n++; {
+	case q.n == 1:
+		q.at = v
+	case v > q.at:
+		q.at *= 1 + step*(1-part)
+	default:
+		q.at *= 1 - step*part
+	}
+}
+
+// findLeast follows the quantile down at once, and up by one part in rise each time; it begins when
+// so many values are known.
+func (q *tail) findLeast(from, rise float64) {
+	if q.n < from {
+		return
+	}
+	if q.least *= 1 + 1/rise; q.least == 0 || q.at < q.least {
+		q.least = q.at
+	}
+}
+
+// smooth takes v into a mean over n values; the first v is the mean.
+func smooth(mean, v, n float64) float64 {
+	if mean == 0 {
+		return v
+	}
+	return mean + (v-mean)/n
+}
+
+// tally is worth asked for and worth served.
+type tally struct{ asked, served float64 }
+
+func (t *tally) share() float64 {
+	if t.asked <= 0 {
+		return 1
+	}
+	return t.served / t.asked
+}
+
+// mix hashes a key with a backend, the same way at every proxy.
+func mix(key uint64, id BackendID) uint64 {
+	h := key ^ uint64(id)*0x9e3779b97f4a7c15
+	for range 2 {
+		h ^= h >> 32
+		h *= 0xd6e8feb86659fd93
+	}
+	return h ^ h>>32
+}
+
+// jitter draws a span below d.
+func jitter(rng *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(rng.Float64() * float64(d))
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
