--- /dev/null
+++ b/cmd/marlreel/main.go
@@ -0,0 +1,41 @@
+// Marlreel is the proxy: it reads its configuration from $NODE_CONFIG and serves
+// until it is told to stop.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"cherrywinch/internal/proxy"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "marlreel:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg, err := proxy.LoadConfig(os.Getenv("NODE_CONFIG"), os.Getenv)
+	if err != nil {
+		return err
+	}
+	// The runtime sees the machine's cores and memory, not this process's part of them.
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
+	}
+	return proxy.Run(ctx, cfg, log.New(os.Stderr, "", log.Ltime|log.Lmicroseconds))
+}
--- /dev/null
+++ b/internal/proxy/discovery.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"cherrywinch"
+)
+
+const (
+	// A watch brings a line every 2 s. One that is silent for longer than two is
+	// broken: a machine that is cut off never says so.
+	watchSilence = 4500 * time.Millisecond
+	dialTimeout  = time.Second
+	backoffLeast = 50 * time.Millisecond
+	backoffMost  = time.Second
+	longestLine  = 4 << 20
+)
+
+// endpointList is discovery's form of the list, or of changes to it.
+type endpointList struct {
+	Generation uint32     `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []endpoint `json:"instances"`
+}
+
+type endpoint struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+var lifecycles = map[string]cherrywinch.State{"Ready": cherrywinch.Ready, "Terminating": cherrywinch.Draining,
+	"Gone": cherrywinch.Gone}
+
+// check reads the entries without their identifiers and times, which the loop
+// gives. A list with one bad entry is bad as a whole: half of it would pass for
+// all of it.
+func (l *endpointList) check(c *Config) ([]cherrywinch.Backend, error) {
+	entries := make([]cherrywinch.Backend, len(l.Instances))
+	for i, e := range l.Instances {
+		state, known := lifecycles[e.Lifecycle]
+		if e.InstanceID == "" || !known {
+			return nil, fmt.Errorf("instance %d: id %q, lifecycle %q", i, e.InstanceID, e.Lifecycle)
+		}
+		entries[i] = cherrywinch.Backend{Zone: -1, Kind: -1, Cell: e.Cell, State: state, Weight: e.Weight}
+		if state == cherrywinch.Gone {
+			continue // it may come without the rest
+		}
+		if _, err := netip.ParseAddrPort(e.HostPort); err != nil {
+			return nil, fmt.Errorf("instance %s: %w", e.InstanceID, err)
+		}
+		zone, known := c.zones[e.Zone]
+		if !known {
+			return nil, fmt.Errorf("instance %s: unknown zone %q", e.InstanceID, e.Zone)
+		}
+		entries[i].Zone = zone
+		if kind, known := c.kinds[e.MachineType]; known {
+			entries[i].Kind = kind
+		}
+	}
+	return entries, nil
+}
+
+// discovery follows the list of backends for the loop.
+type discovery struct {
+	cfg    *Config
+	client *http.Client
+	logf   func(string, ...any)
+	tell   func(l *endpointList, entries []cherrywinch.Backend) // a list or a change has come
+	failed func()                                               // a call failed, or a watch broke
+}
+
+func newDiscovery(cfg *Config, logf func(string, ...any)) *discovery {
+	d := &discovery{cfg: cfg, logf: logf}
+	// One connection a call: a watch ends with its connection anyway.
+	d.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ResponseHeaderTimeout: watchSilence}}
+	return d
+}
+
+// follow keeps a watch up, from the given version on, until ctx ends.
+func (d *discovery) follow(ctx context.Context, from uint32) {
+	backoff := backoffLeast
+	for ctx.Err() == nil {
+		began := time.Now()
+		at, err := d.watch(ctx, from)
+		if ctx.Err() != nil {
+			return
+		}
+		if at != from {
+			from, backoff = at, backoffLeast
+		}
+		if backoff == backoffLeast || time.Since(began) > watchSilence {
+			d.logf("discovery: watch ended: %v", err) // a fast series of failures gets one line
+		}
+		d.failed()
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, backoffMost)
+	}
+}
+
+// once keeps a watch until it breaks: where the list is asked for, the module decides when to ask again.
+func (d *discovery) once(ctx context.Context, from uint32) {
+	if _, err := d.watch(ctx, from); ctx.Err() == nil {
+		d.logf("discovery: watch ended: %v", err)
+		d.failed()
+	}
+}
+
+// watch follows one watch until it breaks, and gives the last version that it brought.
+func (d *discovery) watch(ctx context.Context, from uint32) (uint32, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	body, err := d.get(ctx, "?watch=1&from="+strconv.FormatUint(uint64(from), 10))
+	if err != nil {
+		return from, err
+	}
+	defer body.Close()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), longestLine)
+	for lines.Scan() {
+		silence.Reset(watchSilence)
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var l endpointList
+		// A line that can't be read may hide a change. The watch is dropped, the
+		// list so far stands, and the next watch brings what was missed.
+		if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+			return from, fmt.Errorf("bad line: %w", err)
+		}
+		entries, err := l.check(d.cfg)
+		if err != nil {
+			return from, fmt.Errorf("bad line: %w", err)
+		}
+		d.tell(&l, entries)
+		from = l.Generation
+	}
+	if err := lines.Err(); err != nil {
+		return from, err
+	}
+	return from, io.ErrUnexpectedEOF
+}
+
+// fetch asks for the whole list once.
+func (d *discovery) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*watchSilence)
+	defer cancel()
+	l, entries, err := d.list(ctx)
+	if err != nil {
+		d.logf("discovery: fetch: %v", err)
+		d.failed()
+		return
+	}
+	l.Reset = true
+	d.tell(l, entries)
+}
+
+func (d *discovery) list(ctx context.Context) (*endpointList, []cherrywinch.Backend, error) {
+	body, err := d.get(ctx, "")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer body.Close()
+	var l endpointList
+	if err := json.NewDecoder(io.LimitReader(body, longestLine)).Decode(&l); err != nil {
+		return nil, nil, err
+	}
+	entries, err := l.check(d.cfg)
+	return &l, entries, err
+}
+
+func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.cfg.Discovery+"/v1/endpoints"+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, errors.New(resp.Status)
+	}
+	return resp.Body, nil
+}
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
@@ -46,6 +48,45 @@
 	return c, s.err
 }
 
+// ParseSettings reads the same settings from the JSON object that a real proxy
+// finds in its configuration. Names, units and defaults are those of ParseBootInfo.
+func ParseSettings(object []byte) (cherrywinch.Config, error) {
+	d := json.NewDecoder(bytes.NewReader(object))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return cherrywinch.Config{}, fmt.Errorf("settings: %w", err)
+	}
+	s := settings{values: map[string]setting{}}
+	s.flatten("", tree)
+	c := s.config()
+	return c, s.err
+}
+
+// flatten notes a JSON value under the path that it has in a BootInfo text.
+func (s *settings) flatten(path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, item := range v {
+			if path != "" {
+				key = path + "." + key
+			}
+			s.flatten(key, item)
+		}
+	case []any:
+		s.values[path+".count"] = setting{text: strconv.Itoa(len(v))}
+		words := make([]string, len(v))
+		for i, item := range v {
+			s.flatten(path+"."+strconv.Itoa(i), item)
+			words[i] = fmt.Sprint(item)
+		}
+		s.values[path] = setting{text: strings.Join(words, ",")}
+	case nil: // as if absent
+	default:
+		s.values[path] = setting{text: fmt.Sprint(v)}
+	}
+}
+
 func (s *settings) config() cherrywinch.Config {
 	c := cherrywinch.Config{
 		Instances: s.count("Balancers", 1), Rank: s.count("Rank", 0), Zone: s.count("Zone", 0),
@@ -127,7 +168,11 @@
 
 func (s *settings) bad(key, want string) {
 	if v := s.values[key]; s.err == nil {
-		s.err = fmt.Errorf("settings line %d: %s=%q is not %s", v.line, key, v.text, want)
+		where := "settings"
+		if v.line > 0 {
+			where += fmt.Sprintf(" line %d", v.line)
+		}
+		s.err = fmt.Errorf("%s: %s=%q is not %s", where, key, v.text, want)
 	}
 }
 
