--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package cherrywinch makes the decisions of an HTTP load balancer that runs as a
+// Package marlreel makes the decisions of an HTTP load balancer that runs as a
 // small bank of proxies. This file is its whole interface; the decisions are
 // in balancer.go.
 //
@@ -14,7 +14,7 @@
 //     call the Balancer back; what they cause comes as later events.
 //   - Identifiers are opaque. Backends keep theirs over a restart; a request
 //     identifier is never used again.
-package cherrywinch
+package marlreel
 
 import "time"
 
--- a/balancer.go
+++ b/balancer.go
@@ -1,4 +1,4 @@
-package cherrywinch
+package marlreel
 
 // Every decision of the proxy. Its interface (settings, events, actions) is in api.go.
 // The order: checker, candidates and delay estimate, admission, attempts, timers.
--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"cherrywinch/internal/proxy"
+	"marlreel/internal/proxy"
 )
 
 func main() {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"cherrywinch"
-	"cherrywinch/internal/wire"
+	"marlreel"
+	"marlreel/internal/wire"
 )
 
 // Config is what the platform tells a proxy at its start.
@@ -21,7 +21,7 @@
 	MemoryMB                int
 	Cores                   float64
 	Known                   *endpointList // the list as last held; nil is none
-	Settings                cherrywinch.Config
+	Settings                marlreel.Config
 
 	zones, kinds map[string]int // positions, by name
 	report       []string       // names of the values of a load report
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 const (
@@ -44,21 +44,21 @@
 	StartedAtMs int64   `json:"startedAtMs"`
 }
 
-var lifecycles = map[string]cherrywinch.State{"Ready": cherrywinch.Ready, "Terminating": cherrywinch.Draining,
-	"Gone": cherrywinch.Gone}
+var lifecycles = map[string]marlreel.State{"Ready": marlreel.Ready, "Terminating": marlreel.Draining,
+	"Gone": marlreel.Gone}
 
 // check reads the entries without their identifiers and times, which the loop
 // gives. A list with one bad entry is bad as a whole: half of it would pass for
 // all of it.
-func (l *endpointList) check(c *Config) ([]cherrywinch.Backend, error) {
-	entries := make([]cherrywinch.Backend, len(l.Instances))
+func (l *endpointList) check(c *Config) ([]marlreel.Backend, error) {
+	entries := make([]marlreel.Backend, len(l.Instances))
 	for i, e := range l.Instances {
 		state, known := lifecycles[e.Lifecycle]
 		if e.InstanceID == "" || !known {
 			return nil, fmt.Errorf("instance %d: id %q, lifecycle %q", i, e.InstanceID, e.Lifecycle)
 		}
-		entries[i] = cherrywinch.Backend{Zone: -1, Kind: -1, Cell: e.Cell, State: state, Weight: e.Weight}
-		if state == cherrywinch.Gone {
+		entries[i] = marlreel.Backend{Zone: -1, Kind: -1, Cell: e.Cell, State: state, Weight: e.Weight}
+		if state == marlreel.Gone {
 			continue // it may come without the rest
 		}
 		if _, err := netip.ParseAddrPort(e.HostPort); err != nil {
@@ -81,8 +81,8 @@
 	cfg    *Config
 	client *http.Client
 	logf   func(string, ...any)
-	tell   func(l *endpointList, entries []cherrywinch.Backend) // a list or a change has come
-	failed func()                                               // a call failed, or a watch broke
+	tell   func(l *endpointList, entries []marlreel.Backend) // a list or a change has come
+	failed func()                                            // a call failed, or a watch broke
 }
 
 func newDiscovery(cfg *Config, logf func(string, ...any)) *discovery {
@@ -177,7 +177,7 @@
 	d.tell(l, entries)
 }
 
-func (d *discovery) list(ctx context.Context) (*endpointList, []cherrywinch.Backend, error) {
+func (d *discovery) list(ctx context.Context) (*endpointList, []marlreel.Backend, error) {
 	body, err := d.get(ctx, "")
 	if err != nil {
 		return nil, nil, err
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -10,7 +10,7 @@
 	"runtime/debug"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // request is a client's request in the loop's table.
 type request struct {
-	cherrywinch.Request
+	marlreel.Request
 	arrived  time.Duration
 	msg      *message
 	answers  chan answer // has room for the one answer
@@ -50,16 +50,16 @@
 	cfg       *Config
 	logf      func(string, ...any)
 	start     time.Time
-	balancer  *cherrywinch.Balancer
+	balancer  *marlreel.Balancer
 	events    chan func()
 	stopped   chan struct{}
 	later     []func() // what the current event causes: Host calls never call back
 	timers    timerHeap
 	lastTimer uint64
 	pool      pool
-	ids       map[string]cherrywinch.BackendID
-	requests  map[cherrywinch.RequestID]*request
-	lastID    cherrywinch.RequestID
+	ids       map[string]marlreel.BackendID
+	requests  map[marlreel.RequestID]*request
+	lastID    marlreel.RequestID
 	disc      *discovery
 	ctx       context.Context // of all that the loop starts
 	unwatch   context.CancelFunc
@@ -69,27 +69,27 @@
 
 func newLoop(cfg *Config, logf func(string, ...any), listed func()) (*loop, error) {
 	l := &loop{cfg: cfg, logf: logf, start: time.Now(), events: make(chan func(), eventBuffer),
-		stopped: make(chan struct{}), ids: map[string]cherrywinch.BackendID{},
-		requests: map[cherrywinch.RequestID]*request{}, listed: listed}
+		stopped: make(chan struct{}), ids: map[string]marlreel.BackendID{},
+		requests: map[marlreel.RequestID]*request{}, listed: listed}
 	idle := cfg.Settings.Caps.ConnIdle
-	l.pool = pool{most: cfg.upstreamConns(), maxIdle: idle - idle/4, backends: map[cherrywinch.BackendID]*backend{}}
+	l.pool = pool{most: cfg.upstreamConns(), maxIdle: idle - idle/4, backends: map[marlreel.BackendID]*backend{}}
 	l.disc = newDiscovery(cfg, logf)
-	l.disc.tell = func(list *endpointList, entries []cherrywinch.Backend) {
-		kind := cherrywinch.ListDelta
+	l.disc.tell = func(list *endpointList, entries []marlreel.Backend) {
+		kind := marlreel.ListDelta
 		if list.Reset {
-			kind = cherrywinch.ListFull
+			kind = marlreel.ListFull
 		}
 		l.post(func() { l.membership(kind, list, entries) })
 	}
 	l.disc.failed = func() {
 		l.post(func() {
 			if cfg.Settings.OnRequest {
-				l.balancer.Membership(l.now(), cherrywinch.Membership{Kind: cherrywinch.ListFailed})
+				l.balancer.Membership(l.now(), marlreel.Membership{Kind: marlreel.ListFailed})
 			}
 		})
 	}
 	var err error
-	l.balancer, err = cherrywinch.New(cfg.Settings, cfg.Seed, host{l})
+	l.balancer, err = marlreel.New(cfg.Settings, cfg.Seed, host{l})
 	return l, err
 }
 
@@ -117,7 +117,7 @@
 			known = &endpointList{Reset: true}
 		}
 		entries, _ := known.check(l.cfg) // it was checked with the configuration
-		l.membership(cherrywinch.ListCached, known, entries)
+		l.membership(marlreel.ListCached, known, entries)
 		if !l.cfg.Settings.OnRequest {
 			host{l}.Watch(true)
 		}
@@ -176,16 +176,16 @@
 
 // ---- the list ----
 
-func (l *loop) membership(kind cherrywinch.ListKind, list *endpointList, entries []cherrywinch.Backend) {
+func (l *loop) membership(kind marlreel.ListKind, list *endpointList, entries []marlreel.Backend) {
 	l.version = list.Generation
-	kept := map[cherrywinch.BackendID]bool{}
+	kept := map[marlreel.BackendID]bool{}
 	for i, e := range list.Instances {
 		entries[i].ID = l.backendID(e.InstanceID)
 		b := l.pool.backends[entries[i].ID]
-		if entries[i].State == cherrywinch.Gone {
+		if entries[i].State == marlreel.Gone {
 			if b != nil {
 				entries[i] = b.Backend
-				entries[i].State = cherrywinch.Gone
+				entries[i].State = marlreel.Gone
 			}
 			continue // it leaves below
 		}
@@ -198,24 +198,24 @@
 			l.pool.backends[entries[i].ID] = b
 		}
 		b.Backend = entries[i]
-		b.ready.Store(b.State == cherrywinch.Ready)
-		if b.State != cherrywinch.Ready {
+		b.ready.Store(b.State == marlreel.Ready)
+		if b.State != marlreel.Ready {
 			l.pool.release(b)
 		}
 		kept[b.ID] = true
 	}
 	for id, b := range l.pool.backends {
-		gone := kind != cherrywinch.ListDelta && !kept[id]
+		gone := kind != marlreel.ListDelta && !kept[id]
 		for i := range entries {
-			gone = gone || entries[i].ID == id && entries[i].State == cherrywinch.Gone
+			gone = gone || entries[i].ID == id && entries[i].State == marlreel.Gone
 		}
 		if gone {
 			l.drop(b)
 			delete(l.pool.backends, id)
 		}
 	}
-	l.balancer.Membership(l.now(), cherrywinch.Membership{Kind: kind, Version: list.Generation, Backends: entries})
-	if kind != cherrywinch.ListCached && l.listed != nil {
+	l.balancer.Membership(l.now(), marlreel.Membership{Kind: kind, Version: list.Generation, Backends: entries})
+	if kind != marlreel.ListCached && l.listed != nil {
 		l.listed()
 		l.listed = nil
 	}
@@ -231,14 +231,14 @@
 
 // backendID gives the module's identifier for a name: the same at every proxy,
 // but for two names of one hash.
-func (l *loop) backendID(name string) cherrywinch.BackendID {
+func (l *loop) backendID(name string) marlreel.BackendID {
 	id, known := l.ids[name]
 	if known {
 		return id
 	}
 	f := fnv.New32a()
 	io.WriteString(f, name)
-	id = cherrywinch.BackendID(f.Sum32())
+	id = marlreel.BackendID(f.Sum32())
 	for taken := true; taken; {
 		taken = false
 		for _, other := range l.ids {
@@ -293,7 +293,7 @@
 	for _, a := range r.attempts {
 		if !a.done && a.permit.revoke() {
 			a.cancel()
-			l.later = append(l.later, func() { l.outcome(a, reply{result: cherrywinch.Moot}) })
+			l.later = append(l.later, func() { l.outcome(a, reply{result: marlreel.Moot}) })
 		}
 	}
 	l.forget(r)
@@ -322,12 +322,12 @@
 	r := a.req
 	a.done = true
 	r.open--
-	if end.result == cherrywinch.OK {
+	if end.result == marlreel.OK {
 		l.answer(r, answer{status: http.StatusOK, header: passedOn(end.header), body: end.body})
 	}
 	l.forget(r)
 	now := l.now()
-	l.balancer.Outcome(now, cherrywinch.Outcome{ID: r.ID, Attempt: a.n, Backend: a.to.ID, Result: end.result,
+	l.balancer.Outcome(now, marlreel.Outcome{ID: r.ID, Attempt: a.n, Backend: a.to.ID, Result: end.result,
 		Took: now - a.sent, Final: r.answered, Load: end.load})
 }
 
@@ -342,7 +342,7 @@
 func (l *loop) launch(x *exchange, end func(reply)) {
 	x.addr = x.to.addr
 	if x.conn = l.pool.take(x.to, l.now()); x.conn == nil && !l.pool.mayDial() {
-		l.later = append(l.later, func() { end(reply{result: cherrywinch.ConnectFailed}) })
+		l.later = append(l.later, func() { end(reply{result: marlreel.ConnectFailed}) })
 		return
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
@@ -359,11 +359,11 @@
 
 // ---- the module's host ----
 
-// host implements cherrywinch.Host. No method blocks or calls the module.
+// host implements marlreel.Host. No method blocks or calls the module.
 type host struct{ *loop }
 
 // Send starts an attempt.
-func (l host) Send(id cherrywinch.RequestID, to cherrywinch.BackendID, until time.Duration) {
+func (l host) Send(id marlreel.RequestID, to marlreel.BackendID, until time.Duration) {
 	r := l.requests[id]
 	if r == nil {
 		l.logf("send for request %d, which is over", id)
@@ -377,16 +377,16 @@
 		until = latest
 	}
 	a.to = l.pool.backends[to]
-	unsent := cherrywinch.OK
+	unsent := marlreel.OK
 	switch {
 	case r.answered || until <= a.sent || a.n >= l.cfg.Settings.Caps.MaxAttempts:
-		unsent = cherrywinch.Moot
+		unsent = marlreel.Moot
 	case a.to == nil:
-		unsent = cherrywinch.ConnectFailed
+		unsent = marlreel.ConnectFailed
 	}
-	if unsent != cherrywinch.OK {
+	if unsent != marlreel.OK {
 		if a.to == nil {
-			a.to = &backend{Backend: cherrywinch.Backend{ID: to}}
+			a.to = &backend{Backend: marlreel.Backend{ID: to}}
 		}
 		a.permit.revoke()
 		l.later = append(l.later, func() { l.outcome(a, reply{result: unsent}) })
@@ -402,16 +402,16 @@
 	if a.done {
 		return
 	}
-	result := cherrywinch.Timeout
+	result := marlreel.Timeout
 	if a.permit.revoke() {
-		result = cherrywinch.ConnectFailed // it was still dialling
+		result = marlreel.ConnectFailed // it was still dialling
 	}
 	a.cancel()
 	l.outcome(a, reply{result: result})
 }
 
 // Refuse answers that coming again is harmless.
-func (l host) Refuse(id cherrywinch.RequestID, retryAfter time.Duration) {
+func (l host) Refuse(id marlreel.RequestID, retryAfter time.Duration) {
 	if r := l.requests[id]; r != nil {
 		a := ownAnswer(http.StatusServiceUnavailable, "refused")
 		a.retryAfter = retryAfter
@@ -420,37 +420,37 @@
 }
 
 // Fail answers without a promise.
-func (l host) Fail(id cherrywinch.RequestID) {
+func (l host) Fail(id marlreel.RequestID) {
 	if r := l.requests[id]; r != nil {
 		l.answer(r, ownAnswer(http.StatusBadGateway, "failed"))
 	}
 }
 
 // Cancel calls an attempt off by closing its connection.
-func (l host) Cancel(id cherrywinch.RequestID, n int) {
+func (l host) Cancel(id marlreel.RequestID, n int) {
 	r := l.requests[id]
 	if r == nil || n < 0 || n >= len(r.attempts) || r.attempts[n].done {
 		return
 	}
 	a := r.attempts[n]
-	result := cherrywinch.Cancelled
+	result := marlreel.Cancelled
 	if a.permit.revoke() {
-		result = cherrywinch.Moot
+		result = marlreel.Moot
 	}
 	a.cancel()
 	l.later = append(l.later, func() { l.outcome(a, reply{result: result}) })
 }
 
 // Probe asks for a backend's health.
-func (l host) Probe(id cherrywinch.BackendID) {
+func (l host) Probe(id marlreel.BackendID) {
 	b := l.pool.backends[id]
 	sent := l.now()
 	end := func(r reply) {
 		now := l.now()
-		l.balancer.Probed(now, cherrywinch.ProbeResult{Backend: id, Result: r.result, Took: now - sent, Load: r.load})
+		l.balancer.Probed(now, marlreel.ProbeResult{Backend: id, Result: r.result, Took: now - sent, Load: r.load})
 	}
 	if b == nil {
-		l.later = append(l.later, func() { end(reply{result: cherrywinch.Moot}) })
+		l.later = append(l.later, func() { end(reply{result: marlreel.Moot}) })
 		return
 	}
 	wait := time.Duration(probeLonger * float64(l.cfg.Settings.Caps.ConnectTimeout))
@@ -462,7 +462,7 @@
 }
 
 // Release closes the idle connections to a backend.
-func (l host) Release(id cherrywinch.BackendID) {
+func (l host) Release(id marlreel.BackendID) {
 	if b := l.pool.backends[id]; b != nil {
 		l.pool.release(b)
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 const (
@@ -131,7 +131,7 @@
 		return bad(http.StatusBadRequest, "no X-Correlation-Id")
 	}
 	method, effect := http.MethodPost, s.loop.cfg.Settings.Classes[class].Effect
-	if effect == cherrywinch.Safe {
+	if effect == marlreel.Safe {
 		method = http.MethodGet
 	}
 	if r.Method != method {
@@ -139,7 +139,7 @@
 		return bad(http.StatusMethodNotAllowed, "%s takes %s", name, method)
 	}
 	// Backends know a keyed request's repeats by this header alone. Without it a second attempt would run again.
-	if effect == cherrywinch.Keyed && h.Get("Idempotency-Key") == "" {
+	if effect == marlreel.Keyed && h.Get("Idempotency-Key") == "" {
 		return bad(http.StatusBadRequest, "%s needs an Idempotency-Key", name)
 	}
 	var cost time.Duration
@@ -165,7 +165,7 @@
 		key = f.Sum64()
 	}
 	m := &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(h), body: body}
-	return &request{Request: cherrywinch.Request{Class: class, Tenant: tenant, Key: key, Cost: cost,
+	return &request{Request: marlreel.Request{Class: class, Tenant: tenant, Key: key, Cost: cost,
 		Repeat: h.Get("X-Repeat") == "1"}, msg: m}, left, 0, nil
 }
 
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 const (
@@ -64,7 +64,7 @@
 // backend is where a backend of the list is reached, with its idle connections.
 // The loop owns it; only ready is read by attempts too.
 type backend struct {
-	cherrywinch.Backend
+	marlreel.Backend
 	name, addr string
 	ready      atomic.Bool
 	idle       []*conn // the most recently used last
@@ -74,7 +74,7 @@
 type pool struct {
 	open, most int           // connections, those being dialled among them
 	maxIdle    time.Duration // 0 is for ever
-	backends   map[cherrywinch.BackendID]*backend
+	backends   map[marlreel.BackendID]*backend
 }
 
 // take gives an idle connection to the backend, the most recently used: the
@@ -210,7 +210,7 @@
 
 // reply is how an exchange ended. A nil conn says that the connection is gone.
 type reply struct {
-	result cherrywinch.Result
+	result marlreel.Result
 	conn   *conn
 	header http.Header
 	body   []byte
@@ -225,7 +225,7 @@
 		dialer := net.Dialer{Timeout: connectTimeout, Deadline: x.until}
 		nc, err := dialer.DialContext(ctx, "tcp", x.addr)
 		if err != nil {
-			return reply{result: cherrywinch.ConnectFailed}
+			return reply{result: marlreel.ConnectFailed}
 		}
 		c = &conn{Conn: nc, limit: &io.LimitedReader{R: nc}}
 		c.in = bufio.NewReader(c.limit)
@@ -234,7 +234,7 @@
 	// The last look before writing: dialling took its time. The backend may be
 	// draining or gone by now, or the request answered.
 	if err != nil || !x.to.ready.Load() || !x.permit.use() {
-		return reply{result: cherrywinch.Moot, conn: c}
+		return reply{result: marlreel.Moot, conn: c}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	r := c.roundTrip(data, x.msg.method, x.until, report)
@@ -250,7 +250,7 @@
 func (c *conn) roundTrip(data []byte, method string, until time.Time, report []string) reply {
 	c.SetDeadline(until)
 	if n, err := c.Write(data); n < len(data) {
-		return reply{result: cherrywinch.ConnectFailed}
+		return reply{result: marlreel.ConnectFailed}
 	} else if err != nil {
 		return failed(err)
 	}
@@ -271,19 +271,19 @@
 	if err != nil {
 		return failed(err)
 	}
-	r := reply{header: resp.Header, body: body, result: cherrywinch.Error, load: loadReport(resp.Header, report)}
+	r := reply{header: resp.Header, body: body, result: marlreel.Error, load: loadReport(resp.Header, report)}
 	if len(body) > maxBody {
-		return reply{result: cherrywinch.Reset}
+		return reply{result: marlreel.Reset}
 	}
 	if !resp.Close && c.in.Buffered() == 0 && resp.StatusCode >= 200 {
 		r.conn = c
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		r.result = cherrywinch.OK
+		r.result = marlreel.OK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get(headerNotRun) == "1" {
-			r.result = cherrywinch.Full
+			r.result = marlreel.Full
 		}
 	}
 	return r
@@ -293,9 +293,9 @@
 func failed(err error) reply {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
-		return reply{result: cherrywinch.Timeout}
+		return reply{result: marlreel.Timeout}
 	}
-	return reply{result: cherrywinch.Reset}
+	return reply{result: marlreel.Reset}
 }
 
 // loadReport reads the values that the settings name, in their order; nil is none.
--- a/internal/wire/bootinfo_test.go
+++ b/internal/wire/bootinfo_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 func TestSettings(t *testing.T) {
@@ -22,18 +22,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := cherrywinch.Config{Instances: 3, Rank: 2, Zone: 1, Tick: 5 * ms, OnRequest: true, WarmKeys: true,
-		OverShareWorth: 1, WorthByWork: true, Weights: cherrywinch.WeightNominal,
-		Report: []cherrywinch.ReportField{cherrywinch.FieldErrors, cherrywinch.FieldHeld, cherrywinch.FieldOther},
-		Goal:   cherrywinch.Goal{Whole: 1},
-		Classes: []cherrywinch.Class{
-			{Name: "a", Aim: time.Second, GiveUp: 3 * time.Second, Effect: cherrywinch.Safe, Group: cherrywinch.GroupAll, Value: 1},
-			{Name: "b", Aim: 400 * ms, GiveUp: 900 * ms, Effect: cherrywinch.Keyed, Group: cherrywinch.GroupZone, Value: 1,
+	want := marlreel.Config{Instances: 3, Rank: 2, Zone: 1, Tick: 5 * ms, OnRequest: true, WarmKeys: true,
+		OverShareWorth: 1, WorthByWork: true, Weights: marlreel.WeightNominal,
+		Report: []marlreel.ReportField{marlreel.FieldErrors, marlreel.FieldHeld, marlreel.FieldOther},
+		Goal:   marlreel.Goal{Whole: 1},
+		Classes: []marlreel.Class{
+			{Name: "a", Aim: time.Second, GiveUp: 3 * time.Second, Effect: marlreel.Safe, Group: marlreel.GroupAll, Value: 1},
+			{Name: "b", Aim: 400 * ms, GiveUp: 900 * ms, Effect: marlreel.Keyed, Group: marlreel.GroupZone, Value: 1,
 				Window: 1200*ms + 500*time.Microsecond},
 		},
-		Tenants:     []cherrywinch.Tenant{{Name: "t", QuotaPerS: 12.5}},
-		Obligations: cherrywinch.Obligations{FallMultiple: 2.5, StartCapacity: 1},
-		Caps:        cherrywinch.Caps{Cancel: true, ConnectTimeout: 250 * ms, MaxAttempts: 6, StreamsPerConn: 1},
+		Tenants:     []marlreel.Tenant{{Name: "t", QuotaPerS: 12.5}},
+		Obligations: marlreel.Obligations{FallMultiple: 2.5, StartCapacity: 1},
+		Caps:        marlreel.Caps{Cancel: true, ConnectTimeout: 250 * ms, MaxAttempts: 6, StreamsPerConn: 1},
 	}
 	if !reflect.DeepEqual(c, want) {
 		t.Errorf("got  %+v\nwant %+v", c, want)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 // Code is an event's record code.
@@ -56,14 +56,14 @@
 	Instance uint16
 	Seed     uint64
 	BootInfo []byte
-	ID       cherrywinch.RequestID
+	ID       marlreel.RequestID
 	Token    uint64
-	List     cherrywinch.Membership
-	Request  cherrywinch.Request
-	First    cherrywinch.FirstByte
-	Outcome  cherrywinch.Outcome
-	Probe    cherrywinch.ProbeResult
-	Message  cherrywinch.PeerMessage
+	List     marlreel.Membership
+	Request  marlreel.Request
+	First    marlreel.FirstByte
+	Outcome  marlreel.Outcome
+	Probe    marlreel.ProbeResult
+	Message  marlreel.PeerMessage
 }
 
 // ReadBatch reads a frame, using buf's space if it suffices. The error is
@@ -134,7 +134,7 @@
 	pos  int
 	err  error
 	load []float32
-	rows []cherrywinch.Backend
+	rows []marlreel.Backend
 }
 
 var (
@@ -200,23 +200,23 @@
 }
 
 // results gives the outcomes by their code on the wire.
-var results = [...]cherrywinch.Result{cherrywinch.Error, cherrywinch.OK, cherrywinch.Full, cherrywinch.Timeout,
-	cherrywinch.ConnectFailed, cherrywinch.Reset, cherrywinch.Cancelled, cherrywinch.Moot}
+var results = [...]marlreel.Result{marlreel.Error, marlreel.OK, marlreel.Full, marlreel.Timeout,
+	marlreel.ConnectFailed, marlreel.Reset, marlreel.Cancelled, marlreel.Moot}
 
-func (d *decoder) result() cherrywinch.Result {
+func (d *decoder) result() marlreel.Result {
 	c := d.u8()
 	if int(c) >= len(results) {
 		d.fail(fmt.Errorf("unknown outcome %d", c))
-		return cherrywinch.Error
+		return marlreel.Error
 	}
 	return results[c]
 }
 
-var states = [...]cherrywinch.State{cherrywinch.Gone, cherrywinch.Ready, cherrywinch.Draining}
+var states = [...]marlreel.State{marlreel.Gone, marlreel.Ready, marlreel.Draining}
 
-var listKinds = [...]cherrywinch.ListKind{cherrywinch.ListDelta, cherrywinch.ListFull, cherrywinch.ListCached, cherrywinch.ListFailed}
+var listKinds = [...]marlreel.ListKind{marlreel.ListDelta, marlreel.ListFull, marlreel.ListCached, marlreel.ListFailed}
 
-func (d *decoder) list() cherrywinch.Membership {
+func (d *decoder) list() marlreel.Membership {
 	kind, version, n := d.u8(), d.u32(), int(d.u32())
 	if int(kind) >= len(listKinds) {
 		d.fail(fmt.Errorf("unknown list mode %d", kind))
@@ -224,11 +224,11 @@
 		d.fail(errShort)
 	}
 	if d.err != nil {
-		return cherrywinch.Membership{}
+		return marlreel.Membership{}
 	}
 	d.rows = d.rows[:0]
 	for range n {
-		row := cherrywinch.Backend{ID: cherrywinch.BackendID(d.u32()), Zone: int(d.u16()), Kind: int(d.u16()),
+		row := marlreel.Backend{ID: marlreel.BackendID(d.u32()), Zone: int(d.u16()), Kind: int(d.u16()),
 			Cell: int(d.u16())}
 		state := d.u8()
 		row.Weight, row.Started = float64(d.f32()), d.time()
@@ -239,7 +239,7 @@
 		row.State = states[state]
 		d.rows = append(d.rows, row)
 	}
-	return cherrywinch.Membership{Kind: listKinds[kind], Version: version, Backends: d.rows}
+	return marlreel.Membership{Kind: listKinds[kind], Version: version, Backends: d.rows}
 }
 
 const hintValid = 1
@@ -253,7 +253,7 @@
 	case Membership:
 		ev.List = d.list()
 	case Ask:
-		r := cherrywinch.Request{ID: cherrywinch.RequestID(d.u32()), Cost: d.time(), Deadline: d.time()}
+		r := marlreel.Request{ID: marlreel.RequestID(d.u32()), Cost: d.time(), Deadline: d.time()}
 		bits := d.u8()
 		r.Class, r.Key, r.Tenant = int(d.u8()), d.u64(), int(d.u32())
 		if bits&hintValid == 0 || r.Cost < 0 {
@@ -262,22 +262,22 @@
 		r.Repeat = bits&clientRepeat != 0
 		ev.Request = r
 	case Headers:
-		ev.First = cherrywinch.FirstByte{ID: cherrywinch.RequestID(d.u32()), Attempt: int(d.u8()),
-			Backend: cherrywinch.BackendID(d.u32()), Took: d.time()}
+		ev.First = marlreel.FirstByte{ID: marlreel.RequestID(d.u32()), Attempt: int(d.u8()),
+			Backend: marlreel.BackendID(d.u32()), Took: d.time()}
 	case Returned:
-		ev.Outcome = cherrywinch.Outcome{ID: cherrywinch.RequestID(d.u32()), Attempt: int(d.u8()),
-			Backend: cherrywinch.BackendID(d.u32()), Result: d.result(), Took: d.time(), Final: d.u8() != 0,
+		ev.Outcome = marlreel.Outcome{ID: marlreel.RequestID(d.u32()), Attempt: int(d.u8()),
+			Backend: marlreel.BackendID(d.u32()), Result: d.result(), Took: d.time(), Final: d.u8() != 0,
 			Load: d.loads()}
 	case Aborted:
-		ev.ID = cherrywinch.RequestID(d.u32())
+		ev.ID = marlreel.RequestID(d.u32())
 	case Elapsed:
 		ev.Token = d.u64()
 	case Probed:
-		ev.Probe = cherrywinch.ProbeResult{Backend: cherrywinch.BackendID(d.u32()), Result: d.result(), Took: d.time(),
+		ev.Probe = marlreel.ProbeResult{Backend: marlreel.BackendID(d.u32()), Result: d.result(), Took: d.time(),
 			Load: d.loads()}
 	case Peer:
 		from := int(d.u16())
-		ev.Message = cherrywinch.PeerMessage{From: from, Body: d.take(int(d.u16()))}
+		ev.Message = marlreel.PeerMessage{From: from, Body: d.take(int(d.u16()))}
 	case Destroy:
 	default:
 		d.fail(errors.New("unknown record code"))
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cherrywinch"
+	"marlreel"
 )
 
 // frame builds little-endian bytes; a float64 is written as such, an int as one byte.
@@ -49,7 +49,7 @@
 		e := *ev
 		e.Outcome.Load = append([]float32(nil), ev.Outcome.Load...)
 		e.Probe.Load = append([]float32(nil), ev.Probe.Load...)
-		e.List.Backends = append([]cherrywinch.Backend(nil), ev.List.Backends...)
+		e.List.Backends = append([]marlreel.Backend(nil), ev.List.Backends...)
 		out = append(out, e)
 		return nil
 	})
@@ -68,23 +68,23 @@
 	}{
 		{"init", raw(1, uint64(77), uint32(3), "a=b"), func(e Event) any { return string(e.BootInfo) }, "a=b"},
 		{"membership", raw(2, 1, uint32(5), uint32(1), row), func(e Event) any { return e.List },
-			cherrywinch.Membership{Kind: cherrywinch.ListFull, Version: 5, Backends: []cherrywinch.Backend{{ID: 70, Zone: 2,
-				Kind: 1, Cell: 9, State: cherrywinch.Ready, Weight: 1.5, Started: 8000*ms + 250*time.Microsecond}}}},
-		{"a failed list", raw(2, 3, uint32(5), uint32(0)), func(e Event) any { return e.List.Kind }, cherrywinch.ListFailed},
+			marlreel.Membership{Kind: marlreel.ListFull, Version: 5, Backends: []marlreel.Backend{{ID: 70, Zone: 2,
+				Kind: 1, Cell: 9, State: marlreel.Ready, Weight: 1.5, Started: 8000*ms + 250*time.Microsecond}}}},
+		{"a failed list", raw(2, 3, uint32(5), uint32(0)), func(e Event) any { return e.List.Kind }, marlreel.ListFailed},
 		{"ask", raw(3, uint32(9), 12.5, 900.0, 3, 2, uint64(1<<60), uint32(4)), func(e Event) any { return e.Request },
-			cherrywinch.Request{ID: 9, Class: 2, Tenant: 4, Key: 1 << 60, Cost: 12500 * time.Microsecond, Deadline: 900 * ms,
+			marlreel.Request{ID: 9, Class: 2, Tenant: 4, Key: 1 << 60, Cost: 12500 * time.Microsecond, Deadline: 900 * ms,
 				Repeat: true}},
 		{"ask without a valid hint", raw(3, uint32(9), 12.5, 900.0, 0, 2, uint64(0), uint32(0)),
 			func(e Event) any { return e.Request.Cost }, time.Duration(0)},
 		{"headers", raw(4, uint32(9), 1, uint32(70), 3.0), func(e Event) any { return e.First },
-			cherrywinch.FirstByte{ID: 9, Attempt: 1, Backend: 70, Took: 3 * ms}},
+			marlreel.FirstByte{ID: 9, Attempt: 1, Backend: 70, Took: 3 * ms}},
 		{"returned", raw(5, uint32(9), 1, uint32(70), 4, 3.0, 1, 2, float32(1), float32(2)),
-			func(e Event) any { return e.Outcome }, cherrywinch.Outcome{ID: 9, Attempt: 1, Backend: 70,
-				Result: cherrywinch.ConnectFailed, Took: 3 * ms, Final: true, Load: []float32{1, 2}}},
-		{"aborted", raw(6, uint32(9)), func(e Event) any { return e.ID }, cherrywinch.RequestID(9)},
+			func(e Event) any { return e.Outcome }, marlreel.Outcome{ID: 9, Attempt: 1, Backend: 70,
+				Result: marlreel.ConnectFailed, Took: 3 * ms, Final: true, Load: []float32{1, 2}}},
+		{"aborted", raw(6, uint32(9)), func(e Event) any { return e.ID }, marlreel.RequestID(9)},
 		{"elapsed", raw(7, uint64(1)<<63), func(e Event) any { return e.Token }, uint64(1) << 63},
 		{"probed", raw(8, uint32(70), 1, 1.5, 0), func(e Event) any { return e.Probe },
-			cherrywinch.ProbeResult{Backend: 70, Result: cherrywinch.OK, Took: 1500 * time.Microsecond}},
+			marlreel.ProbeResult{Backend: 70, Result: marlreel.OK, Took: 1500 * time.Microsecond}},
 		{"neighbour_says", raw(9, uint16(2), uint16(2), "hi"), func(e Event) any { return string(e.Message.Body) }, "hi"},
 		{"destroy", raw(10), func(e Event) any { return e.Code }, Destroy},
 	} {
@@ -100,8 +100,8 @@
 }
 
 func TestOutcomeCodes(t *testing.T) {
-	want := []cherrywinch.Result{cherrywinch.Error, cherrywinch.OK, cherrywinch.Full, cherrywinch.Timeout, cherrywinch.ConnectFailed,
-		cherrywinch.Reset, cherrywinch.Cancelled, cherrywinch.Moot}
+	want := []marlreel.Result{marlreel.Error, marlreel.OK, marlreel.Full, marlreel.Timeout, marlreel.ConnectFailed,
+		marlreel.Reset, marlreel.Cancelled, marlreel.Moot}
 	for code, result := range want {
 		evs, err := events(t, batch(1, 0, 2, raw(11, uint16(0), 8, uint32(1), code, 0.0, 0)))
 		if err != nil || evs[0].Probe.Result != result {
@@ -157,20 +157,20 @@
 	var r Reply
 	for _, c := range []struct {
 		name string
-		do   func(cherrywinch.Host)
+		do   func(marlreel.Host)
 		want []byte
 	}{
-		{"transmit", func(h cherrywinch.Host) { h.Send(9, 70, 1500*time.Microsecond) }, raw(1, uint32(9), uint32(70), 1.5)},
-		{"reject", func(h cherrywinch.Host) { h.Refuse(9, 240*ms) }, raw(2, uint32(9), 240.0)},
-		{"end_failed", func(h cherrywinch.Host) { h.Fail(9) }, raw(3, uint32(9))},
-		{"abort_attempt", func(h cherrywinch.Host) { h.Cancel(9, 2) }, raw(4, uint32(9), 2)},
-		{"notify_me", func(h cherrywinch.Host) { h.After(500*ms, 77) }, raw(5, 500.0, uint64(77))},
-		{"sample", func(h cherrywinch.Host) { h.Probe(70) }, raw(6, uint32(70))},
-		{"release", func(h cherrywinch.Host) { h.Release(70) }, raw(7, uint32(70))},
-		{"signal", func(h cherrywinch.Host) { h.Tell(cherrywinch.Everyone, []byte("hi")) }, raw(8, uint32(1<<32-1), uint16(2), "hi")},
-		{"say_log", func(h cherrywinch.Host) { h.Log("x") }, raw(9, uint16(1), "x")},
-		{"observe", func(h cherrywinch.Host) { h.Watch(true); h.Watch(false) }, raw(11, 1, 11, 0)},
-		{"resolve", func(h cherrywinch.Host) { h.Fetch() }, raw(12)},
+		{"transmit", func(h marlreel.Host) { h.Send(9, 70, 1500*time.Microsecond) }, raw(1, uint32(9), uint32(70), 1.5)},
+		{"reject", func(h marlreel.Host) { h.Refuse(9, 240*ms) }, raw(2, uint32(9), 240.0)},
+		{"end_failed", func(h marlreel.Host) { h.Fail(9) }, raw(3, uint32(9))},
+		{"abort_attempt", func(h marlreel.Host) { h.Cancel(9, 2) }, raw(4, uint32(9), 2)},
+		{"notify_me", func(h marlreel.Host) { h.After(500*ms, 77) }, raw(5, 500.0, uint64(77))},
+		{"sample", func(h marlreel.Host) { h.Probe(70) }, raw(6, uint32(70))},
+		{"release", func(h marlreel.Host) { h.Release(70) }, raw(7, uint32(70))},
+		{"signal", func(h marlreel.Host) { h.Tell(marlreel.Everyone, []byte("hi")) }, raw(8, uint32(1<<32-1), uint16(2), "hi")},
+		{"say_log", func(h marlreel.Host) { h.Log("x") }, raw(9, uint16(1), "x")},
+		{"observe", func(h marlreel.Host) { h.Watch(true); h.Watch(false) }, raw(11, 1, 11, 0)},
+		{"resolve", func(h marlreel.Host) { h.Fetch() }, raw(12)},
 	} {
 		r.Reset(6)
 		c.do(Actions{To: &r, Instance: 3})
--- a/rules_test.go
+++ b/rules_test.go
@@ -1,4 +1,4 @@
-package cherrywinch
+package marlreel
 
 import (
 	"fmt"
