Test the client side and the outcomes over loopback sockets

Covers: requests and answers passed on unchanged, no silent second send on a reused connection, the protocol's table of outcomes for an unsafe request, refusals only where nothing ran, malformed requests, a client that leaves, the stop at SIGTERM, and shedding before descriptors run out.

--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,275 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// A refusal promises that nothing ran. None of these answers may be one by accident.
+func mustFail(t *testing.T, status int) {
+	t.Helper()
+	if status < 500 || status == http.StatusServiceUnavailable {
+		t.Errorf("status %d, want a failure that promises nothing", status)
+	}
+}
+
+func TestPassesRequestsAndAnswersOn(t *testing.T) {
+	t.Parallel()
+	for _, class := range []string{"lot-list", "bid", "pickup"} {
+		seen := make(chan *http.Request, 1)
+		bodies := make(chan string, 1)
+		b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			seen <- r
+			bodies <- string(body)
+			w.Header().Set("X-Kept", "yes")
+			fmt.Fprint(w, "the answer")
+		}))
+		t.Cleanup(b.Close)
+		p := start(t, testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String())))
+		want := ""
+		if class != "lot-list" {
+			want = "price=12"
+		}
+		r := newRequest(t, p, class, want)
+		r.URL.RawQuery = "q=a%2Fb"
+		status, text, h := do(t, r)
+		if status != 200 || text != "the answer" || h.Get("X-Kept") != "yes" {
+			t.Fatalf("%s: answered %d %q %v", class, status, text, h)
+		}
+		got := receive(t, seen, "the request")
+		if body := receive(t, bodies, "the body"); got.Method != r.Method || got.RequestURI != "/"+class+"/7f3a9c21?q=a%2Fb" || body != want {
+			t.Errorf("%s: backend got %s %s %q", class, got.Method, got.RequestURI, body)
+		}
+		for _, name := range []string{"X-Correlation-Id", "Idempotency-Key"} {
+			if got.Header.Get(name) != r.Header.Get(name) {
+				t.Errorf("%s: %s is %q", class, name, got.Header.Get(name))
+			}
+		}
+		// The attempt is given up at the aim, before the client leaves.
+		if left, err := parseSpan(got.Header.Get("X-Time-Left")); err != nil || left.Seconds() > 8 {
+			t.Errorf("%s: X-Time-Left %q: %v", class, got.Header.Get("X-Time-Left"), err)
+		}
+	}
+}
+
+// A transport that re-sends on a broken reused connection makes an attempt that
+// nobody counts. For an unsafe request that is a second effect.
+func TestNothingIsSentAgainOnAReusedConnection(t *testing.T) {
+	t.Parallel()
+	var bids atomic.Int64
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			if strings.HasPrefix(r.URL.Path, "/bid") {
+				bids.Add(1)
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", addr)))
+	if status, _, _ := do(t, newRequest(t, p, "lot-list", "")); status != 200 {
+		t.Fatalf("the first request got %d", status)
+	}
+	status, _, _ := do(t, newRequest(t, p, "bid", "x"))
+	mustFail(t, status)
+	if n := bids.Load(); n != 1 {
+		t.Errorf("the bid went out %d times", n)
+	}
+}
+
+// Only an answer that proves that nothing ran lets an unsafe request be refused or sent again.
+func TestOutcomesOfAnUnsafeRequest(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 "
+	for _, c := range []struct {
+		name, answer string
+		again        bool
+	}{
+		{"error", head + "500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", false},
+		{"503 without proof", head + "503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", false},
+		{"broken off", head + "200 OK\r\nContent-Length: 100\r\n\r\nhalf", false},
+		{"body too large", head + "200 OK\r\n\r\n" + strings.Repeat("x", maxBody+1), false},
+		{"noise", "\x00\x01\x02\r\n\r\n", false},
+		{"nothing", "", false},
+		{"queue full", head + "503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true},
+		{"over", head + "504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var n atomic.Int64
+			addr := rawBackend(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, ok := readRequest(in); !ok {
+					return
+				}
+				if n.Add(1) > 1 {
+					io.WriteString(conn, okAnswer)
+					return
+				}
+				io.WriteString(conn, c.answer)
+			})
+			p := start(t, testConfig(t, closedAddr(t), ready("s-1", addr)))
+			status, text, _ := do(t, newRequest(t, p, "bid", "x"))
+			if c.again {
+				if status != 200 || text != "served" {
+					t.Errorf("answered %d %q, want the second attempt's answer", status, text)
+				}
+				return
+			}
+			mustFail(t, status)
+			if n.Load() != 1 {
+				t.Errorf("%d attempts", n.Load())
+			}
+		})
+	}
+}
+
+func TestRefusesWhatNeverRan(t *testing.T) {
+	t.Parallel()
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", closedAddr(t))))
+	if status, _, _ := do(t, newRequest(t, p, "bid", "x")); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want a refusal: no connection ever came up", status)
+	}
+}
+
+func TestMalformedRequestsAreTheClientsFault(t *testing.T) {
+	t.Parallel()
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}))
+	t.Cleanup(b.Close)
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String())))
+	for name, spoil := range map[string]func(r *http.Request){
+		"unknown class":     func(r *http.Request) { r.URL.Path = "/nets/1" },
+		"unknown account":   func(r *http.Request) { r.Header.Set("X-Account", "nobody") },
+		"no time":           func(r *http.Request) { r.Header.Del("X-Time-Left") },
+		"time of no unit":   func(r *http.Request) { r.Header.Set("X-Time-Left", "480") },
+		"time not a number": func(r *http.Request) { r.Header.Set("X-Time-Left", "NaNm") },
+		"negative time":     func(r *http.Request) { r.Header.Set("X-Time-Left", "-5m") },
+		"endless time":      func(r *http.Request) { r.Header.Set("X-Time-Left", "1e300m") },
+		"no id":             func(r *http.Request) { r.Header.Del("X-Correlation-Id") },
+		"wrong method":      func(r *http.Request) { r.Method = http.MethodGet },
+		"no key":            func(r *http.Request) { r.Header.Del("Idempotency-Key") },
+		"large body": func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1)))
+			r.ContentLength = -1
+		},
+	} {
+		r := newRequest(t, p, "pickup", "x")
+		spoil(r)
+		if status, _, _ := do(t, r); status < 400 || status > 499 || status == http.StatusTooManyRequests {
+			t.Errorf("%s: status %d", name, status)
+		}
+	}
+	if status, _, _ := do(t, newRequest(t, p, "pickup", "x")); status != 200 {
+		t.Errorf("a good request after the bad ones got %d", status)
+	}
+}
+
+// The work for a client that has left is called off, by closing the connection.
+func TestClientLeaves(t *testing.T) {
+	t.Parallel()
+	came, left := make(chan struct{}), make(chan struct{})
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(came)
+		<-r.Context().Done()
+		close(left)
+	}))
+	t.Cleanup(b.Close)
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String())))
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		if resp, err := http.DefaultClient.Do(newRequest(t, p, "bid", "x").WithContext(ctx)); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	receive(t, came, "the attempt")
+	leave()
+	receive(t, left, "the attempt's end")
+}
+
+// At SIGTERM connections still come, and what was taken has to be finished.
+func TestStopsWithoutLosingARequest(t *testing.T) {
+	t.Parallel()
+	came, finish := make(chan struct{}, 2), make(chan struct{})
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		came <- struct{}{}
+		<-finish
+		fmt.Fprint(w, "served")
+	}))
+	t.Cleanup(b.Close)
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String())))
+	type got struct {
+		status int
+		closed bool
+	}
+	answers := make(chan got, 2)
+	ask := func() {
+		resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{}}).Do(newRequest(t, p, "bid", "x"))
+		if err != nil {
+			t.Errorf("lost: %v", err)
+			answers <- got{}
+			return
+		}
+		resp.Body.Close()
+		answers <- got{resp.StatusCode, resp.Close}
+	}
+	go ask()
+	receive(t, came, "the first attempt")
+	p.stop()
+	go ask() // on a new connection, after the signal
+	receive(t, came, "the second attempt")
+	close(finish)
+	closed := 0
+	for range 2 {
+		a := receive(t, answers, "an answer")
+		if a.status != 200 {
+			t.Errorf("status %d after the signal", a.status)
+		}
+		if a.closed {
+			closed++
+		}
+	}
+	if closed == 0 {
+		t.Error("no answer after the signal ends its connection")
+	}
+	if err := receive(t, p.ended, "the end"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Descriptors that run out fail everything. Before that, clients are turned away with an answer.
+func TestShedsConnectionsWithAnAnswer(t *testing.T) {
+	t.Parallel()
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}))
+	t.Cleanup(b.Close)
+	cfg := testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String()))
+	cfg.Sockets = leastSockets
+	p := start(t, cfg)
+	for range cfg.clientConns() {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	eventually(t, "a request to be shed", func() bool {
+		resp, err := (&http.Client{Transport: &http.Transport{}}).Do(newRequest(t, p, "bid", "x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable && resp.Close
+	})
+}
