--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -91,6 +91,11 @@
 	if len(c.Settings.Classes) == 0 {
 		return nil, errors.New("settings: Services: none given")
 	}
+	for _, class := range c.Settings.Classes {
+		if class.Stream { // answers are read whole here
+			return nil, fmt.Errorf("settings: class %s is streamed, which is not supported", class.Name)
+		}
+	}
 	var names struct { // what only a real proxy needs: on the wire all names are positions
 		FailureDomains, Kinds []string
 		Feedback              struct{ Names []string }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,7 +16,7 @@
 const (
 	// After the signal to stop, new connections go on coming for up to 0.4 s. One
 	// that is closed unaccepted is a lost request.
-	acceptLonger = 600 * time.Millisecond
+	acceptLonger = 500 * time.Millisecond
 	// A proxy that has no word from discovery takes its old list for good after this.
 	oldListAfter = time.Second
 )
