Keep idle connections past their last exchange's deadline

Checked: a trace of every exchange's end and of why the pool closed. Ruled out: the module's Release (never called), answers that end their connection, probes (kept after use), the bound. 393 connections were closed as not alive with nothing to read on them, most of them within a second of their last use. Cause: roundTrip left the exchange's deadline on the connection (internal/proxy/upstream.go, SetDeadline(until)); once it has passed, RawConn's Read in alive fails with that deadline, and the pool takes the connection for dead. Mend: the deadline is cleared when a connection is kept. The new test fails without it.

--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -225,6 +225,31 @@
 	}
 }
 
+// An idle connection outlives the deadline of the exchange that it served.
+// When it did not, most were closed within a second, each for a new handshake.
+func TestIdleConnectionOutlivesItsExchange(t *testing.T) {
+	t.Parallel()
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := readRequest(in); !ok {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	x := &exchange{to: &backend{addr: addr}, addr: addr, msg: probeMessage(addr), until: time.Now().Add(2 * time.Second)}
+	x.to.ready.Store(true)
+	r := x.run(context.Background(), patience, nil)
+	if r.conn == nil {
+		t.Fatalf("the connection was not kept: %+v", r)
+	}
+	defer r.conn.Close()
+	time.Sleep(time.Until(x.until) + 10*time.Millisecond)
+	if !r.conn.alive() {
+		t.Error("a good idle connection looks dead once its last exchange's time has passed")
+	}
+}
+
 func TestPoolIsBounded(t *testing.T) {
 	t.Parallel()
 	p, b, _ := poolOf(t, 2)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -276,6 +276,9 @@
 		return reply{result: marlreel.Reset}
 	}
 	if !resp.Close && c.in.Buffered() == 0 && resp.StatusCode >= 200 {
+		// The deadline was this exchange's. Left in place, it would make the idle
+		// connection look dead to alive as soon as it passes.
+		c.SetDeadline(time.Time{})
 		r.conn = c
 	}
 	switch resp.StatusCode {
