Leave nothing behind: timers, gone backends, what a stop finds open

Timers of answered requests stayed in the heap for as long as the client had named (loop.go, at); names of gone backends stayed in ids; a stop whose wait ran out ended with requests open (proxy.go, drain); an answer without a length that was cut at the read limit passed for whole (upstream.go, roundTrip).

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -34,6 +34,7 @@
 	answered bool        // or the client has left: nothing more goes out
 	attempts []*attempt
 	open     int // attempts without an outcome
+	backstop *timer
 }
 
 type attempt struct {
@@ -42,6 +43,7 @@
 	n    int
 	sent time.Duration
 	done bool // the module has its outcome
+	end  *timer
 }
 
 // loop is the one goroutine that owns the Balancer, the request table and the
@@ -127,7 +129,7 @@
 	for {
 		now := l.now()
 		for len(l.timers) > 0 && l.timers[0].at <= now {
-			l.do(heap.Pop(&l.timers).(timer).event)
+			l.do(heap.Pop(&l.timers).(*timer).event)
 		}
 		wait := time.Hour
 		if len(l.timers) > 0 {
@@ -164,9 +166,19 @@
 	event()
 }
 
-func (l *loop) at(when time.Duration, event func()) {
+func (l *loop) at(when time.Duration, event func()) *timer {
 	l.lastTimer++
-	heap.Push(&l.timers, timer{when, l.lastTimer, event})
+	t := &timer{at: when, order: l.lastTimer, event: event}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// disarm takes a timer back. What clients name as their time may be long: left
+// in the heap, timers would keep requests in memory that were answered long ago.
+func (l *loop) disarm(t *timer) {
+	if t != nil && t.place >= 0 {
+		heap.Remove(&l.timers, t.place)
+	}
 }
 
 func (l *loop) retire() {
@@ -212,6 +224,7 @@
 		if gone {
 			l.drop(b)
 			delete(l.pool.backends, id)
+			delete(l.ids, b.name) // the same name gets the same identifier again
 		}
 	}
 	l.balancer.Membership(l.now(), marlreel.Membership{Kind: kind, Version: list.Generation, Backends: entries})
@@ -269,7 +282,7 @@
 	r.ID = l.lastID
 	l.requests[r.ID] = r
 	// Whatever the module does, the client has its answer before its time is up.
-	l.at(r.Deadline-backstop, func() {
+	r.backstop = l.at(r.Deadline-backstop, func() {
 		if l.answer(r, ownAnswer(http.StatusGatewayTimeout, "out of time")) {
 			l.balancer.Gone(l.now(), r.ID)
 		}
@@ -290,6 +303,7 @@
 // over ends a request: what is not yet written for it never will be.
 func (l *loop) over(r *request) {
 	r.answered = true
+	l.disarm(r.backstop)
 	for _, a := range r.attempts {
 		if !a.done && a.permit.revoke() {
 			a.cancel()
@@ -305,6 +319,16 @@
 	}
 }
 
+// failAll ends what is still open when the process has to go. Some of it may
+// have run, so none of it is refused.
+func (l *loop) failAll() {
+	for _, r := range l.requests {
+		if l.answer(r, ownAnswer(http.StatusBadGateway, "the proxy stops")) {
+			l.balancer.Gone(l.now(), r.ID)
+		}
+	}
+}
+
 // gone takes the leave of a client.
 func (l *loop) gone(r *request) {
 	if r.answered {
@@ -322,6 +346,7 @@
 	r := a.req
 	a.done = true
 	r.open--
+	l.disarm(a.end)
 	if end.result == marlreel.OK {
 		l.answer(r, answer{status: http.StatusOK, header: passedOn(end.header), body: end.body})
 	}
@@ -393,7 +418,7 @@
 		return
 	}
 	a.msg, a.until = r.msg, l.wall(until)
-	l.at(until, func() { l.expire(a) })
+	a.end = l.at(until, func() { l.expire(a) })
 	l.launch(&a.exchange, func(end reply) { l.outcome(a, end) })
 }
 
@@ -506,21 +531,30 @@
 type timer struct {
 	at    time.Duration
 	order uint64 // of two at one time the older comes first
+	place int    // in the heap; -1 is out of it
 	event func()
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int { return len(h) }
 func (h timerHeap) Less(i, j int) bool {
 	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
 }
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.place = len(*h)
+	*h = append(*h, t)
+}
 func (h *timerHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	last.place = -1
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
 	return last
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,9 @@
 	// After the signal to stop, new connections go on coming for up to 0.4 s. One
 	// that is closed unaccepted is a lost request.
 	acceptLonger = 500 * time.Millisecond
+	// What is open so long before the end of the drain is answered with a failure:
+	// a request that the end of the process finds is lost.
+	lastAnswers = 250 * time.Millisecond
 	// A proxy that has no word from discovery takes its old list for good after this.
 	oldListAfter = time.Second
 )
@@ -66,10 +69,17 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutdown: %w", err)
+	for _, wait := range []time.Duration{longest - lastAnswers, lastAnswers} {
+		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
+		err := s.http.Shutdown(ctx)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("shutdown: %w", err)
+		}
+		s.loop.post(s.loop.failAll)
 	}
 	return nil
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -272,7 +272,8 @@
 		return failed(err)
 	}
 	r := reply{header: resp.Header, body: body, result: marlreel.Error, load: loadReport(resp.Header, report)}
-	if len(body) > maxBody {
+	// An answer that its connection's end delimits ends at the limit too. It may be cut there.
+	if len(body) > maxBody || c.limit.N <= 0 {
 		return reply{result: marlreel.Reset}
 	}
 	if !resp.Close && c.in.Buffered() == 0 && resp.StatusCode >= 200 {
--- a/internal/wire/bootinfo_test.go
+++ b/internal/wire/bootinfo_test.go
@@ -70,3 +70,32 @@
 		}
 	})
 }
+
+// The JSON object of a real proxy's configuration means what the wire's text means.
+func TestSettingsFromJSON(t *testing.T) {
+	text := "Balancers=3\nTick=5.0\nCaps.Cancel=true\nCaps.ConnIdle=60000.0\nFeedback.How=inline\n" +
+		"Feedback.Names=busy_reqs,pending\nServices.count=2\nServices.0.Name=bid\nServices.0.Aim=400.0\n" +
+		"Services.0.GiveUp=2000.0\nServices.1.Name=pickup\nServices.1.Aim=600.0\nServices.1.GiveUp=2000.0\n" +
+		"Services.1.Effect=dedup\nServices.1.Group=zone\nTenants.count=1\nTenants.0.Name=obala\nTenants.0.QuotaPerS=120.5\n"
+	object := `{"Balancers":3,"Tick":5.0,"Caps":{"Cancel":true,"ConnIdle":60000.0},
+		"Feedback":{"How":"inline","Names":["busy_reqs","pending"]},"Unknown":{"Deep":[1,{"x":null}]},
+		"Services":[{"Name":"bid","Aim":400.0,"GiveUp":2000.0},
+			{"Name":"pickup","Aim":600.0,"GiveUp":2000.0,"Effect":"dedup","Group":"zone"}],
+		"Tenants":[{"Name":"obala","QuotaPerS":120.5}]}`
+	want, err := ParseBootInfo(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ParseSettings([]byte(object))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got  %+v\nwant %+v", got, want)
+	}
+	for _, bad := range []string{`[]`, `{"Tick":"soon"}`, `{"Services":[{"Effect":"maybe"}]}`} {
+		if _, err := ParseSettings([]byte(bad)); err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
