Take every connection, read requests strictly, tell spoilt answers at once

Causes, from the trace and the reports: - proxy.go's LimitListener beside an idle time-out of 2 min: connections that asked once filled the bound and nothing more was accepted. Ruled out: memory (8 of 48 MB), CPU (0.1 of a core), the backends (95 in 100 in time before the bound was full).

--- a/api.go
+++ b/api.go
@@ -197,6 +197,7 @@
 	Reset                // the connection broke; it may have run
 	Cancelled            // called off; it may have run
 	Moot                 // never sent
+	Declined             // answered that the request itself can't be used
 )
 
 // NeverRan tells whether the result proves that the attempt did not run.
--- a/balancer.go
+++ b/balancer.go
@@ -244,7 +244,7 @@
 			t.healthy, t.bad = true, 0
 			b.log(fmt.Sprintf("backend %d passes its probes again", t.ID))
 		}
-	case Full, Cancelled, Moot: // it says nothing of the backend's health
+	case Full, Cancelled, Moot, Declined: // it says nothing of the backend's health
 	default:
 		t.passes, t.fails, t.nextProbe = 0, t.fails+1, min(t.nextProbe, now+b.doubt())
 		if t.fails >= probeRun {
@@ -294,7 +294,8 @@
 		return
 	}
 	// Danger: in an overload all attempts time out; a backend that still answers others is only slow.
-	if result == Full || result == Cancelled || result == Moot || t.lastOK > a.sent {
+	// Danger: a request that no backend can use would eject one after the other.
+	if result == Full || result == Cancelled || result == Moot || result == Declined || t.lastOK > a.sent {
 		return
 	}
 	// Danger: it may be up again before the list says that it died.
@@ -769,6 +770,11 @@
 		b.finish(r, a)
 		return
 	}
+	if o.Result == Declined { // and so would every other
+		b.host.Fail(r.ID)
+		b.finish(r, a)
+		return
+	}
 	if r.out > 0 {
 		return
 	}
@@ -812,7 +818,7 @@
 		b.classes[r.Class].learn(millis(r.Cost), took, classKeep)
 		b.note(t, took/a.expected, 1)
 		t.served.add(a.work, b.now, servedOver*b.memory)
-	case Cancelled, Moot:
+	case Cancelled, Moot, Declined:
 		// A loser's age is a lower bound of its delay.
 		if took > a.expected {
 			b.note(t, took/a.expected, 0.5)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -122,8 +122,10 @@
 	return m
 }
 
-// The shares of the descriptors. What is left over serves discovery, the
-// listener, the runtime, and connections that are being shed.
+// The shares of the descriptors: of 256, clients have 128 and backends 64. Good
+// clients hold a third at most (85), so silent ones always find some 40 places to
+// push each other out of. The rest serves discovery (two watches during a change),
+// the listener, the runtime and the standard streams.
 const (
 	defaultSockets = 1024
 	leastSockets   = 64
@@ -140,6 +142,15 @@
 func (c *Config) clientConns() int   { return c.sockets() / 2 }
 func (c *Config) upstreamConns() int { return c.sockets() / 4 }
 
+// longestGiveUp is the longest time that a client waits.
+func (c *Config) longestGiveUp() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.GiveUp)
+	}
+	return longest
+}
+
 // parseSpan reads a number with the unit m (milliseconds) or u (microseconds).
 func parseSpan(s string) (time.Duration, error) {
 	unit := time.Duration(0)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"io"
 	"net/http"
-	"net/url"
 	"runtime/debug"
 	"time"
 
@@ -28,6 +27,7 @@
 // request is a client's request in the loop's table.
 type request struct {
 	marlreel.Request
+	name     string // the client's own, new with each request
 	arrived  time.Duration
 	msg      *message
 	answers  chan answer // has room for the one answer
@@ -61,6 +61,7 @@
 	pool      pool
 	ids       map[string]marlreel.BackendID
 	requests  map[marlreel.RequestID]*request
+	names     *recent // of requests
 	lastID    marlreel.RequestID
 	disc      *discovery
 	ctx       context.Context // of all that the loop starts
@@ -73,6 +74,8 @@
 	l := &loop{cfg: cfg, logf: logf, start: time.Now(), events: make(chan func(), eventBuffer),
 		stopped: make(chan struct{}), ids: map[string]marlreel.BackendID{},
 		requests: map[marlreel.RequestID]*request{}, listed: listed}
+	// What is open has come within the longest wait.
+	l.names = newRecent(cfg.longestGiveUp() + time.Second)
 	idle := cfg.Settings.Caps.ConnIdle
 	l.pool = pool{most: cfg.upstreamConns(), maxIdle: idle - idle/4, backends: map[marlreel.BackendID]*backend{}}
 	l.disc = newDiscovery(cfg, logf)
@@ -278,6 +281,13 @@
 		r.answers <- ownAnswer(http.StatusServiceUnavailable, "too many requests")
 		return
 	}
+	// Backends tell requests apart by this name. Under the name of another's request
+	// this one would get that one's answer, or give it its own.
+	if !l.names.add(r.name, l.now()) {
+		r.answered = true
+		r.answers <- badRequest(http.StatusConflict, "%s is in use", headerID)
+		return
+	}
 	l.lastID++
 	r.ID = l.lastID
 	l.requests[r.ID] = r
@@ -483,7 +493,7 @@
 }
 
 func probeMessage(addr string) *message {
-	return &message{method: http.MethodGet, url: &url.URL{Path: "/health"}, host: addr, header: http.Header{}}
+	return &message{method: http.MethodGet, head: []byte("GET /health HTTP/1.1\r\nHost: " + addr + "\r\n")}
 }
 
 // Release closes the idle connections to a backend.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,8 +9,6 @@
 	"log"
 	"net"
 	"time"
-
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -51,7 +49,7 @@
 		time.AfterFunc(oldListAfter, func() { s.ready.Store(true) })
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- s.http.Serve(netutil.LimitListener(ln, cfg.clientConns()+cfg.sockets()/8)) }()
+	go func() { failed <- s.http.Serve(newClients(ln, cfg.clientConns())) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -65,11 +63,7 @@
 func (s *server) drain(cfg *Config) error {
 	s.stopping.Store(true)
 	time.Sleep(acceptLonger)
-	longest := time.Duration(0)
-	for _, c := range cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
-	}
-	for _, wait := range []time.Duration{longest - lastAnswers, lastAnswers} {
+	for _, wait := range []time.Duration{cfg.longestGiveUp() - lastAnswers, lastAnswers} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
 		err := s.http.Shutdown(ctx)
 		cancel()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -2,18 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"marlreel"
@@ -43,22 +41,7 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return quiet(c.Conn)
 }
 
 // backend is where a backend of the list is reached, with its idle connections.
@@ -156,32 +139,46 @@
 	}
 }
 
-// message is a client's request, ready to be sent on any number of times.
+// message is a request, ready to be sent on any number of times.
 type message struct {
 	method string
-	url    *url.URL
-	host   string
-	header http.Header // end-to-end ones; read only
+	head   []byte // all of the head that is the same with every attempt
 	body   []byte
 }
 
-// encode writes the message out whole, so that one write sends it and its count
-// tells whether the last byte went out.
-func (m *message) encode(wait time.Duration) ([]byte, error) {
-	h := m.header.Clone()
-	h.Set(headerTimeout, strconv.FormatInt(max(1, wait.Microseconds()), 10)+"u")
-	if _, set := h["User-Agent"]; !set {
-		h["User-Agent"] = []string{""} // which keeps Write from naming one
+// newMessage writes the head down once: what an attempt adds is its time.
+func newMessage(r *http.Request, body []byte) *message {
+	head := make([]byte, 0, 512)
+	for _, part := range []string{r.Method, " ", r.URL.RequestURI(), " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		head = append(head, part...)
 	}
-	r := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: h, ContentLength: int64(len(m.body))}
-	if len(m.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(m.body))
+	for field, values := range r.Header {
+		if field == headerTimeout || staysHere(r.Header, field) {
+			continue
+		}
+		for _, v := range values {
+			for _, part := range []string{field, ": ", v, "\r\n"} {
+				head = append(head, part...)
+			}
+		}
 	}
-	var buf bytes.Buffer
-	if err := r.Write(&buf); err != nil {
-		return nil, err
+	if r.Method != http.MethodGet {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(body)), 10)
+		head = append(head, "\r\n"...)
 	}
-	return buf.Bytes(), nil
+	return &message{method: r.Method, head: head, body: body}
+}
+
+// encode writes the message out whole, so that one write sends it and its count
+// tells whether the last byte went out.
+func (m *message) encode(wait time.Duration) []byte {
+	const spare = len(headerTimeout) + 32
+	data := append(make([]byte, 0, len(m.head)+spare+len(m.body)), m.head...)
+	data = append(data, headerTimeout+": "...)
+	data = strconv.AppendInt(data, max(1, wait.Microseconds()), 10)
+	data = append(data, "u\r\n\r\n"...)
+	return append(data, m.body...)
 }
 
 // permit is the right to write one attempt. The loop and the attempt's goroutine
@@ -221,6 +218,13 @@
 // until the last byte is written the request never ran; from then on it may have.
 func (x *exchange) run(ctx context.Context, connectTimeout time.Duration, report []string) reply {
 	c := x.conn
+	data := x.msg.encode(time.Until(x.until))
+	// An answer's surplus, or the end of the connection, may have come since it was
+	// taken from the pool. Surplus would be read as the answer to this request.
+	if c != nil && !c.alive() {
+		c.Close()
+		c = nil
+	}
 	if c == nil {
 		dialer := net.Dialer{Timeout: connectTimeout, Deadline: x.until}
 		nc, err := dialer.DialContext(ctx, "tcp", x.addr)
@@ -230,10 +234,9 @@
 		c = &conn{Conn: nc, limit: &io.LimitedReader{R: nc}}
 		c.in = bufio.NewReader(c.limit)
 	}
-	data, err := x.msg.encode(time.Until(x.until))
 	// The last look before writing: dialling took its time. The backend may be
 	// draining or gone by now, or the request answered.
-	if err != nil || !x.to.ready.Load() || !x.permit.use() {
+	if !x.to.ready.Load() || !x.permit.use() {
 		return reply{result: marlreel.Moot, conn: c}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -254,45 +257,74 @@
 	} else if err != nil {
 		return failed(err)
 	}
-	var resp *http.Response
-	var err error
-	for range most1xx {
-		c.limit.N = maxHead + maxBody
-		resp, err = http.ReadResponse(c.in, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			break
-		}
-	}
+	resp, err := c.readHead(method)
 	if err != nil {
 		return failed(err)
 	}
 	// The answer is read whole before any of it is passed on: a client never gets half of one.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || len(body) > maxBody {
 		return failed(err)
 	}
 	r := reply{header: resp.Header, body: body, result: marlreel.Error, load: loadReport(resp.Header, report)}
-	// An answer that its connection's end delimits ends at the limit too. It may be cut there.
-	if len(body) > maxBody || c.limit.N <= 0 {
-		return reply{result: marlreel.Reset}
-	}
-	if !resp.Close && c.in.Buffered() == 0 && resp.StatusCode >= 200 {
-		// The deadline was this exchange's. Left in place, it would make the idle
-		// connection look dead to alive as soon as it passes.
+	if !resp.Close && c.in.Buffered() == 0 {
+		// The deadline was this exchange's. Left in place, it would end the next.
 		c.SetDeadline(time.Time{})
 		r.conn = c
 	}
-	switch resp.StatusCode {
-	case http.StatusOK:
+	switch code := resp.StatusCode; {
+	case code == http.StatusOK:
 		r.result = marlreel.OK
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	case code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout:
 		if resp.Header.Get(headerNotRun) == "1" {
 			r.result = marlreel.Full
 		}
+	case code >= 400 && code < 500 && code != http.StatusRequestTimeout && code != http.StatusTooManyRequests:
+		r.result = marlreel.Declined
 	}
 	return r
 }
 
+var errSpoilt = errors.New("the answer can't be used")
+
+// readHead reads up to the head of the final answer. What can't be one is told at
+// once, not when the attempt's time is up: the connection stays open behind noise,
+// and three gigabytes go on coming.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	const start = "HTTP/1."
+	for range most1xx {
+		c.limit.N = maxHead
+		if _, err := c.in.Peek(1); err != nil {
+			return nil, err
+		}
+		first, _ := c.in.Peek(min(len(start), c.in.Buffered()))
+		if !strings.HasPrefix(start, string(first)) {
+			return nil, errSpoilt
+		}
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSpoilt // nobody asked for it
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		// An answer that only its connection's end delimits can't be told from one that was cut.
+		chunked := len(resp.TransferEncoding) > 0
+		if resp.ContentLength > maxBody || resp.ContentLength < 0 && !chunked {
+			return nil, errSpoilt
+		}
+		c.limit.N = maxBody
+		if chunked {
+			c.limit.N += maxHead // for the sizes and the trailer
+		}
+		return resp, nil
+	}
+	return nil, errSpoilt
+}
+
 // failed tells how an attempt ended that was written and not answered. It may have run.
 func failed(err error) reply {
 	var ne net.Error
@@ -302,19 +334,26 @@
 	return reply{result: marlreel.Reset}
 }
 
-// loadReport reads the values that the settings name, in their order; nil is none.
+// loadReport reads the values that the settings name, in their order. A report that
+// can't be read, lacks one of them, or has one that can't be true, is none: half of
+// one would draw traffic to a backend as if it were idle.
 func loadReport(h http.Header, names []string) []float32 {
+	const most = 1e9
 	text := h.Get(headerLoad)
 	if text == "" || len(names) == 0 {
 		return nil
 	}
-	var values map[string]float32
+	var values map[string]*float64
 	if err := json.Unmarshal([]byte(text), &values); err != nil {
 		return nil
 	}
 	load := make([]float32, len(names))
 	for i, n := range names {
-		load[i] = values[n]
+		v := values[n]
+		if v == nil || !(*v >= 0 && *v <= most) {
+			return nil
+		}
+		load[i] = float32(*v)
 	}
 	return load
 }
