--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -1,5 +1,5 @@
 // Marlreel is the proxy: it reads its configuration from $NODE_CONFIG and serves
-// until it is told to stop.
+// until it is told to stop. SIGHUP makes it read the configuration again.
 package main
 
 import (
@@ -24,6 +24,10 @@
 }
 
 func run() error {
+	// Before anything else: until then the signal ends the process. One signal in
+	// hand is enough, as the file is read after it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cfg, err := proxy.LoadConfig(os.Getenv("NODE_CONFIG"), os.Getenv)
@@ -37,5 +41,6 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
 	}
-	return proxy.Run(ctx, cfg, log.New(os.Stderr, "", log.Ltime|log.Lmicroseconds))
+	logger := log.New(os.Stderr, "", log.Ltime|log.Lmicroseconds)
+	return proxy.Run(ctx, cfg, logger, proxy.Reloads(ctx, reload, os.Getenv("NODE_CONFIG"), os.Getenv, logger))
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -28,6 +28,8 @@
 	maxOpen      int            // open requests; 0 is no limit
 }
 
+const envDiscovery = "NODE_DISCOVERY"
+
 // LoadConfig reads the configuration file. NODE_NAME, NODE_LISTEN and
 // NODE_DISCOVERY, where getenv has them, go before what the file says.
 func LoadConfig(path string, getenv func(string) string) (*Config, error) {
@@ -65,7 +67,7 @@
 	for _, v := range []struct {
 		env  string
 		into *string
-	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {"NODE_DISCOVERY", &c.Discovery}} {
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {envDiscovery, &c.Discovery}} {
 		if s := getenv(v.env); s != "" {
 			*v.into = s
 		}
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -76,22 +76,23 @@
 	return entries, nil
 }
 
-// discovery follows the list of backends for the loop.
+// discovery follows the list of backends at one address. A new configuration may
+// name another address; then there is a new discovery, and this one stays as it is.
 type discovery struct {
 	cfg    *Config
+	addr   string
 	client *http.Client
 	logf   func(string, ...any)
 	tell   func(l *endpointList, entries []marlreel.Backend) // a list or a change has come
 	failed func()                                            // a call failed, or a watch broke
 }
 
-func newDiscovery(cfg *Config, logf func(string, ...any)) *discovery {
-	d := &discovery{cfg: cfg, logf: logf}
-	// One connection a call: a watch ends with its connection anyway.
-	d.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+// newDiscoveryClient makes the client of all calls. One connection a call: a watch
+// ends with its connection anyway.
+func newDiscoveryClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		ResponseHeaderTimeout: watchSilence}}
-	return d
 }
 
 // follow keeps a watch up, from the given version on, until ctx ends.
@@ -192,7 +193,7 @@
 }
 
 func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.cfg.Discovery+"/v1/endpoints"+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -154,6 +154,7 @@
 	url, addr string
 	stop      context.CancelFunc // as SIGTERM does
 	ended     chan error
+	reloads   chan *Config // what SIGHUP finds
 	log       *lockedLog
 }
 
@@ -165,12 +166,13 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1), log: &lockedLog{}}
+	p := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
+		reloads: make(chan *Config), log: &lockedLog{}}
 	p.url = "http://" + p.addr
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.ended <- serve(ctx, cfg, log.New(p.log, "", 0), ln)
+		p.ended <- serve(ctx, cfg, log.New(p.log, "", 0), ln, p.reloads)
 	}()
 	t.Cleanup(func() { stop(); <-done })
 	eventually(t, "the proxy to be ready", func() bool {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -60,12 +60,12 @@
 	lastTimer uint64
 	pool      pool
 	ids       map[string]marlreel.BackendID
+	names     map[marlreel.BackendID]string // ids, the other way round
 	requests  map[marlreel.RequestID]*request
-	names     *recent // of requests
+	asked     *recent // clients' names of requests
 	lastID    marlreel.RequestID
-	disc      *discovery
 	ctx       context.Context // of all that the loop starts
-	unwatch   context.CancelFunc
+	list      listWatch
 	version   uint32
 	listed    func() // the first list has come
 }
@@ -73,26 +73,13 @@
 func newLoop(cfg *Config, logf func(string, ...any), listed func()) (*loop, error) {
 	l := &loop{cfg: cfg, logf: logf, start: time.Now(), events: make(chan func(), eventBuffer),
 		stopped: make(chan struct{}), ids: map[string]marlreel.BackendID{},
+		names:    map[marlreel.BackendID]string{},
 		requests: map[marlreel.RequestID]*request{}, listed: listed}
 	// What is open has come within the longest wait.
-	l.names = newRecent(cfg.longestGiveUp() + time.Second)
+	l.asked = newRecent(cfg.longestGiveUp() + time.Second)
 	idle := cfg.Settings.Caps.ConnIdle
 	l.pool = pool{most: cfg.upstreamConns(), maxIdle: idle - idle/4, backends: map[marlreel.BackendID]*backend{}}
-	l.disc = newDiscovery(cfg, logf)
-	l.disc.tell = func(list *endpointList, entries []marlreel.Backend) {
-		kind := marlreel.ListDelta
-		if list.Reset {
-			kind = marlreel.ListFull
-		}
-		l.post(func() { l.membership(kind, list, entries) })
-	}
-	l.disc.failed = func() {
-		l.post(func() {
-			if cfg.Settings.OnRequest {
-				l.balancer.Membership(l.now(), marlreel.Membership{Kind: marlreel.ListFailed})
-			}
-		})
-	}
+	l.list = listWatch{addr: cfg.Discovery, client: newDiscoveryClient()}
 	var err error
 	l.balancer, err = marlreel.New(cfg.Settings, cfg.Seed, host{l})
 	return l, err
@@ -193,7 +180,7 @@
 
 func (l *loop) membership(kind marlreel.ListKind, list *endpointList, entries []marlreel.Backend) {
 	l.version = list.Generation
-	kept := map[marlreel.BackendID]bool{}
+	kept, gone := map[marlreel.BackendID]bool{}, []marlreel.BackendID(nil)
 	for i, e := range list.Instances {
 		entries[i].ID = l.backendID(e.InstanceID)
 		b := l.pool.backends[entries[i].ID]
@@ -202,11 +189,14 @@
 				entries[i] = b.Backend
 				entries[i].State = marlreel.Gone
 			}
+			gone = append(gone, entries[i].ID)
 			continue // it leaves below
 		}
 		if e.StartedAtMs != 0 {
 			entries[i].Started = max(1, clockStart+time.UnixMilli(e.StartedAtMs).Sub(l.start))
 		}
+		// A backend at the address of one that has gone is another one: connections
+		// belong to the name, and are dropped with it or with its old address.
 		if b == nil || b.addr != e.HostPort {
 			l.drop(b)
 			b = &backend{name: e.InstanceID, addr: e.HostPort}
@@ -219,16 +209,21 @@
 		}
 		kept[b.ID] = true
 	}
-	for id, b := range l.pool.backends {
-		gone := kind != marlreel.ListDelta && !kept[id]
-		for i := range entries {
-			gone = gone || entries[i].ID == id && entries[i].State == marlreel.Gone
+	if kind != marlreel.ListDelta {
+		for id := range l.pool.backends {
+			if !kept[id] {
+				gone = append(gone, id)
+			}
 		}
-		if gone {
+	}
+	// Names are ever new all day: what has gone is forgotten, or the maps grow for good.
+	for _, id := range gone {
+		if b := l.pool.backends[id]; b != nil {
 			l.drop(b)
 			delete(l.pool.backends, id)
-			delete(l.ids, b.name) // the same name gets the same identifier again
 		}
+		delete(l.ids, l.names[id]) // the same name gets the same identifier again
+		delete(l.names, id)
 	}
 	l.balancer.Membership(l.now(), marlreel.Membership{Kind: kind, Version: list.Generation, Backends: entries})
 	if kind != marlreel.ListCached && l.listed != nil {
@@ -255,17 +250,10 @@
 	f := fnv.New32a()
 	io.WriteString(f, name)
 	id = marlreel.BackendID(f.Sum32())
-	for taken := true; taken; {
-		taken = false
-		for _, other := range l.ids {
-			if other == id {
-				taken = true
-				id++
-				break
-			}
-		}
+	for _, taken := l.names[id]; taken; _, taken = l.names[id] {
+		id++
 	}
-	l.ids[name] = id
+	l.ids[name], l.names[id] = id, name
 	return id
 }
 
@@ -283,7 +271,7 @@
 	}
 	// Backends tell requests apart by this name. Under the name of another's request
 	// this one would get that one's answer, or give it its own.
-	if !l.names.add(r.name, l.now()) {
+	if !l.asked.add(r.name, l.now()) {
 		r.answered = true
 		r.answers <- badRequest(http.StatusConflict, "%s is in use", headerID)
 		return
@@ -504,24 +492,10 @@
 }
 
 // Watch follows the list, or ceases to.
-func (l host) Watch(on bool) {
-	if l.unwatch != nil {
-		l.unwatch()
-		l.unwatch = nil
-	}
-	if on {
-		var ctx context.Context
-		ctx, l.unwatch = context.WithCancel(l.ctx)
-		if l.cfg.Settings.OnRequest {
-			go l.disc.once(ctx, l.version)
-		} else {
-			go l.disc.follow(ctx, l.version)
-		}
-	}
-}
+func (l host) Watch(on bool) { l.watchList(on) }
 
 // Fetch asks for the whole list once.
-func (l host) Fetch() { go l.disc.fetch(l.ctx) }
+func (l host) Fetch() { go l.discovery(nil).fetch(l.ctx) }
 
 // Tell would reach other proxies. The module has nothing to tell them.
 func (l host) Tell(peer uint32, body []byte) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,16 +22,17 @@
 	oldListAfter = time.Second
 )
 
-// Run serves until ctx ends, then finishes what it has taken.
-func Run(ctx context.Context, cfg *Config, logger *log.Logger) error {
+// Run serves until ctx ends, then finishes what it has taken. Each new configuration
+// that reloads brings is put in force without a break.
+func Run(ctx context.Context, cfg *Config, logger *log.Logger, reloads <-chan *Config) error {
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, logger, ln)
+	return serve(ctx, cfg, logger, ln, reloads)
 }
 
-func serve(ctx context.Context, cfg *Config, logger *log.Logger, ln net.Listener) error {
+func serve(ctx context.Context, cfg *Config, logger *log.Logger, ln net.Listener, reloads <-chan *Config) error {
 	defer ln.Close()
 	var s *server
 	l, err := newLoop(cfg, logger.Printf, func() { s.ready.Store(true) })
@@ -50,10 +51,14 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- s.http.Serve(newClients(ln, cfg.clientConns())) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serve: %w", err)
+		case next := <-reloads:
+			l.post(func() { l.reload(next) })
+		case <-ctx.Done():
+		}
 	}
 	return s.drain(cfg)
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -275,4 +275,3 @@
 		t.Error(err)
 	}
 }
-
