--- a/balancer.go
+++ b/balancer.go
@@ -189,6 +189,13 @@
 		b.starts(t, e.Started)
 	}
 	slices.SortFunc(b.targets, func(x, y *target) int { return cmp.Compare(x.order, y.order) })
+	b.forget()
+	b.ready = slices.DeleteFunc(slices.Clone(b.targets), func(t *target) bool { return t.State != Ready })
+	b.findSubset()
+}
+
+// forget drops the targets that are gone and have nothing out.
+func (b *Balancer) forget() {
 	b.targets = slices.DeleteFunc(b.targets, func(t *target) bool {
 		leaves := t.State == Gone && len(t.out) == 0 && !t.probing
 		if leaves {
@@ -196,8 +203,6 @@
 		}
 		return leaves
 	})
-	b.ready = slices.DeleteFunc(slices.Clone(b.targets), func(t *target) bool { return t.State != Ready })
-	b.findSubset()
 }
 
 // findSubset takes the first backends in this proxy's rendezvous order until enough are fit, a cold
@@ -894,6 +899,7 @@
 
 // sweep does what time alone brings about.
 func (b *Balancer) sweep() {
+	b.forget() // one that had something out when it went; the next list may be long in coming
 	b.findSubset()
 	few := answersOf * time.Duration(len(b.subset)) * b.gap
 	b.memory = max(memory*b.interval, min(few, b.cfg.Obligations.Cold))
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -504,3 +504,44 @@
 		t.Errorf("a request past its deadline was sent: %v", got)
 	}
 }
+
+// A request that a backend can't use is at fault itself: no other can use it either,
+// and it must not cost a backend its place.
+func TestADeclinedRequestFailsAndBlamesNobody(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 4)
+	for i := range 40 {
+		id, now := RequestID(i), second+time.Duration(i)*10*milli
+		b.Request(now, Request{ID: id, Class: safe, Deadline: now + 4*second})
+		first := h.take("send")
+		if len(first) != 1 {
+			t.Fatalf("request %d: %d sends", i, len(first))
+		}
+		b.Outcome(now+milli, Outcome{ID: id, Backend: first[0].to, Result: Declined, Took: milli})
+		if got := h.take("send", "fail", "refuse"); len(got) != 1 || got[0].verb != "fail" {
+			t.Fatalf("request %d, declined: %v, want one fail", i, got)
+		}
+	}
+	for _, p := range b.targets {
+		if !b.fit(p) || p.bad != 0 || p.delays.sum != 0 {
+			t.Errorf("backend %d: bad %d, delays %v", p.ID, p.bad, p.delays.sum)
+		}
+	}
+}
+
+// A backend that goes with a request out leaves when that has ended, with or without
+// a further list: on a day of ever new ones they would add up.
+func TestAGoneBackendLeavesWithItsLastRequest(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 1)
+	b.Request(second, Request{ID: 1, Class: unsafe, Deadline: 4 * second})
+	a := h.take("send")[0]
+	b.Membership(second+milli, Membership{Kind: ListDelta, Backends: []Backend{{ID: a.to, State: Gone}}})
+	b.Timer(second+2*milli, timerSweep<<56)
+	if len(b.targets) != 1 {
+		t.Fatal("it left with a request out")
+	}
+	b.Outcome(second+3*milli, Outcome{ID: 1, Backend: a.to, Result: OK, Final: true})
+	b.Timer(second+4*milli, timerSweep<<56)
+	if len(b.targets) != 0 || len(b.byID) != 0 || len(b.requests) != 0 {
+		t.Errorf("%d targets, %d requests are left", len(b.targets), len(b.requests))
+	}
+}
--- /dev/null
+++ b/cmd/marlreel/main_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+// As a child the test binary is the program itself.
+func TestMain(m *testing.M) {
+	if os.Getenv("MARLREEL_TEST_CHILD") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"Balancers":1,"Rank":0,"Zone":0,"Tick":5.0,"Discovery":"pushed","FailureDomains":["koper"],
+ "Kinds":["mid-2c"],"Feedback":{"How":"off","Names":[]},"Caps":{"ConnectTimeout":200.0,"MaxAttempts":4},
+ "Services":[{"Name":"lot-list","Aim":600.0,"GiveUp":1000.0,"Effect":"retryable","Value":1.0}]}`
+
+// watched is a discovery service that tells of each watch.
+func watched(t *testing.T) (string, chan struct{}) {
+	t.Helper()
+	came := make(chan struct{}, 64)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, `{"generation":1,"reset":true,"instances":[]}`)
+		w.(http.Flusher).Flush()
+		came <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return strings.TrimPrefix(s.URL, "http://"), came
+}
+
+func wait[T any](t *testing.T, c <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+	}
+	return v
+}
+
+// SIGHUP once ended the process. It makes it read the file again, whose address then
+// goes before the environment's; a bad file is one line, and SIGTERM still ends it.
+func TestSignals(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	put := func(text string) {
+		whole := path + ".new"
+		if err := os.WriteFile(whole, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(whole, path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	config := func(discovery string) string {
+		data, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+			"seed": "8c1f", "settings": json.RawMessage(settings)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	}
+	first, atFirst := watched(t)
+	second, atSecond := watched(t)
+	put(config("127.0.0.1:1"))
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), "MARLREEL_TEST_CHILD=1", "NODE_CONFIG="+path, "NODE_DISCOVERY="+first)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	t.Cleanup(func() { cmd.Process.Kill(); <-ended })
+	lines := make(chan string, 64)
+	var result error
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			lines <- s.Text()
+		}
+		result = cmd.Wait()
+		close(ended)
+	}()
+	send := func(s os.Signal) {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait(t, atFirst, "the watch at the environment's address")
+	put("{")
+	send(syscall.SIGHUP)
+	for !strings.Contains(wait(t, lines, "a line on the bad file"), "not reloaded") {
+	}
+	put(config(second))
+	for range 5 { // as quick as they come
+		send(syscall.SIGHUP)
+	}
+	wait(t, atSecond, "the watch at the new address")
+	send(syscall.SIGTERM)
+	wait(t, ended, "the end")
+	if result != nil {
+		t.Errorf("ended with %v", result)
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -26,6 +26,7 @@
 	zones, kinds map[string]int // positions, by name
 	report       []string       // names of the values of a load report
 	maxOpen      int            // open requests; 0 is no limit
+	acceptLonger time.Duration  // how long after the signal to stop connections are taken
 }
 
 const envDiscovery = "NODE_DISCOVERY"
@@ -63,7 +64,7 @@
 		return nil, err
 	}
 	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Cores: file.Limits.Cores,
-		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known}
+		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known, acceptLonger: acceptLonger}
 	for _, v := range []struct {
 		env  string
 		into *string
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -64,14 +64,16 @@
 
 type watch struct {
 	from  string
-	lines chan string // closing it ends the watch
+	lines chan string   // closing it ends the watch
+	ended chan struct{} // it has ended
 }
 
 func newRegistry(t *testing.T) *registry {
 	t.Helper()
 	g := &registry{watches: make(chan watch, 16)}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		v := watch{r.URL.Query().Get("from"), make(chan string, 16)}
+		v := watch{r.URL.Query().Get("from"), make(chan string, 16), make(chan struct{})}
+		defer close(v.ended)
 		g.watches <- v
 		w.(http.Flusher).Flush()
 		beat := time.NewTicker(time.Second)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,7 +67,7 @@
 // connections still come, ends each with its answer, and waits for what is in hand.
 func (s *server) drain(cfg *Config) error {
 	s.stopping.Store(true)
-	time.Sleep(acceptLonger)
+	time.Sleep(cfg.acceptLonger)
 	for _, wait := range []time.Duration{cfg.longestGiveUp() - lastAnswers, lastAnswers} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
 		err := s.http.Shutdown(ctx)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -203,43 +204,68 @@
 	receive(t, left, "the attempt's end")
 }
 
-// At SIGTERM connections still come, and what was taken has to be finished.
+// At SIGTERM connections still come, and what was taken has to be finished. Without
+// the wait before the listener's close the second request here finds it closed.
 func TestStopsWithoutLosingARequest(t *testing.T) {
 	t.Parallel()
 	came, finish := make(chan struct{}, 2), make(chan struct{})
+	release := sync.OnceFunc(func() { close(finish) })
 	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		came <- struct{}{}
 		<-finish
 		fmt.Fprint(w, "served")
 	}))
 	t.Cleanup(b.Close)
-	p := start(t, testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String())))
+	cfg := testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String()))
+	cfg.acceptLonger = 4 * time.Second // the test has to fit into it
+	p := start(t, cfg)
+	// Runs first: where the test fails early, both ends would wait for this backend's
+	// answers, the proxy for as long as its classes say and the backend for good.
+	t.Cleanup(release)
 	type got struct {
 		status int
 		closed bool
+		err    error
 	}
 	answers := make(chan got, 2)
 	ask := func() {
 		resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{}}).Do(newRequest(t, p, "bid", "x"))
 		if err != nil {
-			t.Errorf("lost: %v", err)
-			answers <- got{}
+			answers <- got{err: err}
 			return
 		}
 		resp.Body.Close()
-		answers <- got{resp.StatusCode, resp.Close}
+		answers <- got{status: resp.StatusCode, closed: resp.Close}
+	}
+	reaches := func(what string) {
+		t.Helper()
+		go ask()
+		select {
+		case <-came:
+		case a := <-answers:
+			t.Fatalf("%s did not reach a backend: %d %v", what, a.status, a.err)
+		case <-time.After(patience):
+			t.Fatalf("%s was never taken up", what)
+		}
 	}
-	go ask()
-	receive(t, came, "the first attempt")
+	reaches("the first request")
 	p.stop()
-	go ask() // on a new connection, after the signal
-	receive(t, came, "the second attempt")
-	close(finish)
+	// It has seen the signal, and still takes connections.
+	eventually(t, "an answer that ends its connection", func() bool {
+		resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{}}).Get(p.url + "/ready")
+		if err != nil {
+			t.Fatalf("after the signal: %v", err)
+		}
+		resp.Body.Close()
+		return resp.Close
+	})
+	reaches("a request on a new connection after the signal")
+	release()
 	closed := 0
 	for range 2 {
 		a := receive(t, answers, "an answer")
-		if a.status != 200 {
-			t.Errorf("status %d after the signal", a.status)
+		if a.err != nil || a.status != 200 {
+			t.Errorf("after the signal: %d %v", a.status, a.err)
 		}
 		if a.closed {
 			closed++
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -95,9 +95,6 @@
 		if c != nil {
 			c.busy()
 		}
-		// The time-out for reading would go on running under net/http's own read for
-		// the client's leave, end it, and cancel a good request that is still in hand.
-		http.NewResponseController(w).SetReadDeadline(time.Time{})
 		req.arrived = s.loop.now() // the request's last byte is here
 		req.Deadline = req.arrived + left
 		req.answers = make(chan answer, 1)
