--- a/balancer.go
+++ b/balancer.go
@@ -14,15 +14,16 @@
 
 const (
 	// The checker. Spans are in connect time-outs, the sites' own measure of how soon a backend answers.
-	suspectProbe = 2   // connect time-outs between two probes of a target in doubt
-	restProbe    = 4   // times longer between those of one that passes: attempts tell more, at no cost
-	probeShare   = 0.1 // probes at most, as a share of this proxy's requests, while none is in doubt
-	gapOver      = 32  // requests over which the time between two of them is taken
-	probeRun     = 2   // probes in a row that mark or restore a target: one may be chance
-	badRun       = 3   // unanswered attempts in a row that eject a backend whatever its probes say
-	mostOut      = 0.5 // share of the ready ones that may be out when attempts eject one more
-	longestHold  = 8   // probe intervals that an ejection lasts at most; it starts with one and doubles
-	sweeps       = 10  // in a probe interval: how often time alone is looked at
+	suspectProbe = 2    // connect time-outs between two probes of a target in doubt
+	restProbe    = 4    // times longer between those of one that passes: attempts tell more, at no cost
+	probeShare   = 0.1  // probes at most, as a share of this proxy's requests, while none is in doubt
+	gapOver      = 32   // requests over which the time between two of them is taken
+	probeRun     = 2    // probes in a row that mark or restore a target: one may be chance
+	badRun       = 3    // unanswered attempts in a row that eject a backend whatever its probes say
+	mostOut      = 0.5  // share of the ready ones that may be out when attempts eject one more
+	longestHold  = 8    // probe intervals that an ejection lasts at most; it starts with one and doubles
+	falseAlarms  = 0.01 // breaks an answer from which they say little of a backend's death
+	sweeps       = 10   // in a probe interval: how often time alone is looked at
 	// The subset: the backends that one proxy uses, in its own zone and elsewhere.
 	subsetFan   = 7 // proxies that use each backend, about
 	subsetLeast = 2 // backends that each proxy uses at least
@@ -86,6 +87,7 @@
 	waiting                   []*request
 	usable                    [2]float64 // fit and ready, a cold one by its share, on each side
 	ticking                   bool       // a timer for what waits is out
+	alarms, answered          fading     // broken attempts that an answer of the backend followed; answers
 	retries                   float64    // budget of further attempts
 	asks                      int        // failed calls for the list in a row
 	pool                      []*target  // for use within pick; ratios: within findMedian
@@ -103,7 +105,7 @@
 	load, limit            float64    // what is out, heavy requests counting for more; how much may be
 	delays, answers        fading     // sum of delay ratios, and their number
 	ageA, ageB             float64    // of what is out: the sums of sent/expected and 1/expected
-	bad                    int        // attempts in a row that got no answer
+	bad, broken            int        // attempts since the last answer: that got none; whose connection broke
 	lastOK, lastSent       time.Duration
 	ejectedUntil, hold     time.Duration
 	coldSince, tokensAt    time.Duration // coldSince: last known or suspected start; 0 is long ago
@@ -295,16 +297,21 @@
 func (b *Balancer) judge(a *attempt, result Result) {
 	t := a.to
 	if result == OK {
-		t.bad, t.lastOK, t.hold = 0, b.now, 0
+		b.alarms.add(float64(t.broken), b.now, b.cfg.Obligations.Cold)
+		b.answered.add(1, b.now, b.cfg.Obligations.Cold)
+		t.bad, t.broken, t.lastOK, t.hold = 0, 0, b.now, 0
 		return
 	}
+	if result == Reset || result == ConnectFailed {
+		t.broken++
+	}
 	// Danger: in an overload all attempts time out; a backend that still answers others is only slow.
 	// Danger: a request that no backend can use would eject one after the other.
 	if result == Full || result == Cancelled || result == Moot || result == Declined || t.lastOK > a.sent {
 		return
 	}
-	if result == ConnectFailed && t.bad > 0 {
-		b.suspectStart(t) // it may be up again before the list says that it died
+	if result == ConnectFailed && t.bad > 0 && !b.suspectStart(t) {
+		t.bad = max(t.bad, badRun-1) // if it did die, each further attempt would be lost on it
 	}
 	if t.bad++; t.bad < badRun || t.ejectedUntil > b.now {
 		return
@@ -385,13 +392,18 @@
 	}
 }
 
-// suspectStart takes a run of failures for a death, and with that for a start to come. Danger: where
-// connections break by themselves, every backend has such a run now and then, and all would count as
-// cold and get next to nothing. One that has answered within an interval has not died.
-func (b *Balancer) suspectStart(t *target) {
-	if t.lastOK == 0 || b.now-t.lastOK >= b.interval {
-		b.starts(t, b.now)
+// suspectStart takes a run of failures for a death, and with that for a start to come: it may be up again
+// before the list says that it died. Danger: where connections break by themselves, every backend has such
+// a run now and then, and all would count as cold and get next to nothing. So where breaks were often
+// followed by answers, one that has answered within an interval has not died.
+func (b *Balancer) suspectStart(t *target) bool {
+	span := b.cfg.Obligations.Cold
+	noisy := b.alarms.fade(b.now, span) > falseAlarms*b.answered.fade(b.now, span)
+	if noisy && t.lastOK > 0 && b.now-t.lastOK < b.interval {
+		return false
 	}
+	b.starts(t, b.now)
+	return true
 }
 
 // coldRates sets what each cold backend may be sent a second: the share of its capacity that it surely has
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -547,29 +547,32 @@
 }
 
 // Where connections break by themselves, two failures in a row are nothing odd. A
-// backend that has just answered is not taken for one that died and starts cold.
-func TestFailuresBesideAnswersAreNoStart(t *testing.T) {
-	b, _ := newBalancer(t, testConfig(), 1)
+// backend that has just answered is then not taken for one that died and starts cold.
+func TestWhereConnectionsBreakAFailureIsNoStart(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 4)
 	only := b.targets[0]
 	judge := func(now time.Duration, result Result) {
 		b.now = now
 		b.judge(&attempt{req: &request{}, to: only, sent: now}, result)
 	}
 	now := 30 * second
-	for range 50 {
-		judge(now, OK)
-		for i, result := range []Result{Reset, ConnectFailed, ConnectFailed} {
-			judge(now+time.Duration(i+1)*milli, result)
-		}
-		for range probeRun {
-			only.probing = true
-			b.Probed(now+5*milli, ProbeResult{Backend: only.ID, Result: Reset})
-		}
+	for range 20 { // breaks that answers follow
+		judge(now, Reset)
+		judge(now+milli, OK)
 		now += 10 * milli
 	}
+	judge(now, Reset)
+	judge(now+milli, ConnectFailed)
+	for range probeRun {
+		only.probing = true
+		b.Probed(now+2*milli, ProbeResult{Backend: only.ID, Result: Reset})
+	}
 	if _, cold := b.cold(only); cold {
 		t.Error("a backend that answers between its failures counts as cold")
 	}
+	if only.ejectedUntil <= now {
+		t.Error("if it did die, further attempts are lost on it")
+	}
 	judge(now+b.interval, ConnectFailed)
 	if _, cold := b.cold(only); !cold {
 		t.Error("one that has answered nothing for an interval does not")
