Keep a class away from a backend that fails most of it

A trace of outcomes by backend and class: at both proxies four of twelve backends answer three in four bids with 500 (150 and 270 errors), and all other classes with 200. Ruled out: the sockets (no resets more than before), health, load, spoilt answers. Cause: balancer.go's judge counts failures in a row over all classes; the others' answers begin the count anew each time.

--- a/balancer.go
+++ b/balancer.go
@@ -108,11 +108,18 @@
 	bad, broken            int        // attempts since the last answer: that got none; whose connection broke
 	lastOK, lastSent       time.Duration
 	ejectedUntil, hold     time.Duration
+	byClass                []classFailure
 	coldSince, tokensAt    time.Duration // coldSince: last known or suspected start; 0 is long ago
 	tokens, coldRate       float64       // what a cold backend may be sent, ms of work, and that a second
 	served, servedLately   fading        // work
 }
 
+// classFailure keeps one class away from a backend that fails it.
+type classFailure struct {
+	bad         int // failed attempts, less those that did not
+	until, hold time.Duration
+}
+
 type request struct {
 	Request
 	arrived, aimAt, waitUntil time.Duration
@@ -181,7 +188,8 @@
 			continue
 		}
 		if t == nil {
-			t = &target{healthy: true, tokensAt: now, order: mix(uint64(b.cfg.Rank)+1, e.ID),
+			t = &target{healthy: true, tokensAt: now, byClass: make([]classFailure, len(b.cfg.Classes)),
+				order:    mix(uint64(b.cfg.Rank)+1, e.ID),
 				lastSent: math.MinInt64 / 2}
 			t.nextProbe = now + jitter(b.rng, restProbe*b.doubt())
 			b.byID[e.ID] = t
@@ -293,8 +301,42 @@
 	}
 }
 
+// judgeClass takes an attempt's end as evidence on its class alone. Danger: a backend may fail most of one
+// class and serve the rest, which its probes and the other classes' answers hide.
+func (b *Balancer) judgeClass(a *attempt, result Result) {
+	f := &a.to.byClass[a.req.Class]
+	switch result {
+	case OK:
+		if f.bad = max(0, f.bad-1); f.bad == 0 {
+			f.hold = 0
+		}
+	case Error: // a broken connection says nothing of a class
+		f.bad = min(f.bad+1, badRun)
+		if f.bad < badRun || f.until > b.now || !b.maySpare(func(o *target) bool {
+			return o.byClass[a.req.Class].until > b.now
+		}) {
+			return
+		}
+		f.hold = min(max(2*f.hold, b.doubt()), longestHold*b.doubt())
+		f.until = b.now + f.hold
+		b.log(fmt.Sprintf("backend %d gets no %s: it fails them", a.to.ID, b.cfg.Classes[a.req.Class].Name))
+	}
+}
+
+// maySpare tells whether one more backend may be out beside those that are.
+func (b *Balancer) maySpare(isOut func(*target) bool) bool {
+	out := 1
+	for _, o := range b.ready {
+		if isOut(o) {
+			out++
+		}
+	}
+	return float64(out) <= mostOut*float64(len(b.ready))
+}
+
 // judge takes an attempt's end as evidence beside the probes.
 func (b *Balancer) judge(a *attempt, result Result) {
+	b.judgeClass(a, result)
 	t := a.to
 	if result == OK {
 		b.alarms.add(float64(t.broken), b.now, b.cfg.Obligations.Cold)
@@ -316,13 +358,7 @@
 	if t.bad++; t.bad < badRun || t.ejectedUntil > b.now {
 		return
 	}
-	out := 1
-	for _, o := range b.ready {
-		if !b.fit(o) {
-			out++
-		}
-	}
-	if float64(out) > mostOut*float64(len(b.ready)) {
+	if !b.maySpare(func(o *target) bool { return !b.fit(o) }) {
 		return
 	}
 	t.hold = min(max(2*t.hold, b.doubt()), longestHold*b.doubt())
@@ -471,7 +507,7 @@
 		b.pool = b.pool[:0]
 		found, fresh := false, false
 		for _, t := range from {
-			if stage < 2 && !b.fit(t) || !b.maySend(r, t) {
+			if stage < 2 && (!b.fit(t) || b.now < t.byClass[r.Class].until) || !b.maySend(r, t) {
 				continue
 			}
 			if found = true; b.mayReceive(t, work) {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -322,14 +322,14 @@
 func TestEjectionSparesTheSlowAndTheHalf(t *testing.T) {
 	fail := func(b *Balancer, to *target, sent, now time.Duration) {
 		b.now = now
-		b.judge(&attempt{to: to, sent: sent}, Timeout)
+		b.judge(&attempt{req: &request{}, to: to, sent: sent}, Timeout)
 	}
 	b, _ := newBalancer(t, testConfig(), 4)
 	slow := b.targets[0]
 	for i := range 5 {
 		now := second + time.Duration(i)*100*milli
 		b.now = now
-		b.judge(&attempt{to: slow, sent: now - 50*milli}, OK)
+		b.judge(&attempt{req: &request{}, to: slow, sent: now - 50*milli}, OK)
 		for range badRun {
 			fail(b, slow, now-50*milli, now+50*milli)
 		}
@@ -578,3 +578,32 @@
 		t.Error("one that has answered nothing for an interval does not")
 	}
 }
+
+// A backend may fail most of one class alone: it passes its probes and answers the others,
+// so nothing else keeps that class away from it.
+func TestABackendThatFailsOneClassGetsNoMoreOfIt(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 6)
+	const broken = 3
+	now := second
+	for range 2 * badRun {
+		b.now = now
+		b.judge(&attempt{req: &request{Request: Request{Class: safe}}, to: b.byID[broken], sent: now - milli}, OK)
+		b.judge(&attempt{req: &request{Request: Request{Class: unsafe}}, to: b.byID[broken], sent: now - milli}, Error)
+		now += 10 * milli
+	}
+	met := map[int]int{}
+	for id := range RequestID(200) {
+		class := []int{safe, unsafe}[id%2]
+		b.Request(now, Request{ID: id, Class: class, Deadline: now + 4*second})
+		for _, a := range h.take("send") {
+			if a.to == broken {
+				met[class]++
+			}
+			b.Outcome(now, Outcome{ID: a.id, Attempt: a.attempt, Backend: a.to, Result: OK, Final: true})
+		}
+		now += milli
+	}
+	if met[unsafe] != 0 || met[safe] == 0 {
+		t.Errorf("sent to the backend by class: %v", met)
+	}
+}
