End connections with their answers when clients hold many

Checked with traces: the bound never turned a connection away (0 times), the module refused 314 of some 7500, the handler saw nothing else and wrote no other answer; the requests never came. Mend: while connections that have asked are more than half of what clients may hold (clients.go, crowded), an answer ends its connection; idle ones end after 2.5 s. Its test fails without it.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -25,6 +25,16 @@
 	silent, idle list.List
 }
 
+// crowded tells whether connections that have asked take much of the bound. Clients
+// may hold only so many (a third of the descriptors, where this bound is half), and
+// those that ask once and keep theirs leave none for the others: from half of what
+// clients may hold on, answers end their connections.
+func (cs *clients) crowded() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open)-cs.silent.Len() > cs.most/3
+}
+
 // client is one client's connection.
 type client struct {
 	net.Conn
--- a/internal/proxy/clients_test.go
+++ b/internal/proxy/clients_test.go
@@ -303,6 +303,35 @@
 	ends(t, c, "the idle connection")
 }
 
+// Clients that ask once and keep their connections must not leave the others without
+// one: when many are held, the answer ends the connection, and a place is free at once.
+func TestAnswersEndConnectionsInACrowd(t *testing.T) {
+	t.Parallel()
+	cfg := testConfig(t, closedAddr(t), ready("s-1", named(t, "a")))
+	cfg.Sockets = leastSockets
+	p := start(t, cfg)
+	ask := func() *http.Response {
+		c := dial(t, p.addr)
+		fmt.Fprintf(c, "GET /lot-list HTTP/1.1\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 9000m\r\nX-Correlation-Id: %016x\r\n\r\n", lastName.Add(1))
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%+v %v", resp, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		if resp.Close {
+			ends(t, c, "a connection whose answer ends it")
+		}
+		return resp
+	}
+	if ask().Close {
+		t.Error("alone, and the answer ends the connection")
+	}
+	eventually(t, "an answer that ends its connection", func() bool { return ask().Close })
+}
+
 func TestRecentForgets(t *testing.T) {
 	t.Parallel()
 	r := newRecent(time.Second)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -19,7 +19,7 @@
 	writeTimeout = 10 * time.Second
 	// A connection between two requests may be closed after 2 s. Many clients ask
 	// once and keep theirs for good.
-	idleTimeout = 4 * time.Second
+	idleTimeout = 2500 * time.Millisecond
 )
 
 // answer is the one final answer to a request.
@@ -107,6 +107,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if c != nil && c.clients.crowded() {
+		w.Header().Set("Connection", "close")
+	}
 	write(w, a)
 	if a.bad {
 		// What follows on this connection, a body's rest or a request hidden in it,
