--- /dev/null
+++ b/internal/standin/doc.go
@@ -0,0 +1,146 @@
+// Package standin holds the servers that stand in for what marlreel talks to:
+// auction nodes, the discovery service, the front that deals clients' connections
+// out, and proxies that are wrong on purpose. They are real servers on loopback
+// with a control surface in Go, for the tests of all packages and for the
+// rehearsal kit.
+//
+// The package never shares code with the proxy: what it checks must not be checked
+// by itself. The daemon never links it.
+//
+// Times are spans since the start of a Clock, which all stand-ins of one run share.
+// What they see they write into a Journal, which an auditor reads after the run.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Clock gives the time of a run.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock at 0.
+func NewClock() *Clock { return &Clock{time.Now()} }
+
+// Now is the time since the start.
+func (c *Clock) Now() time.Duration { return time.Since(c.start) }
+
+// Wall is the time of day at a time of the run.
+func (c *Clock) Wall(at time.Duration) time.Time { return c.start.Add(at) }
+
+// ports hands out addresses that outlive their listeners. A node that dies and comes
+// back does so at its old address; below the range from which the kernel takes ports
+// for outgoing connections, no client's connection sits on it meanwhile.
+var ports struct {
+	sync.Mutex
+	next, low, high int
+}
+
+// Address finds a free loopback address that outgoing connections leave alone.
+func Address() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.next == 0 {
+		ports.low, ports.high = 15000, ephemeralFrom()
+		// Runs beside one another begin at different places.
+		ports.next = ports.low + os.Getpid()*97%(ports.high-ports.low)
+	}
+	for range ports.high - ports.low {
+		ports.next++
+		if ports.next >= ports.high {
+			ports.next = ports.low
+		}
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr, nil
+		}
+	}
+	return "", fmt.Errorf("no free port from %d to %d", ports.low, ports.high)
+}
+
+// ephemeralFrom is the first port that outgoing connections may have.
+func ephemeralFrom() int {
+	const usual = 32000
+	text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err != nil {
+		return usual
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) == 0 {
+		return usual
+	}
+	n, err := strconv.Atoi(fields[0])
+	if err != nil || n < 16000 {
+		return usual
+	}
+	return n
+}
+
+// Raw is a server whose connections a function serves as it likes.
+type Raw struct {
+	Addr     string
+	Accepted atomic.Int64
+	ln       net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	wg       sync.WaitGroup
+}
+
+// StartRaw listens at a new loopback address. serve has each connection to itself;
+// the connection is closed when it returns.
+func StartRaw(serve func(c net.Conn, in *bufio.Reader)) (*Raw, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in: %w", err)
+	}
+	r := &Raw{Addr: ln.Addr().String(), ln: ln, conns: map[net.Conn]bool{}}
+	r.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r.Accepted.Add(1)
+			r.mu.Lock()
+			r.conns[c] = true
+			r.mu.Unlock()
+			r.wg.Go(func() {
+				defer func() {
+					c.Close()
+					r.mu.Lock()
+					delete(r.conns, c)
+					r.mu.Unlock()
+				}()
+				serve(c, bufio.NewReader(c))
+			})
+		}
+	})
+	return r, nil
+}
+
+// Close ends the server and its connections, and waits for serve to return.
+func (r *Raw) Close() {
+	r.ln.Close()
+	r.mu.Lock()
+	for c := range r.conns {
+		c.Close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+// reset ends a connection with a reset, as the end of its process does.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
--- /dev/null
+++ b/internal/standin/journal.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// What became of a request that reached a node.
+const (
+	Ran        = "ran"         // begun, or waiting to be: it may have run
+	Dropped    = "dropped"     // a repeat of a key that its group remembers
+	TurnedAway = "turned away" // never ran
+	Failed     = "error"       // answered 500 after it had begun
+)
+
+// Send is one request that reached a node whole.
+type Send struct {
+	Node, Zone  string
+	Proxy       int // whose address it came by; -1 is nobody's
+	ID, Key     string
+	Class       string
+	Attempt     int           // which arrival of this id at any node, from 1
+	Began       time.Duration // its first byte
+	Whole       time.Duration // its last byte
+	Effect      string
+	Work        time.Duration // of a yardstick core, a handshake's included
+	Fresh       bool          // the first on its connection
+	Ended       time.Duration // 0: never
+	Answered    int           // the status sent back; 0: none
+	Probe       bool
+	CrossesZone bool
+}
+
+// Told is a word of discovery's to a proxy.
+type Told struct {
+	Proxy int
+	Node  string
+	State string // as in the list: Ready, Terminating, Gone
+	At    time.Duration
+}
+
+// NodeEvent is a change of a node's state, or its cold start.
+type NodeEvent struct {
+	Node  string
+	At    time.Duration
+	State string // up, cold, slow, taken, crowded, draining, vanished, dead, fallen
+}
+
+// StartedCold is the event of a process that starts with nothing warmed.
+const StartedCold = "started cold"
+
+// Sample is a node's state at a moment.
+type Sample struct {
+	At           time.Duration
+	Node, State  string
+	Held, InWork int
+	Connections  int
+}
+
+// Journal is what the stand-ins of a run saw. All methods may be called by several
+// goroutines, and on nil, where they write nothing.
+type Journal struct {
+	mu      sync.Mutex
+	sends   []*Send
+	told    []Told
+	events  []NodeEvent
+	samples []Sample
+	seen    map[string]int
+	fresh   int // connections that nodes took
+}
+
+// send notes an arrival and numbers it among those of its id.
+func (j *Journal) send(s *Send) {
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.seen == nil {
+		j.seen = map[string]int{}
+	}
+	if !s.Probe {
+		j.seen[s.ID]++
+		s.Attempt = j.seen[s.ID]
+	}
+	j.sends = append(j.sends, s)
+}
+
+// end notes what became of an arrival.
+func (j *Journal) end(s *Send, effect string, status int, at time.Duration) {
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if effect != "" {
+		s.Effect = effect
+	}
+	s.Answered, s.Ended = status, at
+}
+
+func (j *Journal) tell(t Told) {
+	if j != nil {
+		j.mu.Lock()
+		j.told = append(j.told, t)
+		j.mu.Unlock()
+	}
+}
+
+func (j *Journal) event(e NodeEvent) {
+	if j != nil {
+		j.mu.Lock()
+		j.events = append(j.events, e)
+		j.mu.Unlock()
+	}
+}
+
+func (j *Journal) sample(s Sample) {
+	if j != nil {
+		j.mu.Lock()
+		j.samples = append(j.samples, s)
+		j.mu.Unlock()
+	}
+}
+
+func (j *Journal) connection() {
+	if j != nil {
+		j.mu.Lock()
+		j.fresh++
+		j.mu.Unlock()
+	}
+}
+
+// Records is a copy of a journal.
+type Records struct {
+	Sends       []Send
+	Told        []Told
+	Events      []NodeEvent
+	Samples     []Sample
+	Connections int // that nodes took
+}
+
+// Records copies what was written so far.
+func (j *Journal) Records() Records {
+	if j == nil {
+		return Records{}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := Records{Sends: make([]Send, len(j.sends)), Told: append([]Told(nil), j.told...),
+		Events: append([]NodeEvent(nil), j.events...), Samples: append([]Sample(nil), j.samples...), Connections: j.fresh}
+	for i, s := range j.sends {
+		r.Sends[i] = *s
+	}
+	return r
+}
--- /dev/null
+++ b/internal/standin/plainproxy.go
@@ -0,0 +1,282 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are the ways in which a PlainProxy may be wrong on purpose, so that an
+// auditor can be seen to catch it.
+type Faults struct {
+	ResendBids   bool // sends an unsafe request again after it may have run
+	AnswerTwice  bool // answers each request twice
+	IgnoreDrains bool // goes on sending to what drains or is gone
+	FloodCold    bool // sends all to the node that started last
+	Lose         bool // ends a connection in place of answering, now and then
+	RefuseRan    bool // refuses what may have run
+	Invent       bool // answers 200 with what no node made
+	LateAnswers  bool // answers long after the client has left
+	SendAfter    bool // sends once more after the answer
+	KeyElsewhere bool // sends a keyed request again to another zone
+}
+
+// PlainProxy is a proxy without marlreel's decisions: it sends each request to a node
+// drawn at random from those listed as ready, and tries another only where the first
+// has proved not to have run. It is what a rehearsal's figures are measured against.
+type PlainProxy struct {
+	Faults Faults
+	client *http.Client
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	nodes map[string]Entry
+	gone  map[string]Entry // for IgnoreDrains
+	ready bool
+	turn  int
+}
+
+// plainConfig is what a PlainProxy reads of a proxy's configuration.
+type plainConfig struct {
+	Listen, Discovery, Seed string
+	Known                   *List
+}
+
+// RunPlainProxy serves as the configuration file says until ctx ends.
+func RunPlainProxy(ctx context.Context, configPath string, faults Faults) error {
+	data, err := os.ReadFile(configPath)
+	if err != nil {
+		return fmt.Errorf("plain proxy: %w", err)
+	}
+	var c plainConfig
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("plain proxy: %s: %w", configPath, err)
+	}
+	var seed uint64
+	fmt.Sscanf(c.Seed, "%x", &seed)
+	p := &PlainProxy{Faults: faults, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]Entry{}, gone: map[string]Entry{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+			DisableCompression: true, DialContext: (&net.Dialer{Timeout: 200 * time.Millisecond}).DialContext}}}
+	defer p.client.CloseIdleConnections()
+	if c.Known != nil {
+		p.learn(*c.Known)
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("plain proxy: %w", err)
+	}
+	s := &http.Server{Handler: p}
+	go p.follow(ctx, c.Discovery)
+	go func() {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		s.Shutdown(stop)
+	}()
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	time.Sleep(100 * time.Millisecond)
+	return nil
+}
+
+func (p *PlainProxy) follow(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/endpoints?watch=1&from=0", nil)
+		if err != nil {
+			return
+		}
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			for d := json.NewDecoder(resp.Body); ; {
+				var l List
+				if d.Decode(&l) != nil {
+					break
+				}
+				p.learn(l)
+			}
+			resp.Body.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (p *PlainProxy) learn(l List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready = true
+	if l.Reset {
+		p.nodes = map[string]Entry{}
+	}
+	for _, e := range l.Instances {
+		old, was := p.nodes[e.InstanceID]
+		delete(p.nodes, e.InstanceID)
+		if e.Lifecycle == "Ready" {
+			p.nodes[e.InstanceID] = e
+		} else if was {
+			p.gone[e.InstanceID] = old
+		}
+	}
+}
+
+// pick draws a node other than those named.
+func (p *PlainProxy) pick(not []string) (Entry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var fit []Entry
+	for _, e := range p.nodes {
+		if !slices.Contains(not, e.InstanceID) {
+			fit = append(fit, e)
+		}
+	}
+	if p.Faults.IgnoreDrains && len(not) == 0 && len(p.gone) > 0 {
+		for _, e := range p.gone {
+			return e, true
+		}
+	}
+	if len(fit) == 0 {
+		return Entry{}, false
+	}
+	slices.SortFunc(fit, func(a, b Entry) int { return strings.Compare(a.InstanceID, b.InstanceID) })
+	if p.Faults.FloodCold {
+		return slices.MaxFunc(fit, func(a, b Entry) int { return int(a.StartedAtMs - b.StartedAtMs) }), true
+	}
+	return fit[p.rng.IntN(len(fit))], true
+}
+
+// ServeHTTP implements http.Handler.
+func (p *PlainProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ready" {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	left, err := timeLeft(r.Header.Get("X-Time-Left"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f := p.Faults
+	p.mu.Lock()
+	p.turn++
+	turn := p.turn
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.Context(), left-left/20)
+	defer cancel()
+	status, answer := p.try(ctx, r, body, left)
+	switch {
+	case f.Lose && turn%5 == 0:
+		panic(http.ErrAbortHandler)
+	case f.LateAnswers && turn%5 == 0:
+		time.Sleep(left + 300*time.Millisecond)
+	case f.Invent && turn%5 == 0:
+		status, answer = http.StatusOK, []byte("all is well")
+	case f.RefuseRan && turn%5 == 0:
+		status, answer = http.StatusServiceUnavailable, []byte("refused")
+	}
+	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	w.WriteHeader(status)
+	w.Write(answer)
+	if f.AnswerTwice {
+		rc := http.NewResponseController(w)
+		rc.Flush()
+		if c, buf, err := rc.Hijack(); err == nil {
+			fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+			buf.Flush()
+			time.Sleep(50 * time.Millisecond)
+			c.Close()
+		}
+	}
+	if f.SendAfter {
+		http.NewResponseController(w).Flush()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			if e, found := p.pick(nil); found {
+				late, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				p.send(late, e, r, body, time.Second)
+			}
+		}()
+	}
+}
+
+// try sends a request until it is answered or may have run.
+func (p *PlainProxy) try(ctx context.Context, r *http.Request, body []byte, left time.Duration) (int, []byte) {
+	var tried []string
+	zone := ""
+	for range 3 {
+		e, found := p.pick(tried)
+		if p.Faults.KeyElsewhere && zone != "" {
+			e, found = p.elsewhere(zone)
+		}
+		if !found {
+			break
+		}
+		tried, zone = append(tried, e.InstanceID), e.Zone
+		status, answer, ran := p.send(ctx, e, r, body, left)
+		if p.Faults.ResendBids && len(tried) < 2 || p.Faults.KeyElsewhere && len(tried) < 2 {
+			continue
+		}
+		if status == http.StatusOK {
+			return status, answer
+		}
+		if ran {
+			return http.StatusBadGateway, []byte("failed")
+		}
+	}
+	return http.StatusServiceUnavailable, []byte("refused")
+}
+
+func (p *PlainProxy) elsewhere(zone string) (Entry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.nodes {
+		if e.Zone != zone {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// send makes one attempt, and tells whether it may have run.
+func (p *PlainProxy) send(ctx context.Context, e Entry, r *http.Request, body []byte, left time.Duration) (status int, answer []byte, ran bool) {
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+e.HostPort+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, false
+	}
+	out.GetBody = nil // net/http would send it again by itself
+	for _, h := range []string{"X-Correlation-Id", "X-Account", "Idempotency-Key"} {
+		if v := r.Header.Get(h); v != "" {
+			out.Header.Set(h, v)
+		}
+	}
+	out.Header.Set("X-Time-Left", fmt.Sprintf("%dm", max(1, (left-left/20).Milliseconds())))
+	resp, err := p.client.Do(out)
+	if err != nil {
+		var op *net.OpError
+		return 0, nil, !(errors.As(err, &op) && op.Op == "dial")
+	}
+	defer resp.Body.Close()
+	answer, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, true
+	}
+	return resp.StatusCode, answer, resp.Header.Get("X-Unprocessed") != "1"
+}
