Test each stand-in's faults as its client sees them

A stand-in that fails differently from what it says would spoil every test built on it. Each command of the node, the discovery agent and the front is now seen from the other side of its sockets: resets, silence, turned-away proofs, spoilt answers, lateness.

--- /dev/null
+++ b/internal/standin/discovery_test.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func newList(t *testing.T, lateness time.Duration) (*Discovery, *Agent, *Journal) {
+	t.Helper()
+	j := &Journal{}
+	d := NewDiscovery(NewClock(), j)
+	t.Cleanup(d.Close)
+	d.Put(Entry{InstanceID: "s-1", Zone: "koper", Lifecycle: "Ready"})
+	a, err := d.Agent(2, lateness, func(id string) string { return "127.0.0.1:1" + strings.TrimPrefix(id, "s-") })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, a, j
+}
+
+// watching opens a watch and gives its lines, empty ones left out.
+func watching(t *testing.T, a *Agent, from int) <-chan List {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", a.Addr, from), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lists := make(chan List, 16)
+	done := make(chan struct{})
+	t.Cleanup(func() { cancel(); resp.Body.Close(); <-done })
+	go func() {
+		defer close(done)
+		defer close(lists)
+		for s := bufio.NewScanner(resp.Body); s.Scan(); {
+			if len(s.Bytes()) == 0 {
+				continue
+			}
+			var l List
+			if err := json.Unmarshal(s.Bytes(), &l); err != nil {
+				return
+			}
+			lists <- l
+		}
+	}()
+	return lists
+}
+
+func next(t *testing.T, lists <-chan List) List {
+	t.Helper()
+	select {
+	case l, open := <-lists:
+		if !open {
+			t.Fatal("the watch ended")
+		}
+		return l
+	case <-time.After(patience):
+		t.Fatal("waited in vain for a line")
+		panic("unreachable")
+	}
+}
+
+func TestWatchBringsWhatChanged(t *testing.T) {
+	t.Parallel()
+	d, a, j := newList(t, 0)
+	w := watching(t, a, 0)
+	if l := next(t, w); !l.Reset || l.Generation != 1 || len(l.Instances) != 1 || l.Instances[0].HostPort != "127.0.0.1:11" {
+		t.Errorf("the whole list: %+v", l)
+	}
+	d.Put(Entry{InstanceID: "s-2", Zone: "koper", Lifecycle: "Ready"})
+	if l := next(t, w); l.Reset || l.Generation != 2 || len(l.Instances) != 1 || l.Instances[0].InstanceID != "s-2" {
+		t.Errorf("a change: %+v", l)
+	}
+	d.Put(Entry{InstanceID: "s-1", Lifecycle: "Gone"})
+	if l := next(t, w); l.Instances[0].Lifecycle != "Gone" {
+		t.Errorf("one that leaves: %+v", l)
+	}
+	// One that comes back with version 1 gets what it missed; one with none, the whole without the gone.
+	if l := next(t, watching(t, a, 1)); l.Reset || len(l.Instances) != 2 || l.Generation != 3 {
+		t.Errorf("from version 1: %+v", l)
+	}
+	if l := next(t, watching(t, a, 0)); !l.Reset || len(l.Instances) != 1 {
+		t.Errorf("from none: %+v", l)
+	}
+	if l := next(t, watching(t, a, 99)); !l.Reset {
+		t.Errorf("from a version that never was: %+v", l)
+	}
+	eventually(t, "the words to be written down", func() bool {
+		gone := 0
+		for _, told := range j.Records().Told {
+			if told.Proxy == 2 && told.Node == "s-1" && told.State == "Gone" {
+				gone++
+			}
+		}
+		return gone >= 3 // told in a change, in a second watch's changes, and by a whole list's silence
+	})
+	resp, err := http.Get("http://" + a.Addr + "/v1/endpoints")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var l List
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil || !l.Reset || l.Generation != 3 {
+		t.Errorf("asked once: %+v %v", l, err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// A change reaches each agent as late as that one is, and not before.
+func TestLateness(t *testing.T) {
+	t.Parallel()
+	d, a, _ := newList(t, 400*time.Millisecond)
+	w := watching(t, a, 0)
+	next(t, w)
+	at := time.Now()
+	d.Put(Entry{InstanceID: "s-2", Lifecycle: "Ready"})
+	next(t, w)
+	if took := time.Since(at); took < 395*time.Millisecond {
+		t.Errorf("it came after %v", took)
+	}
+}
+
+// Silence keeps a watch open; going down ends it and fails calls. Both bring what was missed afterwards.
+func TestSilenceAndGoingDown(t *testing.T) {
+	t.Parallel()
+	d, a, _ := newList(t, 0)
+	w := watching(t, a, 0)
+	next(t, w)
+	a.Silent(true)
+	d.Put(Entry{InstanceID: "s-2", Lifecycle: "Ready"})
+	select {
+	case l, open := <-w:
+		t.Errorf("in the silence: %+v %v", l, open)
+	case <-time.After(100 * time.Millisecond):
+	}
+	a.Silent(false)
+	if l := next(t, w); l.Generation != 2 {
+		t.Errorf("after the silence: %+v", l)
+	}
+	a.Down(true)
+	select {
+	case _, open := <-w:
+		if open {
+			t.Error("a line came from a service that is down")
+		}
+	case <-time.After(patience):
+		t.Fatal("the watch goes on")
+	}
+	d.Put(Entry{InstanceID: "s-3", Lifecycle: "Ready"})
+	rec := httptest.NewRecorder()
+	a.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/v1/endpoints", nil))
+	if rec.Code != http.StatusServiceUnavailable {
+		t.Errorf("a call while it is down: %d", rec.Code)
+	}
+	a.Down(false)
+	if l := next(t, watching(t, a, 2)); l.Generation != 3 || len(l.Instances) != 1 {
+		t.Errorf("after it: %+v", l)
+	}
+}
+
+// The front takes a proxy in when it says that it is ready, deals only proxies of the
+// zone while one lives, and notices a death late.
+func TestFront(t *testing.T) {
+	t.Parallel()
+	var ready [2]chan bool
+	var addrs [2]FrontProxy
+	var servers [2]*httptest.Server
+	for i := range servers {
+		state := make(chan bool, 1)
+		state <- i == 0
+		ready[i] = state
+		servers[i] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			is := <-state
+			state <- is
+			if !is {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		addrs[i] = FrontProxy{servers[i].Listener.Addr().String(), []string{"koper", "maribor"}[i]}
+	}
+	defer servers[0].Close()
+	defer servers[1].Close()
+	f := NewFront(300*time.Millisecond, addrs[:])
+	defer f.Close()
+	eventually(t, "the first", func() bool { return f.Has(0) })
+	if i, err := f.Pick("maribor"); err != nil || i != 0 {
+		t.Errorf("with none in its zone: %d %v", i, err)
+	}
+	<-ready[1]
+	ready[1] <- true
+	if err := f.WaitAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		if i, err := f.Pick("maribor"); err != nil || i != 1 {
+			t.Errorf("dealt %d %v", i, err)
+		}
+	}
+	died := time.Now()
+	servers[1].Close()
+	if !f.Has(1) {
+		t.Error("it noticed at once")
+	}
+	eventually(t, "the death to be noticed", func() bool { return !f.Has(1) })
+	if took := time.Since(died); took < 300*time.Millisecond {
+		t.Errorf("it noticed after %v", took)
+	}
+	servers[0].Close()
+	eventually(t, "the other's death", func() bool { return !f.Has(0) })
+	if _, _, err := f.Dial(t.Context(), "koper"); err == nil {
+		t.Error("a connection to nobody")
+	}
+}
--- /dev/null
+++ b/internal/standin/node_test.go
@@ -0,0 +1,354 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"marlreel/internal/standin/machine"
+)
+
+func TestServesAndWritesItDown(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Size = func(string, string) int { return 3000 }
+	n := startNode(t, cfg)
+	c := dial(t, n.Addr())
+	for _, id := range []string{"0000000000000001", "0000000000000002"} {
+		status, body, _ := c.ask(t, "POST", "/bid/7", id)
+		if node, ok := CheckBody(id, body); status != 200 || !ok || node != "s-1" || len(body) != 3000 {
+			t.Errorf("answered %d, %d bytes, of %q (%v)", status, len(body), node, ok)
+		}
+		if _, ok := CheckBody("0000000000000009", body); ok {
+			t.Error("an answer passes for another request's")
+		}
+	}
+	sends := cfg.Journal.Records().Sends
+	if len(sends) != 2 || sends[0].Class != "bid" || sends[0].ID != "0000000000000001" || !sends[0].Fresh || sends[1].Fresh ||
+		sends[1].Effect != Ran || sends[1].Answered != 200 || sends[1].Ended < sends[1].Whole || sends[1].Attempt != 1 {
+		t.Errorf("written down: %+v", sends)
+	}
+}
+
+func TestWhatIsNoRequest(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Demand = func(id, _ string) (machine.Job, bool) { return machine.Job{Work: time.Millisecond}, id == "1" }
+	n := startNode(t, cfg)
+	c := dial(t, n.Addr())
+	for _, k := range []struct {
+		path, id string
+		want     int
+	}{{"/bid/7", "", 404}, {"/bid/7", "2", 400}, {"/bid/7", "1", 200}, {"/health", "", 404}} {
+		if got, _, _ := c.ask(t, "GET", k.path, k.id); got != k.want {
+			t.Errorf("%s with id %q: %d, want %d", k.path, k.id, got, k.want)
+		}
+	}
+}
+
+// A repeat is dropped by all nodes of the group, and runs again once its window has passed.
+func TestKeyedRepeats(t *testing.T) {
+	t.Parallel()
+	group := NewGroup(time.Hour)
+	cfg, other := quick(), quick()
+	other.ID, cfg.Group, other.Group = "s-2", group, group
+	other.Journal = cfg.Journal
+	a, b := startNode(t, cfg), startNode(t, other)
+	for _, n := range []*Node{a, b, a} {
+		if status, body, _ := dial(t, n.Addr()).ask(t, "POST", "/pickup/7", "1", "Idempotency-Key: k"); status != 200 {
+			t.Errorf("%d %s", status, body)
+		}
+	}
+	ran := 0
+	for _, s := range cfg.Journal.Records().Sends {
+		if s.Effect == Ran {
+			ran++
+		}
+	}
+	if ran != 1 {
+		t.Errorf("ran %d times", ran)
+	}
+	if !group.first("other", 0) || group.first("other", time.Minute) || !group.first("other", time.Hour) {
+		t.Error("a window does not hold from the first arrival, or for good")
+	}
+	group.forget("other")
+	if !group.first("other", time.Hour+time.Second) {
+		t.Error("what never ran is remembered")
+	}
+}
+
+// With its slots and its queue taken, a node proves that it did not run the next one.
+func TestQueueFull(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Machine.Slots, cfg.Machine.Queue = 1, 1
+	cfg.Demand = func(string, string) (machine.Job, bool) { return machine.Job{Work: time.Hour}, true }
+	n := startNode(t, cfg)
+	for _, id := range []string{"1", "2"} {
+		dial(t, n.Addr()).send(t, "POST", "/bid/7", id)
+	}
+	eventually(t, "both to be in hand", func() bool { return len(cfg.Journal.Records().Sends) == 2 })
+	status, _, h := dial(t, n.Addr()).ask(t, "POST", "/bid/7", "3")
+	if status != 503 || h.Get("X-Unprocessed") != "1" {
+		t.Errorf("the third: %d %v", status, h)
+	}
+	if s := cfg.Journal.Records().Sends[2]; s.Effect != TurnedAway {
+		t.Errorf("written down as %s", s.Effect)
+	}
+}
+
+// One whose time runs out in the queue never ran, and is told so; one that runs is cut off.
+func TestTimeRunsOut(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Machine.Slots = 1
+	cfg.Demand = func(string, string) (machine.Job, bool) { return machine.Job{Work: time.Hour}, true }
+	n := startNode(t, cfg)
+	first, second := dial(t, n.Addr()), dial(t, n.Addr())
+	first.send(t, "POST", "/bid/7", "1")
+	eventually(t, "the first to be in hand", func() bool { return len(cfg.Journal.Records().Sends) == 1 })
+	second.Write([]byte("GET /lot-list/7 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 2\r\nX-Time-Left: 50m\r\n\r\n"))
+	status, _, h, err := second.receive()
+	if err != nil || status != 504 || h.Get("X-Unprocessed") != "1" {
+		t.Errorf("one that waited: %d %v %v", status, h, err)
+	}
+	// The first's connection ends, and with it its work.
+	first.Close()
+	eventually(t, "the work to stop", func() bool { return cfg.Journal.Records().Sends[0].Ended != 0 })
+	if s := cfg.Journal.Records().Sends; s[0].Effect != Ran || s[1].Effect != TurnedAway {
+		t.Errorf("written down: %s, %s", s[0].Effect, s[1].Effect)
+	}
+}
+
+func TestDraining(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Probes = true
+	n := startNode(t, cfg)
+	c := dial(t, n.Addr())
+	if status, _, _ := c.ask(t, "GET", "/health", ""); status != 200 {
+		t.Errorf("health: %d", status)
+	}
+	n.Drain(true)
+	status, _, h := c.ask(t, "POST", "/bid/7", "1")
+	if status != 503 || h.Get("X-Unprocessed") != "1" || n.State() != "draining" {
+		t.Errorf("%d %v, %s", status, h, n.State())
+	}
+	if status, _, _ := c.ask(t, "GET", "/health", ""); status != 503 {
+		t.Errorf("health while draining: %d", status)
+	}
+}
+
+// The end of a process resets what is open and refuses what is new; what was in hand
+// may have run. It comes back at the same address, cold.
+func TestDeathAndReturn(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Machine.Cold = machine.Cold{From: 0.5, For: time.Hour}
+	cfg.Demand = func(id, _ string) (machine.Job, bool) {
+		if id == "1" {
+			return machine.Job{Work: time.Hour}, true
+		}
+		return machine.Job{Work: time.Millisecond}, true
+	}
+	n := startNode(t, cfg)
+	idle, busy := dial(t, n.Addr()), dial(t, n.Addr())
+	idle.ask(t, "GET", "/lot-list/7", "2")
+	busy.send(t, "POST", "/bid/7", "1")
+	eventually(t, "the bid", func() bool { return len(cfg.Journal.Records().Sends) == 2 })
+	n.Die()
+	if !idle.ends(t) || !busy.ends(t) {
+		t.Error("a connection ended in peace")
+	}
+	if c, err := net.DialTimeout("tcp", n.Addr(), patience); err == nil {
+		c.Close()
+		t.Error("a dead node took a connection")
+	}
+	if s := cfg.Journal.Records().Sends[1]; s.Effect != Ran || s.Answered != 0 {
+		t.Errorf("the bid is written down as %+v", s)
+	}
+	if err := n.Return(false); err != nil {
+		t.Fatal(err)
+	}
+	if n.State() != "cold" {
+		t.Errorf("it is back %s", n.State())
+	}
+	if status, _, _ := dial(t, n.Addr()).ask(t, "GET", "/lot-list/7", "3"); status != 200 {
+		t.Errorf("after its return: %d", status)
+	}
+	cold := false
+	for _, e := range cfg.Journal.Records().Events {
+		cold = cold || e.State == StartedCold
+	}
+	if !cold {
+		t.Error("the cold start is not written down")
+	}
+}
+
+// One that is cut off says nothing: open connections stay open, new ones never come
+// up. When it is back, the old ones are reset.
+func TestVanishing(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	n := startNode(t, cfg)
+	c := dial(t, n.Addr())
+	c.ask(t, "GET", "/lot-list/7", "1")
+	n.Vanish()
+	c.send(t, "GET", "/lot-list/7", "2")
+	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if b, err := c.in.ReadByte(); err == nil {
+		t.Errorf("a node that has vanished says %q", b)
+	} else if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+		t.Errorf("its connection ended: %v", err)
+	}
+	if d, err := net.DialTimeout("tcp", n.Addr(), 300*time.Millisecond); err == nil {
+		// Where a listener's queue can't be made small, it comes up and stays silent.
+		d.SetDeadline(time.Now().Add(200 * time.Millisecond))
+		d.Write([]byte("GET /lot-list/7 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 3\r\nX-Time-Left: 100m\r\n\r\n"))
+		if _, err := d.Read(make([]byte, 1)); err == nil {
+			t.Error("a new connection is served")
+		}
+		d.Close()
+	}
+	if err := n.Return(true); err != nil {
+		t.Fatal(err)
+	}
+	c.ends(t)
+	if status, _, _ := dial(t, n.Addr()).ask(t, "GET", "/lot-list/7", "4"); status != 200 {
+		t.Errorf("after its return: %d", status)
+	}
+	for _, s := range cfg.Journal.Records().Sends {
+		if s.ID == "2" || s.ID == "3" {
+			t.Errorf("%s reached a node that was cut off", s.ID)
+		}
+	}
+}
+
+func TestErrorsAndSpoiltAnswers(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	n := startNode(t, cfg)
+	n.Errors(1)
+	if status, _, h := dial(t, n.Addr()).ask(t, "POST", "/bid/7", "1"); status != 500 || h.Get("X-Unprocessed") != "" {
+		t.Errorf("an error: %d %v", status, h)
+	}
+	if s := cfg.Journal.Records().Sends[0]; s.Effect != Failed {
+		t.Errorf("written down as %s", s.Effect)
+	}
+	n.Errors(0)
+	for how, bad := range map[Spoil]func(status int, body string, err error) bool{
+		SpoilNoise: func(_ int, _ string, err error) bool { return err != nil && strings.Contains(err.Error(), "malformed") },
+		SpoilCut:   func(status int, _ string, err error) bool { return status == 200 && err != nil },
+		SpoilHuge:  func(status int, body string, err error) bool { return status == 200 && len(body) > 64<<10 },
+		SpoilEmpty: func(_ int, _ string, err error) bool { return err != nil },
+	} {
+		n.Spoils(how, 1)
+		c := dial(t, n.Addr())
+		c.send(t, "GET", "/lot-list/7", "2")
+		if status, body, _, err := c.receive(); !bad(status, body, err) {
+			t.Errorf("spoilt as %d: %d, %d bytes, %v", how, status, len(body), err)
+		}
+	}
+	n.Spoils(SpoilNothing, 0)
+	if status, _, _ := dial(t, n.Addr()).ask(t, "GET", "/lot-list/7", "3"); status != 200 {
+		t.Errorf("afterwards: %d", status)
+	}
+}
+
+// Which answers fail is drawn from the requests' names: the same ones every time, and
+// about as many as were asked for.
+func TestErrorsAreDrawnFromNames(t *testing.T) {
+	t.Parallel()
+	hit := 0
+	for i := range 4000 {
+		id := strings.Repeat("0", 12) + string(rune('a'+i%16)) + string(rune('a'+i/16%16)) + string(rune('a'+i/256%16))
+		if chance(id, "s-1", "error") < 0.25 {
+			hit++
+		}
+		if chance(id, "s-1", "error") != chance(id, "s-1", "error") {
+			t.Fatal("drawn anew")
+		}
+	}
+	if hit < 850 || hit > 1150 {
+		t.Errorf("%d of 4000 at a rate of a quarter", hit)
+	}
+}
+
+func TestConnectionCapAndIdleClose(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Connections, cfg.Idle = 1, 300*time.Millisecond
+	n := startNode(t, cfg)
+	first := dial(t, n.Addr())
+	first.ask(t, "GET", "/lot-list/7", "1")
+	second := dial(t, n.Addr())
+	second.send(t, "GET", "/lot-list/7", "2")
+	status, _, h, err := second.receive()
+	// The first may have stood idle long enough by now on a slow machine.
+	if err == nil && status == 503 && h.Get("X-Unprocessed") != "1" {
+		t.Errorf("one too many: %d %v", status, h)
+	}
+	if first.ends(t) {
+		t.Error("an idle connection was reset")
+	}
+}
+
+// Cores are shared in modelled time: four at once on two cores take twice as long as
+// one, by the node's own clock, however slow this machine is.
+func TestTimeIsModelled(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Demand = func(string, string) (machine.Job, bool) { return machine.Job{Work: 300 * time.Millisecond}, true }
+	n := startNode(t, cfg)
+	began := time.Now()
+	peers := make([]*peer, 4)
+	for i := range peers {
+		peers[i] = dial(t, n.Addr())
+		peers[i].send(t, "GET", "/lot-list/7", string(rune('1'+i)))
+	}
+	for _, p := range peers {
+		if status, _, _, err := p.receive(); status != 200 || err != nil {
+			t.Errorf("%d %v", status, err)
+		}
+	}
+	if took := time.Since(began); took < 590*time.Millisecond {
+		t.Errorf("1.2 s of work on two cores took %v", took)
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Probes, cfg.Report = true, []string{"inflight", "queue", "util"}
+	n := startNode(t, cfg)
+	c := dial(t, n.Addr())
+	_, _, h := c.ask(t, "GET", "/lot-list/7", "1")
+	if got := h.Get("X-Backend-Load"); got != `{"inflight":0,"queue":0,"util":0}` {
+		t.Errorf("with an answer: %s", got)
+	}
+	if status, body, _ := c.ask(t, "GET", "/status/load", ""); status != http.StatusOK || !strings.Contains(body, `"util"`) {
+		t.Errorf("when asked: %d %s", status, body)
+	}
+}
+
+// A cold node that is sent too much falls over: its connections are reset and it stays down.
+func TestFallsOver(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Warm = false
+	cfg.Machine.Cold = machine.Cold{From: 0.1, For: time.Hour, Multiple: 1, Over: time.Second} // a budget of 0.2 s
+	cfg.Demand = func(string, string) (machine.Job, bool) { return machine.Job{Work: 150 * time.Millisecond}, true }
+	n := startNode(t, cfg)
+	a, b := dial(t, n.Addr()), dial(t, n.Addr())
+	a.send(t, "GET", "/lot-list/7", "1")
+	eventually(t, "the first", func() bool { return len(cfg.Journal.Records().Sends) == 1 })
+	b.send(t, "GET", "/lot-list/7", "2")
+	if !b.ends(t) || !a.ends(t) {
+		t.Error("a connection of a node that fell ended in peace")
+	}
+	if n.State() != "fallen" {
+		t.Errorf("it is %s", n.State())
+	}
+}
