--- /dev/null
+++ b/internal/rehearsal/plan.go
@@ -0,0 +1,298 @@
+package rehearsal
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/bits"
+	"sort"
+	"time"
+
+	"marlreel/internal/standin"
+)
+
+var spoils = map[string]standin.Spoil{"noise": standin.SpoilNoise, "cut": standin.SpoilCut,
+	"huge": standin.SpoilHuge, "empty": standin.SpoilEmpty}
+
+// Plan is all that a run does by itself, drawn from a scenario and a seed and nothing
+// else: it depends neither on what happens in the run nor on the machine.
+type Plan struct {
+	Scenario string
+	Seed     uint64
+	Length   time.Duration
+	Nodes    []PlannedNode
+	Late     []time.Duration // of the list, for each proxy
+	Seeds    []string        // for each proxy
+	Requests []PlannedRequest
+	Events   []Event // in the order of their times
+}
+
+// PlannedNode is a node. Those that take the place of others come after the first ones.
+type PlannedNode struct {
+	ID, Zone, Kind string
+	Cores          int
+	Permille       int // its speed, in thousandths
+	Slots, Queue   int
+	Replaces       int // index of the node whose addresses it takes; -1 is none
+}
+
+// PlannedRequest is a client's request with the names of all its tries.
+type PlannedRequest struct {
+	At           time.Duration
+	Class, House int
+	Zone         int
+	About        string
+	Key          string
+	IDs          []string
+	Work, Wait   time.Duration
+	Over         bool // beyond its house's share
+}
+
+// Event is one thing done to one node or proxy, or one change of the list.
+type Event struct {
+	At     time.Duration
+	What   string // a fault's, "end " and a fault's, or "list"
+	Fault  int    // index in the scenario
+	Node   int    // -1 is none
+	Proxy  int    // -1 is none
+	Entry  string // list: the lifecycle
+	Until  time.Duration
+	Amount int // thousandths: times, taken, rate
+	How    string
+	Warm   bool
+	Known  string
+	By     time.Duration
+}
+
+// Draw makes the plan.
+func Draw(s *Scenario, seed uint64) *Plan {
+	p := &Plan{Scenario: s.Name, Seed: seed, Length: s.Length.D()}
+	p.drawNodes(s)
+	p.drawProxies(s)
+	p.drawRequests(s)
+	p.drawFaults(s)
+	return p
+}
+
+// Digest is a SHA-256 over the whole plan, in hexadecimal digits.
+func (p *Plan) Digest() string {
+	h := sha256.New()
+	// Structs and slices only: their order is the same every time.
+	if err := json.NewEncoder(h).Encode(p); err != nil {
+		panic(fmt.Sprintf("a plan that is no JSON: %v", err)) // no field can cause it
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (p *Plan) drawNodes(s *Scenario) {
+	d := newDraws(p.Seed, "nodes")
+	for _, k := range s.Fleet.Nodes {
+		for range k.Count {
+			p.Nodes = append(p.Nodes, PlannedNode{Kind: k.Kind, Cores: k.Cores, Permille: d.permille(k.Speed[0], k.Speed[1]),
+				Slots: k.Slots, Queue: k.Queue, Replaces: -1})
+		}
+	}
+	// Kinds are spread over the zones at random: dealt in the order of the file, one
+	// zone would have all the fast ones.
+	d.r.Shuffle(len(p.Nodes), func(i, j int) { p.Nodes[i], p.Nodes[j] = p.Nodes[j], p.Nodes[i] })
+	for i := range p.Nodes {
+		p.Nodes[i].Zone = s.Fleet.Zones[i%len(s.Fleet.Zones)]
+		p.Nodes[i].ID = "s-" + d.id()[:8]
+	}
+}
+
+func (p *Plan) drawProxies(s *Scenario) {
+	d := newDraws(p.Seed, "proxies")
+	for range s.Proxies.Count {
+		p.Late = append(p.Late, d.between(s.Discovery.Late[0].D(), s.Discovery.Late[1].D()))
+		p.Seeds = append(p.Seeds, d.id())
+	}
+}
+
+// rate is the traffic at a time, in thousandths of a request a second.
+func (s *Scenario) rate(at time.Duration) uint64 {
+	r := s.Traffic.Rate
+	for _, j := range s.Traffic.Jumps {
+		if at >= j.At.D() && at < (j.At+j.For).D() {
+			r *= j.Times
+		}
+	}
+	return uint64(float64(r*1000) + 0.5)
+}
+
+func (p *Plan) drawRequests(s *Scenario) {
+	d := newDraws(p.Seed, "requests")
+	most := s.rate(0)
+	for _, j := range s.Traffic.Jumps {
+		most = max(most, s.rate(j.At.D())) // jumps that overlap are highest where one begins
+	}
+	classes := weights(s.Classes, func(c Class) float64 { return c.Share })
+	houses := weights(s.Houses, func(h House) float64 {
+		if h.Usage == 0 {
+			return h.Share
+		}
+		return h.Share * h.Usage
+	})
+	zones := weights(s.Fleet.Zones, func(string) float64 { return 1 })
+	if len(s.Traffic.Zones) > 0 {
+		zones = weights(s.Traffic.Zones, func(z float64) float64 { return z })
+	}
+	// Shares: a bucket for each house, of a second's quota.
+	total := 0.0
+	for _, h := range s.Houses {
+		total += h.Share
+	}
+	quota := make([]float64, len(s.Houses)) // a second
+	left := make([]float64, len(s.Houses))
+	filled := make([]time.Duration, len(s.Houses))
+	for i, h := range s.Houses {
+		quota[i] = s.quota() * h.Share / total
+		left[i] = quota[i]
+	}
+	at := time.Duration(0)
+	for {
+		// The next of the highest rate, kept in proportion to the rate at its time.
+		hi, lo := bits.Mul64(d.exp(), 1_000_000_000)
+		gap, _ := bits.Div64(hi, lo, most) // microseconds, in 1/2^32; hi is below 100, and most is not
+		at += time.Duration(gap>>32) * time.Microsecond
+		if at >= p.Length {
+			return
+		}
+		keep := d.r.Uint64N(most) < s.rate(at)
+		r := PlannedRequest{At: at, Class: d.weighted(classes), House: d.weighted(houses), Zone: d.weighted(zones),
+			About: d.id(), Key: d.id() + d.id()}
+		c := s.Classes[r.Class]
+		r.Work, r.Wait = max(d.span(c.Work.D(), c.Spread), time.Microsecond), d.span(c.Wait.D(), c.Spread)
+		for range s.Clients.Retries + 1 {
+			r.IDs = append(r.IDs, d.id())
+		}
+		if !keep {
+			continue
+		}
+		if c.Effect != "keyed" {
+			r.Key = ""
+		}
+		h := r.House
+		left[h] = min(quota[h], left[h]+float64(quota[h]*(at-filled[h]).Seconds()))
+		filled[h] = at
+		if left[h] < 1 {
+			r.Over = true
+		} else {
+			left[h]--
+		}
+		p.Requests = append(p.Requests, r)
+	}
+}
+
+// quota is what the houses' shares divide: as the file says, or a fifth above the usual.
+func (s *Scenario) quota() float64 {
+	if s.Traffic.Quota > 0 {
+		return s.Traffic.Quota
+	}
+	return s.Traffic.Rate * 1.2
+}
+
+func (p *Plan) drawFaults(s *Scenario) {
+	first := len(p.Nodes) // only these are drawn: those that replace them come later
+	for i, f := range s.Faults {
+		d := newDraws(p.Seed, fmt.Sprintf("fault %d", i))
+		e := Event{At: f.At.D(), What: f.What, Fault: i, Node: -1, Proxy: -1, How: f.How, Warm: f.Warm, Known: f.Known, By: f.By.D(),
+			Amount: int(float64((f.Times+f.Taken+f.Rate)*1000) + 0.5)}
+		if f.For > 0 {
+			e.Until = (f.At + f.For).D()
+		}
+		switch f.What {
+		case "kill", "term", "discovery-late", "discovery-silent", "discovery-down":
+			proxies := f.Proxies
+			if len(proxies) == 0 {
+				for n := range s.Proxies.Count {
+					proxies = append(proxies, n)
+				}
+			}
+			for k, n := range proxies {
+				e.Proxy = n
+				e.At = (f.At + Span(k)*f.Each).D()
+				e.Until = 0
+				if f.For > 0 {
+					e.Until = e.At + f.For.D()
+				}
+				p.begin(e)
+			}
+			continue
+		}
+		var fit []int
+		for n := range first {
+			if (f.Kind == "" || p.Nodes[n].Kind == f.Kind) && (f.Zone == "" || p.Nodes[n].Zone == f.Zone) {
+				fit = append(fit, n)
+			}
+		}
+		n := f.Nodes
+		if f.Share > 0 {
+			n = int(float64(f.Share*float64(len(fit))) + 0.5)
+		}
+		for _, k := range d.choose(min(n, len(fit)), len(fit)) {
+			e.Node = fit[k]
+			p.nodeFault(s, d, e)
+		}
+	}
+	sort.SliceStable(p.Events, func(i, j int) bool { return p.Events[i].At < p.Events[j].At })
+}
+
+// begin plans a fault and its end.
+func (p *Plan) begin(e Event) {
+	p.Events = append(p.Events, e)
+	if e.Until > 0 && e.Proxy < 0 || e.Until > 0 && e.What != "kill" && e.What != "term" {
+		end := e
+		end.At, end.What = e.Until, "end "+e.What
+		p.Events = append(p.Events, end)
+	}
+}
+
+// list plans a change of the list about a node.
+func (p *Plan) list(at time.Duration, e Event, lifecycle string) {
+	e.At, e.What, e.Entry = at, "list", lifecycle
+	p.Events = append(p.Events, e)
+}
+
+// nodeFault plans what happens to one node, and when the list knows.
+func (p *Plan) nodeFault(s *Scenario, d draws, e Event) {
+	dead := d.between(s.Discovery.NoticeDead[0].D(), s.Discovery.NoticeDead[1].D())
+	vanished := d.between(s.Discovery.NoticeGone[0].D(), s.Discovery.NoticeGone[1].D())
+	switch e.What {
+	case "die":
+		p.begin(e)
+		p.list(e.At+dead, e, "Gone")
+		if e.Until > 0 {
+			p.list(max(e.Until, e.At+dead)+time.Millisecond, e, "Ready")
+		}
+	case "vanish":
+		p.begin(e)
+		if e.Until == 0 || e.At+vanished < e.Until {
+			p.list(e.At+vanished, e, "Gone")
+			if e.Until > 0 {
+				p.list(e.Until+dead/2, e, "Ready")
+			}
+		}
+	case "drain":
+		p.list(e.At, e, "Terminating")
+		p.begin(e)
+		if e.Until > 0 {
+			p.list(e.Until+dead/2, e, "Gone")
+		}
+	case "replace":
+		old := p.Nodes[e.Node]
+		successor := old
+		successor.ID, successor.Replaces = "s-"+d.id()[:8], e.Node
+		p.Nodes = append(p.Nodes, successor)
+		p.begin(e)
+		p.list(e.At+dead, e, "Gone")
+		e.Node = len(p.Nodes) - 1
+		e.What = "start"
+		e.At += time.Millisecond
+		p.Events = append(p.Events, e)
+		p.list(e.At+dead, e, "Ready")
+	default:
+		p.begin(e)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/process.go
@@ -0,0 +1,171 @@
+package rehearsal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// process is a proxy's process.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // it has ended
+	err  error         // how, once done is closed
+	use  Usage         // once done is closed
+	peak atomic.Uint64 // the most seen resident, in KiB
+}
+
+// Usage is what a process used.
+type Usage struct {
+	CPU      float64 `json:"cpu_s"`
+	MemoryMB float64 `json:"memory_mb"` // the most that was resident
+}
+
+// startProcess starts a program whose output goes to the log. It dies with this
+// process, also where that is killed (on Linux).
+func startProcess(command []string, env []string, log *os.File) (*process, error) {
+	p := &process{cmd: exec.Command(command[0], command[1:]...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	started := make(chan error, 1)
+	go func() {
+		err := startTied(p.cmd)
+		started <- err
+		if err != nil {
+			return
+		}
+		p.err = waitTied(p.cmd)
+		p.use = usageOf(p.cmd.ProcessState)
+		if kb := p.peak.Load(); kb > 0 {
+			p.use.MemoryMB = float64(kb) / 1024
+		}
+		close(p.done)
+	}()
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("start %s: %w", command[0], err)
+	}
+	return p, nil
+}
+
+func (p *process) signal(s os.Signal) { p.cmd.Process.Signal(s) }
+
+// look notes what it has resident.
+func (p *process) look() {
+	if mb := residentPeak(p.cmd.Process.Pid); mb > 0 {
+		p.peak.Store(uint64(mb * 1024))
+	}
+}
+
+// ended tells whether it has.
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// end asks it to finish, and kills it where it takes longer than it may.
+func (p *process) end(within time.Duration) (killed bool) {
+	p.look()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return false
+	case <-time.After(within):
+		p.signal(os.Kill)
+		<-p.done
+		return true
+	}
+}
+
+// proxy is a proxy of the tier over all its lives.
+type proxy struct {
+	n       int
+	addr    string
+	command []string
+	config  string // its path
+	logPath string
+	log     *os.File
+
+	mu    sync.Mutex // held over a start or an end
+	now   *process
+	lives []*Life
+	use   Usage
+}
+
+// start begins a life.
+func (p *proxy) start(at time.Duration) error {
+	if p.log == nil {
+		f, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		if err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+		p.log = f
+	}
+	now, err := startProcess(p.command, []string{"NODE_CONFIG=" + p.config, "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY="}, p.log)
+	if err != nil {
+		return err
+	}
+	p.now = now
+	p.lives = append(p.lives, &Life{Proxy: p.n, Start: at})
+	return nil
+}
+
+// over ends the books of a life.
+func (p *proxy) over(at time.Duration, how string) {
+	life := p.lives[len(p.lives)-1]
+	if life.How != "" {
+		return
+	}
+	life.End, life.How = at, how
+	p.use.CPU += p.now.use.CPU
+	p.use.MemoryMB = max(p.use.MemoryMB, p.now.use.MemoryMB)
+}
+
+// lastWords are the last lines of its log.
+func (p *proxy) lastWords() string {
+	data, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return ""
+	}
+	data = bytes.TrimSpace(data)
+	if len(data) == 0 {
+		return "it wrote nothing"
+	}
+	lines := bytes.Split(data, []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-3):], []byte(" | ")))
+}
+
+// FindMarlreel finds the daemon: the path given, else beside this program, else on PATH.
+func FindMarlreel(path string) (string, error) {
+	if path != "" {
+		full, err := filepath.Abs(path)
+		if err != nil {
+			return "", err
+		}
+		if i, err := os.Stat(full); err != nil || i.IsDir() || i.Mode()&0o111 == 0 {
+			return "", fmt.Errorf("--marlreel %s: no program there", path)
+		}
+		return full, nil
+	}
+	if self, err := os.Executable(); err == nil {
+		beside := filepath.Join(filepath.Dir(self), "marlreel")
+		if i, err := os.Stat(beside); err == nil && !i.IsDir() {
+			return beside, nil
+		}
+	}
+	found, err := exec.LookPath("marlreel")
+	if err != nil {
+		return "", errors.New("no marlreel beside this program nor on PATH: build it with 'go build -o bin/ ./cmd/...', or name it with --marlreel")
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/rehearsal/score_test.go
@@ -0,0 +1,147 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"marlreel/internal/standin"
+)
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-9 {
+		t.Errorf("%s is %v, want %v", what, got, want)
+	}
+}
+
+// Three requests worth 1, 8 and 2: the listing is served, the bid late, the pickup
+// refused and served on its client's retry.
+func TestServiceByHand(t *testing.T) {
+	r := doctored()
+	r.Plan.Requests[2].IDs = []string{"c", "c2"}
+	r.Tries[1].Ended = 1500 * ms // the bid's aim is 400 ms
+	r.Tries[2].Outcome, r.Tries[2].Status = Refused, 503
+	r.Tries = append(r.Tries, Try{Request: 2, N: 1, ID: "c2", Sent: 1300 * ms, Left: 3000 * ms, Ended: 1550 * ms, Outcome: Served, Status: 200})
+	s := Measure(r, 0)
+	near(t, "asked", s.Worth.Asked, 11)
+	near(t, "served", s.Worth.Served, 3)
+	near(t, "late", s.Worth.Late, 8)
+	near(t, "the worst window", s.WorstWindow, 3.0/11)
+	near(t, "the bids", s.Classes["bid"].Service, 0)
+	near(t, "the house", s.Houses["obala"].Service, 3.0/11)
+	near(t, "service", s.Service, 0.45*3/11+0.15*3/11+0.30*0+0.10*3/11)
+	near(t, "the pickups' p50", s.Classes["pickup"].P50, 550) // from the first try's planned time
+	if s.WorstClass != "bid" {
+		t.Errorf("the worst class is %s", s.WorstClass)
+	}
+}
+
+// A request beyond its house's share is worth a tenth, and the house is not owed it.
+func TestBeyondTheShare(t *testing.T) {
+	r := doctored()
+	r.Plan.Requests[1].Over = true
+	r.Tries[1].Outcome = Failed
+	s := Measure(r, 0)
+	near(t, "asked", s.Worth.Asked, 1+0.8+2)
+	near(t, "failed", s.Worth.Failed, 0.8)
+	near(t, "the house", s.Houses["obala"].Service, 1)
+}
+
+func TestWorstWindow(t *testing.T) {
+	seconds := make([]Worth, 30)
+	for i := range seconds {
+		seconds[i] = Worth{Asked: 10, Served: 10}
+		if i >= 14 && i < 19 {
+			seconds[i].Served = 0
+		}
+	}
+	worst, at := worstWindow(seconds)
+	near(t, "the worst ten seconds", worst, 0.5)
+	if at < 9*time.Second || at > 14*time.Second {
+		t.Errorf("from %v", at)
+	}
+	worst, _ = worstWindow(seconds[14:18])
+	near(t, "a run of four seconds", worst, 0)
+}
+
+func TestPercentiles(t *testing.T) {
+	var all []time.Duration
+	for i := 1; i <= 100; i++ {
+		all = append(all, time.Duration(i)*ms)
+	}
+	near(t, "p50", percentile(all, .5), 50)
+	near(t, "p99", percentile(all, .99), 99)
+	near(t, "max", percentile(all, 1), 100)
+	near(t, "of none", percentile(nil, .5), 0)
+}
+
+// What was sent and served nobody is waste; a second node for one request makes half of it so.
+func TestDeductions(t *testing.T) {
+	r := doctored()
+	for i := range r.Plan.Requests {
+		r.Plan.Requests[i].Work = 50 * ms
+		r.Tries[i].Node = "s-1"
+	}
+	again(&r, "a", "s-3", "maribor", 1100*ms, standin.Ran).CrossesZone = true
+	s := Measure(r, 0)
+	near(t, "waste", s.Deductions["work wasted"], 4*0.05/0.15)
+	near(t, "crossings", s.Deductions["data centres crossed"], 2.0/3)
+}
+
+// The report's names are a contract with scripts.
+func TestReportNames(t *testing.T) {
+	rep := &Report{Classes: map[string]Tally{"bid": {}}, Houses: map[string]Tally{"obala": {}}, LengthS: 5,
+		Timeline: Timeline{Seconds: []Worth{{Asked: 1, Served: 1}}, Faults: []Mark{{What: "<die>"}}}, Breaks: []Break{{Rule: "lost", What: "gone & lost"}}}
+	data, err := json.Marshal(rep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m map[string]any
+	if err := json.Unmarshal(data, &m); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"scenario", "seed", "schedule", "service", "worth", "worst_window", "classes", "houses", "rules",
+		"crashes", "void", "requests", "attempts", "handshakes", "generator_late_ms"} {
+		if _, has := m[name]; !has {
+			t.Errorf("report.json lacks %s", name)
+		}
+	}
+	for of, names := range map[string][]string{"worth": {"asked", "served", "refused", "failed", "late"},
+		"rules": {"lost", "duplicated", "drains", "cold"}} {
+		for _, name := range names {
+			if _, has := m[of].(map[string]any)[name]; !has {
+				t.Errorf("report.json lacks %s.%s", of, name)
+			}
+		}
+	}
+	page, err := rep.HTML()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(page)
+	if !strings.Contains(text, "&lt;die&gt;") || strings.Contains(text, "<die>") {
+		t.Error("names are not escaped in the page")
+	}
+	for _, foreign := range []string{"http://", "https://", "<script", "src="} {
+		if strings.Contains(text, foreign) {
+			t.Errorf("the page wants something from elsewhere: %s", foreign)
+		}
+	}
+}
+
+func TestCompare(t *testing.T) {
+	run := func(service float64, schedule string) *Report {
+		return &Report{Service: service, Schedule: schedule, Classes: map[string]Tally{}}
+	}
+	c := Compare([]*Report{run(.9, "x"), run(.8, "y")}, []*Report{run(.5, "x"), run(.6, "y")})
+	if !c.SameDays || !c.Separated || math.Abs(c.Figures[0].A.Mean-.85) > 1e-9 || c.Figures[0].B.High != .6 {
+		t.Errorf("%+v", c)
+	}
+	c = Compare([]*Report{run(.9, "x"), run(.55, "y")}, []*Report{run(.5, "x"), run(.6, "z")})
+	if c.SameDays || c.Separated || !strings.Contains(c.Text("a", "b"), "overlap") || !strings.Contains(c.Text("a", "b"), "differ") {
+		t.Errorf("%s", c.Text("a", "b"))
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/settings.go
@@ -0,0 +1,55 @@
+package rehearsal
+
+import (
+	"time"
+
+	"marlreel/internal/standin"
+)
+
+// millis is a span in the settings' unit.
+func millis(s Span) float64 { return float64(s.D()) / float64(time.Millisecond) }
+
+// settings is the object that the platform gives each proxy, with its names and units.
+func (s *Scenario) settings(rank, zone int) map[string]any {
+	effects := map[string]string{"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+	var classes, houses []map[string]any
+	for _, c := range s.Classes {
+		m := map[string]any{"Name": c.Name, "Aim": millis(c.Aim), "GiveUp": millis(c.GiveUp), "Effect": effects[c.Effect],
+			"Value": c.Worth, "LateShare": 0.0}
+		if c.Effect == "keyed" {
+			m["Group"], m["Window"] = "zone", millis(c.Window)
+		}
+		classes = append(classes, m)
+	}
+	total := 0.0
+	for _, h := range s.Houses {
+		total += h.Share
+	}
+	for _, h := range s.Houses {
+		houses = append(houses, map[string]any{"Name": h.Name, "Share": h.Share, "QuotaPerS": s.quota() * h.Share / total})
+	}
+	var kinds []string
+	for _, k := range s.Fleet.Nodes {
+		kinds = append(kinds, k.Kind)
+	}
+	return map[string]any{"Balancers": s.Proxies.Count, "Rank": rank, "Zone": zone, "Tick": 5.0, "Discovery": "pushed",
+		"FailureDomains": s.Fleet.Zones, "Kinds": kinds, "Feedback": map[string]any{"How": "off", "Names": []string{}},
+		"OverShareWorth": s.Traffic.OverWorth, "WorthBy": "request", "Weights": "off",
+		"Clients": map[string]any{"MarksRetry": s.Clients.MarkRetries},
+		"Goal":    map[string]any{"Whole": weightWhole, "WorstClass": weightClass, "WorstTenant": weightHouse, "WorstWindow": weightWindow},
+		"Prices":  map[string]any{"CrossZone": 0.02, "Waste": 0.04, "Probe": 0.01, "LateFail": 0.03, "Handshake": 0.03, "Connection": 0.03},
+		"Caps": map[string]any{"Cancel": true, "Peers": false, "Probes": s.Fleet.ProbeWork > 0, "RetryAfter": s.Rules.RetryAfter,
+			"SecondCopies": s.Rules.SecondCopies, "ConnIdle": millis(s.Fleet.Idle), "ConnectTimeout": 200.0,
+			"MaxRetryAfter": millis(s.Rules.MaxRetryAfter), "MaxAttempts": s.Rules.MaxAttempts, "StreamsPerConn": 1, "MaxOpen": 20000},
+		"Obligations": map[string]any{"AnswerSlack": millis(s.Rules.AnswerSlack), "Cold": millis(s.Fleet.Cold.For),
+			"DrainGrace": millis(s.Rules.DrainGrace), "Fall": millis(s.Fleet.Cold.Over), "FallMultiple": s.Fleet.Cold.Multiple,
+			"StartCapacity": s.Fleet.Cold.From},
+		"Services": classes, "Tenants": houses}
+}
+
+// config is a proxy's configuration file.
+func (s *Scenario) config(n int, listen, discovery, seed string, known standin.List) map[string]any {
+	return map[string]any{"name": proxyName(n), "listen": listen, "discovery": discovery, "seed": seed,
+		"limits": map[string]any{"cores": s.Proxies.Cores, "memory_mb": s.Proxies.MemoryMB, "sockets": s.Proxies.Sockets},
+		"known":  known, "settings": s.settings(n, n%len(s.Fleet.Zones))}
+}
