--- a/cmd/marlreel/main_test.go
+++ b/cmd/marlreel/main_test.go
@@ -3,9 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"marlreel/internal/standin"
 )
 
 const patience = 30 * time.Second
@@ -31,17 +30,14 @@
  "Services":[{"Name":"lot-list","Aim":600.0,"GiveUp":1000.0,"Effect":"retryable","Value":1.0}]}`
 
 // watched is a discovery service that tells of each watch.
-func watched(t *testing.T) (string, chan struct{}) {
+func watched(t *testing.T) (string, chan standin.ScriptedWatch) {
 	t.Helper()
-	came := make(chan struct{}, 64)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintln(w, `{"generation":1,"reset":true,"instances":[]}`)
-		w.(http.Flusher).Flush()
-		came <- struct{}{}
-		<-r.Context().Done()
-	}))
-	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return strings.TrimPrefix(s.URL, "http://"), came
+	s, err := standin.NewScript()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Addr, s.Watches
 }
 
 func wait[T any](t *testing.T, c <-chan T, what string) (v T) {
@@ -123,3 +119,16 @@
 		t.Errorf("ended with %v", result)
 	}
 }
+
+// The daemon links nothing that tests and rehearsals are made of.
+func TestLinksNoStandIn(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for dep := range strings.Lines(string(out)) {
+		if strings.Contains(dep, "/standin") || strings.Contains(dep, "/rehearsal") || strings.Contains(dep, "/scenarios") {
+			t.Errorf("marlreel links %s", dep)
+		}
+	}
+}
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -38,27 +38,27 @@
 		`{"generation":8,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"nowhere","zone":"koper","lifecycle":"Ready"}]}`,
 	} {
 		g := newRegistry(t)
-		p := start(t, testConfig(t, g.addr, ready("s-old", closedAddr(t))))
+		p := start(t, testConfig(t, g.Addr, ready("s-old", closedAddr(t))))
 		w := g.next(t)
-		if w.from != "1" {
-			t.Errorf("the first watch goes on from %s, want the known list's 1", w.from)
+		if w.From != "1" {
+			t.Errorf("the first watch goes on from %s, want the known list's 1", w.From)
 		}
-		w.lines <- line(t, 7, true, ready("s-1", a))
+		w.Lines <- line(t, 7, true, ready("s-1", a))
 		servedBy(t, p, "a")
-		w.lines <- bad
+		w.Lines <- bad
 		w = g.next(t)
-		if w.from != "7" {
-			t.Errorf("after the bad line the watch goes on from %s, want 7", w.from)
+		if w.From != "7" {
+			t.Errorf("after the bad line the watch goes on from %s, want 7", w.From)
 		}
 		if status, text, _ := do(t, newRequest(t, p, "bid", "x")); status != 200 || text != "a" {
 			t.Errorf("after the bad line: %d %q", status, text)
 		}
 		gone := endpoint{InstanceID: "s-1", Lifecycle: "Gone"}
-		w.lines <- line(t, 9, false, gone, ready("s-2", b))
+		w.Lines <- line(t, 9, false, gone, ready("s-2", b))
 		servedBy(t, p, "b")
-		close(w.lines)
-		if w = g.next(t); w.from != "9" {
-			t.Errorf("after its end the watch goes on from %s, want 9", w.from)
+		close(w.Lines)
+		if w = g.next(t); w.From != "9" {
+			t.Errorf("after its end the watch goes on from %s, want 9", w.From)
 		}
 	}
 }
@@ -74,7 +74,7 @@
 func TestNotReadyWithoutAList(t *testing.T) {
 	t.Parallel()
 	g := newRegistry(t)
-	cfg := testConfig(t, g.addr)
+	cfg := testConfig(t, g.Addr)
 	var s *server
 	l, err := newLoop(cfg, t.Logf, func() { s.ready.Store(true) })
 	if err != nil {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -10,12 +10,13 @@
 	"log"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"marlreel/internal/standin"
 )
 
 // patience is how long a test waits for what must come. It is no measure of speed.
@@ -57,51 +58,23 @@
 }
 
 // registry is a discovery service whose watches the test writes line by line.
-type registry struct {
-	addr    string
-	watches chan watch // each watch as it comes
-}
+type registry struct{ *standin.Script }
 
-type watch struct {
-	from  string
-	lines chan string   // closing it ends the watch
-	ended chan struct{} // it has ended
-}
+type watch = standin.ScriptedWatch
 
-func newRegistry(t *testing.T) *registry {
+func newRegistry(t *testing.T) registry {
 	t.Helper()
-	g := &registry{watches: make(chan watch, 16)}
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		v := watch{r.URL.Query().Get("from"), make(chan string, 16), make(chan struct{})}
-		defer close(v.ended)
-		g.watches <- v
-		w.(http.Flusher).Flush()
-		beat := time.NewTicker(time.Second)
-		defer beat.Stop()
-		for {
-			line := ""
-			select {
-			case l, open := <-v.lines:
-				if !open {
-					return
-				}
-				line = l
-			case <-beat.C:
-			case <-r.Context().Done():
-				return
-			}
-			fmt.Fprintln(w, line)
-			w.(http.Flusher).Flush()
-		}
-	}))
-	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	g.addr = strings.TrimPrefix(s.URL, "http://")
-	return g
+	s, err := standin.NewScript()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return registry{s}
 }
 
-func (g *registry) next(t *testing.T) watch {
+func (g registry) next(t *testing.T) watch {
 	t.Helper()
-	return receive(t, g.watches, "a watch")
+	return receive(t, g.Watches, "a watch")
 }
 
 func line(t *testing.T, generation uint32, reset bool, entries ...endpoint) string {
@@ -228,24 +201,12 @@
 // rawBackend accepts connections and hands each to serve, which reads and writes as it likes.
 func rawBackend(t *testing.T, serve func(c net.Conn, in *bufio.Reader)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	r, err := standin.StartRaw(serve)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	t.Cleanup(r.Stop) // a serve that the test holds up must not hold up its end
+	return r.Addr
 }
 
 // readRequest takes a whole request off a connection.
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -48,25 +48,25 @@
 			t.Parallel()
 			a, b := newRegistry(t), newRegistry(t)
 			kept, conns := counting(t, "kept")
-			cfg := testConfig(t, a.addr, ready("s-1", kept))
+			cfg := testConfig(t, a.Addr, ready("s-1", kept))
 			cfg.Settings.OnRequest = onRequest
 			cfg.Settings.Obligations.AskEvery = time.Minute
 			p := start(t, cfg)
 			old := a.next(t)
 			servedBy(t, p, "kept")
-			p.reloads <- moved(cfg, b.addr)
+			p.reloads <- moved(cfg, b.Addr)
 			next := b.next(t)
-			if next.from != "0" {
-				t.Errorf("the new address is asked for what came after %s, want the whole list", next.from)
+			if next.From != "0" {
+				t.Errorf("the new address is asked for what came after %s, want the whole list", next.From)
 			}
 			other := named(t, "other")
-			old.lines <- line(t, 8, true, ready("s-2", other))
+			old.Lines <- line(t, 8, true, ready("s-2", other))
 			servedBy(t, p, "other") // the old address still counts
-			old.lines <- line(t, 9, true, ready("s-1", kept))
+			old.Lines <- line(t, 9, true, ready("s-1", kept))
 			servedBy(t, p, "kept")
 			before := conns.Load()
-			next.lines <- line(t, 3, true, ready("s-1", kept))
-			receive(t, old.ended, "the end of the old watch")
+			next.Lines <- line(t, 3, true, ready("s-1", kept))
+			receive(t, old.Ended, "the end of the old watch")
 			for range 5 {
 				if status, text, _ := do(t, newRequest(t, p, "bid", "x")); status != 200 || text != "kept" {
 					t.Fatalf("after the change: %d %q", status, text)
@@ -76,7 +76,7 @@
 				t.Errorf("%d new connections to a backend that both lists name", n)
 			}
 			third := named(t, "third")
-			next.lines <- line(t, 4, true, ready("s-3", third))
+			next.Lines <- line(t, 4, true, ready("s-3", third))
 			servedBy(t, p, "third")
 		})
 	}
@@ -86,13 +86,13 @@
 func TestQuickReloadsEndAtTheLastAddress(t *testing.T) {
 	t.Parallel()
 	a, b, c := newRegistry(t), newRegistry(t), newRegistry(t)
-	cfg := testConfig(t, a.addr, ready("s-1", named(t, "a")))
+	cfg := testConfig(t, a.Addr, ready("s-1", named(t, "a")))
 	p := start(t, cfg)
 	a.next(t)
-	for _, addr := range []string{closedAddr(t), b.addr, a.addr, b.addr, c.addr, c.addr} {
+	for _, addr := range []string{closedAddr(t), b.Addr, a.Addr, b.Addr, c.Addr, c.Addr} {
 		p.reloads <- moved(cfg, addr)
 	}
-	c.next(t).lines <- line(t, 2, true, ready("s-2", named(t, "c")))
+	c.next(t).Lines <- line(t, 2, true, ready("s-2", named(t, "c")))
 	servedBy(t, p, "c")
 }
 
@@ -100,12 +100,12 @@
 func TestReloadToADeadAddressKeepsTheOld(t *testing.T) {
 	t.Parallel()
 	a := newRegistry(t)
-	cfg := testConfig(t, a.addr, ready("s-1", named(t, "a")))
+	cfg := testConfig(t, a.Addr, ready("s-1", named(t, "a")))
 	p := start(t, cfg)
 	w := a.next(t)
 	p.reloads <- moved(cfg, closedAddr(t))
 	eventually(t, "a call to the dead address", func() bool { return strings.Contains(p.log.String(), "refused") })
-	w.lines <- line(t, 2, true, ready("s-2", named(t, "b")))
+	w.Lines <- line(t, 2, true, ready("s-2", named(t, "b")))
 	servedBy(t, p, "b")
 }
 
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -126,14 +126,19 @@
 	return r, nil
 }
 
-// Close ends the server and its connections, and waits for serve to return.
-func (r *Raw) Close() {
+// Stop ends the server and its connections, without waiting for serve to return.
+func (r *Raw) Stop() {
 	r.ln.Close()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for c := range r.conns {
 		c.Close()
 	}
-	r.mu.Unlock()
+}
+
+// Close is Stop, and waits for serve to return.
+func (r *Raw) Close() {
+	r.Stop()
 	r.wg.Wait()
 }
 
