--- a/internal/rehearsal/html.go
+++ b/internal/rehearsal/html.go
@@ -26,18 +26,19 @@
 	return plotLeft + plotWidth*min(max(s/p.length, 0), 1)
 }
 
-func (p *picture) open(high int) {
+// open begins a picture with the faults, over its whole height and behind all else.
+func (p *picture) open(high int, faults []Mark) {
 	fmt.Fprintf(p, `<svg viewBox="0 0 %d %d" width="100%%" role="img">`, plotLeft+plotWidth+20, high+24)
-}
-
-// close draws the time axis and the faults over the whole height.
-func (p *picture) close(high int, faults []Mark) {
 	for _, f := range faults {
 		x, to := p.x(f.FromS), p.x(f.ToS)
 		fmt.Fprintf(p, `<rect class="fault" x="%.1f" y="0" width="%.1f" height="%d"><title>%s, %.1f to %.1f s</title></rect>`,
 			x, max(to-x, 1.5), high, template.HTMLEscapeString(f.What), f.FromS, f.ToS)
 		fmt.Fprintf(p, `<line class="start" x1="%.1f" x2="%.1f" y1="0" y2="%d"/>`, x, x, high)
 	}
+}
+
+// close draws the time axis.
+func (p *picture) close(high int) {
 	step := 5.0
 	for p.length/step > 12 {
 		step *= 2
@@ -60,7 +61,7 @@
 	for _, w := range rep.Timeline.Seconds {
 		most = max(most, w.Asked)
 	}
-	p.open(plotHigh)
+	p.open(plotHigh, rep.Timeline.Faults)
 	for i, w := range rep.Timeline.Seconds {
 		y := float64(plotHigh)
 		for _, part := range []struct {
@@ -77,7 +78,7 @@
 	}
 	p.label(10, fmt.Sprintf("%.0f a second", most))
 	p.label(plotHigh, "0")
-	p.close(plotHigh, rep.Timeline.Faults)
+	p.close(plotHigh)
 	return template.HTML(p.String())
 }
 
@@ -91,7 +92,7 @@
 		most = max(most, k.P99)
 	}
 	y := func(ms float64) float64 { return high - high*ms/most }
-	p.open(high)
+	p.open(high, rep.Timeline.Faults)
 	for _, line := range []struct {
 		name string
 		of   func(Percentile) float64
@@ -106,7 +107,7 @@
 	fmt.Fprintf(p, `<line class="aim" x1="%d" x2="%d" y1="%.1f" y2="%.1f"/>`, plotLeft, plotLeft+plotWidth, y(aim), y(aim))
 	p.label(y(aim)+4, fmt.Sprintf("wanted %.0f ms", aim))
 	p.label(12, fmt.Sprintf("%.0f ms", most))
-	p.close(high, rep.Timeline.Faults)
+	p.close(high)
 	return template.HTML(p.String())
 }
 
@@ -125,7 +126,7 @@
 		}
 	}
 	high := (len(t.Nodes) + len(names)) * rowHigh
-	p.open(high)
+	p.open(high, rep.Timeline.Faults)
 	fair := 1 / float64(max(len(t.Nodes), 1))
 	for i, n := range t.Nodes {
 		y := i * rowHigh
@@ -151,7 +152,7 @@
 	for name, i := range rows {
 		p.label(float64((len(t.Nodes)+i)*rowHigh+13), "proxy "+name)
 	}
-	p.close(high, t.Faults)
+	p.close(high)
 	return template.HTML(p.String())
 }
 
