--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"marlreel/internal/config"
 	"marlreel/internal/proxy"
 )
 
@@ -30,7 +31,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := proxy.LoadConfig(os.Getenv("NODE_CONFIG"), os.Getenv)
+	cfg, err := config.LoadPlatform(os.Getenv("NODE_CONFIG"), os.Getenv)
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/config.go
+++ b/internal/config/platform.go
@@ -1,4 +1,7 @@
-package proxy
+// Package config reads what the platform tells a proxy ($NODE_CONFIG) and what an
+// operator sets (deploy/marlreel.toml), strictly: what can't be used is one error that
+// names the file, the key and what would be right. It opens nothing but these files.
+package config
 
 import (
 	"encoding/json"
@@ -10,30 +13,37 @@
 	"time"
 
 	"marlreel"
+	"marlreel/internal/discovery"
 	"marlreel/internal/wire"
 )
 
-// Config is what the platform tells a proxy at its start.
-type Config struct {
+// Platform is what the platform tells a proxy at its start.
+type Platform struct {
 	Name, Listen, Discovery string
 	Seed                    uint64
 	Sockets                 int // file descriptors that the process may hold
 	MemoryMB                int
 	Cores                   float64
-	Known                   *endpointList // the list as last held; nil is none
+	Known                   *discovery.List // the list as last held; nil is none
 	Settings                marlreel.Config
 
-	zones, kinds map[string]int // positions, by name
-	report       []string       // names of the values of a load report
-	maxOpen      int            // open requests; 0 is no limit
-	acceptLonger time.Duration  // how long after the signal to stop connections are taken
+	Names   discovery.Names
+	Report  []string // names of the values of a load report
+	MaxOpen int      // open requests; 0 is no limit
+	// AcceptLonger is how long after the signal to stop connections are taken.
+	AcceptLonger time.Duration
 }
 
-const envDiscovery = "NODE_DISCOVERY"
+// After the signal to stop, new connections go on coming for up to 0.4 s. One that is
+// closed unaccepted is a lost request.
+const acceptLonger = 500 * time.Millisecond
 
-// LoadConfig reads the configuration file. NODE_NAME, NODE_LISTEN and
+// EnvDiscovery is the environment's name for discovery's address.
+const EnvDiscovery = "NODE_DISCOVERY"
+
+// LoadPlatform reads the configuration file. NODE_NAME, NODE_LISTEN and
 // NODE_DISCOVERY, where getenv has them, go before what the file says.
-func LoadConfig(path string, getenv func(string) string) (*Config, error) {
+func LoadPlatform(path string, getenv func(string) string) (*Platform, error) {
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
 	}
@@ -41,14 +51,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := parseConfig(data, getenv)
+	c, err := ParsePlatform(data, getenv)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parseConfig(data []byte, getenv func(string) string) (*Config, error) {
+// ParsePlatform reads the configuration's text; getenv as with LoadPlatform.
+func ParsePlatform(data []byte, getenv func(string) string) (*Platform, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
 
@@ -57,18 +68,18 @@
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
 		}
-		Known    *endpointList
+		Known    *discovery.List
 		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Cores: file.Limits.Cores,
-		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known, acceptLonger: acceptLonger}
+	c := &Platform{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Cores: file.Limits.Cores,
+		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known, AcceptLonger: acceptLonger}
 	for _, v := range []struct {
 		env  string
 		into *string
-	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {envDiscovery, &c.Discovery}} {
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {EnvDiscovery, &c.Discovery}} {
 		if s := getenv(v.env); s != "" {
 			*v.into = s
 		}
@@ -78,7 +89,7 @@
 			return nil, fmt.Errorf("%s: %w", what, err)
 		}
 	}
-	if l := file.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || l.Sockets > 0 && l.Sockets < leastSockets {
+	if l := file.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || l.Sockets > 0 && l.Sockets < LeastSockets {
 		return nil, fmt.Errorf("limits: %+v leave nothing to work with", l)
 	}
 	var err error
@@ -107,10 +118,10 @@
 	if err := json.Unmarshal(file.Settings, &names); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	c.zones, c.kinds = positions(names.FailureDomains), positions(names.Kinds)
-	c.report, c.maxOpen = names.Feedback.Names, names.Caps.MaxOpen
+	c.Names = discovery.Names{Zones: positions(names.FailureDomains), Kinds: positions(names.Kinds)}
+	c.Report, c.MaxOpen = names.Feedback.Names, names.Caps.MaxOpen
 	if c.Known != nil {
-		if _, err := c.Known.check(c); err != nil {
+		if _, err := c.Known.Check(c.Names); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -131,48 +142,28 @@
 // the listener, the runtime and the standard streams.
 const (
 	defaultSockets = 1024
-	leastSockets   = 64
+	// LeastSockets is the fewest descriptors that a proxy can work with.
+	LeastSockets = 64
 )
 
-func (c *Config) sockets() int {
+func (c *Platform) sockets() int {
 	if c.Sockets == 0 {
 		return defaultSockets
 	}
 	return c.Sockets
 }
 
-// clientConns is how many client connections are kept; upstreamConns bounds those to backends.
-func (c *Config) clientConns() int   { return c.sockets() / 2 }
-func (c *Config) upstreamConns() int { return c.sockets() / 4 }
+// ClientConns is how many client connections are kept.
+func (c *Platform) ClientConns() int { return c.sockets() / 2 }
+
+// UpstreamConns bounds the connections to backends.
+func (c *Platform) UpstreamConns() int { return c.sockets() / 4 }
 
-// longestGiveUp is the longest time that a client waits.
-func (c *Config) longestGiveUp() time.Duration {
+// LongestGiveUp is the longest time that a client waits.
+func (c *Platform) LongestGiveUp() time.Duration {
 	longest := time.Duration(0)
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.GiveUp)
 	}
 	return longest
 }
-
-// parseSpan reads a number with the unit m (milliseconds) or u (microseconds).
-func parseSpan(s string) (time.Duration, error) {
-	unit := time.Duration(0)
-	if s != "" {
-		switch s[len(s)-1] {
-		case 'm':
-			unit = time.Millisecond
-		case 'u':
-			unit = time.Microsecond
-		}
-	}
-	if unit == 0 {
-		return 0, fmt.Errorf("%q has no unit m or u", s)
-	}
-	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
-	if err != nil || !(n > 0 && n*float64(unit) <= float64(longestSpan)) {
-		return 0, fmt.Errorf("%q is no span above 0 and up to %v", s, longestSpan)
-	}
-	return time.Duration(n * float64(unit)), nil
-}
-
-const longestSpan = time.Hour
--- /dev/null
+++ b/internal/config/platform_test.go
@@ -0,0 +1,41 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	"marlreel/internal/config"
+	"marlreel/internal/testutil"
+)
+
+func TestBadConfigurations(t *testing.T) {
+	t.Parallel()
+	good := `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f","settings":` + testutil.Settings + `}`
+	none := func(string) string { return "" }
+	if _, err := config.ParsePlatform([]byte(good), none); err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string][2]string{
+		"not JSON":        {`{"name"`, `{"name`},
+		"no address":      {`127.0.0.1:0`, `127.0.0.1`},
+		"no discovery":    {`"discovery":"127.0.0.1:1"`, `"discovery":""`},
+		"bad seed":        {`8c1f`, `dice`},
+		"no settings":     {`"settings"`, `"other"`},
+		"a wrong word":    {`"fragile"`, `"breakable"`},
+		"a wrong span":    {`"Aim":60000.0`, `"Aim":"soon"`},
+		"streams":         {`"Name":"bid"`, `"Stream":true,"Name":"bid"`},
+		"too few sockets": {`"name"`, `"limits":{"sockets":8},"name"`},
+		"a bad list":      {`"name"`, `"known":{"instances":[{"instanceId":""}]},"name"`},
+	} {
+		text := strings.Replace(good, change[0], change[1], 1)
+		if text == good {
+			t.Fatalf("%s: nothing changed", name)
+		}
+		_, err := config.ParsePlatform([]byte(text), none)
+		if err == nil {
+			t.Errorf("%s: taken", name)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: more than a line: %v", name, err)
+		}
+	}
+}
--- a/internal/proxy/discovery.go
+++ b/internal/discovery/platform.go
@@ -1,4 +1,8 @@
-package proxy
+// Package discovery tells the engine which backends there are: it follows the
+// platform's list over HTTP, as a watch or by asking, and moves from one address to
+// another without a gap. It knows nothing of health, and never drops a list that it
+// has because it can't get a newer one.
+package discovery
 
 import (
 	"bufio"
@@ -9,11 +13,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 
-	"marlreel"
+	"marlreel/internal/engine"
 )
 
 const (
@@ -26,77 +29,27 @@
 	longestLine  = 4 << 20
 )
 
-// endpointList is discovery's form of the list, or of changes to it.
-type endpointList struct {
-	Generation uint32     `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []endpoint `json:"instances"`
-}
-
-type endpoint struct {
-	InstanceID  string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	MachineType string  `json:"machineType"`
-	Cell        int     `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMs int64   `json:"startedAtMs"`
-}
-
-var lifecycles = map[string]marlreel.State{"Ready": marlreel.Ready, "Terminating": marlreel.Draining,
-	"Gone": marlreel.Gone}
-
-// check reads the entries without their identifiers and times, which the loop
-// gives. A list with one bad entry is bad as a whole: half of it would pass for
-// all of it.
-func (l *endpointList) check(c *Config) ([]marlreel.Backend, error) {
-	entries := make([]marlreel.Backend, len(l.Instances))
-	for i, e := range l.Instances {
-		state, known := lifecycles[e.Lifecycle]
-		if e.InstanceID == "" || !known {
-			return nil, fmt.Errorf("instance %d: id %q, lifecycle %q", i, e.InstanceID, e.Lifecycle)
-		}
-		entries[i] = marlreel.Backend{Zone: -1, Kind: -1, Cell: e.Cell, State: state, Weight: e.Weight}
-		if state == marlreel.Gone {
-			continue // it may come without the rest
-		}
-		if _, err := netip.ParseAddrPort(e.HostPort); err != nil {
-			return nil, fmt.Errorf("instance %s: %w", e.InstanceID, err)
-		}
-		zone, known := c.zones[e.Zone]
-		if !known {
-			return nil, fmt.Errorf("instance %s: unknown zone %q", e.InstanceID, e.Zone)
-		}
-		entries[i].Zone = zone
-		if kind, known := c.kinds[e.MachineType]; known {
-			entries[i].Kind = kind
-		}
-	}
-	return entries, nil
-}
-
-// discovery follows the list of backends at one address. A new configuration may
-// name another address; then there is a new discovery, and this one stays as it is.
-type discovery struct {
-	cfg    *Config
+// follower makes the calls at one address. A new configuration may name another
+// address; then there is a new follower, and this one stays as it is.
+type follower struct {
+	names  Names
 	addr   string
 	client *http.Client
 	logf   func(string, ...any)
-	tell   func(l *endpointList, entries []marlreel.Backend) // a list or a change has come
-	failed func()                                            // a call failed, or a watch broke
+	tell   func(l *List, entries []engine.Entry) // a list or a change has come
+	failed func()                                // a call failed, or a watch broke
 }
 
-// newDiscoveryClient makes the client of all calls. One connection a call: a watch
+// newClient makes the client of all calls. One connection a call: a watch
 // ends with its connection anyway.
-func newDiscoveryClient() *http.Client {
+func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		ResponseHeaderTimeout: watchSilence}}
 }
 
 // follow keeps a watch up, from the given version on, until ctx ends.
-func (d *discovery) follow(ctx context.Context, from uint32) {
+func (d *follower) follow(ctx context.Context, from uint32) {
 	backoff := backoffLeast
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -120,7 +73,7 @@
 }
 
 // once keeps a watch until it breaks: where the list is asked for, the module decides when to ask again.
-func (d *discovery) once(ctx context.Context, from uint32) {
+func (d *follower) once(ctx context.Context, from uint32) {
 	if _, err := d.watch(ctx, from); ctx.Err() == nil {
 		d.logf("discovery: watch ended: %v", err)
 		d.failed()
@@ -128,7 +81,7 @@
 }
 
 // watch follows one watch until it breaks, and gives the last version that it brought.
-func (d *discovery) watch(ctx context.Context, from uint32) (uint32, error) {
+func (d *follower) watch(ctx context.Context, from uint32) (uint32, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	body, err := d.get(ctx, "?watch=1&from="+strconv.FormatUint(uint64(from), 10))
@@ -145,13 +98,13 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var l endpointList
+		var l List
 		// A line that can't be read may hide a change. The watch is dropped, the
 		// list so far stands, and the next watch brings what was missed.
 		if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
 			return from, fmt.Errorf("bad line: %w", err)
 		}
-		entries, err := l.check(d.cfg)
+		entries, err := l.Check(d.names)
 		if err != nil {
 			return from, fmt.Errorf("bad line: %w", err)
 		}
@@ -165,7 +118,7 @@
 }
 
 // fetch asks for the whole list once.
-func (d *discovery) fetch(ctx context.Context) {
+func (d *follower) fetch(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*watchSilence)
 	defer cancel()
 	l, entries, err := d.list(ctx)
@@ -178,21 +131,21 @@
 	d.tell(l, entries)
 }
 
-func (d *discovery) list(ctx context.Context) (*endpointList, []marlreel.Backend, error) {
+func (d *follower) list(ctx context.Context) (*List, []engine.Entry, error) {
 	body, err := d.get(ctx, "")
 	if err != nil {
 		return nil, nil, err
 	}
 	defer body.Close()
-	var l endpointList
+	var l List
 	if err := json.NewDecoder(io.LimitReader(body, longestLine)).Decode(&l); err != nil {
 		return nil, nil, err
 	}
-	entries, err := l.check(d.cfg)
+	entries, err := l.Check(d.names)
 	return &l, entries, err
 }
 
-func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
+func (d *follower) get(ctx context.Context, query string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/engine/attempts.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"marlreel"
+)
+
+// Permit is the right to write one attempt. The engine and the carrier race for it:
+// whoever is first decides whether anything goes out at all.
+type Permit struct{ state atomic.Int32 }
+
+const (
+	permitOpen = iota
+	permitUsed
+	permitRevoked
+)
+
+// Use takes the right. Where it gives false, nothing may be written. Any goroutine.
+func (p *Permit) Use() bool { return p.state.CompareAndSwap(permitOpen, permitUsed) }
+
+// Revoke takes the right away, unless it was used. Any goroutine.
+func (p *Permit) Revoke() bool { return p.state.CompareAndSwap(permitOpen, permitRevoked) }
+
+// Used tells whether the attempt may have gone out.
+func (p *Permit) Used() bool { return p.state.Load() == permitUsed }
+
+// End is how an attempt or a probe ended.
+type End struct {
+	Result marlreel.Result
+	Reply  any       // where Result is OK: the answer, for the front
+	Load   []float32 // a load report, in the settings' order; nil is none
+}
+
+// Attempt is one attempt at a call.
+type Attempt struct {
+	Call    *Call
+	N       int // which of the call's, from 0
+	Backend *Backend
+	Until   time.Time // when it is given up
+	Permit  Permit
+	// Stop calls the attempt off: what is on its way is broken off, and End still
+	// comes. Begin sets it; nil is nothing to be done.
+	Stop func()
+
+	engine *Engine
+	sent   time.Duration
+	done   bool // the module has its outcome
+	end    *Timer
+}
+
+// Sent is when the attempt began, on the engine's clock.
+func (a *Attempt) Sent() time.Duration { return a.sent }
+
+// Done tells whether the attempt has ended. Only on the engine's goroutine.
+func (a *Attempt) Done() bool { return a.done }
+
+func (a *Attempt) stop() {
+	if a.Stop != nil {
+		a.Stop()
+	}
+}
+
+// End tells the module how the attempt ended, once; later calls are let be. The first
+// good answer is the client's. Only on the engine's goroutine.
+func (a *Attempt) End(end End) {
+	if a.done {
+		return
+	}
+	e, c := a.engine, a.Call
+	a.done = true
+	c.open--
+	e.Disarm(a.end)
+	if e.observer != nil {
+		e.observer.Ended(e.Now(), a, end)
+	}
+	if end.Result == marlreel.OK {
+		e.answer(c, Answer{Verdict: Served, Reply: end.Reply})
+	}
+	e.forget(c)
+	now := e.Now()
+	e.balancer.Outcome(now, marlreel.Outcome{ID: c.ID, Attempt: a.N, Backend: a.Backend.ID, Result: end.Result,
+		Took: now - a.sent, Final: c.answered, Load: end.Load})
+}
+
+// expire gives an attempt up when its time has run out.
+func (a *Attempt) expire() {
+	if a.done {
+		return
+	}
+	result := marlreel.Timeout
+	if a.Permit.Revoke() {
+		result = marlreel.ConnectFailed // it was still dialling
+	}
+	a.stop()
+	a.End(End{Result: result})
+}
--- /dev/null
+++ b/internal/engine/calls.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"time"
+
+	"marlreel"
+)
+
+// Verdict is what a call's final answer means.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served     Verdict = iota // Reply is a backend's answer
+	Refused                   // coming again is harmless
+	Overloaded                // the same: too many calls are open here
+	Failed                    // nothing is promised
+	OutOfTime                 // the same: the call's time ran out
+	Stopped                   // the same: this process ends
+	InUse                     // the call's name is that of another one, and it was not taken
+)
+
+// Answer is the one final answer to a call.
+type Answer struct {
+	Verdict    Verdict
+	Reply      any           // Served: what the carrier's End held
+	RetryAfter time.Duration // Refused: when to come again; 0 is not said
+}
+
+// Front takes answers: the side that a call came from.
+type Front interface {
+	// Answer takes a call's one final answer, on the engine's goroutine. It must not
+	// block, nor call the engine back.
+	Answer(c *Call, a Answer)
+}
+
+// Call is one request of a client in the engine's table.
+type Call struct {
+	marlreel.Request         // ID is the engine's
+	Name             string  // the client's own, new with each request; "" is not held against others
+	Front            Front   // who takes the answer
+	Carrier          Carrier // who takes attempts to backends
+	Payload          any     // the carrier's
+
+	arrived  time.Duration
+	answered bool // or the client has left: nothing more goes out
+	attempts []*Attempt
+	open     int // attempts without an outcome
+	backstop *Timer
+}
+
+// Arrived is when the call was taken, on the engine's clock.
+func (c *Call) Arrived() time.Duration { return c.arrived }
+
+// Attempts are those made so far. Only on the engine's goroutine.
+func (c *Call) Attempts() []*Attempt { return c.attempts }
+
+// Answered tells whether the call is over. Only on the engine's goroutine.
+func (c *Call) Answered() bool { return c.answered }
+
+// Open is how many calls are in the table. Only on the engine's goroutine.
+func (e *Engine) Open() int { return len(e.calls) }
+
+// Take takes a call in: from now on it gets exactly one answer, before its deadline.
+// arrived is when its last byte came. Only on the engine's goroutine.
+func (e *Engine) Take(c *Call, arrived time.Duration) {
+	if c.answered { // its client left before
+		return
+	}
+	c.arrived = arrived
+	if most := e.cfg.MaxOpen; most > 0 && len(e.calls) >= most {
+		c.answered = true
+		e.tell(c, Answer{Verdict: Overloaded})
+		return
+	}
+	// Backends tell requests apart by this name. Under the name of another's request
+	// this one would get that one's answer, or give it its own.
+	if c.Name != "" && !e.asked.add(c.Name, e.Now()) {
+		c.answered = true
+		e.tell(c, Answer{Verdict: InUse})
+		return
+	}
+	e.lastID++
+	c.ID = e.lastID
+	e.calls[c.ID] = c
+	// Whatever the module does, the client has its answer before its time is up.
+	c.backstop = e.At(c.Deadline-Backstop, func() {
+		if e.answer(c, Answer{Verdict: OutOfTime}) {
+			e.balancer.Gone(e.Now(), c.ID)
+		}
+	})
+	now := e.Now()
+	if e.observer != nil {
+		e.observer.Taken(now, c)
+	}
+	e.balancer.Request(now, c.Request)
+}
+
+// tell hands the answer to the front.
+func (e *Engine) tell(c *Call, a Answer) {
+	if e.observer != nil {
+		e.observer.Answered(e.Now(), c, a)
+	}
+	c.Front.Answer(c, a)
+}
+
+// answer gives the final answer, unless there was one.
+func (e *Engine) answer(c *Call, a Answer) bool {
+	if c.answered {
+		return false
+	}
+	e.tell(c, a)
+	e.over(c)
+	return true
+}
+
+// over ends a call: what is not yet written for it never will be.
+func (e *Engine) over(c *Call) {
+	c.answered = true
+	e.Disarm(c.backstop)
+	for _, a := range c.attempts {
+		if !a.done && a.Permit.Revoke() {
+			a.stop()
+			e.Later(func() { a.End(End{Result: marlreel.Moot}) })
+		}
+	}
+	e.forget(c)
+}
+
+func (e *Engine) forget(c *Call) {
+	if c.answered && c.open == 0 {
+		delete(e.calls, c.ID)
+	}
+}
+
+// FailAll ends what is still open when the process has to go. Some of it may have run,
+// so none of it is refused. Only on the engine's goroutine.
+func (e *Engine) FailAll() {
+	for _, c := range e.calls {
+		if e.answer(c, Answer{Verdict: Stopped}) {
+			e.balancer.Gone(e.Now(), c.ID)
+		}
+	}
+}
+
+// Gone takes the leave of a call's client: no answer is wanted any more. Only on the
+// engine's goroutine.
+func (e *Engine) Gone(c *Call) {
+	if c.answered {
+		return
+	}
+	e.over(c)
+	if e.observer != nil {
+		e.observer.Left(e.Now(), c)
+	}
+	e.balancer.Gone(e.Now(), c.ID)
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,241 @@
+package engine
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/testutil"
+)
+
+// held is a carrier whose attempts the test ends.
+type held struct{ begun []*Attempt }
+
+func (h *held) Begin(a *Attempt)     { h.begun = append(h.begun, a) }
+func (h *held) Release(*Backend)     {}
+func (h *held) Forget(*Backend)      {}
+func (h *held) Retire(time.Duration) {}
+
+// asked is a client's call, with the answers that it got.
+type asked struct {
+	Call
+	answers []Answer
+}
+
+func (c *asked) Answer(_ *Call, a Answer) { c.answers = append(c.answers, a) }
+
+// still is an engine that the test moves by hand, timer by timer.
+type still struct {
+	*Engine
+	carrier *held
+}
+
+func stillEngine(t *testing.T, entries ...Entry) *still {
+	t.Helper()
+	e, err := New(Config{Settings: testutil.Module(t), Seed: 1, Logf: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &still{e, &held{}}
+	e.Carry(l.carrier)
+	l.Do(func() { l.List(List{Kind: marlreel.ListCached, Entries: entries}) })
+	return l
+}
+
+// ready is a list's entry for a backend at an address.
+func ready(name, addr string) Entry {
+	return Entry{Name: name, Addr: addr, State: marlreel.Ready, Weight: 1}
+}
+
+func (l *still) ask(class int, left time.Duration) *asked {
+	now := l.Now()
+	c := &asked{Call: Call{Name: fmt.Sprint(len(l.carrier.begun), l.lastID), Carrier: l.carrier}}
+	c.Front, c.Class, c.Deadline = c, class, now+left
+	l.Do(func() { l.Take(&c.Call, now) })
+	return c
+}
+
+// The module may forget a request or be wrong about its time. The client still
+// has its answer before it leaves, and nothing is sent for it from then on.
+func TestBackstopAnswersBeforeTheDeadline(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	c := l.ask(1, time.Minute)
+	if len(c.attempts) != 1 {
+		t.Fatalf("%d attempts", len(c.attempts))
+	}
+	var last *Timer
+	for len(l.timers) > 0 { // the backstop alone: the attempt's own end and the module's timers are passed over
+		if last = heap.Pop(&l.timers).(*Timer); last.at == c.Deadline-Backstop {
+			break
+		}
+	}
+	if last.at != c.Deadline-Backstop {
+		t.Fatal("no backstop is set")
+	}
+	l.Do(last.event)
+	if len(c.answers) != 1 || c.answers[0].Verdict != OutOfTime {
+		t.Fatalf("the backstop's answer: %+v", c.answers)
+	}
+	if _, held := l.calls[c.ID]; held {
+		t.Error("the call is still in the table")
+	}
+	l.Do(func() { host{l.Engine}.Send(c.ID, l.backends.id("s-1"), 0) })
+	l.Do(func() { host{l.Engine}.Refuse(c.ID, 0) })
+	if len(c.attempts) != 1 || len(c.answers) != 1 {
+		t.Error("something came after the final answer")
+	}
+}
+
+// An attempt ends early enough for the module to hear of it before the backstop.
+func TestAttemptEndsBeforeTheBackstop(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	c := l.ask(1, time.Second)
+	if until := c.attempts[0].Until; until.After(l.Wall(c.Deadline - Backstop - time.Millisecond)) {
+		t.Errorf("the attempt may last until %v before the deadline", l.Wall(c.Deadline).Sub(until))
+	}
+}
+
+// An answer takes the permit from attempts that are not yet written.
+func TestAnswerRevokesUnsentAttempts(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	c := l.ask(1, time.Minute)
+	stopped := false
+	a := c.attempts[0]
+	a.Stop = func() { stopped = true }
+	l.Do(func() { l.answer(&c.Call, Answer{Verdict: Failed}) })
+	if a.Permit.Use() || !a.done || !stopped {
+		t.Error("an unsent attempt may still go out after the answer, or has no outcome")
+	}
+}
+
+// One that was written when its call was answered goes on to its own end, and the
+// call's place is kept until then.
+func TestWrittenAttemptsOutliveTheAnswer(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	c := l.ask(1, time.Minute)
+	a := c.attempts[0]
+	if !a.Permit.Use() {
+		t.Fatal("no permit")
+	}
+	l.Do(func() { l.answer(&c.Call, Answer{Verdict: Failed}) })
+	if a.done || l.Open() != 1 {
+		t.Errorf("done: %v, open: %d", a.done, l.Open())
+	}
+	l.Do(func() { a.End(End{Result: marlreel.OK, Reply: "late"}) })
+	l.Do(func() { a.End(End{Result: marlreel.Reset}) }) // a second end is let be
+	if len(c.answers) != 1 || l.Open() != 0 {
+		t.Errorf("answers: %+v, open: %d", c.answers, l.Open())
+	}
+}
+
+// A call whose name is another's is not taken; one beyond the bound is refused.
+func TestNamesAndBounds(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	l.cfg.MaxOpen = 2
+	first := l.ask(1, time.Minute)
+	twin := &asked{Call: Call{Name: first.Name, Carrier: l.carrier}}
+	twin.Front, twin.Deadline = twin, l.Now()+time.Minute
+	l.Do(func() { l.Take(&twin.Call, l.Now()) })
+	if len(twin.answers) != 1 || twin.answers[0].Verdict != InUse {
+		t.Errorf("under another's name: %+v", twin.answers)
+	}
+	l.ask(1, time.Minute)
+	if third := l.ask(1, time.Minute); len(third.answers) != 1 || third.answers[0].Verdict != Overloaded {
+		t.Errorf("beyond the bound: %+v", third.answers)
+	}
+	l.Do(l.FailAll)
+	if len(first.answers) != 1 || first.answers[0].Verdict != Stopped {
+		t.Errorf("at the stop: %+v", first.answers)
+	}
+}
+
+// Backends come under new names all day. The ones that have gone are forgotten.
+func TestGoneBackendsAreForgotten(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	for i := range 50 {
+		l.Do(func() {
+			l.List(List{Kind: marlreel.ListFull, Version: uint32(i + 2), Entries: []Entry{ready(fmt.Sprintf("s-new-%d", i), "127.0.0.1:1")}})
+		})
+	}
+	if len(l.backends.ids) != 1 || len(l.backends.names) != 1 || len(l.backends.byID) != 1 {
+		t.Errorf("%d names and %d backends are kept for a list of one", len(l.backends.ids), len(l.backends.byID))
+	}
+}
+
+// Nothing goes to a backend from the moment at which it is listed as draining; its
+// idle connections are given back.
+func TestDrainingBackendGetsNothing(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	b := l.Backend("s-1")
+	e := ready("s-1", "127.0.0.1:1")
+	e.State = marlreel.Draining
+	l.Do(func() { l.List(List{Kind: marlreel.ListDelta, Version: 2, Entries: []Entry{e}}) })
+	if b.Ready() {
+		t.Error("a draining backend may still be written to")
+	}
+	if c := l.ask(1, time.Minute); len(c.attempts) != 0 {
+		t.Error("a draining backend was sent a request")
+	}
+}
+
+// Start times are Unix times; the module's are on the engine's clock, where 0 is long ago.
+func TestStartTimes(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	for _, c := range []struct {
+		at   time.Time
+		want time.Duration
+	}{
+		{time.Time{}, 0},
+		{l.start.Add(-3 * time.Second), ClockStart - 3*time.Second},
+		{time.UnixMilli(1), 1}, // before the clock's own start: long ago, but known
+	} {
+		e := ready("s-1", "127.0.0.1:1")
+		e.Started = c.at
+		l.Do(func() { l.List(List{Kind: marlreel.ListDelta, Version: 2, Entries: []Entry{e}}) })
+		if got := l.Backend("s-1").Started; got != c.want {
+			t.Errorf("started at %v: %v, want %v", c.at, got, c.want)
+		}
+	}
+}
+
+// A panic in one event does not end the engine, nor the calls in hand.
+func TestOneBadEventEndsNothing(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	c := l.ask(1, time.Minute)
+	l.Do(func() { panic("one bad event") })
+	l.Do(func() { c.attempts[0].End(End{Result: marlreel.OK, Reply: "good"}) })
+	if len(c.answers) != 1 || c.answers[0].Reply != "good" {
+		t.Errorf("%+v", c.answers)
+	}
+}
+
+func TestRecentForgets(t *testing.T) {
+	t.Parallel()
+	r := newRecent(time.Second)
+	for i := range 5000 {
+		at := time.Duration(i) * 10 * time.Millisecond
+		if !r.add(fmt.Sprint(i), at) {
+			t.Fatalf("%d is new and taken for known", i)
+		}
+		if i >= 90 && r.add(fmt.Sprint(i-90), at) {
+			t.Fatalf("%d is forgotten too early", i-90)
+		}
+	}
+	if n := len(r.now) + len(r.old); n > 200 {
+		t.Errorf("%d names are kept of 200 in two spans", n)
+	}
+	if !r.add("1", time.Minute) {
+		t.Error("a name of long ago is still known")
+	}
+}
--- /dev/null
+++ b/internal/engine/host.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"time"
+
+	"marlreel"
+)
+
+// probeLonger is how many connect time-outs a probe may take.
+const probeLonger = 1.25
+
+// host implements marlreel.Host. No method blocks or calls the module.
+type host struct{ *Engine }
+
+// Send starts an attempt.
+func (e host) Send(id marlreel.RequestID, to marlreel.BackendID, until time.Duration) {
+	c := e.calls[id]
+	if c == nil {
+		e.cfg.Logf("send for request %d, which is over", id)
+		return
+	}
+	a := &Attempt{Call: c, N: len(c.attempts), sent: e.Now(), engine: e.Engine}
+	c.attempts = append(c.attempts, a)
+	c.open++
+	if latest := c.Deadline - 2*Backstop; until == 0 || until > latest {
+		until = latest
+	}
+	a.Backend = e.backends.byID[to]
+	unsent := marlreel.OK
+	switch {
+	case c.answered || until <= a.sent || a.N >= e.cfg.Settings.Caps.MaxAttempts:
+		unsent = marlreel.Moot
+	case a.Backend == nil:
+		unsent = marlreel.ConnectFailed
+	}
+	if unsent != marlreel.OK {
+		if a.Backend == nil {
+			a.Backend = &Backend{Backend: marlreel.Backend{ID: to}}
+		}
+		a.Permit.Revoke()
+		e.Later(func() { a.End(End{Result: unsent}) })
+		return
+	}
+	a.Until = e.Wall(until)
+	a.end = e.At(until, a.expire)
+	if e.observer != nil {
+		e.observer.Sent(a.sent, a)
+	}
+	c.Carrier.Begin(a)
+}
+
+// Refuse answers that coming again is harmless.
+func (e host) Refuse(id marlreel.RequestID, retryAfter time.Duration) {
+	if c := e.calls[id]; c != nil {
+		e.answer(c, Answer{Verdict: Refused, RetryAfter: retryAfter})
+	}
+}
+
+// Fail answers without a promise.
+func (e host) Fail(id marlreel.RequestID) {
+	if c := e.calls[id]; c != nil {
+		e.answer(c, Answer{Verdict: Failed})
+	}
+}
+
+// Cancel calls an attempt off.
+func (e host) Cancel(id marlreel.RequestID, n int) {
+	c := e.calls[id]
+	if c == nil || n < 0 || n >= len(c.attempts) || c.attempts[n].done {
+		return
+	}
+	a := c.attempts[n]
+	result := marlreel.Cancelled
+	if a.Permit.Revoke() {
+		result = marlreel.Moot
+	}
+	a.stop()
+	e.Later(func() { a.End(End{Result: result}) })
+}
+
+// Probe asks for a backend's health.
+func (e host) Probe(id marlreel.BackendID) {
+	b := e.backends.byID[id]
+	sent := e.Now()
+	end := func(r End) {
+		now := e.Now()
+		if e.observer != nil && b != nil {
+			e.observer.Probed(now, b, r.Result, now-sent)
+		}
+		e.balancer.Probed(now, marlreel.ProbeResult{Backend: id, Result: r.Result, Took: now - sent, Load: r.Load})
+	}
+	if b == nil || e.prober == nil {
+		e.Later(func() { end(End{Result: marlreel.Moot}) })
+		return
+	}
+	wait := time.Duration(probeLonger * float64(e.cfg.Settings.Caps.ConnectTimeout))
+	e.prober.Probe(b, time.Now().Add(wait), end)
+}
+
+// Release closes what is idle at a backend.
+func (e host) Release(id marlreel.BackendID) {
+	if b := e.backends.byID[id]; b != nil {
+		e.release(b)
+	}
+}
+
+// Watch follows the list, or ceases to.
+func (e host) Watch(on bool) {
+	if e.source != nil {
+		e.source.Watch(on)
+	}
+}
+
+// Fetch asks for the whole list once.
+func (e host) Fetch() {
+	if e.source != nil {
+		e.source.Fetch()
+	}
+}
+
+// Tell would reach other proxies. The module has nothing to tell them.
+func (e host) Tell(peer uint32, body []byte) {
+	e.cfg.Logf("%d bytes for peer %d dropped: there is no way to it", len(body), peer)
+}
+
+// After asks for a Timer event.
+func (e host) After(d time.Duration, token uint64) {
+	e.At(e.Now()+d, func() { e.balancer.Timer(e.Now(), token) })
+}
+
+// Log writes a line of the module's; it is sparing by itself.
+func (e host) Log(line string) { e.cfg.Logf("%s", line) }
--- a/internal/proxy/recent.go
+++ b/internal/engine/recent.go
@@ -1,4 +1,4 @@
-package proxy
+package engine
 
 import "time"
 
--- /dev/null
+++ b/internal/httpproxy/carrier_test.go
@@ -0,0 +1,124 @@
+package httpproxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/engine"
+)
+
+// Every attempt has one outcome, a cancelled one too, and its place is given back.
+func TestCancelClosesTheConnection(t *testing.T) {
+	t.Parallel()
+	addr, got := silent(t)
+	l := stillEngine(t, ready("s-1", addr))
+	r := l.ask(1, time.Minute)
+	receive(t, got, "the attempt")
+	l.Do(func() { l.Gone(&r.Call) })
+	if !r.Attempts()[0].Done() || l.Open() != 0 {
+		t.Error("the cancelled attempt has no outcome")
+	}
+	l.Do(receive(t, l.Events(), "the connection's end"))
+	if l.carrier.pool.open != 0 {
+		t.Errorf("%d connections are counted as open", l.carrier.pool.open)
+	}
+}
+
+// Clients name their time themselves. What was answered must not stay in memory for it.
+func TestAnsweredRequestsLeaveNothingBehind(t *testing.T) {
+	t.Parallel()
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := readRequest(in); !ok {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	l := stillEngine(t, ready("s-1", addr))
+	before := l.Timers()
+	for range 20 {
+		r := l.ask(1, longestSpan)
+		for len(r.answers) == 0 {
+			l.Do(receive(t, l.Events(), "the attempt's end"))
+		}
+	}
+	if n := l.Timers() - before; n > 1 || l.Open() != 0 { // the module may have one of its own
+		t.Errorf("%d timers and %d requests are left", n, l.Open())
+	}
+}
+
+// Backends are replaced all day, some at the address of one that has gone. What is
+// kept for them must not grow with their number, and a connection belongs to the one
+// that it was opened to.
+func TestReplacedBackendsLeaveNothing(t *testing.T) {
+	t.Parallel()
+	addr, conns := counting(t, "s")
+	l := stillEngine(t, ready("s-0", addr))
+	serve := func() {
+		r := l.ask(1, time.Minute)
+		for len(r.answers) == 0 {
+			l.Do(receive(t, l.Events(), "the attempt's end"))
+		}
+		if a := <-r.answers; a.status != 200 {
+			t.Fatalf("status %d", a.status)
+		}
+	}
+	serve()
+	const replaced = 3000
+	for i := range replaced {
+		gone := engine.Entry{Name: fmt.Sprintf("s-%d", i), State: marlreel.Gone}
+		list := engine.List{Kind: marlreel.ListDelta, Version: uint32(i + 2), Entries: []engine.Entry{gone, ready(fmt.Sprintf("s-%d", i+1), addr)}}
+		l.Do(func() { l.List(list) })
+		if i < 3 {
+			serve()
+			if n := conns.Load(); n != int64(i+2) {
+				t.Fatalf("%d connections for %d backends at one address", n, i+2)
+			}
+		}
+	}
+	backends := 0
+	l.Backends(func(*engine.Backend) { backends++ })
+	if l.Names() != 1 || backends != 1 || l.Open() != 0 || l.Caused() != 0 || l.carrier.pool.open != 0 ||
+		len(l.carrier.pool.idle) != 0 || l.Timers() > 3 {
+		t.Errorf("kept: %d names, %d backends, %d requests, %d events, %d connections, %d timers", l.Names(), backends,
+			l.Open(), l.Caused(), l.carrier.pool.open, l.Timers())
+	}
+}
+
+// While one attempt runs, its backend may be replaced at its own address: the
+// connection then belongs to nobody and is closed.
+func TestAConnectionDoesNotOutliveItsBackend(t *testing.T) {
+	t.Parallel()
+	came, answer := make(chan struct{}, 1), make(chan struct{})
+	closed := make(chan struct{})
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); ok {
+			came <- struct{}{}
+			<-answer
+			io.WriteString(c, okAnswer)
+			in.ReadByte()
+			close(closed)
+		}
+	})
+	l := stillEngine(t, ready("s-1", addr))
+	r := l.ask(1, time.Minute)
+	receive(t, came, "the attempt")
+	l.Do(func() {
+		l.List(engine.List{Kind: marlreel.ListFull, Version: 2, Entries: []engine.Entry{ready("s-2", addr)}})
+	})
+	close(answer)
+	l.Do(receive(t, l.Events(), "the attempt's end"))
+	if a := receive(t, r.answers, "the answer"); a.status != 200 {
+		t.Errorf("the attempt in hand ended with %d", a.status)
+	}
+	receive(t, closed, "the connection's end")
+	if l.carrier.pool.open != 0 {
+		t.Errorf("%d connections are kept", l.carrier.pool.open)
+	}
+}
--- a/internal/proxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -1,4 +1,4 @@
-package proxy
+package httpproxy
 
 import (
 	"container/list"
--- /dev/null
+++ b/internal/httpproxy/exchange_test.go
@@ -0,0 +1,204 @@
+package httpproxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/engine"
+)
+
+// While an attempt dials, its backend may be listed as draining, or its request
+// may be answered. It must not be written then.
+func TestLateDialSendsNothing(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(x *exchange){
+		"draining": func(x *exchange) { x.to = engine.NewBackend("s-1", x.to.Addr, false) },
+		"answered": func(x *exchange) { x.permit.Revoke() },
+	} {
+		got := make(chan int64, 1)
+		addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+			n, _ := io.Copy(io.Discard, in)
+			got <- n
+		})
+		x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
+		spoil(x)
+		r := x.run(context.Background(), patience, nil)
+		if r.result != marlreel.Moot || r.conn == nil {
+			t.Fatalf("%s: %+v", name, r)
+		}
+		r.conn.Close()
+		if n := receive(t, got, "the end of the connection"); n != 0 {
+			t.Errorf("%s: %d bytes went out", name, n)
+		}
+	}
+}
+
+// A machine that has vanished is silent. An attempt there ends by itself.
+func TestSilenceIsATimeout(t *testing.T) {
+	t.Parallel()
+	addr, got := silent(t)
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(time.Second)}
+	if r := x.run(context.Background(), patience, nil); r.result != marlreel.Timeout || r.conn != nil {
+		t.Errorf("%+v", r)
+	}
+	receive(t, got, "the request")
+}
+
+// An idle connection outlives the deadline of the exchange that it served.
+// When it did not, most were closed within a second, each for a new handshake.
+func TestIdleConnectionOutlivesItsExchange(t *testing.T) {
+	t.Parallel()
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := readRequest(in); !ok {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(2 * time.Second)}
+	r := x.run(context.Background(), patience, nil)
+	if r.conn == nil {
+		t.Fatalf("the connection was not kept: %+v", r)
+	}
+	defer r.conn.Close()
+	time.Sleep(time.Until(x.until) + 10*time.Millisecond)
+	if !r.conn.alive() {
+		t.Error("a good idle connection looks dead once its last exchange's time has passed")
+	}
+}
+
+// 1xx answers come ahead of the answer; what follows the answer makes the connection useless.
+func TestInterimAndSurplusAnswers(t *testing.T) {
+	t.Parallel()
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); ok {
+			io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+okAnswer+strings.Repeat("x", 10))
+			readRequest(in)
+		}
+	})
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
+	r := x.run(context.Background(), patience, nil)
+	if r.result != marlreel.OK || string(r.body) != "served" || r.conn != nil {
+		t.Errorf("%v %q, connection kept: %v", r.result, r.body, r.conn != nil)
+	}
+}
+
+func TestLoadReport(t *testing.T) {
+	t.Parallel()
+	h := http.Header{}
+	h.Set(headerLoad, `{"pending":2,"busy_reqs":7}`)
+	if got := loadReport(h, []string{"busy_reqs", "pending"}); len(got) != 2 || got[0] != 7 || got[1] != 2 {
+		t.Error(got)
+	}
+	h.Set(headerLoad, `{"pending":`)
+	if got := loadReport(h, []string{"busy_reqs"}); got != nil {
+		t.Error(got)
+	}
+}
+
+// A spoilt answer ends its attempt at once, as one that may have run. The connection
+// behind it stays open: who waits for more waits until the time is up.
+func TestSpoiltAnswersEndAtOnce(t *testing.T) {
+	t.Parallel()
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, answer := range map[string]string{
+		"noise":                  "\x93\xb2\x19\xe4 no line end",
+		"one byte of noise":      "\x93",
+		"another protocol":       "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"a status that is none":  "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
+		"words in another order": "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nok",
+		"no colon":               ok + "no colon here\r\nContent-Length: 2\r\n\r\nok",
+		"an endless head":        ok + strings.Repeat("X-Pad: pppppppppp\r\n", 4000),
+		"two lengths":            ok + "Content-Length: 3\r\nContent-Length: 2\r\n\r\nok",
+		"a negative length":      ok + "Content-Length: -2\r\n\r\nok",
+		"three gigabytes":        ok + "Content-Length: 3000000000\r\n\r\nok",
+		"no length":              ok + "\r\nok",
+		"bad chunks":             ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+		"endless chunks":         ok + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", 200),
+		"another protocol asked": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+		"interim without end":    strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+				if _, ok := readRequest(in); ok {
+					io.WriteString(c, answer)
+					in.ReadByte() // stays open
+				}
+			})
+			x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
+			ends := make(chan reply, 1)
+			go func() { ends <- x.run(context.Background(), patience, nil) }()
+			select {
+			case r := <-ends:
+				if r.result != marlreel.Reset || r.conn != nil {
+					t.Errorf("%v, connection kept: %v", r.result, r.conn != nil)
+				}
+			case <-time.After(patience / 2):
+				t.Error("the attempt waits for its time to be up")
+			}
+		})
+	}
+}
+
+// Surplus may come after the answer's connection was taken for the next request. It
+// would be read as that one's answer.
+func TestSurplusIsNeverTheNextAnswer(t *testing.T) {
+	t.Parallel()
+	var conns atomic.Int64
+	more := make(chan struct{})
+	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		n := conns.Add(1)
+		for {
+			if _, ok := readRequest(in); !ok {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+			if n == 1 {
+				<-more
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+			}
+		}
+	})
+	exchangeOn := func(c *conn) reply {
+		x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), conn: c, msg: probeMessage(addr), until: time.Now().Add(patience)}
+		return x.run(context.Background(), patience, nil)
+	}
+	first := exchangeOn(nil)
+	if first.conn == nil {
+		t.Fatalf("the connection is not kept: %+v", first)
+	}
+	close(more)
+	eventually(t, "the surplus to arrive", func() bool { return !first.conn.alive() })
+	second := exchangeOn(first.conn)
+	if second.result != marlreel.OK || string(second.body) != "2" {
+		t.Errorf("%v %q, want a new connection's answer", second.result, second.body)
+	}
+	if second.conn != nil {
+		second.conn.Close()
+	}
+}
+
+// Half a report would draw traffic to a backend as if it were idle.
+func TestLoadReportsThatSayNothing(t *testing.T) {
+	t.Parallel()
+	for _, text := range []string{"", "TEXT ?", "%%%", `{"`, `{}`, `{"busy_reqs":7}`, `{"busy_reqs":-1,"pending":0}`,
+		`{"busy_reqs":1e30,"pending":0}`, `{"busy_reqs":1e999,"pending":0}`, `{"busy_reqs":null,"pending":0}`,
+		`{"busy_reqs":"7","pending":0}`, `[7,0]`} {
+		h := http.Header{}
+		h.Set(headerLoad, text)
+		if got := loadReport(h, []string{"busy_reqs", "pending"}); got != nil {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpproxy/harness_test.go
@@ -0,0 +1,97 @@
+package httpproxy
+
+import (
+	"bufio"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/engine"
+	"marlreel/internal/testutil"
+)
+
+const (
+	patience = testutil.Patience
+	okAnswer = testutil.OKAnswer
+)
+
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	testutil.Eventually(t, what, reached)
+}
+
+func receive[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	return testutil.Receive(t, c, what)
+}
+
+func rawBackend(t *testing.T, serve func(c net.Conn, in *bufio.Reader)) string {
+	t.Helper()
+	return testutil.RawBackend(t, serve)
+}
+
+func readRequest(in *bufio.Reader) (*http.Request, bool) { return testutil.ReadRequest(in) }
+
+func silent(t *testing.T) (string, chan *http.Request) {
+	t.Helper()
+	return testutil.Silent(t)
+}
+
+// ready is a list's entry for a backend at an address.
+func ready(name, addr string) engine.Entry {
+	return engine.Entry{Name: name, Addr: addr, State: marlreel.Ready, Weight: 1}
+}
+
+// still is an engine that the test moves by hand, with this package's front and carrier.
+type still struct {
+	*engine.Engine
+	carrier *Carrier
+	front   *Front
+}
+
+func stillEngine(t *testing.T, entries ...engine.Entry) *still {
+	t.Helper()
+	l := &still{}
+	e, err := engine.New(engine.Config{Settings: testutil.Module(t), Seed: 1, Logf: t.Logf, Listed: func() { l.front.SetReady(true) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Engine, l.carrier = e, NewCarrier(e, 256, nil)
+	l.front = NewFront(e, l.carrier, log.New(t.Output(), "", 0))
+	t.Cleanup(l.carrier.Close)
+	e.Carry(l.carrier)
+	e.ProbeWith(l.carrier)
+	l.Do(func() { l.List(engine.List{Kind: marlreel.ListCached, Entries: entries}) })
+	return l
+}
+
+var lastName atomic.Uint64
+
+func (l *still) ask(class int, left time.Duration) *call {
+	now := l.Now()
+	r := &call{Call: engine.Call{Name: fmt.Sprintf("%016x", lastName.Add(1)), Carrier: l.carrier, Payload: probeMessage("origin.svc")},
+		answers: make(chan answer, 1)}
+	r.Front, r.Class, r.Deadline = r, class, now+left
+	l.Do(func() { l.Take(&r.Call, now) })
+	return r
+}
+
+// counting is a backend that answers with its name and counts its connections.
+func counting(t *testing.T, name string) (string, *atomic.Int64) {
+	t.Helper()
+	n := new(atomic.Int64)
+	return rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		n.Add(1)
+		for {
+			if _, ok := readRequest(in); !ok {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(name), name)
+		}
+	}), n
+}
--- a/internal/proxy/parse.go
+++ b/internal/httpproxy/parse.go
@@ -1,6 +1,7 @@
-package proxy
+package httpproxy
 
 import (
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"marlreel"
+	"marlreel/internal/engine"
 )
 
 const (
@@ -28,8 +30,8 @@
 // client's fault, and the answer says how; its status is 0 for a good request. A
 // backend closes on what it can't read, which would count as its own failure. The
 // cheap checks come first: a flood of bad requests must cost little.
-func (s *server) parse(r *http.Request) (*request, time.Duration, answer) {
-	bad := func(status int, format string, args ...any) (*request, time.Duration, answer) {
+func (s *Front) parse(r *http.Request) (*call, time.Duration, answer) {
+	bad := func(status int, format string, args ...any) (*call, time.Duration, answer) {
 		return nil, 0, badRequest(status, format, args...)
 	}
 	// net/http takes a Content-Length that stands beside a Transfer-Encoding away, so
@@ -67,7 +69,7 @@
 	}
 	// Whatever it says, no client waits longer than its class does over all its tries,
 	// and nobody may hold a place here for longer.
-	c := &s.loop.cfg.Settings.Classes[class]
+	c := &s.engine.Settings().Classes[class]
 	left = min(left, c.GiveUp)
 	id := h.Get(headerID)
 	if len(id) != idLength || strings.Trim(id, "0123456789abcdef") != "" {
@@ -112,8 +114,11 @@
 		io.WriteString(f, rest[strings.LastIndexByte(rest, '/')+1:])
 		about = f.Sum64()
 	}
-	return &request{Request: marlreel.Request{Class: class, Tenant: tenant, Key: about, Cost: cost,
-		Repeat: h.Get(headerRepeat) == "1"}, name: id, msg: newMessage(r, body)}, left, answer{}
+	req := &call{Call: engine.Call{Request: marlreel.Request{Class: class, Tenant: tenant, Key: about, Cost: cost,
+		Repeat: h.Get(headerRepeat) == "1"}, Name: id, Carrier: s.carrier, Payload: newMessage(r, body)},
+		answers: make(chan answer, 1)}
+	req.Front = req
+	return req, left, answer{}
 }
 
 // readBody reads the body of a request whose length is known and within bounds. A
@@ -187,3 +192,26 @@
 	}
 	return out
 }
+
+// parseSpan reads a number with the unit m (milliseconds) or u (microseconds).
+func parseSpan(s string) (time.Duration, error) {
+	unit := time.Duration(0)
+	if s != "" {
+		switch s[len(s)-1] {
+		case 'm':
+			unit = time.Millisecond
+		case 'u':
+			unit = time.Microsecond
+		}
+	}
+	if unit == 0 {
+		return 0, fmt.Errorf("%q has no unit m or u", s)
+	}
+	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	if err != nil || !(n > 0 && n*float64(unit) <= float64(longestSpan)) {
+		return 0, fmt.Errorf("%q is no span above 0 and up to %v", s, longestSpan)
+	}
+	return time.Duration(n * float64(unit)), nil
+}
+
+const longestSpan = time.Hour
--- /dev/null
+++ b/internal/httpproxy/pool_test.go
@@ -0,0 +1,106 @@
+package httpproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"marlreel/internal/engine"
+)
+
+// poolOf has n idle connections to a listener, oldest first, and the listener's ends of them.
+func poolOf(t *testing.T, n int) (*pool, *engine.Backend, []net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	b := engine.NewBackend("s-1", ln.Addr().String(), true)
+	p := &pool{most: n, maxIdle: 45 * time.Second, idle: map[*engine.Backend][]*conn{}}
+	var far []net.Conn
+	for i := range n {
+		nc, err := net.Dial("tcp", b.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close(); other.Close() })
+		far = append(far, other)
+		if !p.mayDial() {
+			t.Fatal("no place for the connection")
+		}
+		p.put(b, &conn{Conn: nc, in: bufio.NewReader(nc)}, time.Duration(i)*time.Second)
+	}
+	return p, b, far
+}
+
+func TestPoolReusesTheMostRecentlyUsed(t *testing.T) {
+	t.Parallel()
+	p, b, _ := poolOf(t, 3)
+	want := p.idle[b][2]
+	if c := p.take(b, 3*time.Second); c != want {
+		t.Error("not the most recently used")
+	}
+}
+
+// A backend that closes behind its answer does so at once: a connection rests for a
+// moment where another can be had.
+func TestPoolLetsConnectionsRest(t *testing.T) {
+	t.Parallel()
+	p, b, _ := poolOf(t, 2) // the younger idle since 1 s
+	young, old := p.idle[b][1], p.idle[b][0]
+	if c := p.take(b, time.Second+restFor/2); c != old {
+		t.Error("the connection that was used just now was taken before the other")
+	}
+	if c := p.take(b, time.Second+restFor/2); c != young {
+		t.Error("where there is no other, it is not taken")
+	}
+}
+
+// A request on a connection that the backend closes for age at that moment may or
+// may not have run.
+func TestPoolRetiresBeforeTheBackendDoes(t *testing.T) {
+	t.Parallel()
+	p, b, _ := poolOf(t, 2)
+	if c := p.take(b, 46*time.Second); c != nil || p.open != 0 {
+		t.Errorf("an old connection was taken, or %d are still counted", p.open)
+	}
+}
+
+// A process that died has reset its connections: a request on one would be a
+// reset, which may have run, where a new connection tells that it never did.
+func TestPoolPassesOverDeadConnections(t *testing.T) {
+	t.Parallel()
+	p, b, far := poolOf(t, 2)
+	want := p.idle[b][0]
+	far[1].Close()
+	eventually(t, "the end to arrive", func() bool { return !p.idle[b][1].alive() })
+	if c := p.take(b, 2*time.Second); c != want {
+		t.Error("the closed connection was not passed over")
+	}
+	// What nobody asked for belongs to no request.
+	p.put(b, want, 2*time.Second)
+	io.WriteString(far[0], okAnswer)
+	eventually(t, "the noise to arrive", func() bool { return !want.alive() })
+	if c := p.take(b, 2*time.Second); c != nil {
+		t.Error("a connection with an answer to nothing was taken")
+	}
+}
+
+func TestPoolIsBounded(t *testing.T) {
+	t.Parallel()
+	p, b, _ := poolOf(t, 2)
+	if !p.mayDial() || p.open != 2 || len(p.idle[b]) != 1 {
+		t.Errorf("with all places taken by idle ones: %d open, %d idle", p.open, len(p.idle[b]))
+	}
+	p.take(b, 2*time.Second)
+	if p.mayDial() {
+		t.Error("a place was given beyond the bound")
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -1,4 +1,4 @@
-package proxy
+package httpproxy
 
 import (
 	"bufio"
@@ -8,13 +8,12 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"marlreel"
+	"marlreel/internal/engine"
 )
 
 const (
@@ -44,120 +43,6 @@
 	return quiet(c.Conn)
 }
 
-// backend is where a backend of the list is reached, with its idle connections.
-// The loop owns it; only ready is read by attempts too.
-type backend struct {
-	marlreel.Backend
-	name, addr string
-	ready      atomic.Bool
-	idle       []*conn // the most recently used last
-}
-
-// pool keeps the connections to all backends within a bound. The loop owns it.
-type pool struct {
-	open, most int           // connections, those being dialled among them
-	maxIdle    time.Duration // 0 is for ever
-	backends   map[marlreel.BackendID]*backend
-}
-
-// restFor is how long a connection rests after an answer, where another can be had.
-// A backend that closes right behind its answer has done so by then.
-const restFor = time.Millisecond
-
-// take gives an idle connection to the backend, the most recently used that has had
-// its rest, else the most recently used: the others grow old and leave. It gives nil
-// where there is none.
-func (p *pool) take(to *backend, now time.Duration) *conn {
-	// A request that is written to a connection just as the backend closes it for age
-	// is a reset, which may have run. So age is checked here as well.
-	to.idle = slices.DeleteFunc(to.idle, func(c *conn) bool {
-		gone := p.tooOld(c, now)
-		if gone {
-			p.close(c)
-		}
-		return gone
-	})
-	for len(to.idle) > 0 {
-		at := len(to.idle) - 1
-		for i := at; i >= 0; i-- {
-			if now-to.idle[i].idleSince >= restFor {
-				at = i
-				break
-			}
-		}
-		c := to.idle[at]
-		to.idle = slices.Delete(to.idle, at, at+1)
-		if c.alive() {
-			return c
-		}
-		p.close(c)
-	}
-	return nil
-}
-
-// mayDial takes a place for a new connection; where all are taken, an idle one has to go.
-func (p *pool) mayDial() bool {
-	if p.open >= p.most {
-		var oldest *backend
-		for _, b := range p.backends {
-			if len(b.idle) > 0 && (oldest == nil || b.idle[0].idleSince < oldest.idle[0].idleSince) {
-				oldest = b
-			}
-		}
-		if oldest == nil {
-			return false
-		}
-		p.close(oldest.idle[0])
-		oldest.idle = oldest.idle[1:]
-	}
-	p.open++
-	return true
-}
-
-// put takes a connection back; nil says that it is closed.
-func (p *pool) put(to *backend, c *conn, now time.Duration) {
-	if c == nil {
-		p.open--
-		return
-	}
-	if p.backends[to.ID] != to || !to.ready.Load() || c.RemoteAddr().String() != to.addr {
-		p.close(c)
-		return
-	}
-	c.idleSince = now
-	to.idle = append(to.idle, c)
-}
-
-func (p *pool) tooOld(c *conn, now time.Duration) bool {
-	return p.maxIdle > 0 && now-c.idleSince >= p.maxIdle
-}
-
-func (p *pool) close(c *conn) {
-	p.open--
-	c.Close()
-}
-
-// release closes a backend's idle connections.
-func (p *pool) release(b *backend) {
-	for _, c := range b.idle {
-		p.close(c)
-	}
-	b.idle = nil
-}
-
-// retire closes what has been idle for long, or was closed by the backend.
-func (p *pool) retire(now time.Duration) {
-	for _, b := range p.backends {
-		b.idle = slices.DeleteFunc(b.idle, func(c *conn) bool {
-			old := p.tooOld(c, now) || !c.alive()
-			if old {
-				p.close(c)
-			}
-			return old
-		})
-	}
-}
-
 // message is a request, ready to be sent on any number of times.
 type message struct {
 	method string
@@ -200,28 +85,13 @@
 	return append(data, m.body...)
 }
 
-// permit is the right to write one attempt. The loop and the attempt's goroutine
-// race for it: whoever is first decides whether anything goes out at all.
-type permit struct{ state atomic.Int32 }
-
-const (
-	permitOpen = iota
-	permitUsed
-	permitRevoked
-)
-
-func (p *permit) use() bool    { return p.state.CompareAndSwap(permitOpen, permitUsed) }
-func (p *permit) revoke() bool { return p.state.CompareAndSwap(permitOpen, permitRevoked) }
-
 // exchange is one attempt or probe on its way.
 type exchange struct {
-	to     *backend
-	addr   string
+	to     *engine.Backend
 	conn   *conn // an idle one to use; nil: dial
 	msg    *message
 	until  time.Time
-	permit permit
-	cancel context.CancelFunc
+	permit *engine.Permit
 }
 
 // reply is how an exchange ended. A nil conn says that the connection is gone.
@@ -246,7 +116,7 @@
 	}
 	if c == nil {
 		dialer := net.Dialer{Timeout: connectTimeout, Deadline: x.until}
-		nc, err := dialer.DialContext(ctx, "tcp", x.addr)
+		nc, err := dialer.DialContext(ctx, "tcp", x.to.Addr)
 		if err != nil {
 			return reply{result: marlreel.ConnectFailed}
 		}
@@ -255,7 +125,7 @@
 	}
 	// The last look before writing: dialling took its time. The backend may be
 	// draining or gone by now, or the request answered.
-	if !x.to.ready.Load() || !x.permit.use() {
+	if !x.to.Ready() || !x.permit.Use() {
 		return reply{result: marlreel.Moot, conn: c}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
--- a/internal/proxy/clients_test.go
+++ b/internal/proxy/clients_test.go
@@ -11,35 +11,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
-)
 
-// bounded is a clients listener, with a channel of what it accepts.
-func bounded(t *testing.T, most int) (*clients, chan *client) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	cs, accepted := newClients(ln, most), make(chan *client, 16)
-	t.Cleanup(func() { cs.Close() })
-	go func() {
-		for {
-			c, err := cs.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- c.(*client)
-		}
-	}()
-	return cs, accepted
-}
-
-// connect opens a connection, and gives both ends.
-func connect(t *testing.T, cs *clients, accepted chan *client) (net.Conn, *client) {
-	t.Helper()
-	c := dial(t, cs.Addr().String())
-	return c, receive(t, accepted, "a connection")
-}
+	"marlreel/internal/config"
+)
 
 func dial(t *testing.T, addr string) net.Conn {
 	t.Helper()
@@ -65,68 +39,14 @@
 	return ok && ne.Timeout()
 }
 
-// Connections that ask nothing once filled the bound, and nobody else was accepted
-// any more. Now the one that has been silent the longest makes room.
-func TestTheLongestSilentMakesRoom(t *testing.T) {
-	t.Parallel()
-	cs, accepted := bounded(t, 3)
-	first, _ := connect(t, cs, accepted)
-	_, second := connect(t, cs, accepted)
-	second.busy()
-	second.rest(true) // between two requests: worth more than one that never asked
-	third, _ := connect(t, cs, accepted)
-	connect(t, cs, accepted)
-	ends(t, first, "the longest silent connection")
-	connect(t, cs, accepted)
-	ends(t, third, "the next silent one")
-	if second.in != &cs.idle || len(cs.open) != 3 {
-		t.Errorf("%d connections are kept", len(cs.open))
-	}
-}
-
-// A connection with a request in hand is never closed for another: that loses it.
-func TestRequestsInHandKeepTheirConnections(t *testing.T) {
-	t.Parallel()
-	cs, accepted := bounded(t, 1)
-	near, held := connect(t, cs, accepted)
-	held.busy()
-	turnedAway := dial(t, cs.Addr().String())
-	ends(t, turnedAway, "a connection beyond the bound")
-	io.WriteString(near, "x")
-	if _, err := held.Read(make([]byte, 1)); err != nil {
-		t.Fatalf("the connection with a request in hand: %v", err)
-	}
-	held.rest(true)
-	connect(t, cs, accepted)
-	ends(t, near, "the connection that is at rest again")
-	if n := len(cs.open); n != 1 {
-		t.Errorf("%d connections are counted", n)
-	}
-}
-
-// A request that has come and is not read yet is taken: its connection is not silent.
-func TestUnreadRequestsAreNotSilent(t *testing.T) {
-	t.Parallel()
-	cs, accepted := bounded(t, 2)
-	asking, far := connect(t, cs, accepted)
-	silent, _ := connect(t, cs, accepted)
-	io.WriteString(asking, "GET")
-	eventually(t, "the bytes to arrive", func() bool { return !quiet(far.Conn) })
-	connect(t, cs, accepted)
-	ends(t, silent, "the silent connection")
-	if _, err := far.Read(make([]byte, 1)); err != nil {
-		t.Errorf("the connection with an unread request: %v", err)
-	}
-}
-
 // The bound holds in the whole proxy, and good clients are served meanwhile.
 func TestSilentConnectionsKeepNobodyOut(t *testing.T) {
 	t.Parallel()
 	cfg := testConfig(t, closedAddr(t), ready("s-1", named(t, "a")))
-	cfg.Sockets = leastSockets
+	cfg.Sockets = config.LeastSockets
 	p := start(t, cfg)
 	first := dial(t, p.addr)
-	for range 2 * cfg.clientConns() {
+	for range 2 * cfg.ClientConns() {
 		dial(t, p.addr)
 	}
 	if status, text, _ := do(t, newRequest(t, p, "bid", "x")); status != 200 || text != "a" {
@@ -192,20 +112,6 @@
 	})
 }
 
-// What is owed to bad clients is owed within 3 s of connecting.
-func TestTimeoutsKeepWhatIsOwed(t *testing.T) {
-	t.Parallel()
-	cfg := testConfig(t, closedAddr(t))
-	l, err := newLoop(cfg, t.Logf, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := newServer(cfg, l, nil).http
-	if h.ReadHeaderTimeout >= 3*time.Second || h.ReadTimeout >= 3*time.Second || h.IdleTimeout < 2*time.Second {
-		t.Errorf("head %v, request %v, idle %v", h.ReadHeaderTimeout, h.ReadTimeout, h.IdleTimeout)
-	}
-}
-
 // The time-out for reading is over once a request is read: net/http takes it off
 // before it watches for the client's leave. If it did not, or a body were not read to
 // its end, requests that are longer in hand would be cancelled.
@@ -259,7 +165,7 @@
 	receive(t, came, "the first request")
 	again := func(when string) {
 		r := newRequest(t, p, "lot-list", "")
-		r.Header.Set(headerID, first.Header.Get(headerID))
+		r.Header.Set("X-Correlation-Id", first.Header.Get("X-Correlation-Id"))
 		if got, _, _ := do(t, r); got != http.StatusConflict {
 			t.Errorf("under the id of a request %s: %d", when, got)
 		}
@@ -272,24 +178,6 @@
 	again("just answered")
 }
 
-// However long a client says it waits, its class bounds what it may hold here.
-func TestTheClassBoundsTheTime(t *testing.T) {
-	t.Parallel()
-	cfg := testConfig(t, closedAddr(t))
-	l, err := newLoop(cfg, t.Logf, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := httptest.NewRequest(http.MethodGet, "/lot-list", nil)
-	r.Header.Set(headerID, "00000000000000aa")
-	r.Header.Set(headerAccount, "obala")
-	r.Header.Set(headerTimeout, "3599000m")
-	_, left, a := newServer(cfg, l, nil).parse(r)
-	if a.status != 0 || left != cfg.Settings.Classes[0].GiveUp {
-		t.Errorf("%d %s: %v", a.status, a.body, left)
-	}
-}
-
 // Clients that ask once and keep their connection for good must not hold a place for good.
 func TestIdleConnectionsEnd(t *testing.T) {
 	t.Parallel()
@@ -308,7 +196,7 @@
 func TestAnswersEndConnectionsInACrowd(t *testing.T) {
 	t.Parallel()
 	cfg := testConfig(t, closedAddr(t), ready("s-1", named(t, "a")))
-	cfg.Sockets = leastSockets
+	cfg.Sockets = config.LeastSockets
 	p := start(t, cfg)
 	ask := func() *http.Response {
 		c := dial(t, p.addr)
@@ -331,23 +219,3 @@
 	}
 	eventually(t, "an answer that ends its connection", func() bool { return ask().Close })
 }
-
-func TestRecentForgets(t *testing.T) {
-	t.Parallel()
-	r := newRecent(time.Second)
-	for i := range 5000 {
-		at := time.Duration(i) * 10 * time.Millisecond
-		if !r.add(fmt.Sprint(i), at) {
-			t.Fatalf("%d is new and taken for known", i)
-		}
-		if i >= 90 && r.add(fmt.Sprint(i-90), at) {
-			t.Fatalf("%d is forgotten too early", i-90)
-		}
-	}
-	if n := len(r.now) + len(r.old); n > 200 {
-		t.Errorf("%d names are kept of 200 in two spans", n)
-	}
-	if !r.add("1", time.Minute) {
-		t.Error("a name of long ago is still known")
-	}
-}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,46 +10,71 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"marlreel/internal/config"
+	"marlreel/internal/discovery"
 	"marlreel/internal/standin"
+	"marlreel/internal/testutil"
 )
 
-// patience is how long a test waits for what must come. It is no measure of speed.
-const patience = 20 * time.Second
+const (
+	patience     = testutil.Patience
+	testSettings = testutil.Settings
+	okAnswer     = testutil.OKAnswer
+	// What the protocol bounds, as the front has it.
+	maxBody     = 64 << 10
+	maxHead     = 16 << 10
+	readTimeout = 2500 * time.Millisecond
+)
+
+func receive[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	return testutil.Receive(t, c, what)
+}
 
-const testSettings = `{"Balancers":1,"Rank":0,"Zone":0,"Tick":5.0,"Discovery":"pushed",
- "FailureDomains":["koper","maribor"],"Kinds":["mid-2c"],"Feedback":{"How":"off","Names":[]},
- "Caps":{"Cancel":true,"ConnIdle":60000.0,"ConnectTimeout":2000.0,"MaxAttempts":4,"MaxOpen":20000,
-  "Probes":false,"SecondCopies":true,"StreamsPerConn":1},
- "Obligations":{"AnswerSlack":20.0,"Cold":8900.0,"DrainGrace":500.0,"Fall":3000.0,"FallMultiple":2.5,"StartCapacity":0.32},
- "Services":[
-  {"Name":"lot-list","Aim":60000.0,"GiveUp":60000.0,"Effect":"retryable","Value":1.0},
-  {"Name":"bid","Aim":60000.0,"GiveUp":60000.0,"Effect":"fragile","Value":8.0},
-  {"Name":"pickup","Aim":60000.0,"GiveUp":60000.0,"Effect":"dedup","Group":"zone","Window":10000.0,"Value":2.0}],
- "Tenants":[{"Name":"obala","Share":1.0,"QuotaPerS":1000.0}]}`
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	testutil.Eventually(t, what, reached)
+}
+
+func rawBackend(t *testing.T, serve func(c net.Conn, in *bufio.Reader)) string {
+	t.Helper()
+	return testutil.RawBackend(t, serve)
+}
+
+func readRequest(in *bufio.Reader) (*http.Request, bool) { return testutil.ReadRequest(in) }
+
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	return testutil.ClosedAddr(t)
+}
+
+func silent(t *testing.T) (string, chan *http.Request) {
+	t.Helper()
+	return testutil.Silent(t)
+}
 
 // ready is a list's entry for a backend at an address.
-func ready(id, addr string) endpoint {
-	return endpoint{InstanceID: id, HostPort: addr, Zone: "koper", MachineType: "mid-2c", Lifecycle: "Ready", Weight: 1}
+func ready(id, addr string) discovery.Instance {
+	return discovery.Instance{InstanceID: id, HostPort: addr, Zone: "koper", MachineType: "mid-2c", Lifecycle: "Ready", Weight: 1}
 }
 
-func testConfig(t *testing.T, discovery string, known ...endpoint) *Config {
+func testConfig(t *testing.T, addr string, known ...discovery.Instance) *config.Platform {
 	t.Helper()
-	file := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+	file := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": addr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"settings": json.RawMessage(testSettings)}
+		"settings": json.RawMessage(testutil.Settings)}
 	if known != nil {
-		file["known"] = endpointList{Generation: 1, Reset: true, Instances: known}
+		file["known"] = discovery.List{Generation: 1, Reset: true, Instances: known}
 	}
 	data, err := json.Marshal(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := parseConfig(data, func(string) string { return "" })
+	cfg, err := config.ParsePlatform(data, func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,64 +101,25 @@
 	return receive(t, g.Watches, "a watch")
 }
 
-func line(t *testing.T, generation uint32, reset bool, entries ...endpoint) string {
+func line(t *testing.T, generation uint32, reset bool, entries ...discovery.Instance) string {
 	t.Helper()
-	data, err := json.Marshal(endpointList{generation, reset, entries})
+	data, err := json.Marshal(discovery.List{Generation: generation, Reset: reset, Instances: entries})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return string(data)
 }
 
-func receive[T any](t *testing.T, c <-chan T, what string) T {
-	t.Helper()
-	select {
-	case v := <-c:
-		return v
-	case <-time.After(patience):
-		t.Fatalf("waited in vain for %s", what)
-		panic("unreachable")
-	}
-}
-
-// eventually waits until a state that has no event of its own is reached.
-func eventually(t *testing.T, what string, reached func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !reached(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
-}
-
-// lockedLog is a log that the test may read while the proxy writes it.
-type lockedLog struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *lockedLog) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
-func (l *lockedLog) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.String()
-}
-
 type running struct {
 	url, addr string
 	stop      context.CancelFunc // as SIGTERM does
 	ended     chan error
-	reloads   chan *Config // what SIGHUP finds
-	log       *lockedLog
+	reloads   chan *config.Platform // what SIGHUP finds
+	log       *testutil.LockedLog
 }
 
 // start runs a proxy until the test ends, and waits until it is ready.
-func start(t *testing.T, cfg *Config) *running {
+func start(t *testing.T, cfg *config.Platform) *running {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -142,7 +127,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
-		reloads: make(chan *Config), log: &lockedLog{}}
+		reloads: make(chan *config.Platform), log: &testutil.LockedLog{}}
 	p.url = "http://" + p.addr
 	done := make(chan struct{})
 	go func() {
@@ -197,37 +182,3 @@
 	}
 	return resp.StatusCode, string(text), resp.Header
 }
-
-// rawBackend accepts connections and hands each to serve, which reads and writes as it likes.
-func rawBackend(t *testing.T, serve func(c net.Conn, in *bufio.Reader)) string {
-	t.Helper()
-	r, err := standin.StartRaw(serve)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(r.Stop) // a serve that the test holds up must not hold up its end
-	return r.Addr
-}
-
-// readRequest takes a whole request off a connection.
-func readRequest(in *bufio.Reader) (*http.Request, bool) {
-	r, err := http.ReadRequest(in)
-	if err != nil {
-		return nil, false
-	}
-	_, err = io.Copy(io.Discard, r.Body)
-	return r, err == nil
-}
-
-const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved"
-
-// closedAddr is an address at which connections are refused.
-func closedAddr(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
--- /dev/null
+++ b/internal/proxy/imports_test.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// Imports go one way: fronts and carriers know the engine, the engine knows the root
+// package, nothing knows a front, and decisions know nothing. The daemon links no
+// stand-in and no test.
+func TestImportDirections(t *testing.T) {
+	// What each package may import of this module, tests left out.
+	may := map[string][]string{
+		"marlreel":                    {},
+		"marlreel/internal/strict":    {},
+		"marlreel/internal/wire":      {"marlreel"},
+		"marlreel/internal/engine":    {"marlreel"},
+		"marlreel/internal/discovery": {"marlreel", "marlreel/internal/engine"},
+		"marlreel/internal/httpproxy": {"marlreel", "marlreel/internal/engine"},
+		"marlreel/internal/rpc":       {"marlreel", "marlreel/internal/engine"},
+		"marlreel/internal/config":    {"marlreel", "marlreel/internal/discovery", "marlreel/internal/strict", "marlreel/internal/wire", "marlreel/internal/rpc"},
+	}
+	out, err := exec.Command("go", "list", "-f", "{{.ImportPath}} {{join .Imports \" \"}}", "marlreel/...").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := 0
+	for line := range strings.Lines(string(out)) {
+		f := strings.Fields(line)
+		allowed, bound := may[f[0]]
+		if !bound {
+			continue
+		}
+		seen++
+		for _, imported := range f[1:] {
+			if (imported == "marlreel" || strings.HasPrefix(imported, "marlreel/")) && !slices.Contains(allowed, imported) {
+				t.Errorf("%s imports %s", f[0], imported)
+			}
+			if f[0] == "marlreel" && slices.Contains([]string{"net", "os", "context", "sync", "log", "net/http"}, imported) {
+				t.Errorf("the decisions import %s", imported)
+			}
+		}
+	}
+	if seen < 6 {
+		t.Errorf("only %d packages were found", seen)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,5 +1,6 @@
-// Package proxy puts the decision module on real sockets: clients on one side,
-// backends and discovery on the other. It carries decisions out and takes none.
+// Package proxy makes one proxy of its parts: the engine, the front and the carrier of
+// each protocol, and discovery. It owns their start, readiness, reload and drain, and
+// nothing of what they do.
 package proxy
 
 import (
@@ -9,12 +10,14 @@
 	"log"
 	"net"
 	"time"
+
+	"marlreel/internal/config"
+	"marlreel/internal/discovery"
+	"marlreel/internal/engine"
+	"marlreel/internal/httpproxy"
 )
 
 const (
-	// After the signal to stop, new connections go on coming for up to 0.4 s. One
-	// that is closed unaccepted is a lost request.
-	acceptLonger = 500 * time.Millisecond
 	// What is open so long before the end of the drain is answered with a failure:
 	// a request that the end of the process finds is lost.
 	lastAnswers = 250 * time.Millisecond
@@ -24,7 +27,7 @@
 
 // Run serves until ctx ends, then finishes what it has taken. Each new configuration
 // that reloads brings is put in force without a break.
-func Run(ctx context.Context, cfg *Config, logger *log.Logger, reloads <-chan *Config) error {
+func Run(ctx context.Context, cfg *config.Platform, logger *log.Logger, reloads <-chan *config.Platform) error {
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -32,45 +35,80 @@
 	return serve(ctx, cfg, logger, ln, reloads)
 }
 
-func serve(ctx context.Context, cfg *Config, logger *log.Logger, ln net.Listener, reloads <-chan *Config) error {
+// parts is a proxy put together.
+type parts struct {
+	engine  *engine.Engine
+	source  *discovery.Source
+	carrier *httpproxy.Carrier
+	front   *httpproxy.Front
+}
+
+// assemble puts a proxy together. Nothing runs yet.
+func assemble(cfg *config.Platform, logger *log.Logger) (*parts, error) {
+	p := &parts{}
+	known, version := engine.List{}, uint32(0)
+	if cfg.Known != nil {
+		entries, err := cfg.Known.Check(cfg.Names)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		known, version = cfg.Known.Engine(0, entries), cfg.Known.Generation
+	}
+	var err error
+	p.engine, err = engine.New(engine.Config{Settings: cfg.Settings, Seed: cfg.Seed, MaxOpen: cfg.MaxOpen, Known: known,
+		Logf: logger.Printf, Listed: func() { p.front.SetReady(true) }})
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	p.source = discovery.New(discovery.Config{Addr: cfg.Discovery, OnRequest: cfg.Settings.OnRequest, Names: cfg.Names,
+		Logf: logger.Printf}, version, p.engine)
+	p.carrier = httpproxy.NewCarrier(p.engine, cfg.UpstreamConns(), cfg.Report)
+	p.front = httpproxy.NewFront(p.engine, p.carrier, logger)
+	p.engine.Carry(p.carrier)
+	p.engine.ProbeWith(p.carrier)
+	p.engine.Follow(p.source)
+	return p, nil
+}
+
+func serve(ctx context.Context, cfg *config.Platform, logger *log.Logger, ln net.Listener, reloads <-chan *config.Platform) error {
 	defer ln.Close()
-	var s *server
-	l, err := newLoop(cfg, logger.Printf, func() { s.ready.Store(true) })
+	p, err := assemble(cfg, logger)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return err
 	}
-	s = newServer(cfg, l, logger)
-	loopCtx, stopLoop := context.WithCancel(context.Background())
-	go l.run(loopCtx)
+	engineCtx, stopEngine := context.WithCancel(context.Background())
+	go p.engine.Run(engineCtx)
 	defer func() {
-		stopLoop()
-		<-l.stopped
+		stopEngine()
+		p.source.Close()
+		p.carrier.Close()
+		<-p.engine.Done()
 	}()
 	if cfg.Known != nil && len(cfg.Known.Instances) > 0 {
-		time.AfterFunc(oldListAfter, func() { s.ready.Store(true) })
+		time.AfterFunc(oldListAfter, func() { p.front.SetReady(true) })
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- s.http.Serve(newClients(ln, cfg.clientConns())) }()
+	go func() { failed <- p.front.Serve(ln, cfg.ClientConns()) }()
 	for ctx.Err() == nil {
 		select {
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
 		case next := <-reloads:
-			l.post(func() { l.reload(next) })
+			p.engine.Post(func() { p.source.Reload(next.Discovery) })
 		case <-ctx.Done():
 		}
 	}
-	return s.drain(cfg)
+	return p.drain(cfg)
 }
 
-// drain stops the server without losing a request: it goes on accepting while
+// drain stops the front without losing a request: it goes on accepting while
 // connections still come, ends each with its answer, and waits for what is in hand.
-func (s *server) drain(cfg *Config) error {
-	s.stopping.Store(true)
-	time.Sleep(cfg.acceptLonger)
-	for _, wait := range []time.Duration{cfg.longestGiveUp() - lastAnswers, lastAnswers} {
+func (p *parts) drain(cfg *config.Platform) error {
+	p.front.Stop()
+	time.Sleep(cfg.AcceptLonger)
+	for _, wait := range []time.Duration{cfg.LongestGiveUp() - lastAnswers, lastAnswers} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
-		err := s.http.Shutdown(ctx)
+		err := p.front.Shutdown(ctx)
 		cancel()
 		if err == nil {
 			return nil
@@ -78,7 +116,7 @@
 		if !errors.Is(err, context.DeadlineExceeded) {
 			return fmt.Errorf("shutdown: %w", err)
 		}
-		s.loop.post(s.loop.failAll)
+		p.engine.Post(p.engine.FailAll)
 	}
 	return nil
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -57,7 +57,7 @@
 			}
 		}
 		// The attempt is given up before the client leaves.
-		if left, err := parseSpan(got.Header.Get("X-Time-Left")); err != nil || left.Seconds() >= 12 {
+		if left, err := time.ParseDuration(got.Header.Get("X-Time-Left") + "s"); err != nil || left.Seconds() >= 12 {
 			t.Errorf("%s: X-Time-Left %q: %v", class, got.Header.Get("X-Time-Left"), err)
 		}
 	}
@@ -217,7 +217,7 @@
 	}))
 	t.Cleanup(b.Close)
 	cfg := testConfig(t, closedAddr(t), ready("s-1", b.Listener.Addr().String()))
-	cfg.acceptLonger = 4 * time.Second // the test has to fit into it
+	cfg.AcceptLonger = 4 * time.Second // the test has to fit into it
 	p := start(t, cfg)
 	// Runs first: where the test fails early, both ends would wait for this backend's
 	// answers, the proxy for as long as its classes say and the backend for good.
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"log"
 	"net"
 	"os"
@@ -14,13 +13,14 @@
 	"testing"
 	"time"
 
-	"marlreel"
+	"marlreel/internal/config"
+	"marlreel/internal/testutil"
 )
 
 // moved is a configuration that names another address of discovery.
-func moved(cfg *Config, discovery string) *Config {
+func moved(cfg *config.Platform, addr string) *config.Platform {
 	next := *cfg
-	next.Discovery = discovery
+	next.Discovery = addr
 	return &next
 }
 
@@ -109,26 +109,6 @@
 	servedBy(t, p, "b")
 }
 
-// A word that was on its way when its watch was overtaken is void.
-func TestAnOvertakenWatchIsNotHeard(t *testing.T) {
-	t.Parallel()
-	l := stillLoop(t, ready("s-1", "127.0.0.1:1"))
-	l.do(func() { l.watchList(true) })
-	old := l.list.current
-	l.do(func() { l.reload(moved(l.cfg, closedAddr(t))) })
-	next := l.list.next
-	if next == nil || !l.speaks(old) {
-		t.Fatal("the old watch is not heard before the new one has told anything")
-	}
-	if !l.speaks(next) || l.speaks(old) || l.list.next != nil {
-		t.Error("after the new one's first word the old one still counts")
-	}
-	l.do(func() { l.watchList(false) })
-	if l.speaks(next) {
-		t.Error("a watch that was given up still counts")
-	}
-}
-
 // The file's address goes before the environment's, which is that of the start; a
 // bad file changes nothing and takes one line.
 func TestReloads(t *testing.T) {
@@ -143,9 +123,9 @@
 		return `{"name":"n0","listen":"127.0.0.1:0","discovery":"` + addr + `","seed":"8c1f","settings":` + testSettings + `}`
 	}
 	getenv := func(name string) string {
-		return map[string]string{envDiscovery: "127.0.0.1:9", "NODE_LISTEN": "127.0.0.1:7"}[name]
+		return map[string]string{config.EnvDiscovery: "127.0.0.1:9", "NODE_LISTEN": "127.0.0.1:7"}[name]
 	}
-	var text lockedLog
+	var text testutil.LockedLog
 	signals := make(chan os.Signal, 1)
 	configs := Reloads(t.Context(), signals, path, getenv, log.New(&text, "", 0))
 	for _, bad := range []string{"{", good("nowhere"), ""} {
@@ -166,78 +146,3 @@
 		t.Errorf("discovery %s, listen %s", cfg.Discovery, cfg.Listen)
 	}
 }
-
-// Backends are replaced all day, some at the address of one that has gone. What is
-// kept for them must not grow with their number, and a connection belongs to the one
-// that it was opened to.
-func TestReplacedBackendsLeaveNothing(t *testing.T) {
-	t.Parallel()
-	addr, conns := counting(t, "s")
-	l := stillLoop(t, ready("s-0", addr))
-	serve := func() {
-		r := l.ask(1, time.Minute)
-		for len(r.answers) == 0 {
-			l.do(receive(t, l.events, "the attempt's end"))
-		}
-		if a := <-r.answers; a.status != 200 {
-			t.Fatalf("status %d", a.status)
-		}
-	}
-	serve()
-	const replaced = 3000
-	for i := range replaced {
-		gone := endpoint{InstanceID: fmt.Sprintf("s-%d", i), Lifecycle: "Gone"}
-		list := &endpointList{Generation: uint32(i + 2), Instances: []endpoint{gone, ready(fmt.Sprintf("s-%d", i+1), addr)}}
-		entries, err := list.check(l.cfg)
-		if err != nil {
-			t.Fatal(err)
-		}
-		l.do(func() { l.membership(marlreel.ListDelta, list, entries) })
-		if i < 3 {
-			serve()
-			if n := conns.Load(); n != int64(i+2) {
-				t.Fatalf("%d connections for %d backends at one address", n, i+2)
-			}
-		}
-	}
-	if len(l.ids) != 1 || len(l.names) != 1 || len(l.pool.backends) != 1 || len(l.requests) != 0 ||
-		len(l.later) != 0 || l.pool.open != 0 || len(l.timers) > 3 {
-		t.Errorf("kept: %d ids, %d names, %d backends, %d requests, %d events, %d connections, %d timers", len(l.ids),
-			len(l.names), len(l.pool.backends), len(l.requests), len(l.later), l.pool.open, len(l.timers))
-	}
-}
-
-// While one attempt runs, its backend may be replaced at its own address: the
-// connection then belongs to nobody and is closed.
-func TestAConnectionDoesNotOutliveItsBackend(t *testing.T) {
-	t.Parallel()
-	came, answer := make(chan struct{}, 1), make(chan struct{})
-	closed := make(chan struct{})
-	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
-		if _, ok := readRequest(in); ok {
-			came <- struct{}{}
-			<-answer
-			io.WriteString(c, okAnswer)
-			in.ReadByte()
-			close(closed)
-		}
-	})
-	l := stillLoop(t, ready("s-1", addr))
-	r := l.ask(1, time.Minute)
-	receive(t, came, "the attempt")
-	list := &endpointList{Generation: 2, Reset: true, Instances: []endpoint{ready("s-2", addr)}}
-	entries, err := list.check(l.cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.do(func() { l.membership(marlreel.ListFull, list, entries) })
-	close(answer)
-	l.do(receive(t, l.events, "the attempt's end"))
-	if a := receive(t, r.answers, "the answer"); a.status != 200 {
-		t.Errorf("the attempt in hand ended with %d", a.status)
-	}
-	receive(t, closed, "the connection's end")
-	if l.pool.open != 0 {
-		t.Errorf("%d connections are kept", l.pool.open)
-	}
-}
--- /dev/null
+++ b/internal/testutil/testutil.go
@@ -0,0 +1,136 @@
+// Package testutil is what the tests of several packages share: waiting with generous
+// limits, backends in the test's hands, and the settings of a small proxy. Only tests
+// import it.
+package testutil
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/standin"
+	"marlreel/internal/wire"
+)
+
+// Patience is how long a test waits for what must come. It is no measure of speed.
+const Patience = 20 * time.Second
+
+// Settings are those of a proxy in the zone koper, with a class of each effect: lot-list
+// (safe), bid (unsafe) and pickup (keyed).
+const Settings = `{"Balancers":1,"Rank":0,"Zone":0,"Tick":5.0,"Discovery":"pushed",
+ "FailureDomains":["koper","maribor"],"Kinds":["mid-2c"],"Feedback":{"How":"off","Names":[]},
+ "Caps":{"Cancel":true,"ConnIdle":60000.0,"ConnectTimeout":2000.0,"MaxAttempts":4,"MaxOpen":20000,
+  "Probes":false,"SecondCopies":true,"StreamsPerConn":1},
+ "Obligations":{"AnswerSlack":20.0,"Cold":8900.0,"DrainGrace":500.0,"Fall":3000.0,"FallMultiple":2.5,"StartCapacity":0.32},
+ "Services":[
+  {"Name":"lot-list","Aim":60000.0,"GiveUp":60000.0,"Effect":"retryable","Value":1.0},
+  {"Name":"bid","Aim":60000.0,"GiveUp":60000.0,"Effect":"fragile","Value":8.0},
+  {"Name":"pickup","Aim":60000.0,"GiveUp":60000.0,"Effect":"dedup","Group":"zone","Window":10000.0,"Value":2.0}],
+ "Tenants":[{"Name":"obala","Share":1.0,"QuotaPerS":1000.0}]}`
+
+// Module is what the module is told of Settings.
+func Module(t testing.TB) marlreel.Config {
+	t.Helper()
+	c, err := wire.ParseSettings([]byte(Settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Receive waits for a value.
+func Receive[T any](t testing.TB, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(Patience):
+		t.Fatalf("waited in vain for %s", what)
+		panic("unreachable")
+	}
+}
+
+// Eventually waits until a state that has no event of its own is reached.
+func Eventually(t testing.TB, what string, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !reached(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// RawBackend accepts connections and hands each to serve, which reads and writes as it likes.
+func RawBackend(t testing.TB, serve func(c net.Conn, in *bufio.Reader)) string {
+	t.Helper()
+	r, err := standin.StartRaw(serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop) // a serve that the test holds up must not hold up its end
+	return r.Addr
+}
+
+// Silent is a backend that reads and never answers; it tells of each request.
+func Silent(t testing.TB) (string, chan *http.Request) {
+	t.Helper()
+	got := make(chan *http.Request, 16)
+	return RawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, ok := ReadRequest(in)
+			if !ok {
+				return
+			}
+			got <- r
+		}
+	}), got
+}
+
+// ReadRequest takes a whole request off a connection.
+func ReadRequest(in *bufio.Reader) (*http.Request, bool) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err == nil
+}
+
+// OKAnswer is a good answer, with the body "served".
+const OKAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved"
+
+// ClosedAddr is an address at which connections are refused.
+func ClosedAddr(t testing.TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// LockedLog is a log that the test may read while others write it.
+type LockedLog struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *LockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *LockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
