Carry MessagePack-RPC beside HTTP through the one engine

The scales in the halls post crate weights by MessagePack-RPC past the proxy, so no rule protected them.

internal/rpc is a front and a carrier on the engine: a streaming scanner with bounds, many calls open on one connection, msgids rewritten for each backend connection, replies matched in any order, late ones dropped and counted. Parameters, errors and results pass through as bytes. Backends come from the same list; health, estimate, limit and cold budget are shared with HTTP, as the module sees requests and not protocols.

--- a/cmd/marlreel/main_test.go
+++ b/cmd/marlreel/main_test.go
@@ -19,6 +19,7 @@
 // As a child the test binary is the program itself.
 func TestMain(m *testing.M) {
 	if os.Getenv("MARLREEL_TEST_CHILD") != "" {
+		os.Args = os.Args[:1]
 		main()
 		return
 	}
@@ -132,3 +133,43 @@
 		}
 	}
 }
+
+// What the command line and a file of the operator's lead to, without a start.
+func TestCommandLine(t *testing.T) {
+	file := func(text string) string {
+		path := filepath.Join(t.TempDir(), "marlreel.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	platform := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(platform, []byte(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f","settings":`+settings+`}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	const rpc = "[rpc]\nlisten = \"127.0.0.1:0\"\n[[rpc.method]]\nname = \"a\"\nclass = \"lot-list\"\n"
+	for name, c := range map[string]struct {
+		args     []string
+		platform string
+		code     int
+		out, err string
+	}{
+		"help":             {[]string{"-h"}, "", 0, "marlreel --check --config", ""},
+		"version":          {[]string{"--version"}, "", 0, "marlreel", ""},
+		"an unknown flag":  {[]string{"--confg", "x"}, "", 2, "", "-confg"},
+		"a word too many":  {[]string{"serve"}, "", 2, "", "no words"},
+		"check of nothing": {[]string{"--check"}, "", 2, "", "--config FILE"},
+		"a good file":      {[]string{"--check", "--config", file(rpc)}, "", 0, "is good", ""},
+		"good for both":    {[]string{"--check", "--config", file(rpc)}, platform, 0, "is good", ""},
+		"an unknown key":   {[]string{"--check", "--config", file("[rpc]\nlisen = 1\n")}, "", 1, "", "did you mean listen?"},
+		"an unknown class": {[]string{"--check", "--config", file(strings.Replace(rpc, "lot-list", "lot-lists", 1))}, platform, 1, "", "did you mean lot-list?"},
+		"no platform":      {nil, "", 1, "", "NODE_CONFIG is not set"},
+	} {
+		t.Setenv("NODE_CONFIG", c.platform)
+		var out, errs strings.Builder
+		code := run(c.args, &out, &errs)
+		if code != c.code || !strings.Contains(out.String(), c.out) || !strings.Contains(errs.String(), c.err) || strings.Count(errs.String(), "\n") > 1 {
+			t.Errorf("%s: exit %d, %q, %q", name, code, out.String(), errs.String())
+		}
+	}
+}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -29,7 +29,8 @@
 // End is how an attempt or a probe ended.
 type End struct {
 	Result marlreel.Result
-	Reply  any       // where Result is OK: the answer, for the front
+	Reply  any       // where Result is OK or Declined: the answer, for the front
+	Over   bool      // the call is over with this, served as far as can be known
 	Load   []float32 // a load report, in the settings' order; nil is none
 }
 
@@ -75,8 +76,11 @@
 	if e.observer != nil {
 		e.observer.Ended(e.Now(), a, end)
 	}
-	if end.Result == marlreel.OK {
+	switch {
+	case end.Result == marlreel.OK, end.Over:
 		e.answer(c, Answer{Verdict: Served, Reply: end.Reply})
+	case end.Result == marlreel.Declined:
+		c.declined = end.Reply
 	}
 	e.forget(c)
 	now := e.Now()
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -23,7 +23,7 @@
 // Answer is the one final answer to a call.
 type Answer struct {
 	Verdict    Verdict
-	Reply      any           // Served: what the carrier's End held
+	Reply      any           // Served, or Failed for a backend's own word: what the carrier's End held
 	RetryAfter time.Duration // Refused: when to come again; 0 is not said
 }
 
@@ -47,6 +47,7 @@
 	attempts []*Attempt
 	open     int // attempts without an outcome
 	backstop *Timer
+	declined any // what a backend said that found the request itself at fault
 }
 
 // Arrived is when the call was taken, on the engine's clock.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -59,7 +59,7 @@
 // Fail answers without a promise.
 func (e host) Fail(id marlreel.RequestID) {
 	if c := e.calls[id]; c != nil {
-		e.answer(c, Answer{Verdict: Failed})
+		e.answer(c, Answer{Verdict: Failed, Reply: c.declined})
 	}
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -112,6 +112,7 @@
 
 type running struct {
 	url, addr string
+	rpc       string             // where callers connect; "" is nowhere
 	stop      context.CancelFunc // as SIGTERM does
 	ended     chan error
 	reloads   chan *config.Platform // what SIGHUP finds
@@ -120,19 +121,34 @@
 
 // start runs a proxy until the test ends, and waits until it is ready.
 func start(t *testing.T, cfg *config.Platform) *running {
+	t.Helper()
+	return startWith(t, cfg, config.DefaultMarlreel())
+}
+
+// startWith is start with what an operator sets; where that wants RPC, it listens too.
+func startWith(t *testing.T, cfg *config.Platform, own *config.Marlreel) *running {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	in := listeners{http: ln}
+	if own.RPC.Listen != "" {
+		if in.rpc, err = net.Listen("tcp", own.RPC.Listen); err != nil {
+			t.Fatal(err)
+		}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
 		reloads: make(chan *config.Platform), log: &testutil.LockedLog{}}
 	p.url = "http://" + p.addr
+	if in.rpc != nil {
+		p.rpc = in.rpc.Addr().String()
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.ended <- serve(ctx, cfg, log.New(p.log, "", 0), ln, p.reloads)
+		p.ended <- serve(ctx, cfg, own, log.New(p.log, "", 0), in, p.reloads)
 	}()
 	t.Cleanup(func() { stop(); <-done })
 	eventually(t, "the proxy to be ready", func() bool {
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -19,7 +19,7 @@
 		"marlreel/internal/engine":    {"marlreel"},
 		"marlreel/internal/discovery": {"marlreel", "marlreel/internal/engine"},
 		"marlreel/internal/httpproxy": {"marlreel", "marlreel/internal/engine"},
-		"marlreel/internal/rpc":       {"marlreel", "marlreel/internal/engine"},
+		"marlreel/internal/rpc":       {"marlreel", "marlreel/internal/engine", "marlreel/internal/strict"},
 		"marlreel/internal/config":    {"marlreel", "marlreel/internal/discovery", "marlreel/internal/strict", "marlreel/internal/wire", "marlreel/internal/rpc"},
 	}
 	out, err := exec.Command("go", "list", "-f", "{{.ImportPath}} {{join .Imports \" \"}}", "marlreel/...").Output()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"marlreel/internal/discovery"
 	"marlreel/internal/engine"
 	"marlreel/internal/httpproxy"
+	"marlreel/internal/rpc"
 )
 
 const (
@@ -27,12 +28,29 @@
 
 // Run serves until ctx ends, then finishes what it has taken. Each new configuration
 // that reloads brings is put in force without a break.
-func Run(ctx context.Context, cfg *config.Platform, logger *log.Logger, reloads <-chan *config.Platform) error {
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
+func Run(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, reloads <-chan *config.Platform) error {
+	var in listeners
+	var err error
+	if in.http, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, logger, ln, reloads)
+	if own.RPC.Listen != "" {
+		if in.rpc, err = net.Listen("tcp", own.RPC.Listen); err != nil {
+			in.http.Close()
+			return fmt.Errorf("rpc.listen: %w", err)
+		}
+	}
+	return serve(ctx, cfg, own, logger, in, reloads)
+}
+
+// listeners are where clients come in; rpc is nil where RPC is off.
+type listeners struct{ http, rpc net.Listener }
+
+func (l listeners) close() {
+	l.http.Close()
+	if l.rpc != nil {
+		l.rpc.Close()
+	}
 }
 
 // parts is a proxy put together.
@@ -41,10 +59,14 @@
 	source  *discovery.Source
 	carrier *httpproxy.Carrier
 	front   *httpproxy.Front
+
+	rpcCarrier *rpc.Carrier // nil where RPC is off
+	rpcFront   *rpc.Front
+	rpcCounts  rpc.Counts
 }
 
 // assemble puts a proxy together. Nothing runs yet.
-func assemble(cfg *config.Platform, logger *log.Logger) (*parts, error) {
+func assemble(cfg *config.Platform, own *config.Marlreel, logger *log.Logger) (*parts, error) {
 	p := &parts{}
 	known, version := engine.List{}, uint32(0)
 	if cfg.Known != nil {
@@ -67,12 +89,17 @@
 	p.engine.Carry(p.carrier)
 	p.engine.ProbeWith(p.carrier)
 	p.engine.Follow(p.source)
+	if own.RPC.Listen != "" {
+		p.rpcCarrier = rpc.NewCarrier(p.engine, &own.RPC, &p.rpcCounts)
+		p.rpcFront = rpc.NewFront(p.engine, p.rpcCarrier, &own.RPC, logger, &p.rpcCounts)
+		p.engine.Carry(p.rpcCarrier)
+	}
 	return p, nil
 }
 
-func serve(ctx context.Context, cfg *config.Platform, logger *log.Logger, ln net.Listener, reloads <-chan *config.Platform) error {
-	defer ln.Close()
-	p, err := assemble(cfg, logger)
+func serve(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, in listeners, reloads <-chan *config.Platform) error {
+	defer in.close()
+	p, err := assemble(cfg, own, logger)
 	if err != nil {
 		return err
 	}
@@ -82,13 +109,20 @@
 		stopEngine()
 		p.source.Close()
 		p.carrier.Close()
+		if p.rpcCarrier != nil {
+			p.rpcFront.Close()
+			p.rpcCarrier.Close()
+		}
 		<-p.engine.Done()
 	}()
 	if cfg.Known != nil && len(cfg.Known.Instances) > 0 {
 		time.AfterFunc(oldListAfter, func() { p.front.SetReady(true) })
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- p.front.Serve(ln, cfg.ClientConns()) }()
+	failed := make(chan error, 2)
+	go func() { failed <- p.front.Serve(in.http, cfg.ClientConns()) }()
+	if in.rpc != nil {
+		go func() { failed <- p.rpcFront.Serve(in.rpc) }()
+	}
 	for ctx.Err() == nil {
 		select {
 		case err := <-failed:
@@ -98,24 +132,36 @@
 		case <-ctx.Done():
 		}
 	}
-	return p.drain(cfg)
+	return p.drain(cfg, in)
 }
 
-// drain stops the front without losing a request: it goes on accepting while
-// connections still come, ends each with its answer, and waits for what is in hand.
-func (p *parts) drain(cfg *config.Platform) error {
+// drain stops the fronts without losing a request: they go on accepting while
+// connections still come, end each with its answers, and wait for what is in hand.
+func (p *parts) drain(cfg *config.Platform, in listeners) error {
 	p.front.Stop()
+	fronts := []interface{ Shutdown(context.Context) error }{p.front}
+	if p.rpcFront != nil {
+		p.rpcFront.Stop()
+		fronts = append(fronts, p.rpcFront)
+	}
 	time.Sleep(cfg.AcceptLonger)
+	in.close()
 	for _, wait := range []time.Duration{cfg.LongestGiveUp() - lastAnswers, lastAnswers} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
-		err := p.front.Shutdown(ctx)
+		open := false
+		for _, f := range fronts {
+			err := f.Shutdown(ctx)
+			if errors.Is(err, context.DeadlineExceeded) {
+				open = true
+			} else if err != nil {
+				cancel()
+				return fmt.Errorf("shutdown: %w", err)
+			}
+		}
 		cancel()
-		if err == nil {
+		if !open {
 			return nil
 		}
-		if !errors.Is(err, context.DeadlineExceeded) {
-			return fmt.Errorf("shutdown: %w", err)
-		}
 		p.engine.Post(p.engine.FailAll)
 	}
 	return nil
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -1,7 +1,6 @@
 package rehearsal
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -10,24 +9,11 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"marlreel/internal/strict"
 )
 
 // Span is a length of time as scenario files write it: "250ms", "8s".
-type Span time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no span of time like \"250ms\" or \"8s\"", text)
-	}
-	*s = Span(d)
-	return nil
-}
-
-// D is the span as the standard library has it.
-func (s Span) D() time.Duration { return time.Duration(s) }
+type Span = strict.Span
 
 // Scenario is a day to rehearse, as its file says.
 type Scenario struct {
@@ -220,21 +206,8 @@
 // Parse reads a scenario's text; path is for its errors.
 func Parse(path string, data []byte) (*Scenario, error) {
 	s := defaults()
-	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		var unknown *toml.StrictMissingError
-		if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-			first := unknown.Errors[0]
-			row, _ := first.Position()
-			key := strings.Join(first.Key(), ".")
-			return nil, fmt.Errorf("%s:%d: unknown key %s%s", path, row, key, nearest(first.Key()))
-		}
-		var bad *toml.DecodeError
-		if errors.As(err, &bad) {
-			row, col := bad.Position()
-			return nil, fmt.Errorf("%s:%d:%d: %s", path, row, col, strings.TrimPrefix(bad.Error(), "toml: "))
-		}
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := strict.Decode(path, data, s); err != nil {
+		return nil, err
 	}
 	if s.Name == "" {
 		s.Name = strings.TrimSuffix(filepath.Base(path), ".toml")
@@ -371,15 +344,15 @@
 		for _, k := range faultKinds {
 			names = append(names, k.What)
 		}
-		return fmt.Errorf("what = %q%s: one of %s is needed", f.What, closest(f.What, names), strings.Join(names, ", "))
+		return fmt.Errorf("what = %q%s: one of %s is needed", f.What, strict.Closest(f.What, names), strings.Join(names, ", "))
 	case f.At < 0 || f.At > s.Length || f.For < 0 || f.Each < 0:
 		return fmt.Errorf("at has to lie within the length of %v; for and each can't be below 0", s.Length.D())
 	case !ofProxies && (f.Nodes < 0 || f.Share < 0 || f.Share > 1 || (f.Nodes > 0) == (f.Share > 0)):
 		return errors.New("either nodes = a number or share = a part up to 1 is needed")
 	case f.Kind != "" && !slices.Contains(kinds, f.Kind):
-		return fmt.Errorf("kind = %q%s: the fleet has none", f.Kind, closest(f.Kind, kinds))
+		return fmt.Errorf("kind = %q%s: the fleet has none", f.Kind, strict.Closest(f.Kind, kinds))
 	case f.Zone != "" && !slices.Contains(s.Fleet.Zones, f.Zone):
-		return fmt.Errorf("zone = %q%s: the fleet has none", f.Zone, closest(f.Zone, s.Fleet.Zones))
+		return fmt.Errorf("zone = %q%s: the fleet has none", f.Zone, strict.Closest(f.Zone, s.Fleet.Zones))
 	case f.What == "slow" && f.Times <= 1:
 		return errors.New("times above 1 is needed")
 	case f.What == "neighbour" && (f.Taken <= 0 || f.Taken >= 1):
@@ -400,60 +373,3 @@
 	}
 	return nil
 }
-
-// nearest is a hint at the known key that an unknown one may stand for.
-func nearest(key []string) string {
-	tables := map[string][]string{"": {"name", "about", "seed", "length", "fleet", "proxies", "discovery", "classes", "houses", "traffic", "clients", "rules", "faults"},
-		"fleet":         {"zones", "same-zone", "cross-zone", "handshake", "connections", "idle", "probe-work", "cold", "crowd", "nodes"},
-		"fleet.cold":    {"from", "for", "fall-multiple", "fall-over"},
-		"fleet.crowd":   {"at", "over", "slower", "rest", "below", "most"},
-		"fleet.nodes":   {"kind", "count", "cores", "speed", "slots", "queue"},
-		"proxies":       {"count", "cores", "memory-mb", "sockets", "front-notices-after"},
-		"discovery":     {"late", "notice-dead", "notice-gone"},
-		"classes":       {"name", "share", "work", "wait", "spread", "aim", "give-up", "worth", "effect", "window", "answer-bytes"},
-		"houses":        {"name", "share", "usage"},
-		"traffic":       {"rate", "quota", "over-share-worth", "zones", "jumps"},
-		"traffic.jumps": {"at", "for", "times"},
-		"clients":       {"retries", "try-share", "backoff", "honour-retry-after", "mark-retries"},
-		"rules":         {"drain-grace", "answer-slack", "max-attempts", "second-copies", "retry-after", "max-retry-after"},
-		"faults":        {"at", "what", "for", "nodes", "share", "kind", "zone", "times", "taken", "rate", "how", "proxies", "each", "known", "by", "warm"}}
-	if len(key) == 0 {
-		return ""
-	}
-	return closest(key[len(key)-1], tables[strings.Join(key[:len(key)-1], ".")])
-}
-
-// closest words a hint at the name nearest to one that is not known.
-func closest(name string, known []string) string {
-	best, least := "", 4
-	for _, k := range known {
-		if d := distance(name, k); d < least && d < max(len(name), 3) {
-			best, least = k, d
-		}
-	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf(" (did you mean %s?)", best)
-}
-
-// distance is Levenshtein's.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		last := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := last
-			if a[i] != b[j] {
-				cost++
-			}
-			last = row[j+1]
-			row[j+1] = min(cost, row[j]+1, last+1)
-		}
-	}
-	return row[len(b)]
-}
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -45,6 +45,12 @@
 
 // Address finds a free loopback address that outgoing connections leave alone.
 func Address() (string, error) {
+	addr, _, err := AddressPair(0)
+	return addr, err
+}
+
+// AddressPair finds two free ones whose ports lie offset apart; with 0 they are one.
+func AddressPair(offset int) (first, second string, err error) {
 	ports.Lock()
 	defer ports.Unlock()
 	if ports.next == 0 {
@@ -57,13 +63,22 @@
 		if ports.next >= ports.high {
 			ports.next = ports.low
 		}
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
-		if l, err := net.Listen("tcp", addr); err == nil {
-			l.Close()
-			return addr, nil
+		first = net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
+		second = net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next+offset))
+		if ports.next+offset < ports.high && free(first) && (offset == 0 || free(second)) {
+			return first, second, nil
 		}
 	}
-	return "", fmt.Errorf("no free port from %d to %d", ports.low, ports.high)
+	return "", "", fmt.Errorf("no free port from %d to %d", ports.low, ports.high)
+}
+
+func free(addr string) bool {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	l.Close()
+	return true
 }
 
 // ephemeralFrom is the first port that outgoing connections may have.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -25,6 +25,7 @@
 // Path is an address of a node, for one proxy or for everyone.
 type Path struct {
 	Addr  string
+	RPC   string        // where it speaks MessagePack-RPC; "" is nowhere
 	Proxy int           // -1 is everyone
 	Cross bool          // from another zone
 	Delay time.Duration // one way
@@ -211,7 +212,17 @@
 			return fmt.Errorf("node %s: %w", n.cfg.ID, err)
 		}
 		n.listeners = append(n.listeners, l)
-		n.wg.Go(func() { n.accept(l, p) })
+		n.wg.Go(func() { n.accept(l, p, n.serve) })
+		if p.RPC == "" {
+			continue
+		}
+		calls, err := listenAgain(p.RPC)
+		if err != nil {
+			n.closeAll()
+			return fmt.Errorf("node %s: %w", n.cfg.ID, err)
+		}
+		n.listeners = append(n.listeners, calls)
+		n.wg.Go(func() { n.accept(calls, p, n.serveRPC) })
 	}
 	n.dead, n.silent = false, false
 	n.noteState()
@@ -337,7 +348,7 @@
 
 // ---- sockets ----
 
-func (n *Node) accept(l net.Listener, p Path) {
+func (n *Node) accept(l net.Listener, p Path, serve func(c net.Conn, p Path, full bool)) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -356,7 +367,7 @@
 		n.conns[c] = true
 		n.cfg.Journal.connection()
 		full := n.cfg.Connections > 0 && len(n.conns) > n.cfg.Connections
-		n.wg.Go(func() { n.serve(c, p, full) })
+		n.wg.Go(func() { serve(c, p, full) })
 		n.mu.Unlock()
 	}
 }
@@ -470,7 +481,7 @@
 	whole time.Duration
 }
 
-// answer sees one request through.
+// answer sees one request through, over HTTP.
 func (n *Node) answer(x *exchange, r *http.Request, size int) {
 	defer close(x.done)
 	if x.path.Delay > 0 {
@@ -488,43 +499,82 @@
 		n.reply(x, nil, http.StatusNotFound, nil, "no id")
 		return
 	}
+	left, err := timeLeft(r.Header.Get("X-Time-Left"))
+	if err != nil {
+		left = 0
+	}
+	switch end := n.process(s, left, x.full, size <= mostBody, x.gone); end {
+	case endUnknown:
+		n.reply(x, nil, http.StatusBadRequest, nil, "no client's request")
+	case endServed:
+		n.mu.Lock()
+		spoil := SpoilNothing
+		if n.spoilt > 0 && s.Effect != Dropped && chance(s.ID, n.cfg.ID, "spoil") < n.spoilt {
+			spoil = n.spoil
+		}
+		n.mu.Unlock()
+		n.spoilReply(x, s, spoil)
+	case endFailed:
+		n.reply(x, s, http.StatusInternalServerError, nil, "error")
+	case endFull:
+		x.last = x.full
+		n.reply(x, s, http.StatusServiceUnavailable, unprocessed, "full")
+	case endOver:
+		n.reply(x, s, http.StatusGatewayTimeout, unprocessed, "over")
+	case endExpired:
+		x.last = true
+		x.c.Close()
+	case endGone:
+	}
+}
+
+// ending is what became of a request at a node, in no protocol's words.
+type ending uint8
+
+const (
+	endServed  ending = iota
+	endFailed         // an error, after it had begun
+	endFull           // turned away unseen
+	endOver           // its time ran out unseen
+	endExpired        // its time ran out in work: nothing is answered
+	endGone           // nobody waits, or the node has died: nothing is answered
+	endUnknown        // no client's request
+)
+
+// process gives a request to the machine, sees it through and writes it down. gone is
+// closed when nobody waits for it any more.
+func (n *Node) process(s *Send, left time.Duration, full, good bool, gone <-chan struct{}) ending {
 	job, known := machine.Job{Work: time.Millisecond}, true
 	if n.cfg.Demand != nil {
-		job, known = n.cfg.Demand(s.ID, class)
+		job, known = n.cfg.Demand(s.ID, s.Class)
 	}
-	if !known || size > mostBody {
-		n.reply(x, nil, http.StatusBadRequest, nil, "no client's request")
-		return
+	if !known || !good {
+		return endUnknown
 	}
-	if x.fresh {
+	if s.Fresh {
 		job.Work += n.cfg.Handshake
 	}
 	s.Work = job.Work
-	if left, err := timeLeft(r.Header.Get("X-Time-Left")); err == nil {
-		job.Until = x.whole + left
+	if left > 0 {
+		job.Until = s.Whole + left
 	}
 	n.mu.Lock()
 	if n.dead || n.silent {
 		n.mu.Unlock()
-		return
+		return endGone
 	}
 	failing := n.errors > 0 && chance(s.ID, n.cfg.ID, "error") < n.errors
-	spoil := SpoilNothing
-	if n.spoilt > 0 && chance(s.ID, n.cfg.ID, "spoil") < n.spoilt {
-		spoil = n.spoil
-	}
 	now := n.cfg.Clock.Now()
 	verdict, id := machine.QueueFull, uint64(0)
 	var ended chan machine.Ended
 	first := false
 	switch {
-	case n.draining || x.full:
+	case n.draining || full:
 	case s.Key != "" && n.cfg.Group != nil && !n.cfg.Group.first(s.Key, now):
 		n.mu.Unlock()
 		s.Effect = Dropped
 		n.cfg.Journal.send(s)
-		n.reply(x, s, http.StatusOK, nil, n.body(s))
-		return
+		return endServed
 	default:
 		first = s.Key != "" && n.cfg.Group != nil
 		n.lastJob++
@@ -547,15 +597,12 @@
 	n.mu.Unlock()
 	switch verdict {
 	case machine.QueueFull:
-		x.last = x.full
-		n.reply(x, s, http.StatusServiceUnavailable, unprocessed, "full")
-		return
+		return endFull
 	case machine.TooLate:
-		n.reply(x, s, http.StatusGatewayTimeout, unprocessed, "over")
-		return
+		return endOver
 	case machine.Down: // the reset of its connection is the answer
 		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
-		return
+		return endGone
 	}
 	select {
 	case e := <-ended:
@@ -564,20 +611,18 @@
 		}
 		switch {
 		case e.Why == machine.Expired && !e.Ran:
-			// Nothing of it ran, and it won't.
-			n.reply(x, s, http.StatusGatewayTimeout, unprocessed, "over")
-		case e.Why != machine.Done: // nobody waits any more, or the node has died
+			return endOver // nothing of it ran, and it won't
+		case e.Why == machine.Expired:
 			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
-			if e.Why == machine.Expired {
-				x.last = true
-				x.c.Close()
-			}
+			return endExpired
+		case e.Why != machine.Done:
+			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+			return endGone
 		case failing:
-			n.reply(x, s, http.StatusInternalServerError, nil, "error")
-		default:
-			n.spoilReply(x, s, spoil)
+			return endFailed
 		}
-	case <-x.gone:
+		return endServed
+	case <-gone:
 		n.mu.Lock()
 		ran := n.machine.Cancel(n.cfg.Clock.Now(), id)
 		delete(n.open, id)
@@ -587,6 +632,7 @@
 			n.cfg.Group.forget(s.Key)
 		}
 		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+		return endGone
 	}
 }
 
