--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -205,6 +205,9 @@
 	if r.Baseline != "" && r.Marlreel != "" {
 		return errors.New("--baseline and --marlreel name two different proxies: give one")
 	}
+	if r.Baseline != "" && s.RPC() {
+		return errors.New("--baseline speaks HTTP alone, and " + s.Name + " has classes that come by rpc")
+	}
 	options := rehearsal.Options{Seed: s.Seed, Out: r.Out, Name: "marlreel", Progress: o.progress(s.Name)}
 	if r.Seed != 0 {
 		options.Seed = r.Seed
--- a/internal/rehearsal/audit.go
+++ b/internal/rehearsal/audit.go
@@ -173,6 +173,13 @@
 // run, but as its class allows.
 func (a *auditor) effects(t *Try) {
 	sends := a.byID[t.ID]
+	// What a killed proxy held is the client's to repeat. It did, under the same id, as
+	// the connection's end looked to it like one between two requests.
+	if t.Crossed != 0 && len(sends) > 0 && a.killed(sends[0].Proxy, sends[0].Began, t.Crossed) {
+		sends = slices.DeleteFunc(slices.Clone(sends), func(s *standin.Send) bool {
+			return s.Proxy == sends[0].Proxy && s.Began < t.Crossed
+		})
+	}
 	c := &a.Scenario.Classes[a.Plan.Requests[t.Request].Class]
 	if most := a.Scenario.Rules.MaxAttempts; len(sends) > most {
 		a.found(RuleDuplicated, fmt.Sprintf("%d attempts, %d are allowed", len(sends), most), t, sends[most].Node, sends[most].Whole, sends[0].Whole)
--- a/internal/rehearsal/audit_test.go
+++ b/internal/rehearsal/audit_test.go
@@ -89,6 +89,17 @@
 		{"crossed, and never read", func(r *Records) { r.Tries[1].Crossed = 1005 * ms }, "", ""},
 		{"crossed, but read", func(r *Records) { r.Tries[1].Crossed = 1100 * ms }, RuleLost, "taken, and its connection ended"},
 
+		{"a bid that its client repeated after a kill", func(r *Records) {
+			r.Lives[0] = Life{Proxy: 0, End: 1040 * ms, How: "killed"}
+			r.Tries[1].Crossed, r.Tries[1].Proxy = 1041*ms, 1
+			again(r, "b", "s-2", "koper", 1100*ms, standin.Ran).Proxy = 1
+		}, "", ""},
+		{"and its next proxy twice", func(r *Records) {
+			r.Lives[0] = Life{Proxy: 0, End: 1040 * ms, How: "killed"}
+			r.Tries[1].Crossed, r.Tries[1].Proxy = 1041*ms, 1
+			again(r, "b", "s-2", "koper", 1100*ms, standin.Ran).Proxy = 1
+			again(r, "b", "s-1", "koper", 1150*ms, standin.Ran).Proxy = 1
+		}, RuleDuplicated, "unsafe"},
 		{"a bid twice", func(r *Records) { again(r, "b", "s-2", "koper", 1100*ms, standin.Ran) }, RuleDuplicated, "unsafe"},
 		{"a bid after an error", func(r *Records) {
 			r.Nodes.Sends[1].Effect = standin.Failed
--- a/internal/rehearsal/process.go
+++ b/internal/rehearsal/process.go
@@ -91,6 +91,7 @@
 type proxy struct {
 	n       int
 	addr    string
+	rpc     string // where it takes MessagePack-RPC; "" is nowhere
 	command []string
 	config  string // its path
 	logPath string
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -103,6 +103,13 @@
 	Effect string  `toml:"effect"` // safe, keyed, unsafe
 	Window Span    `toml:"window"` // keyed: how long the nodes of a zone drop repeats
 	Size   int     `toml:"answer-bytes"`
+	// Protocol is http or rpc: MessagePack-RPC, as method "post.NAME".
+	Protocol string `toml:"protocol"`
+}
+
+// RPC tells whether any class comes by MessagePack-RPC.
+func (s *Scenario) RPC() bool {
+	return slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Protocol == "rpc" })
 }
 
 // House is a customer.
@@ -307,6 +314,8 @@
 			return fmt.Errorf("class %s: answer-bytes = %d: up to %d is possible", c.Name, c.Size, 64<<10)
 		case !slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect):
 			return fmt.Errorf("class %s: effect = %q: safe, keyed or unsafe is needed", c.Name, c.Effect)
+		case !slices.Contains([]string{"", "http", "rpc"}, c.Protocol):
+			return fmt.Errorf("class %s: protocol = %q: http or rpc is needed", c.Name, c.Protocol)
 		case c.Effect == "keyed" && c.Window <= 0:
 			return fmt.Errorf("class %s: a keyed class needs a window, such as \"10s\"", c.Name)
 		}
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -1,6 +1,8 @@
 package rehearsal
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"marlreel/internal/standin"
@@ -53,3 +55,19 @@
 		"limits": map[string]any{"cores": s.Proxies.Cores, "memory_mb": s.Proxies.MemoryMB, "sockets": s.Proxies.Sockets},
 		"known":  known, "settings": s.settings(n, n%len(s.Fleet.Zones))}
 }
+
+// rpcOffset is from a node's HTTP port to its RPC port.
+const rpcOffset = 3000
+
+// ownFile is what a proxy is set beyond what the platform says.
+func (s *Scenario) ownFile(rpcListen string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[rpc]\nlisten = %q\n", rpcListen)
+	for _, c := range s.Classes {
+		if c.Protocol == "rpc" {
+			fmt.Fprintf(&b, "[[rpc.method]]\nname = %q\nclass = %q\n", "post."+c.Name, c.Name)
+		}
+	}
+	fmt.Fprintf(&b, "[rpc.backend]\nport-offset = %d\ncancel = \"$cancel\"\n", rpcOffset)
+	return b.String()
+}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -75,16 +75,23 @@
 			continue
 		}
 		for k := range s.Proxies.Count {
-			addr, err := standin.Address()
+			offset := 0
+			if s.RPC() {
+				offset = rpcOffset
+			}
+			addr, rpcAddr, err := standin.AddressPair(offset)
 			if err != nil {
 				return w, err
 			}
+			if offset == 0 {
+				rpcAddr = ""
+			}
 			cross := s.Fleet.Zones[k%len(s.Fleet.Zones)] != n.Zone
 			delay := s.Fleet.SameZone.D()
 			if cross {
 				delay = s.Fleet.CrossZone.D()
 			}
-			w.paths[i] = append(w.paths[i], standin.Path{Addr: addr, Proxy: k, Cross: cross, Delay: delay})
+			w.paths[i] = append(w.paths[i], standin.Path{Addr: addr, RPC: rpcAddr, Proxy: k, Cross: cross, Delay: delay})
 		}
 		if err := w.startNode(i, true); err != nil {
 			return w, err
@@ -176,7 +183,19 @@
 			p.addr = addr
 		}
 		w.proxies = append(w.proxies, p)
-		known = append(known, standin.FrontProxy{Addr: p.addr, Zone: w.scenario.Fleet.Zones[k%len(w.scenario.Fleet.Zones)]})
+		if w.scenario.RPC() {
+			addr, err := standin.Address()
+			if err != nil {
+				return err
+			}
+			p.rpc = addr
+			own := filepath.Join(w.dir, proxyName(k)+".toml")
+			if err := os.WriteFile(own, []byte(w.scenario.ownFile(addr)), 0o644); err != nil {
+				return fmt.Errorf("configuration: %w", err)
+			}
+			p.command = append(slices.Clone(command), "--config", own)
+		}
+		known = append(known, standin.FrontProxy{Addr: p.addr, RPC: p.rpc, Zone: w.scenario.Fleet.Zones[k%len(w.scenario.Fleet.Zones)]})
 		if err := w.startProxy(p, w.agents[k].List()); err != nil {
 			return err
 		}
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -10,7 +10,10 @@
 )
 
 // FrontProxy is a proxy as the front knows it.
-type FrontProxy struct{ Addr, Zone string }
+type FrontProxy struct {
+	Addr, Zone string
+	RPC        string // where it takes MessagePack-RPC; "" is nowhere
+}
 
 // Front deals clients' connections out among the proxies of their zone. It takes a
 // proxy in once GET /ready has answered 200 after a start, and notices its death
@@ -149,6 +152,17 @@
 	return c, i, err
 }
 
+// DialRPC is Dial for a caller by MessagePack-RPC.
+func (f *Front) DialRPC(ctx context.Context, zone string) (net.Conn, int, error) {
+	i, err := f.Pick(zone)
+	if err != nil {
+		return nil, -1, err
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", f.proxies[i].RPC)
+	return c, i, err
+}
+
 // Close ends it.
 func (f *Front) Close() {
 	f.cancel()
