Model the hazard of connections by how long they stood

Each wrong choice of connection is a lost bid, and the pool took the latest used whatever the request had to lose.

internal/conns is pure: breaks and uses in, the connection to use out. Hazards by idle time with a Beta prior, at three levels (all, zone, backend), fading, non-decreasing over idle time; choice by expected loss with the handshake counted; how long to keep a request's last byte back.

--- /dev/null
+++ b/internal/conns/conns_test.go
@@ -0,0 +1,251 @@
+package conns
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var unsafe = Stake{Worth: 8, Effect: Lost}
+
+func model() *Model { return New(DefaultConfig(2.9, 0.03)) }
+
+// teach observes n uses of which breaks break, one each millisecond.
+func teach(m *Model, now *time.Duration, backend uint32, zone int, u Use, n, breaks int) {
+	for i := range n {
+		*now += ms
+		m.Observe(*now, backend, zone, u, End{Broke: i*breaks/n != (i+1)*breaks/n, After: time.Second, Whole: true})
+	}
+}
+
+// On a calm day nothing is dialled, and the latest used is taken: as before.
+func TestCalm(t *testing.T) {
+	m, now := model(), time.Duration(0)
+	for _, idle := range []time.Duration{0, 20 * ms, 200 * ms, 2 * time.Second, 20 * time.Second} {
+		teach(m, &now, 1, 0, Use{Idle: idle}, 40, 0)
+	}
+	for _, s := range []Stake{unsafe, {Worth: 1, Effect: Delayed}, {Worth: 2, Effect: Delayed, Large: true}} {
+		for _, b := range []uint32{1, 2} {
+			if got := m.Choose(now, b, 0, s, []time.Duration{20 * time.Second, time.Second, 5 * ms}, true); got != 2 {
+				t.Errorf("%+v at backend %d: %d", s, b, got)
+			}
+		}
+	}
+	if m.Retire(now, 1, 0, 30*time.Second, 1) {
+		t.Error("a good connection is retired")
+	}
+	if got := m.Choose(now, 1, 0, unsafe, nil, true); got != Dial {
+		t.Errorf("with none: %d", got)
+	}
+}
+
+// Connections idle for over 50 ms break at one use in five: a bid gets one that was
+// just used, or a new one; what can be sent again takes the old ones.
+func TestStaleConnections(t *testing.T) {
+	m, now := model(), time.Duration(0)
+	teach(m, &now, 1, 0, Use{Idle: 10 * ms}, 30, 0)
+	teach(m, &now, 1, 0, Use{Idle: 400 * ms}, 40, 8)
+	teach(m, &now, 1, 0, Use{New: true}, 10, 0)
+	idle := []time.Duration{2 * time.Second, 400 * ms, 10 * ms}
+	if got := m.Choose(now, 1, 0, unsafe, idle, true); got != 2 {
+		t.Errorf("a bid with a good one there: %d", got)
+	}
+	if got := m.Choose(now, 1, 0, unsafe, idle[:2], true); got != Dial {
+		t.Errorf("a bid with old ones only: %d", got)
+	}
+	if got := m.Choose(now, 1, 0, unsafe, idle[:2], false); got == Dial {
+		t.Error("a bid that may not dial got none")
+	}
+	if got := m.Choose(now, 1, 0, Stake{Worth: 1, Effect: Delayed}, idle, true); got == 2 {
+		t.Error("a listing took the one that a bid needs")
+	}
+	// Another backend of which nothing is known is judged by what all have in common.
+	if got := m.Choose(now, 2, 0, unsafe, idle[:2], true); got != Dial {
+		t.Errorf("at another backend: %d", got)
+	}
+	// What is known of 400 ms holds for 2 s at least.
+	if a, b := m.Hazard(now, 2, 0, Use{Idle: 400 * ms}), m.Hazard(now, 2, 0, Use{Idle: 2 * time.Second}); b < a {
+		t.Errorf("hazard falls with idle time: %v, %v", a, b)
+	}
+}
+
+// Where new ones break more often than kept ones, nothing is dialled for safety.
+func TestNewOnesBreak(t *testing.T) {
+	m, now := model(), time.Duration(0)
+	teach(m, &now, 1, 0, Use{New: true}, 30, 6)
+	teach(m, &now, 1, 0, Use{Idle: 300 * ms}, 30, 1)
+	if got := m.Choose(now, 1, 0, unsafe, []time.Duration{300 * ms}, true); got != 0 {
+		t.Errorf("%d", got)
+	}
+}
+
+// A hazard that holds in one zone only, at one backend only, for large requests only.
+func TestScopes(t *testing.T) {
+	m, now := model(), time.Duration(0)
+	for range 10 { // mixed, as they come
+		teach(m, &now, 1, 0, Use{Idle: 400 * ms}, 8, 3)
+		teach(m, &now, 2, 0, Use{Idle: 400 * ms}, 8, 3)
+		for b := uint32(3); b < 9; b++ {
+			teach(m, &now, b, 1, Use{Idle: 400 * ms}, 8, 0)
+		}
+		teach(m, &now, 3, 1, Use{Idle: 10 * ms, Large: true}, 8, 4)
+	}
+	h := func(b uint32, zone int, u Use) float64 { return m.Hazard(now, b, zone, u) }
+	if bad, good := h(99, 0, Use{Idle: 400 * ms}), h(98, 1, Use{Idle: 400 * ms}); bad < 0.25 || good > 0.05 {
+		t.Errorf("a new backend in the bad zone: %v; in the good one: %v", bad, good)
+	}
+	if large, small := h(3, 1, Use{Idle: 10 * ms, Large: true}), h(3, 1, Use{Idle: 10 * ms}); large < 0.3 || small > 0.02 {
+		t.Errorf("large %v, small %v", large, small)
+	}
+}
+
+// A hazard that comes is seen after some ten uses, and one that goes is forgotten.
+func TestChangesInTheDay(t *testing.T) {
+	m, now := model(), time.Duration(0)
+	u := Use{Idle: 400 * ms}
+	teach(m, &now, 1, 0, u, 2000, 0)
+	now += 30 * time.Second
+	teach(m, &now, 1, 0, u, 200, 60)
+	if h := m.Hazard(now, 1, 0, u); h < 0.03 {
+		t.Errorf("after it came: %v", h)
+	}
+	now += 3 * time.Minute
+	if h := m.Hazard(now, 1, 0, u); h > 0.06 {
+		t.Errorf("long after it went: %v", h)
+	}
+	for i := range uint32(5000) {
+		m.Observe(now, i, 0, u, End{})
+	}
+	if m.Backends() > m.cfg.MostBackends {
+		t.Errorf("%d backends are kept", m.Backends())
+	}
+	m.Forget(4999)
+	if _, known := m.backends[4999]; known {
+		t.Error("one that left is kept")
+	}
+}
+
+// For random hazards, after 200 requests, what the choice is expected to lose is within
+// a tenth of what one would who knows the hazards, and a little for the noise.
+func TestChoiceAgainstTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		step := rapid.IntRange(0, len(edges)).Draw(t, "from which idle time they break")
+		kept := rapid.SampledFrom([]float64{0, 0.05, 0.1, 0.2, 0.5}).Draw(t, "hazard of old ones")
+		fresh := rapid.SampledFrom([]float64{0, 0.02, 0.05, 0.2}).Draw(t, "hazard of new ones")
+		rng := rand.New(rand.NewPCG(seed, 1))
+		truth := func(u Use) float64 {
+			switch {
+			case u.New:
+				return fresh
+			case cell(u) >= step:
+				return kept
+			}
+			return 0
+		}
+		m, now := model(), time.Duration(0)
+		cost := func(s Stake, idle []time.Duration, choice int) float64 {
+			if choice == Dial {
+				return truth(Use{New: true})*s.loss() + m.cfg.Handshake
+			}
+			return truth(Use{Idle: idle[choice]}) * s.loss()
+		}
+		var lost, best float64
+		const warm, measured = 200, 2000
+		for i := range warm + measured {
+			now += 10 * ms
+			s := Stake{Worth: 1, Effect: Delayed}
+			if rng.IntN(4) == 0 {
+				s = unsafe
+			}
+			idle := make([]time.Duration, rng.IntN(4))
+			for k := range idle {
+				idle[k] = time.Duration(math.Exp(rng.Float64()*11)) * ms / 2
+			}
+			// The latest used last.
+			for a := range idle {
+				for b := a + 1; b < len(idle); b++ {
+					if idle[b] > idle[a] {
+						idle[a], idle[b] = idle[b], idle[a]
+					}
+				}
+			}
+			choice := m.Choose(now, 1, 0, s, idle, true)
+			u := Use{New: true}
+			if choice != Dial {
+				u = Use{Idle: idle[choice]}
+			}
+			m.Observe(now, 1, 0, u, End{Broke: rng.Float64() < truth(u), After: time.Second, Whole: true})
+			if i < warm || s.Effect != Lost || len(idle) == 0 {
+				continue // safe ones test on purpose; with no choice there is none
+			}
+			least := cost(s, idle, Dial)
+			for k := range idle {
+				least = min(least, cost(s, idle, k))
+			}
+			lost += cost(s, idle, choice)
+			best += least
+		}
+		// Where all is well the best is 0, and a few looks at what was unknown cost something.
+		if lost > best*1.1+0.02*8*measured/4*0.25 {
+			t.Fatalf("lost %.1f where %.1f is the least (old ones %v from step %d, new ones %v)", lost, best, kept, step, fresh)
+		}
+	})
+}
+
+// The last byte is kept back only where connections break early, for about as long as
+// nine in ten of those breaks take, and no longer when that has passed.
+func TestHold(t *testing.T) {
+	m, now := model(), time.Duration(0)
+	for range 500 {
+		now += ms
+		m.Observe(now, 1, 0, Use{Idle: 10 * ms}, End{})
+	}
+	if h := m.Hold(now, 1, 0); h != 0 {
+		t.Errorf("on a calm day: %v", h)
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	within, breaks := 0, 0
+	for i := range 4000 {
+		now += ms
+		end := End{}
+		if rng.IntN(20) == 0 {
+			end = End{Broke: true, After: time.Duration(rng.IntN(1500)) * time.Microsecond}
+			end.Whole = end.After > m.Hold(now, 1, 0)
+			if i > 2000 {
+				breaks++
+				if !end.Whole {
+					within++
+				}
+			}
+		}
+		m.Observe(now, 1, 0, Use{Idle: 10 * ms}, end)
+	}
+	if share := float64(within) / float64(breaks); share < 0.8 {
+		t.Errorf("%.2f of the early breaks came while the last byte was kept back, for %v", share, m.Hold(now, 1, 0))
+	}
+	if h := m.Hold(now, 1, 0); h < ms || h > longestHold {
+		t.Errorf("breaks come within 1.5 ms, and it is kept back for %v", h)
+	}
+	now += 5 * time.Minute
+	if h := m.Hold(now, 1, 0); h != 0 {
+		t.Errorf("long after: %v", h)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	m, now := model(), time.Duration(0)
+	idle := []time.Duration{time.Second, 200 * ms, 20 * ms, ms}
+	for i := range uint32(17) {
+		teach(m, &now, i, int(i%3), Use{Idle: 100 * ms}, 20, 1)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 100 * time.Microsecond
+		m.Choose(now, 3, 0, unsafe, idle, true)
+		m.Observe(now, 3, 0, Use{Idle: ms}, End{})
+	}
+}
