--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -63,6 +63,7 @@
 	Warm   bool
 	Known  string
 	By     time.Duration
+	Idle   time.Duration `json:",omitzero"` // left out where there is none: schedules without it stay as they were
 }
 
 // Draw makes the plan.
@@ -197,7 +198,7 @@
 	first := len(p.Nodes) // only these are drawn: those that replace them come later
 	for i, f := range s.Faults {
 		d := newDraws(p.Seed, fmt.Sprintf("fault %d", i))
-		e := Event{At: f.At.D(), What: f.What, Fault: i, Node: -1, Proxy: -1, How: f.How, Warm: f.Warm, Known: f.Known, By: f.By.D(),
+		e := Event{At: f.At.D(), What: f.What, Fault: i, Node: -1, Proxy: -1, How: f.How, Warm: f.Warm, Known: f.Known, By: f.By.D(), Idle: f.Idle.D(),
 			Amount: int(float64((f.Times+f.Taken+f.Rate)*1000) + 0.5)}
 		if f.For > 0 {
 			e.Until = (f.At + f.For).D()
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -171,6 +171,7 @@
 	Each    Span    `toml:"each"`    // between one proxy and the next
 	Known   string  `toml:"known"`   // kill, term: the list it starts with: last, start
 	By      Span    `toml:"by"`      // discovery-late: how late
+	Idle    Span    `toml:"idle"`    // stale, drops: how long a connection has stood
 	Warm    bool    `toml:"warm"`    // die, replace: comes back warm
 }
 
@@ -184,6 +185,10 @@
 	{"replace", "nodes end; others start cold at their addresses under new ids"},
 	{"errors", "nodes answer `rate` of their requests with 500"},
 	{"spoil", "nodes spoil `rate` of their answers, `how` = noise, cut, huge or empty"},
+	{"stale", "connections idle for `idle` are reset at their next request, `rate` of them"},
+	{"new-resets", "`rate` of the new connections are reset in their first request"},
+	{"closes", "`rate` of the connections are closed right behind an answer"},
+	{"drops", "something between drops connections idle for `idle` without a word"},
 	{"kill", "proxies get SIGKILL and start again after `for`, with the list `known` (last or start)"},
 	{"term", "proxies get SIGTERM, finish, and start again after `for`"},
 	{"discovery-late", "the list comes `by` later to the proxies"},
@@ -366,7 +371,9 @@
 		return errors.New("times above 1 is needed")
 	case f.What == "neighbour" && (f.Taken <= 0 || f.Taken >= 1):
 		return errors.New("taken between 0 and 1 is needed")
-	case (f.What == "errors" || f.What == "spoil") && (f.Rate <= 0 || f.Rate > 1):
+	case (f.What == "stale" || f.What == "drops") && f.Idle <= 0:
+		return errors.New("idle above 0 is needed")
+	case slices.Contains([]string{"errors", "spoil", "stale", "new-resets", "closes"}, f.What) && (f.Rate <= 0 || f.Rate > 1):
 		return errors.New("rate above 0 and up to 1 is needed")
 	case f.What == "spoil" && spoils[f.How] == 0:
 		return fmt.Errorf("how = %q: noise, cut, huge or empty is needed", f.How)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,14 +38,15 @@
 	proxies   []*proxy
 	stopping  chan struct{} // closed when the run is over: a proxy that ends now has not crashed
 
-	mu      sync.Mutex
-	nodes   []*standin.Node // by index in the plan; nil: not started
-	paths   [][]standin.Path
-	index   map[string]int       // of nodes, by id
-	started map[string]time.Time // of nodes, where not long ago
-	crashes []string
-	fallen  map[string]bool // nodes that fell and were taken off the list
-	wg      sync.WaitGroup
+	mu       sync.Mutex
+	nodes    []*standin.Node // by index in the plan; nil: not started
+	paths    [][]standin.Path
+	index    map[string]int       // of nodes, by id
+	started  map[string]time.Time // of nodes, where not long ago
+	crashes  []string
+	networks map[int]standin.Network // by node
+	fallen   map[string]bool         // nodes that fell and were taken off the list
+	wg       sync.WaitGroup
 }
 
 // newWorld stands everything up but the proxies. What it started is ended by close,
@@ -52,7 +54,7 @@
 func newWorld(s *Scenario, p *Plan, clock *standin.Clock, journal *standin.Journal, dir string) (*world, error) {
 	w := &world{scenario: s, plan: p, clock: clock, journal: journal, dir: dir, groups: map[string]*standin.Group{},
 		demands: map[string]machine.Job{}, sizes: map[string]int{}, index: map[string]int{}, started: map[string]time.Time{},
-		fallen: map[string]bool{}, stopping: make(chan struct{}), nodes: make([]*standin.Node, len(p.Nodes)),
+		fallen: map[string]bool{}, networks: map[int]standin.Network{}, stopping: make(chan struct{}), nodes: make([]*standin.Node, len(p.Nodes)),
 		paths: make([][]standin.Path, len(p.Nodes))}
 	longest := time.Duration(0)
 	for _, c := range s.Classes {
@@ -419,6 +421,8 @@
 		n.Spoils(spoils[e.How], amount)
 	case "end spoil":
 		n.Spoils(standin.SpoilNothing, 0)
+	case "stale", "new-resets", "closes", "drops", "end stale", "end new-resets", "end closes", "end drops":
+		w.network(n, e, amount)
 	case "drain":
 		n.Drain(true)
 	case "end drain", "replace":
@@ -427,6 +431,29 @@
 	return nil
 }
 
+// network changes what happens to a node's connections; what other faults do to them stays.
+func (w *world) network(n *standin.Node, e Event, rate float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := w.networks[e.Node]
+	idle := e.Idle
+	if strings.HasPrefix(e.What, "end ") {
+		rate, idle = 0, 0
+	}
+	switch strings.TrimPrefix(e.What, "end ") {
+	case "stale":
+		k.StaleAfter, k.StaleRate = idle, rate
+	case "new-resets":
+		k.NewRate = rate
+	case "closes":
+		k.CloseRate = rate
+	case "drops":
+		k.DropAfter = idle
+	}
+	w.networks[e.Node] = k
+	n.Network(k)
+}
+
 // watch samples the nodes until ctx ends, and takes what fell over off the list as
 // late as any dead one.
 func (w *world) watch(ctx context.Context) {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -64,6 +64,17 @@
 	SpoilEmpty         // the connection ends in place of an answer
 )
 
+// Network is what happens to a node's connections, by itself or by something between.
+// Rates are drawn from the requests' ids.
+type Network struct {
+	StaleAfter time.Duration // a kept connection idle for so long
+	StaleRate  float64       // is reset at its next request, which may have run for all that its sender knows
+	NewRate    float64       // a new one is reset in its first request
+	CloseRate  float64       // one is closed right behind an answer
+	DropAfter  time.Duration // one idle for so long is dropped without a word: what is written to it vanishes
+	BodyRate   float64       // one is reset in the middle of a body of 16 KiB or more
+}
+
 // Node is an auction node after the protocol: HTTP/1.1 on its paths' addresses,
 // served by a machine in modelled time. Its commands may be called by any goroutine.
 type Node struct {
@@ -85,6 +96,7 @@
 	errors    float64
 	spoil     Spoil
 	spoilt    float64
+	network   Network
 	coldUntil time.Duration
 	life      int // how often it started
 	state     string
@@ -134,6 +146,9 @@
 	n.command(func(time.Duration) { n.spoil, n.spoilt = how, rate })
 }
 
+// Network sets what happens to its connections.
+func (n *Node) Network(w Network) { n.command(func(time.Duration) { n.network = w }) }
+
 // Drain makes it finish what it has and turn away the rest.
 func (n *Node) Drain(on bool) { n.command(func(time.Duration) { n.draining = on }) }
 
@@ -397,6 +412,7 @@
 	in := bufio.NewReader(c)
 	fresh := true
 	n.idle(c)
+	rested := n.cfg.Clock.Now()
 	for {
 		if _, err := in.Peek(1); err != nil {
 			n.hold(c)
@@ -408,6 +424,15 @@
 		if err != nil {
 			return
 		}
+		n.mu.Lock()
+		w := n.network
+		n.mu.Unlock()
+		id := r.Header.Get("X-Correlation-Id")
+		if r.ContentLength >= 16<<10 && w.BodyRate > 0 && chance(id, n.cfg.ID, "body") < w.BodyRate {
+			io.CopyN(io.Discard, r.Body, r.ContentLength/2)
+			reset(c)
+			return
+		}
 		body, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
 		if err != nil {
 			return
@@ -416,6 +441,20 @@
 			n.hold(c) // its bytes never arrived
 			return
 		}
+		if !fresh && w.DropAfter > 0 && began-rested >= w.DropAfter {
+			in.Peek(1) // until its sender gives it up
+			return
+		}
+		if fresh && chance(id, n.cfg.ID, "new") < w.NewRate ||
+			!fresh && w.StaleAfter > 0 && began-rested >= w.StaleAfter && chance(id, n.cfg.ID, "stale") < w.StaleRate {
+			if id != "" { // to its sender it may have run
+				class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+				n.cfg.Journal.send(&Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: p.Proxy, ID: id, Key: r.Header.Get("Idempotency-Key"), Class: class,
+					Began: began, Whole: n.cfg.Clock.Now(), Effect: Ran, Fresh: fresh, CrossesZone: p.Cross})
+			}
+			reset(c)
+			return
+		}
 		x := &exchange{c: c, path: p, gone: make(chan struct{}), done: make(chan struct{}), fresh: fresh, full: full,
 			began: began, whole: n.cfg.Clock.Now() + p.Delay}
 		fresh = false
@@ -432,6 +471,7 @@
 			return
 		}
 		<-x.done
+		rested = x.rested
 		if x.last {
 			return
 		}
@@ -479,6 +519,8 @@
 	last  bool
 	began time.Duration
 	whole time.Duration
+	// when it was answered
+	rested time.Duration
 }
 
 // answer sees one request through, over HTTP.
@@ -756,6 +798,12 @@
 	// From now on an idle time counts. Set before the answer: the next request may
 	// be here before this line's successor runs.
 	n.idle(x.c)
+	x.rested = n.cfg.Clock.Now()
+	if s != nil && !last {
+		n.mu.Lock()
+		last = n.network.CloseRate > 0 && chance(s.ID, n.cfg.ID, "close") < n.network.CloseRate
+		n.mu.Unlock()
+	}
 	x.c.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	x.c.Write(data)
 	if last {
