Judge a run of breaks by how usual breaks are

One break in a hundred answers was a fixed line past which breaks said little of a death, and three in a row ejected a backend however usual breaks were: where one in three breaks, living backends went out again and again.

A run counts as a death, and ejects, where a living backend has it less often than once in 100,000, by the share of its attempts that break though answers follow. Under 2% that is three, as before. What was never sent costs no retry budget.

--- a/attempts.go
+++ b/attempts.go
@@ -99,7 +99,7 @@
 	if r.out > 0 {
 		return
 	}
-	paid := o.Result != ConnectFailed // which cost no work
+	paid := o.Result != ConnectFailed && o.Result != Moot // which cost no work
 	if b.now >= b.useful(r)-b.cfg.Tick || paid && b.retries < 1 {
 		b.end(r, b.interval)
 		return
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,6 +1,7 @@
 package marlreel
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -607,3 +608,51 @@
 		t.Errorf("sent to the backend by class: %v", met)
 	}
 }
+
+// All backends break one request in three, and live: nobody is ejected for it. One that
+// dies among them is out after as few failures as its breaks allow; where breaks are
+// rare, after three.
+func TestUsualBreaksEjectNobodyAndHideNoDeath(t *testing.T) {
+	b, _ := newBalancer(t, testConfig(), 6)
+	now := 30 * second
+	judge := func(to *target, result Result) {
+		b.now = now
+		b.judge(&attempt{req: &request{}, to: to, sent: now - milli}, result)
+		now += milli
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 3000 {
+		to := b.targets[rng.IntN(6)]
+		result := OK
+		if rng.IntN(3) == 0 {
+			result = Reset
+		}
+		judge(to, result)
+		if !b.fit(to) {
+			t.Fatalf("a living backend is out: after %d in a row", to.bad)
+		}
+		if _, cold := b.cold(to); cold {
+			t.Fatal("a living backend counts as newly started")
+		}
+	}
+	dead, n := b.targets[3], 0
+	for b.fit(dead) && n < 2*longestRun {
+		judge(dead, Reset)
+		n++
+	}
+	if n < badRun || n > longestRun {
+		t.Errorf("the dead one is out after %d failures", n)
+	}
+	b, _ = newBalancer(t, testConfig(), 6)
+	for i := range 600 {
+		judge(b.targets[i%6], OK)
+	}
+	dead, n = b.targets[2], 0
+	for b.fit(dead) && n < longestRun {
+		judge(dead, Reset)
+		n++
+	}
+	if n != badRun {
+		t.Errorf("where breaks are rare, the dead one is out after %d failures", n)
+	}
+}
--- a/checker.go
+++ b/checker.go
@@ -20,7 +20,10 @@
 	badRun       = 3    // unanswered attempts in a row that eject a backend whatever its probes say
 	mostOut      = 0.5  // share of the ready ones that may be out when attempts eject one more
 	longestHold  = 8    // probe intervals that an ejection lasts at most; it starts with one and doubles
-	falseAlarms  = 0.01 // breaks an answer from which they say little of a backend's death
+	deathOdds    = 1e-5 // a run of breaks that a living backend has less often than this is a death's
+	priorBreaks  = 0.5  // breaks assumed of a living backend before any was seen,
+	priorUses    = 25   // in so many attempts
+	longestRun   = 12   // unanswered attempts in a row that eject a backend however usual breaks are
 	sweeps       = 10   // in a probe interval: how often time alone is looked at
 	// The subset: the backends that one proxy uses, in its own zone and elsewhere.
 	subsetFan   = 7 // proxies that use each backend, about
@@ -189,6 +192,24 @@
 	return float64(out) <= mostOut*float64(len(b.ready))
 }
 
+// byChance is how likely a living backend has so many breaks in a row: to the power of the run, the share
+// of its attempts that break though it lives, as the answers that follow breaks tell. Where that is high,
+// breaks speak of the connections and not of the backend.
+func (b *Balancer) byChance(run int) float64 {
+	span := b.cfg.Obligations.Cold
+	alarms, answered := b.alarms.fade(b.now, span), b.answered.fade(b.now, span)
+	return math.Pow((alarms+priorBreaks)/(alarms+answered+priorUses), float64(run))
+}
+
+// deathRun is how many unanswered attempts in a row a living backend hardly ever has.
+func (b *Balancer) deathRun() int {
+	n := badRun
+	for n < longestRun && b.byChance(n) > deathOdds {
+		n++
+	}
+	return n
+}
+
 // judge takes an attempt's end as evidence beside the probes.
 func (b *Balancer) judge(a *attempt, result Result) {
 	b.judgeClass(a, result)
@@ -208,9 +229,9 @@
 		return
 	}
 	if result == ConnectFailed && t.bad > 0 && !b.suspectStart(t) {
-		t.bad = max(t.bad, badRun-1) // if it did die, each further attempt would be lost on it
+		t.bad = max(t.bad, b.deathRun()-1) // if it did die, each further attempt would be lost on it
 	}
-	if t.bad++; t.bad < badRun || t.ejectedUntil > b.now {
+	if t.bad++; t.bad < b.deathRun() || t.ejectedUntil > b.now {
 		return
 	}
 	if !b.maySpare(func(o *target) bool { return !b.fit(o) }) {
--- a/coldstart.go
+++ b/coldstart.go
@@ -30,12 +30,10 @@
 
 // suspectStart takes a run of failures for a death, and with that for a start to come: it may be up again
 // before the list says that it died. Danger: where connections break by themselves, every backend has such
-// a run now and then, and all would count as cold and get next to nothing. So where breaks were often
-// followed by answers, one that has answered within an interval has not died.
+// a run now and then, and all would count as cold and get next to nothing. So where a living backend may
+// well have such a run, one that has answered within an interval has not died.
 func (b *Balancer) suspectStart(t *target) bool {
-	span := b.cfg.Obligations.Cold
-	noisy := b.alarms.fade(b.now, span) > falseAlarms*b.answered.fade(b.now, span)
-	if noisy && t.lastOK > 0 && b.now-t.lastOK < b.interval {
+	if b.byChance(max(1, t.broken, t.fails)) > deathOdds && t.lastOK > 0 && b.now-t.lastOK < b.interval {
 		return false
 	}
 	b.starts(t, b.now)
