Spend connections by what is at stake, and prove what never ran

The HTTP carrier takes connections as the model says, closes what even a listing would rather not have, and where connections break early keeps a request's last byte back for up to 2 ms: a backend begins a request when that has come, so a break until then proves that nothing ran, and a bid goes elsewhere.

--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marlreel"
+	"marlreel/internal/conns"
 	"marlreel/internal/engine"
 )
 
@@ -16,7 +17,8 @@
 	connectTimeout time.Duration
 	report         []string // names of the values of a load report
 	pool           pool
-	ctx            context.Context // of all exchanges
+	lastOK         map[*engine.Backend]time.Duration // a backend's last good answer
+	ctx            context.Context                   // of all exchanges
 	cancel         context.CancelFunc
 }
 
@@ -24,8 +26,10 @@
 // of backends' load reports, in the settings' order.
 func NewCarrier(e *engine.Engine, most int, report []string) *Carrier {
 	caps := e.Settings().Caps
-	c := &Carrier{engine: e, connectTimeout: caps.ConnectTimeout, report: report,
-		pool: pool{most: most, maxIdle: caps.ConnIdle - caps.ConnIdle/4, idle: map[*engine.Backend][]*conn{}}}
+	worth := meanWorth(e.Settings())
+	c := &Carrier{engine: e, connectTimeout: caps.ConnectTimeout, report: report, lastOK: map[*engine.Backend]time.Duration{},
+		pool: pool{most: most, maxIdle: caps.ConnIdle - caps.ConnIdle/4, idle: map[*engine.Backend][]*conn{}, worth: worth,
+			model: conns.New(conns.DefaultConfig(worth, e.Settings().Prices.Handshake))}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -36,19 +40,43 @@
 // Begin implements engine.Carrier. The call's payload is a *message.
 func (c *Carrier) Begin(a *engine.Attempt) {
 	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*message), until: a.Until, permit: &a.Permit}
-	a.Stop = c.launch(x, a.End)
+	class := &c.engine.Settings().Classes[a.Call.Class]
+	stake := conns.Stake{Worth: class.Value, Large: len(x.msg.body) >= largeBody}
+	if class.Effect != marlreel.Unsafe {
+		stake.Effect = conns.Delayed
+	}
+	a.Stop = c.launch(x, stake, a.End)
+}
+
+// largeBody is from where on a request may meet what only long ones do.
+const largeBody = 16 << 10
+
+// probeStake: a probe that breaks speaks ill of a backend, and is worth no handshake.
+var probeStake = conns.Stake{Worth: 0.1, Effect: conns.Lost}
+
+// meanWorth is that of the classes; how often each comes is not known beforehand.
+func meanWorth(s *marlreel.Config) float64 {
+	sum := 0.0
+	for _, c := range s.Classes {
+		sum += c.Value
+	}
+	return sum / float64(max(1, len(s.Classes)))
 }
 
 // Probe implements engine.Prober.
 func (c *Carrier) Probe(b *engine.Backend, until time.Time, end func(engine.End)) {
-	c.launch(&exchange{to: b, msg: probeMessage(b.Addr), until: until, permit: new(engine.Permit)}, end)
+	c.launch(&exchange{to: b, msg: probeMessage(b.Addr), until: until, permit: new(engine.Permit)}, probeStake, end)
 }
 
 // Release implements engine.Carrier.
 func (c *Carrier) Release(b *engine.Backend) { c.pool.release(b) }
 
 // Forget implements engine.Carrier.
-func (c *Carrier) Forget(b *engine.Backend) { c.pool.release(b) }
+func (c *Carrier) Forget(b *engine.Backend) {
+	c.pool.release(b)
+	delete(c.lastOK, b)
+	c.pool.model.Forget(uint32(b.ID))
+}
 
 // Retire implements engine.Carrier.
 func (c *Carrier) Retire(now time.Duration) { c.pool.retire(now) }
@@ -58,16 +86,25 @@
 
 // launch starts an exchange and brings its end back to the engine. The connection is
 // counted from here on, and until end has it.
-func (c *Carrier) launch(x *exchange, end func(engine.End)) (stop func()) {
-	if x.conn = c.pool.take(x.to, c.engine.Now()); x.conn == nil && !c.pool.mayDial() {
+func (c *Carrier) launch(x *exchange, stake conns.Stake, end func(engine.End)) (stop func()) {
+	now := c.engine.Now()
+	use := conns.Use{New: true, Large: stake.Large}
+	if x.conn = c.pool.take(x.to, now, stake); x.conn != nil {
+		use = conns.Use{Idle: now - x.conn.idleSince, Large: stake.Large}
+	} else if !c.pool.mayDial() {
 		c.engine.Later(func() { end(engine.End{Result: marlreel.ConnectFailed}) })
 		return nil
 	}
+	x.hold = c.pool.model.Hold(now, uint32(x.to.ID), x.to.Zone)
 	ctx, cancel := context.WithCancel(c.ctx)
 	go func() {
 		defer cancel()
 		r := x.run(ctx, c.connectTimeout, c.report)
 		c.engine.Post(func() {
+			if x.dialled {
+				use.New = true // the one from the pool was dead when it was looked at last
+			}
+			c.learn(x.to, use, now, &r)
 			c.pool.put(x.to, r.conn, c.engine.Now())
 			e := engine.End{Result: r.result, Load: r.load}
 			if r.result == marlreel.OK {
@@ -79,6 +116,38 @@
 	return cancel
 }
 
+// silentIdle is from which idle time on an answer that doesn't come may mean that
+// something between has dropped the connection without a word.
+const silentIdle = 500 * time.Millisecond
+
+// learn tells the model how a use of a connection ended.
+func (c *Carrier) learn(to *engine.Backend, use conns.Use, sent time.Duration, r *reply) {
+	now := c.engine.Now()
+	switch r.result {
+	case marlreel.OK:
+		c.lastOK[to] = now
+	case marlreel.Reset:
+	case marlreel.Timeout:
+		// A backend that is slow is slow on all connections. One that has answered others
+		// since, while this long idle one is silent, is not to blame.
+		if use.New || use.Idle < silentIdle || c.lastOK[to] <= sent {
+			return
+		}
+		r.end = conns.End{Broke: true, After: now - sent, Whole: true}
+	case marlreel.Moot:
+		if !r.early {
+			return
+		}
+	case marlreel.Error, marlreel.Full, marlreel.Declined:
+	default: // it says nothing of the connection
+		return
+	}
+	if !use.New && use.Idle < restFor {
+		return // it had no rest: what closes right behind an answer is no matter of age
+	}
+	c.pool.model.Observe(now, uint32(to.ID), to.Zone, use, r.end)
+}
+
 func probeMessage(addr string) *message {
 	return &message{method: http.MethodGet, head: []byte("GET /health HTTP/1.1\r\nHost: " + addr + "\r\n")}
 }
--- a/internal/httpproxy/pool.go
+++ b/internal/httpproxy/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"marlreel/internal/conns"
 	"marlreel/internal/engine"
 )
 
@@ -12,16 +13,19 @@
 	open, most int                         // connections, those being dialled among them
 	maxIdle    time.Duration               // 0 is for ever
 	idle       map[*engine.Backend][]*conn // of each the most recently used last
+	model      *conns.Model
+	worth      float64         // of a mean request
+	stood      []time.Duration // for use within take
 }
 
 // restFor is how long a connection rests after an answer, where another can be had.
 // A backend that closes right behind its answer has done so by then.
 const restFor = time.Millisecond
 
-// take gives an idle connection to the backend, the most recently used that has had
-// its rest, else the most recently used: the others grow old and leave. It gives nil
-// where there is none.
-func (p *pool) take(to *engine.Backend, now time.Duration) *conn {
+// take gives an idle connection to the backend, the one that the model of connections
+// has for who stakes so much on it, and nil where a new one is worth its handshake or
+// none is there. One that has not had its rest is given only where there is no other.
+func (p *pool) take(to *engine.Backend, now time.Duration, stake conns.Stake) *conn {
 	idle := p.idle[to]
 	if len(idle) == 0 {
 		return nil
@@ -37,10 +41,17 @@
 	})
 	var taken *conn
 	for taken == nil && len(idle) > 0 {
+		rested := idle // the latest used is last
+		for len(rested) > 0 && now-rested[len(rested)-1].idleSince < restFor {
+			rested = rested[:len(rested)-1]
+		}
 		at := len(idle) - 1
-		for i := at; i >= 0; i-- {
-			if now-idle[i].idleSince >= restFor {
-				at = i
+		if len(rested) > 0 {
+			p.stood = p.stood[:0]
+			for _, c := range rested {
+				p.stood = append(p.stood, now-c.idleSince)
+			}
+			if at = p.model.Choose(now, uint32(to.ID), to.Zone, stake, p.stood, p.open < p.most); at == conns.Dial {
 				break
 			}
 		}
@@ -120,7 +131,7 @@
 func (p *pool) retire(now time.Duration) {
 	for b, idle := range p.idle {
 		p.keep(b, slices.DeleteFunc(idle, func(c *conn) bool {
-			old := p.tooOld(c, now) || !c.alive()
+			old := p.tooOld(c, now) || !c.alive() || p.model.Retire(now, uint32(b.ID), b.Zone, now-c.idleSince, p.worth)
 			if old {
 				p.close(c)
 			}
--- a/internal/httpproxy/pool_test.go
+++ b/internal/httpproxy/pool_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"marlreel/internal/conns"
 	"marlreel/internal/engine"
 )
 
@@ -19,7 +20,8 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	b := engine.NewBackend("s-1", ln.Addr().String(), true)
-	p := &pool{most: n, maxIdle: 45 * time.Second, idle: map[*engine.Backend][]*conn{}}
+	p := &pool{most: n, maxIdle: 45 * time.Second, idle: map[*engine.Backend][]*conn{},
+		model: conns.New(conns.DefaultConfig(3, 0.03)), worth: 3}
 	var far []net.Conn
 	for i := range n {
 		nc, err := net.Dial("tcp", b.Addr)
@@ -44,7 +46,7 @@
 	t.Parallel()
 	p, b, _ := poolOf(t, 3)
 	want := p.idle[b][2]
-	if c := p.take(b, 3*time.Second); c != want {
+	if c := p.take(b, 3*time.Second, probeStake); c != want {
 		t.Error("not the most recently used")
 	}
 }
@@ -55,10 +57,10 @@
 	t.Parallel()
 	p, b, _ := poolOf(t, 2) // the younger idle since 1 s
 	young, old := p.idle[b][1], p.idle[b][0]
-	if c := p.take(b, time.Second+restFor/2); c != old {
+	if c := p.take(b, time.Second+restFor/2, probeStake); c != old {
 		t.Error("the connection that was used just now was taken before the other")
 	}
-	if c := p.take(b, time.Second+restFor/2); c != young {
+	if c := p.take(b, time.Second+restFor/2, probeStake); c != young {
 		t.Error("where there is no other, it is not taken")
 	}
 }
@@ -68,7 +70,7 @@
 func TestPoolRetiresBeforeTheBackendDoes(t *testing.T) {
 	t.Parallel()
 	p, b, _ := poolOf(t, 2)
-	if c := p.take(b, 46*time.Second); c != nil || p.open != 0 {
+	if c := p.take(b, 46*time.Second, probeStake); c != nil || p.open != 0 {
 		t.Errorf("an old connection was taken, or %d are still counted", p.open)
 	}
 }
@@ -81,14 +83,14 @@
 	want := p.idle[b][0]
 	far[1].Close()
 	eventually(t, "the end to arrive", func() bool { return !p.idle[b][1].alive() })
-	if c := p.take(b, 2*time.Second); c != want {
+	if c := p.take(b, 2*time.Second, probeStake); c != want {
 		t.Error("the closed connection was not passed over")
 	}
 	// What nobody asked for belongs to no request.
 	p.put(b, want, 2*time.Second)
 	io.WriteString(far[0], okAnswer)
 	eventually(t, "the noise to arrive", func() bool { return !want.alive() })
-	if c := p.take(b, 2*time.Second); c != nil {
+	if c := p.take(b, 2*time.Second, probeStake); c != nil {
 		t.Error("a connection with an answer to nothing was taken")
 	}
 }
@@ -99,7 +101,7 @@
 	if !p.mayDial() || p.open != 2 || len(p.idle[b]) != 1 {
 		t.Errorf("with all places taken by idle ones: %d open, %d idle", p.open, len(p.idle[b]))
 	}
-	p.take(b, 2*time.Second)
+	p.take(b, 2*time.Second, probeStake)
 	if p.mayDial() {
 		t.Error("a place was given beyond the bound")
 	}
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -8,7 +8,8 @@
 //	outcome                                               told as         never ran
 //	200 with a body                                       OK              no
 //	503 or 504 with X-Unprocessed: 1                      Full            yes
-//	no connection, or it breaks before the last byte      ConnectFailed   yes
+//	no connection came up                                 ConnectFailed   yes
+//	it breaks before the last byte is written             Moot            yes
 //	the permit was revoked before the first byte          Moot            yes
 //	another 4xx than 408 and 429                          Declined        no
 //	any other status                                      Error           no
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"marlreel"
+	"marlreel/internal/conns"
 	"marlreel/internal/engine"
 )
 
@@ -92,6 +93,9 @@
 	msg    *message
 	until  time.Time
 	permit *engine.Permit
+
+	hold    time.Duration // how long the last byte is kept back; 0 is not at all
+	dialled bool          // run opened a new connection
 }
 
 // reply is how an exchange ended. A nil conn says that the connection is gone.
@@ -101,6 +105,8 @@
 	header http.Header
 	body   []byte
 	load   []float32
+	early  bool      // it broke before its last byte was written
+	end    conns.End // for the model of connections
 }
 
 // run carries the exchange out. It follows the protocol's table of outcomes:
@@ -115,6 +121,7 @@
 		c = nil
 	}
 	if c == nil {
+		x.dialled = true
 		dialer := net.Dialer{Timeout: connectTimeout, Deadline: x.until}
 		nc, err := dialer.DialContext(ctx, "tcp", x.to.Addr)
 		if err != nil {
@@ -129,7 +136,11 @@
 		return reply{result: marlreel.Moot, conn: c}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	r := c.roundTrip(data, x.msg.method, x.until, report)
+	began := time.Now()
+	r := c.roundTrip(data, x.msg.method, x.until, x.hold, report)
+	if r.result == marlreel.Reset || r.early {
+		r.end = conns.End{Broke: true, After: time.Since(began), Whole: !r.early}
+	}
 	if !stop() {
 		r.conn = nil
 	}
@@ -139,10 +150,24 @@
 	return r
 }
 
-func (c *conn) roundTrip(data []byte, method string, until time.Time, report []string) reply {
+// roundTrip writes a request and reads its answer. Where the last byte is kept back for
+// a moment, a break in that moment proves that nothing ran: a backend begins a request
+// when its last byte has come. It speaks of the connection and not of the backend, which
+// is why it is told as one that was never sent: a backend that has died refuses the next.
+func (c *conn) roundTrip(data []byte, method string, until time.Time, hold time.Duration, report []string) reply {
 	c.SetDeadline(until)
+	if hold > 0 && len(data) > 1 {
+		n, err := c.Write(data[:len(data)-1])
+		if err == nil {
+			err = c.listen(time.Now().Add(hold), until)
+		}
+		if err != nil || n < len(data)-1 {
+			return reply{result: marlreel.Moot, early: true}
+		}
+		data = data[len(data)-1:]
+	}
 	if n, err := c.Write(data); n < len(data) {
-		return reply{result: marlreel.ConnectFailed}
+		return reply{result: marlreel.Moot, early: true}
 	} else if err != nil {
 		return failed(err)
 	}
@@ -174,6 +199,23 @@
 	return r
 }
 
+// listen waits until a time for the connection's end, and gives it as an error. What
+// comes early and is no end is left to be read.
+func (c *conn) listen(while, until time.Time) error {
+	if while.After(until) {
+		return nil
+	}
+	c.SetReadDeadline(while)
+	defer c.SetReadDeadline(until)
+	c.limit.N = maxHead
+	_, err := c.in.Peek(1)
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return nil
+	}
+	return err
+}
+
 var errSpoilt = errors.New("the answer can't be used")
 
 // readHead reads up to the head of the final answer. What can't be one is told at
