--- /dev/null
+++ b/internal/standin/network_test.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each way in which a node's connections break, as the other side sees it; and none of it
+// before it is set, nor after it is over.
+func TestNetwork(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	n := startNode(t, cfg)
+	last := 0
+	id := func() string { last++; return fmt.Sprintf("%016x", last) }
+	ok := func(p *peer) {
+		t.Helper()
+		if status, _, _ := p.ask(t, "GET", "/lot-list/7", id()); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+	}
+	calm := dial(t, n.Addr())
+	ok(calm)
+	time.Sleep(60 * time.Millisecond)
+	ok(calm)
+
+	n.Network(Network{StaleAfter: 50 * time.Millisecond, StaleRate: 1})
+	p := dial(t, n.Addr())
+	ok(p) // the first request of a new one is no reuse
+	time.Sleep(60 * time.Millisecond)
+	stale := id()
+	p.send(t, "POST", "/bid/7", stale)
+	if !p.ends(t) {
+		t.Error("a stale connection ended in peace")
+	}
+	found := false
+	for _, s := range cfg.Journal.Records().Sends {
+		found = found || s.ID == stale && s.Effect == Ran
+	}
+	if !found {
+		t.Error("a request that may have run is not written down as one")
+	}
+
+	n.Network(Network{NewRate: 1})
+	p = dial(t, n.Addr())
+	p.send(t, "GET", "/lot-list/7", id())
+	if !p.ends(t) {
+		t.Error("a new connection ended in peace")
+	}
+
+	n.Network(Network{CloseRate: 1})
+	p = dial(t, n.Addr())
+	ok(p)
+	if p.ends(t) {
+		t.Error("one that is closed behind its answer was reset")
+	}
+
+	n.Network(Network{BodyRate: 1})
+	p = dial(t, n.Addr())
+	fmt.Fprintf(p, "POST /bid/7 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nContent-Length: 40000\r\n\r\n%s", id(), strings.Repeat("x", 30000))
+	if !p.ends(t) {
+		t.Error("one in a body ended in peace")
+	}
+
+	n.Network(Network{DropAfter: 50 * time.Millisecond})
+	p = dial(t, n.Addr())
+	ok(p)
+	time.Sleep(60 * time.Millisecond)
+	dropped := id()
+	p.send(t, "GET", "/lot-list/7", dropped)
+	p.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := p.in.ReadByte(); err == nil {
+		t.Error("a dropped connection answers")
+	} else if ne, timeout := err.(net.Error); !timeout || !ne.Timeout() {
+		t.Errorf("a dropped connection ended: %v", err)
+	}
+	for _, s := range cfg.Journal.Records().Sends {
+		if s.ID == dropped {
+			t.Error("what was written to a dropped connection arrived")
+		}
+	}
+
+	n.Network(Network{})
+	p = dial(t, n.Addr())
+	ok(p)
+	time.Sleep(60 * time.Millisecond)
+	ok(p)
+}
