--- a/internal/httpproxy/carrier_test.go
+++ b/internal/httpproxy/carrier_test.go
@@ -10,6 +10,7 @@
 
 	"marlreel"
 	"marlreel/internal/engine"
+	"marlreel/internal/testutil"
 )
 
 // Every attempt has one outcome, a cancelled one too, and its place is given back.
@@ -58,7 +59,7 @@
 // that it was opened to.
 func TestReplacedBackendsLeaveNothing(t *testing.T) {
 	t.Parallel()
-	addr, conns := counting(t, "s")
+	addr, conns := testutil.Counting(t, "s")
 	l := stillEngine(t, ready("s-0", addr))
 	serve := func() {
 		r := l.ask(1, time.Minute)
--- a/internal/httpproxy/clients_test.go
+++ b/internal/httpproxy/clients_test.go
@@ -4,7 +4,8 @@
 	"io"
 	"net"
 	"testing"
-	"time"
+
+	"marlreel/internal/testutil"
 )
 
 // bounded is a clients listener, with a channel of what it accepts.
@@ -31,34 +32,10 @@
 // connect opens a connection, and gives both ends.
 func connect(t *testing.T, cs *clients, accepted chan *client) (net.Conn, *client) {
 	t.Helper()
-	c := dial(t, cs.Addr().String())
+	c := testutil.Dial(t, cs.Addr().String())
 	return c, receive(t, accepted, "a connection")
 }
 
-func dial(t *testing.T, addr string) net.Conn {
-	t.Helper()
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
-	return c
-}
-
-// ends fails the test if the other side does not end the connection.
-func ends(t *testing.T, c net.Conn, what string) {
-	t.Helper()
-	if _, err := io.Copy(io.Discard, c); isTimeout(err) {
-		t.Fatalf("%s is not closed", what)
-	}
-}
-
-func isTimeout(err error) bool {
-	ne, ok := err.(net.Error)
-	return ok && ne.Timeout()
-}
-
 // Connections that ask nothing once filled the bound, and nobody else was accepted
 // any more. Now the one that has been silent the longest makes room.
 func TestTheLongestSilentMakesRoom(t *testing.T) {
@@ -70,9 +47,9 @@
 	second.rest(true) // between two requests: worth more than one that never asked
 	third, _ := connect(t, cs, accepted)
 	connect(t, cs, accepted)
-	ends(t, first, "the longest silent connection")
+	testutil.Ends(t, first, "the longest silent connection")
 	connect(t, cs, accepted)
-	ends(t, third, "the next silent one")
+	testutil.Ends(t, third, "the next silent one")
 	if second.in != &cs.idle || len(cs.open) != 3 {
 		t.Errorf("%d connections are kept", len(cs.open))
 	}
@@ -84,15 +61,15 @@
 	cs, accepted := bounded(t, 1)
 	near, held := connect(t, cs, accepted)
 	held.busy()
-	turnedAway := dial(t, cs.Addr().String())
-	ends(t, turnedAway, "a connection beyond the bound")
+	turnedAway := testutil.Dial(t, cs.Addr().String())
+	testutil.Ends(t, turnedAway, "a connection beyond the bound")
 	io.WriteString(near, "x")
 	if _, err := held.Read(make([]byte, 1)); err != nil {
 		t.Fatalf("the connection with a request in hand: %v", err)
 	}
 	held.rest(true)
 	connect(t, cs, accepted)
-	ends(t, near, "the connection that is at rest again")
+	testutil.Ends(t, near, "the connection that is at rest again")
 	if n := len(cs.open); n != 1 {
 		t.Errorf("%d connections are counted", n)
 	}
@@ -107,7 +84,7 @@
 	io.WriteString(asking, "GET")
 	eventually(t, "the bytes to arrive", func() bool { return !quiet(far.Conn) })
 	connect(t, cs, accepted)
-	ends(t, silent, "the silent connection")
+	testutil.Ends(t, silent, "the silent connection")
 	if _, err := far.Read(make([]byte, 1)); err != nil {
 		t.Errorf("the connection with an unread request: %v", err)
 	}
--- a/internal/httpproxy/harness_test.go
+++ b/internal/httpproxy/harness_test.go
@@ -80,18 +80,3 @@
 	l.Do(func() { l.Take(&r.Call, now) })
 	return r
 }
-
-// counting is a backend that answers with its name and counts its connections.
-func counting(t *testing.T, name string) (string, *atomic.Int64) {
-	t.Helper()
-	n := new(atomic.Int64)
-	return rawBackend(t, func(c net.Conn, in *bufio.Reader) {
-		n.Add(1)
-		for {
-			if _, ok := readRequest(in); !ok {
-				return
-			}
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(name), name)
-		}
-	}), n
-}
--- a/internal/proxy/clients_test.go
+++ b/internal/proxy/clients_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,46 +12,23 @@
 	"time"
 
 	"marlreel/internal/config"
+	"marlreel/internal/testutil"
 )
 
-func dial(t *testing.T, addr string) net.Conn {
-	t.Helper()
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
-	return c
-}
-
-// ends fails the test if the other side does not end the connection.
-func ends(t *testing.T, c net.Conn, what string) {
-	t.Helper()
-	if _, err := io.Copy(io.Discard, c); isTimeout(err) {
-		t.Fatalf("%s is not closed", what)
-	}
-}
-
-func isTimeout(err error) bool {
-	ne, ok := err.(net.Error)
-	return ok && ne.Timeout()
-}
-
 // The bound holds in the whole proxy, and good clients are served meanwhile.
 func TestSilentConnectionsKeepNobodyOut(t *testing.T) {
 	t.Parallel()
 	cfg := testConfig(t, closedAddr(t), ready("s-1", named(t, "a")))
 	cfg.Sockets = config.LeastSockets
 	p := start(t, cfg)
-	first := dial(t, p.addr)
+	first := testutil.Dial(t, p.addr)
 	for range 2 * cfg.ClientConns() {
-		dial(t, p.addr)
+		testutil.Dial(t, p.addr)
 	}
 	if status, text, _ := do(t, newRequest(t, p, "bid", "x")); status != 200 || text != "a" {
 		t.Errorf("a good client beside silent ones got %d %q", status, text)
 	}
-	ends(t, first, "the first silent connection")
+	testutil.Ends(t, first, "the first silent connection")
 }
 
 // Bad clients are owed an error or a close, and none of what they send may reach a
@@ -94,13 +70,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := dial(t, p.addr)
+			c := testutil.Dial(t, p.addr)
 			io.WriteString(c, text)
 			in := bufio.NewReader(c)
 			if resp, err := http.ReadResponse(in, nil); err == nil && (resp.StatusCode < 400 || resp.StatusCode == 429 || resp.StatusCode == 503) {
 				t.Errorf("answered %d", resp.StatusCode)
 			}
-			if _, err := io.Copy(io.Discard, in); isTimeout(err) {
+			if _, err := io.Copy(io.Discard, in); testutil.IsTimeout(err) {
 				t.Error("the connection is not closed")
 			}
 		})
@@ -182,13 +158,13 @@
 func TestIdleConnectionsEnd(t *testing.T) {
 	t.Parallel()
 	p := start(t, testConfig(t, closedAddr(t), ready("s-1", named(t, "a"))))
-	c := dial(t, p.addr)
+	c := testutil.Dial(t, p.addr)
 	fmt.Fprintf(c, "GET /lot-list HTTP/1.1\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 9000m\r\nX-Correlation-Id: %016x\r\n\r\n", lastName.Add(1))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || resp.StatusCode != 200 || resp.Close {
 		t.Fatalf("%+v %v", resp, err)
 	}
-	ends(t, c, "the idle connection")
+	testutil.Ends(t, c, "the idle connection")
 }
 
 // Clients that ask once and keep their connections must not leave the others without
@@ -199,7 +175,7 @@
 	cfg.Sockets = config.LeastSockets
 	p := start(t, cfg)
 	ask := func() *http.Response {
-		c := dial(t, p.addr)
+		c := testutil.Dial(t, p.addr)
 		fmt.Fprintf(c, "GET /lot-list HTTP/1.1\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 9000m\r\nX-Correlation-Id: %016x\r\n\r\n", lastName.Add(1))
 		in := bufio.NewReader(c)
 		resp, err := http.ReadResponse(in, nil)
@@ -210,7 +186,7 @@
 			t.Fatal(err)
 		}
 		if resp.Close {
-			ends(t, c, "a connection whose answer ends it")
+			testutil.Ends(t, c, "a connection whose answer ends it")
 		}
 		return resp
 	}
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -1,14 +1,10 @@
 package proxy
 
 import (
-	"bufio"
-	"fmt"
 	"log"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,21 +20,6 @@
 	return &next
 }
 
-// counting is a backend that answers with its name and counts its connections.
-func counting(t *testing.T, name string) (string, *atomic.Int64) {
-	t.Helper()
-	n := new(atomic.Int64)
-	return rawBackend(t, func(c net.Conn, in *bufio.Reader) {
-		n.Add(1)
-		for {
-			if _, ok := readRequest(in); !ok {
-				return
-			}
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(name), name)
-		}
-	}), n
-}
-
 // A new address takes over with its first word. Until then the old one counts, and
 // from then on it doesn't; a backend that both list keeps its connection.
 func TestReloadMovesTheWatchWithoutAGap(t *testing.T) {
@@ -47,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			a, b := newRegistry(t), newRegistry(t)
-			kept, conns := counting(t, "kept")
+			kept, conns := testutil.Counting(t, "kept")
 			cfg := testConfig(t, a.Addr, ready("s-1", kept))
 			cfg.Settings.OnRequest = onRequest
 			cfg.Settings.Obligations.AskEvery = time.Minute
--- a/internal/proxy/rpc_test.go
+++ b/internal/proxy/rpc_test.go
@@ -18,6 +18,7 @@
 	"marlreel/internal/rpc"
 	"marlreel/internal/standin"
 	"marlreel/internal/standin/machine"
+	"marlreel/internal/testutil"
 )
 
 const rpcOffset = 3000 // from a stand-in's HTTP port to its RPC port
@@ -553,9 +554,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := dial(t, p.rpc)
+			c := testutil.Dial(t, p.rpc)
 			c.Write(data)
-			if _, err := io.Copy(io.Discard, c); isTimeout(err) {
+			if _, err := io.Copy(io.Discard, c); testutil.IsTimeout(err) {
 				t.Error("the connection is not closed")
 			}
 		})
@@ -745,9 +746,9 @@
 	if a := receive(t, got, "an answer"); a.Code() != "overloaded" {
 		t.Errorf("one call too many got %+v", a)
 	}
-	silent := dial(t, p.rpc)
+	silent := testutil.Dial(t, p.rpc)
 	third := caller(t, p.rpc)
-	ends(t, silent, "the silent connection")
+	testutil.Ends(t, silent, "the silent connection")
 	if got, whole := third.Call("post.bid", 1, meta()); !whole {
 		t.Errorf("the third connection: %+v", <-got)
 	}
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -6,10 +6,12 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +136,44 @@
 	defer l.mu.Unlock()
 	return l.buf.String()
 }
+
+// Dial opens a connection that ends with the test, and within Patience.
+func Dial(t testing.TB, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(Patience))
+	return c
+}
+
+// Ends fails the test if the other side does not end the connection.
+func Ends(t testing.TB, c net.Conn, what string) {
+	t.Helper()
+	if _, err := io.Copy(io.Discard, c); IsTimeout(err) {
+		t.Fatalf("%s is not closed", what)
+	}
+}
+
+// IsTimeout tells whether an error is a deadline's.
+func IsTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
+
+// Counting is a backend that answers with its name and counts its connections.
+func Counting(t testing.TB, name string) (string, *atomic.Int64) {
+	t.Helper()
+	n := new(atomic.Int64)
+	return RawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		n.Add(1)
+		for {
+			if _, ok := ReadRequest(in); !ok {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(name), name)
+		}
+	}), n
+}
