Learn nothing more of a backend that drains or has left

Backends that are not ready teach nothing now; the test of a connection that outlives its backend fails without it.

--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -122,6 +122,9 @@
 
 // learn tells the model how a use of a connection ended.
 func (c *Carrier) learn(to *engine.Backend, use conns.Use, sent time.Duration, r *reply) {
+	if !to.Ready() {
+		return // it drains or has left: what was kept for it is forgotten, and stays so
+	}
 	now := c.engine.Now()
 	switch r.result {
 	case marlreel.OK:
--- a/internal/httpproxy/carrier_test.go
+++ b/internal/httpproxy/carrier_test.go
@@ -119,6 +119,9 @@
 		t.Errorf("the attempt in hand ended with %d", a.status)
 	}
 	receive(t, closed, "the connection's end")
+	if l.carrier.pool.model.Backends() != 0 || len(l.carrier.lastOK) != 0 {
+		t.Errorf("kept of one that has left: %d in the model, %d last answers", l.carrier.pool.model.Backends(), len(l.carrier.lastOK))
+	}
 	if l.carrier.pool.open != 0 {
 		t.Errorf("%d connections are kept", l.carrier.pool.open)
 	}
