Judge each class at each backend by itself, and try it again

Silence spoke to the backend as a whole there, and the next listing's answer cleared it.

Package gray keeps a cell for each backend and class: a change-point filter over answers, errors, silences and the age of what is out, vouched for by the backend's other classes and held against the class elsewhere. The pick of two takes the class's delay and chance of an answer; a class is out where it has less than half the chance of the best, and is tried again on a budget. What can be sent again is fetched back from there.

--- a/admission.go
+++ b/admission.go
@@ -78,7 +78,9 @@
 
 // place lets a request that nothing is out for wait for the next dispatch, if it may still be sent.
 func (b *Balancer) place(r *request) {
-	if len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, func(t *target) bool { return b.maySend(r, t) }) {
+	if len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, func(t *target) bool {
+		return b.maySend(r, t) && !b.isOut(r, t)
+	}) {
 		b.end(r, b.interval)
 		return
 	}
@@ -122,7 +124,7 @@
 		b.meanRank = smooth(b.meanRank, r.rank, meanOver)
 	}
 	slices.SortStableFunc(waiting, func(x, y *request) int { return cmp.Compare(y.rank, x.rank) })
-	misses := 0
+	misses, ahead := 0, make([]int, len(b.cfg.Classes))
 	for _, r := range waiting {
 		if r.ended {
 			continue
@@ -133,11 +135,12 @@
 			}
 			misses++
 		}
-		if b.now >= r.waitUntil || len(b.waiting) >= waitingEach*(len(b.ready)+1) {
+		full := len(b.waiting) >= waitingEach*(len(b.ready)+1) || b.tooMany(r, ahead[r.Class])
+		if full || b.now >= r.waitUntil {
 			b.end(r, b.interval)
 			continue
 		}
-		b.waiting = append(b.waiting, r)
+		b.waiting, ahead[r.Class] = append(b.waiting, r), ahead[r.Class]+1
 	}
 	if len(b.waiting) > 0 && !b.ticking {
 		b.ticking = true
--- a/attempts.go
+++ b/attempts.go
@@ -62,7 +62,7 @@
 	t.lastSent = b.now
 	t.load += a.weight
 	a.crowd = t.load
-	t.ageA, t.ageB = t.ageA+millis(b.now)/e, t.ageB+1/e
+	t.age(a, 1)
 	// Danger: a budget lets light ones through, and handshakes are work too. None counts under the mean.
 	t.tokens -= max(work, b.meanWork)
 	// A request that is heavy by its hint may take longer, whatever else is there.
@@ -70,6 +70,11 @@
 	usual := max(lateFrom*b.tails[r.Class].least, lateLeast*aim)
 	a.lateAt = b.now + span(max(1, e/mean)*min(usual, aim))
 	until := min(r.Deadline, max(b.useful(r)-b.cfg.Tick, b.now+b.cfg.Tick))
+	a.try = b.isOut(r, t)
+	b.gray.Sent(&t.kinds[r.Class].Cell, r.Class, a.try)
+	if a.try && b.cfg.Classes[r.Class].Effect != Unsafe {
+		until = min(until, b.now+(until-b.now)/3) // time enough to serve it elsewhere
+	}
 	b.host.Send(r.ID, t.ID, until)
 	return true
 }
@@ -119,13 +124,13 @@
 		t.out = slices.Delete(t.out, i, i+1)
 	}
 	if t.load -= a.weight; len(t.out) == 0 {
-		t.load, t.ageA, t.ageB = 0, 0, 0
-	} else {
-		t.ageA, t.ageB = t.ageA-millis(a.sent)/a.expected, t.ageB-1/a.expected
+		t.load = 0
 	}
+	t.age(a, -1)
 	b.judge(a, o.Result)
 	took := millis(b.now - a.sent)
-	b.crowd(a, o.Result)
+	weight := b.judgeKind(a, o.Result)
+	b.crowd(a, o.Result, weight)
 	switch o.Result {
 	case OK:
 		if o.Final {
@@ -137,17 +142,18 @@
 		}
 		b.tails[r.Class].learn(took/max(1, a.expected/b.expected(r.Class, 0)), tailPart, tailStep)
 		b.classes[r.Class].learn(millis(r.Cost), took, classKeep)
-		b.note(t, took/a.expected, 1)
+		b.note(a, took/a.expected, 1)
+		b.served[r.Class].add(1, b.now, b.interval)
 		t.served.add(a.work, b.now, servedOver*b.memory)
 	case Cancelled, Moot, Declined:
 		// A loser's age is a lower bound of its delay.
 		if took > a.expected {
-			b.note(t, took/a.expected, 0.5)
+			b.note(a, took/a.expected, 0.5*weight)
 		}
 	default:
 		// Danger: a failure comes fast. It counts as slow as the aim, or a broken backend draws all traffic;
 		// but as no multiple of the median, which would feed itself while all fail.
-		b.note(t, max(took/a.expected, millis(b.cfg.Classes[r.Class].Aim)/a.expected, b.median), 1)
+		b.note(a, max(took/a.expected, millis(b.cfg.Classes[r.Class].Aim)/a.expected, b.median), weight)
 	}
 }
 
--- a/balancer.go
+++ b/balancer.go
@@ -2,12 +2,14 @@
 
 // The state of the decision maker, its start and its timers. The interface (settings,
 // events, actions) is in api.go; each concern has a file of its own: checker, estimate,
-// coldstart, limit, choice, admission, attempts.
+// coldstart, limit, choice, admission, attempts, kinds.
 
 import (
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"marlreel/internal/gray"
 )
 
 const (
@@ -32,6 +34,10 @@
 	median, size              float64  // of the targets' delay ratios; of the subset, on each side
 	all, byClass, byTenant    []tally  // all is of length 1
 	traffic                   []fading // requests, by tenant
+	gray                      *gray.Model
+	served                    []fading // answers, by class
+	kindLogAt                 time.Duration
+	kindLogs                  int
 	waiting                   []*request
 	usable                    [2]float64 // fit and ready, a cold one by its share, on each side
 	ticking                   bool       // a timer for what waits is out
@@ -52,22 +58,16 @@
 	out                    []*attempt // oldest first
 	load, limit            float64    // what is out, heavy requests counting for more; how much may be
 	delays, answers        fading     // sum of delay ratios, and their number
-	ageA, ageB             float64    // of what is out: the sums of sent/expected and 1/expected
+	ageA, ageB             float64    // of what is out, less kinds apart: sums of sent/expected, 1/expected
 	bad, broken            int        // attempts since the last answer: that got none; whose connection broke
 	lastOK, lastSent       time.Duration
 	ejectedUntil, hold     time.Duration
-	byClass                []classFailure
+	kinds                  []kind        // by class
 	coldSince, tokensAt    time.Duration // coldSince: last known or suspected start; 0 is long ago
 	tokens, coldRate       float64       // what a cold backend may be sent, ms of work, and that a second
 	served, servedLately   fading        // work
 }
 
-// classFailure keeps one class away from a backend that fails it.
-type classFailure struct {
-	bad         int // failed attempts, less those that did not
-	until, hold time.Duration
-}
-
 type request struct {
 	Request
 	arrived, aimAt, waitUntil time.Duration
@@ -85,6 +85,7 @@
 	expected, work, weight        float64
 	crowd                         float64 // the backend's load with this attempt
 	done, mayRun, cancelled, late bool
+	try                           bool // whether its class is served there again
 }
 
 // New makes a Balancer. Settings that make no sense give an error that names them.
@@ -96,9 +97,14 @@
 		byID: map[BackendID]*target{}, requests: map[RequestID]*request{},
 		classes: make([]line, len(cfg.Classes)), tails: make([]tail, len(cfg.Classes)), all: make([]tally, 1),
 		byClass: make([]tally, len(cfg.Classes)), byTenant: make([]tally, len(cfg.Tenants)),
-		traffic: make([]fading, len(cfg.Tenants))}
+		traffic: make([]fading, len(cfg.Tenants)), served: make([]fading, len(cfg.Classes))}
+	var err error
+	if b.gray, err = gray.New(gray.DefaultConfig(len(cfg.Classes))); err != nil {
+		return nil, err
+	}
 	b.interval = max(suspectProbe*cfg.Caps.ConnectTimeout, 20*cfg.Tick, 100*time.Millisecond)
 	b.gap, b.memory = b.interval, memory*b.interval
+	b.gray.SetMemory(b.memory)
 	return b, nil
 }
 
@@ -142,15 +148,17 @@
 	b.findSubset()
 	few := answersOf * time.Duration(len(b.subset)) * b.gap
 	b.memory = max(memory*b.interval, min(few, b.cfg.Obligations.Cold))
+	b.gray.SetMemory(b.memory)
 	b.findMedian()
 	for i := range b.classes {
 		b.tails[i].findLeast(tailFrom, tailRise)
 	}
 	b.coldRates()
 	b.probeDue()
+	b.judgeKinds()
 	for _, t := range b.ready {
 		for _, a := range t.out {
-			b.crowd(a, Cancelled)
+			b.crowd(a, Cancelled, 1-b.gray.Bad(&t.kinds[a.req.Class].Cell, a.req.Class, b.now))
 		}
 		// Danger: a limit far above the need lets a burst tip the server before answers tell.
 		need := max(crowdStart/b.sharers(), crowdRoom*t.load)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -588,10 +588,14 @@
 	now := second
 	for range 2 * badRun {
 		b.now = now
-		b.judge(&attempt{req: &request{Request: Request{Class: safe}}, to: b.byID[broken], sent: now - milli}, OK)
-		b.judge(&attempt{req: &request{Request: Request{Class: unsafe}}, to: b.byID[broken], sent: now - milli}, Error)
+		for i, result := range []Result{OK, Error} {
+			class := []int{safe, unsafe}[i]
+			b.judgeKind(&attempt{req: &request{Request: Request{Class: class}}, to: b.byID[broken],
+				sent: now - milli, expected: 1}, result)
+		}
 		now += 10 * milli
 	}
+	b.Timer(now, timerSweep<<56)
 	met := map[int]int{}
 	for id := range RequestID(200) {
 		class := []int{safe, unsafe}[id%2]
--- a/checker.go
+++ b/checker.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if t == nil {
-			t = &target{healthy: true, tokensAt: now, byClass: make([]classFailure, len(b.cfg.Classes)),
+			t = &target{healthy: true, tokensAt: now, kinds: make([]kind, len(b.cfg.Classes)),
 				order:    mix(uint64(b.cfg.Rank)+1, e.ID),
 				lastSent: math.MinInt64 / 2}
 			t.nextProbe = now + jitter(b.rng, restProbe*b.doubt())
@@ -74,6 +74,9 @@
 	b.targets = slices.DeleteFunc(b.targets, func(t *target) bool {
 		leaves := t.State == Gone && len(t.out) == 0 && !t.probing
 		if leaves {
+			for i := range t.kinds {
+				b.gray.Drop(&t.kinds[i].Cell, i)
+			}
 			delete(b.byID, t.ID)
 		}
 		return leaves
@@ -159,28 +162,6 @@
 	}
 }
 
-// judgeClass takes an attempt's end as evidence on its class alone. Danger: a backend may fail most of one
-// class and serve the rest, which its probes and the other classes' answers hide.
-func (b *Balancer) judgeClass(a *attempt, result Result) {
-	f := &a.to.byClass[a.req.Class]
-	switch result {
-	case OK:
-		if f.bad = max(0, f.bad-1); f.bad == 0 {
-			f.hold = 0
-		}
-	case Error: // a broken connection says nothing of a class
-		f.bad = min(f.bad+1, badRun)
-		if f.bad < badRun || f.until > b.now || !b.maySpare(func(o *target) bool {
-			return o.byClass[a.req.Class].until > b.now
-		}) {
-			return
-		}
-		f.hold = min(max(2*f.hold, b.doubt()), longestHold*b.doubt())
-		f.until = b.now + f.hold
-		b.log(fmt.Sprintf("backend %d gets no %s: it fails them", a.to.ID, b.cfg.Classes[a.req.Class].Name))
-	}
-}
-
 // maySpare tells whether one more backend may be out beside those that are.
 func (b *Balancer) maySpare(isOut func(*target) bool) bool {
 	out := 1
@@ -212,7 +193,6 @@
 
 // judge takes an attempt's end as evidence beside the probes.
 func (b *Balancer) judge(a *attempt, result Result) {
-	b.judgeClass(a, result)
 	t := a.to
 	if result == OK {
 		b.alarms.add(float64(t.broken), b.now, b.cfg.Obligations.Cold)
@@ -228,6 +208,9 @@
 	if result == Full || result == Cancelled || result == Moot || result == Declined || t.lastOK > a.sent {
 		return
 	}
+	if b.isOut(a.req, t) && result != Reset && result != ConnectFailed {
+		return // that is known, and no news of the backend
+	}
 	if result == ConnectFailed && t.bad > 0 && !b.suspectStart(t) {
 		t.bad = max(t.bad, b.deathRun()-1) // if it did die, each further attempt would be lost on it
 	}
--- a/choice.go
+++ b/choice.go
@@ -14,11 +14,18 @@
 // pick finds the backend for an attempt, or nil: in the subset, else among the fit, else among all.
 func (b *Balancer) pick(r *request) *target {
 	work, keyed := b.workOf(r), b.cfg.WarmKeys && r.Key != 0
+	if t := b.pickTry(r, work); t != nil {
+		return t
+	}
 	for stage, from := range [3][]*target{b.subset, b.ready, b.ready} {
 		b.pool = b.pool[:0]
 		found, fresh := false, false
 		for _, t := range from {
-			if stage < 2 && (!b.fit(t) || b.now < t.byClass[r.Class].until) || !b.maySend(r, t) {
+			// Danger: a second attempt where its class is served badly is lost like the first.
+			if stage < 2 && !b.fit(t) || b.isOut(r, t) && (stage < 2 || len(r.attempts) > 0) {
+				continue
+			}
+			if !b.maySend(r, t) {
 				continue
 			}
 			if found = true; b.mayReceive(t, work) {
@@ -40,7 +47,7 @@
 		}
 		b.pool = slices.DeleteFunc(b.pool, func(t *target) bool { return !b.room(r, t) })
 		if len(b.pool) > 0 && (fresh || stage > 0) {
-			return b.choose(keyed)
+			return b.choose(r, keyed)
 		}
 		if found && (stage > 0 || len(r.attempts) == 0) {
 			return nil
@@ -49,37 +56,44 @@
 	return nil
 }
 
-func (b *Balancer) score(t *target) float64 {
-	return (t.load + 1) * b.estimate(t)
+// score is the expected delay of a request there: what is out and one more, times the delay of its class,
+// and the aim for each attempt that is lost on the way to an answer.
+func (b *Balancer) score(r *request, t *target) float64 {
+	k := &t.kinds[r.Class].Cell
+	v := (t.load + 1) * b.gray.Delay(k, r.Class, b.now, b.estimate(t))
+	if chance := b.gray.Chance(k, r.Class, b.now); chance < 1 {
+		v += (1 - chance) / chance * millis(b.cfg.Classes[r.Class].Aim) / b.expected(r.Class, millis(r.Cost))
+	}
+	return v
 }
 
 // choose takes one of two from b.pool: the key's own two where keys stay warm, else two sampled.
-func (b *Balancer) choose(keyed bool) *target {
+func (b *Balancer) choose(r *request, keyed bool) *target {
 	if keyed {
 		best := b.pool[0]
 		for _, t := range b.pool[1:min(2, len(b.pool))] {
-			if b.score(t)*(1+warmGain) < b.score(best) {
+			if b.score(r, t)*(1+warmGain) < b.score(r, best) {
 				best = t
 			}
 		}
 		return best
 	}
-	best := b.sample(b.pool)
+	best := b.sample(r, b.pool)
 	near := slices.DeleteFunc(b.pool, func(t *target) bool { return t.Zone != b.cfg.Zone })
 	if len(near) == 0 {
 		return best
 	}
-	if local := b.sample(near); b.score(best)*(1+localGain) >= b.score(local) {
+	if local := b.sample(r, near); b.score(r, best)*(1+localGain) >= b.score(r, local) {
 		return local
 	}
 	return best
 }
 
 // sample draws two and takes the one of lower expected delay.
-func (b *Balancer) sample(pool []*target) *target {
+func (b *Balancer) sample(r *request, pool []*target) *target {
 	i, n := b.rng.IntN(len(pool)), len(pool)
 	j := (i + 1 + b.rng.IntN(max(n-1, 1))) % n
-	if b.score(pool[j]) < b.score(pool[i]) {
+	if b.score(r, pool[j]) < b.score(r, pool[i]) {
 		return pool[j]
 	}
 	return pool[i]
--- a/estimate.go
+++ b/estimate.go
@@ -59,7 +59,10 @@
 	return b.expected(r.Class, 0)
 }
 
-func (b *Balancer) note(t *target, ratio, n float64) {
-	t.delays.add(ratio, b.now, b.memory)
+// note takes in a delay ratio with the weight n.
+func (b *Balancer) note(a *attempt, ratio, n float64) {
+	t := a.to
+	t.delays.add(ratio*n, b.now, b.memory)
 	t.answers.add(n, b.now, b.memory)
+	b.gray.Note(&t.kinds[a.req.Class].Cell, b.now, ratio, n)
 }
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -13,7 +13,8 @@
 func TestImportDirections(t *testing.T) {
 	// What each package may import of this module, tests left out.
 	may := map[string][]string{
-		"marlreel":                    {},
+		"marlreel":                    {"marlreel/internal/gray"},
+		"marlreel/internal/gray":      {},
 		"marlreel/internal/strict":    {},
 		"marlreel/internal/wire":      {"marlreel"},
 		"marlreel/internal/engine":    {"marlreel"},
--- /dev/null
+++ b/kinds.go
@@ -0,0 +1,210 @@
+package marlreel
+
+// Kinds of work: what a backend serves badly though it serves the rest, and the way back. The judgement
+// is package gray's; here it is fed, and its effects on choice, retries and admission are decided.
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"marlreel/internal/gray"
+)
+
+const (
+	tryRest   = 100 * time.Millisecond // between two tries of one kind at one backend
+	tryFull   = 5                      // times longer for one that costs its full worth
+	kindLines = 6                      // lines on kinds within logEvery
+)
+
+// kind is one class at one backend.
+type kind struct {
+	gray.Cell
+	ageA, ageB float64 // of what is out: the sums of sent/expected and 1/expected
+	apart      bool    // its ages don't count for the backend: they speak of the kind
+	lastTry    time.Duration
+}
+
+// age takes an attempt into what is out (sign 1) or off it (-1).
+func (t *target) age(a *attempt, sign float64) {
+	k := &t.kinds[a.req.Class]
+	x, y := sign*millis(a.sent)/a.expected, sign/a.expected
+	k.ageA, k.ageB = k.ageA+x, k.ageB+y
+	if !k.apart {
+		t.ageA, t.ageB = t.ageA+x, t.ageB+y
+	}
+	if len(t.out) == 0 { // no error of rounding stays
+		t.ageA, t.ageB = 0, 0
+		for i := range t.kinds {
+			t.kinds[i].ageA, t.kinds[i].ageB = 0, 0
+		}
+	}
+}
+
+// setApart takes the ages of a kind off the backend's, or back.
+func (t *target) setApart(k *kind, apart bool) {
+	if k.apart == apart {
+		return
+	}
+	k.apart = apart
+	sign := 1.0
+	if apart {
+		sign = -1
+	}
+	t.ageA, t.ageB = t.ageA+sign*k.ageA, t.ageB+sign*k.ageB
+}
+
+// usual is what an attempt should take there by what the backend's other kinds take now.
+func (b *Balancer) usual(a *attempt) gray.Usual {
+	t, k := a.to, &a.to.kinds[a.req.Class]
+	sum, n := t.delays.fade(b.now, b.memory), t.answers.fade(b.now, b.memory)
+	own, m := b.gray.Noted(&k.Cell, b.now)
+	ageA, ageB := t.ageA, t.ageB
+	if !k.apart {
+		ageA, ageB = ageA-k.ageA, ageB-k.ageB
+	}
+	sum, n = max(0, sum-own)+max(0, millis(b.now)*ageB-ageA), max(0, n-m)
+	return gray.Usual{Delay: a.expected * (sum + prior*b.median) / (n + prior), Answers: n}
+}
+
+// judgeKind takes an attempt's end as evidence on its class at its backend, and gives how far it speaks
+// of the backend as a whole.
+func (b *Balancer) judgeKind(a *attempt, result Result) float64 {
+	end := gray.Nothing // a broken connection, or one turned away unseen, says nothing of a class
+	switch result {
+	case OK:
+		end = gray.Answered
+		for i := range a.to.kinds {
+			if i != a.req.Class {
+				a.to.kinds[i].Vouch(a.sent)
+			}
+		}
+	case Error:
+		end = gray.Failed
+	case Timeout, Cancelled:
+		end = gray.Silent
+	}
+	k := &a.to.kinds[a.req.Class]
+	if a.try {
+		b.gray.Tried(&k.Cell, a.req.Class, end, b.cfg.Classes[a.req.Class].Effect != Unsafe)
+	}
+	return b.gray.Ended(&k.Cell, a.req.Class, end, a.sent, b.now, b.usual(a))
+}
+
+// judgeKinds is the part of it that time alone brings about: what is out speaks by its age.
+func (b *Balancer) judgeKinds() {
+	b.gray.Begin()
+	for _, t := range b.ready {
+		for i := range t.kinds {
+			t.kinds[i].Reopen()
+		}
+		for _, a := range t.out {
+			if b.now-a.sent > span(a.expected) {
+				b.gray.Open(&t.kinds[a.req.Class].Cell, a.req.Class, a.sent, b.now, b.usual(a))
+			}
+		}
+		if own := b.estimate(t); t.used && b.fit(t) {
+			for i := range t.kinds {
+				b.gray.See(&t.kinds[i].Cell, i, b.now, own)
+			}
+		}
+	}
+	b.gray.End()
+	for _, t := range b.subset {
+		for i := range t.kinds {
+			k := &t.kinds[i]
+			since, failures, _ := k.Out()
+			name := b.cfg.Classes[i].Name
+			switch b.gray.Judge(&k.Cell, i, b.now) {
+			case gray.WentOut:
+				_, failures, _ = k.Out()
+				t.setApart(k, true)
+				k.lastTry = b.now
+				b.logKind(fmt.Sprintf("backend %d gets no %s: %d in a row had no answer, others had",
+					t.ID, name, failures))
+			case gray.CameBack:
+				t.setApart(k, false)
+				b.logKind(fmt.Sprintf("backend %d gets %s again after %v: it answers them", t.ID, name,
+					(b.now - since).Round(time.Millisecond)))
+			}
+		}
+		b.rescue(t)
+	}
+}
+
+// logKind writes a line on a kind; of many in a short time the first ones, and how many there were.
+func (b *Balancer) logKind(line string) {
+	if b.now-b.kindLogAt >= logEvery {
+		if b.kindLogs > kindLines {
+			b.host.Log(fmt.Sprintf("%d more changes of what backends get", b.kindLogs-kindLines))
+		}
+		b.kindLogs, b.kindLogAt = 0, b.now
+	}
+	if b.kindLogs++; b.kindLogs <= kindLines {
+		b.host.Log(line)
+	}
+}
+
+// rescue calls off what is out where its class is served badly, if it may be sent again and there is time
+// to: its end brings it to another backend.
+func (b *Balancer) rescue(t *target) {
+	for _, a := range t.out {
+		r := a.req
+		need, unsafe := span(a.expected*b.median), b.cfg.Classes[r.Class].Effect == Unsafe
+		if a.cancelled || r.ended || r.streaming || unsafe || !b.isOut(r, t) || b.retries < 1 ||
+			b.now-a.sent < need || b.useful(r)-b.now < 2*need {
+			continue
+		}
+		if slices.ContainsFunc(b.subset, func(o *target) bool {
+			return o != t && b.fit(o) && b.maySend(r, o) && !b.isOut(r, o)
+		}) {
+			b.cancel(a)
+		}
+	}
+}
+
+// isOut tells whether a request's class is served badly there, so that it gets tries alone.
+func (b *Balancer) isOut(r *request, t *target) bool {
+	_, _, out := t.kinds[r.Class].Out()
+	return out
+}
+
+// pickTry gives a backend on which a request's class may be tried again, or nil.
+func (b *Balancer) pickTry(r *request, work float64) *target {
+	if len(r.attempts) > 0 || !b.gray.SomeOut(r.Class) {
+		return nil
+	}
+	c := &b.cfg.Classes[r.Class]
+	// Danger: a try of what can't be repeated may lose it. The cheapest go first; one of full worth
+	// only when none has come for some time.
+	rest := tryRest
+	if c.Effect == Unsafe && r.worth >= c.Value {
+		rest *= tryFull
+	}
+	var best *target
+	for _, t := range b.subset {
+		k := &t.kinds[r.Class]
+		due := b.isOut(r, t) && b.now-k.lastTry >= rest && b.gray.MayTry(&k.Cell, r.Class)
+		if !due || best != nil && best.kinds[r.Class].lastTry <= k.lastTry {
+			continue
+		}
+		if b.fit(t) && b.maySend(r, t) && b.mayReceive(t, work) && b.room(r, t) {
+			best = t
+		}
+	}
+	if best != nil {
+		best.kinds[r.Class].lastTry = b.now
+	}
+	return best
+}
+
+// tooMany tells whether so many of its class wait before a request that those few backends which serve
+// the class can't come to it in time. Danger: one that is kept until its time is half over has lost the
+// time to be served by another proxy.
+func (b *Balancer) tooMany(r *request, ahead int) bool {
+	if !b.gray.SomeOut(r.Class) {
+		return false
+	}
+	rate := b.served[r.Class].perSecond(b.now, b.interval)
+	return float64(ahead) > rate*(r.waitUntil-b.now).Seconds()+1
+}
--- a/limit.go
+++ b/limit.go
@@ -39,7 +39,8 @@
 // crowd learns how much may be out at a backend from whether its answers take their usual time.
 // Danger: a crowded server answers all of its requests late, and may turn slow for long. Waiting
 // for an attempt's end would show that when it is done, so one counts as late while still out.
-func (b *Balancer) crowd(a *attempt, result Result) {
+// weight is how far the attempt speaks of the backend: one of a class that is served badly there, less.
+func (b *Balancer) crowd(a *attempt, result Result, weight float64) {
 	t := a.to
 	if result == Full {
 		a.lateAt = b.now
@@ -48,7 +49,7 @@
 	k := min(max(1, b.sharers()/crowdFew), crowdFew)
 	if b.now >= a.lateAt && !a.late || result == Timeout {
 		// The limit itself is cut, not what was out: one that was alone and late says little of a crowd.
-		a.late, t.limit = true, max(1/b.sharers(), t.limit*math.Pow(crowdCut, k))
+		a.late, t.limit = true, max(1/b.sharers(), t.limit*math.Pow(crowdCut, k*weight))
 	} else if result == OK && !a.late && a.crowd > t.limit*crowdNear {
 		t.limit += max(k*crowdGrow/b.sharers(), k*t.limit/crowdSteps)
 	}
--- /dev/null
+++ b/loop_test.go
@@ -0,0 +1,350 @@
+package marlreel
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"marlreel/internal/standin/machine"
+)
+
+// A closed loop: proxies that decide, machines that serve, faults of one kind of work, all in
+// simulated time. What a fault does to requests is known here, so that the judgement can be
+// held against the truth.
+
+// fault is what becomes of a request of a class at a backend at a time.
+type fault struct {
+	class           int
+	backends        []int
+	from, to        time.Duration
+	silent, failing float64 // shares without an answer; answered with an error
+	slower          float64 // times the work and the wait; 0 is 1
+	resets          float64 // share whose connection breaks, of any class
+	aboveLoad       int     // only while so many are held
+	every           time.Duration
+}
+
+type loop struct {
+	cfg      Config
+	rng      *rand.Rand
+	proxies  []*loopProxy
+	machines []*machine.Machine
+	faults   []fault
+	rate     float64 // requests a second and proxy
+	shares   []float64
+	work     []float64 // mean ms of work by class; it waits 1.2 times that
+	tailed   int       // class whose work is long-tailed; -1: none
+	due      dueHeap
+	now      time.Duration
+	jobs     map[uint64]*loopJob
+	nextID   RequestID
+	nextJob  uint64
+
+	asked, served []float64 // worth by class
+	sends         map[[2]int][]time.Duration
+	lost          map[[2]int]int // attempts that a fault swallowed,
+	triesLost     int            // and how many of them were tries
+	onSend        func(*loopProxy, *loopReq)
+}
+
+type loopProxy struct {
+	w    *loop
+	b    *Balancer
+	reqs map[RequestID]*loopReq
+	logs []string
+}
+
+type loopReq struct {
+	class    int
+	arrived  time.Duration
+	attempts []*loopJob
+	over     bool
+}
+
+type loopJob struct {
+	p      *loopProxy
+	id     RequestID
+	n      int
+	to     BackendID
+	class  int
+	sent   time.Duration
+	until  time.Duration
+	job    uint64
+	ended  bool
+	result Result
+}
+
+type dueEvent struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+type dueHeap struct {
+	list []dueEvent
+	seq  uint64
+}
+
+func (h *dueHeap) Len() int { return len(h.list) }
+func (h *dueHeap) Less(i, j int) bool {
+	return h.list[i].at < h.list[j].at || h.list[i].at == h.list[j].at && h.list[i].seq < h.list[j].seq
+}
+func (h *dueHeap) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
+func (h *dueHeap) Push(x any)    { h.list = append(h.list, x.(dueEvent)) }
+func (h *dueHeap) Pop() any {
+	last := h.list[len(h.list)-1]
+	h.list = h.list[:len(h.list)-1]
+	return last
+}
+
+func (w *loop) in(d time.Duration, f func()) {
+	w.due.seq++
+	heap.Push(&w.due, dueEvent{w.now + d, w.due.seq, f})
+}
+
+func (p *loopProxy) Send(id RequestID, to BackendID, until time.Duration) {
+	w, r := p.w, p.reqs[id]
+	j := &loopJob{p: p, id: id, n: len(r.attempts), to: to, class: r.class, sent: w.now, until: until}
+	if w.onSend != nil {
+		w.onSend(p, r)
+	}
+	r.attempts = append(r.attempts, j)
+	key := [2]int{int(to), r.class}
+	w.sends[key] = append(w.sends[key], w.now)
+	w.in(until-w.now, func() { j.end(Timeout) })
+	w.in(milli, func() { w.arrive(j) })
+}
+func (p *loopProxy) Refuse(id RequestID, _ time.Duration) { delete(p.reqs, id) }
+func (p *loopProxy) Fail(id RequestID)                    { delete(p.reqs, id) }
+func (p *loopProxy) Cancel(id RequestID, n int) {
+	if r := p.reqs[id]; r != nil {
+		j := r.attempts[n]
+		p.w.in(0, func() { j.end(Cancelled) })
+	}
+}
+func (p *loopProxy) Probe(to BackendID) {
+	p.w.in(2*milli, func() { p.b.Probed(p.w.now, ProbeResult{Backend: to, Result: OK, Took: 2 * milli}) })
+}
+func (p *loopProxy) Release(BackendID)   {}
+func (p *loopProxy) Watch(bool)          {}
+func (p *loopProxy) Fetch()              {}
+func (p *loopProxy) Tell(uint32, []byte) {}
+func (p *loopProxy) Log(line string)     { p.logs = append(p.logs, line) }
+func (p *loopProxy) After(d time.Duration, token uint64) {
+	p.w.in(d, func() { p.b.Timer(p.w.now, token) })
+}
+
+// arrive is a request's last byte at its backend.
+func (w *loop) arrive(j *loopJob) {
+	if j.ended {
+		return
+	}
+	m := w.machines[j.to-1]
+	slower := 1.0
+	for i := range w.faults {
+		f := &w.faults[i]
+		if w.now < f.from || w.now >= f.to || m.Held() < f.aboveLoad {
+			continue
+		}
+		if w.rng.Float64() < f.resets {
+			w.in(time.Duration(w.rng.IntN(20))*milli, func() { j.end(Reset) })
+			return
+		}
+		at := f.backends
+		if f.every > 0 {
+			at = []int{int((w.now-f.from)/f.every)%len(w.machines) + 1}
+		}
+		if f.class != j.class || !slices.Contains(at, int(j.to)) {
+			continue
+		}
+		switch x := w.rng.Float64(); {
+		case x < f.silent:
+			w.lose(j)
+			return
+		case x < f.silent+f.failing:
+			w.lose(j)
+			w.in(2*milli, func() { j.end(Error) })
+			return
+		}
+		slower = max(slower, f.slower)
+	}
+	work := w.work[j.class] * -math.Log(1-w.rng.Float64())
+	if j.class == w.tailed {
+		work = w.work[j.class] * math.Exp(1.2*w.rng.NormFloat64()-0.72)
+	}
+	w.nextJob++
+	j.job = w.nextJob
+	w.jobs[j.job] = j
+	work = min(work, 8*w.work[j.class])
+	verdict := m.Offer(w.now, j.job, machine.Job{Work: span(work * slower),
+		Wait: span(1.2 * w.work[j.class] * slower), Until: j.until})
+	if verdict != machine.Taken {
+		delete(w.jobs, j.job)
+		w.in(milli, func() { j.end(Full) })
+	}
+}
+
+func (w *loop) lose(j *loopJob) {
+	w.lost[[2]int{int(j.to), j.class}]++
+	if r := j.p.b.requests[j.id]; r != nil && r.attempts[j.n].try {
+		w.triesLost++
+	}
+}
+
+func (j *loopJob) end(result Result) {
+	r := j.p.reqs[j.id]
+	if j.ended {
+		return
+	}
+	j.ended, j.result = true, result
+	w := j.p.w
+	if j.job != 0 && result != OK {
+		w.machines[j.to-1].Cancel(w.now, j.job)
+		delete(w.jobs, j.job)
+	}
+	final := result == OK && r != nil && !r.over
+	if final {
+		r.over = true
+		c := &w.cfg.Classes[j.class]
+		if w.now <= r.arrived+c.Aim {
+			w.served[j.class] += c.Value
+		}
+	}
+	j.p.b.Outcome(w.now, Outcome{ID: j.id, Attempt: j.n, Backend: j.to, Result: result, Took: w.now - j.sent,
+		Final: final || r == nil})
+	if final {
+		delete(j.p.reqs, j.id)
+	}
+}
+
+// auctionClasses are like those of an auction at some 250 requests a second and proxy.
+func auctionClasses() []Class {
+	return []Class{
+		{Name: "lot-list", Aim: 260 * milli, GiveUp: 520 * milli, Effect: Safe, Value: 1},
+		{Name: "catch-sheet", Aim: 350 * milli, GiveUp: 870 * milli, Effect: Safe, Value: 1},
+		{Name: "bid", Aim: 175 * milli, GiveUp: 870 * milli, Effect: Unsafe, Value: 8},
+		{Name: "pickup", Aim: 260 * milli, GiveUp: 870 * milli, Effect: Keyed, Group: GroupZone,
+			Window: 4 * second, Value: 2},
+	}
+}
+
+const (
+	lotList = iota
+	catchSheet
+	bid
+	pickup
+)
+
+func newLoop(t *testing.T, seed uint64, backends, proxies int, load float64) *loop {
+	cfg := testConfig()
+	cfg.Instances, cfg.Classes, cfg.Caps.RetryAfter = proxies, auctionClasses(), false
+	cfg.Caps.ConnectTimeout = 100 * milli
+	cfg.Goal = Goal{Whole: 0.45, WorstClass: 0.3, WorstTenant: 0.1, WorstWindow: 0.15}
+	w := &loop{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 9)), now: second, tailed: -1,
+		shares: []float64{0.32, 0.28, 0.24, 0.16}, work: []float64{19, 26, 23, 20},
+		jobs: map[uint64]*loopJob{}, sends: map[[2]int][]time.Duration{}, lost: map[[2]int]int{},
+		asked: make([]float64, 4), served: make([]float64, 4)}
+	capacity := 0.0
+	all := list(backends)
+	for i := range all {
+		speed := []float64{1.3, 0.95, 0.7}[i%3] * (0.9 + 0.2*w.rng.Float64())
+		capacity += 2 * speed
+		all[i].Zone = i % 3
+		w.machines = append(w.machines, machine.New(machine.Config{Cores: 2, Speed: speed, Slots: 16, Queue: 40}, w.now, true))
+	}
+	w.rate = load * capacity / float64(proxies) / 0.0222
+	for i := range proxies {
+		p := &loopProxy{w: w, reqs: map[RequestID]*loopReq{}}
+		one := cfg
+		one.Rank, one.Zone = i, i%3
+		b, err := New(one, seed*100+uint64(i), p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.b = b
+		w.proxies = append(w.proxies, p)
+		b.Start(w.now)
+		b.Membership(w.now, Membership{Kind: ListFull, Version: 1, Backends: all})
+		w.arrivals(p)
+	}
+	return w
+}
+
+func (w *loop) arrivals(p *loopProxy) {
+	gap := time.Duration(-math.Log(1-w.rng.Float64()) / w.rate * float64(second))
+	w.in(gap, func() {
+		x, class := w.rng.Float64(), 0
+		for class < 3 && x > w.shares[class] {
+			x, class = x-w.shares[class], class+1
+		}
+		c := &w.cfg.Classes[class]
+		w.nextID++
+		p.reqs[w.nextID] = &loopReq{class: class, arrived: w.now}
+		w.asked[class] += c.Value
+		p.b.Request(w.now, Request{ID: w.nextID, Class: class, Deadline: w.now + c.GiveUp})
+		w.arrivals(p)
+	})
+}
+
+// run plays the loop until the time to; what is asked and served is counted from the time on.
+func (w *loop) run(to time.Duration) {
+	for w.now < to {
+		next, m := to, -1
+		if len(w.due.list) > 0 {
+			next = min(next, w.due.list[0].at)
+		}
+		for i, x := range w.machines {
+			if at, ok := x.Next(); ok && at < next {
+				next, m = at, i
+			}
+		}
+		w.now = max(w.now, next)
+		if m >= 0 {
+			for _, e := range w.machines[m].Advance(w.now) {
+				if j := w.jobs[e.ID]; j != nil {
+					delete(w.jobs, e.ID)
+					if e.Why == machine.Done {
+						j.job = 0
+						w.in(milli, func() { j.end(OK) })
+					}
+				}
+			}
+			continue
+		}
+		if len(w.due.list) > 0 && w.due.list[0].at <= w.now {
+			heap.Pop(&w.due).(dueEvent).f()
+		}
+	}
+}
+
+func (w *loop) reset() {
+	clear(w.asked)
+	clear(w.served)
+	clear(w.sends)
+	clear(w.lost)
+	w.triesLost = 0
+}
+
+// service is the share of worth answered in time, of all or of one class.
+func (w *loop) service(class int) float64 {
+	if class >= 0 {
+		return w.served[class] / w.asked[class]
+	}
+	a, s := 0.0, 0.0
+	for i := range w.asked {
+		a, s = a+w.asked[i], s+w.served[i]
+	}
+	return s / a
+}
+
+// sent counts attempts of a class at a backend in a span of time.
+func (w *loop) sent(to, class int, from, until time.Duration) (n int) {
+	for _, at := range w.sends[[2]int{to, class}] {
+		if at >= from && at < until {
+			n++
+		}
+	}
+	return n
+}
