Let a backend's limit grow out of the gap under two

A limit between 1.67 and 2 let one request out, which used less than six tenths of it, so no answer raised it: backends stayed at one request while others were refused (seen per second and backend on a draw of wide+reset+stale: limits of 1.7 to 1.9 at seven of nine backends, loads of 1, 100 requests a second refused). What uses the limit as far as it lets now raises it.

--- a/limit.go
+++ b/limit.go
@@ -50,7 +50,8 @@
 	if b.now >= a.lateAt && !a.late || result == Timeout {
 		// The limit itself is cut, not what was out: one that was alone and late says little of a crowd.
 		a.late, t.limit = true, max(1/b.sharers(), t.limit*math.Pow(crowdCut, k*weight))
-	} else if result == OK && !a.late && a.crowd > t.limit*crowdNear {
+	} else if result == OK && !a.late && a.crowd > min(t.limit*crowdNear, t.limit-1) {
+		// Danger: a limit a little under two lets one out, which uses little over half of it: it would stay.
 		t.limit += max(k*crowdGrow/b.sharers(), k*t.limit/crowdSteps)
 	}
 }
