Judge a crowd by a backend's own usual tail, and not by what is lost

Half of the attempts on slow machines counted as late, because all are held against one class's tail; and each lost answer cut the limit a second time when it ran out.

What a backend takes at its best is now its own, up to twice the others'; and a time-out cuts the limit only as far as it may be slow instead of lost.

--- a/attempts.go
+++ b/attempts.go
@@ -67,7 +67,7 @@
 	t.tokens -= max(work, b.meanWork)
 	// A request that is heavy by its hint may take longer, whatever else is there.
 	mean, aim := b.expected(r.Class, 0), millis(r.aimAt-r.arrived)
-	usual := max(lateFrom*b.tails[r.Class].least, lateLeast*aim)
+	usual := max(lateFrom*b.tails[r.Class].least*b.slower(t), lateLeast*aim)
 	a.lateAt = b.now + span(max(1, e/mean)*min(usual, aim))
 	until := min(r.Deadline, max(b.useful(r)-b.cfg.Tick, b.now+b.cfg.Tick))
 	a.try = b.isOut(r, t)
@@ -130,7 +130,11 @@
 	b.judge(a, o.Result)
 	took := millis(b.now - a.sent)
 	weight := b.judgeKind(a, o.Result)
-	b.crowd(a, o.Result, weight)
+	crowding := weight
+	if o.Result == Timeout { // Danger: where answers are lost, no limit helps, and limits would sink
+		crowding *= b.gray.Slow(r.Class, b.now, took, b.usual(a))
+	}
+	b.crowd(a, o.Result, crowding)
 	switch o.Result {
 	case OK:
 		if o.Final {
@@ -141,6 +145,7 @@
 			b.book(r, 0, v)
 		}
 		b.tails[r.Class].learn(took/max(1, a.expected/b.expected(r.Class, 0)), tailPart, tailStep)
+		t.tail.learn(took/a.expected, tailPart, tailStep)
 		b.classes[r.Class].learn(millis(r.Cost), took, classKeep)
 		b.note(a, took/a.expected, 1)
 		b.served[r.Class].add(1, b.now, b.interval)
--- a/balancer.go
+++ b/balancer.go
@@ -32,12 +32,12 @@
 	tails                     []tail   // of the delay of a request of mean cost, ms
 	mean, meanWork, meanRank  float64  // of a request of any class, ms: delay; what it asks of a backend
 	median, size              float64  // of the targets' delay ratios; of the subset, on each side
+	usualTail                 float64  // median of the targets' least tails
 	all, byClass, byTenant    []tally  // all is of length 1
 	traffic                   []fading // requests, by tenant
 	gray                      *gray.Model
 	served                    []fading // answers, by class
-	kindLogAt                 time.Duration
-	kindLogs                  int
+	kindLines                 lineLimit
 	waiting                   []*request
 	usable                    [2]float64 // fit and ready, a cold one by its share, on each side
 	ticking                   bool       // a timer for what waits is out
@@ -58,7 +58,7 @@
 	out                    []*attempt // oldest first
 	load, limit            float64    // what is out, heavy requests counting for more; how much may be
 	delays, answers        fading     // sum of delay ratios, and their number
-	ageA, ageB             float64    // of what is out, less kinds apart: sums of sent/expected, 1/expected
+	ages                   ages       // of what is out, kinds apart left out
 	bad, broken            int        // attempts since the last answer: that got none; whose connection broke
 	lastOK, lastSent       time.Duration
 	ejectedUntil, hold     time.Duration
@@ -66,6 +66,7 @@
 	coldSince, tokensAt    time.Duration // coldSince: last known or suspected start; 0 is long ago
 	tokens, coldRate       float64       // what a cold backend may be sent, ms of work, and that a second
 	served, servedLately   fading        // work
+	tail                   tail          // of what it takes over what is expected of any backend
 }
 
 type request struct {
--- a/estimate.go
+++ b/estimate.go
@@ -2,8 +2,6 @@
 
 // The delay estimate: how long a backend takes, as a multiple of what is usual.
 
-import "slices"
-
 const (
 	// The delay estimate.
 	memory    = 4     // probe intervals over which what was measured fades at least,
@@ -20,9 +18,8 @@
 // hints lead one to expect. What is still out counts with its age, so silence shows at once; with
 // no answers left in memory it is the others' median.
 func (b *Balancer) estimate(t *target) float64 {
-	age := max(0, millis(b.now)*t.ageB-t.ageA)
 	sum, n := t.delays.fade(b.now, b.memory), t.answers.fade(b.now, b.memory)
-	return (sum + age + prior*b.median) / (n + prior)
+	return (sum + t.ages.at(b.now) + prior*b.median) / (n + prior)
 }
 
 func (b *Balancer) findMedian() {
@@ -33,10 +30,13 @@
 			b.ratios = append(b.ratios, sum/n)
 		}
 	}
-	if b.median = 1; len(b.ratios) > 0 {
-		slices.Sort(b.ratios)
-		b.median = b.ratios[len(b.ratios)/2]
+	b.median, b.ratios = median(b.ratios, 1), b.ratios[:0]
+	for _, t := range b.ready {
+		if t.tail.findLeast(tailFrom, tailRise); t.tail.least > 0 {
+			b.ratios = append(b.ratios, t.tail.least)
+		}
 	}
+	b.usualTail = median(b.ratios, 0)
 }
 
 // expected is the delay in ms that class and hint lead one to expect of any backend.
--- a/internal/gray/gray.go
+++ b/internal/gray/gray.go
@@ -106,6 +106,13 @@
 	return math.Erfc(z/math.Sqrt2) / 2
 }
 
+// Slow is the chance that what got no answer until age is slow and not lost: the less a good cell
+// takes so long, the likelier it is lost.
+func (m *Model) Slow(k int, now time.Duration, age float64, u Usual) float64 {
+	e, s := m.failShare(k, now), m.LongerThan(k, age, u)
+	return (1 - e) * s / (e + (1-e)*s)
+}
+
 // silence is the log likelihood ratio, bad against good, of no answer at age.
 func (m *Model) silence(k int, now time.Duration, age float64, u Usual) float64 {
 	return m.against(m.failShare(k, now), m.LongerThan(k, age, u))
--- a/kinds.go
+++ b/kinds.go
@@ -20,38 +20,29 @@
 // kind is one class at one backend.
 type kind struct {
 	gray.Cell
-	ageA, ageB float64 // of what is out: the sums of sent/expected and 1/expected
-	apart      bool    // its ages don't count for the backend: they speak of the kind
-	lastTry    time.Duration
+	ages    ages // of what is out
+	apart   bool // its ages don't count for the backend: they speak of the kind
+	lastTry time.Duration
 }
 
 // age takes an attempt into what is out (sign 1) or off it (-1).
 func (t *target) age(a *attempt, sign float64) {
-	k := &t.kinds[a.req.Class]
-	x, y := sign*millis(a.sent)/a.expected, sign/a.expected
-	k.ageA, k.ageB = k.ageA+x, k.ageB+y
+	k, x := &t.kinds[a.req.Class], ages{millis(a.sent) / a.expected, 1 / a.expected}
+	k.ages.add(x, sign)
 	if !k.apart {
-		t.ageA, t.ageB = t.ageA+x, t.ageB+y
+		t.ages.add(x, sign)
 	}
 	if len(t.out) == 0 { // no error of rounding stays
-		t.ageA, t.ageB = 0, 0
-		for i := range t.kinds {
-			t.kinds[i].ageA, t.kinds[i].ageB = 0, 0
-		}
+		t.ages, k.ages = ages{}, ages{}
 	}
 }
 
 // setApart takes the ages of a kind off the backend's, or back.
 func (t *target) setApart(k *kind, apart bool) {
-	if k.apart == apart {
-		return
+	if k.apart != apart {
+		t.ages.add(k.ages, map[bool]float64{true: -1, false: 1}[apart])
+		k.apart = apart
 	}
-	k.apart = apart
-	sign := 1.0
-	if apart {
-		sign = -1
-	}
-	t.ageA, t.ageB = t.ageA+sign*k.ageA, t.ageB+sign*k.ageB
 }
 
 // usual is what an attempt should take there by what the backend's other kinds take now.
@@ -59,11 +50,11 @@
 	t, k := a.to, &a.to.kinds[a.req.Class]
 	sum, n := t.delays.fade(b.now, b.memory), t.answers.fade(b.now, b.memory)
 	own, m := b.gray.Noted(&k.Cell, b.now)
-	ageA, ageB := t.ageA, t.ageB
+	others := t.ages
 	if !k.apart {
-		ageA, ageB = ageA-k.ageA, ageB-k.ageB
+		others.add(k.ages, -1)
 	}
-	sum, n = max(0, sum-own)+max(0, millis(b.now)*ageB-ageA), max(0, n-m)
+	sum, n = max(0, sum-own)+others.at(b.now), max(0, n-m)
 	return gray.Usual{Delay: a.expected * (sum + prior*b.median) / (n + prior), Answers: n}
 }
 
@@ -134,13 +125,11 @@
 
 // logKind writes a line on a kind; of many in a short time the first ones, and how many there were.
 func (b *Balancer) logKind(line string) {
-	if b.now-b.kindLogAt >= logEvery {
-		if b.kindLogs > kindLines {
-			b.host.Log(fmt.Sprintf("%d more changes of what backends get", b.kindLogs-kindLines))
-		}
-		b.kindLogs, b.kindLogAt = 0, b.now
+	goes, left := b.kindLines.take(b.now, logEvery, kindLines)
+	if left > 0 {
+		b.host.Log(fmt.Sprintf("%d more changes of what backends get", left))
 	}
-	if b.kindLogs++; b.kindLogs <= kindLines {
+	if goes {
 		b.host.Log(line)
 	}
 }
--- a/limit.go
+++ b/limit.go
@@ -12,6 +12,7 @@
 	tailStep   = 0.02 // by which one answer moves it
 	tailFrom   = 50   // answers after which it is known
 	tailRise   = 4000 // what is usual rises by one part of these a sweep: far slower than trouble comes
+	slowMost   = 2    // times longer that a backend's own usual tail may be than the others' usual one
 	crowdCut   = 0.9  // a late one cuts the limit to this share
 	crowdGrow  = 0.5  // one in time adds this, or, where that is more,
 	crowdSteps = 40   // such a part of the limit,
@@ -36,6 +37,15 @@
 		len(t.out) == 0 && (t.limit >= 1 || b.now >= t.lastSent+span(b.mean*b.estimate(t)/t.limit/worth))
 }
 
+// slower is how much longer a backend takes at its best than the others do, as its machine has it: that is no
+// crowd, and it would never get more than one at a time.
+func (b *Balancer) slower(t *target) float64 {
+	if b.usualTail <= 0 {
+		return 1
+	}
+	return min(max(1, t.tail.least/b.usualTail), slowMost)
+}
+
 // crowd learns how much may be out at a backend from whether its answers take their usual time.
 // Danger: a crowded server answers all of its requests late, and may turn slow for long. Waiting
 // for an attempt's end would show that when it is done, so one counts as late while still out.
--- a/stats.go
+++ b/stats.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -114,3 +115,38 @@
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// median sorts v and gives its middle, or what stands for it where there is none.
+func median(v []float64, none float64) float64 {
+	if len(v) == 0 {
+		return none
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+// lineLimit lets a few lines through in each span.
+type lineLimit struct {
+	from time.Duration
+	n    int
+}
+
+// take tells whether a line goes through, and how many did not in a span that has just ended.
+func (l *lineLimit) take(now, span time.Duration, most int) (goes bool, left int) {
+	if now-l.from >= span {
+		left = max(0, l.n-most)
+		l.from, l.n = now, 0
+	}
+	l.n++
+	return l.n <= most, left
+}
+
+// ages sums the ages of what is out, each as a multiple of what it is expected to take, so that the sum
+// at any time is known without going over them.
+type ages struct{ sent, each float64 }
+
+// add takes in, or off with the sign -1, another sum.
+func (s *ages) add(o ages, sign float64) { s.sent, s.each = s.sent+sign*o.sent, s.each+sign*o.each }
+
+// at is the sum at a time; rounding leaves nothing below 0.
+func (s ages) at(now time.Duration) float64 { return max(0, millis(now)*s.each-s.sent) }
