Rehearse partial failures; count one break once; keep bids off shy connections

A connection that many calls share ended them all at once, and the module took that for a run of breaks: it ejected a living backend. Breaks under what was out at an earlier one, within a tick, are one break.

A backend that turns away for its number of connections closes behind that answer; the next attempt of a bid, at the same backend, went out on that connection and failed (TestOutcomesOfAnUnsafeRequest/over with other work running). For 250 ms a bid gets another.

--- a/balancer.go
+++ b/balancer.go
@@ -61,6 +61,7 @@
 	ages                   ages       // of what is out, kinds apart left out
 	bad, broken            int        // attempts since the last answer: that got none; whose connection broke
 	lastOK, lastSent       time.Duration
+	brokeAt                time.Duration
 	ejectedUntil, hold     time.Duration
 	kinds                  []kind        // by class
 	coldSince, tokensAt    time.Duration // coldSince: last known or suspected start; 0 is long ago
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -660,3 +660,38 @@
 		t.Errorf("where breaks are rare, the dead one is out after %d failures", n)
 	}
 }
+
+// A connection that many requests share breaks under all of them in one moment: that is one break, and no run
+// of failures that a living backend hardly ever has.
+func TestOneBreakUnderManyRequestsIsOne(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 3)
+	now := 30 * second
+	var on []RequestID
+	for id := RequestID(1); id <= 12; id++ {
+		b.Request(now, Request{ID: id, Class: unsafe, Deadline: now + 3*second})
+		for _, a := range h.take("send") {
+			if a.to == 2 {
+				on = append(on, id)
+			}
+		}
+		now += milli
+	}
+	if len(on) < badRun {
+		t.Fatalf("only %d requests are out there", len(on))
+	}
+	for i, id := range on {
+		b.Outcome(now+time.Duration(i)*100*time.Microsecond, Outcome{ID: id, Backend: 2, Result: Reset})
+	}
+	if to := b.byID[2]; !b.fit(to) || to.broken != 1 {
+		t.Errorf("%d requests on one connection count as %d breaks; fit: %v", len(on), to.broken, b.fit(to))
+	}
+	for range 3 { // and it did die
+		now += 50 * milli
+		b.now = now
+		b.judge(&attempt{req: &request{}, to: b.byID[2], sent: now - milli}, ConnectFailed)
+		if !b.fit(b.byID[2]) {
+			return
+		}
+	}
+	t.Error("a dead backend is not out after three refused connections")
+}
--- a/checker.go
+++ b/checker.go
@@ -200,8 +200,12 @@
 		t.bad, t.broken, t.lastOK, t.hold = 0, 0, b.now, 0
 		return
 	}
+	// Danger: one connection that carries many requests breaks under all of them at once: that is one break.
+	if result == Reset && a.sent < t.brokeAt && b.now-t.brokeAt < b.cfg.Tick {
+		return
+	}
 	if result == Reset || result == ConnectFailed {
-		t.broken++
+		t.broken, t.brokeAt = t.broken+1, b.now
 	}
 	// Danger: in an overload all attempts time out; a backend that still answers others is only slow.
 	// Danger: a request that no backend can use would eject one after the other.
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -105,6 +105,9 @@
 				use.New = true // the one from the pool was dead when it was looked at last
 			}
 			c.learn(x.to, use, now, &r)
+			if r.conn != nil {
+				r.conn.turnedAway = r.result == marlreel.Full
+			}
 			c.pool.put(x.to, r.conn, c.engine.Now())
 			e := engine.End{Result: r.result, Load: r.load}
 			if r.result == marlreel.OK {
--- a/internal/httpproxy/pool.go
+++ b/internal/httpproxy/pool.go
@@ -1,6 +1,7 @@
 package httpproxy
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,6 +23,11 @@
 // A backend that closes right behind its answer has done so by then.
 const restFor = time.Millisecond
 
+// shyFor is how long a connection whose last answer turned a request away is kept from what
+// must not be lost, where a new one can be had. A backend that turns away for its number of
+// connections closes behind that answer, and the next attempt is often for the same backend.
+const shyFor = 250 * time.Millisecond
+
 // take gives an idle connection to the backend, the one that the model of connections
 // has for who stakes so much on it, and nil where a new one is worth its handshake or
 // none is there. One that has not had its rest is given only where there is no other.
@@ -39,6 +45,16 @@
 		}
 		return gone
 	})
+	var shy []*conn
+	if stake.Effect == conns.Lost && p.open < p.most {
+		idle = slices.DeleteFunc(idle, func(c *conn) bool {
+			is := c.turnedAway && now-c.idleSince < shyFor
+			if is {
+				shy = append(shy, c)
+			}
+			return is
+		})
+	}
 	var taken *conn
 	for taken == nil && len(idle) > 0 {
 		rested := idle // the latest used is last
@@ -63,6 +79,10 @@
 			p.close(c)
 		}
 	}
+	if len(shy) > 0 {
+		idle = append(idle, shy...)
+		slices.SortStableFunc(idle, func(x, y *conn) int { return cmp.Compare(x.idleSince, y.idleSince) })
+	}
 	p.keep(to, idle)
 	return taken
 }
--- a/internal/httpproxy/pool_test.go
+++ b/internal/httpproxy/pool_test.go
@@ -65,6 +65,39 @@
 	}
 }
 
+// A backend that turns a request away for its number of connections closes behind that
+// answer. A bid right behind it would be a reset, which may have run; a listing may try.
+func TestPoolKeepsBidsOffConnectionsThatTurnedAway(t *testing.T) {
+	t.Parallel()
+	bid, listing := conns.Stake{Worth: 8}, conns.Stake{Worth: 1, Effect: conns.Delayed}
+	now := 2*time.Second + shyFor/2
+	p, b, _ := poolOf(t, 2) // idle since 0 and 1 s
+	p.most++
+	young := p.idle[b][1]
+	young.idleSince, young.turnedAway = 2*time.Second, true
+	if c := p.take(b, now, bid); c == young || c == nil {
+		t.Error("with another at hand, a bid got the one that turned away, or none")
+	}
+	if c := p.take(b, now, bid); c != nil {
+		t.Error("with none but that one, a bid is not worth a new connection")
+	}
+	if len(p.idle[b]) != 1 || p.idle[b][0] != young {
+		t.Fatal("the connection that turned away is lost")
+	}
+	if c := p.take(b, now, listing); c != young {
+		t.Error("a listing does not take it")
+	}
+	p.put(b, young, 2*time.Second)
+	if c := p.take(b, 2*time.Second+2*shyFor, bid); c != young {
+		t.Error("after its time a bid does not take it")
+	}
+	p.put(b, young, 4*time.Second)
+	p.most = p.open
+	if c := p.take(b, 4*time.Second, bid); c != young {
+		t.Error("where no other can be had, a bid does not take it")
+	}
+}
+
 // A request on a connection that the backend closes for age at that moment may or
 // may not have run.
 func TestPoolRetiresBeforeTheBackendDoes(t *testing.T) {
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -32,6 +32,8 @@
 	in        *bufio.Reader
 	limit     *io.LimitedReader // under in: bounds one answer, head and body
 	idleSince time.Duration
+
+	turnedAway bool // its last answer was that nothing ran
 }
 
 // alive tells, without waiting, whether an idle connection can carry a request.
--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -63,6 +63,9 @@
 	Warm   bool
 	Known  string
 	By     time.Duration
+	Class  string        `json:",omitzero"` // partial: the class, the least size and how many times longer
+	Above  int           `json:",omitzero"`
+	Times  int           `json:",omitzero"` // thousandths
 	Idle   time.Duration `json:",omitzero"` // left out where there is none: schedules without it stay as they were
 }
 
@@ -200,6 +203,10 @@
 		d := newDraws(p.Seed, fmt.Sprintf("fault %d", i))
 		e := Event{At: f.At.D(), What: f.What, Fault: i, Node: -1, Proxy: -1, How: f.How, Warm: f.Warm, Known: f.Known, By: f.By.D(), Idle: f.Idle.D(),
 			Amount: int(float64((f.Times+f.Taken+f.Rate)*1000) + 0.5)}
+		if f.What == "partial" {
+			e.Class, e.Above, e.Times = f.Class, f.Above, int(f.Times*1000+0.5)
+			e.Amount = int(f.Rate*1000 + 0.5)
+		}
 		if f.For > 0 {
 			e.Until = (f.At + f.For).D()
 		}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -360,6 +360,8 @@
 	}
 }
 
+var harms = map[string]standin.Harm{"slow": standin.HarmSlow, "silent": standin.HarmSilent, "errors": standin.HarmErrors}
+
 // carryOut does one event.
 func (w *world) carryOut(e Event) error {
 	amount := float64(e.Amount) / 1000
@@ -417,6 +419,11 @@
 		n.Errors(amount)
 	case "end errors":
 		n.Errors(0)
+	case "partial":
+		n.Partially(fmt.Sprint(e.Fault), standin.Partial{Class: e.Class, Above: e.Above, Harm: harms[e.How], Rate: amount,
+			Times: float64(e.Times) / 1000})
+	case "end partial":
+		n.Wholly(fmt.Sprint(e.Fault))
 	case "spoil":
 		n.Spoils(spoils[e.How], amount)
 	case "end spoil":
--- a/internal/standin/node_test.go
+++ b/internal/standin/node_test.go
@@ -257,6 +257,48 @@
 	}
 }
 
+// A node that serves one kind of work badly serves the rest as ever.
+func TestPartialHarm(t *testing.T) {
+	t.Parallel()
+	cfg := quick()
+	cfg.Size = func(_, class string) int { return map[string]int{"catch-sheet": 9000}[class] }
+	n := startNode(t, cfg)
+	n.Partially("a", Partial{Class: "bid", Harm: HarmSilent, Rate: 1})
+	n.Partially("b", Partial{Class: "pickup", Harm: HarmErrors, Rate: 1})
+	n.Partially("c", Partial{Above: 8000, Harm: HarmSlow, Rate: 1, Times: 100})
+	if status, _, _ := dial(t, n.Addr()).ask(t, "GET", "/lot-list/7", "1"); status != 200 {
+		t.Errorf("a listing: %d", status)
+	}
+	if status, _, _ := dial(t, n.Addr()).ask(t, "POST", "/pickup/7", "2"); status != 500 {
+		t.Errorf("a pickup: %d", status)
+	}
+	c := dial(t, n.Addr())
+	c.send(t, "POST", "/bid/7", "3")
+	c.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
+	if b, err := c.in.ReadByte(); err == nil {
+		t.Errorf("a bid is answered: %q", b)
+	} else if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+		t.Errorf("a bid's connection ended: %v", err)
+	}
+	if status, _, _ := dial(t, n.Addr()).ask(t, "GET", "/catch-sheet/7", "4"); status != 200 {
+		t.Errorf("a large answer: %d", status)
+	}
+	n.Wholly("a")
+	if status, _, _ := dial(t, n.Addr()).ask(t, "POST", "/bid/7", "5"); status != 200 {
+		t.Errorf("a bid after the trouble: %d", status)
+	}
+	if status, _, _ := dial(t, n.Addr()).ask(t, "POST", "/pickup/7", "6"); status != 500 {
+		t.Errorf("another trouble ended with it: %d", status)
+	}
+	work := map[string]time.Duration{}
+	for _, s := range cfg.Journal.Records().Sends {
+		work[s.ID] = s.Work
+	}
+	if work["4"] < 50*work["1"] {
+		t.Errorf("the large answer took %v of work, the listing %v", work["4"], work["1"])
+	}
+}
+
 // Which answers fail is drawn from the requests' names: the same ones every time, and
 // about as many as were asked for.
 func TestErrorsAreDrawnFromNames(t *testing.T) {
