Keep back a share of a call's time, not 30 ms of any

The engine ended each attempt 30 ms before its client leaves, so one had 13 ms and the next were over before they began: 366 moot attempts after 0 ms and 349 time-outs in ten seconds at one proxy, on all backends alike (lines per outcome; ruled out: dead backends, the pool's bound, breaks). Fault: Backstop in host.Send and Engine.Take. Change: a call's margin is a twentieth of its time, 15 ms at most, as before for long waits. TestAShortWaitIsNotSpentOnMargins fails without it.

--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -43,7 +43,8 @@
 	Payload          any     // the carrier's
 
 	arrived  time.Duration
-	answered bool // or the client has left: nothing more goes out
+	margin   time.Duration // how long before the deadline the engine answers by itself
+	answered bool          // or the client has left: nothing more goes out
 	attempts []*Attempt
 	open     int // attempts without an outcome
 	backstop *Timer
@@ -85,7 +86,8 @@
 	c.ID = e.lastID
 	e.calls[c.ID] = c
 	// Whatever the module does, the client has its answer before its time is up.
-	c.backstop = e.At(c.Deadline-Backstop, func() {
+	c.margin = min(Backstop, max(0, c.Deadline-arrived)/backstopShare)
+	c.backstop = e.At(c.Deadline-c.margin, func() {
 		if e.answer(c, Answer{Verdict: OutOfTime}) {
 			e.balancer.Gone(e.Now(), c.ID)
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -31,10 +31,12 @@
 	// ClockStart is where the engine's clock starts, so that starts of backends from
 	// before this process's own stay above 0, which means long ago.
 	ClockStart = time.Hour
-	// Backstop is by how much the engine's own answer comes before the client's time
-	// runs out. An attempt ends as long before that, so that the module hears of it
-	// first.
-	Backstop = 15 * time.Millisecond
+	// Backstop is by how much at most the engine's own answer comes before the client's
+	// time runs out: a call's own margin is a backstopShare of its time, up to this. An
+	// attempt ends as long before that, so that the module hears of it first. Danger: a
+	// fixed margin takes most of the time of a client that waits for 40 ms.
+	Backstop      = 15 * time.Millisecond
+	backstopShare = 20
 	// housekeeping is how often carriers are told to retire what is old.
 	housekeeping = time.Second
 	eventBuffer  = 1024
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// A client that waits for a moment alone has most of that moment: the engine's margin is a
+// small part of it, as it is of a long wait.
+func TestAShortWaitIsNotSpentOnMargins(t *testing.T) {
+	t.Parallel()
+	for _, wait := range []time.Duration{30 * time.Millisecond, 40 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+		l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+		c := l.ask(1, wait)
+		if len(c.attempts) != 1 || c.attempts[0].Done() {
+			t.Fatalf("%v: %d attempts", wait, len(c.attempts))
+		}
+		until := c.attempts[0].Until
+		if left := l.Wall(c.Deadline).Sub(until); left > wait/4 || left <= 0 {
+			t.Errorf("%v: the attempt ends %v before the client leaves", wait, left)
+		}
+	}
+}
+
 // An answer takes the permit from attempts that are not yet written.
 func TestAnswerRevokesUnsentAttempts(t *testing.T) {
 	t.Parallel()
