Ask another address of discovery for the whole list, and once

Cause: read with a deployment at hand whose list is asked for. If the first call to a new address failed, the next one asked from the old address's version on, though each numbers its lists by itself: changes could be missed. And the end of the old address's watch, 1.5 s after a reload, started the call that was waiting at the new one anew, at the back of the queue; a failed call there gave up an old watch that still brought changes. Change: a version belongs to an address; only the end of the last watch asks again.

--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -34,13 +34,14 @@
 	sink    Sink
 	client  *http.Client
 	version uint32
+	numbers string   // the address whose numbers version is one of
 	current *watcher // whose word counts; nil: nothing is watched
 	next    *watcher // takes over with its first word
 }
 
 // New makes a source that goes on from a version. Nothing is called before Watch or Fetch.
 func New(cfg Config, version uint32, sink Sink) *Source {
-	s := &Source{cfg: cfg, sink: sink, client: newClient(), version: version}
+	s := &Source{cfg: cfg, sink: sink, client: newClient(), version: version, numbers: cfg.Addr}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -61,11 +62,14 @@
 	s.next.stop()
 	// The new address may number its lists otherwise: it is asked for the whole one,
 	// and the module reconciles. What stays in it keeps its health and connections.
-	s.next = s.startWatch(0)
+	s.next = s.startWatch()
 }
 
 // watcher stands for one watch, or one watch after the other at one address.
-type watcher struct{ cancel context.CancelFunc }
+type watcher struct {
+	cancel context.CancelFunc
+	addr   string
+}
 
 func (w *watcher) stop() {
 	if w != nil {
@@ -73,22 +77,52 @@
 	}
 }
 
-// Watch follows the list, or ceases to.
+// Watch follows the list, or ceases to. A watch at an address that is no longer in force
+// goes on until the one in force has told its list.
 func (s *Source) Watch(on bool) {
-	s.current.stop()
 	s.next.stop()
-	s.current, s.next = nil, nil
+	s.next = nil
+	if on && s.current != nil && s.current.addr != s.cfg.Addr {
+		s.next = s.startWatch()
+		return
+	}
+	s.current.stop()
+	s.current = nil
 	if on {
-		s.current = s.startWatch(s.version)
+		s.current = s.startWatch()
 	}
 }
 
+// ended takes in that a watch is over, or that a single call failed where w is nil, and
+// tells whether the module has to ask again. Danger: where calls wait in turn, a call that
+// is on its way is worth more than a new one behind it, and a watch that still brings
+// changes more than none.
+func (s *Source) ended(w *watcher) bool {
+	switch w {
+	case nil:
+		return true
+	case s.next:
+		s.next = nil
+		return true
+	case s.current:
+		s.current = nil
+		return s.next == nil
+	}
+	return false
+}
+
 // Fetch asks for the whole list once.
 func (s *Source) Fetch() { go s.follower(nil).fetch(s.ctx) }
 
-func (s *Source) startWatch(from uint32) *watcher {
+// startWatch watches the address in force, from the version on that it has told before.
+// Another address may number its lists otherwise: that one is asked for the whole.
+func (s *Source) startWatch() *watcher {
 	ctx, cancel := context.WithCancel(s.ctx)
-	w := &watcher{cancel}
+	w := &watcher{cancel, s.cfg.Addr}
+	from := uint32(0)
+	if s.numbers == s.cfg.Addr {
+		from = s.version
+	}
 	if d := s.follower(w); s.cfg.OnRequest {
 		go d.once(ctx, from)
 	} else {
@@ -100,7 +134,8 @@
 // follower makes calls at the address now in force, for a watcher or, where that is
 // nil, a single one.
 func (s *Source) follower(w *watcher) *follower {
-	return &follower{names: s.cfg.Names, addr: s.cfg.Addr, client: s.client, logf: s.cfg.Logf,
+	addr := s.cfg.Addr
+	return &follower{names: s.cfg.Names, addr: addr, client: s.client, logf: s.cfg.Logf,
 		tell: func(list *List, entries []engine.Entry) {
 			kind := marlreel.ListDelta
 			if list.Reset {
@@ -108,14 +143,14 @@
 			}
 			s.sink.Post(func() {
 				if s.speaks(w) {
-					s.version = list.Generation
+					s.version, s.numbers = list.Generation, addr
 					s.sink.List(list.Engine(kind, entries))
 				}
 			})
 		},
 		failed: func() {
 			s.sink.Post(func() {
-				if s.cfg.OnRequest && (w == nil || w == s.current || w == s.next) {
+				if s.cfg.OnRequest && s.ended(w) {
 					s.sink.ListFailed()
 				}
 			})
--- a/internal/discovery/source_test.go
+++ b/internal/discovery/source_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"marlreel/internal/engine"
+	"marlreel/internal/standin"
 	"marlreel/internal/testutil"
 )
 
@@ -34,3 +35,45 @@
 		t.Error("a watch that was given up still counts")
 	}
 }
+
+// Where the list is asked for, the module asks again after each failure. A change of the
+// address must not cost a watch that still brings changes, nor a call that is on its way.
+func TestAskingAgainSparesWhatStillRuns(t *testing.T) {
+	t.Parallel()
+	s := New(Config{Addr: testutil.ClosedAddr(t), OnRequest: true, Logf: func(string, ...any) {}}, 41, &sink{})
+	t.Cleanup(s.Close)
+	s.Watch(true)
+	old := s.current
+	s.Reload(testutil.ClosedAddr(t))
+	if !s.ended(s.next) {
+		t.Fatal("the new address failed, and nobody asks again")
+	}
+	s.Watch(true)
+	if s.current != old || s.next == nil || s.next.addr != s.cfg.Addr {
+		t.Fatal("asking the new address again gave up the old one's watch")
+	}
+	next := s.next
+	if s.ended(old) || s.current != nil || s.next != next {
+		t.Error("the old watch ended while the new address is being asked, and that starts anew")
+	}
+	if !s.speaks(next) || !s.ended(next) {
+		t.Error("the new watch took over and ended, and nobody asks again")
+	}
+}
+
+// The numbers of one address say nothing at another.
+func TestAnotherAddressIsAskedForTheWholeList(t *testing.T) {
+	t.Parallel()
+	d, err := standin.NewScript()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	s := New(Config{Addr: testutil.ClosedAddr(t), OnRequest: true, Logf: func(string, ...any) {}}, 41, &sink{})
+	t.Cleanup(s.Close)
+	s.Reload(d.Addr) // nothing is watched yet
+	s.Watch(true)
+	if from := testutil.Receive(t, d.Watches, "the watch").From; from != "0" {
+		t.Errorf("asked for what came after %s", from)
+	}
+}
