End a stop within the platform's patience where clients wait longer

Cause: the protocol's page ends a process 0.7 s after the longest deadline, counted as 3 s where it is longer; seat-hold waits 4 s, so what was open 4.25 s after the signal was to be failed by a process that was gone at 3.7 s. Measured: TestAStopIsOverBeforeThePlatformsPatience is answered 'out of time' at 12 s without it and 'the proxy stops' with it.

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -159,6 +159,14 @@
 // UpstreamConns bounds the connections to backends.
 func (c *Platform) UpstreamConns() int { return c.sockets() / 4 }
 
+// The platform ends a process no sooner than its longest deadline after the signal to stop, and
+// 0.7 s more; a deadline beyond this counts as this (the protocol's page, Figures).
+const longestStop = 3 * time.Second
+
+// StopWithin is how long after AcceptLonger what is open may take at a stop. What the end of
+// the process finds open is lost, so a class that waits longer has to be answered before.
+func (c *Platform) StopWithin() time.Duration { return min(c.LongestGiveUp(), longestStop) }
+
 // LongestGiveUp is the longest time that a client waits.
 func (c *Platform) LongestGiveUp() time.Duration {
 	longest := time.Duration(0)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -146,7 +146,7 @@
 	}
 	time.Sleep(cfg.AcceptLonger)
 	in.close()
-	for _, wait := range []time.Duration{cfg.LongestGiveUp() - lastAnswers, lastAnswers} {
+	for _, wait := range []time.Duration{cfg.StopWithin() - lastAnswers, lastAnswers} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
 		open := false
 		for _, f := range fronts {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -301,3 +301,24 @@
 		t.Error(err)
 	}
 }
+
+// The platform waits for some seconds, however long a class's clients would: what is open
+// then is failed in time.
+func TestAStopIsOverBeforeThePlatformsPatience(t *testing.T) {
+	t.Parallel()
+	addr, came := silent(t)
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", addr))) // its classes wait for a minute
+	texts := make(chan string, 1)
+	go func() {
+		_, text, _ := do(t, newRequest(t, p, "bid", "x"))
+		texts <- text
+	}()
+	receive(t, came, "the attempt")
+	p.stop()
+	if text := receive(t, texts, "the answer"); !strings.Contains(text, "the proxy stops") {
+		t.Errorf("answered %q", text) // at the end of its own time, by which the process is gone
+	}
+	if err := receive(t, p.ended, "the end"); err != nil {
+		t.Error(err)
+	}
+}
