Try only the hopeless all the same; what is not worth a crossing waits

Cause: read again: one in twenty was drawn at each dispatch also for what waits for its own zone, so within 100 ms two in five crossed after all, against what the comment says.

--- a/admission.go
+++ b/admission.go
@@ -148,7 +148,7 @@
 		return true, false
 	}
 	goes, hopeless = b.prices.Pays(b.stake(r, t), hopelessBelow)
-	if !goes && b.rng.Float64() < hopelessSent {
+	if hopeless && b.rng.Float64() < hopelessSent {
 		return true, false
 	}
 	return goes, hopeless
