--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -102,7 +102,7 @@
 		{Stake{Worth: 0.2, Work: 2, Chance: 0.5}, 0.1 - 0.25, false, true},
 		{Stake{Worth: 1, Work: 1, Chance: 1, Crosses: true}, 0.92, true, false},
 		{Stake{Worth: 0.1, Work: 0.1, Chance: 1, Crosses: true}, 0.02, false, false}, // at home it pays
-		{Stake{Worth: 0, Work: 1, Chance: 1}, 0, true, false}, // it costs nothing
+		{Stake{Worth: 0, Work: 1, Chance: 1}, 0, true, false},                        // it costs nothing
 	} {
 		if got := p.Value(c.s); math.Abs(got-c.want) > 1e-12 {
 			t.Errorf("%+v: %v, want %v", c.s, got, c.want)
