Take a request for hopeless only where four picks are

At fault: dispatch, which judged by one pick. Change: up to four picks before a request is given up; one draw for those that go all the same.

--- a/admission.go
+++ b/admission.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// Admission and further attempts.
 	dispatchMisses = 20   // waiting requests that find no backend, after which no more are asked
 	waitingEach    = 4    // requests that may wait for each ready backend
 	retryShare     = 0.1  // further attempts, as a share of the requests
 	retryBurst     = 10   // further attempts that may be saved up
 	hopelessBelow  = 0.5  // share of its worth that sending a request must add
+	draws          = 4    // picks that have to be hopeless before a request is
 	hopelessFrom   = 20   // answers of a class before that is asked
 	hopelessSent   = 0.05 // share of the hopeless that goes out, and shows whether they still are
 )
@@ -115,15 +115,19 @@
 			continue
 		}
 		if misses < dispatchMisses {
-			if t := b.pick(r); t != nil {
-				goes, hopeless := b.pays(r, t)
-				if hopeless {
-					b.end(r, b.interval)
-					continue
-				}
-				if goes && b.send(r, t) {
-					continue
+			t, goes, hopeless := b.pick(r), false, false
+			for n := 1; t != nil; n++ { // the two drawn may be the worst of all
+				if goes, hopeless = b.pays(r, t); !hopeless || n == draws {
+					break
 				}
+				t = b.pick(r)
+			}
+			if hopeless && b.rng.Float64() >= hopelessSent { // Danger: what is never sent teaches nothing
+				b.end(r, b.interval)
+				continue
+			}
+			if t != nil && (goes || hopeless) && b.send(r, t) {
+				continue
 			}
 			misses++
 		}
@@ -140,18 +144,13 @@
 	}
 }
 
-// pays tells whether a request is worth sending there; if not, whether it may as well be given up: it would
-// hardly be in time anywhere. One that is not worth the crossing alone waits for room in its own zone.
-// Danger: what is never sent teaches nothing, so a few go out all the same.
+// pays tells whether a request is worth sending there, or hopeless. One that is not worth the crossing alone
+// is neither: it waits.
 func (b *Balancer) pays(r *request, t *target) (goes, hopeless bool) {
 	if b.classes[r.Class].n < hopelessFrom {
 		return true, false
 	}
-	goes, hopeless = b.prices.Pays(b.stake(r, t), hopelessBelow)
-	if hopeless && b.rng.Float64() < hopelessSent {
-		return true, false
-	}
-	return goes, hopeless
+	return b.prices.Pays(b.stake(r, t), hopelessBelow)
 }
 
 // useful is the time after which an answer is worth nothing.
--- a/checker.go
+++ b/checker.go
@@ -22,9 +22,8 @@
 	mostOut      = 0.5 // share of the ready ones that may be out when attempts eject one more
 	longestHold  = 8   // probe intervals that an ejection lasts at most; it starts with one and doubles
 	sweeps       = 10  // in a probe interval: how often time alone is looked at
-	// The subset: the backends that one proxy uses, in its own zone and elsewhere.
-	subsetFan   = 7 // proxies that use each backend, about
-	subsetLeast = 2 // backends that each proxy uses at least
+	subsetFan    = 7   // proxies that use each backend, about
+	subsetLeast  = 2   // backends that each proxy uses at least
 )
 
 // Membership reconciles the targets in place: survivors keep their status.
--- a/coldstart.go
+++ b/coldstart.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	// The cold budget.
 	servedOver = 2    // memories over which the work that backends serve is taken
 	coldPart   = 0.8  // of what would make a cold backend fall, that it may be sent
 	coldBurst  = 0.25 // of the window that a cold backend's budget may be saved up over
--- a/limit.go
+++ b/limit.go
@@ -5,7 +5,6 @@
 import "marlreel/internal/limit"
 
 const (
-	// The limit on what is out at a backend. All its sharers push as one, so each has its part of it.
 	lateFrom  = 1.5  // times the usual tail of its class from which an attempt counts as late
 	lateLeast = 0.3  // and such a share of its aim at least, which alone counts while no tail is known
 	tailPart  = 0.2  // that tail is what this part of a class's answers exceed
