Open a door for the platform with figures; take the clients' listener by descriptor

The first process's SIGTERM also closed what rested on its connections at once. The listener is a checked copy of $NODE_SOCKET_FD; such a process stops accepting at once at SIGTERM (the other one does), and keeps resting connections until their client's answer has ended them. Not taken: passing accepted connections on, as each would need its half-read request to cross too. A tenant's traffic over its share moved to internal/quota.

--- a/admission.go
+++ b/admission.go
@@ -48,9 +48,7 @@
 	if b.cfg.WorthByWork {
 		r.worth *= b.workOf(r)
 	}
-	if i := r.Tenant; i >= 0 && i < len(b.cfg.Tenants) {
-		r.over = b.overShare(i)
-	}
+	r.over = b.quota.Came(r.Tenant, b.now)
 	r.worth *= 1 - r.over*(1-b.cfg.OverShareWorth)
 	b.meanWorth = smooth(b.meanWorth, r.worth, b.over)
 	if !r.Repeat {
@@ -58,17 +56,6 @@
 	}
 }
 
-// overShare is the part of a tenant's traffic that lies beyond its share, if this proxy sees as
-// much of each tenant as the others do.
-func (b *Balancer) overShare(i int) float64 {
-	quota := b.cfg.Tenants[i].QuotaPerS / float64(b.cfg.Instances)
-	b.traffic[i].Add(1, b.now, b.cfg.Obligations.Fall)
-	if rate := b.traffic[i].PerSecond(b.now, b.cfg.Obligations.Fall); quota > 0 && rate > quota {
-		return 1 - quota/rate
-	}
-	return 0
-}
-
 // place lets a request that nothing is out for wait for the next dispatch, if it may still be sent.
 func (b *Balancer) place(r *request) {
 	if len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, func(t *target) bool {
--- a/balancer.go
+++ b/balancer.go
@@ -15,6 +15,7 @@
 	"marlreel/internal/gray"
 	"marlreel/internal/ledger"
 	"marlreel/internal/limit"
+	"marlreel/internal/quota"
 )
 
 const (
@@ -40,7 +41,7 @@
 	median, size                        float64 // of the targets' delay ratios; of the subset, on each side
 	usualTail                           float64 // median of the targets' least tails
 	ledger                              *ledger.Ledger
-	traffic                             []fade.Sum // requests, by tenant
+	quota                               *quota.Model
 	gray                                *gray.Model
 	forecast                            *forecast.Model
 	prices                              forecast.Prices
@@ -108,11 +109,12 @@
 	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 0)), median: 1, retries: retryBurst,
 		byID: map[BackendID]*target{}, requests: map[RequestID]*request{},
 		classes: make([]line, len(cfg.Classes)), tails: make([]tail, len(cfg.Classes)),
-		ledger:  ledger.New(ledger.Goal(cfg.Goal), len(cfg.Classes), len(cfg.Tenants)),
-		traffic: make([]fade.Sum, len(cfg.Tenants)), served: make([]fade.Sum, len(cfg.Classes)),
-		ahead: make([]int, len(cfg.Classes)), forecast: forecast.New(len(cfg.Classes)),
+		ledger: ledger.New(ledger.Goal(cfg.Goal), len(cfg.Classes), len(cfg.Tenants)),
+		served: make([]fade.Sum, len(cfg.Classes)),
+		ahead:  make([]int, len(cfg.Classes)), forecast: forecast.New(len(cfg.Classes)),
 		breaks: breaks.New(cfg.Obligations.Cold),
 		prices: forecast.Prices{Waste: cfg.Prices.Waste, CrossZone: cfg.Prices.CrossZone}}
+	b.quota = quota.New(cfg.quotas(), cfg.Instances, cfg.Obligations.Fall)
 	var err error
 	if b.gray, err = gray.New(gray.DefaultConfig(len(cfg.Classes))); err != nil {
 		return nil, err
--- a/checker.go
+++ b/checker.go
@@ -206,7 +206,13 @@
 	b.log(fmt.Sprintf("backend %d ejected: %d attempts in a row without an answer", t.ID, t.bad))
 }
 
-// fit tells whether probes and attempts let a backend have requests.
+// fit: may a backend have requests, by probes and attempts?
 func (b *Balancer) fit(t *target) bool {
 	return t.healthy && b.now >= t.ejectedUntil
 }
+
+// Avoided is how many listed backends get nothing for now.
+func (b *Balancer) Avoided() int {
+	in := func(t *target) bool { return t.State == Gone || b.fit(t) }
+	return len(slices.DeleteFunc(slices.Clone(b.targets), in))
+}
--- a/config.go
+++ b/config.go
@@ -49,3 +49,12 @@
 	}
 	return nil
 }
+
+// quotas are the tenants' requests a second, over all proxies.
+func (c *Config) quotas() []float64 {
+	q := make([]float64, len(c.Tenants))
+	for i, t := range c.Tenants {
+		q[i] = t.QuotaPerS
+	}
+	return q
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -20,12 +20,20 @@
 // Platform is what the platform tells a proxy at its start.
 type Platform struct {
 	Name, Listen, Discovery string
-	Seed                    uint64
-	Sockets                 int // file descriptors that the process may hold
-	MemoryMB                int
-	Cores                   float64
-	Known                   *discovery.List // the list as last held; nil is none
-	Settings                marlreel.Config
+	Control                 string // where the platform asks for readiness and figures; "" is nowhere
+	// ListenFD is the descriptor by which the platform hands the clients' listener on;
+	// -1 is none, and Listen is to be listened at.
+	ListenFD int
+	// TempDir is common to this process and the one before it or after it, where the
+	// platform hands a listener on.
+	TempDir string
+
+	Seed     uint64
+	Sockets  int // file descriptors that the process may hold
+	MemoryMB int
+	Cores    float64
+	Known    *discovery.List // the list as last held; nil is none
+	Settings marlreel.Config
 
 	Names   discovery.Names
 	Report  []string // names of the values of a load report
@@ -41,8 +49,15 @@
 // EnvDiscovery is the environment's name for discovery's address.
 const EnvDiscovery = "NODE_DISCOVERY"
 
-// LoadPlatform reads the configuration file. NODE_NAME, NODE_LISTEN and
-// NODE_DISCOVERY, where getenv has them, go before what the file says.
+// The environment's other names.
+const (
+	envControl  = "NODE_CONTROL"
+	envListenFD = "NODE_SOCKET_FD"
+	envTempDir  = "TMPDIR"
+)
+
+// LoadPlatform reads the configuration file. NODE_NAME, NODE_LISTEN,
+// NODE_DISCOVERY and NODE_CONTROL, where getenv has them, go before what the file says.
 func LoadPlatform(path string, getenv func(string) string) (*Platform, error) {
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
@@ -61,7 +76,7 @@
 // ParsePlatform reads the configuration's text; getenv as with LoadPlatform.
 func ParsePlatform(data []byte, getenv func(string) string) (*Platform, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
+		Name, Listen, Discovery, Control, Seed string
 
 		Limits struct {
 			Cores    float64 `json:"cores"`
@@ -74,12 +89,13 @@
 	if err := json.Unmarshal(data, &file); err != nil {
 		return nil, err
 	}
-	c := &Platform{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Cores: file.Limits.Cores,
+	c := &Platform{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Control: file.Control, ListenFD: -1,
+		TempDir: getenv(envTempDir), Cores: file.Limits.Cores,
 		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known, AcceptLonger: acceptLonger}
 	for _, v := range []struct {
 		env  string
 		into *string
-	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {EnvDiscovery, &c.Discovery}} {
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {EnvDiscovery, &c.Discovery}, {envControl, &c.Control}} {
 		if s := getenv(v.env); s != "" {
 			*v.into = s
 		}
@@ -89,6 +105,18 @@
 			return nil, fmt.Errorf("%s: %w", what, err)
 		}
 	}
+	if c.Control != "" {
+		if _, _, err := net.SplitHostPort(c.Control); err != nil {
+			return nil, fmt.Errorf("control ($%s): %w", envControl, err)
+		}
+	}
+	if fd := getenv(envListenFD); fd != "" {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n <= 2 { // 0 to 2 are the standard streams
+			return nil, fmt.Errorf("$%s is %q, must be the number of a descriptor above 2", envListenFD, fd)
+		}
+		c.ListenFD = n
+	}
 	if l := file.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || l.Sockets > 0 && l.Sockets < LeastSockets {
 		return nil, fmt.Errorf("limits: %+v leave nothing to work with", l)
 	}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -31,6 +31,7 @@
 	Result marlreel.Result
 	Reply  any       // where Result is OK or Declined: the answer, for the front
 	Over   bool      // the call is over with this, served as far as can be known
+	Stream bool      // OK: the reply is the beginning of a stream
 	Load   []float32 // a load report, in the settings' order; nil is none
 }
 
@@ -54,6 +55,9 @@
 // Sent is when the attempt began, on the engine's clock.
 func (a *Attempt) Sent() time.Duration { return a.sent }
 
+// Wrote tells that the attempt's last byte is written. Any goroutine may call it.
+func (a *Attempt) Wrote() { a.engine.written.Add(1) }
+
 // Done tells whether the attempt has ended. Only on the engine's goroutine.
 func (a *Attempt) Done() bool { return a.done }
 
@@ -78,7 +82,7 @@
 	}
 	switch {
 	case end.Result == marlreel.OK, end.Over:
-		e.answer(c, Answer{Verdict: Served, Reply: end.Reply})
+		e.answer(c, Answer{Verdict: Served, Reply: end.Reply, Streams: end.Stream})
 	case end.Result == marlreel.Declined:
 		c.declined = end.Reply
 	}
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -24,6 +24,7 @@
 type Answer struct {
 	Verdict    Verdict
 	Reply      any           // Served, or Failed for a backend's own word: what the carrier's End held
+	Streams    bool          // Served: the rest is still to come, and the front tells its end with Streamed
 	RetryAfter time.Duration // Refused: when to come again; 0 is not said
 }
 
@@ -44,6 +45,7 @@
 
 	arrived  time.Duration
 	margin   time.Duration // how long before the deadline the engine answers by itself
+	taken    bool          // it is, or was, in the table
 	answered bool          // or the client has left: nothing more goes out
 	attempts []*Attempt
 	open     int // attempts without an outcome
@@ -60,6 +62,9 @@
 // Answered tells whether the call is over. Only on the engine's goroutine.
 func (c *Call) Answered() bool { return c.answered }
 
+// Taken tells whether the call was taken into the table. Only on the engine's goroutine.
+func (c *Call) Taken() bool { return c.taken }
+
 // Open is how many calls are in the table. Only on the engine's goroutine.
 func (e *Engine) Open() int { return len(e.calls) }
 
@@ -84,7 +89,7 @@
 	}
 	e.lastID++
 	c.ID = e.lastID
-	e.calls[c.ID] = c
+	e.calls[c.ID], c.taken = c, true
 	// Whatever the module does, the client has its answer before its time is up.
 	c.margin = min(Backstop, max(0, c.Deadline-arrived)/backstopShare)
 	c.backstop = e.At(c.Deadline-c.margin, func() {
@@ -136,6 +141,13 @@
 	}
 }
 
+// Streamed tells how an answer ended that was a stream. Only on the engine's goroutine.
+func (e *Engine) Streamed(c *Call, whole bool) {
+	if e.observer != nil {
+		e.observer.Streamed(e.Now(), c, whole)
+	}
+}
+
 // FailAll ends what is still open when the process has to go. Some of it may have run,
 // so none of it is refused. Only on the engine's goroutine.
 func (e *Engine) FailAll() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,6 +22,7 @@
 	"container/heap"
 	"context"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"marlreel"
@@ -98,6 +99,7 @@
 	asked     *recent // clients' names of calls
 	lastID    marlreel.RequestID
 	listed    func()
+	written   atomic.Uint64 // attempts, whole
 }
 
 // New makes an engine. Settings that make no sense give an error that names them.
@@ -151,6 +153,16 @@
 // Caused is how many events that others caused are still to be carried out.
 func (e *Engine) Caused() int { return len(e.later) }
 
+// Written is how many attempts have been written whole. Any goroutine may call it.
+func (e *Engine) Written() uint64 { return e.written.Load() }
+
+// Listed is how many backends the list has, and Avoided how many of them get nothing but
+// tries for now. Only on the engine's goroutine.
+func (e *Engine) Listed() int { return len(e.backends.byID) }
+
+// Avoided is described with Listed.
+func (e *Engine) Avoided() int { return e.balancer.Avoided() }
+
 // Done is closed when the engine has ended.
 func (e *Engine) Done() <-chan struct{} { return e.stopped }
 
--- a/internal/engine/observer.go
+++ b/internal/engine/observer.go
@@ -16,6 +16,9 @@
 	Sent(now time.Duration, a *Attempt)
 	Ended(now time.Duration, a *Attempt, end End)
 	Answered(now time.Duration, c *Call, a Answer)
+	// Streamed is the end of an answer that Answered called a stream: the whole of it
+	// has gone to the client, or it broke off.
+	Streamed(now time.Duration, c *Call, whole bool)
 	Left(now time.Duration, c *Call) // its client went away unanswered
 	Listed(now time.Duration, l *List)
 	Probed(now time.Duration, b *Backend, r marlreel.Result, took time.Duration)
@@ -64,6 +67,13 @@
 	}
 }
 
+// Streamed implements Observer.
+func (s Observers) Streamed(now time.Duration, c *Call, whole bool) {
+	for _, o := range s {
+		o.Streamed(now, c, whole)
+	}
+}
+
 // Left implements Observer.
 func (s Observers) Left(now time.Duration, c *Call) {
 	for _, o := range s {
--- a/internal/engine/observer_test.go
+++ b/internal/engine/observer_test.go
@@ -25,6 +25,9 @@
 func (s *seen) Answered(_ time.Duration, c *Call, a Answer) {
 	s.note("answered %d with %d", c.ID, a.Verdict)
 }
+func (s *seen) Streamed(_ time.Duration, c *Call, whole bool) {
+	s.note("streamed %d %v", c.ID, whole)
+}
 func (s *seen) Left(_ time.Duration, c *Call)   { s.note("left %d", c.ID) }
 func (s *seen) Listed(_ time.Duration, l *List) { s.note("listed %d", len(l.Entries)) }
 func (s *seen) Probed(_ time.Duration, b *Backend, r marlreel.Result, _ time.Duration) {
@@ -74,6 +77,7 @@
 func (quiet) Sent(time.Duration, *Attempt)                                   {}
 func (quiet) Ended(time.Duration, *Attempt, End)                             {}
 func (quiet) Answered(time.Duration, *Call, Answer)                          {}
+func (quiet) Streamed(time.Duration, *Call, bool)                            {}
 func (quiet) Left(time.Duration, *Call)                                      {}
 func (quiet) Listed(time.Duration, *List)                                    {}
 func (quiet) Probed(time.Duration, *Backend, marlreel.Result, time.Duration) {}
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -39,7 +39,7 @@
 
 // Begin implements engine.Carrier. The call's payload is a *message.
 func (c *Carrier) Begin(a *engine.Attempt) {
-	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*message), until: a.Until, permit: &a.Permit}
+	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*message), until: a.Until, permit: &a.Permit, wrote: a.Wrote}
 	class := &c.engine.Settings().Classes[a.Call.Class]
 	stake := conns.Stake{Worth: class.Value, Large: len(x.msg.body) >= largeBody}
 	if class.Effect != marlreel.Unsafe {
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -23,6 +23,7 @@
 	// Connections with no request in hand, the longest waiting first: those that
 	// have sent none yet, or only what was turned away, and those between requests.
 	silent, idle list.List
+	empty        chan struct{} // who waits for the last connection to end; nil: nobody
 }
 
 // crowded tells whether connections that have asked take much of the bound. Clients
@@ -112,6 +113,29 @@
 func (cs *clients) drop(c *client) {
 	c.unqueue()
 	delete(cs.open, c)
+	cs.tellEmpty()
+}
+
+// gone is closed when no connection is open. Only after the last has been accepted.
+func (cs *clients) gone() <-chan struct{} {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.empty == nil {
+		cs.empty = make(chan struct{})
+		cs.tellEmpty()
+	}
+	return cs.empty
+}
+
+func (cs *clients) tellEmpty() {
+	if cs.empty == nil || len(cs.open) > 0 {
+		return
+	}
+	select {
+	case <-cs.empty:
+	default:
+		close(cs.empty)
+	}
 }
 
 // begins says that the head of a request has come.
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -72,6 +72,7 @@
 	http     *http.Server
 	engine   *engine.Engine
 	carrier  engine.Carrier
+	clients  *clients // of Serve
 	ready    atomic.Bool
 	stopping atomic.Bool // every answer ends its connection
 	classes  map[string]int
@@ -80,7 +81,7 @@
 
 // NewFront makes a front whose calls go to backends by a carrier.
 func NewFront(e *engine.Engine, carrier *Carrier, errorLog *log.Logger) *Front {
-	s := &Front{engine: e, carrier: carrier, classes: map[string]int{}, tenants: map[string]int{}}
+	s := &Front{clients: newClients(nil, 0), engine: e, carrier: carrier, classes: map[string]int{}, tenants: map[string]int{}}
 	longest := time.Duration(0) // that a client waits
 	for i, c := range e.Settings().Classes {
 		s.classes[c.Name] = i
@@ -104,11 +105,18 @@
 }
 
 // Serve takes connections, so many at a time, until the listener is closed.
-func (s *Front) Serve(ln net.Listener, most int) error { return s.http.Serve(newClients(ln, most)) }
+func (s *Front) Serve(ln net.Listener, most int) error {
+	s.clients.most = most
+	s.clients.Listener = ln
+	return s.http.Serve(s.clients)
+}
 
 // SetReady says what /ready answers.
 func (s *Front) SetReady(ready bool) { s.ready.Store(ready) }
 
+// Ready tells whether clients can be served.
+func (s *Front) Ready() bool { return s.ready.Load() }
+
 // Stop lets every answer from now on end its connection.
 func (s *Front) Stop() { s.stopping.Store(true) }
 
@@ -116,6 +124,17 @@
 // ctx ends.
 func (s *Front) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// Linger waits until no client's connection is left, or ctx ends. Unlike Shutdown it closes
+// none that rests: a request may be on its way there, and be left unread.
+func (s *Front) Linger(ctx context.Context) error {
+	select {
+	case <-s.clients.gone():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Answer implements engine.Front: it words the engine's verdict.
 func (c *call) Answer(_ *engine.Call, a engine.Answer) {
 	var w answer
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -96,6 +96,7 @@
 	until  time.Time
 	permit *engine.Permit
 
+	wrote   func()        // called when the last byte is written; nil: nobody counts it
 	hold    time.Duration // how long the last byte is kept back; 0 is not at all
 	dialled bool          // run opened a new connection
 }
@@ -139,7 +140,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
-	r := c.roundTrip(data, x.msg.method, x.until, x.hold, report)
+	r := c.roundTrip(x, data, report)
 	if r.result == marlreel.Reset || r.early {
 		r.end = conns.End{Broke: true, After: time.Since(began), Whole: !r.early}
 	}
@@ -156,7 +157,8 @@
 // a moment, a break in that moment proves that nothing ran: a backend begins a request
 // when its last byte has come. It speaks of the connection and not of the backend, which
 // is why it is told as one that was never sent: a backend that has died refuses the next.
-func (c *conn) roundTrip(data []byte, method string, until time.Time, hold time.Duration, report []string) reply {
+func (c *conn) roundTrip(x *exchange, data []byte, report []string) reply {
+	method, until, hold := x.msg.method, x.until, x.hold
 	c.SetDeadline(until)
 	if hold > 0 && len(data) > 1 {
 		n, err := c.Write(data[:len(data)-1])
@@ -173,6 +175,9 @@
 	} else if err != nil {
 		return failed(err)
 	}
+	if x.wrote != nil {
+		x.wrote()
+	}
 	resp, err := c.readHead(method)
 	if err != nil {
 		return failed(err)
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -13,7 +13,11 @@
 func TestImportDirections(t *testing.T) {
 	// What each package may import of this module, tests left out.
 	may := map[string][]string{
-		"marlreel":                    {"marlreel/internal/breaks", "marlreel/internal/fade", "marlreel/internal/forecast", "marlreel/internal/gray", "marlreel/internal/ledger", "marlreel/internal/limit"},
+		"marlreel":                    {"marlreel/internal/breaks", "marlreel/internal/fade", "marlreel/internal/forecast", "marlreel/internal/gray", "marlreel/internal/ledger", "marlreel/internal/limit", "marlreel/internal/quota"},
+		"marlreel/internal/quota":     {"marlreel/internal/fade"},
+		"marlreel/internal/control":   {},
+		"marlreel/internal/metrics":   {"marlreel", "marlreel/internal/engine"},
+		"marlreel/internal/handover":  {},
 		"marlreel/internal/gray":      {"marlreel/internal/fade"},
 		"marlreel/internal/breaks":    {"marlreel/internal/fade"},
 		"marlreel/internal/fade":      {},
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,9 +12,12 @@
 	"time"
 
 	"marlreel/internal/config"
+	"marlreel/internal/control"
 	"marlreel/internal/discovery"
 	"marlreel/internal/engine"
+	"marlreel/internal/handover"
 	"marlreel/internal/httpproxy"
+	"marlreel/internal/metrics"
 	"marlreel/internal/rpc"
 )
 
@@ -31,26 +34,47 @@
 func Run(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, reloads <-chan *config.Platform) error {
 	var in listeners
 	var err error
-	if in.http, err = net.Listen("tcp", cfg.Listen); err != nil {
+	if cfg.ListenFD >= 0 {
+		in.http, err = handover.Listener(cfg.ListenFD, cfg.Listen)
+	} else {
+		in.http, err = net.Listen("tcp", cfg.Listen)
+	}
+	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if cfg.Control != "" {
+		if in.control, err = net.Listen("tcp", cfg.Control); err != nil {
+			in.close()
+			return fmt.Errorf("control: %w", err)
+		}
+	}
 	if own.RPC.Listen != "" {
 		if in.rpc, err = net.Listen("tcp", own.RPC.Listen); err != nil {
-			in.http.Close()
+			in.close()
 			return fmt.Errorf("rpc.listen: %w", err)
 		}
 	}
 	return serve(ctx, cfg, own, logger, in, reloads)
 }
 
-// listeners are where clients come in; rpc is nil where RPC is off.
-type listeners struct{ http, rpc net.Listener }
+// listeners are where clients come in, and the platform at control. rpc and control are
+// nil where they are off.
+type listeners struct{ http, rpc, control net.Listener }
 
 func (l listeners) close() {
 	l.http.Close()
 	if l.rpc != nil {
 		l.rpc.Close()
 	}
+	if l.control != nil {
+		l.control.Close()
+	}
+}
+
+// stopTaking closes where clients come in: the platform may ask to the end.
+func (l listeners) stopTaking() {
+	l.control = nil
+	l.close()
 }
 
 // parts is a proxy put together.
@@ -63,6 +87,9 @@
 	rpcCarrier *rpc.Carrier // nil where RPC is off
 	rpcFront   *rpc.Front
 	rpcCounts  rpc.Counts
+
+	counts *metrics.Counts // nil where nobody asks
+	door   *control.Door
 }
 
 // assemble puts a proxy together. Nothing runs yet.
@@ -89,6 +116,11 @@
 	p.engine.Carry(p.carrier)
 	p.engine.ProbeWith(p.carrier)
 	p.engine.Follow(p.source)
+	if cfg.Control != "" {
+		p.counts = metrics.New(p.engine.Written, cfg.Settings.Classes)
+		p.door = control.New(p.front.Ready, p.counts.Append)
+		p.engine.Observe(p.counts)
+	}
 	if own.RPC.Listen != "" {
 		p.rpcCarrier = rpc.NewCarrier(p.engine, &own.RPC, &p.rpcCounts)
 		p.rpcFront = rpc.NewFront(p.engine, p.rpcCarrier, &own.RPC, logger, &p.rpcCounts)
@@ -105,6 +137,11 @@
 	}
 	engineCtx, stopEngine := context.WithCancel(context.Background())
 	go p.engine.Run(engineCtx)
+	if p.door != nil && in.control != nil {
+		p.engine.Post(p.publish)
+		go p.door.Serve(in.control)
+		defer p.door.Close()
+	}
 	defer func() {
 		stopEngine()
 		p.source.Close()
@@ -135,22 +172,38 @@
 	return p.drain(cfg, in)
 }
 
+// publish sets the gauges now and ever again. On the engine's goroutine.
+func (p *parts) publish() {
+	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided())
+	p.engine.At(p.engine.Now()+metrics.Every, p.publish)
+}
+
 // drain stops the fronts without losing a request: they go on accepting while
 // connections still come, end each with its answers, and wait for what is in hand.
 func (p *parts) drain(cfg *config.Platform, in listeners) error {
 	p.front.Stop()
-	fronts := []interface{ Shutdown(context.Context) error }{p.front}
+	// A connection that rests here may have a request on its way, which nobody else will
+	// read: it is kept until its client has had the answer that ends it.
+	end := p.front.Shutdown
+	if cfg.ListenFD >= 0 {
+		end = p.front.Linger
+	}
+	fronts := []func(context.Context) error{end}
 	if p.rpcFront != nil {
 		p.rpcFront.Stop()
-		fronts = append(fronts, p.rpcFront)
+		fronts = append(fronts, p.rpcFront.Shutdown)
+	}
+	// Where the platform holds the listener, another process takes what still comes, and
+	// what this one leaves in the queue is not lost.
+	if cfg.ListenFD < 0 {
+		time.Sleep(cfg.AcceptLonger)
 	}
-	time.Sleep(cfg.AcceptLonger)
-	in.close()
+	in.stopTaking()
 	for _, wait := range []time.Duration{cfg.StopWithin() - lastAnswers, lastAnswers} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
 		open := false
 		for _, f := range fronts {
-			err := f.Shutdown(ctx)
+			err := f(ctx)
 			if errors.Is(err, context.DeadlineExceeded) {
 				open = true
 			} else if err != nil {
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,56 @@
+// Package quota says what part of a tenant's traffic lies beyond its share, as one of
+// several proxies that each see about as much of every tenant as the others do.
+//
+// It is pure: events and the time on them in, a share out. What follows from it, what a
+// request is worth and which goes first, is package marlreel's.
+package quota
+
+import (
+	"time"
+
+	"marlreel/internal/fade"
+)
+
+// Model counts the traffic of each tenant. Not safe for concurrent use.
+type Model struct {
+	tenants []tenant
+	over    time.Duration
+}
+
+type tenant struct {
+	quota   float64 // requests a second, here
+	traffic fade.Sum
+}
+
+// New counts over such a time. quotas are the tenants' requests a second at all proxies
+// together, 0 or less for one without a bound.
+func New(quotas []float64, proxies int, over time.Duration) *Model {
+	m := &Model{over: over}
+	m.Set(quotas, proxies, over)
+	return m
+}
+
+// Set puts other quotas in force. What has come lately of a tenant, known by its place,
+// still counts.
+func (m *Model) Set(quotas []float64, proxies int, over time.Duration) {
+	old := m.tenants
+	m.tenants, m.over = make([]tenant, len(quotas)), over
+	copy(m.tenants, old)
+	for i, q := range quotas {
+		m.tenants[i].quota = q / float64(max(1, proxies))
+	}
+}
+
+// Came counts a request of a tenant and gives the part of its traffic that is beyond its
+// share, from 0 to 1. One that there isn't has no share to be beyond.
+func (m *Model) Came(i int, now time.Duration) float64 {
+	if i < 0 || i >= len(m.tenants) {
+		return 0
+	}
+	t := &m.tenants[i]
+	t.traffic.Add(1, now, m.over)
+	if rate := t.traffic.PerSecond(now, m.over); t.quota > 0 && rate > t.quota {
+		return 1 - t.quota/rate
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,66 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// rate sends so many requests a second of tenant 0 for a while and gives the last answer.
+func rate(m *Model, perSecond int, from time.Duration) (over float64) {
+	for i := range 10 * perSecond {
+		over = m.Came(0, from+time.Duration(i)*time.Second/time.Duration(perSecond))
+	}
+	return over
+}
+
+func TestWhatIsBeyondTheShare(t *testing.T) {
+	t.Parallel()
+	const over = 3 * time.Second
+	for _, c := range []struct {
+		name      string
+		quota     float64
+		proxies   int
+		perSecond int
+		low, high float64
+	}{
+		{"within", 60, 3, 10, 0, 0},
+		{"twice as much", 60, 3, 40, 0.45, 0.55},
+		{"four times", 60, 3, 80, 0.7, 0.8},
+		{"no bound", 0, 3, 500, 0, 0},
+	} {
+		if got := rate(New([]float64{c.quota}, c.proxies, over), c.perSecond, time.Hour); got < c.low || got > c.high {
+			t.Errorf("%s: %.3f is beyond, want %.2f to %.2f", c.name, got, c.low, c.high)
+		}
+	}
+}
+
+// A new quota takes what has come already into account.
+func TestANewQuotaKeepsTheTraffic(t *testing.T) {
+	t.Parallel()
+	m := New([]float64{300}, 3, 3*time.Second)
+	if got := rate(m, 80, time.Hour); got != 0 {
+		t.Fatalf("within: %v", got)
+	}
+	m.Set([]float64{60, 10}, 3, 3*time.Second)
+	if got := m.Came(0, time.Hour+10*time.Second); got < 0.7 {
+		t.Errorf("%v of it is beyond the new quota, want three quarters", got)
+	}
+}
+
+// Whatever comes, the answer is a share, and tenants that there aren't have none.
+func TestAlwaysAShare(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(rapid.SliceOfN(rapid.Float64Range(-1, 1e6), 0, 4).Draw(t, "quotas"), rapid.IntRange(-1, 9).Draw(t, "proxies"), time.Second)
+		now := time.Hour
+		for range rapid.IntRange(0, 50).Draw(t, "n") {
+			now += time.Duration(rapid.IntRange(0, 1e9).Draw(t, "gap"))
+			i := rapid.IntRange(-1, 5).Draw(t, "tenant")
+			if v := m.Came(i, now); !(v >= 0 && v <= 1) || i < 0 && v != 0 {
+				t.Fatalf("tenant %d: %v", i, v)
+			}
+		}
+	})
+}
--- a/internal/rpc/carrier.go
+++ b/internal/rpc/carrier.go
@@ -448,6 +448,7 @@
 	n, err := conn.Write(data)
 	if n == len(data) {
 		f.sent.Store(true)
+		f.a.Wrote()
 		if f.body.notify {
 			l.of.engine.Post(func() { l.notified(f) })
 		}
