Take new settings at SIGHUP, whole or not at all, by the names of classes

Need: the file read at SIGHUP holds new settings; classes appear and vanish, fewer attempts may be allowed, and some files are broken. Design: internal/slots gives each class a number by its name, which it keeps over reloads and gets back when it returns; what was learnt hangs on the number, in module and models. A request keeps a pointer to the class it came with, and gets no more attempts than the settings it came under and those in force both allow: the lower one breaks neither. A call that was read by the book before the last is refused where its class now means something else. Not taken: a new module for each reload (health, limits and cold budgets would be lost), and numbers by place in the file.

--- a/admission.go
+++ b/admission.go
@@ -27,7 +27,7 @@
 	}
 	q.Class = min(max(q.Class, 0), len(b.cfg.Classes)-1)
 	c := &b.cfg.Classes[q.Class]
-	r := &request{Request: q, arrived: now}
+	r := &request{Request: q, class: c, most: b.cfg.Caps.MaxAttempts, arrived: now}
 	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(q.Cost)), q.Deadline)
 	b.requests[q.ID] = r
 	if b.lastRequest > 0 {
@@ -43,7 +43,7 @@
 
 // count notes the worth that a request asks for.
 func (b *Balancer) count(r *request) {
-	c := &b.cfg.Classes[r.Class]
+	c := r.class
 	r.worth = c.Value
 	if b.cfg.WorthByWork {
 		r.worth *= b.workOf(r)
@@ -79,7 +79,7 @@
 
 // chance is the share of its worth that a request earns on average, where so much delay (ms) is foretold.
 func (b *Balancer) chance(r *request, delay float64) float64 {
-	in, late := b.forecast.Chance(r.Class, delay, millis(r.aimAt-b.now)), b.cfg.Classes[r.Class].LateShare
+	in, late := b.forecast.Chance(r.Class, delay, millis(r.aimAt-b.now)), r.class.LateShare
 	if late <= 0 {
 		return in
 	}
@@ -142,7 +142,7 @@
 
 // useful is the time after which an answer is worth nothing.
 func (b *Balancer) useful(r *request) time.Duration {
-	if b.cfg.Classes[r.Class].LateShare > 0 {
+	if r.class.LateShare > 0 {
 		return r.Deadline
 	}
 	return r.aimAt
@@ -150,7 +150,7 @@
 
 // mayRefuse guards refusals: a refusal promises the client that trying again is harmless.
 func (b *Balancer) mayRefuse(r *request) bool {
-	c := &b.cfg.Classes[r.Class]
+	c := r.class
 	if c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
 		return true
 	}
--- a/attempts.go
+++ b/attempts.go
@@ -24,8 +24,8 @@
 
 // maySend guards further attempts: may this request be sent (again), and there?
 func (b *Balancer) maySend(r *request, t *target) bool {
-	c := &b.cfg.Classes[r.Class]
-	if r.ended || r.streaming || len(r.attempts) >= b.cfg.Caps.MaxAttempts || b.now >= r.Deadline {
+	c, most := r.class, min(r.most, b.cfg.Caps.MaxAttempts)
+	if r.ended || r.streaming || len(r.attempts) >= most || b.now >= r.Deadline {
 		return false
 	}
 	if r.out > 0 && !b.cfg.Caps.SecondCopies {
@@ -73,7 +73,7 @@
 	until := min(r.Deadline, max(b.useful(r)-b.cfg.Tick, b.now+b.cfg.Tick))
 	a.try = b.isOut(r, t)
 	b.gray.Sent(&t.kinds[r.Class].Cell, r.Class, a.try)
-	if a.try && b.cfg.Classes[r.Class].Effect != Unsafe {
+	if a.try && r.class.Effect != Unsafe {
 		until = min(until, b.now+(until-b.now)/3) // time enough to serve it elsewhere
 	}
 	b.host.Send(r.ID, t.ID, until)
@@ -141,7 +141,7 @@
 		if o.Final {
 			v := r.worth
 			if b.now > r.aimAt {
-				v *= b.cfg.Classes[r.Class].LateShare
+				v *= r.class.LateShare
 			}
 			b.ledger.Book(r.Class, r.Tenant, 0, v)
 		}
@@ -164,7 +164,7 @@
 		}
 		// Danger: a failure comes fast. It counts as slow as the aim, or a broken backend draws all traffic;
 		// but as no multiple of the median, which would feed itself while all fail.
-		b.note(a, max(took/a.expected, millis(b.cfg.Classes[r.Class].Aim)/a.expected, b.median), weight)
+		b.note(a, max(took/a.expected, millis(r.class.Aim)/a.expected, b.median), weight)
 	}
 }
 
--- a/balancer.go
+++ b/balancer.go
@@ -82,6 +82,8 @@
 
 type request struct {
 	Request
+	class                     *Class // as the settings had it when the request came
+	most                      int    // attempts, likewise
 	arrived, aimAt, waitUntil time.Duration
 	attempts                  []*attempt
 	out                       int
@@ -119,9 +121,8 @@
 	if b.gray, err = gray.New(gray.DefaultConfig(len(cfg.Classes))); err != nil {
 		return nil, err
 	}
-	b.interval = max(suspectProbe*cfg.Caps.ConnectTimeout, 20*cfg.Tick, 100*time.Millisecond)
-	b.gap, b.memory = b.interval, memory*b.interval
-	b.gray.SetMemory(b.memory)
+	b.pace()
+	b.gap = b.interval
 	return b, nil
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -419,7 +419,8 @@
 	b.meanWork, only.coldSince, only.tokens = 50, second, 100
 	sent := 0
 	for i := range 50 {
-		r := &request{Request: Request{ID: RequestID(i), Cost: milli, Deadline: 4 * second}, arrived: second, aimAt: 2 * second}
+		r := &request{Request: Request{ID: RequestID(i), Cost: milli, Deadline: 4 * second}, class: &b.cfg.Classes[0],
+			most: b.cfg.Caps.MaxAttempts, arrived: second, aimAt: 2 * second}
 		b.requests[r.ID] = r
 		if b.send(r, only) {
 			sent++
--- a/choice.go
+++ b/choice.go
@@ -66,7 +66,7 @@
 	mean := t.delays.Over(&t.answers, b.now, b.memory)
 	v := (t.load + 1) * b.gray.Delay(k, r.Class, b.now, b.estimate(t), mean)
 	if chance := b.gray.Chance(k, r.Class, b.now); chance < 1 {
-		v += (1 - chance) / chance * millis(b.cfg.Classes[r.Class].Aim) / b.expected(r.Class, millis(r.Cost))
+		v += (1 - chance) / chance * millis(r.class.Aim) / b.expected(r.Class, millis(r.Cost))
 	}
 	return v
 }
--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -143,5 +143,5 @@
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
 	}
 	logger := log.New(os.Stderr, "", log.Ltime|log.Lmicroseconds)
-	return proxy.Run(ctx, cfg, own, logger, proxy.Reloads(ctx, reload, os.Getenv("NODE_CONFIG"), os.Getenv, logger))
+	return proxy.Run(ctx, cfg, own, logger, proxy.Reloads(ctx, reload, os.Getenv("NODE_CONFIG"), os.Getenv))
 }
--- a/config.go
+++ b/config.go
@@ -1,6 +1,72 @@
 package marlreel
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+
+	"marlreel/internal/fade"
+	"marlreel/internal/forecast"
+	"marlreel/internal/ledger"
+)
+
+// Reconfigure puts other settings in force, in one step; an error leaves the old ones, whole.
+// Classes keep their places: a class that has gone stays where it was, and what was learnt of
+// each stays with its place. fresh are the places that another class has taken over, of which
+// no request is open: what was learnt there is forgotten. gone tells that a class is out of
+// use, so that how it was served last no longer weighs. Requests under way keep the class
+// that they came with, and may get no more attempts than either settings allow.
+func (b *Balancer) Reconfigure(now time.Duration, cfg Config, fresh []int, gone func(class int) bool) error {
+	if err := cfg.check(); err != nil {
+		return err
+	}
+	have := len(b.cfg.Classes)
+	if len(cfg.Classes) < have {
+		return fmt.Errorf("Classes: %d, and there were %d: each has to keep its place", len(cfg.Classes), have)
+	}
+	if cfg.OnRequest != b.cfg.OnRequest {
+		return fmt.Errorf("OnRequest: %v can't be changed while the list is followed", b.cfg.OnRequest)
+	}
+	b.now = now
+	more := len(cfg.Classes) - have
+	b.classes, b.tails = append(b.classes, make([]line, more)...), append(b.tails, make([]tail, more)...)
+	b.served, b.ahead = append(b.served, make([]fade.Sum, more)...), append(b.ahead, make([]int, more)...)
+	for _, t := range b.targets {
+		t.kinds = append(t.kinds, make([]kind, more)...)
+	}
+	b.gray.Grow(len(cfg.Classes))
+	b.forecast.Grow(len(cfg.Classes))
+	b.ledger.Reset(ledger.Goal(cfg.Goal), len(cfg.Classes), len(cfg.Tenants))
+	b.quota.Set(cfg.quotas(), cfg.Instances, cfg.Obligations.Fall)
+	b.prices = forecast.Prices{Waste: cfg.Prices.Waste, CrossZone: cfg.Prices.CrossZone}
+	for _, i := range fresh {
+		b.classes[i], b.tails[i], b.served[i] = line{}, tail{}, fade.Sum{}
+		for _, t := range b.targets {
+			t.setApart(&t.kinds[i], false)
+			t.kinds[i] = kind{}
+		}
+		b.gray.Forget(i)
+		b.forecast.Forget(i)
+	}
+	for i := range cfg.Classes {
+		if gone(i) {
+			b.ledger.Forget(i)
+		}
+	}
+	b.cfg = cfg
+	b.pace()
+	b.dispatch()
+	return nil
+}
+
+// pace sets the times that follow from the settings.
+func (b *Balancer) pace() {
+	b.interval = max(suspectProbe*b.cfg.Caps.ConnectTimeout, 20*b.cfg.Tick, 100*time.Millisecond)
+	b.memory = max(b.memory, memory*b.interval)
+	b.gray.SetMemory(b.memory)
+}
+
+// Validate is the check that New makes, for who wants to know beforehand.
+func (c *Config) Validate() error { return c.check() }
 
 // check returns an error that names the setting that makes no sense, or nil.
 func (c *Config) check() error {
@@ -9,7 +75,7 @@
 	}
 	for i, s := range c.Classes {
 		if s.Aim <= 0 || s.GiveUp <= 0 {
-			return fmt.Errorf("Classes[%d]: Aim %v and GiveUp %v must be above 0", i, s.Aim, s.GiveUp)
+			return fmt.Errorf("Classes[%d] (%s): Aim %v and GiveUp %v must be above 0", i, s.Name, s.Aim, s.GiveUp)
 		}
 		if s.Window < 0 || s.Value < 0 || s.AimStretch < 0 || s.LateShare < 0 {
 			return fmt.Errorf("Classes[%d]: Window, Value, AimStretch or LateShare is negative", i)
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -35,6 +35,8 @@
 	Known    *discovery.List // the list as last held; nil is none
 	Settings marlreel.Config
 
+	settings any // as they stand in the file
+
 	Names   discovery.Names
 	Report  []string // names of the values of a load report
 	MaxOpen int      // open requests; 0 is no limit
@@ -138,6 +140,22 @@
 			return nil, fmt.Errorf("settings: class %s is streamed, which is not supported", class.Name)
 		}
 	}
+	if err := c.Settings.Validate(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := json.Unmarshal(file.Settings, &c.settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Settings.Caps.MaxAttempts < 1 {
+		return nil, fmt.Errorf("settings: Caps.MaxAttempts is %d, must be 1 or more", c.Settings.Caps.MaxAttempts)
+	}
+	seen := map[string]bool{}
+	for i, class := range c.Settings.Classes {
+		if class.Name == "" || seen[class.Name] {
+			return nil, fmt.Errorf("settings: Services[%d].Name is %q, must be a name of its own", i, class.Name)
+		}
+		seen[class.Name] = true
+	}
 	var names struct { // what only a real proxy needs: on the wire all names are positions
 		FailureDomains, Kinds []string
 		Feedback              struct{ Names []string }
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -56,7 +56,11 @@
 func (a *Attempt) Sent() time.Duration { return a.sent }
 
 // Wrote tells that the attempt's last byte is written. Any goroutine may call it.
-func (a *Attempt) Wrote() { a.engine.written.Add(1) }
+func (a *Attempt) Wrote() {
+	if a.engine != nil { // an attempt of a test of carriers has none
+		a.engine.written.Add(1)
+	}
+}
 
 // Done tells whether the attempt has ended. Only on the engine's goroutine.
 func (a *Attempt) Done() bool { return a.done }
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -41,6 +41,7 @@
 	Name             string  // the client's own, new with each request; "" is not held against others
 	Front            Front   // who takes the answer
 	Carrier          Carrier // who takes attempts to backends
+	Book             *Book   // by which the request was read; nil is the one in force
 	Payload          any     // the carrier's
 
 	arrived  time.Duration
@@ -75,6 +76,11 @@
 		return
 	}
 	c.arrived = arrived
+	if !e.stillMeans(c) {
+		c.answered = true
+		e.tell(c, Answer{Verdict: Refused})
+		return
+	}
 	if most := e.cfg.MaxOpen; most > 0 && len(e.calls) >= most {
 		c.answered = true
 		e.tell(c, Answer{Verdict: Overloaded})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,11 +21,13 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"marlreel"
+	"marlreel/internal/slots"
 )
 
 const (
@@ -95,6 +97,8 @@
 	timers    timerHeap
 	lastTimer uint64
 	backends  backends
+	book      atomic.Pointer[Book]
+	classes   *slots.Table // numbers of classes, which they keep while the settings change
 	calls     map[marlreel.RequestID]*Call
 	asked     *recent // clients' names of calls
 	lastID    marlreel.RequestID
@@ -106,12 +110,18 @@
 func New(cfg Config) (*Engine, error) {
 	e := &Engine{cfg: cfg, start: time.Now(), events: make(chan func(), eventBuffer), stopped: make(chan struct{}),
 		calls: map[marlreel.RequestID]*Call{}, listed: cfg.Listed, backends: newBackends()}
-	longest := time.Duration(0)
-	for _, c := range cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
+	settings := cfg.Settings
+	names := make([]string, len(settings.Classes))
+	for i, c := range settings.Classes {
+		names[i] = c.Name
 	}
+	e.classes = slots.New(max(mostClasses, 2*len(names)))
+	if _, _, err := e.classes.Place(0, names, nil); err != nil {
+		return nil, fmt.Errorf("Services: %w", err)
+	}
+	e.write(&settings)
 	// What is open has come within the longest wait.
-	e.asked = newRecent(longest + time.Second)
+	e.asked = newRecent(longestGiveUp(&settings) + time.Second)
 	var err error
 	e.balancer, err = marlreel.New(cfg.Settings, cfg.Seed, host{e})
 	return e, err
@@ -135,9 +145,6 @@
 // Wall is the time of day at which the engine's clock shows d.
 func (e *Engine) Wall(d time.Duration) time.Time { return e.start.Add(d - ClockStart) }
 
-// Settings is what the module was told.
-func (e *Engine) Settings() *marlreel.Config { return &e.cfg.Settings }
-
 // Post hands the engine's goroutine an event. It gives up when the engine has ended.
 // Any other goroutine may call it; it may wait where the engine is behind.
 func (e *Engine) Post(event func()) {
@@ -172,7 +179,7 @@
 	known := e.cfg.Known
 	known.Kind = marlreel.ListCached
 	e.List(known)
-	if !e.cfg.Settings.OnRequest && e.source != nil {
+	if !e.Settings().OnRequest && e.source != nil {
 		e.source.Watch(true)
 	}
 	e.housekeep()
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -28,7 +28,7 @@
 	a.Backend = e.backends.byID[to]
 	unsent := marlreel.OK
 	switch {
-	case c.answered || until <= a.sent || a.N >= e.cfg.Settings.Caps.MaxAttempts:
+	case c.answered || until <= a.sent || a.N >= e.Settings().Caps.MaxAttempts:
 		unsent = marlreel.Moot
 	case a.Backend == nil:
 		unsent = marlreel.ConnectFailed
@@ -93,7 +93,7 @@
 		e.Later(func() { end(End{Result: marlreel.Moot}) })
 		return
 	}
-	wait := time.Duration(probeLonger * float64(e.cfg.Settings.Caps.ConnectTimeout))
+	wait := time.Duration(probeLonger * float64(e.Settings().Caps.ConnectTimeout))
 	e.prober.Probe(b, time.Now().Add(wait), end)
 }
 
--- /dev/null
+++ b/internal/engine/settings.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"marlreel"
+)
+
+// mostClasses bounds the classes, those that have gone and are remembered among them.
+const mostClasses = 64
+
+// Book is what fronts read requests by: the settings in force, and the numbers of names.
+// It is never changed.
+type Book struct {
+	// Settings is what the module is told: a class that has left the settings stays under
+	// its number, as it was last, and is not in Classes.
+	Settings         *marlreel.Config
+	Classes, Tenants map[string]int
+}
+
+// Book is the one in force. Any goroutine may call it.
+func (e *Engine) Book() *Book { return e.book.Load() }
+
+// Settings is what the module is told now. Any goroutine may call it; what it gives is
+// never changed.
+func (e *Engine) Settings() *marlreel.Config { return e.book.Load().Settings }
+
+// write makes a book and puts it in force.
+func (e *Engine) write(settings *marlreel.Config) {
+	b := &Book{Settings: settings, Classes: map[string]int{}, Tenants: map[string]int{}}
+	for i, c := range settings.Classes {
+		if !e.classes.Gone(i) {
+			b.Classes[c.Name] = i
+		}
+	}
+	for i, t := range settings.Tenants {
+		b.Tenants[t.Name] = i
+	}
+	e.book.Store(b)
+}
+
+// stillMeans tells whether a call that was read by an older book means the same by the one
+// in force. Danger: one that was let through as safe to repeat must not run as one that is
+// not, nor as a keyed one without its key.
+func (e *Engine) stillMeans(c *Call) bool {
+	now := e.book.Load()
+	if c.Book == nil || c.Book == now {
+		return true
+	}
+	is, was := &now.Settings.Classes[c.Class], &c.Book.Settings.Classes[c.Class]
+	return is.Name == was.Name && is.Effect == was.Effect && len(now.Tenants) == len(c.Book.Tenants)
+}
+
+// Reconfigure puts other settings in force, whole and at once, or leaves the old ones and
+// says why. Calls that are open keep the class they came with. Only on the engine's
+// goroutine.
+func (e *Engine) Reconfigure(next marlreel.Config) error {
+	old := e.Settings()
+	names := make([]string, len(next.Classes))
+	for i, c := range next.Classes {
+		names[i] = c.Name
+	}
+	trial := *e.classes // Place leaves what it has and makes a new one
+	at, fresh, err := trial.Place(e.Now(), names, e.classOpen)
+	if err != nil {
+		return fmt.Errorf("settings: Services: %w", err)
+	}
+	merged := make([]marlreel.Class, trial.Len())
+	copy(merged, old.Classes)
+	for k, i := range at {
+		merged[i] = next.Classes[k]
+	}
+	next.Classes = merged
+	if err := e.balancer.Reconfigure(e.Now(), next, fresh, trial.Gone); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	*e.classes = trial
+	e.write(&next)
+	e.asked.span = max(e.asked.span, longestGiveUp(&next)+time.Second)
+	return nil
+}
+
+// classOpen tells whether a call of a class is open.
+func (e *Engine) classOpen(class int) bool {
+	for _, c := range e.calls {
+		if c.Class == class {
+			return true
+		}
+	}
+	return false
+}
+
+func longestGiveUp(s *marlreel.Config) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	return longest
+}
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -45,6 +45,16 @@
 	return &Model{kinds: make([]kind, kinds)}
 }
 
+// Grow makes room for so many kinds of work; those there are stay as they are.
+func (m *Model) Grow(kinds int) {
+	for len(m.kinds) < kinds {
+		m.kinds = append(m.kinds, kind{})
+	}
+}
+
+// Forget drops what was learnt of a kind.
+func (m *Model) Forget(k int) { m.kinds[k] = kind{} }
+
 // spread gives the mean and the standard deviation of the logarithm of the ratio.
 func (k *kind) spread() (mean, dev float64) {
 	n := k.n + priorCount
--- a/internal/gray/gray.go
+++ b/internal/gray/gray.go
@@ -73,6 +73,17 @@
 	return m, nil
 }
 
+// Grow makes room for so many kinds of work; those there are stay as they are.
+func (m *Model) Grow(kinds int) {
+	for len(m.kinds) < kinds {
+		m.kinds = append(m.kinds, kind{tokens: m.cfg.Burst, best: 1})
+	}
+	m.cfg.Kinds = len(m.kinds)
+}
+
+// Forget drops what was learnt of a kind; its cells are the caller's to drop.
+func (m *Model) Forget(k int) { m.kinds[k] = kind{tokens: m.cfg.Burst, best: 1} }
+
 // Cell is one kind of work at one backend. The zero value knows nothing.
 type Cell struct {
 	bad, open         float64 // chance of being bad by what has ended; log likelihood ratio of what is out
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -13,13 +13,12 @@
 // Carrier takes attempts to backends over HTTP/1.1. The engine's goroutine calls it
 // and owns its pool; each exchange has a goroutine of its own.
 type Carrier struct {
-	engine         *engine.Engine
-	connectTimeout time.Duration
-	report         []string // names of the values of a load report
-	pool           pool
-	lastOK         map[*engine.Backend]time.Duration // a backend's last good answer
-	ctx            context.Context                   // of all exchanges
-	cancel         context.CancelFunc
+	engine *engine.Engine
+	report []string // names of the values of a load report
+	pool   pool
+	lastOK map[*engine.Backend]time.Duration // a backend's last good answer
+	ctx    context.Context                   // of all exchanges
+	cancel context.CancelFunc
 }
 
 // NewCarrier makes a carrier with a bound on its connections. report names the values
@@ -27,7 +26,7 @@
 func NewCarrier(e *engine.Engine, most int, report []string) *Carrier {
 	caps := e.Settings().Caps
 	worth := meanWorth(e.Settings())
-	c := &Carrier{engine: e, connectTimeout: caps.ConnectTimeout, report: report, lastOK: map[*engine.Backend]time.Duration{},
+	c := &Carrier{engine: e, report: report, lastOK: map[*engine.Backend]time.Duration{},
 		pool: pool{most: most, maxIdle: caps.ConnIdle - caps.ConnIdle/4, idle: map[*engine.Backend][]*conn{}, worth: worth,
 			model: conns.New(conns.DefaultConfig(worth, e.Settings().Prices.Handshake))}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -87,7 +86,8 @@
 // launch starts an exchange and brings its end back to the engine. The connection is
 // counted from here on, and until end has it.
 func (c *Carrier) launch(x *exchange, stake conns.Stake, end func(engine.End)) (stop func()) {
-	now := c.engine.Now()
+	now, caps := c.engine.Now(), &c.engine.Settings().Caps
+	c.pool.maxIdle = caps.ConnIdle - caps.ConnIdle/4
 	use := conns.Use{New: true, Large: stake.Large}
 	if x.conn = c.pool.take(x.to, now, stake); x.conn != nil {
 		use = conns.Use{Idle: now - x.conn.idleSince, Large: stake.Large}
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	go func() {
 		defer cancel()
-		r := x.run(ctx, c.connectTimeout, c.report)
+		r := x.run(ctx, caps.ConnectTimeout, c.report)
 		c.engine.Post(func() {
 			if x.dialled {
 				use.New = true // the one from the pool was dead when it was looked at last
--- a/internal/httpproxy/parse.go
+++ b/internal/httpproxy/parse.go
@@ -30,7 +30,7 @@
 // client's fault, and the answer says how; its status is 0 for a good request. A
 // backend closes on what it can't read, which would count as its own failure. The
 // cheap checks come first: a flood of bad requests must cost little.
-func (s *Front) parse(r *http.Request) (*call, time.Duration, answer) {
+func (s *Front) parse(r *http.Request, by *engine.Book) (*call, time.Duration, answer) {
 	bad := func(status int, format string, args ...any) (*call, time.Duration, answer) {
 		return nil, 0, badRequest(status, format, args...)
 	}
@@ -48,7 +48,7 @@
 	}
 	h := r.Header
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class, known := s.classes[name]
+	class, known := by.Classes[name]
 	if !known {
 		return bad(http.StatusNotFound, "unknown class")
 	}
@@ -58,8 +58,8 @@
 		}
 	}
 	tenant := 0
-	if len(s.tenants) > 0 {
-		if tenant, known = s.tenants[h.Get(headerAccount)]; !known {
+	if len(by.Tenants) > 0 {
+		if tenant, known = by.Tenants[h.Get(headerAccount)]; !known {
 			return bad(http.StatusBadRequest, "unknown account")
 		}
 	}
@@ -69,7 +69,7 @@
 	}
 	// Whatever it says, no client waits longer than its class does over all its tries,
 	// and nobody may hold a place here for longer.
-	c := &s.engine.Settings().Classes[class]
+	c := &by.Settings.Classes[class]
 	left = min(left, c.GiveUp)
 	id := h.Get(headerID)
 	if len(id) != idLength || strings.Trim(id, "0123456789abcdef") != "" {
@@ -115,7 +115,7 @@
 		about = f.Sum64()
 	}
 	req := &call{Call: engine.Call{Request: marlreel.Request{Class: class, Tenant: tenant, Key: about, Cost: cost,
-		Repeat: h.Get(headerRepeat) == "1"}, Name: id, Carrier: s.carrier, Payload: newMessage(r, body)},
+		Repeat: h.Get(headerRepeat) == "1"}, Name: id, Carrier: s.carrier, Book: by, Payload: newMessage(r, body)},
 		answers: make(chan answer, 1)}
 	req.Front = req
 	return req, left, answer{}
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -75,21 +75,15 @@
 	clients  *clients // of Serve
 	ready    atomic.Bool
 	stopping atomic.Bool // every answer ends its connection
-	classes  map[string]int
-	tenants  map[string]int
 }
 
 // NewFront makes a front whose calls go to backends by a carrier.
 func NewFront(e *engine.Engine, carrier *Carrier, errorLog *log.Logger) *Front {
-	s := &Front{clients: newClients(nil, 0), engine: e, carrier: carrier, classes: map[string]int{}, tenants: map[string]int{}}
+	s := &Front{clients: newClients(nil, 0), engine: e, carrier: carrier}
 	longest := time.Duration(0) // that a client waits
-	for i, c := range e.Settings().Classes {
-		s.classes[c.Name] = i
+	for _, c := range e.Settings().Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	for i, t := range e.Settings().Tenants {
-		s.tenants[t.Name] = i
-	}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: max(writeTimeout, longest+headTimeout), IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHead, ErrorLog: errorLog,
@@ -176,7 +170,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	req, left, a := s.parse(r)
+	req, left, a := s.parse(r, s.engine.Book())
 	if a.status == 0 {
 		if c != nil {
 			c.busy()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,6 +39,22 @@
 	return &Ledger{goal: goal, classes: make([]tally, classes), tenants: make([]tally, tenants)}
 }
 
+// Reset puts another goal in force, with room for so many classes and tenants. Classes keep
+// what was booked; tenants do where their number is the same.
+func (l *Ledger) Reset(goal Goal, classes, tenants int) {
+	l.goal = goal
+	for len(l.classes) < classes {
+		l.classes = append(l.classes, tally{})
+	}
+	if len(l.tenants) != tenants {
+		l.tenants = make([]tally, tenants)
+	}
+}
+
+// Forget drops what was booked of a class. Danger: asked and served fade alike, so one that
+// was served badly when it went would stay the worst of all for good.
+func (l *Ledger) Forget(class int) { l.classes[class] = tally{} }
+
 // Book adds worth that was asked for, and worth that was served. A class or a tenant that
 // there isn't counts for the whole alone.
 func (l *Ledger) Book(class, tenant int, asked, served float64) {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -113,9 +113,10 @@
 type running struct {
 	url, addr string
 	rpc       string             // where callers connect; "" is nowhere
+	control   string             // where the platform asks; "" is nowhere
 	stop      context.CancelFunc // as SIGTERM does
 	ended     chan error
-	reloads   chan *config.Platform // what SIGHUP finds
+	reloads   chan Reload // what SIGHUP finds
 	log       *testutil.LockedLog
 }
 
@@ -138,13 +139,21 @@
 			t.Fatal(err)
 		}
 	}
+	if cfg.Control != "" {
+		if in.control, err = net.Listen("tcp", cfg.Control); err != nil {
+			t.Fatal(err)
+		}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
-		reloads: make(chan *config.Platform), log: &testutil.LockedLog{}}
+		reloads: make(chan Reload), log: &testutil.LockedLog{}}
 	p.url = "http://" + p.addr
 	if in.rpc != nil {
 		p.rpc = in.rpc.Addr().String()
 	}
+	if in.control != nil {
+		p.control = in.control.Addr().String()
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,7 +31,7 @@
 
 // Run serves until ctx ends, then finishes what it has taken. Each new configuration
 // that reloads brings is put in force without a break.
-func Run(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, reloads <-chan *config.Platform) error {
+func Run(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, reloads <-chan Reload) error {
 	var in listeners
 	var err error
 	if cfg.ListenFD >= 0 {
@@ -129,7 +129,7 @@
 	return p, nil
 }
 
-func serve(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, in listeners, reloads <-chan *config.Platform) error {
+func serve(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, in listeners, reloads <-chan Reload) error {
 	defer in.close()
 	p, err := assemble(cfg, own, logger)
 	if err != nil {
@@ -165,7 +165,7 @@
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
 		case next := <-reloads:
-			p.engine.Post(func() { p.source.Reload(next.Discovery) })
+			cfg = p.reload(cfg, next, logger)
 		case <-ctx.Done():
 		}
 	}
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"log"
 	"os"
 	"path/filepath"
 	"strings"
@@ -35,7 +34,7 @@
 			p := start(t, cfg)
 			old := a.next(t)
 			servedBy(t, p, "kept")
-			p.reloads <- moved(cfg, b.Addr)
+			p.reloads <- Reload{Config: moved(cfg, b.Addr)}
 			next := b.next(t)
 			if next.From != "0" {
 				t.Errorf("the new address is asked for what came after %s, want the whole list", next.From)
@@ -71,7 +70,7 @@
 	p := start(t, cfg)
 	a.next(t)
 	for _, addr := range []string{closedAddr(t), b.Addr, a.Addr, b.Addr, c.Addr, c.Addr} {
-		p.reloads <- moved(cfg, addr)
+		p.reloads <- Reload{Config: moved(cfg, addr)}
 	}
 	c.next(t).Lines <- line(t, 2, true, ready("s-2", named(t, "c")))
 	servedBy(t, p, "c")
@@ -84,7 +83,7 @@
 	cfg := testConfig(t, a.Addr, ready("s-1", named(t, "a")))
 	p := start(t, cfg)
 	w := a.next(t)
-	p.reloads <- moved(cfg, closedAddr(t))
+	p.reloads <- Reload{Config: moved(cfg, closedAddr(t))}
 	eventually(t, "a call to the dead address", func() bool { return strings.Contains(p.log.String(), "refused") })
 	w.Lines <- line(t, 2, true, ready("s-2", named(t, "b")))
 	servedBy(t, p, "b")
@@ -106,24 +105,21 @@
 	getenv := func(name string) string {
 		return map[string]string{config.EnvDiscovery: "127.0.0.1:9", "NODE_LISTEN": "127.0.0.1:7"}[name]
 	}
-	var text testutil.LockedLog
 	signals := make(chan os.Signal, 1)
-	configs := Reloads(t.Context(), signals, path, getenv, log.New(&text, "", 0))
+	found := Reloads(t.Context(), signals, path, getenv)
 	for _, bad := range []string{"{", good("nowhere"), ""} {
 		if put(bad); bad == "" {
 			os.Remove(path)
 		}
-		before := strings.Count(text.String(), "\n")
 		signals <- syscall.SIGHUP
-		eventually(t, "a line on the bad file", func() bool { return strings.Count(text.String(), "\n") > before })
-		if n := strings.Count(text.String(), "\n"); n != before+1 {
-			t.Errorf("%q: %d lines", bad, n-before)
+		if got := receive(t, found, "the bad file"); got.Err == nil || strings.Contains(got.Err.Error(), "\n") {
+			t.Errorf("%q: %v", bad, got.Err)
 		}
 	}
 	put(good("127.0.0.1:5"))
 	signals <- syscall.SIGHUP
-	cfg := receive(t, configs, "the new configuration")
-	if cfg.Discovery != "127.0.0.1:5" || cfg.Listen != "127.0.0.1:7" {
-		t.Errorf("discovery %s, listen %s", cfg.Discovery, cfg.Listen)
+	got := receive(t, found, "the new configuration")
+	if got.Err != nil || got.Config.Discovery != "127.0.0.1:5" || got.Config.Listen != "127.0.0.1:7" {
+		t.Errorf("%+v", got)
 	}
 }
--- a/internal/rpc/front.go
+++ b/internal/rpc/front.go
@@ -36,8 +36,6 @@
 	carrier engine.Carrier
 	cfg     *Config
 	limits  Limits
-	classes map[string]int
-	tenants map[string]int
 	logf    func(string, ...any)
 	counts  *Counts
 
@@ -52,14 +50,8 @@
 // been validated, also against the settings.
 func NewFront(e *engine.Engine, carrier *Carrier, cfg *Config, logger *log.Logger, counts *Counts) *Front {
 	f := &Front{engine: e, carrier: carrier, cfg: cfg, limits: Limits{Message: cfg.MessageBytes, Depth: cfg.Nesting},
-		classes: map[string]int{}, tenants: map[string]int{}, logf: logger.Printf, counts: counts,
+		logf: logger.Printf, counts: counts,
 		conns: map[*callerConn]struct{}{}, quiet: make(chan struct{})}
-	for i, c := range e.Settings().Classes {
-		f.classes[c.Name] = i
-	}
-	for i, t := range e.Settings().Tenants {
-		f.tenants[t.Name] = i
-	}
 	return f
 }
 
@@ -422,8 +414,12 @@
 	if err != nil {
 		return nil, &callError{Code: codeBadRequest, Message: err.Error()}
 	}
-	class := f.classes[method.Class]
-	k := &f.engine.Settings().Classes[class]
+	by := f.engine.Book()
+	class, known := by.Classes[method.Class]
+	if !known {
+		return nil, &callError{Code: codeNoMethod, Message: "the method's class is out of use"}
+	}
+	k := &by.Settings.Classes[class]
 	if (meta.Key != "") != (k.Effect == marlreel.Keyed) {
 		return nil, &callError{Code: codeBadRequest, Message: "$key is missing or out of place"}
 	}
@@ -431,8 +427,8 @@
 	if house == "" {
 		house = f.cfg.House
 	}
-	if len(f.tenants) > 0 {
-		t, known := f.tenants[house]
+	if len(by.Tenants) > 0 {
+		t, known := by.Tenants[house]
 		if !known {
 			return nil, &callError{Code: codeBadRequest, Message: "$house is missing or unknown"}
 		}
@@ -453,7 +449,7 @@
 		io.WriteString(h, meta.About)
 		about = h.Sum64()
 	}
-	q := &call{conn: c, id: m.id, note: note, Call: engine.Call{Name: meta.ID, Carrier: f.carrier,
+	q := &call{conn: c, id: m.id, note: note, Call: engine.Call{Name: meta.ID, Carrier: f.carrier, Book: by,
 		Request: marlreel.Request{Class: class, Tenant: tenant, Key: about, Repeat: meta.Repeat, Deadline: arrived + left},
 		Payload: &payload{method: m.method, args: args, count: count, meta: meta, given: given, notify: note}}}
 	q.Front = q
--- /dev/null
+++ b/internal/slots/slots.go
@@ -0,0 +1,98 @@
+// Package slots gives things that are known by name, such as the classes of requests, a
+// number each that stays theirs while the list of them changes. What was learnt of one
+// hangs on its number: one that stays in the list keeps it, and so does one that comes
+// back. It is pure. What a thing is, and what was learnt of it, is its callers'.
+package slots
+
+import (
+	"fmt"
+	"time"
+)
+
+// Table is the numbers in use. The zero value has none and room for none: see New.
+type Table struct {
+	most  int
+	slots []slot
+}
+
+type slot struct {
+	name string
+	gone bool
+	at   time.Duration // gone: since when
+}
+
+// Rest is how long a number stays its last owner's after that has gone: what was on its
+// way to be counted under it has come by then.
+const Rest = 10 * time.Second
+
+// New makes a table of at most so many numbers.
+func New(most int) *Table { return &Table{most: most} }
+
+// Len is how many numbers there are: from 0 to it.
+func (t *Table) Len() int { return len(t.slots) }
+
+// Gone tells whether the owner of a number is not in the list now.
+func (t *Table) Gone(i int) bool { return t.slots[i].gone }
+
+// Place puts a new list of names in force and gives the number of each. fresh are the
+// numbers, among those that were there before, whose owner is another one now: what was
+// learnt under them is to be forgotten. inUse tells whether something of a number's owner
+// is still open; such a number is not given away. Where it fails, nothing has changed.
+func (t *Table) Place(now time.Duration, names []string, inUse func(i int) bool) (at, fresh []int, err error) {
+	next := append([]slot(nil), t.slots...)
+	for i := range next {
+		if !next[i].gone {
+			next[i].gone, next[i].at = true, now
+		}
+	}
+	at = make([]int, len(names))
+	var left []int // places in names that have no number yet
+	for k, name := range names {
+		at[k] = -1
+		for i := range next {
+			if next[i].name != name {
+				continue
+			}
+			if !next[i].gone {
+				return nil, nil, fmt.Errorf("%q stands in the list twice", name)
+			}
+			next[i].gone, at[k] = false, i
+		}
+		if at[k] < 0 {
+			left = append(left, k)
+		}
+	}
+	for n, k := range left {
+		for _, before := range left[:n] {
+			if names[before] == names[k] {
+				return nil, nil, fmt.Errorf("%q stands in the list twice", names[k])
+			}
+		}
+		i := len(next)
+		if i < t.most {
+			next = append(next, slot{})
+		} else if i = longestGone(next, now, len(t.slots), inUse); i >= 0 {
+			fresh = append(fresh, i)
+		} else {
+			return nil, nil, fmt.Errorf("%q is one too many beside those of which something is still open: there is room for %d",
+				names[k], t.most)
+		}
+		next[i], at[k] = slot{name: names[k]}, i
+	}
+	t.slots = next
+	return at, fresh, nil
+}
+
+// longestGone finds the number that is the longest without an owner and may be given away, or -1.
+func longestGone(s []slot, now time.Duration, old int, inUse func(i int) bool) int {
+	best := -1
+	for i := range s[:old] {
+		if !s[i].gone || now-s[i].at < Rest || inUse(i) {
+			continue
+		}
+		if best < 0 || s[i].at < s[best].at {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/slots/slots_test.go
@@ -0,0 +1,94 @@
+package slots
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func none(int) bool { return false }
+
+func place(t *testing.T, tab *Table, now time.Duration, names ...string) []int {
+	t.Helper()
+	at, _, err := tab.Place(now, names, none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return at
+}
+
+func TestNumbersStay(t *testing.T) {
+	t.Parallel()
+	tab := New(4)
+	if at := place(t, tab, 0, "a", "b"); !slices.Equal(at, []int{0, 1}) {
+		t.Fatal(at)
+	}
+	if at := place(t, tab, 1, "c", "b"); !slices.Equal(at, []int{2, 1}) || !tab.Gone(0) {
+		t.Fatal(at)
+	}
+	if at := place(t, tab, 2, "b", "a"); !slices.Equal(at, []int{1, 0}) || !tab.Gone(2) {
+		t.Fatal(at)
+	}
+}
+
+// The number of one that has gone goes to another only when there is no room, it has
+// rested, and nothing of it is open.
+func TestNumbersAreGivenAwayLate(t *testing.T) {
+	t.Parallel()
+	tab := New(2)
+	place(t, tab, 0, "a", "b")
+	place(t, tab, time.Second, "b")
+	if _, _, err := tab.Place(2*time.Second, []string{"b", "c"}, none); err == nil {
+		t.Error("given away without a rest")
+	}
+	later := time.Second + Rest
+	if _, _, err := tab.Place(later, []string{"b", "c"}, func(i int) bool { return i == 0 }); err == nil {
+		t.Error("given away while something is open")
+	}
+	at, fresh, err := tab.Place(later, []string{"b", "c"}, none)
+	if err != nil || !slices.Equal(at, []int{1, 0}) || !slices.Equal(fresh, []int{0}) {
+		t.Error(at, fresh, err)
+	}
+}
+
+// Whatever lists come, no two names have one number, a name that stays keeps its own, and
+// a list that is turned down changes nothing.
+func TestNoTwoUnderOneNumber(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		tab, now := New(rapid.IntRange(1, 5).Draw(t, "most")), time.Duration(0)
+		have := map[string]int{}
+		for range rapid.IntRange(1, 12).Draw(t, "lists") {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "gap")) * time.Second
+			names := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}), 0, 6).Draw(t, "names")
+			busy := rapid.IntRange(-1, 4).Draw(t, "busy")
+			before := fmt.Sprint(tab.slots)
+			at, fresh, err := tab.Place(now, names, func(i int) bool { return i == busy })
+			if err != nil {
+				if fmt.Sprint(tab.slots) != before {
+					t.Fatal("a list that was turned down changed something")
+				}
+				continue
+			}
+			if slices.Contains(fresh, busy) {
+				t.Fatal("a number in use was given away")
+			}
+			now2 := map[string]int{}
+			for k, name := range names {
+				if i, was := have[name]; was && i != at[k] {
+					t.Fatalf("%s moved from %d to %d", name, i, at[k])
+				}
+				for other, i := range now2 {
+					if i == at[k] {
+						t.Fatalf("%s and %s have %d", other, name, i)
+					}
+				}
+				now2[name] = at[k]
+			}
+			have = now2
+		}
+	})
+}
--- a/kinds.go
+++ b/kinds.go
@@ -77,7 +77,7 @@
 	}
 	k := &a.to.kinds[a.req.Class]
 	if a.try {
-		b.gray.Tried(&k.Cell, a.req.Class, end, b.cfg.Classes[a.req.Class].Effect != Unsafe)
+		b.gray.Tried(&k.Cell, a.req.Class, end, a.req.class.Effect != Unsafe)
 	}
 	return b.gray.Ended(&k.Cell, a.req.Class, end, a.sent, b.now, b.usual(a))
 }
@@ -139,7 +139,7 @@
 func (b *Balancer) rescue(t *target) {
 	for _, a := range t.out {
 		r := a.req
-		need, unsafe := span(a.expected*b.median), b.cfg.Classes[r.Class].Effect == Unsafe
+		need, unsafe := span(a.expected*b.median), r.class.Effect == Unsafe
 		if a.cancelled || r.ended || r.streaming || unsafe || !b.isOut(r, t) || b.retries < 1 ||
 			b.now-a.sent < need || b.useful(r)-b.now < 2*need {
 			continue
@@ -163,7 +163,7 @@
 	if len(r.attempts) > 0 || !b.gray.SomeOut(r.Class) {
 		return nil
 	}
-	c := &b.cfg.Classes[r.Class]
+	c := r.class
 	// Danger: a try of what can't be repeated may lose it. The cheapest go first; one of full worth
 	// only when none has come for some time.
 	rest := tryRest
