--- a/attempts.go
+++ b/attempts.go
@@ -145,8 +145,8 @@
 			}
 			b.ledger.Book(r.Class, r.Tenant, 0, v)
 		}
-		b.tails[r.Class].learn(took/max(1, a.expected/b.expected(r.Class, 0)), tailPart, tailStep)
-		t.tail.learn(took/a.expected, tailPart, tailStep)
+		b.tails[r.Class].learn(took / max(1, a.expected/b.expected(r.Class, 0)))
+		t.tail.learn(took / a.expected)
 		b.classes[r.Class].learn(millis(r.Cost), took, classKeep)
 		b.forecast.Learn(r.Class, a.foretold, took, true)
 		b.note(a, took/a.expected, 1)
@@ -186,3 +186,21 @@
 		b.finish(r, nil)
 	}
 }
+
+// Restart takes in that a request's last byte has not been out until now: its time, and that of its
+// attempts, count from here. Danger: a client that writes slowly would count as a slow backend.
+func (b *Balancer) Restart(now time.Duration, id RequestID, deadline time.Duration) {
+	b.now = now
+	r := b.requests[id]
+	if r == nil || r.ended {
+		return
+	}
+	r.aimAt, r.arrived, r.Deadline = min(r.aimAt+now-r.arrived, deadline), now, deadline
+	for _, a := range r.attempts {
+		if !a.done {
+			a.to.age(a, -1)
+			a.lateAt, a.sent = a.lateAt+now-a.sent, now
+			a.to.age(a, 1)
+		}
+	}
+}
--- a/balancer.go
+++ b/balancer.go
@@ -169,7 +169,7 @@
 	b.gray.SetMemory(b.memory)
 	b.findMedian()
 	for i := range b.classes {
-		b.tails[i].findLeast(tailFrom, tailRise)
+		b.tails[i].findLeast()
 	}
 	b.coldRates()
 	b.probeDue()
--- a/estimate.go
+++ b/estimate.go
@@ -33,7 +33,7 @@
 	}
 	b.median, b.ratios = median(b.ratios, 1), b.ratios[:0]
 	for _, t := range b.ready {
-		if t.tail.findLeast(tailFrom, tailRise); t.tail.least > 0 {
+		if t.tail.findLeast(); t.tail.least > 0 {
 			b.ratios = append(b.ratios, t.tail.least)
 		}
 	}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,152 @@
+// Package budget says who may hold how many bytes of a process's memory. Every buffer
+// whose size follows what others send is taken from here before it is filled, so that no
+// traffic makes the process larger than its limit. It owns the sums and the order of those
+// who wait. It never says which request goes on: a taker that gets nothing passes on what
+// it has, waits, or turns its request away.
+package budget
+
+import (
+	"container/list"
+	"context"
+	"sync"
+)
+
+// Kind is what bytes are for.
+type Kind uint8
+
+// The kinds. What is whole in hand can be sent again, and is small: a part of the limit is
+// for it alone, so that a few large bodies don't keep all the usual ones out.
+const (
+	Small Kind = iota // a body, or an answer, that is small enough to be held whole
+	Large             // what is held of larger ones
+	kinds
+)
+
+// largeShare is the part of the limit that may be taken for Large, in percent.
+const largeShare = 70
+
+// Budget is one process's bytes. Make it with New. Any goroutine may use it.
+type Budget struct {
+	mu      sync.Mutex
+	limit   int
+	used    [kinds]int
+	waiting list.List // of *waiter, the longest waiting first
+}
+
+type waiter struct {
+	n    int
+	kind Kind
+	got  chan struct{} // closed when the bytes are its own
+}
+
+// New makes a budget of so many bytes.
+func New(limit int) *Budget { return &Budget{limit: max(0, limit)} }
+
+// fits tells whether there is room. Called with the lock.
+func (b *Budget) fits(n int, k Kind) bool {
+	if b.used[Small]+b.used[Large]+n > b.limit {
+		return false
+	}
+	return k != Large || b.used[Large]+n <= b.limit/100*largeShare
+}
+
+// Take takes bytes, or none where there is no room or others wait for it.
+func (b *Budget) Take(n int, k Kind) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.fits(n, k) || b.waits(k) {
+		return false
+	}
+	b.used[k] += n
+	return true
+}
+
+// waits tells whether somebody waits for bytes of a kind: who comes later goes behind.
+func (b *Budget) waits(k Kind) bool {
+	for e := b.waiting.Front(); e != nil; e = e.Next() {
+		if e.Value.(*waiter).kind == k {
+			return true
+		}
+	}
+	return false
+}
+
+// Wait takes bytes as soon as there is room, in turn. It gives an error, and has taken
+// nothing, when ctx ends before.
+func (b *Budget) Wait(ctx context.Context, n int, k Kind) error {
+	b.mu.Lock()
+	if b.fits(n, k) && !b.waits(k) {
+		b.used[k] += n
+		b.mu.Unlock()
+		return nil
+	}
+	w := &waiter{n: n, kind: k, got: make(chan struct{})}
+	e := b.waiting.PushBack(w)
+	b.mu.Unlock()
+	select {
+	case <-w.got:
+		return nil
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-w.got: // just now
+		return nil
+	default:
+	}
+	b.waiting.Remove(e)
+	b.serve() // it may have been first in a line that can go on without it
+	return ctx.Err()
+}
+
+// Give gives bytes back.
+func (b *Budget) Give(n int, k Kind) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used[k] -= n; b.used[k] < 0 {
+		panic("budget: more given back than was taken")
+	}
+	b.serve()
+}
+
+// serve gives room to those who wait, of each kind in turn. Called with the lock.
+func (b *Budget) serve() {
+	var stopped [kinds]bool
+	for e := b.waiting.Front(); e != nil; {
+		w, next := e.Value.(*waiter), e.Next()
+		if !stopped[w.kind] {
+			if b.fits(w.n, w.kind) {
+				b.used[w.kind] += w.n
+				b.waiting.Remove(e)
+				close(w.got)
+			} else {
+				stopped[w.kind] = true
+			}
+		}
+		e = next
+	}
+}
+
+// SetLimit puts another limit in force. What is over it already stays taken: nothing more
+// is given until enough has come back.
+func (b *Budget) SetLimit(limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = max(0, limit)
+	b.serve()
+}
+
+// Limit is the limit in force.
+func (b *Budget) Limit() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit
+}
+
+// Used is how many bytes are taken.
+func (b *Budget) Used() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[Small] + b.used[Large]
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,132 @@
+package budget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"marlreel/internal/testutil"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Whatever is taken and given back: never more than the limit, never more of the large
+// than their part, and what was given back can be taken again.
+func TestNeverOverTheLimit(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 2000).Draw(t, "limit")
+		b := New(limit)
+		type taken struct {
+			n int
+			k Kind
+		}
+		var held []taken
+		sum, large := 0, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(held) > 0 && rapid.Bool().Draw(t, "give") {
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "which")
+				b.Give(held[i].n, held[i].k)
+				sum -= held[i].n
+				if held[i].k == Large {
+					large -= held[i].n
+				}
+				held = append(held[:i], held[i+1:]...)
+				continue
+			}
+			n, k := rapid.IntRange(0, 500).Draw(t, "n"), Kind(rapid.IntRange(0, 1).Draw(t, "kind"))
+			fits := sum+n <= limit && (k == Small || large+n <= limit/100*largeShare)
+			if got := b.Take(n, k); got != fits {
+				t.Fatalf("%d of %d, %d of them large: %d of kind %d taken: %v", sum, limit, large, n, k, got)
+			}
+			if fits {
+				held, sum = append(held, taken{n, k}), sum+n
+				if k == Large {
+					large += n
+				}
+			}
+			if b.Used() != sum {
+				t.Fatalf("%d used, %d taken", b.Used(), sum)
+			}
+		}
+		for _, h := range held {
+			b.Give(h.n, h.k)
+		}
+		if b.Used() != 0 {
+			t.Fatalf("%d used when all is given back", b.Used())
+		}
+	})
+}
+
+// Who waits is served in turn, and does not hold up the other kind; who gives up has
+// taken nothing and holds up nobody.
+func TestWaiting(t *testing.T) {
+	t.Parallel()
+	b := New(1000)
+	if !b.Take(700, Large) || b.Take(1, Large) || !b.Take(300, Small) {
+		t.Fatal("the parts are not as expected")
+	}
+	got := make(chan int, 3)
+	wait := func(ctx context.Context, name, n int, k Kind) {
+		if b.Wait(ctx, n, k) == nil {
+			got <- name
+		} else {
+			got <- -name
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	queued := func(n int) {
+		testutil.Eventually(t, "one more to wait", func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.waiting.Len() == n
+		})
+	}
+	go wait(ctx, 1, 500, Large)
+	queued(1)
+	go wait(t.Context(), 2, 100, Large)
+	queued(2)
+	go wait(t.Context(), 3, 200, Small)
+	queued(3)
+	b.Give(300, Small) // room for the small one; the first large one wants more
+	if name := testutil.Receive(t, got, "the small one"); name != 3 {
+		t.Fatalf("%d was served", name)
+	}
+	b.Give(100, Large)
+	if b.Take(1, Large) {
+		t.Error("one that came later went before those who wait")
+	}
+	cancel()
+	first, second := testutil.Receive(t, got, "one"), testutil.Receive(t, got, "another")
+	if first+second != 1 { // -1 and 2
+		t.Errorf("%d and %d", first, second)
+	}
+	b.Give(600+100, Large)
+	b.Give(200, Small)
+	if b.Used() != 0 {
+		t.Errorf("%d used at the end", b.Used())
+	}
+}
+
+// A lower limit takes nothing away, and gives nothing until enough has come back.
+func TestALowerLimit(t *testing.T) {
+	t.Parallel()
+	b := New(1000)
+	b.Take(600, Small)
+	b.SetLimit(500)
+	if b.Take(1, Small) {
+		t.Error("taken over the limit")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	if b.Wait(ctx, 1, Small) == nil {
+		t.Error("waited for, and got, over the limit")
+	}
+	b.Give(200, Small)
+	if !b.Take(100, Small) || b.Take(1, Small) {
+		t.Error("the new limit does not hold")
+	}
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -202,6 +202,19 @@
 // ClientConns is how many client connections are kept.
 func (c *Platform) ClientConns() int { return c.sockets() / 2 }
 
+// defaultMemoryMB is what a process may take where nothing is said.
+const defaultMemoryMB = 64
+
+// BodyBytes is how much of the memory bodies may take. What is left is for the program,
+// the connections' own buffers, and garbage, which may come to as much as what lives.
+func (c *Platform) BodyBytes() int {
+	mb := c.MemoryMB
+	if mb == 0 {
+		mb = defaultMemoryMB
+	}
+	return mb << 20 / 4
+}
+
 // UpstreamConns bounds the connections to backends.
 func (c *Platform) UpstreamConns() int { return c.sockets() / 4 }
 
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -23,6 +23,9 @@
 // Revoke takes the right away, unless it was used. Any goroutine.
 func (p *Permit) Revoke() bool { return p.state.CompareAndSwap(permitOpen, permitRevoked) }
 
+// Open tells whether the attempt may still go out. Any goroutine.
+func (p *Permit) Open() bool { return p.state.Load() == permitOpen }
+
 // Used tells whether the attempt may have gone out.
 func (p *Permit) Used() bool { return p.state.Load() == permitUsed }
 
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -44,6 +44,11 @@
 	Book             *Book   // by which the request was read; nil is the one in force
 	Payload          any     // the carrier's
 
+	// Coming says that the call's last byte has not come yet. Its time counts from then on,
+	// which Came tells, and Wait is how long it is. The engine sets Deadline.
+	Coming bool
+	Wait   time.Duration
+
 	arrived  time.Duration
 	margin   time.Duration // how long before the deadline the engine answers by itself
 	taken    bool          // it is, or was, in the table
@@ -96,18 +101,63 @@
 	e.lastID++
 	c.ID = e.lastID
 	e.calls[c.ID], c.taken = c, true
-	// Whatever the module does, the client has its answer before its time is up.
-	c.margin = min(Backstop, max(0, c.Deadline-arrived)/backstopShare)
+	if c.Coming {
+		c.Deadline = arrived + longestComing
+		c.margin = min(Backstop, c.Wait/backstopShare)
+		e.At(e.Now()+comingEvery, func() { e.stillComing(c) })
+	} else {
+		c.margin = min(Backstop, max(0, c.Deadline-arrived)/backstopShare)
+		e.setBackstop(c)
+	}
+	now := e.Now()
+	if e.observer != nil {
+		e.observer.Taken(now, c)
+	}
+	e.balancer.Request(now, c.Request)
+}
+
+// setBackstop sees to it that whatever the module does, the client has its answer before
+// its time is up.
+func (e *Engine) setBackstop(c *Call) {
 	c.backstop = e.At(c.Deadline-c.margin, func() {
 		if e.answer(c, Answer{Verdict: OutOfTime}) {
 			e.balancer.Gone(e.Now(), c.ID)
 		}
 	})
-	now := e.Now()
-	if e.observer != nil {
-		e.observer.Taken(now, c)
+}
+
+const (
+	// longestComing bounds a call whose last byte does not come. Its front ends it sooner,
+	// where its client makes no progress.
+	longestComing = time.Hour
+	// comingEvery is how often the module is told that a call is still coming.
+	comingEvery = 50 * time.Millisecond
+)
+
+// stillComing keeps the module from taking a slow client for a slow backend.
+func (e *Engine) stillComing(c *Call) {
+	if !c.Coming || c.answered {
+		return
 	}
-	e.balancer.Request(now, c.Request)
+	e.balancer.Restart(e.Now(), c.ID, c.Deadline)
+	e.At(e.Now()+comingEvery, func() { e.stillComing(c) })
+}
+
+// Came tells that the last byte of a call that was coming has come: its time counts from
+// then. Only on the engine's goroutine.
+func (e *Engine) Came(c *Call, at time.Duration) {
+	if !c.Coming || c.answered {
+		return
+	}
+	c.Coming, c.Deadline = false, at+c.Wait
+	e.setBackstop(c)
+	for _, a := range c.attempts {
+		if !a.done {
+			e.Disarm(a.end)
+			a.end = e.At(c.Deadline-2*c.margin, a.expire)
+		}
+	}
+	e.balancer.Restart(e.Now(), c.ID, c.Deadline)
 }
 
 // tell hands the answer to the front.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -22,7 +22,7 @@
 	a := &Attempt{Call: c, N: len(c.attempts), sent: e.Now(), engine: e.Engine}
 	c.attempts = append(c.attempts, a)
 	c.open++
-	if latest := c.Deadline - 2*c.margin; until == 0 || until > latest {
+	if latest := c.Deadline - 2*c.margin; until == 0 || until > latest || c.Coming {
 		until = latest
 	}
 	a.Backend = e.backends.byID[to]
--- /dev/null
+++ b/internal/httpproxy/body.go
@@ -0,0 +1,130 @@
+package httpproxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"marlreel/internal/budget"
+)
+
+const (
+	// maxLength bounds a body in either direction. What says that it is longer, or turns
+	// out to be, is no body of anybody's: three gigabytes of noise would be passed on.
+	maxLength = 64 << 20
+	// A client's body is owed its first bytes within bodyGrace of its head, and comes at
+	// leastRate from there on: half of what the slowest clients manage.
+	bodyGrace = 2400 * time.Millisecond
+	leastRate = 32 << 10
+	// roomWait is how long a request waits for room for its body before it is refused.
+	roomWait = 250 * time.Millisecond
+	// drainWait is how long a client that still writes may read an answer that came early.
+	drainWait = 500 * time.Millisecond
+)
+
+var errTooLong = errors.New("the body is too long")
+
+// paced reads a client's body and ends it where it comes too slowly.
+type paced struct {
+	in     io.Reader
+	until  func(time.Time) error // sets the deadline of a read
+	began  time.Time
+	got    int64
+	waited time.Duration // that it was not read, for want of room
+	idle   time.Time     // since when it has not been read
+}
+
+func newPaced(r *http.Request, out *http.ResponseController) *paced {
+	now := time.Now()
+	return &paced{in: r.Body, until: out.SetReadDeadline, began: now, idle: now}
+}
+
+// Read implements io.Reader.
+func (p *paced) Read(b []byte) (int, error) {
+	p.waited += time.Since(p.idle)
+	p.until(p.began.Add(p.waited + bodyGrace + time.Duration(p.got)*time.Second/leastRate))
+	n, err := p.in.Read(b)
+	p.got += int64(n)
+	p.idle = time.Now()
+	return n, err
+}
+
+// readBody reads a request's body: whole where it is small, else so much of it that it can
+// be sent on without waiting for its client, as far as there is room. The answer's status is
+// 0 where that went well; it is the client's, or nobody's for now, where not.
+func (s *Front) readBody(r *http.Request, in *paced) (body []byte, up *upload, a answer) {
+	switch n := r.ContentLength; {
+	case n == 0:
+		return nil, nil, answer{}
+	case n > maxLength:
+		return nil, nil, badRequest(http.StatusRequestEntityTooLarge, "the body has more than %d bytes", maxLength)
+	case n > 0 && n <= maxBody:
+		body, err := s.readSmall(r.Context(), in, int(n))
+		return body, nil, bodyTrouble(err)
+	}
+	up = newUpload(s.room, r.ContentLength)
+	wait, cancel := context.WithTimeout(r.Context(), roomWait)
+	defer cancel()
+	err := up.open(wait)
+	if err == nil {
+		err = up.fill(r.Context(), in, false)
+	} else {
+		err = errNoRoom
+	}
+	if body, small := up.small(); small && err == nil {
+		up.release()
+		return body, nil, answer{}
+	}
+	if err != nil && err != errFlow {
+		up.release()
+		return nil, nil, bodyTrouble(err)
+	}
+	return nil, up, answer{}
+}
+
+var errNoRoom = errors.New("there is no room for the body")
+
+// readSmall reads a body that is held whole. A length alone takes no large room: what
+// follows it may never come.
+func (s *Front) readSmall(ctx context.Context, in io.Reader, n int) ([]byte, error) {
+	if n > smallBody && s.room != nil {
+		wait, cancel := context.WithTimeout(ctx, roomWait)
+		defer cancel()
+		if s.room.Wait(wait, n, budget.Small) != nil {
+			return nil, errNoRoom
+		}
+		// What is read is garbage when the request is over; so is its room, a little sooner.
+		defer s.room.Give(n, budget.Small)
+	}
+	body := make([]byte, min(n, smallBody))
+	got, err := io.ReadFull(in, body)
+	for err == nil && got < n {
+		body = append(make([]byte, 0, min(4*len(body), n)), body...)
+		more := cap(body) - got
+		if _, err = io.ReadFull(in, body[got:got+more]); err == nil {
+			got += more
+			body = body[:got]
+		}
+	}
+	return body, err
+}
+
+// bodyTrouble words what went wrong with a body.
+func bodyTrouble(err error) answer {
+	var ne net.Error
+	switch {
+	case err == nil:
+		return answer{}
+	case errors.Is(err, errNoRoom):
+		a := badRequest(http.StatusServiceUnavailable, "%v", err)
+		return a
+	case errors.Is(err, errTooLong):
+		return badRequest(http.StatusRequestEntityTooLarge, "the body has more than %d bytes", maxLength)
+	case errors.As(err, &ne) && ne.Timeout():
+		return badRequest(http.StatusRequestTimeout, "the body comes too slowly")
+	}
+	return badRequest(http.StatusBadRequest, "the body ended early")
+}
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marlreel"
+	"marlreel/internal/budget"
 	"marlreel/internal/conns"
 	"marlreel/internal/engine"
 )
@@ -15,6 +16,7 @@
 type Carrier struct {
 	engine *engine.Engine
 	report []string // names of the values of a load report
+	room   *budget.Budget
 	pool   pool
 	lastOK map[*engine.Backend]time.Duration // a backend's last good answer
 	ctx    context.Context                   // of all exchanges
@@ -22,11 +24,11 @@
 }
 
 // NewCarrier makes a carrier with a bound on its connections. report names the values
-// of backends' load reports, in the settings' order.
-func NewCarrier(e *engine.Engine, most int, report []string) *Carrier {
+// of backends' load reports, in the settings' order; answers are held by what room there is.
+func NewCarrier(e *engine.Engine, most int, report []string, room *budget.Budget) *Carrier {
 	caps := e.Settings().Caps
 	worth := meanWorth(e.Settings())
-	c := &Carrier{engine: e, report: report, lastOK: map[*engine.Backend]time.Duration{},
+	c := &Carrier{engine: e, room: room, report: report, lastOK: map[*engine.Backend]time.Duration{},
 		pool: pool{most: most, maxIdle: caps.ConnIdle - caps.ConnIdle/4, idle: map[*engine.Backend][]*conn{}, worth: worth,
 			model: conns.New(conns.DefaultConfig(worth, e.Settings().Prices.Handshake))}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -38,9 +40,9 @@
 
 // Begin implements engine.Carrier. The call's payload is a *message.
 func (c *Carrier) Begin(a *engine.Attempt) {
-	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*message), until: a.Until, permit: &a.Permit, wrote: a.Wrote}
+	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*message), until: a.Until, permit: &a.Permit, wrote: a.Wrote, coming: a.Call.Coming}
 	class := &c.engine.Settings().Classes[a.Call.Class]
-	stake := conns.Stake{Worth: class.Value, Large: len(x.msg.body) >= largeBody}
+	stake := conns.Stake{Worth: class.Value, Large: len(x.msg.body) >= largeBody || x.msg.up != nil}
 	if class.Effect != marlreel.Unsafe {
 		stake.Effect = conns.Delayed
 	}
@@ -95,6 +97,7 @@
 		c.engine.Later(func() { end(engine.End{Result: marlreel.ConnectFailed}) })
 		return nil
 	}
+	x.room = c.room
 	x.hold = c.pool.model.Hold(now, uint32(x.to.ID), x.to.Zone)
 	ctx, cancel := context.WithCancel(c.ctx)
 	go func() {
@@ -108,12 +111,22 @@
 			if r.conn != nil {
 				r.conn.turnedAway = r.result == marlreel.Full
 			}
-			c.pool.put(x.to, r.conn, c.engine.Now())
 			e := engine.End{Result: r.result, Load: r.load}
 			if r.result == marlreel.OK {
 				e.Reply = &r
 			}
+			if r.stream != nil {
+				e.Stream = true
+				r.stream.done = func(left *conn) {
+					c.engine.Post(func() { c.pool.put(x.to, left, c.engine.Now()) })
+				}
+			} else {
+				c.pool.put(x.to, r.conn, c.engine.Now())
+			}
 			end(e)
+			if !r.claimed {
+				r.release(c.room)
+			}
 		})
 	}()
 	return cancel
--- /dev/null
+++ b/internal/httpproxy/chunks_test.go
@@ -0,0 +1,152 @@
+package httpproxy
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// inPieces gives its text piece by piece, with a time-out before each.
+type inPieces struct {
+	pieces [][]byte
+	rested bool
+}
+
+func (r *inPieces) Read(p []byte) (int, error) {
+	if len(r.pieces) == 0 {
+		return 0, io.EOF
+	}
+	if !r.rested {
+		r.rested = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := copy(p, r.pieces[0])
+	if r.pieces[0] = r.pieces[0][n:]; len(r.pieces[0]) == 0 {
+		r.pieces, r.rested = r.pieces[1:], false
+	}
+	return n, nil
+}
+
+// readThrough reads on over time-outs.
+func readThrough(c *chunkReader, step int) ([]byte, error) {
+	var got []byte
+	buf := make([]byte, step)
+	for {
+		n, err := c.Read(buf)
+		got = append(got, buf[:n]...)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err == io.EOF {
+			return got, nil
+		}
+		if err != nil {
+			return got, err
+		}
+	}
+}
+
+// Wherever the pieces are cut and whatever time-outs come between them, the body is the same.
+func TestChunksInPieces(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		var text, want bytes.Buffer
+		for range rapid.IntRange(0, 5).Draw(t, "chunks") {
+			data := rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "data")
+			want.Write(data)
+			text.WriteString(rapid.SampledFrom([]string{"", "0", "00"}).Draw(t, "zeros"))
+			text.Write(chunkSize(len(data))[:len(chunkSize(len(data)))-2])
+			text.WriteString(rapid.SampledFrom([]string{"", ";a=b", " ;a", "\t; x=\"y\""}).Draw(t, "extension") + "\r\n")
+			text.Write(data)
+			text.WriteString("\r\n")
+		}
+		text.WriteString("0\r\n" + rapid.SampledFrom([]string{"", "X-Sum: 5\r\n", "A: b\r\nC: d\r\n"}).Draw(t, "trailer") + "\r\n")
+		const next = "HTTP/1.1 200"
+		text.WriteString(next)
+		in := &inPieces{}
+		for rest := text.Bytes(); len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "cut")
+			in.pieces, rest = append(in.pieces, rest[:n]), rest[n:]
+		}
+		b := bufio.NewReaderSize(in, 64)
+		got, err := readThrough(&chunkReader{in: b}, rapid.IntRange(1, 400).Draw(t, "step"))
+		if err != nil || !bytes.Equal(got, want.Bytes()) {
+			t.Fatalf("%q: got %d bytes, want %d: %v", text.String(), len(got), want.Len(), err)
+		}
+		var behind []byte
+		for len(behind) < len(next) {
+			c, err := b.ReadByte()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				continue
+			}
+			if err != nil {
+				t.Fatalf("what follows was read too: %v", err)
+			}
+			behind = append(behind, c)
+		}
+		if string(behind) != next {
+			t.Fatalf("behind the body: %q", behind)
+		}
+	})
+}
+
+// What this reader takes, net/http's takes for the same body. It may take more: bare LF,
+// for one.
+func FuzzChunks(f *testing.F) {
+	for _, s := range []string{"0\r\n\r\n", "5\r\nabcde\r\n0\r\n\r\n", "5;x=y\r\nabcde\r\n0\r\nA: b\r\n\r\n", "5\nabcde\n0\n\n",
+		"ffffffffffffffffff\r\n", "-1\r\n", "5 \r\nabcde\r\n0\r\n\r\n", "1\r\nab\r\n0\r\n\r\n", "0\r\nbad\r\n\r\n", " 1\r\na\r\n0\r\n\r\n"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		got, err := readThrough(&chunkReader{in: bufio.NewReader(strings.NewReader(s))}, 100)
+		if err != nil {
+			return
+		}
+		want, err := io.ReadAll(httputil.NewChunkedReader(bufio.NewReader(strings.NewReader(s))))
+		if err != nil || !bytes.Equal(got, want) {
+			t.Fatalf("%q: %q here, %q and %v there", s, got, want, err)
+		}
+	})
+}
+
+// What head scans tell does not depend on how the head was cut.
+func TestHeadScan(t *testing.T) {
+	t.Parallel()
+	const first = "POST /bid HTTP/1.1\r\n"
+	for name, c := range map[string]struct {
+		head           string
+		refused, whole bool
+	}{
+		"good":          {first + "Host: a\r\nContent-Length: 3\r\n\r\n", false, true},
+		"chunked":       {first + "transfer-encoding: chunked\r\n\r\n", false, true},
+		"both":          {first + "Transfer-Encoding: chunked\r\nCONTENT-LENGTH: 3\r\n\r\n", true, true},
+		"bare LF":       {first + "Host: a\nContent-Length: 3\r\n\r\n", true, true},
+		"all bare":      {"POST /bid HTTP/1.1\nHost: a\n\n", true, false},
+		"folded":        {first + "Host: a\r\n b\r\n\r\n", true, true},
+		"a long line":   {first + "X: " + strings.Repeat("content-length:", 900) + "\r\n\r\n", false, true},
+		"in a value":    {first + "X: Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", false, true},
+		"the rest only": {"th: 3\r\n\r\n", false, false},
+		"half":          {first + "Host: a\r\n", false, false},
+	} {
+		for cut := range len(c.head) {
+			var h headScan
+			h.see([]byte(c.head[:cut]))
+			h.see([]byte(c.head[cut:]))
+			if cut > 8 || cut == 0 {
+				if h.whole() != c.whole && name != "all bare" {
+					t.Errorf("%s, cut at %d: whole %v", name, cut, h.whole())
+				}
+			}
+			if h.refused() != c.refused {
+				t.Errorf("%s, cut at %d: refused %v", name, cut, h.refused())
+			}
+		}
+	}
+}
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -42,6 +42,19 @@
 	clients *clients
 	in      *list.List // nil: it has a request in hand, or is closed
 	place   *list.Element
+
+	// Only the connection's own goroutine has these, that of net/http.
+	scan   headScan
+	inHand bool
+}
+
+// Read implements net.Conn.
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.inHand {
+		c.scan.see(p[:n])
+	}
+	return n, err
 }
 
 func newClients(ln net.Listener, most int) *clients {
@@ -138,13 +151,16 @@
 	}
 }
 
-// begins says that the head of a request has come.
-func (c *client) begins() {
+// begins says that the head of a request has come, and gives what was seen of it.
+func (c *client) begins() headScan {
+	seen := c.scan
+	c.scan, c.inHand = headScan{}, true
 	c.clients.mu.Lock()
 	defer c.clients.mu.Unlock()
 	if c.in != nil {
 		c.in.MoveToBack(c.place)
 	}
+	return seen
 }
 
 // busy says that the connection has a whole request in hand.
@@ -156,6 +172,9 @@
 
 // rest says that nothing is owed any more: the request was answered, or turned away.
 func (c *client) rest(answered bool) {
+	if answered { // else the connection ends, and somebody may still watch it
+		c.inHand = false
+	}
 	c.clients.mu.Lock()
 	defer c.clients.mu.Unlock()
 	if answered {
@@ -182,6 +201,13 @@
 	return errors.ErrUnsupported
 }
 
+// reset lets the connection's end be a reset, whatever has been written.
+func (c *client) reset() {
+	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		t.SetLinger(0)
+	}
+}
+
 type clientKey struct{}
 
 // withClient lets the handler of a connection's requests find the connection.
--- a/internal/httpproxy/parse.go
+++ b/internal/httpproxy/parse.go
@@ -34,15 +34,6 @@
 	bad := func(status int, format string, args ...any) (*call, time.Duration, answer) {
 		return nil, 0, badRequest(status, format, args...)
 	}
-	// net/http takes a Content-Length that stands beside a Transfer-Encoding away, so
-	// a chunked body may be one that hides another request. Clients of the protocol
-	// know a body's length; none sends it in chunks.
-	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 {
-		return bad(http.StatusLengthRequired, "a Content-Length is needed, and no Transfer-Encoding")
-	}
-	if r.ContentLength > maxBody {
-		return bad(http.StatusRequestEntityTooLarge, "the body has more than %d bytes", maxBody)
-	}
 	if r.URL.Host != "" || r.URL.RawPath != "" || !plain(r.URL.Path, "/-._~") || !visible(r.URL.RawQuery) {
 		return bad(http.StatusBadRequest, "a path of letters, digits and -._~ is needed")
 	}
@@ -82,7 +73,7 @@
 	if r.Method != method {
 		return bad(http.StatusMethodNotAllowed, "%s takes %s", name, method)
 	}
-	if method == http.MethodGet && r.ContentLength > 0 {
+	if method == http.MethodGet && r.ContentLength != 0 {
 		return bad(http.StatusBadRequest, "%s takes no body", method)
 	}
 	// Backends know a keyed request's repeats by this header alone. Without it a
@@ -104,10 +95,6 @@
 			return bad(http.StatusBadRequest, "a header that is not plain text")
 		}
 	}
-	body, err := readBody(r)
-	if err != nil {
-		return bad(http.StatusBadRequest, "the body ended early")
-	}
 	var about uint64
 	if rest != "" {
 		f := fnv.New64a()
@@ -115,31 +102,12 @@
 		about = f.Sum64()
 	}
 	req := &call{Call: engine.Call{Request: marlreel.Request{Class: class, Tenant: tenant, Key: about, Cost: cost,
-		Repeat: h.Get(headerRepeat) == "1"}, Name: id, Carrier: s.carrier, Book: by, Payload: newMessage(r, body)},
+		Repeat: h.Get(headerRepeat) == "1"}, Name: id, Carrier: s.carrier, Book: by},
 		answers: make(chan answer, 1)}
 	req.Front = req
 	return req, left, answer{}
 }
 
-// readBody reads the body of a request whose length is known and within bounds. A
-// length alone takes no large room: what follows it may never come.
-func readBody(r *http.Request) ([]byte, error) {
-	switch n := r.ContentLength; {
-	case n == 0:
-		return nil, nil
-	case n <= smallBody:
-		body := make([]byte, n)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	default:
-		body, err := io.ReadAll(r.Body)
-		if err == nil && int64(len(body)) < n {
-			err = io.ErrUnexpectedEOF
-		}
-		return body, err
-	}
-}
-
 // plain tells that s has only letters, digits and what else is named.
 func plain(s, others string) bool {
 	return every(s, func(b byte) bool {
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -27,16 +27,14 @@
 	"sync/atomic"
 	"time"
 
+	"marlreel/internal/budget"
 	"marlreel/internal/engine"
 )
 
 const (
 	// A client that says nothing, or half of something, is owed an error or a close
 	// within 3 s of connecting.
-	headTimeout = 2 * time.Second         // for a request's head
-	readTimeout = 2500 * time.Millisecond // for all of a request
-	// From a request's head to the end of its answer, where the longest class allows less.
-	writeTimeout = 10 * time.Second
+	headTimeout = 2400 * time.Millisecond // for a request's head, which may take 2 s
 	// A connection between two requests may be closed after 2 s. Many clients ask
 	// once and keep theirs for good.
 	idleTimeout = 2500 * time.Millisecond
@@ -47,6 +45,7 @@
 	status     int
 	header     http.Header // a backend's; nil for the proxy's own answers
 	body       []byte
+	from       *reply // whose room and stream go with the answer; nil for the proxy's own
 	retryAfter time.Duration
 	bad        bool // the request can't be used, and its connection ends with the answer
 }
@@ -72,20 +71,17 @@
 	http     *http.Server
 	engine   *engine.Engine
 	carrier  engine.Carrier
+	room     *budget.Budget
 	clients  *clients // of Serve
 	ready    atomic.Bool
 	stopping atomic.Bool // every answer ends its connection
 }
 
-// NewFront makes a front whose calls go to backends by a carrier.
-func NewFront(e *engine.Engine, carrier *Carrier, errorLog *log.Logger) *Front {
-	s := &Front{clients: newClients(nil, 0), engine: e, carrier: carrier}
-	longest := time.Duration(0) // that a client waits
-	for _, c := range e.Settings().Classes {
-		longest = max(longest, c.GiveUp)
-	}
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: max(writeTimeout, longest+headTimeout), IdleTimeout: idleTimeout,
+// NewFront makes a front whose calls go to backends by a carrier. What it holds of bodies
+// it takes from room.
+func NewFront(e *engine.Engine, carrier *Carrier, room *budget.Budget, errorLog *log.Logger) *Front {
+	s := &Front{clients: newClients(nil, 0), engine: e, carrier: carrier, room: room}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHead, ErrorLog: errorLog,
 		DisableGeneralOptionsHandler: true, // which would answer OPTIONS * with 200
 		ConnContext:                  withClient,
@@ -135,7 +131,8 @@
 	switch a.Verdict {
 	case engine.Served:
 		r := a.Reply.(*reply)
-		w = answer{status: http.StatusOK, header: passedOn(r.header), body: r.body}
+		r.claimed = true
+		w = answer{status: http.StatusOK, header: passedOn(r.header), body: r.body, from: r}
 	case engine.Refused:
 		w = ownAnswer(http.StatusServiceUnavailable, "refused")
 		w.retryAfter = a.RetryAfter
@@ -156,8 +153,11 @@
 // ServeHTTP implements http.Handler.
 func (s *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := clientOf(r)
+	var head headScan
 	if c != nil {
-		c.begins()
+		if head = c.begins(); len(r.TransferEncoding) > 0 && !head.whole() {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -171,25 +171,32 @@
 		return
 	}
 	req, left, a := s.parse(r, s.engine.Book())
+	if head.refused() {
+		a = badRequest(http.StatusBadRequest, "the head can be read in more than one way")
+	}
+	var up *upload
 	if a.status == 0 {
-		if c != nil {
-			c.busy()
+		in := newPaced(r, http.NewResponseController(w))
+		var body []byte
+		if body, up, a = s.readBody(r, in); a.status == 0 {
+			req.Payload = newMessage(r, body, up)
+			if c != nil {
+				c.busy()
+			}
+			if up == nil || up.whole() {
+				a = s.serve(r, req, left)
+			} else {
+				a = s.serveComing(w, r, req, left, in)
+			}
 		}
-		arrived := s.engine.Now() // the request's last byte is here
-		req.Deadline = arrived + left
-		s.engine.Post(func() { s.engine.Take(&req.Call, arrived) })
-		select {
-		case a = <-req.answers:
-		case <-r.Context().Done():
-			s.engine.Post(func() { s.engine.Gone(&req.Call) })
-			// Returning would answer 200 with nothing, to a client that may still read.
-			panic(http.ErrAbortHandler)
+		if up != nil {
+			defer up.release()
 		}
 	}
 	if c != nil && c.clients.crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	write(w, a)
+	s.write(w, r, req, a)
 	if a.bad {
 		// What follows on this connection, a body's rest or a request hidden in it,
 		// is not read. While net/http lets the client read the error, the connection
@@ -201,7 +208,100 @@
 	}
 }
 
-func write(w http.ResponseWriter, a answer) {
+// serve has a request answered whose last byte is here.
+func (s *Front) serve(r *http.Request, req *call, left time.Duration) answer {
+	arrived := s.engine.Now()
+	req.Deadline = arrived + left
+	s.engine.Post(func() { s.engine.Take(&req.Call, arrived) })
+	select {
+	case a := <-req.answers:
+		return a
+	case <-r.Context().Done():
+		s.leave(req)
+		// Returning would answer 200 with nothing, to a client that may still read.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serveComing has one answered whose body is larger than the room for it: it goes on as it
+// comes.
+func (s *Front) serveComing(w http.ResponseWriter, r *http.Request, req *call, left time.Duration, in *paced) answer {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	up := req.Payload.(*message).up
+	arrived := s.engine.Now()
+	req.Coming, req.Wait = true, left
+	s.engine.Post(func() { s.engine.Take(&req.Call, arrived) })
+	filled := make(chan error, 1)
+	go func() {
+		err := up.fill(ctx, in, true)
+		if err == nil {
+			came := s.engine.Now()
+			s.engine.Post(func() { s.engine.Came(&req.Call, came) })
+		}
+		filled <- err
+	}()
+	out := http.NewResponseController(w)
+	coming := filled
+	for {
+		select {
+		case a := <-req.answers:
+			if coming != nil {
+				// The rest is not wanted. The client may still write, and reads the answer then.
+				cancel()
+				out.SetReadDeadline(time.Now())
+				if err := <-coming; err != nil {
+					out.SetReadDeadline(time.Now().Add(drainWait))
+					a.bad = true
+				}
+			}
+			return a
+		case err := <-coming:
+			if coming = nil; err == nil {
+				continue
+			}
+			s.leave(req)
+			if a := bodyTrouble(err); a.status != http.StatusBadRequest {
+				return a
+			}
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			s.leave(req)
+			if coming != nil {
+				out.SetReadDeadline(time.Now())
+				<-coming
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// leave takes a client's leave. An answer that came meanwhile is nobody's.
+func (s *Front) leave(req *call) {
+	s.engine.Post(func() {
+		s.engine.Gone(&req.Call)
+		select {
+		case a := <-req.answers:
+			s.drop(req, a)
+		default:
+		}
+	})
+}
+
+// drop gives up an answer that nobody takes. On the engine's goroutine.
+func (s *Front) drop(req *call, a answer) {
+	if a.from == nil {
+		return
+	}
+	streams := a.from.stream != nil
+	a.from.release(s.room)
+	if streams {
+		s.engine.Streamed(&req.Call, false)
+	}
+}
+
+// write sends an answer.
+func (s *Front) write(w http.ResponseWriter, r *http.Request, req *call, a answer) {
 	h := w.Header()
 	for name, values := range a.header {
 		h[name] = values
@@ -215,7 +315,36 @@
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	out := http.NewResponseController(w)
+	if a.from == nil || a.from.stream == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		out.SetWriteDeadline(time.Now().Add(stall))
+		w.WriteHeader(a.status)
+		w.Write(a.body) // an error says that the client has left
+		if a.from != nil {
+			a.from.release(s.room)
+		}
+		return
+	}
+	d := a.from.stream
+	if d.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(d.length, 10))
+	}
 	w.WriteHeader(a.status)
-	w.Write(a.body) // an error says that the client has left
+	err := d.pass(r.Context(), w, out, s.room)
+	d.end(err == nil)
+	a.from.stream = nil
+	a.from.release(s.room)
+	s.engine.Post(func() { s.engine.Streamed(&req.Call, err == nil) })
+	if err == nil {
+		return
+	}
+	if d.length < 0 && !r.ProtoAtLeast(1, 1) {
+		// Only the connection's end tells this client where the answer ends: it has to be
+		// one that can't be taken for a good one.
+		if c := clientOf(r); c != nil {
+			c.reset()
+		}
+	}
+	panic(http.ErrAbortHandler)
 }
--- /dev/null
+++ b/internal/httpproxy/upload.go
@@ -0,0 +1,259 @@
+package httpproxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+
+	"marlreel/internal/budget"
+)
+
+// upload is a request's body of more than is held as a matter of course. It holds what has
+// come, up to a part of the budget. Where that is all of it, the request can be sent again
+// like a small one; where it is not, what has gone out makes room for what comes, and from
+// then on the request can't be sent again.
+//
+// One goroutine fills it from the client; attempts read it, one at a time until it is whole.
+type upload struct {
+	room   *budget.Budget
+	most   int   // bytes held at most
+	length int64 // as the client says; -1 is not said
+
+	mu      sync.Mutex
+	pieces  [][]byte // each but the last is full
+	base    int      // number of the first one held: those before it are gone
+	written int      // number of the first piece that is not yet written whole
+	total   int64    // what has come
+	held    int      // bytes taken from room
+	ended   error    // io.EOF: it is whole; else what broke it
+	reading int      // attempts that read
+	changed chan struct{}
+}
+
+var (
+	// errFlow says that what has come fills the room: the rest has to wait until some of
+	// it has gone on.
+	errFlow = errors.New("no more room before some of it is sent")
+	errOver = errors.New("the request is over")
+)
+
+func newUpload(room *budget.Budget, length int64) *upload {
+	// An eighth each: a few large bodies come whole, and many leave something to all.
+	return &upload{room: room, most: max(pieceSize, room.Limit()/8), length: length, changed: make(chan struct{})}
+}
+
+// change wakes all who wait for one. Called with the lock.
+func (u *upload) change() {
+	close(u.changed)
+	u.changed = make(chan struct{})
+}
+
+// open takes room for the first piece.
+func (u *upload) open(ctx context.Context) error {
+	if err := u.room.Wait(ctx, pieceSize, budget.Large); err != nil {
+		return err
+	}
+	u.pieces, u.held = append(u.pieces, make([]byte, 0, pieceSize)), pieceSize
+	return nil
+}
+
+// space gives where to read to. Where there is no room: errFlow if it must not wait, else
+// it waits until a piece has gone out.
+func (u *upload) space(ctx context.Context, wait bool) ([]byte, error) {
+	for {
+		u.mu.Lock()
+		if u.ended != nil {
+			u.mu.Unlock()
+			return nil, u.ended
+		}
+		if n := len(u.pieces); n > 0 && len(u.pieces[n-1]) < pieceSize {
+			p := u.pieces[n-1]
+			u.mu.Unlock()
+			return p[len(p):cap(p)], nil
+		}
+		if u.held+pieceSize <= u.most && u.room.Take(pieceSize, budget.Large) {
+			u.held += pieceSize
+			u.pieces = append(u.pieces, make([]byte, 0, pieceSize))
+			u.mu.Unlock()
+			continue
+		}
+		if wait && u.written > u.base {
+			// Gone for good: from here on there is no sending it again.
+			old := u.pieces[0]
+			u.pieces, u.base = append(u.pieces[1:], old[:0]), u.base+1
+			u.mu.Unlock()
+			continue
+		}
+		changed := u.changed
+		u.mu.Unlock()
+		if !wait {
+			return nil, errFlow
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// fill reads until the body is whole. It gives errFlow where it must not wait for room.
+func (u *upload) fill(ctx context.Context, in io.Reader, wait bool) error {
+	for {
+		space, err := u.space(ctx, wait)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		n, err := in.Read(space)
+		u.mu.Lock()
+		last := len(u.pieces) - 1
+		u.pieces[last] = u.pieces[last][:len(u.pieces[last])+n]
+		u.total += int64(n)
+		switch {
+		case u.length >= 0 && u.total == u.length, err == io.EOF && u.length < 0:
+			// Danger: a last byte that is not known as the last goes out without the permit.
+			u.ended = io.EOF
+		case err != nil:
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			u.ended = err
+		case u.total > maxLength:
+			u.ended = errTooLong
+		}
+		ended := u.ended
+		u.change()
+		u.mu.Unlock()
+		if ended == io.EOF {
+			return nil
+		}
+		if ended != nil {
+			return ended
+		}
+	}
+}
+
+// whole tells whether all has come.
+func (u *upload) whole() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ended == io.EOF
+}
+
+// small gives the body in one piece where it is whole and no larger than what is held as
+// a matter of course.
+func (u *upload) small() ([]byte, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended != io.EOF || u.total > maxBody || u.base > 0 {
+		return nil, false
+	}
+	body := make([]byte, 0, u.total)
+	for _, p := range u.pieces {
+		body = append(body, p...)
+	}
+	return body, true
+}
+
+// frame gives the length to announce; -1 is one that is not known yet.
+func (u *upload) frame() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended == io.EOF {
+		return u.total
+	}
+	return u.length
+}
+
+// cursor is how far an attempt has come.
+type cursor struct{ piece, at int }
+
+// begin starts an attempt's reading. It can't where the beginning is gone, or, until all
+// has come, where another attempt reads.
+func (u *upload) begin() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.base > 0 || u.ended != io.EOF && (u.ended != nil || u.reading > 0) {
+		return false
+	}
+	u.reading++
+	u.written = 0
+	return true
+}
+
+// end ends an attempt's reading.
+func (u *upload) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reading--
+}
+
+// next gives what comes next, and whether that is the last of it; it waits where nothing
+// has come.
+func (u *upload) next(ctx context.Context, c cursor) (p []byte, last bool, err error) {
+	for {
+		u.mu.Lock()
+		if c.at == pieceSize {
+			c.piece, c.at = c.piece+1, 0
+		}
+		if c.piece < u.base {
+			u.mu.Unlock()
+			return nil, false, errOver
+		}
+		i := c.piece - u.base
+		if i < len(u.pieces) {
+			p = u.pieces[i][c.at:]
+		}
+		last = u.ended == io.EOF && i >= len(u.pieces)-1
+		ended, changed := u.ended, u.changed
+		u.mu.Unlock()
+		switch {
+		case len(p) > 0 || last:
+			return p, last, nil
+		case ended != nil:
+			return nil, false, ended
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, false, ctx.Err()
+		}
+	}
+}
+
+// wrote moves the cursor on by what has been written of what next gave.
+func (u *upload) wrote(c *cursor, n int) {
+	if c.at == pieceSize {
+		c.piece, c.at = c.piece+1, 0
+	}
+	c.at += n
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	done := c.piece
+	if c.at == pieceSize {
+		done++
+	}
+	if done > u.written {
+		u.written = done
+		u.change()
+	}
+}
+
+// release ends it and gives its room back. An attempt that still reads finds its end.
+func (u *upload) release() {
+	u.mu.Lock()
+	held := u.held
+	u.held, u.pieces, u.base = 0, nil, u.base+len(u.pieces)
+	if u.ended != io.EOF {
+		u.ended = errOver
+	}
+	u.change()
+	u.mu.Unlock()
+	if held > 0 {
+		u.room.Give(held, budget.Large)
+	}
+}
--- /dev/null
+++ b/internal/httpproxy/upload_send.go
@@ -0,0 +1,89 @@
+package httpproxy
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"marlreel"
+)
+
+// sendLarge writes a request whose body comes in pieces, as they come, and reads its
+// answer. The backend begins when the last byte has come: until then nothing has run, so
+// the permit is taken for the last piece alone, and whatever ends it before is a request
+// that was never sent.
+func (c *conn) sendLarge(ctx context.Context, x *exchange, head []byte, report []string) reply {
+	unsent := reply{result: marlreel.Moot, early: true}
+	u, at := x.msg.up, cursor{}
+	chunked := u.frame() < 0
+	c.SetDeadline(time.Time{}) // what is to be waited for is each piece, and then the answer
+	for {
+		p, last, err := u.next(ctx, at)
+		if err != nil {
+			return reply{result: marlreel.Moot} // it was the client's side: the connection speaks of nothing
+		}
+		if last && !x.permit.Use() || !last && !x.permit.Open() {
+			return reply{result: marlreel.Moot}
+		}
+		parts := net.Buffers{head, p}
+		if chunked {
+			parts = net.Buffers{head, chunkSize(len(p)), p, chunkEnd(len(p), last)}
+		}
+		head = nil
+		c.SetWriteDeadline(time.Now().Add(stall))
+		if _, err := parts.WriteTo(c.Conn); err != nil {
+			if last {
+				return failed(err)
+			}
+			return c.early(x, unsent)
+		}
+		if last {
+			break
+		}
+		u.wrote(&at, len(p))
+		// A backend may say early that it won't have it. What it says before the last byte
+		// has come is about the request, and the connection ends with it.
+		if !quiet(c.Conn) {
+			return c.early(x, unsent)
+		}
+	}
+	if x.wrote != nil {
+		x.wrote()
+	}
+	if !x.coming {
+		c.SetReadDeadline(x.until) // else the engine ends it
+	}
+	return c.answer(x, report)
+}
+
+// early reads what a backend says before it has had all of a request.
+func (c *conn) early(x *exchange, unsent reply) reply {
+	c.SetReadDeadline(time.Now().Add(stall / 10))
+	resp, err := c.readHead(x.msg.method)
+	if err != nil {
+		return unsent
+	}
+	if code := resp.StatusCode; code >= 400 && code < 500 {
+		return reply{result: marlreel.Declined}
+	}
+	return reply{result: marlreel.Full}
+}
+
+func chunkSize(n int) []byte {
+	if n == 0 {
+		return nil
+	}
+	return append(strconv.AppendInt(nil, int64(n), 16), "\r\n"...)
+}
+
+func chunkEnd(n int, last bool) []byte {
+	end := ""
+	if n > 0 {
+		end = "\r\n"
+	}
+	if last {
+		end += "0\r\n\r\n"
+	}
+	return []byte(end)
+}
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"marlreel"
+	"marlreel/internal/budget"
 	"marlreel/internal/conns"
 	"marlreel/internal/engine"
 )
@@ -51,10 +52,11 @@
 	method string
 	head   []byte // all of the head that is the same with every attempt
 	body   []byte
+	up     *upload // in place of body, where that is large
 }
 
 // newMessage writes the head down once: what an attempt adds is its time.
-func newMessage(r *http.Request, body []byte) *message {
+func newMessage(r *http.Request, body []byte, up *upload) *message {
 	head := make([]byte, 0, 512)
 	for _, part := range []string{r.Method, " ", r.URL.RequestURI(), " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
 		head = append(head, part...)
@@ -69,19 +71,27 @@
 			}
 		}
 	}
-	if r.Method != http.MethodGet {
+	if r.Method != http.MethodGet && up == nil {
 		head = append(head, "Content-Length: "...)
 		head = strconv.AppendInt(head, int64(len(body)), 10)
 		head = append(head, "\r\n"...)
 	}
-	return &message{method: r.Method, head: head, body: body}
+	return &message{method: r.Method, head: head, body: body, up: up}
 }
 
 // encode writes the message out whole, so that one write sends it and its count
 // tells whether the last byte went out.
 func (m *message) encode(wait time.Duration) []byte {
-	const spare = len(headerTimeout) + 32
+	const spare = len(headerTimeout) + 64
 	data := append(make([]byte, 0, len(m.head)+spare+len(m.body)), m.head...)
+	if m.up != nil {
+		if n := m.up.frame(); n >= 0 {
+			data = strconv.AppendInt(append(data, "Content-Length: "...), n, 10)
+			data = append(data, "\r\n"...)
+		} else {
+			data = append(data, "Transfer-Encoding: chunked\r\n"...)
+		}
+	}
 	data = append(data, headerTimeout+": "...)
 	data = strconv.AppendInt(data, max(1, wait.Microseconds()), 10)
 	data = append(data, "u\r\n\r\n"...)
@@ -96,20 +106,25 @@
 	until  time.Time
 	permit *engine.Permit
 
-	wrote   func()        // called when the last byte is written; nil: nobody counts it
+	wrote   func() // called when the last byte is written; nil: nobody counts it
+	room    *budget.Budget
+	coming  bool          // until is not known yet
 	hold    time.Duration // how long the last byte is kept back; 0 is not at all
 	dialled bool          // run opened a new connection
 }
 
 // reply is how an exchange ended. A nil conn says that the connection is gone.
 type reply struct {
-	result marlreel.Result
-	conn   *conn
-	header http.Header
-	body   []byte
-	load   []float32
-	early  bool      // it broke before its last byte was written
-	end    conns.End // for the model of connections
+	result  marlreel.Result
+	conn    *conn
+	header  http.Header
+	body    []byte
+	stream  *download // what follows; body is empty then
+	held    int       // bytes taken from the budget
+	claimed bool      // by who passes it on, and releases it then
+	load    []float32
+	early   bool      // it broke before its last byte was written
+	end     conns.End // for the model of connections
 }
 
 // run carries the exchange out. It follows the protocol's table of outcomes:
@@ -135,12 +150,18 @@
 	}
 	// The last look before writing: dialling took its time. The backend may be
 	// draining or gone by now, or the request answered.
-	if !x.to.Ready() || !x.permit.Use() {
+	if up := x.msg.up; !x.to.Ready() || up == nil && !x.permit.Use() || up != nil && (!x.permit.Open() || !up.begin()) {
 		return reply{result: marlreel.Moot, conn: c}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
-	r := c.roundTrip(x, data, report)
+	var r reply
+	if x.msg.up != nil {
+		r = c.sendLarge(ctx, x, data, report)
+		x.msg.up.end()
+	} else {
+		r = c.roundTrip(x, data, report)
+	}
 	if r.result == marlreel.Reset || r.early {
 		r.end = conns.End{Broke: true, After: time.Since(began), Whole: !r.early}
 	}
@@ -158,7 +179,7 @@
 // when its last byte has come. It speaks of the connection and not of the backend, which
 // is why it is told as one that was never sent: a backend that has died refuses the next.
 func (c *conn) roundTrip(x *exchange, data []byte, report []string) reply {
-	method, until, hold := x.msg.method, x.until, x.hold
+	until, hold := x.until, x.hold
 	c.SetDeadline(until)
 	if hold > 0 && len(data) > 1 {
 		n, err := c.Write(data[:len(data)-1])
@@ -178,17 +199,27 @@
 	if x.wrote != nil {
 		x.wrote()
 	}
-	resp, err := c.readHead(method)
+	return c.answer(x, report)
+}
+
+// answer reads the answer to what has been written.
+func (c *conn) answer(x *exchange, report []string) reply {
+	resp, err := c.readHead(x.msg.method)
 	if err != nil {
 		return failed(err)
 	}
-	// The answer is read whole before any of it is passed on: a client never gets half of one.
-	body, err := io.ReadAll(resp.Body)
-	if err != nil || len(body) > maxBody {
+	r, err := c.receive(resp, x)
+	if err != nil {
 		return failed(err)
 	}
-	r := reply{header: resp.Header, body: body, result: marlreel.Error, load: loadReport(resp.Header, report)}
-	if !resp.Close && c.in.Buffered() == 0 {
+	r.header, r.result, r.load = resp.Header, marlreel.Error, loadReport(resp.Header, report)
+	if r.stream != nil {
+		if resp.StatusCode == http.StatusOK {
+			r.result, r.conn = marlreel.OK, c
+			return r
+		}
+		r.stream = nil // what else it says at length is of no use: the connection is closed
+	} else if !resp.Close && c.in.Buffered() == 0 {
 		// The deadline was this exchange's. Left in place, it would end the next.
 		c.SetDeadline(time.Time{})
 		r.conn = c
@@ -249,15 +280,7 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		// An answer that only its connection's end delimits can't be told from one that was cut.
-		chunked := len(resp.TransferEncoding) > 0
-		if resp.ContentLength > maxBody || resp.ContentLength < 0 && !chunked {
-			return nil, errSpoilt
-		}
 		c.limit.N = maxBody
-		if chunked {
-			c.limit.N += maxHead // for the sizes and the trailer
-		}
 		return resp, nil
 	}
 	return nil, errSpoilt
--- /dev/null
+++ b/internal/proxy/bulk_test.go
@@ -0,0 +1,306 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"marlreel/internal/testutil"
+)
+
+// noise is a body that no piece of which is like another.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	x := uint32(2463534242)
+	for i := range b {
+		x ^= x << 13
+		x ^= x >> 17
+		x ^= x << 5
+		b[i] = byte(x)
+	}
+	return b
+}
+
+func sum(b []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(b)
+	return h.Sum64()
+}
+
+// Answers of any length and form arrive unchanged, also where they come in pieces with
+// pauses, and their connections to backends serve on where they can.
+func TestLargeAnswersArriveWhole(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{0, 1, 4 << 10, maxBody - 1, maxBody, maxBody + 1, 300 << 10, 5 << 20} {
+		body := noise(n)
+		for form, write := range map[string]func(c net.Conn, pieces func(func(p []byte) error)){
+			"length": func(c net.Conn, pieces func(func(p []byte) error)) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n)
+				pieces(func(p []byte) error { _, err := c.Write(p); return err })
+			},
+			"chunks": func(c net.Conn, pieces func(func(p []byte) error)) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n")
+				pieces(func(p []byte) error {
+					fmt.Fprintf(c, "%x;ext=1\r\n", len(p))
+					c.Write(p)
+					_, err := io.WriteString(c, "\r\n")
+					return err
+				})
+				io.WriteString(c, "0\r\nX-Sum: 1\r\n\r\n")
+			},
+			"end": func(c net.Conn, pieces func(func(p []byte) error)) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+				pieces(func(p []byte) error { _, err := c.Write(p); return err })
+				c.Close()
+			},
+			"HTTP/1.0": func(c net.Conn, pieces func(func(p []byte) error)) {
+				io.WriteString(c, "HTTP/1.0 200 OK\r\n\r\n")
+				pieces(func(p []byte) error { _, err := c.Write(p); return err })
+				c.Close()
+			},
+		} {
+			t.Run(fmt.Sprint(form, " ", n), func(t *testing.T) {
+				t.Parallel()
+				addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+					for {
+						if _, ok := readRequest(in); !ok {
+							return
+						}
+						write(c, func(put func(p []byte) error) {
+							for at, size := 0, 1; at < n; size = size*3 + 1 {
+								end := min(at+size, n)
+								if put(body[at:end]) != nil {
+									return
+								}
+								if at < 1000 { // the first ones come one by one
+									time.Sleep(time.Millisecond)
+								}
+								at = end
+							}
+						})
+					}
+				})
+				p := start(t, testConfig(t, closedAddr(t), ready("s-1", addr)))
+				for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+					c := testutil.Dial(t, p.addr)
+					fmt.Fprintf(c, "GET /lot-list/x %s\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 20000m\r\nX-Correlation-Id: %016x\r\n\r\n",
+						proto, lastName.Add(1))
+					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil || resp.StatusCode != 200 {
+						t.Fatalf("%s: %+v %v", proto, resp, err)
+					}
+					got, err := io.ReadAll(resp.Body)
+					if err != nil || !bytes.Equal(got, body) {
+						t.Errorf("%s: %d bytes of %d: %v", proto, len(got), n, err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// An answer that breaks off after its beginning was passed on can't pass for a whole one.
+func TestABrokenAnswerIsSeenAsBroken(t *testing.T) {
+	t.Parallel()
+	for form, head := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n",
+	} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(form+" to "+proto, func(t *testing.T) {
+				t.Parallel()
+				addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+					if _, ok := readRequest(in); ok {
+						io.WriteString(c, head)
+						c.Write(noise(200000))
+					}
+				})
+				cfg := testConfig(t, closedAddr(t), ready("s-1", addr))
+				cfg.Control = "127.0.0.1:0"
+				p := start(t, cfg)
+				c := testutil.Dial(t, p.addr)
+				fmt.Fprintf(c, "GET /lot-list/x %s\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 20000m\r\nX-Correlation-Id: %016x\r\n\r\n",
+					proto, lastName.Add(1))
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					return // not even a head: that is no whole answer either
+				}
+				if got, err := io.ReadAll(resp.Body); err == nil {
+					t.Errorf("%d bytes pass for a whole answer", len(got))
+				}
+				expect(t, p, "aborted.lot-list", "1|c")
+				expect(t, p, "outstanding", "0|g")
+			})
+		}
+	}
+}
+
+// keeper answers with the sum of each body that has come whole, and counts.
+type keeper struct {
+	addr   string
+	begun  atomic.Int64
+	spoils func(n int64, w http.ResponseWriter, r *http.Request) bool
+}
+
+func newKeeper(t *testing.T, spoils func(n int64, w http.ResponseWriter, r *http.Request) bool) *keeper {
+	t.Helper()
+	k := &keeper{spoils: spoils}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			return
+		}
+		n := k.begun.Add(1)
+		if k.spoils != nil && k.spoils(n, w, r) {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "%x", sum(body))
+	}))
+	t.Cleanup(s.Close)
+	k.addr = s.Listener.Addr().String()
+	return k
+}
+
+// Bodies of any length and form arrive unchanged, at a budget that the largest don't fit in.
+func TestLargeBodiesArriveWhole(t *testing.T) {
+	t.Parallel()
+	k := newKeeper(t, nil)
+	cfg := testConfig(t, closedAddr(t), ready("s-1", k.addr))
+	cfg.MemoryMB = 8 // 2 MB for bodies, 256 KiB for one
+	p := start(t, cfg)
+	for _, n := range []int{1, maxBody, maxBody + 1, 200 << 10, 3 << 20, 20 << 20} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(n, chunked), func(t *testing.T) {
+				t.Parallel()
+				body := noise(n)
+				r := newRequest(t, p, "pickup", "")
+				r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(n)
+				if chunked {
+					r.ContentLength = -1
+				}
+				if status, text, _ := do(t, r); status != 200 || text != fmt.Sprintf("%x", sum(body)) {
+					t.Errorf("%d %.50q", status, text)
+				}
+			})
+		}
+	}
+	t.Cleanup(func() {
+		if used := cfg.BodyBytes(); used != 2<<20 {
+			t.Errorf("the test's budget is %d", used)
+		}
+	})
+}
+
+// A large body that is here whole can be sent again like a small one.
+func TestALargeBodyIsSentAgain(t *testing.T) {
+	t.Parallel()
+	k := newKeeper(t, func(n int64, w http.ResponseWriter, r *http.Request) bool {
+		if n > 1 {
+			return false
+		}
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", k.addr)))
+	body := noise(1 << 20)
+	if status, text, _ := do(t, newRequest(t, p, "bid", string(body))); status != 200 || text != fmt.Sprintf("%x", sum(body)) {
+		t.Errorf("%d %.50q", status, text)
+	}
+	if n := k.begun.Load(); n != 2 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// One whose beginning is gone when its attempt ends before the last byte has never run, and
+// can't be sent again: it is refused, whatever its class, and not failed.
+func TestALargeBodyThatWasCutIsRefused(t *testing.T) {
+	t.Parallel()
+	k := newKeeper(t, func(n int64, w http.ResponseWriter, r *http.Request) bool {
+		io.CopyN(io.Discard, r.Body, 4<<20)
+		panic(http.ErrAbortHandler)
+	})
+	cfg := testConfig(t, closedAddr(t), ready("s-1", k.addr))
+	cfg.MemoryMB = 8
+	p := start(t, cfg)
+	c := testutil.Dial(t, p.addr)
+	go func() {
+		fmt.Fprintf(c, "POST /bid/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 20000m\r\nX-Correlation-Id: %016x\r\nContent-Length: %d\r\n\r\n",
+			lastName.Add(1), 20<<20)
+		c.Write(noise(20 << 20))
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if n := k.begun.Load(); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// A client that writes slowly binds no connection to a backend until its body is whole, as
+// far as there is room for it.
+func TestASlowClientBindsNoBackend(t *testing.T) {
+	t.Parallel()
+	k := newKeeper(t, nil)
+	p := start(t, testConfig(t, closedAddr(t), ready("s-1", k.addr)))
+	body := noise(200 << 10)
+	c := testutil.Dial(t, p.addr)
+	fmt.Fprintf(c, "POST /bid/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 20000m\r\nX-Correlation-Id: %016x\r\nContent-Length: %d\r\n\r\n",
+		lastName.Add(1), len(body))
+	c.Write(body[:len(body)-1])
+	// Others are served meanwhile; the slow one has not begun anywhere.
+	for range 3 {
+		if status, _, _ := do(t, newRequest(t, p, "bid", "x")); status != 200 {
+			t.Fatalf("another: %d", status)
+		}
+	}
+	if n := k.begun.Load(); n != 3 {
+		t.Errorf("%d have begun", n)
+	}
+	c.Write(body[len(body)-1:])
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%+v %v", resp, err)
+	}
+}
+
+// A client that stops within a large body is told or closed, and leaves nothing behind.
+func TestHalfALargeBody(t *testing.T) {
+	t.Parallel()
+	k := newKeeper(t, nil)
+	cfg := testConfig(t, closedAddr(t), ready("s-1", k.addr))
+	cfg.MemoryMB, cfg.Control = 8, "127.0.0.1:0"
+	p := start(t, cfg)
+	for _, n := range []int{100 << 10, 2 << 20} {
+		c := testutil.Dial(t, p.addr)
+		fmt.Fprintf(c, "POST /bid/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: obala\r\nX-Time-Left: 20000m\r\nX-Correlation-Id: %016x\r\nContent-Length: %d\r\n\r\n",
+			lastName.Add(1), 4<<20)
+		c.Write(noise(n))
+		c.(*net.TCPConn).CloseWrite()
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && resp.StatusCode == 200 {
+			t.Errorf("after %d bytes: %d", n, resp.StatusCode)
+		}
+	}
+	expect(t, p, "outstanding", "0|g")
+	expect(t, p, "succeeded.bid", "0|c")
+	if status, _, _ := do(t, newRequest(t, p, "bid", strings.Repeat("x", 300<<10))); status != 200 {
+		t.Errorf("the room has not come back: %d", status)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"marlreel/internal/budget"
 	"marlreel/internal/config"
 	"marlreel/internal/control"
 	"marlreel/internal/discovery"
@@ -83,6 +84,7 @@
 	source  *discovery.Source
 	carrier *httpproxy.Carrier
 	front   *httpproxy.Front
+	room    *budget.Budget
 
 	rpcCarrier *rpc.Carrier // nil where RPC is off
 	rpcFront   *rpc.Front
@@ -111,8 +113,9 @@
 	}
 	p.source = discovery.New(discovery.Config{Addr: cfg.Discovery, OnRequest: cfg.Settings.OnRequest, Names: cfg.Names,
 		Logf: logger.Printf}, version, p.engine)
-	p.carrier = httpproxy.NewCarrier(p.engine, cfg.UpstreamConns(), cfg.Report)
-	p.front = httpproxy.NewFront(p.engine, p.carrier, logger)
+	p.room = budget.New(cfg.BodyBytes())
+	p.carrier = httpproxy.NewCarrier(p.engine, cfg.UpstreamConns(), cfg.Report, p.room)
+	p.front = httpproxy.NewFront(p.engine, p.carrier, p.room, logger)
 	p.engine.Carry(p.carrier)
 	p.engine.ProbeWith(p.carrier)
 	p.engine.Follow(p.source)
--- a/kinds.go
+++ b/kinds.go
@@ -61,19 +61,13 @@
 // judgeKind takes an attempt's end as evidence on its class at its backend, and gives how far it speaks
 // of the backend as a whole.
 func (b *Balancer) judgeKind(a *attempt, result Result) float64 {
-	end := gray.Nothing // a broken connection, or one turned away unseen, says nothing of a class
-	switch result {
-	case OK:
-		end = gray.Answered
+	end := endOf(result)
+	if result == OK {
 		for i := range a.to.kinds {
 			if i != a.req.Class {
 				a.to.kinds[i].Vouch(a.sent)
 			}
 		}
-	case Error:
-		end = gray.Failed
-	case Timeout, Cancelled:
-		end = gray.Silent
 	}
 	k := &a.to.kinds[a.req.Class]
 	if a.try {
--- a/limit.go
+++ b/limit.go
@@ -5,15 +5,11 @@
 import "marlreel/internal/limit"
 
 const (
-	lateFrom  = 1.5  // times the usual tail of its class from which an attempt counts as late
-	lateLeast = 0.3  // and such a share of its aim at least, which alone counts while no tail is known
-	tailPart  = 0.2  // that tail is what this part of a class's answers exceed
-	tailStep  = 0.02 // by which one answer moves it
-	tailFrom  = 50   // answers after which it is known
-	tailRise  = 4000 // what is usual rises by one part of these a sweep: far slower than trouble comes
-	slowMost  = 2    // times longer that a backend's own usual tail may be than the others' usual one
-	worthMost = 4    // a request of so much more than the mean gain is sent so many times sooner at most
-	maxWeight = 8    // one request counts for at most so many out
+	lateFrom  = 1.5 // times the usual tail of its class from which an attempt counts as late
+	lateLeast = 0.3 // and such a share of its aim at least, which alone counts while no tail is known
+	slowMost  = 2   // times longer that a backend's own usual tail may be than the others' usual one
+	worthMost = 4   // a request of so much more than the mean gain is sent so many times sooner at most
+	maxWeight = 8   // one request counts for at most so many out
 )
 
 // sharers is how many proxies have one backend in their subsets, about.
--- a/stats.go
+++ b/stats.go
@@ -4,8 +4,24 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"marlreel/internal/gray"
 )
 
+// endOf is what an attempt's end says of its class at its backend: a broken connection, or one
+// turned away unseen, says nothing.
+func endOf(r Result) gray.End {
+	switch r {
+	case OK:
+		return gray.Answered
+	case Error:
+		return gray.Failed
+	case Timeout, Cancelled:
+		return gray.Silent
+	}
+	return gray.Nothing
+}
+
 // line is a least-squares line through points of which old ones fade with the number of newer ones.
 type line struct{ n, x, y, xx, xy float64 }
 
@@ -26,29 +42,35 @@
 	return l.mean() + slope*(x-l.x/l.n)
 }
 
+const (
+	tailPart = 0.2  // what this part of the answers of a class, or a backend, exceed is their tail
+	tailStep = 0.02 // by which one answer moves it at most
+	tailFrom = 50   // answers after which it is known
+	tailRise = 4000 // what is usual rises by one part of these a sweep: far slower than trouble comes
+)
+
 // tail follows a quantile: a part of the values seen lies beyond it. least is the least that it was
 // lately.
 type tail struct{ n, at, least float64 }
 
-// learn takes in a value; step is by how much one moves the quantile at most.
-func (q *tail) learn(v, part, step float64) {
+// learn takes in a value.
+func (q *tail) learn(v float64) {
 	switch q.n++; {
 	case q.n == 1:
 		q.at = v
 	case v > q.at:
-		q.at *= 1 + step*(1-part)
+		q.at *= 1 + tailStep*(1-tailPart)
 	default:
-		q.at *= 1 - step*part
+		q.at *= 1 - tailStep*tailPart
 	}
 }
 
-// findLeast follows the quantile down at once, and up by one part in rise each time; it begins when
-// so many values are known.
-func (q *tail) findLeast(from, rise float64) {
-	if q.n < from {
+// findLeast follows the quantile down at once, and up slowly.
+func (q *tail) findLeast() {
+	if q.n < tailFrom {
 		return
 	}
-	if q.least *= 1 + 1/rise; q.least == 0 || q.at < q.least {
+	if q.least *= 1 + 1.0/tailRise; q.least == 0 || q.at < q.least {
 		q.least = q.at
 	}
 }
