Spare those who write slowly in a crowd; restarts don't wait for the crowd

A trace of what was closed for others: 1284 had sent a piece of a head and stopped, 380 nothing, and among the 581 of the rest were those that had come in 8 to 13 pieces, the last 60 ms before. Lines at fault: longestSilent took the one that had connected first, and /ready never ended its connection, so 85 of 96 places were held by who had asked for that once. Change: who makes room goes by the time since something came, of three kinds apart: nothing yet, part of a request, at rest. /ready ends its connection, and every answer does where most places are taken. Clients have what neither backends nor the process need (104 of 192). The door's callers go by the descriptors. A shutdown waits for what is in hand or moves, not for the crowd. Not taken: TCP_DEFER_ACCEPT, which keeps only those out that say nothing at all.

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -182,10 +182,9 @@
 	return m
 }
 
-// The shares of the descriptors: of 256, clients have 128 and backends 64. Good
-// clients hold a third at most (85), so silent ones always find some 40 places to
-// push each other out of. The rest serves discovery (two watches during a change),
-// the listener, the runtime and the standard streams.
+// The shares of the descriptors: of 256, backends have 64, the process itself 40, and
+// clients the rest, 152. Good clients hold a third at most (85), so silent ones always find
+// some places to push each other out of.
 const (
 	defaultSockets = 1024
 	// LeastSockets is the fewest descriptors that a proxy can work with.
@@ -199,8 +198,18 @@
 	return c.Sockets
 }
 
-// ClientConns is how many client connections are kept.
-func (c *Platform) ClientConns() int { return c.sockets() / 2 }
+// ownDescriptors is what a process needs beside clients and backends: the standard streams,
+// listeners, the poller, two watches of the list, the door's callers.
+const ownDescriptors = 40
+
+// ClientConns is how many client connections are kept: half of the descriptors, or all that
+// neither backends nor the process itself may need, where that is more.
+func (c *Platform) ClientConns() int {
+	return max(c.sockets()/2, c.sockets()-c.UpstreamConns()-ownDescriptors)
+}
+
+// DoorCalls is how many of the platform's calls are open at a time.
+func (c *Platform) DoorCalls() int { return min(max(c.sockets()/16, 4), 16) }
 
 // defaultMemoryMB is what a process may take where nothing is said.
 const defaultMemoryMB = 64
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,13 +19,6 @@
 )
 
 const (
-	// Callers is how many connections are held at a time. One more closes the oldest that
-	// has not made a whole call: callers that say nothing must not keep out those that do.
-	Callers = 16
-	// Descriptors is what the door may take of the process's: its callers, its listener,
-	// and one that has been accepted and not yet been given a place.
-	Descriptors = Callers + 2
-
 	headTimeout  = 2 * time.Second // for a call's head
 	writeTimeout = time.Second     // for its answer: a caller that reads nothing is let go
 	longestHead  = 4 << 10
@@ -36,6 +29,7 @@
 type Door struct {
 	ready    func() bool
 	counters func([]byte) []byte
+	most     int
 
 	mu     sync.Mutex
 	wanted list.List // callers without a whole call, the oldest first
@@ -46,9 +40,11 @@
 }
 
 // New makes a door. ready tells whether this process can serve; counters appends the
-// figures to what it is given. Both are called from any goroutine and must not wait.
-func New(ready func() bool, counters func([]byte) []byte) *Door {
-	return &Door{ready: ready, counters: counters}
+// figures to what it is given. Both are called from any goroutine and must not wait. most
+// is how many callers are held at a time: one more closes the oldest that has not made a
+// whole call, as callers that say nothing must not keep out those that do.
+func New(ready func() bool, counters func([]byte) []byte, most int) *Door {
+	return &Door{ready: ready, counters: counters, most: max(1, most)}
 }
 
 // Serve takes calls until Close, or until the listener fails.
@@ -79,7 +75,7 @@
 func (d *Door) admit(nc net.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.open >= Callers {
+	if d.open >= d.most {
 		oldest := d.wanted.Front()
 		if oldest == nil {
 			nc.Close()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -16,6 +16,8 @@
 	"marlreel/internal/testutil"
 )
 
+const callers = 8
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func open(t *testing.T, ready *atomic.Bool) string {
@@ -24,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := New(ready.Load, func(b []byte) []byte { return append(b, "proxy.outstanding:0|g\n"...) })
+	d := New(ready.Load, func(b []byte) []byte { return append(b, "proxy.outstanding:0|g\n"...) }, callers)
 	done := make(chan error, 1)
 	go func() { done <- d.Serve(ln) }()
 	t.Cleanup(func() {
@@ -89,7 +91,7 @@
 	ready.Store(true)
 	addr := open(t, &ready)
 	var held []net.Conn
-	for i := range 3 * Callers {
+	for i := range 3 * callers {
 		c := testutil.Dial(t, addr)
 		if i%2 == 1 {
 			fmt.Fprint(c, "GET /control/re")
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // clients keeps the client connections within a bound. It always accepts: a
@@ -20,20 +21,21 @@
 
 	mu   sync.Mutex
 	open map[*client]struct{}
-	// Connections with no request in hand, the longest waiting first: those that
-	// have sent none yet, or only what was turned away, and those between requests.
-	silent, idle list.List
-	empty        chan struct{} // who waits for the last connection to end; nil: nobody
+	// Connections with no request in hand, of each list the longest without progress first:
+	// those on which nothing has come, or only what was turned away; those on which part of a
+	// request has; and those that rest between two requests.
+	mute, part, idle list.List
+	empty            chan struct{} // who waits for the last connection to end; nil: nobody
 }
 
-// crowded tells whether connections that have asked take much of the bound. Clients
-// may hold only so many (a third of the descriptors, where this bound is half), and
-// those that ask once and keep theirs leave none for the others: from half of what
-// clients may hold on, answers end their connections.
+// crowded tells whether answers are to end their connections: where those that have asked
+// take much of the bound (clients may hold a third of the descriptors, and those that ask
+// once and keep theirs leave none for the others), or where most places are taken by
+// whatever it is, so that one that rests keeps somebody out.
 func (cs *clients) crowded() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return len(cs.open)-cs.silent.Len() > cs.most/3
+	return len(cs.open)-cs.mute.Len()-cs.part.Len() > cs.most/3 || len(cs.open) > cs.most/4*3
 }
 
 // client is one client's connection.
@@ -43,6 +45,8 @@
 	in      *list.List // nil: it has a request in hand, or is closed
 	place   *list.Element
 
+	progress time.Time // when it came into its list, or something last came there
+
 	// Only the connection's own goroutine has these, that of net/http.
 	scan   headScan
 	inHand bool
@@ -51,6 +55,9 @@
 // Read implements net.Conn.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.moves()
+	}
 	if !c.inHand {
 		c.scan.see(p[:n])
 	}
@@ -105,31 +112,84 @@
 	}
 	c := &client{Conn: nc, clients: cs}
 	cs.open[c] = struct{}{}
-	c.queue(&cs.silent)
+	c.queue(&cs.mute)
 	return c
 }
 
-// longestSilent gives the connection that can best be spared, or nil: one that has
-// sent no good request before one between two of them. Where a request has come and
-// is not read yet it isn't silent: it goes to the end, and only so many are looked at.
+const (
+	// stalled is how long a request may make no progress before its connection is spared
+	// ahead of any other. A client that writes slowly writes on in less.
+	stalled = 1200 * time.Millisecond
+	// rested is how long a connection has to have rested between two requests so that
+	// closing it will hardly cross the next one.
+	rested = time.Second
+	// mute is how long a client that has something to ask takes to begin, at most.
+	mute = 100 * time.Millisecond
+	// paused is how long one that writes slowly pauses, as a rule at most.
+	paused = 300 * time.Millisecond
+)
+
+// longestSilent gives the connection that can best be spared, or nil. Danger: by the time
+// since they connected, those who write slowly would go before a crowd of those who never
+// will; and by what they have asked for, those who keep their connection would go for it.
 func (cs *clients) longestSilent() *client {
-	const looks = 8
-	for _, l := range []*list.List{&cs.silent, &cs.idle} {
-		for range min(looks, l.Len()) {
-			c := l.Front().Value.(*client)
-			if quiet(c.Conn) {
-				return c
+	say := mute
+	if cs.mute.Len() > cs.most/4 {
+		say = 0 // so many at a time are a crowd that never will
+	}
+	for _, rank := range [...]struct {
+		among *list.List
+		since time.Duration // at least so long
+	}{{&cs.mute, stalled}, {&cs.part, stalled}, {&cs.idle, rested}, {&cs.mute, say}, {&cs.part, paused}, {&cs.idle, 0}, {&cs.mute, 0}, {&cs.part, 0}} {
+		if c := first(rank.among, rank.since); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// moved is how lately something must have come of a request for it to be on its way.
+const moved = 500 * time.Millisecond
+
+// moving tells whether any connection has a request in hand or on its way.
+func (cs *clients) moving() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if len(cs.open) > cs.mute.Len()+cs.part.Len()+cs.idle.Len() {
+		return true
+	}
+	for _, l := range [...]*list.List{&cs.mute, &cs.part} {
+		for e := l.Back(); e != nil; e = e.Prev() {
+			if c := e.Value.(*client); time.Since(c.progress) < moved || !quiet(c.Conn) {
+				return true
 			}
-			l.MoveToBack(c.place)
 		}
 	}
+	return false
+}
+
+// first gives the first of a list that has nothing to read, if nothing has come there for
+// so long. Where a request has come and is not read yet a connection isn't silent: it goes
+// to the end, and only so many are looked at.
+func first(l *list.List, since time.Duration) *client {
+	const looks = 8
+	for range min(looks, l.Len()) {
+		c := l.Front().Value.(*client)
+		if time.Since(c.progress) < since {
+			return nil
+		}
+		if quiet(c.Conn) {
+			return c
+		}
+		l.MoveToBack(c.place)
+	}
 	return nil
 }
 
 func (c *client) queue(in *list.List) {
 	c.unqueue()
 	if _, open := c.clients.open[c]; open {
-		c.in, c.place = in, in.PushBack(c)
+		c.in, c.place, c.progress = in, in.PushBack(c), time.Now()
 	}
 }
 
@@ -168,6 +228,15 @@
 	}
 }
 
+// moves says that something of a request has come.
+func (c *client) moves() {
+	c.clients.mu.Lock()
+	defer c.clients.mu.Unlock()
+	if c.in != nil {
+		c.queue(&c.clients.part)
+	}
+}
+
 // begins says that the head of a request has come, and gives what was seen of it.
 func (c *client) begins() headScan {
 	seen := c.scan
@@ -175,7 +244,7 @@
 	c.clients.mu.Lock()
 	defer c.clients.mu.Unlock()
 	if c.in != nil {
-		c.in.MoveToBack(c.place)
+		c.queue(&c.clients.part)
 	}
 	return seen
 }
@@ -197,7 +266,7 @@
 	if answered {
 		c.queue(&c.clients.idle)
 	} else {
-		c.queue(&c.clients.silent)
+		c.queue(&c.clients.mute)
 	}
 }
 
--- a/internal/httpproxy/clients_test.go
+++ b/internal/httpproxy/clients_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"marlreel/internal/testutil"
 )
@@ -36,22 +37,65 @@
 	return c, receive(t, accepted, "a connection")
 }
 
-// Connections that ask nothing once filled the bound, and nobody else was accepted
-// any more. Now the one that has been silent the longest makes room.
-func TestTheLongestSilentMakesRoom(t *testing.T) {
+// aged makes a connection look as if nothing had come there for so long.
+func aged(c *client, d time.Duration) {
+	c.clients.mu.Lock()
+	defer c.clients.mu.Unlock()
+	c.progress = c.progress.Add(-d)
+}
+
+// Connections that ask nothing once filled the bound, and nobody else was accepted any
+// more; then those who wrote slowly went first. Now who makes room depends on what has come
+// and how long ago.
+func TestWhoMakesRoom(t *testing.T) {
 	t.Parallel()
-	cs, accepted := bounded(t, 3)
-	first, _ := connect(t, cs, accepted)
-	_, second := connect(t, cs, accepted)
-	second.busy()
-	second.rest(true) // between two requests: worth more than one that never asked
-	third, _ := connect(t, cs, accepted)
-	connect(t, cs, accepted)
-	testutil.Ends(t, first, "the longest silent connection")
-	connect(t, cs, accepted)
-	testutil.Ends(t, third, "the next silent one")
-	if second.in != &cs.idle || len(cs.open) != 3 {
-		t.Errorf("%d connections are kept", len(cs.open))
+	const part, rest, silent = "part of a request", "between two requests", "nothing yet"
+	for name, c := range map[string]struct {
+		goes, stays string
+		goesAfter   time.Duration
+		staysAfter  time.Duration
+	}{
+		"who says nothing before who writes":        {silent, part, mute, paused},
+		"who says nothing before who rests":         {silent, rest, mute, rested / 2},
+		"who has rested long before who writes":     {rest, part, rested, paused},
+		"who has stopped writing before who rests":  {part, rest, stalled, 2 * rested},
+		"who has paused before who has just rested": {part, rest, paused, rested / 2},
+		"who rests before who has just connected":   {rest, silent, 0, mute / 2},
+		"of two who write, who has paused longer":   {part, part, paused / 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cs, accepted := bounded(t, 9)
+			// Many others have a request in hand, and are out of the question.
+			for range 7 {
+				_, far := connect(t, cs, accepted)
+				far.busy()
+			}
+			set := func(what string, age time.Duration) (net.Conn, *client) {
+				near, far := connect(t, cs, accepted)
+				switch what {
+				case part:
+					io.WriteString(near, "G")
+					if _, err := far.Read(make([]byte, 1)); err != nil {
+						t.Fatal(err)
+					}
+				case rest:
+					far.busy()
+					far.rest(true)
+				}
+				aged(far, age)
+				return near, far
+			}
+			goes, _ := set(c.goes, c.goesAfter)
+			_, stays := set(c.stays, c.staysAfter)
+			connect(t, cs, accepted)
+			testutil.Ends(t, goes, "the one that can best be spared")
+			cs.mu.Lock()
+			defer cs.mu.Unlock()
+			if stays.in == nil || len(cs.open) != 9 {
+				t.Errorf("%d connections are kept", len(cs.open))
+			}
+		})
 	}
 }
 
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -38,6 +38,8 @@
 	// A connection between two requests may be closed after 2 s. Many clients ask
 	// once and keep theirs for good.
 	idleTimeout = 2500 * time.Millisecond
+	// shutdownLook is how often a shutdown looks whether something still moves.
+	shutdownLook = 20 * time.Millisecond
 )
 
 // answer is the one final answer to a request, in HTTP's words.
@@ -114,9 +116,28 @@
 // Stop lets every answer from now on end its connection.
 func (s *Front) Stop() { s.stopping.Store(true) }
 
-// Shutdown closes the listener and what is idle, and waits until nothing is in hand or
-// ctx ends.
-func (s *Front) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown closes what rests between two requests and waits, once the listener is closed,
+// until nothing is in hand or on its way, or ctx ends. Connections on which nothing moves
+// don't keep it: a crowd of those that never finish a request would hold every restart up
+// to the end of the platform's patience.
+func (s *Front) Shutdown(ctx context.Context) error {
+	s.http.SetKeepAlivesEnabled(false) // which closes them
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	looks := time.NewTicker(shutdownLook)
+	defer looks.Stop()
+	for s.clients.moving() {
+		select {
+		case <-looks.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return s.http.Close()
+}
 
 // Linger waits, once the listener is closed, until no client's connection is left, or ctx ends. Unlike Shutdown it closes
 // none that rests: a request may be on its way there, and be left unread.
@@ -170,6 +191,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
+		w.Header().Set("Connection", "close") // who asks it asks seldom, and may keep the connection for good
 		status := http.StatusServiceUnavailable
 		if s.ready.Load() {
 			status = http.StatusOK
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -131,7 +131,7 @@
 	p.engine.Follow(p.source)
 	if cfg.Control != "" {
 		p.counts = metrics.New(p.engine.Written, cfg.Settings.Classes)
-		p.door = control.New(p.front.Ready, p.counts.Append)
+		p.door = control.New(p.front.Ready, p.counts.Append, cfg.DoorCalls())
 		p.engine.Observe(p.counts)
 	}
 	if own.RPC.Listen != "" {
