--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -53,7 +53,9 @@
 	dir    string
 	config string
 	audit  audit
-	killed atomic.Bool // a process that served has been killed: what it held is lost
+
+	instances []discovery.Instance // the list, as processes find it
+	killed    atomic.Bool          // a process that served has been killed: what it held is lost
 }
 
 func newPlatform(t *testing.T, seed uint64) *platform {
@@ -90,13 +92,11 @@
 		instances = append(instances, discovery.Instance{InstanceID: fmt.Sprint("s-", i), HostPort: b.Listener.Addr().String(),
 			Zone: "koper", MachineType: "mid-2c", Lifecycle: "Ready", Weight: 1})
 	}
-	list, err := json.Marshal(discovery.List{Generation: 1, Reset: true, Instances: instances})
-	if err != nil {
-		t.Fatal(err)
-	}
+	p.instances = instances
 	found, watches := watched(t)
 	go func() {
 		for w := range watches {
+			list, _ := json.Marshal(discovery.List{Generation: 1, Reset: true, Instances: p.instances})
 			w.Lines <- string(list)
 		}
 	}()
@@ -112,6 +112,15 @@
 	return p
 }
 
+// list puts other backends in the list, before any process has started.
+func (p *platform) list(addrs ...string) {
+	p.instances = nil
+	for i, addr := range addrs {
+		p.instances = append(p.instances, discovery.Instance{InstanceID: fmt.Sprint("t-", i), HostPort: addr,
+			Zone: "koper", MachineType: "mid-2c", Lifecycle: "Ready", Weight: 1})
+	}
+}
+
 // lastProcess numbers the processes of all tests.
 var lastProcess atomic.Uint32
 
@@ -165,6 +174,8 @@
 	p.t.Fatalf("never ready:\n%s", q.log.String())
 }
 
+func (q *process) hup() { q.cmd.Process.Signal(syscall.SIGHUP) }
+
 func (q *process) kill() {
 	q.cmd.Process.Kill()
 	<-q.ended
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,60 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+
+	"marlreel"
+	"marlreel/internal/engine"
+)
+
+func text(c *Counts) string { return string(c.Append(nil)) }
+
+func has(t *testing.T, c *Counts, lines ...string) {
+	t.Helper()
+	got := text(c)
+	for _, l := range lines {
+		if !strings.Contains("\n"+got, "\n"+l+"\n") {
+			t.Errorf("no %q in\n%s", l, got)
+		}
+	}
+}
+
+func answered(c *Counts, class int, v engine.Verdict) {
+	call := &engine.Call{Request: marlreel.Request{Class: class}}
+	c.Answered(0, call, engine.Answer{Verdict: v})
+}
+
+func TestLines(t *testing.T) {
+	t.Parallel()
+	c := New(func() uint64 { return 7 }, []marlreel.Class{{Name: "bid"}, {Name: "lot-list"}})
+	for _, v := range []engine.Verdict{engine.Served, engine.Served, engine.Refused, engine.Overloaded, engine.Failed, engine.OutOfTime, engine.Stopped} {
+		answered(c, 0, v)
+	}
+	answered(c, 9, engine.Served) // a class that there isn't
+	c.Gauges(12, 3)
+	c.Settings(true)
+	c.Settings(false)
+	c.Settings(false)
+	has(t, c, "proxy.succeeded.bid:2|c", "proxy.declined.bid:2|c", "proxy.aborted.bid:3|c", "proxy.succeeded.lot-list:0|c",
+		"proxy.forwards:7|c", "proxy.outstanding:0|g", "proxy.discovered:12|g", "proxy.ejected:3|g",
+		"proxy.sighup_applied:1|c", "proxy.sighup_rejected:2|c")
+}
+
+// A class that goes keeps its line, and one that comes back goes on from there: what counts
+// up must not fall. A name can't break a line.
+func TestClassesComeAndGo(t *testing.T) {
+	t.Parallel()
+	c := New(func() uint64 { return 0 }, []marlreel.Class{{Name: "a"}, {Name: "b:|\n.c"}})
+	answered(c, 0, engine.Served)
+	answered(c, 1, engine.Served)
+	c.SetClasses([]marlreel.Class{{Name: "a"}, {Name: "b:|\n.c"}, {Name: "new"}})
+	answered(c, 0, engine.Served)
+	answered(c, 2, engine.Served)
+	has(t, c, "proxy.succeeded.a:2|c", "proxy.succeeded.b____c:1|c", "proxy.succeeded.new:1|c")
+	for line := range strings.Lines(text(c)) {
+		if strings.Count(line, ":") != 1 || strings.Count(line, "|") != 1 {
+			t.Errorf("%q", line)
+		}
+	}
+}
