--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -28,12 +28,14 @@
   marlreel --check --config marlreel.toml                          check the file, start nothing
 
 $NODE_CONFIG names what the platform says (addresses, limits, settings, the list as
-last held); $NODE_NAME, $NODE_LISTEN and $NODE_DISCOVERY go before it. To see it work
-on this machine without any of that: rehearse up, or rehearse run.
+last held); $NODE_NAME, $NODE_LISTEN, $NODE_DISCOVERY and $NODE_CONTROL go before it.
+$NODE_SOCKET_FD names the descriptor of the clients' listener, where the platform
+holds it. To see it work on this machine without any of that: rehearse up, or
+rehearse run.
 
 SIGTERM ends it gently: it goes on accepting for a moment, answers what it has taken,
-and exits with 0. SIGHUP makes it read $NODE_CONFIG again; a new address of discovery
-takes over with its first list.
+and exits with 0. SIGHUP makes it read $NODE_CONFIG again; new settings are in force
+at once, and a new address of discovery takes over with its first list.
 
 Exit codes: 0 ended as told (or the check was good), 1 it could not start or go on, 2
 wrong use.
