Give large answers that are on their way to the next process at an upgrade

Line at fault: drain ended the process with streams open; nothing shorter than the platform's patience helps. Four more ended unanswered: they came whole after FailAll and before the end. Change: where the listener is handed on, a large answer is written by a relay that can stop between any two bytes; 0.25 s after SIGTERM both its connections and its state go to the serving process over a Unix socket in TMPDIR. In the last 0.12 s what comes whole is refused, what is open answered. Not taken: a child process to end the streams (the platform kills by its own rules), and reading ahead into memory (the server is the slow side).

--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -82,9 +82,16 @@
 			p.audit.ran(r.Header.Get("X-Correlation-Id"))
 			rng := rand.New(rand.NewPCG(seed, n.Add(1)))
 			time.Sleep(time.Duration(rng.IntN(15)) * time.Millisecond)
-			if rng.IntN(20) == 0 {
+			switch rng.IntN(40) {
+			case 0, 1:
 				w.Write(make([]byte, 200<<10))
-			} else {
+			case 2: // longer than the platform waits for a process's end
+				for range 25 {
+					w.Write(make([]byte, 10<<10))
+					w.(http.Flusher).Flush()
+					time.Sleep(100 * time.Millisecond)
+				}
+			default:
 				io.WriteString(w, "served")
 			}
 		}))
--- a/internal/handover/rendezvous.go
+++ b/internal/handover/rendezvous.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,9 @@
 	dir  string
 	file *os.File
 	id   int
+
+	mu    sync.Mutex
+	stage Stage
 }
 
 const (
@@ -58,8 +62,14 @@
 	}
 }
 
-// Tell says where this process is now.
+// Tell says where this process is now. It does not go back.
 func (r *Rendezvous) Tell(s Stage) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s < r.stage {
+		return nil
+	}
+	r.stage = s
 	_, err := r.file.WriteAt([]byte{'0' + byte(s)}, 0)
 	return err
 }
@@ -134,6 +144,7 @@
 
 // Close leaves. The file goes with it.
 func (r *Rendezvous) Close() {
+	os.Remove(r.socket(r.id))
 	os.Remove(r.path(r.id))
 	r.file.Close()
 }
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -186,6 +186,15 @@
 	return nil
 }
 
+// adopt takes a connection in that has a request in hand.
+func (cs *clients) adopt(nc net.Conn) *client {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	c := &client{Conn: nc, clients: cs, inHand: true}
+	cs.open[c] = struct{}{}
+	return c
+}
+
 func (c *client) queue(in *list.List) {
 	c.unqueue()
 	if _, open := c.clients.open[c]; open {
@@ -297,6 +306,9 @@
 	return errors.ErrUnsupported
 }
 
+// NetConn is the connection itself.
+func (c *client) NetConn() net.Conn { return c.Conn }
+
 // reset lets the connection's end be a reset, whatever has been written.
 func (c *client) reset() {
 	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
--- /dev/null
+++ b/internal/httpproxy/relay_test.go
@@ -0,0 +1,192 @@
+package httpproxy
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"marlreel/internal/budget"
+	"marlreel/internal/testutil"
+)
+
+// pair is a connection over loopback, both ends.
+func pair(t testing.TB, ln net.Listener) (near, far net.Conn) {
+	t.Helper()
+	near, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
+// begun is a relay of an answer of some form, as it is when its head has been read.
+func begun(form string, client, backend net.Conn, length int) *relay {
+	c := &conn{Conn: backend, limit: &io.LimitedReader{R: backend, N: math.MaxInt64}}
+	c.in = bufio.NewReader(c.limit)
+	r := &relay{client: client, backend: c, pending: []byte("HTTP/1.1 200 OK\r\n")}
+	switch form {
+	case "sized":
+		r.body = &sized{c.in, int64(length)}
+		r.pending = append(r.pending, fmt.Sprintf("Content-Length: %d\r\n\r\n", length)...)
+	case "chunks":
+		r.body, r.chunked = &chunkReader{in: c.in}, true
+		r.pending = append(r.pending, "Transfer-Encoding: chunked\r\n\r\n"...)
+	default:
+		r.body = c.in
+		r.pending = append(r.pending, "Connection: close\r\n\r\n"...)
+	}
+	return r
+}
+
+// Whatever an answer's form and wherever it is given from one process to the next, and to
+// the one after that, the client gets it as it is.
+func TestAnAnswerGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	rapid.Check(t, func(rt *rapid.T) {
+		form := rapid.SampledFrom([]string{"sized", "chunks", "end"}).Draw(rt, "form")
+		body := noiseBytes(rapid.IntRange(0, 200<<10).Draw(rt, "length"))
+		backend, farBackend := pair(t, ln)
+		client, farClient := pair(t, ln)
+		cuts := rapid.SliceOfN(rapid.IntRange(0, len(body)), 0, 3).Draw(rt, "cuts")
+		pieces := rapid.IntRange(1, 9).Draw(rt, "pieces")
+		leaves := make(chan chan struct{}, 4)
+		var all sync.WaitGroup
+		all.Go(func() { // the backend
+			defer farBackend.Close()
+			step := len(body)/pieces + 1
+			for at := 0; at < len(body); at += step {
+				for _, c := range cuts {
+					if c >= at && c < at+step {
+						select {
+						case l := <-leaves:
+							close(l)
+						default:
+						}
+					}
+				}
+				p := body[at:min(at+step, len(body))]
+				if form == "chunks" {
+					fmt.Fprintf(farBackend, "%x\r\n%s\r\n", len(p), p)
+				} else {
+					farBackend.Write(p)
+				}
+			}
+			if form == "chunks" {
+				io.WriteString(farBackend, "0\r\nX: y\r\n\r\n")
+			}
+		})
+		room := budget.New(1 << 20)
+		var run func(r *relay)
+		run = func(r *relay) {
+			leave := make(chan struct{})
+			leaves <- leave
+			err := r.run(room, leave, func() Giver {
+				return func(state []byte, client, backend net.Conn) bool {
+					next, err := newRelay(state, client, backend)
+					if err != nil {
+						t.Error(err)
+						return false
+					}
+					all.Go(func() { run(next) })
+					return true
+				}
+			})
+			if err != nil && !errors.Is(err, errHandedOn) {
+				t.Errorf("%s of %d: %v", form, len(body), err)
+			}
+			if err == nil {
+				r.client.Close()
+				r.backend.Close()
+			}
+		}
+		all.Go(func() { run(begun(form, client, backend, len(body))) })
+		farClient.SetReadDeadline(time.Now().Add(testutil.Patience))
+		resp, err := http.ReadResponse(bufio.NewReader(farClient), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		farClient.Close()
+		all.Wait()
+		if err != nil || !bytes.Equal(got, body) {
+			rt.Fatalf("%s, cut at %v: %d bytes of %d: %v", form, cuts, len(got), len(body), err)
+		}
+		if room.Used() != 0 {
+			rt.Fatalf("%d bytes of room are not given back", room.Used())
+		}
+	})
+}
+
+func noiseBytes(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i * i >> 3)
+	}
+	return b
+}
+
+// Where nobody takes it, it goes on here.
+func TestAnAnswerThatNobodyTakes(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	backend, farBackend := pair(t, ln)
+	client, farClient := pair(t, ln)
+	leave := make(chan struct{})
+	close(leave)
+	asked := 0
+	r := begun("sized", client, backend, 6)
+	done := make(chan error, 1)
+	go func() {
+		done <- r.run(budget.New(1<<20), leave, func() Giver {
+			return func([]byte, net.Conn, net.Conn) bool { asked++; return false }
+		})
+		client.Close()
+	}()
+	io.WriteString(farBackend, "abc")
+	in := bufio.NewReader(farClient)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(farBackend, "def")
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != "abcdef" {
+		t.Errorf("%q %v", got, err)
+	}
+	if err := testutil.Receive(t, done, "the end"); err != nil || asked != 1 {
+		t.Errorf("%v, asked %d times", err, asked)
+	}
+}
+
+// What another version, or nobody, wrote is turned down.
+func TestStatesThatAreNone(t *testing.T) {
+	t.Parallel()
+	for _, s := range []string{"", "{}", `{"Version":2,"Form":"sized"}`, `{"Version":1,"Form":"other"}`,
+		`{"Version":1,"Form":"sized","Left":-1}`, `{"Version":1,"Form":"chunks","Chunk":99}`} {
+		if _, err := newRelay([]byte(s), nil, nil); err == nil {
+			t.Errorf("%q was taken", s)
+		}
+	}
+}
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -75,15 +75,19 @@
 	carrier  engine.Carrier
 	room     *budget.Budget
 	clients  *clients      // of Serve
+	leaving  chan struct{} // closed when large answers are to go on elsewhere
+	giver    atomic.Pointer[Giver]
+	handsOn  bool          // there may be another process to go on with large answers
 	accepted chan struct{} // closed when Serve has ended: no connection is on its way to the table
 	ready    atomic.Bool
 	stopping atomic.Bool // every answer ends its connection
+	refusing atomic.Bool // nothing is taken any more
 }
 
 // NewFront makes a front whose calls go to backends by a carrier. What it holds of bodies
 // it takes from room.
 func NewFront(e *engine.Engine, carrier *Carrier, room *budget.Budget, errorLog *log.Logger) *Front {
-	s := &Front{clients: newClients(nil, 0), accepted: make(chan struct{}), engine: e, carrier: carrier, room: room}
+	s := &Front{clients: newClients(nil, 0), accepted: make(chan struct{}), leaving: make(chan struct{}), engine: e, carrier: carrier, room: room}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHead, ErrorLog: errorLog,
 		DisableGeneralOptionsHandler: true, // which would answer OPTIONS * with 200
@@ -100,6 +104,10 @@
 // SetMost bounds the clients' connections. Any goroutine may call it.
 func (s *Front) SetMost(most int) { s.clients.setMost(most) }
 
+// HandOn says that there may be another process to go on with large answers: their
+// connections are then taken from net/http. Only before Serve.
+func (s *Front) HandOn() { s.handsOn = true }
+
 // Serve takes connections, within SetMost's bound, until the listener is closed.
 func (s *Front) Serve(ln net.Listener) error {
 	s.clients.Listener = ln
@@ -116,6 +124,9 @@
 // Stop lets every answer from now on end its connection.
 func (s *Front) Stop() { s.stopping.Store(true) }
 
+// Refuse lets every request from now on be refused at once.
+func (s *Front) Refuse() { s.refusing.Store(true) }
+
 // Shutdown closes what rests between two requests and waits, once the listener is closed,
 // until nothing is in hand or on its way, or ctx ends. Connections on which nothing moves
 // don't keep it: a crowd of those that never finish a request would hold every restart up
@@ -215,7 +226,9 @@
 			if c != nil {
 				c.busy()
 			}
-			if up == nil || up.whole() {
+			if s.refusing.Load() {
+				a = ownAnswer(http.StatusServiceUnavailable, "the proxy stops")
+			} else if up == nil || up.whole() {
 				a = s.serve(r, req, left)
 			} else {
 				a = s.serveComing(w, r, req, left, in)
@@ -360,6 +373,16 @@
 		return
 	}
 	d := a.from.stream
+	if s.handsOn {
+		err := s.hand(w, r, d, h)
+		d.keep = d.keep && err != errHandedOn
+		d.end(err == nil)
+		a.from.stream = nil
+		a.from.release(s.room)
+		// One that is handed on has been served as far as this process goes.
+		s.engine.Post(func() { s.engine.Streamed(&req.Call, err == nil || err == errHandedOn) })
+		return
+	}
 	if d.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(d.length, 10))
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,6 +27,8 @@
 	// What is open so long before the end of the drain is answered with a failure:
 	// a request that the end of the process finds is lost.
 	lastAnswers = 250 * time.Millisecond
+	// And what has come whole since then, so long before the process ends.
+	veryLast = 120 * time.Millisecond
 	// A proxy that has no word from discovery takes its old list for good after this.
 	oldListAfter = time.Second
 )
@@ -92,6 +94,7 @@
 	carrier *httpproxy.Carrier
 	front   *httpproxy.Front
 	room    *budget.Budget
+	meeting *handover.Rendezvous // with other processes of this proxy; nil: there are none
 
 	rpcCarrier *rpc.Carrier // nil where RPC is off
 	rpcFront   *rpc.Front
@@ -116,7 +119,7 @@
 	}
 	var err error
 	p.engine, err = engine.New(engine.Config{Settings: cfg.Settings, Seed: cfg.Seed, MaxOpen: cfg.MaxOpen, Known: known,
-		Logf: logger.Printf, Listed: func() { p.front.SetReady(true) }})
+		Logf: logger.Printf, Listed: p.becomeReady})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -148,10 +151,12 @@
 	if err != nil {
 		return err
 	}
-	var meeting *handover.Rendezvous
 	if cfg.ListenFD >= 0 {
-		meeting = p.meet(cfg, logger)
+		if p.meeting = p.meet(cfg, logger); p.meeting != nil {
+			p.front.HandOn()
+		}
 	}
+	meeting := p.meeting
 	engineCtx, stopEngine := context.WithCancel(context.Background())
 	go p.engine.Run(engineCtx)
 	if meeting != nil {
@@ -159,6 +164,7 @@
 		defer meeting.Close()
 		watching, stopWatching := context.WithCancel(context.Background())
 		defer stopWatching()
+		go meeting.Receive(watching, p.adopt, logger.Printf)
 		go meeting.Watch(watching, func(s handover.Share, others []handover.Peer) {
 			logger.Printf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Part, s.Of)
 			p.engine.Post(func() { p.setShare(cfg, s) })
@@ -180,7 +186,7 @@
 		<-p.engine.Done()
 	}()
 	if cfg.Known != nil && len(cfg.Known.Instances) > 0 {
-		time.AfterFunc(oldListAfter, func() { p.front.SetReady(true) })
+		time.AfterFunc(oldListAfter, p.becomeReady)
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- p.front.Serve(in.http) }()
@@ -198,10 +204,44 @@
 	}
 	if meeting != nil {
 		meeting.Tell(handover.Leaving)
+		time.AfterFunc(handOnAfter, func() { p.handOn(meeting, logger) })
 	}
 	return p.drain(cfg, in)
 }
 
+// handOnAfter is how long after the signal to stop a large answer that is still on its way
+// is given to the next process: most have ended by then.
+const handOnAfter = 250 * time.Millisecond
+
+// handOn gives large answers that are on their way to the next process: the platform does
+// not wait for their end.
+func (p *parts) handOn(meeting *handover.Rendezvous, logger *log.Logger) {
+	others, err := meeting.Others()
+	if err != nil {
+		logger.Print(err)
+	}
+	for _, other := range others {
+		if other.Stage == handover.Serving {
+			p.front.LetGo(func(state []byte, client, backend net.Conn) bool {
+				err := meeting.Pass(other.ID, state, client, backend)
+				if err != nil {
+					logger.Print(err)
+				}
+				return err == nil
+			})
+			return
+		}
+	}
+}
+
+// adopt goes on with a large answer that another process gave.
+func (p *parts) adopt(state []byte, conns []net.Conn) error {
+	if len(conns) != 2 {
+		return fmt.Errorf("an answer on its way came with %d connections, 2 are needed", len(conns))
+	}
+	return p.front.Adopt(state, conns[0], conns[1])
+}
+
 // meet finds the other processes of this proxy, and takes a share beside them from the
 // first moment on. Where that can't be, the process goes on as if it were alone: nothing
 // here may stop a start.
@@ -232,6 +272,14 @@
 	}
 }
 
+// becomeReady says that clients can be served.
+func (p *parts) becomeReady() {
+	p.front.SetReady(true)
+	if p.meeting != nil {
+		p.meeting.Tell(handover.Serving)
+	}
+}
+
 // publish sets the gauges now and ever again. On the engine's goroutine.
 func (p *parts) publish() {
 	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided())
@@ -264,7 +312,8 @@
 	if cfg.ListenFD >= 0 {
 		rest += cfg.AcceptLonger
 	}
-	for _, wait := range []time.Duration{cfg.StopWithin() - lastAnswers, lastAnswers + rest} {
+	failed := false
+	for _, wait := range []time.Duration{cfg.StopWithin() - lastAnswers, lastAnswers + rest - veryLast, veryLast} {
 		ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0))
 		open := false
 		for _, f := range fronts {
@@ -280,6 +329,11 @@
 		if !open {
 			return nil
 		}
+		if failed {
+			// What comes whole only now is told at once that it can go elsewhere.
+			p.front.Refuse()
+		}
+		failed = true
 		p.engine.Post(p.engine.FailAll)
 	}
 	return nil
