Stop setting times on connections before they are given to the next process

Line at fault: relay.run gave the connections on while the goroutine that makes waits end could still set a time on them. Also a receiver that gives up says so, in place of closing without a word, which counts as taken.

--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -65,7 +65,7 @@
 	if _, err := c.Write(state); err != nil {
 		return fmt.Errorf("pass: %w", err)
 	}
-	// Danger: where the word does not come, the other may have taken it all the same, and two
+	// Danger: where the word does not come, as the other has just died, it may have gone on, and two
 	// that go on with one answer spoil it. So only a word against it counts.
 	var word [1]byte
 	if n, _ := c.Read(word[:]); n == 1 && word[0] != taken {
@@ -122,6 +122,7 @@
 	n, rn, _, _, err := c.ReadMsgUnix(head, rights)
 	conns, rightsErr := opened(rights[:rn])
 	give := func(err error) error {
+		c.Write([]byte{notTaken})
 		for _, c := range conns {
 			c.Close()
 		}
@@ -139,7 +140,6 @@
 		return give(fmt.Errorf("passed: %w", err))
 	}
 	if err := take(state, conns); err != nil {
-		c.Write([]byte{notTaken})
 		return give(err)
 	}
 	c.Write([]byte{taken})
--- a/internal/httpproxy/relay.go
+++ b/internal/httpproxy/relay.go
@@ -82,13 +82,13 @@
 		default:
 			return false, err
 		}
+		<-stopped // which has set times on connections that may be another's at once
 		if !refused {
 			state, jsonErr := json.Marshal(r.state())
 			if g := give(); g != nil && jsonErr == nil && g(state, r.client, r.backend.Conn) {
 				return true, errHandedOn
 			}
 			refused = true // it ends here, or with the process
-			<-stopped
 			return false, nil
 		}
 		return false, err
