Count a small body's room for as long as its request is in hand

Seen on reading the whole change again: readSmall gave a body's room back when it had been read, though the body stays for further attempts; 728 clients with 64 KiB each would be 46 MB beside any budget. A body in chunks that turned out small had no room of its own at all. Change: the room is held until the answer is written. Not taken: counting at the engine, which knows no bytes.

--- a/internal/httpproxy/body.go
+++ b/internal/httpproxy/body.go
@@ -54,16 +54,22 @@
 
 // readBody reads a request's body: whole where it is small, else so much of it that it can
 // be sent on without waiting for its client, as far as there is room. The answer's status is
-// 0 where that went well; it is the client's, or nobody's for now, where not.
-func (s *Front) readBody(r *http.Request, in *paced) (body []byte, up *upload, a answer) {
+// 0 where that went well; it is the client's, or nobody's for now, where not. held is what a
+// whole body has taken of the room, to be given back when the request is over.
+func (s *Front) readBody(r *http.Request, in *paced) (body []byte, held int, up *upload, a answer) {
 	switch n := r.ContentLength; {
 	case n == 0:
-		return nil, nil, answer{}
+		return nil, 0, nil, answer{}
 	case n > maxLength:
-		return nil, nil, badRequest(http.StatusRequestEntityTooLarge, "the body has more than %d bytes", maxLength)
+		return nil, 0, nil, badRequest(http.StatusRequestEntityTooLarge, "the body has more than %d bytes", maxLength)
 	case n > 0 && n <= maxBody:
-		body, err := s.readSmall(r.Context(), in, int(n))
-		return body, nil, bodyTrouble(err)
+		if held, err := s.hold(r.Context(), int(n)); err != nil {
+			return nil, 0, nil, bodyTrouble(err)
+		} else if body, err = readSmall(in, int(n)); err != nil {
+			return nil, held, nil, bodyTrouble(err)
+		} else {
+			return body, held, nil, answer{}
+		}
 	}
 	up = newUpload(s.room, r.ContentLength)
 	wait, cancel := context.WithTimeout(r.Context(), roomWait)
@@ -76,29 +82,35 @@
 	}
 	if body, small := up.small(); small && err == nil {
 		up.release()
-		return body, nil, answer{}
+		held, err := s.hold(r.Context(), len(body))
+		return body, held, nil, bodyTrouble(err)
 	}
 	if err != nil && err != errFlow {
 		up.release()
-		return nil, nil, bodyTrouble(err)
+		return nil, 0, nil, bodyTrouble(err)
 	}
-	return nil, up, answer{}
+	return nil, 0, up, answer{}
 }
 
 var errNoRoom = errors.New("there is no room for the body")
 
-// readSmall reads a body that is held whole. A length alone takes no large room: what
-// follows it may never come.
-func (s *Front) readSmall(ctx context.Context, in io.Reader, n int) ([]byte, error) {
-	if n > smallBody && s.room != nil {
-		wait, cancel := context.WithTimeout(ctx, roomWait)
-		defer cancel()
-		if s.room.Wait(wait, n, budget.Small) != nil {
-			return nil, errNoRoom
-		}
-		// What is read is garbage when the request is over; so is its room, a little sooner.
-		defer s.room.Give(n, budget.Small)
+// hold takes room for a body that is held whole until its request is over; one that is as
+// small as what every connection has needs none.
+func (s *Front) hold(ctx context.Context, n int) (held int, err error) {
+	if n <= smallBody {
+		return 0, nil
+	}
+	wait, cancel := context.WithTimeout(ctx, roomWait)
+	defer cancel()
+	if s.room.Wait(wait, n, budget.Small) != nil {
+		return 0, errNoRoom
 	}
+	return n, nil
+}
+
+// readSmall reads a body that is held whole. A length alone takes no large buffer: what
+// follows it may never come.
+func readSmall(in io.Reader, n int) ([]byte, error) {
 	body := make([]byte, min(n, smallBody))
 	got, err := io.ReadFull(in, body)
 	for err == nil && got < n {
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -221,7 +221,12 @@
 			in = newPaced(r, http.NewResponseController(w))
 		}
 		var body []byte
-		if body, up, a = s.readBody(r, in); a.status == 0 {
+		var held int
+		body, held, up, a = s.readBody(r, in)
+		if held > 0 {
+			defer s.room.Give(held, budget.Small)
+		}
+		if a.status == 0 {
 			req.Payload = newMessage(r, body, up)
 			if c != nil {
 				c.busy()
--- a/internal/proxy/bulk_test.go
+++ b/internal/proxy/bulk_test.go
@@ -304,3 +304,41 @@
 		t.Errorf("the room has not come back: %d", status)
 	}
 }
+
+// What is held of bodies counts for as long as their requests are in hand: one more that
+// there is no room for is refused early, and served when there is.
+func TestBodiesInHandCount(t *testing.T) {
+	t.Parallel()
+	came, finish := make(chan struct{}, 8), make(chan struct{})
+	k := newKeeper(t, func(n int64, w http.ResponseWriter, r *http.Request) bool {
+		io.Copy(io.Discard, r.Body)
+		came <- struct{}{}
+		<-finish
+		return true
+	})
+	cfg := testConfig(t, closedAddr(t), ready("s-1", k.addr))
+	cfg.MemoryMB = 1 // 256 KiB for bodies: four of these
+	p := start(t, cfg)
+	body := string(noise(maxBody))
+	answers := make(chan int, 4)
+	for range 4 {
+		r := newRequest(t, p, "bid", body)
+		go func() {
+			status, _, _ := do(t, r)
+			answers <- status
+		}()
+		receive(t, came, "a request in hand")
+	}
+	if status, text, _ := do(t, newRequest(t, p, "bid", body)); status != http.StatusServiceUnavailable || !strings.Contains(text, "no room") {
+		t.Errorf("one more: %d %q", status, text)
+	}
+	close(finish)
+	for range 4 {
+		if status := receive(t, answers, "an answer"); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+	}
+	if status, _, _ := do(t, newRequest(t, p, "bid", body)); status != 200 {
+		t.Errorf("with room again: %d", status)
+	}
+}
