Let the next process go on with what the old one has learnt

Need: a process that takes over at an upgrade knew the list and nothing else. It trusted every backend afresh, also those that the old one had out, and did not know of starts that were only suspected.

It now asks the process that serves, over its socket, before its yes, for 0.4 s at most. Told are health, ejections, starts and what is left of budgets, limits, estimates, evidence by class, forecasts and the like (internal/learnt), versioned and summed; what is damaged or can't be true is turned down whole. Taken: asked for at the start. Not taken: a file written ever again (costs always what is needed once), and a push at SIGTERM (too late for the first requests).

--- a/internal/breaks/breaks.go
+++ b/internal/breaks/breaks.go
@@ -61,3 +61,13 @@
 	}
 	return n
 }
+
+// State gives the alarms and the answers that are remembered, for another process to go on with.
+func (m *Model) State(now time.Duration) (alarms, answered float64) {
+	return m.alarms.Fade(now, m.span), m.answered.Fade(now, m.span)
+}
+
+// Resume goes on with what was remembered away ago.
+func (m *Model) Resume(alarms, answered float64, away, now time.Duration) {
+	m.alarms, m.answered = fade.Since(alarms, now-away), fade.Since(answered, now-away)
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -371,3 +371,38 @@
 	return m.Hazard(now, backend, zone, Use{Idle: idle})*s.loss() >
 		m.Hazard(now, backend, zone, Use{New: true})*s.loss()+m.cfg.Handshake
 }
+
+// State is what was learnt of all connections together, for another process to go on with.
+// What was learnt of a zone or a backend alone follows from it within some ten uses.
+type State struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Uses, Breaks           [cells]float64
+	EarlyUses, EarlyBreaks float64
+	Hold                   time.Duration
+}
+
+// State gives it.
+func (m *Model) State(now time.Duration) State {
+	l := &m.all
+	l.fade(now, m.cfg.Memory)
+	s := State{EarlyUses: l.early.uses, EarlyBreaks: l.early.breaks, Hold: m.hold}
+	for i, t := range l.cells {
+		s.Uses[i], s.Breaks[i] = t.uses, t.breaks
+	}
+	return s
+}
+
+// Resume goes on with what another process had learnt, away ago, if it had seen more.
+func (m *Model) Resume(s State, away, now time.Duration) {
+	l := &m.all
+	l.fade(now, m.cfg.Memory)
+	if l.early.uses >= s.EarlyUses {
+		return
+	}
+	*l = level{at: now - away, early: tally{s.EarlyUses, min(s.EarlyBreaks, s.EarlyUses)}}
+	for i := range l.cells {
+		l.cells[i] = tally{s.Uses[i], min(s.Breaks[i], s.Uses[i])}
+	}
+	m.hold = min(max(s.Hold, leastHold), longestHold)
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -32,7 +32,7 @@
 	carrier *held
 }
 
-func stillEngine(t *testing.T, entries ...Entry) *still {
+func stillEngine(t testing.TB, entries ...Entry) *still {
 	t.Helper()
 	e, err := New(Config{Settings: testutil.Module(t), Seed: 1, Logf: t.Logf})
 	if err != nil {
--- /dev/null
+++ b/internal/engine/memory.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"time"
+
+	"marlreel"
+	"marlreel/internal/learnt"
+)
+
+const (
+	// learntAtOnce is how many backends one event writes down, and learntRest how long after
+	// it the next one does: what is written down for another process holds up no request.
+	learntAtOnce = 16
+	learntRest   = 100 * time.Microsecond
+)
+
+// Learnt writes down what the module has learnt, a part at a time, and calls done with it, on
+// the engine's goroutine. Only on that.
+func (e *Engine) Learnt(done func(*learnt.State)) {
+	s := e.balancer.Learnt(e.Now())
+	s.Taken = time.Now()
+	ids := e.balancer.Known()
+	ids = ids[:min(len(ids), learnt.MostBackends)]
+	var part func()
+	part = func() {
+		now := e.Now()
+		for range min(learntAtOnce, len(ids)) {
+			id := ids[0]
+			ids = ids[1:]
+			b := e.backends.byID[id]
+			k, found := e.balancer.LearntOf(now, id)
+			// A class that has come meanwhile is in the backend's cells and not in the classes.
+			if b == nil || !found || len(k.Cells) < len(s.Classes) {
+				continue
+			}
+			k.Name, k.Addr, k.Cells = b.Name, b.Addr, k.Cells[:len(s.Classes)]
+			s.Backends = append(s.Backends, k)
+		}
+		if len(ids) == 0 {
+			done(&s)
+			return
+		}
+		e.At(now+learntRest, part)
+	}
+	part()
+}
+
+// Restore lets the module go on with what another process had learnt, and gives of how many
+// backends: those that are in the list at the address at which that process knew them. Only on
+// the engine's goroutine.
+func (e *Engine) Restore(s *learnt.State) (backends int) {
+	known := *s
+	known.Backends = nil
+	for _, k := range s.Backends {
+		if b := e.Backend(k.Name); b != nil && b.Addr == k.Addr && b.State != marlreel.Gone {
+			k.ID = uint32(b.ID)
+			known.Backends = append(known.Backends, k)
+		}
+	}
+	e.balancer.Restore(e.Now(), s.Away(time.Now()), &known)
+	return len(known.Backends)
+}
--- /dev/null
+++ b/internal/engine/memory_test.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/learnt"
+)
+
+// warmed is an engine in whose module something is known of each of n backends.
+func warmed(t testing.TB, n int) *still {
+	t.Helper()
+	var entries []Entry
+	for i := range n {
+		e := ready(fmt.Sprint("s-", i), fmt.Sprint("127.0.0.1:", 1000+i))
+		e.Started = time.Now().Add(-time.Second) // a start, known from the list
+		entries = append(entries, e)
+	}
+	return stillEngine(t, entries...)
+}
+
+// take has what was learnt written down, and counts the events that it takes.
+func (l *still) take(t *testing.T) (s *learnt.State, events int) {
+	t.Helper()
+	l.Do(func() { l.Learnt(func(got *learnt.State) { s = got }) })
+	for events = 1; s == nil; events++ {
+		if len(l.timers) == 0 {
+			t.Fatal("it never ends")
+		}
+		l.Do(heap.Pop(&l.timers).(*Timer).event)
+	}
+	return s, events
+}
+
+// What is written down holds the engine for a few backends at a time, however many there are.
+func TestLearntIsWrittenDownInParts(t *testing.T) {
+	t.Parallel()
+	const n = 200
+	s, events := warmed(t, n).take(t)
+	if len(s.Backends) != n || events < n/learntAtOnce {
+		t.Errorf("%d backends in %d events", len(s.Backends), events)
+	}
+	if err := s.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// What was learnt is of the backend of a name at an address: not of who is there now under one
+// of them alone, and not of one that has left.
+func TestRestoreMeetsTheList(t *testing.T) {
+	t.Parallel()
+	from := warmed(t, 4)
+	s, _ := from.take(t)
+	to := stillEngine(t, ready("s-0", "127.0.0.1:1000"), ready("s-1", "127.0.0.1:9999"), ready("other", "127.0.0.1:1002"))
+	to.Do(func() {
+		if n := to.Restore(s); n != 1 {
+			t.Errorf("%d backends are taken for those that were there", n)
+		}
+	})
+	again, _ := to.take(t)
+	if len(again.Backends) != 1 || again.Backends[0].Name != "s-0" {
+		t.Errorf("known are %+v", again.Backends)
+	}
+	if again.Backends[0].Cold < time.Second {
+		t.Errorf("its start is %v ago", again.Backends[0].Cold)
+	}
+}
+
+// A class that comes while it is written down spoils nothing.
+func TestSettingsChangeWhileItIsWrittenDown(t *testing.T) {
+	t.Parallel()
+	l := warmed(t, 100)
+	var s *learnt.State
+	l.Do(func() { l.Learnt(func(got *learnt.State) { s = got }) })
+	next := *l.Settings()
+	next.Classes = append(append([]marlreel.Class(nil), next.Classes...), marlreel.Class{Name: "new", Aim: time.Second, GiveUp: time.Second, Value: 1})
+	l.Do(func() {
+		if err := l.Reconfigure(next); err != nil {
+			t.Fatal(err)
+		}
+		l.List(List{Kind: marlreel.ListDelta, Entries: []Entry{{Name: "s-99", State: marlreel.Gone}}})
+	})
+	for s == nil {
+		l.Do(heap.Pop(&l.timers).(*Timer).event)
+	}
+	if err := s.Check(); err != nil || len(s.Backends) != 99 {
+		t.Errorf("%d backends, %v", len(s.Backends), err)
+	}
+}
+
+// BenchmarkLearnt writes one part down.
+func BenchmarkLearnt(b *testing.B) {
+	l := warmed(b, learntAtOnce)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Learnt(func(*learnt.State) {})
+	}
+}
--- a/internal/fade/fade.go
+++ b/internal/fade/fade.go
@@ -41,3 +41,6 @@
 func (f *Sum) PerSecond(now, span time.Duration) float64 {
 	return f.Fade(now, span) / max(span, time.Millisecond).Seconds()
 }
+
+// Since makes a sum of a value that it had at a time, for who takes one over.
+func Since(v float64, at time.Duration) Sum { return Sum{v, at} }
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -134,3 +134,23 @@
 	s.Crosses = false
 	return goes, !goes && p.Value(s) < least*s.Worth
 }
+
+// State is what was learnt of a kind, for another process to go on with: the number of ends
+// and the sums over them.
+type State struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	N, Sum, Sum2 float64
+}
+
+// State gives what was learnt of a kind.
+func (m *Model) State(k int) State {
+	g := m.kinds[k]
+	return State{N: g.n, Sum: g.sum, Sum2: g.sum2}
+}
+
+// Resume goes on with what was learnt of a kind, as if by so many ends at most.
+func (m *Model) Resume(k int, s State, most float64) {
+	f := min(1, most/max(s.N, 1e-9))
+	m.kinds[k] = kind{s.N * f, s.Sum * f, s.Sum2 * f}
+}
--- /dev/null
+++ b/internal/gray/state.go
@@ -0,0 +1,74 @@
+package gray
+
+import (
+	"time"
+
+	"marlreel/internal/fade"
+)
+
+// CellState is what is known of a cell, for another process to go on with. Spans are ages;
+// one below 0 stands for what has not been. What is out at the cell is not in it: the
+// attempts are their process's own.
+type CellState struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Bad, Vouched                                   float64
+	At, Silent, OutFor                             time.Duration
+	Failures                                       int
+	OK, Ended, OKEver, EndedEver, Delays, Answered float64
+}
+
+// never is the age of what has not been.
+const never = -1
+
+// State gives what is known of a cell.
+func (m *Model) State(c *Cell, now time.Duration) CellState {
+	age := func(at time.Duration) time.Duration {
+		if at <= 0 {
+			return never
+		}
+		return max(0, now-at)
+	}
+	sum := func(f fade.Sum) float64 { return f.Fade(now, m.cfg.Memory) }
+	return CellState{Bad: c.bad, Vouched: c.vouched, At: max(0, now-c.at), Silent: age(c.silent), OutFor: age(c.outSince),
+		Failures: c.failures, OK: sum(c.ok), Ended: sum(c.ended), OKEver: sum(c.okEver), EndedEver: sum(c.endedEver),
+		Delays: sum(c.delays), Answered: sum(c.answers)}
+}
+
+// Resume makes a cell of what was known of one, away ago. The chance that it is bad drifts over
+// that time as over any other, and the sums fade.
+func (m *Model) Resume(s CellState, away, now time.Duration) Cell {
+	at := func(age time.Duration) time.Duration {
+		if age < 0 {
+			return 0
+		}
+		return max(1, now-away-age)
+	}
+	sum := func(v float64) fade.Sum { return fade.Since(v, now-away) }
+	return Cell{bad: min(max(s.Bad, 0), mostSure), vouched: s.Vouched, at: now - away - s.At, silent: at(s.Silent), outSince: at(s.OutFor),
+		failures: s.Failures, ok: sum(s.OK), ended: sum(s.Ended), okEver: sum(s.OKEver), endedEver: sum(s.EndedEver),
+		delays: sum(s.Delays), answers: sum(s.Answered)}
+}
+
+// KindState is what is common to the cells of a kind.
+type KindState struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Failed, Ended, N, Dev, Dev2, Wave, Tokens float64
+}
+
+// KindState gives what is known of a kind.
+func (m *Model) KindState(k int, now time.Duration) KindState {
+	g := &m.kinds[k]
+	return KindState{Failed: g.failed.Fade(now, m.cfg.Memory), Ended: g.ended.Fade(now, m.cfg.Memory), N: g.n, Dev: g.dev,
+		Dev2: g.dev2, Wave: g.wave.Fade(now, waveOver), Tokens: g.tokens}
+}
+
+// ResumeKind goes on with what was known of a kind, away ago, its spread as if by so many answers
+// at most. Tries that were paid for there are not to be had again.
+func (m *Model) ResumeKind(k int, s KindState, most float64, away, now time.Duration) {
+	g := &m.kinds[k]
+	g.failed, g.ended, g.wave = fade.Since(s.Failed, now-away), fade.Since(s.Ended, now-away), fade.Since(s.Wave, now-away)
+	f := min(1, most/max(s.N, 1e-9))
+	g.n, g.dev, g.dev2, g.tokens = s.N*f, s.Dev*f, s.Dev2*f, min(g.tokens, s.Tokens)
+}
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -23,6 +23,12 @@
 	mostPasses   = 16 // under way at a time
 
 	notTaken, taken = 0, 1 // what is answered
+
+	// Sent in place of a state's length: the other process is asked for what it has learnt. One
+	// that doesn't know of it says that it is too much to take.
+	asked     = 1<<32 - 1
+	mostTold  = 4 << 20
+	askWithin = 400 * time.Millisecond
 )
 
 func (r *Rendezvous) socket(id int) string {
@@ -86,9 +92,39 @@
 	return sc.SyscallConn()
 }
 
-// Receive takes what other processes pass, until ctx ends. take owns the connections
-// unless it gives an error. Where no socket can be had, it says so and nothing is taken.
-func (r *Rendezvous) Receive(ctx context.Context, take func(state []byte, conns []net.Conn) error, logf func(string, ...any)) {
+// Ask gets from another process what it has to tell of what it has learnt. A process that is
+// stuck, or of a version that knows of no such question, gives an error in time.
+func (r *Rendezvous) Ask(to int) ([]byte, error) {
+	fail := func(err error) ([]byte, error) { return nil, fmt.Errorf("ask: %w", err) }
+	c, err := net.DialTimeout("unix", r.socket(to), askWithin)
+	if err != nil {
+		return fail(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(askWithin))
+	if _, err := c.Write(binary.BigEndian.AppendUint32(nil, asked)); err != nil {
+		return fail(err)
+	}
+	var head [4]byte
+	if _, err := io.ReadFull(c, head[:]); err != nil {
+		return fail(err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > mostTold {
+		return fail(fmt.Errorf("%d bytes, %d at most", n, mostTold))
+	}
+	told := make([]byte, n)
+	if _, err := io.ReadFull(c, told); err != nil {
+		return fail(err)
+	}
+	return told, nil
+}
+
+// Receive takes what other processes pass, and tells those that ask, until ctx ends. take owns
+// the connections unless it gives an error; tell may be slow, and has until its context ends.
+// Where no socket can be had, it says so, and nothing is taken or told.
+func (r *Rendezvous) Receive(ctx context.Context, take func(state []byte, conns []net.Conn) error,
+	tell func(context.Context) ([]byte, error), logf func(string, ...any)) {
 	path := r.socket(r.id)
 	os.Remove(path)
 	ln, err := net.Listen("unix", path)
@@ -109,14 +145,15 @@
 		under.Go(func() {
 			defer func() { <-room }()
 			defer c.Close()
-			if err := receive(c.(*net.UnixConn), take); err != nil {
+			if err := receive(ctx, c.(*net.UnixConn), take, tell); err != nil {
 				logf("rendezvous: %v", err)
 			}
 		})
 	}
 }
 
-func receive(c *net.UnixConn, take func(state []byte, conns []net.Conn) error) error {
+func receive(ctx context.Context, c *net.UnixConn, take func(state []byte, conns []net.Conn) error,
+	tell func(context.Context) ([]byte, error)) error {
 	c.SetDeadline(time.Now().Add(passWithin))
 	head, rights := make([]byte, 4), make([]byte, syscall.CmsgSpace(4*mostPassed))
 	n, rn, _, _, err := c.ReadMsgUnix(head, rights)
@@ -132,6 +169,16 @@
 		return give(fmt.Errorf("passed: %w", errors.Join(err, io.ErrUnexpectedEOF)))
 	}
 	size := binary.BigEndian.Uint32(head)
+	if size == asked && len(conns) == 0 {
+		ctx, cancel := context.WithTimeout(ctx, askWithin)
+		defer cancel()
+		told, err := tell(ctx)
+		if err != nil {
+			return fmt.Errorf("asked: %w", err)
+		}
+		_, err = c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(told))), told...))
+		return err
+	}
 	if size > mostState {
 		return give(fmt.Errorf("passed: %d bytes, %d at most", size, mostState))
 	}
--- a/internal/handover/pass_test.go
+++ b/internal/handover/pass_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,14 +13,14 @@
 )
 
 // receiver is a rendezvous that takes what is passed, under a number of its own.
-func receiver(t *testing.T, dir string, id int, take func([]byte, []net.Conn) error) {
+func receiver(t *testing.T, dir string, id int, take func([]byte, []net.Conn) error, tell func(context.Context) ([]byte, error)) {
 	t.Helper()
 	r := &Rendezvous{dir: dir, id: id}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.Receive(ctx, take, t.Logf)
+		r.Receive(ctx, take, tell, t.Logf)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	testutil.Eventually(t, "the socket", func() bool {
@@ -53,7 +54,7 @@
 	if err := r.Pass(7, []byte("x"), near); err == nil {
 		t.Error("passed to nobody")
 	}
-	receiver(t, dir, 2, func([]byte, []net.Conn) error { return errors.New("not today") })
+	receiver(t, dir, 2, func([]byte, []net.Conn) error { return errors.New("not today") }, nil)
 	if err := r.Pass(2, []byte("x"), near); err == nil {
 		t.Error("passed to one that does not take it")
 	}
@@ -62,7 +63,7 @@
 		conns []net.Conn
 	}
 	took := make(chan got, 1)
-	receiver(t, dir, 3, func(s []byte, c []net.Conn) error { took <- got{string(s), c}; return nil })
+	receiver(t, dir, 3, func(s []byte, c []net.Conn) error { took <- got{string(s), c}; return nil }, nil)
 	state := make([]byte, 300<<10)
 	copy(state, "state")
 	if err := r.Pass(3, state, near); err != nil {
@@ -81,3 +82,59 @@
 		t.Errorf("%q %v", text, err)
 	}
 }
+
+// Who asks is told, or told soon that there is nothing: by who has nothing to tell, by who is
+// stuck, by a version that knows of no such question, and by nobody.
+func TestAsk(t *testing.T) {
+	t.Parallel()
+	dir, err := os.MkdirTemp("", "ask")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	r := &Rendezvous{dir: dir, id: 1}
+	state := make([]byte, 300<<10)
+	copy(state, "state")
+	receiver(t, dir, 2, nil, func(context.Context) ([]byte, error) { return state, nil })
+	for range 3 {
+		if told, err := r.Ask(2); err != nil || !bytes.Equal(told, state) {
+			t.Fatalf("%d bytes, %v", len(told), err)
+		}
+	}
+	receiver(t, dir, 3, nil, func(context.Context) ([]byte, error) { return nil, errors.New("nothing") })
+	receiver(t, dir, 4, nil, func(ctx context.Context) ([]byte, error) { <-ctx.Done(); return nil, ctx.Err() })
+	old, err := net.Listen("unix", r.socket(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	go func() { // takes it for the length of a state that is too long
+		for {
+			c, err := old.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 4))
+			c.Write([]byte{notTaken})
+			c.Close()
+		}
+	}()
+	huge, err := net.Listen("unix", r.socket(6))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer huge.Close()
+	go func() {
+		c, err := huge.Accept()
+		if err == nil {
+			c.Write([]byte{0x7f, 0xff, 0xff, 0xff})
+			defer c.Close()
+			c.Read(make([]byte, 8))
+		}
+	}()
+	for id, who := range map[int]string{3: "one with nothing to tell", 4: "one that is stuck", 5: "an old one", 6: "one that tells too much", 7: "nobody"} {
+		if told, err := r.Ask(id); err == nil {
+			t.Errorf("%s has told %d bytes", who, len(told))
+		}
+	}
+}
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -85,6 +85,15 @@
 // SetMost puts another bound on connections in force. Only on the engine's goroutine.
 func (c *Carrier) SetMost(most int) { c.pool.setMost(most) }
 
+// Learnt is what was learnt of connections, for the process that takes over. Only on the
+// engine's goroutine, like Restore.
+func (c *Carrier) Learnt() conns.State { return c.pool.model.State(c.engine.Now()) }
+
+// Restore goes on with what another process had learnt of them, away ago.
+func (c *Carrier) Restore(s conns.State, away time.Duration) {
+	c.pool.model.Resume(s, away, c.engine.Now())
+}
+
 // Connections is how many are open, those being dialled among them.
 func (c *Carrier) Connections() int { return c.pool.open }
 
--- /dev/null
+++ b/internal/learnt/codec/codec_test.go
@@ -0,0 +1,107 @@
+package codec
+
+import (
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"marlreel/internal/gray"
+	"marlreel/internal/learnt"
+)
+
+// sample has something of everything.
+func sample() *learnt.State {
+	s := &learnt.State{Of: "n0", Taken: time.UnixMilli(1_790_000_000_123).UTC(), Classes: make([]learnt.Class, 2), Tenants: make([]learnt.Tenant, 1)}
+	s.Common.Mean, s.Common.Gap, s.Conns.Hold = 41.5, 3*time.Millisecond, time.Millisecond
+	s.Classes[0].Name, s.Classes[0].Line, s.Classes[1].Name = "bid", [5]float64{1, 2, 3, 4, 5}, "lot-list"
+	s.Conns.Uses[3] = 7
+	for range 3 {
+		b := learnt.Backend{Name: "s-1", Addr: "127.0.0.1:1", Healthy: true, Limit: 4, Cold: learnt.Never, Cells: make([]gray.CellState, 2)}
+		b.Cells[1].Bad = 0.25
+		s.Backends = append(s.Backends, b)
+	}
+	return s
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	t.Parallel()
+	want := sample()
+	data, err := Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.Taken = got.Taken.UTC()
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v\nwas written, and read is\n%+v", want, got)
+	}
+}
+
+// What is damaged anywhere, cut off anywhere, or of another version, is turned down.
+func TestDamage(t *testing.T) {
+	t.Parallel()
+	data, err := Encode(sample())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range data {
+		if _, err := Decode(data[:i]); err == nil {
+			t.Fatalf("cut off at %d, and read", i)
+		}
+		bad := append([]byte(nil), data...)
+		bad[i] ^= 0x10
+		if _, err := Decode(bad); err == nil {
+			t.Fatalf("byte %d is another, and it is read", i)
+		}
+	}
+	data[5]++
+	if _, err := Decode(data); err == nil || !strings.Contains(err.Error(), "version 2, 1 is known here") {
+		t.Errorf("another version: %v", err)
+	}
+}
+
+// What carries the right sum and can't be true is turned down by its name.
+func TestNonsense(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(*learnt.State){
+		"state.Common.Mean is NaN":                   func(s *learnt.State) { s.Common.Mean = math.NaN() },
+		"state.Classes[0].Line[4] is +Inf":           func(s *learnt.State) { s.Classes[0].Line[4] = math.Inf(1) },
+		"state.Backends[2].Cells[1].Bad is NaN":      func(s *learnt.State) { s.Backends[2].Cells[1].Bad = math.NaN() },
+		"state.Backends[0].Fails is -1":              func(s *learnt.State) { s.Backends[0].Fails = -1 },
+		"state.Backends[0].LastOK is":                func(s *learnt.State) { s.Backends[0].LastOK = math.MinInt64 },
+		"state.Classes[1].Name has 300 bytes":        func(s *learnt.State) { s.Classes[1].Name = strings.Repeat("x", 300) },
+		"backend \"s-1\" has 1 classes, there are 2": func(s *learnt.State) { s.Backends[1].Cells = s.Backends[1].Cells[:1] },
+		"65 classes, 64 at most":                     func(s *learnt.State) { s.Classes = make([]learnt.Class, 65) },
+		"2049 backends, 2048 at most":                func(s *learnt.State) { s.Backends = make([]learnt.Backend, 2049) },
+		"state.Conns.Uses[3] is NaN":                 func(s *learnt.State) { s.Conns.Uses[3] = math.NaN() },
+	} {
+		s := sample()
+		spoil(s)
+		data, err := Encode(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(data); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(sample())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Decode(data)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("%v, %v", s, err)
+		}
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -110,3 +110,31 @@
 	}
 	return &list[i]
 }
+
+// Tally is worth asked for and served, for another process to go on with.
+type Tally struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Asked, Served float64
+}
+
+// All, Class and Tenant give what was booked in all, of a class and of a tenant.
+func (l *Ledger) All() Tally { return l.all.state() }
+
+// Class is described with All.
+func (l *Ledger) Class(i int) Tally { return l.classes[i].state() }
+
+// Tenant is described with All.
+func (l *Ledger) Tenant(i int) Tally { return l.tenants[i].state() }
+
+func (t tally) state() Tally { return Tally{Asked: t.asked, Served: t.served} }
+
+// Resume goes on with what was booked in all; ResumeClass and ResumeTenant do so for one of
+// them.
+func (l *Ledger) Resume(t Tally) { l.all = tally{t.Asked, t.Served} }
+
+// ResumeClass is described with Resume.
+func (l *Ledger) ResumeClass(i int, t Tally) { l.classes[i] = tally{t.Asked, t.Served} }
+
+// ResumeTenant is described with Resume.
+func (l *Ledger) ResumeTenant(i int, t Tally) { l.tenants[i] = tally{t.Asked, t.Served} }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -27,6 +27,12 @@
 // use it, 1 or more, as in all that follows.
 func Start(sharers float64) float64 { return start / sharers }
 
+// most bounds what is believed of a limit that another process had learnt.
+const most = 1 << 16
+
+// Within is a limit that another process had learnt, as far as it can be one.
+func Within(limit, sharers float64) float64 { return min(max(limit, 1/sharers), most) }
+
 // faster is how much faster one of so many sharers learns.
 func faster(sharers float64) float64 { return min(max(1, sharers/few), few) }
 
--- /dev/null
+++ b/internal/proxy/memory.go
@@ -0,0 +1,106 @@
+package proxy
+
+import (
+	"context"
+	"log"
+	"time"
+
+	"marlreel/internal/handover"
+	"marlreel/internal/learnt"
+	"marlreel/internal/learnt/codec"
+)
+
+// memory is what a process that starts beside another one takes over of what that one has
+// learnt, before it says that it can serve. On the engine's goroutine.
+type memory struct {
+	asking bool // another process has been asked, and has not answered yet
+	listed bool // there is a list, and clients can be served by it
+	state  *learnt.State
+	from   int
+}
+
+// recall asks another process that serves for what it has learnt, if there is one. It is asked
+// once and has a part of a second: a process that is stuck must not hold up a start. Before the
+// engine runs.
+func (p *parts) recall(meeting *handover.Rendezvous, name string, logger *log.Logger) {
+	others, err := meeting.Others()
+	if err != nil {
+		logger.Print(err)
+	}
+	for _, other := range others {
+		if other.Stage == handover.Starting {
+			continue
+		}
+		p.memory.asking, p.memory.from = true, other.ID
+		go func() {
+			s, err := ask(meeting, other.ID)
+			if err != nil {
+				logger.Printf("nothing is taken over of what process %d has learnt: %v", other.ID, err)
+			} else if s.Of != name {
+				logger.Printf("nothing is taken over of what process %d has learnt: it is of %q, and this is %q", other.ID, s.Of, name)
+				s = nil
+			}
+			p.engine.Post(func() {
+				p.memory.asking, p.memory.state = false, s
+				p.open(logger)
+			})
+		}()
+		return
+	}
+}
+
+func ask(meeting *handover.Rendezvous, id int) (*learnt.State, error) {
+	told, err := meeting.Ask(id)
+	if err != nil {
+		return nil, err
+	}
+	return codec.Decode(told)
+}
+
+// tell gives what this process has learnt.
+func (p *parts) tell(name string) func(context.Context) ([]byte, error) {
+	return func(ctx context.Context) ([]byte, error) {
+		taken := make(chan *learnt.State, 1)
+		p.engine.Post(func() {
+			p.engine.Learnt(func(s *learnt.State) {
+				s.Of, s.Conns = name, p.carrier.Learnt()
+				taken <- s
+			})
+		})
+		select {
+		case s := <-taken:
+			return codec.Encode(s)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-p.engine.Done():
+			return nil, context.Canceled
+		}
+	}
+}
+
+// becomeReady says that there is a list.
+func (p *parts) becomeReady(logger *log.Logger) {
+	p.memory.listed = true
+	p.open(logger)
+}
+
+// open says that clients can be served, once there is a list and nothing more is to be heard of
+// another process.
+func (p *parts) open(logger *log.Logger) {
+	m := &p.memory
+	if !m.listed || m.asking {
+		return
+	}
+	if s := m.state; s != nil {
+		m.state = nil
+		began := time.Now()
+		n := p.engine.Restore(s)
+		p.carrier.Restore(s.Conns, s.Away(began))
+		logger.Printf("taken over from process %d: what it has learnt of %d backends and %d classes, %v old",
+			m.from, n, len(s.Classes), s.Away(began).Round(time.Millisecond))
+	}
+	p.front.SetReady(true)
+	if p.meeting != nil {
+		p.meeting.Tell(handover.Serving)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -95,6 +95,7 @@
 	front   *httpproxy.Front
 	room    *budget.Budget
 	meeting *handover.Rendezvous // with other processes of this proxy; nil: there are none
+	memory  memory
 
 	rpcCarrier *rpc.Carrier // nil where RPC is off
 	rpcFront   *rpc.Front
@@ -119,7 +120,7 @@
 	}
 	var err error
 	p.engine, err = engine.New(engine.Config{Settings: cfg.Settings, Seed: cfg.Seed, MaxOpen: cfg.MaxOpen, Known: known,
-		Logf: logger.Printf, Listed: p.becomeReady})
+		Logf: logger.Printf, Listed: func() { p.becomeReady(logger) }})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -154,6 +155,7 @@
 	if cfg.ListenFD >= 0 {
 		if p.meeting = p.meet(cfg, logger); p.meeting != nil {
 			p.front.HandOn()
+			p.recall(p.meeting, cfg.Name, logger)
 		}
 	}
 	meeting := p.meeting
@@ -164,7 +166,7 @@
 		defer meeting.Close()
 		watching, stopWatching := context.WithCancel(context.Background())
 		defer stopWatching()
-		go meeting.Receive(watching, p.adopt, logger.Printf)
+		go meeting.Receive(watching, p.adopt, p.tell(cfg.Name), logger.Printf)
 		go meeting.Watch(watching, func(s handover.Share, others []handover.Peer) {
 			logger.Printf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Part, s.Of)
 			p.engine.Post(func() { p.setShare(cfg, s) })
@@ -186,7 +188,7 @@
 		<-p.engine.Done()
 	}()
 	if cfg.Known != nil && len(cfg.Known.Instances) > 0 {
-		time.AfterFunc(oldListAfter, p.becomeReady)
+		time.AfterFunc(oldListAfter, func() { p.engine.Post(func() { p.becomeReady(logger) }) })
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- p.front.Serve(in.http) }()
@@ -272,14 +274,6 @@
 	}
 }
 
-// becomeReady says that clients can be served.
-func (p *parts) becomeReady() {
-	p.front.SetReady(true)
-	if p.meeting != nil {
-		p.meeting.Tell(handover.Serving)
-	}
-}
-
 // publish sets the gauges now and ever again. On the engine's goroutine.
 func (p *parts) publish() {
 	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided())
--- a/limits_test.go
+++ b/limits_test.go
@@ -39,13 +39,14 @@
 			}
 		}
 	}
-	// What is neither the interface, nor the settings' check, nor plain arithmetic decides.
+	// What is neither the interface, nor the settings' check, nor plain arithmetic, nor the
+	// translation of what was learnt for another process, decides.
 	all, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range all {
-		if !strings.HasSuffix(name, "_test.go") && !slices.Contains([]string{"api.go", "config.go", "stats.go"}, name) &&
+		if !strings.HasSuffix(name, "_test.go") && !slices.Contains([]string{"api.go", "config.go", "memory.go", "stats.go"}, name) &&
 			!strings.Contains(string(policy[1]), `"`+name+`"`) {
 			t.Errorf("%s decides and is not named under policy", name)
 		}
--- a/loop_test.go
+++ b/loop_test.go
@@ -32,6 +32,7 @@
 	rng      *rand.Rand
 	proxies  []*loopProxy
 	machines []*machine.Machine
+	listed   []Backend
 	faults   []fault
 	rate     float64 // requests a second and proxy
 	shares   []float64
@@ -55,6 +56,7 @@
 	b    *Balancer
 	reqs map[RequestID]*loopReq
 	logs []string
+	next *loopProxy // the process that has taken over; nil: none has
 }
 
 type loopReq struct {
@@ -254,6 +256,7 @@
 		all[i].Zone = i % 3
 		w.machines = append(w.machines, machine.New(machine.Config{Cores: 2, Speed: speed, Slots: 16, Queue: 40}, w.now, true))
 	}
+	w.listed = all
 	w.rate = load * capacity / float64(proxies) / 0.0222
 	for i := range proxies {
 		p := &loopProxy{w: w, reqs: map[RequestID]*loopReq{}}
@@ -275,6 +278,9 @@
 func (w *loop) arrivals(p *loopProxy) {
 	gap := time.Duration(-math.Log(1-w.rng.Float64()) / w.rate * float64(second))
 	w.in(gap, func() {
+		for p.next != nil {
+			p = p.next
+		}
 		x, class := w.rng.Float64(), 0
 		for class < 3 && x > w.shares[class] {
 			x, class = x-w.shares[class], class+1
@@ -319,6 +325,26 @@
 	}
 }
 
+// takeOver starts a new process for each proxy, which takes what comes from now on; with is
+// called with the old one and the new one.
+func (w *loop) takeOver(t *testing.T, with func(from, to *Balancer)) {
+	t.Helper()
+	for i, old := range w.proxies {
+		p := &loopProxy{w: w, reqs: map[RequestID]*loopReq{}}
+		one := w.cfg
+		one.Rank, one.Zone = i, i%3
+		b, err := New(one, uint64(7000+i), p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.b = b
+		b.Start(w.now)
+		b.Membership(w.now, Membership{Kind: ListFull, Version: 1, Backends: w.listed})
+		with(old.b, b)
+		old.next, w.proxies[i] = p, p
+	}
+}
+
 func (w *loop) reset() {
 	clear(w.asked)
 	clear(w.served)
--- /dev/null
+++ b/memory_test.go
@@ -0,0 +1,280 @@
+package marlreel
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"marlreel/internal/learnt"
+)
+
+// memoryOf is all that a balancer has learnt.
+func memoryOf(b *Balancer, now time.Duration) *learnt.State {
+	s := b.Learnt(now)
+	ids := b.Known()
+	slices.Sort(ids)
+	for _, id := range ids {
+		k, _ := b.LearntOf(now, id)
+		s.Backends = append(s.Backends, k)
+	}
+	return &s
+}
+
+// leaves calls for each number and truth value within v.
+func leaves(v reflect.Value, path string, each func(path string, v reflect.Value)) {
+	switch v.Kind() {
+	case reflect.Float64, reflect.Int64, reflect.Int, reflect.Bool:
+		each(path, v)
+	case reflect.Slice, reflect.Array:
+		for i := range v.Len() {
+			leaves(v.Index(i), fmt.Sprintf("%s[%d]", path, i), each)
+		}
+	case reflect.Struct:
+		if v.Type() == reflect.TypeFor[time.Time]() {
+			return
+		}
+		for i := range v.NumField() {
+			if f := v.Type().Field(i); f.IsExported() {
+				leaves(v.Field(i), path+"."+f.Name, each)
+			}
+		}
+	}
+}
+
+// Each field of what was learnt is taken over: what one process says of it, the next one would
+// say as well.
+func TestEveryFieldIsTakenOver(t *testing.T) {
+	const now = 100 * second
+	cfg := testConfig()
+	cfg.Instances, cfg.Tenants = 1, []Tenant{{Name: "a", Share: 1}}
+	fresh := func() *Balancer {
+		b, _ := newBalancer(t, cfg, 2)
+		return b
+	}
+	base := func() *learnt.State {
+		b := fresh()
+		for i := range b.classes {
+			for range 10 {
+				b.classes[i].learn(0, 40, classKeep)
+			}
+		}
+		b.over, b.mean, b.meanWork = 10, 40, 40
+		for _, t := range b.targets {
+			t.lastOK, t.coldSince, t.tokensAt, t.tokens = now-second, now-2*second, now, -40
+		}
+		return memoryOf(b, now)
+	}
+	// What is not the module's, or no value of its own.
+	others := map[string]bool{".Backends[0].ID": true, ".Backends[1].ID": true}
+	tried, missed := 0, []string(nil)
+	leaves(reflect.ValueOf(base()).Elem(), "", func(path string, _ reflect.Value) {
+		if others[path] || len(path) > 6 && path[:6] == ".Conns" {
+			return
+		}
+		tried++
+		// One of these is within every field's bounds.
+		for _, x := range []float64{0.25, 1.5, 12.5, -0.25} {
+			s, want := base(), 0.0
+			leaves(reflect.ValueOf(s).Elem(), "", func(p string, v reflect.Value) {
+				if p != path {
+					return
+				}
+				switch v.Kind() {
+				case reflect.Float64:
+					v.SetFloat(x)
+				case reflect.Int64:
+					v.SetInt(int64(x * float64(100*milli)))
+				case reflect.Int:
+					v.SetInt(int64(x * 8))
+				case reflect.Bool:
+					v.SetBool(!v.Bool())
+				}
+				want = number(v)
+			})
+			b := fresh()
+			b.Restore(now, 0, s)
+			got := math.NaN()
+			leaves(reflect.ValueOf(memoryOf(b, now)).Elem(), "", func(p string, v reflect.Value) {
+				if p == path {
+					got = number(v)
+				}
+			})
+			if math.Abs(got-want) <= 1e-9*math.Abs(want) {
+				return
+			}
+		}
+		missed = append(missed, path)
+	})
+	if tried < 100 {
+		t.Errorf("only %d fields were tried", tried)
+	}
+	for _, path := range missed {
+		t.Errorf("%s is not taken over", path)
+	}
+}
+
+func number(v reflect.Value) float64 {
+	switch v.Kind() {
+	case reflect.Float64:
+		return v.Float()
+	case reflect.Bool:
+		return map[bool]float64{true: 1}[v.Bool()]
+	}
+	return float64(v.Int())
+}
+
+// What was learnt grows old: sums fade, ejections end, starts lie further back, and what has
+// started since is another one.
+func TestWhatWasLearntGrowsOld(t *testing.T) {
+	const now, away = 100 * second, 3 * second
+	from, _ := newBalancer(t, testConfig(), 3)
+	for _, x := range from.targets {
+		x.lastOK, x.ejectedUntil, x.coldSince = now-second, now+away-milli, now-19*second
+		x.delays.Add(8, now, from.memory)
+		x.answers.Add(4, now, from.memory)
+	}
+	s := memoryOf(from, now)
+	to, _ := newBalancer(t, testConfig(), 0)
+	all := list(3)
+	all[2].Started = now + away - second
+	to.Membership(now+away, Membership{Kind: ListFull, Backends: all})
+	to.Restore(now+away, away, s)
+	a, c := to.byID[1], to.byID[3]
+	left := 4 * math.Exp(-away.Seconds()/to.memory.Seconds())
+	if n := a.answers.Fade(now+away, to.memory); math.Abs(n-left) > 1e-9 {
+		t.Errorf("%v answers are left of 4, it should be %v", n, left)
+	}
+	if !to.fit(a) {
+		t.Error("an ejection that would be over by now holds")
+	}
+	if _, cold := to.cold(a); cold {
+		t.Error("it started 22 s ago, and counts as cold")
+	}
+	if _, cold := to.cold(c); !cold || c.answers.Fade(now+away, to.memory) > 0 {
+		t.Error("one that has started since is taken for the one before")
+	}
+}
+
+// A process that has had answers itself believes them, and budgets are never more than either
+// side has left.
+func TestItsOwnWordStands(t *testing.T) {
+	const now = 100 * second
+	from, _ := newBalancer(t, testConfig(), 2)
+	to, _ := newBalancer(t, testConfig(), 2)
+	for _, x := range from.targets {
+		x.healthy, x.lastOK, x.coldSince, x.tokens = false, now-second, now-second, 30
+	}
+	from.retries = 9
+	to.retries = 2
+	mine := to.byID[1]
+	mine.answers.Add(1, now, to.memory)
+	mine.coldSince, mine.tokens = now-second, -7
+	to.Restore(now, 0, memoryOf(from, now))
+	if !mine.healthy || to.byID[2].healthy {
+		t.Errorf("healthy: %v by own answers, %v by the other's word", mine.healthy, to.byID[2].healthy)
+	}
+	if mine.tokens > -7 || to.retries != 2 {
+		t.Errorf("budgets: %v of cold work, %v of retries", mine.tokens, to.retries)
+	}
+	from.retries = 1
+	to.Restore(now, 0, memoryOf(from, now))
+	if to.retries != 1 {
+		t.Errorf("%v retries, the other process has one left", to.retries)
+	}
+}
+
+// The rules hold over any hand-over, whatever the next process is told: the truth, nothing, or
+// nonsense.
+func TestTheFourRulesOverHandOvers(t *testing.T) {
+	for name, tell := range map[string]func(rng *rand.Rand, s *learnt.State){
+		"the truth": func(*rand.Rand, *learnt.State) {},
+		"nonsense": func(rng *rand.Rand, s *learnt.State) {
+			signs := rng.IntN(4) == 0
+			leaves(reflect.ValueOf(s).Elem(), "", func(path string, v reflect.Value) {
+				if len(path) > 3 && path[len(path)-3:] == ".ID" || rng.IntN(3) > 0 {
+					return
+				}
+				x := rng.NormFloat64() * math.Pow(10, float64(rng.IntN(9)-3))
+				if !signs {
+					x = math.Abs(x)
+				}
+				switch v.Kind() {
+				case reflect.Float64:
+					v.SetFloat(x)
+				case reflect.Int64:
+					v.SetInt(int64(x * float64(second)))
+				case reflect.Int:
+					v.SetInt(int64(math.Abs(x)))
+				case reflect.Bool:
+					v.SetBool(rng.IntN(2) == 0)
+				}
+			})
+		},
+	} {
+		taken := 0
+		for seed := range uint64(40) {
+			broken := day(t, seed, func(rng *rand.Rand, now time.Duration, from, to *Balancer) {
+				s := memoryOf(from, now)
+				tell(rng, s)
+				if s.Check() == nil {
+					taken++
+					to.Restore(now, time.Duration(rng.IntN(300))*milli, s)
+				}
+			})
+			for _, b := range broken {
+				t.Errorf("%s, seed %d: %s", name, seed, b)
+			}
+			if t.Failed() {
+				return
+			}
+		}
+		if taken < 30 {
+			t.Errorf("%s was taken over %d times only", name, taken)
+		}
+	}
+}
+
+// A day on which all proxies are replaced while one node is silent for bids, one is slow and
+// one fails all: what is served in the four seconds after it with what was learnt, and without.
+func TestMemorySparesTheNextProcess(t *testing.T) {
+	const seeds, at = 6, 16 * second
+	var with, without []float64
+	for seed := range uint64(seeds) {
+		for _, remembers := range []bool{false, true} {
+			w := newLoop(t, seed, 9, 3, 0.55)
+			w.faults = []fault{
+				{class: bid, backends: []int{1}, from: 5 * second, to: time.Hour, silent: 1},
+				{class: bid, backends: []int{2}, from: 5 * second, to: time.Hour, slower: 4},
+				{class: lotList, backends: []int{2}, from: 5 * second, to: time.Hour, slower: 4},
+				{class: pickup, backends: []int{4}, from: 5 * second, to: time.Hour, failing: 1},
+			}
+			w.run(at)
+			w.takeOver(t, func(from, to *Balancer) {
+				if remembers {
+					to.Restore(w.now, 0, memoryOf(from, w.now))
+				}
+			})
+			w.reset()
+			w.run(at + 4*second)
+			if v := w.service(-1); remembers {
+				with = append(with, v)
+			} else {
+				without = append(without, v)
+			}
+		}
+	}
+	mean := func(v []float64) (sum float64) {
+		for _, x := range v {
+			sum += x / float64(len(v))
+		}
+		return sum
+	}
+	t.Logf("served with memory %.3f, without %.3f", mean(with), mean(without))
+	if mean(with) < mean(without)+0.01 {
+		t.Errorf("memory gains nothing: %v with it, %v without", with, without)
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -15,7 +15,7 @@
 	cfg    Config
 	rng    *rand.Rand
 	now    time.Duration
-	b      *Balancer
+	lives  []*life // processes of the proxy, one after the other
 	queue  []event
 	serial int
 	reqs   map[RequestID]*held
@@ -27,6 +27,28 @@
 
 const meanCost = 60 * milli
 
+// life is one process of the proxy: the world as it is to that one.
+type life struct {
+	*world
+	b *Balancer
+}
+
+// last is the process that takes what comes.
+func (w *world) last() *life { return w.lives[len(w.lives)-1] }
+
+// born starts a process.
+func (w *world) born(seed uint64) *life {
+	l := &life{world: w}
+	b, err := New(w.cfg, seed, l)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	l.b = b
+	w.lives = append(w.lives, l)
+	b.Start(w.now)
+	return l
+}
+
 type event struct {
 	at     time.Duration
 	serial int
@@ -35,6 +57,7 @@
 
 type held struct {
 	Request
+	by        *life // the process that took it
 	tries     []try
 	answered  bool // a final answer was given or seen
 	refusals  int
@@ -187,7 +210,7 @@
 		}
 		w.peak = max(w.peak, sum)
 	}
-	w.b.Outcome(w.now, Outcome{ID: id, Attempt: n, Backend: a.to, Result: result, Took: w.now - a.sent,
+	r.by.b.Outcome(w.now, Outcome{ID: id, Attempt: n, Backend: a.to, Result: result, Took: w.now - a.sent,
 		Final: r.answered})
 }
 
@@ -220,7 +243,7 @@
 	w.at(0, func() { w.over(id, n, Cancelled) })
 }
 
-func (w *world) Probe(id BackendID) {
+func (w *life) Probe(id BackendID) {
 	if !w.cfg.Caps.Probes {
 		w.breaks("a probe where none is allowed")
 	}
@@ -234,8 +257,8 @@
 func (w *world) Release(BackendID)   {}
 func (w *world) Tell(uint32, []byte) {}
 func (w *world) Log(string)          {}
-func (w *world) Fetch()              { w.Watch(true) }
-func (w *world) Watch(bool) {
+func (w *life) Fetch()               { w.Watch(true) }
+func (w *life) Watch(bool) {
 	w.at(20*milli, func() {
 		if w.rng.IntN(3) == 0 {
 			w.b.Membership(w.now, Membership{Kind: ListFailed})
@@ -245,7 +268,7 @@
 	})
 }
 
-func (w *world) After(d time.Duration, token uint64) {
+func (w *life) After(d time.Duration, token uint64) {
 	// A timer never fires in the batch that sets it.
 	w.at(max(d, milli), func() { w.b.Timer(w.now, token) })
 }
@@ -275,11 +298,14 @@
 			w.told[e.ID] = w.now
 		}
 	}
-	w.b.Membership(w.now, Membership{Kind: kind, Backends: bs})
+	for _, l := range w.lives {
+		l.b.Membership(w.now, Membership{Kind: kind, Backends: bs})
+	}
 }
 
-// day plays some seconds at random and gives the rules that were broken.
-func day(t testing.TB, seed uint64) []string {
+// day plays some seconds at random and gives the rules that were broken. Where handOver is given,
+// a new process takes over now and then, and that is called with the old one and the new one.
+func day(t testing.TB, seed uint64, handOver func(rng *rand.Rand, now time.Duration, from, to *Balancer)) []string {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	cfg := testConfig()
 	cfg.Instances = 1
@@ -297,15 +323,10 @@
 	}
 	w := &world{t: t, cfg: cfg, rng: rng, now: second, reqs: map[RequestID]*held{}, backs: map[BackendID]*back{},
 		told: map[BackendID]time.Duration{}}
-	b, err := New(cfg, seed, w)
-	if err != nil {
-		t.Fatal(err)
-	}
-	w.b = b
 	for _, e := range list(2 + rng.IntN(8)) {
 		w.backs[e.ID] = &back{Backend: e}
 	}
-	b.Start(w.now)
+	w.born(seed)
 	w.tell(ListCached, w.list())
 	end := w.now + 8*second
 	id := RequestID(0)
@@ -316,8 +337,9 @@
 			Deadline: at + time.Duration(rng.IntN(3000))*milli}
 		gone := rng.IntN(50) == 0
 		w.at(at-w.now, func() {
-			w.reqs[req.ID] = &held{Request: req}
-			b.Request(w.now, req)
+			r := &held{Request: req, by: w.last()}
+			w.reqs[req.ID] = r
+			r.by.b.Request(w.now, req)
 		})
 		w.at(req.Deadline-w.now, func() {
 			w.at(cfg.Obligations.AnswerSlack, func() {
@@ -330,7 +352,7 @@
 			w.at(at+50*milli-w.now, func() {
 				if r := w.reqs[req.ID]; !r.answered {
 					r.answered = true
-					b.Gone(w.now, req.ID)
+					r.by.b.Gone(w.now, req.ID)
 				}
 			})
 		}
@@ -338,6 +360,16 @@
 	for at := w.now; at < end; at += time.Duration(rng.IntN(600)) * milli {
 		w.at(at-w.now, func() { w.trouble() })
 	}
+	if handOver != nil {
+		for n := range uint64(1 + rng.IntN(3)) {
+			w.at(time.Duration(rng.Int64N(int64(8*second))), func() {
+				old := w.last().b
+				next := w.born(seed + 1000*(n+1))
+				next.b.Membership(w.now, Membership{Kind: ListFull, Backends: w.list()})
+				handOver(rng, w.now, old, next.b)
+			})
+		}
+	}
 	w.run(end + 5*second)
 	return w.broken
 }
@@ -357,18 +389,19 @@
 	case 4:
 		w.tell(ListFull, w.list())
 	case 5: // odd but harmless events
-		w.b.Probed(w.now, ProbeResult{Backend: 9999})
-		w.b.Outcome(w.now, Outcome{ID: 1 << 30, Attempt: 3})
-		w.b.Gone(w.now, 1<<30)
-		w.b.Peer(w.now, PeerMessage{From: 7, Body: []byte("odd")})
-		w.b.Timer(w.now, w.rng.Uint64())
-		w.b.FirstByte(w.now, FirstByte{ID: 1 << 30})
+		b := w.last().b
+		b.Probed(w.now, ProbeResult{Backend: 9999})
+		b.Outcome(w.now, Outcome{ID: 1 << 30, Attempt: 3})
+		b.Gone(w.now, 1<<30)
+		b.Peer(w.now, PeerMessage{From: 7, Body: []byte("odd")})
+		b.Timer(w.now, w.rng.Uint64())
+		b.FirstByte(w.now, FirstByte{ID: 1 << 30})
 	}
 }
 
 func TestTheFourRulesOnRandomDays(t *testing.T) {
 	for seed := range uint64(60) {
-		for _, broken := range day(t, seed) {
+		for _, broken := range day(t, seed, nil) {
 			t.Errorf("seed %d: %s", seed, broken)
 		}
 		if t.Failed() {
@@ -382,7 +415,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
-		for _, broken := range day(t, seed) {
+		for _, broken := range day(t, seed, nil) {
 			t.Error(broken)
 		}
 	})
