End a stop without an error while connections are open that have said nothing

Seen in a rehearsal: a proxy that got SIGTERM in a crowd logged 'shutdown: close tcp: use of closed network connection' and ended with 1. Cause: since connections that say nothing are parked, Serve goes on for them behind the listener's end, so net/http still counts the listener among its own and its Close (server.go, Front.Shutdown) closes it once more. Ruled out: the crowd itself (one silent connection does it, as the test shows).

That error is no one's now. TestShutdownEndsWhoSaysNothing fails without the change.

--- a/internal/httpproxy/clients_test.go
+++ b/internal/httpproxy/clients_test.go
@@ -169,6 +169,32 @@
 	}
 }
 
+// A shutdown is over at once, and without an error, while connections are open that have said
+// nothing; and it ends them.
+func TestShutdownEndsWhoSaysNothing(t *testing.T) {
+	t.Parallel()
+	front := stillEngine(t).front
+	front.SetMost(9)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(ln) }()
+	silent := testutil.Dial(t, ln.Addr().String())
+	eventually(t, "the connection to be taken", func() bool {
+		front.clients.mu.Lock()
+		defer front.clients.mu.Unlock()
+		return front.clients.mute.Len() == 1
+	})
+	ln.Close()
+	if err := front.Shutdown(t.Context()); err != nil {
+		t.Errorf("the shutdown: %v", err)
+	}
+	receive(t, served, "the end of Serve")
+	testutil.Ends(t, silent, "the silent connection")
+}
+
 // One that says nothing has no more time for its head than any other, however late it begins.
 func TestSilenceCountsForTheHead(t *testing.T) {
 	t.Parallel()
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -146,8 +147,13 @@
 			return ctx.Err()
 		}
 	}
-	s.clients.close()
-	return s.http.Close()
+	defer s.clients.close()
+	// net/http closes the listener too, which may have been closed long ago: Serve goes on for
+	// connections that have said nothing yet.
+	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // Linger waits, once the listener is closed, until no client's connection is left, or ctx ends. Unlike Shutdown it closes
