Rehearse upgrades, large bodies, crowds and settings that change

Wrong proxies are caught for each: one that drops what it holds, never says yes, takes a broken file, says nothing of one, sends more often than it may by now, cuts large answers.

--- a/internal/rehearsal/compare.go
+++ b/internal/rehearsal/compare.go
@@ -97,7 +97,7 @@
 	})
 	sum := func(of []*Report) (n int) {
 		for _, r := range of {
-			n += r.Rules.Lost + r.Rules.Duplicated + r.Rules.Drains + r.Rules.Cold + r.Crashes
+			n += r.Rules.Lost + r.Rules.Duplicated + r.Rules.Drains + r.Rules.Cold + r.Rules.Settings + r.Crashes
 		}
 		return n
 	}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -49,7 +49,15 @@
 	if perNode == 0 {
 		perNode = 60
 	}
-	return nodes*(s.Proxies.Count+perNode) + int(s.Traffic.Rate) + 100
+	crowds := 0
+	for _, f := range s.Faults {
+		if n := len(f.Proxies); n > 0 {
+			crowds += f.Connections * n
+		} else {
+			crowds += f.Connections * s.Proxies.Count
+		}
+	}
+	return nodes*(s.Proxies.Count+perNode) + int(s.Traffic.Rate) + crowds + 100
 }
 
 // Run plays a scenario and reports on it. All that it starts has ended when it
@@ -134,7 +142,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
 	}
-	records := Records{Scenario: s, Plan: plan, Tries: load.records(), Nodes: journal.Records(), Lives: w.lives()}
+	records := Records{Scenario: s, Plan: plan, Tries: load.records(), Nodes: journal.Records(), Lives: w.lives(), Reloads: w.reloads}
 	return w.report(records, o, start, load, began), nil
 }
 
--- a/internal/rehearsal/run_test.go
+++ b/internal/rehearsal/run_test.go
@@ -212,6 +212,78 @@
 	}
 }
 
+// The same for what daily service asks: new versions, settings, large bodies, crowds.
+func TestWrongServiceIsCaught(t *testing.T) {
+	t.Parallel()
+	upgrade := func(s *Scenario) {
+		s.Faults = []Fault{{At: Span(700 * ms), What: "upgrade", Each: Span(300 * ms)}}
+		for i := range s.Classes { // long enough that something is held at any time
+			s.Classes[i].Wait = Span(150 * ms)
+		}
+	}
+	retune := func(how string) func(s *Scenario) {
+		return func(s *Scenario) { s.Faults = []Fault{{At: Span(700 * ms), What: "retune", How: how}} }
+	}
+	large := func(s *Scenario) {
+		s.Classes[0].Size, s.Classes[0].Chunked = 300<<10, true
+		s.Classes[1].Body, s.Classes[1].Writes = 200<<10, 1<<20
+		s.Classes[2].Size, s.Classes[2].Gives, s.Classes[2].Reads = 100<<10, 1<<20, 1<<20
+	}
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+		change func(s *Scenario)
+		word   string // "": nothing is to be found
+	}{
+		{"right", standin.Faults{}, upgrade, ""},
+		{"drops what it holds", standin.Faults{DropAtTerm: true}, upgrade, "lost"},
+		{"never says yes", standin.Faults{NoYes: true}, func(s *Scenario) {
+			upgrade(s)
+			s.Length = Span(yesWithin + 2*time.Second)
+		}, "has not said within"},
+		{"right", standin.Faults{}, retune("empty"), ""},
+		{"right", standin.Faults{}, retune("cut"), ""},
+		{"right", standin.Faults{}, retune("short"), ""},
+		{"right", standin.Faults{}, retune("deadline"), ""},
+		{"right", standin.Faults{}, retune("attempts"), ""},
+		{"takes a broken file", standin.Faults{TakeBroken: true}, retune("short"), "broken settings file was taken"},
+		{"says nothing of a file", standin.Faults{Mute: true}, retune("cut"), "neither taken nor turned down"},
+		{"right", standin.Faults{}, func(s *Scenario) { s.Classes[2].Appears, s.Classes[2].Vanishes = Span(300*ms), Span(2*time.Second) }, ""},
+		{"right", standin.Faults{}, func(s *Scenario) { s.Faults = []Fault{{At: Span(700 * ms), What: "retune", Attempts: 3}} }, ""},
+		{"sends more often than it may", standin.Faults{ResendBids: true}, func(s *Scenario) {
+			s.Length = Span(4 * time.Second)
+			s.Faults = []Fault{{At: Span(500 * ms), What: "retune", Attempts: 1}}
+		}, "2 attempts, 1 are allowed"},
+		{"right", standin.Faults{}, large, ""},
+		{"cuts large answers", standin.Faults{CutLarge: true}, large, "connection ended"},
+		{"right", standin.Faults{}, func(s *Scenario) {
+			s.Clients = Clients{TryShare: 0.85, New: true, SlowHeads: 0.3, SlowOver: Span(400 * ms)}
+			s.Faults = []Fault{{At: Span(300 * ms), What: "crowd", Connections: 50, For: Span(1500 * ms)}}
+		}, ""},
+	} {
+		s := short()
+		c.change(s)
+		what := "large bodies"
+		if len(s.Faults) > 0 {
+			what = s.Faults[0].What + " " + s.Faults[0].How
+		}
+		t.Run(c.name+", "+what, func(t *testing.T) {
+			t.Parallel()
+			rep, _, err := play(t, s, faulty(t, c.faults))
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := fmt.Sprint(rep.Breaks, rep.Crashed)
+			if c.word == "" && (!rep.OK() || rep.Worth.Served < 0.5*rep.Worth.Asked) {
+				t.Errorf("%+v, %v of %v served: %s", rep.Rules, rep.Worth.Served, rep.Worth.Asked, found)
+			}
+			if c.word != "" && (rep.OK() || !strings.Contains(found, c.word)) {
+				t.Errorf("%q is not among what was found: %+v %s", c.word, rep.Rules, found)
+			}
+		})
+	}
+}
+
 // A proxy that stalls delays no arrival: all requests go out while none is answered.
 func TestOpenLoopUnderAStalledProxy(t *testing.T) {
 	t.Parallel()
