Let requests that are still being written go on in the next process

Line at fault: nothing but large answers crossed; drain waits no longer than the platform does.

Two traps on the way: net/http takes a head's line that an error cut off for a whole one and reads on, and turns an error within a trailer into its own; both are met in client.Read and passRequest.

--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -57,6 +57,7 @@
 	instances []discovery.Instance // the list, as processes find it
 	alone     atomic.Bool          // processes can't find each other: long answers end with theirs
 	killed    atomic.Bool          // a process that served has been killed: what it held is lost
+	kills     atomic.Int64         // how many have been
 }
 
 func newPlatform(t *testing.T, seed uint64) *platform {
@@ -226,6 +227,11 @@
 		}
 		head := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: a\r\nX-Time-Left: 1000m\r\nX-Correlation-Id: %016x\r\nContent-Length: 0\r\n\r\n",
 			method, class, seed<<32|uint64(n))
+		body := "" // written over 1.9 s: longer than a process may take to end
+		if method == "POST" && rng.IntN(60) == 0 {
+			body = strings.Repeat("x", 19)
+			head = strings.Replace(head, "Content-Length: 0", "Content-Length: 19", 1)
+		}
 		fresh := c == nil || rng.IntN(4) == 0
 		if fresh {
 			if c != nil {
@@ -238,12 +244,19 @@
 			}
 			in = bufio.NewReader(c)
 		}
-		c.SetDeadline(time.Now().Add(5 * time.Second))
+		c.SetDeadline(time.Now().Add(10 * time.Second))
 		p.audit.asked.Add(1)
+		kills := p.kills.Load()
 		resp, err := func() (*http.Response, error) {
 			if _, err := io.WriteString(c, head); err != nil {
 				return nil, err
 			}
+			for i := range body {
+				time.Sleep(100 * time.Millisecond)
+				if _, err := io.WriteString(c, body[i:i+1]); err != nil {
+					return nil, err
+				}
+			}
 			resp, err := http.ReadResponse(in, nil)
 			if err == nil {
 				_, err = io.Copy(io.Discard, resp.Body)
@@ -254,7 +267,7 @@
 			c.Close()
 			c = nil
 			switch {
-			case p.killed.Load(), p.alone.Load() && resp != nil: // what a killed process held is the client's to ask again
+			case p.killed.Load(), p.kills.Load() != kills, p.alone.Load() && (resp != nil || body != ""): // what a killed process held is the client's to ask again
 				p.audit.held.Add(1)
 			case !fresh && resp == nil && !errors.Is(err, os.ErrDeadlineExceeded):
 				p.audit.crossed.Add(1)
@@ -320,7 +333,8 @@
 	"the new one dies before its yes": func(p *platform, rng *rand.Rand, old *process, temp string) {
 		next := p.start(temp)
 		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
-		p.killed.Store(true) // it may have accepted already
+		p.killed.Store(true)
+		p.kills.Add(1) // it may have accepted already
 		next.kill()
 		time.Sleep(50 * time.Millisecond)
 		p.killed.Store(false)
@@ -332,6 +346,7 @@
 		next := p.start(temp)
 		p.ready(next)
 		p.killed.Store(true)
+		p.kills.Add(1)
 		if rng.IntN(2) == 0 {
 			old.cmd.Process.Signal(syscall.SIGTERM)
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -18,7 +18,7 @@
 const (
 	socketPrefix = "marlreel-socket-"
 	passWithin   = 500 * time.Millisecond // a whole pass; a process that is stuck takes none
-	mostState    = 1 << 20
+	mostState    = 4 << 20
 	mostPassed   = 2  // connections with one state
 	mostPasses   = 16 // under way at a time
 
--- a/internal/httpproxy/body.go
+++ b/internal/httpproxy/body.go
@@ -54,7 +54,8 @@
 
 // readBody reads a request's body: whole where it is small, else so much of it that it can
 // be sent on without waiting for its client, as far as there is room. The answer's status is
-// 0 where that went well; it is the client's, or nobody's for now, where not. held is what a
+// 0 where that went well; it is the client's, or nobody's for now, where not, and then body or up
+// have what came. held is what a
 // whole body has taken of the room, to be given back when the request is over.
 func (s *Front) readBody(r *http.Request, in *paced) (body []byte, held int, up *upload, a answer) {
 	switch n := r.ContentLength; {
@@ -66,7 +67,7 @@
 		if held, err := s.hold(r.Context(), int(n)); err != nil {
 			return nil, 0, nil, bodyTrouble(err)
 		} else if body, err = readSmall(in, int(n)); err != nil {
-			return nil, held, nil, bodyTrouble(err)
+			return body, held, nil, bodyTrouble(err)
 		} else {
 			return body, held, nil, answer{}
 		}
@@ -86,8 +87,7 @@
 		return body, held, nil, bodyTrouble(err)
 	}
 	if err != nil && err != errFlow {
-		up.release()
-		return nil, 0, nil, bodyTrouble(err)
+		return nil, 0, up, bodyTrouble(err)
 	}
 	return nil, 0, up, answer{}
 }
@@ -115,13 +115,12 @@
 	got, err := io.ReadFull(in, body)
 	for err == nil && got < n {
 		body = append(make([]byte, 0, min(4*len(body), n)), body...)
-		more := cap(body) - got
-		if _, err = io.ReadFull(in, body[got:got+more]); err == nil {
-			got += more
-			body = body[:got]
-		}
+		var more int
+		more, err = io.ReadFull(in, body[got:cap(body)])
+		got += more
+		body = body[:got]
 	}
-	return body, err
+	return body[:got], err
 }
 
 // bodyTrouble words what went wrong with a body.
@@ -133,6 +132,8 @@
 	case errors.Is(err, errNoRoom):
 		a := badRequest(http.StatusServiceUnavailable, "%v", err)
 		return a
+	case errors.Is(err, errLeaving):
+		return badRequest(http.StatusServiceUnavailable, "%v", err)
 	case errors.Is(err, errTooLong):
 		return badRequest(http.StatusRequestEntityTooLarge, "the body has more than %d bytes", maxLength)
 	case errors.As(err, &ne) && ne.Timeout():
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -6,7 +6,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +33,7 @@
 	ended         chan struct{} // closed when the listener takes no more; endedBy says why
 	over          chan struct{} // closed when nobody takes from asking any more
 	once, closing sync.Once
+	giver         Giver // takes connections to another process; nil: they stay
 	endedBy       error
 }
 
@@ -54,29 +57,71 @@
 	progress time.Time // when it came into its list, or something last came there
 
 	headBy time.Time // by when its first head has to have come whole
-
-	// Only the connection's own goroutine has these, that of net/http.
-	frames frames
-	later  bool // the first head has come
+	partly bool      // a request that is in hand is still being written; with the table's lock
+
+	// Only who reads from the connection has these.
+	frames     frames
+	later      bool   // the first head has come
+	head       []byte // what has come of a head that is not whole
+	before     []byte // what had come in another process; it is read first
+	beforeHeld func() // gives back its room
+	left       bool   // the reading of a body has ended with errLeaving, or what net/http made of it
+
+	handled atomic.Bool // a request is in hand, from its head on
+	given   atomic.Bool // it is another process's: nothing more is read, written or ended here
+
+	reads  sync.Mutex // the deadline of reads:
+	readBy time.Time  // as it was set,
+	nudged bool       // and whether a read is to time out at once in its place
 }
 
 // Read implements net.Conn.
 func (c *client) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.moves()
+	for {
+		// Danger: net/http takes a line that an error cut off for a whole one, and reads on.
+		if c.given.Load() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		n, err := c.readSome(p)
+		if n > 0 {
+			c.moves()
+		}
+		c.frames.see(p[:n])
+		c.keepHead(p[:n])
+		if n > 0 || err == nil || !c.takeNudge(err) {
+			return n, err
+		}
+		switch handled, between := c.handled.Load(), c.frames.between(); {
+		case handled && !between:
+			c.left = true
+			return 0, errLeaving // whoever reads the body knows what has come of it
+		case !handled && len(c.head) == c.frames.head && c.goesOn(c.head):
+			return 0, err // the server takes its leave without a word
+		}
+	}
+}
+
+// errLeaving says that the rest of a body is to be read by another process.
+var errLeaving = errors.New("this process leaves")
+
+func (c *client) readSome(p []byte) (int, error) {
+	if len(c.before) == 0 {
+		return c.Conn.Read(p)
+	}
+	n := copy(p, c.before)
+	if c.before = c.before[n:]; len(c.before) == 0 {
+		c.before = nil
+		c.beforeHeld()
 	}
-	c.frames.see(p[:n])
-	return n, err
+	return n, nil
 }
 
-// SetReadDeadline implements net.Conn. A client that is silent at first has no more time for
-// its head than one that begins at once.
-func (c *client) SetReadDeadline(t time.Time) error {
-	if !c.later && !t.IsZero() && t.After(c.headBy) {
-		t = c.headBy
+// Write implements net.Conn.
+func (c *client) Write(p []byte) (int, error) {
+	if c.given.Load() {
+		return len(p), nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.Write(p)
 }
 
 // setMost puts another bound in force. Connections beyond it that can be spared are closed.
@@ -259,6 +304,7 @@
 // can be read in more than one way.
 func (c *client) begins() (refused bool) {
 	c.later = true
+	c.handled.Store(true)
 	c.clients.mu.Lock()
 	defer c.clients.mu.Unlock()
 	c.stir()
@@ -274,15 +320,30 @@
 
 // rest says that nothing is owed any more: the request was answered, or turned away.
 func (c *client) rest(answered bool) {
+	if answered { // else the connection ends, and somebody may still watch it
+		c.handled.Store(false)
+	}
 	c.clients.mu.Lock()
 	defer c.clients.mu.Unlock()
 	if answered {
 		c.queue(&c.clients.idle)
+		if c.clients.giver != nil {
+			c.nudge()
+		}
 	} else {
 		c.queue(&c.clients.mute)
 	}
 }
 
+// setPartly says whether a request that is in hand is still being written.
+func (c *client) setPartly(partly bool) {
+	c.clients.mu.Lock()
+	defer c.clients.mu.Unlock()
+	if c.partly = partly; partly && c.clients.giver != nil {
+		c.nudge()
+	}
+}
+
 // Close implements net.Conn.
 func (c *client) Close() error {
 	c.clients.mu.Lock()
@@ -294,6 +355,9 @@
 // CloseWrite lets the server end its side first, so that a client that still sends
 // can read the error before its connection is reset.
 func (c *client) CloseWrite() error {
+	if c.given.Load() {
+		return nil
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -305,6 +369,9 @@
 
 // reset lets the connection's end be a reset, whatever has been written.
 func (c *client) reset() {
+	if c.given.Load() {
+		return
+	}
 	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		t.SetLinger(0)
 	}
--- a/internal/httpproxy/frames.go
+++ b/internal/httpproxy/frames.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -23,6 +24,8 @@
 	digits  int   // of a chunk's size so far
 	trailer int   // bytes of it so far
 
+	head int // bytes of the head so far
+
 	line  [48]byte // the beginning of the line that has not ended
 	n     int      // bytes of that line so far
 	tail  [2]byte  // its last ones
@@ -90,9 +93,15 @@
 	default:
 		copy(f.tail[:], part[len(part)-2:])
 	}
+	if f.state == frameHead {
+		f.head += len(part)
+	}
 	if end < 0 {
 		return nil
 	}
+	if f.state == frameHead {
+		f.head++
+	}
 	proper := f.n > 0 && f.tail[1] == '\r'
 	switch f.state {
 	case frameHead:
@@ -148,11 +157,12 @@
 }
 
 // next begins with the next head.
-func (f *frames) next() { f.state, f.lines = frameHead, 0 }
+func (f *frames) next() { f.state, f.lines, f.head = frameHead, 0, 0 }
 
 // headLine takes in the end of a line of a head.
 func (f *frames) headLine(proper bool) {
 	if f.n <= 1 && proper && f.lines == 0 {
+		f.head = 0
 		return // an empty line before a head, which net/http skips or refuses
 	}
 	start := f.line[:min(f.n, len(f.line))]
@@ -198,6 +208,50 @@
 	return f.bad > 0 && f.begun >= f.bad || f.begun > f.heads
 }
 
+// between tells whether no body is being read: what comes next is of a head.
+func (f *frames) between() bool { return f.state == frameHead }
+
+// rest says what has to stand around the data of a body in chunks, of which so much has come, for
+// its wire to go on where it is now: before it, and behind it. It merges the chunks that came into
+// one, and leaves out extensions and trailers that came; both have no effect.
+func (f *frames) rest(data int) (before, behind []byte, ok bool) {
+	whole := func() {
+		if data > 0 {
+			before, behind = fmt.Appendf(nil, "%x\r\n", data), []byte("\r\n")
+		}
+	}
+	switch f.state {
+	case frameChunkData:
+		return fmt.Appendf(nil, "%x\r\n", int64(data)+f.left), nil, true
+	case frameChunkEnd:
+		if whole(); f.n > 1 || data == 0 {
+			return nil, nil, false
+		}
+		return before, behind[:f.n], true
+	case frameChunkSize:
+		if whole(); f.digits > 0 {
+			behind = fmt.Appendf(behind, "%0*x", f.digits, f.left)
+		}
+		return before, behind, true
+	case frameChunkExtension:
+		whole()
+		behind = fmt.Appendf(behind, "%x", f.left)
+		if f.n > 1 || f.n == 1 && f.tail[1] != '\r' {
+			behind = append(behind, ';')
+		}
+		if f.n > 0 && f.tail[1] == '\r' {
+			behind = append(behind, '\r')
+		}
+		return before, behind, true
+	case frameTrailer:
+		if whole(); f.n > len(f.line) {
+			return nil, nil, false
+		}
+		return before, append(append(behind, "0\r\n"...), f.line[:f.n]...), true
+	}
+	return nil, nil, false
+}
+
 // named tells whether a line begins with a field's name, whatever its letters' case.
 func named(line []byte, name string) bool {
 	return len(line) >= len(name) && bytes.EqualFold(line[:len(name)], []byte(name))
--- a/internal/httpproxy/park.go
+++ b/internal/httpproxy/park.go
@@ -69,12 +69,22 @@
 // park waits for the first byte. A connection that is closed meanwhile, for another or at its
 // time's end, is told by no one else.
 func (c *client) park() {
-	c.Conn.SetReadDeadline(c.headBy)
-	if sc, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil && raw.Read(something) == nil {
+	c.SetReadDeadline(c.headBy)
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		c.Close()
+		return
+	}
+	raw, err := sc.SyscallConn()
+	for err == nil {
+		if err = raw.Read(something); err == nil {
 			c.clients.give(c)
 			return
 		}
+		if !c.takeNudge(err) || c.goesOn(nil) {
+			break
+		}
+		err = nil
 	}
 	c.Close()
 }
--- a/internal/httpproxy/relay.go
+++ b/internal/httpproxy/relay.go
@@ -17,8 +17,9 @@
 	"marlreel/internal/budget"
 )
 
-// Giver gives a large answer on its way to another process, and tells whether that has
-// taken it: from then on nothing may be read or written here.
+// Giver gives a connection to another process, and tells whether that has taken it: from then on
+// nothing may be read or written here. With a backend's connection it is a large answer on its way,
+// and state is a relay's; without one (nil), state is what has come of a request.
 type Giver func(state []byte, client, backend net.Conn) bool
 
 // relay passes a large answer on in bytes of its own, so that it can stop between any two
@@ -257,11 +258,13 @@
 	return nil
 }
 
-// LetGo lets go of large answers that are on their way: each is given to another process
-// that goes on with it, if it takes them. What it does not take goes on here.
+// LetGo lets go of large answers that are on their way, and of connections on which no request has
+// come whole: each is given to another process that goes on with it, if it takes them. What it does
+// not take goes on here.
 func (s *Front) LetGo(give Giver) {
 	s.giver.Store(&give)
 	close(s.leaving)
+	s.clients.leave(give)
 }
 
 func (s *Front) letGo() Giver {
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -227,6 +227,12 @@
 		if held > 0 {
 			defer s.room.Give(held, budget.Small)
 		}
+		if up != nil {
+			defer up.release()
+		}
+		if a.status != 0 && c != nil && c.passRequest(r, body, up) {
+			panic(http.ErrAbortHandler)
+		}
 		if a.status == 0 {
 			req.Payload = newMessage(r, body, up)
 			if c != nil {
@@ -239,9 +245,9 @@
 			} else {
 				a = s.serveComing(w, r, req, left, in)
 			}
-		}
-		if up != nil {
-			defer up.release()
+			if a.bad && c != nil && c.passRequest(r, nil, up) {
+				panic(http.ErrAbortHandler)
+			}
 		}
 	}
 	if c != nil && c.clients.crowded() {
@@ -280,6 +286,11 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	up := req.Payload.(*message).up
+	c := clientOf(r)
+	if c != nil {
+		c.setPartly(true)
+		defer c.setPartly(false)
+	}
 	arrived := s.engine.Now()
 	req.Coming, req.Wait = true, left
 	s.engine.Post(func() { s.engine.Take(&req.Call, arrived) })
@@ -312,7 +323,7 @@
 				continue
 			}
 			s.leave(req)
-			if a := bodyTrouble(err); a.status != http.StatusBadRequest {
+			if a := bodyTrouble(err); a.status != http.StatusBadRequest || c != nil && c.left {
 				return a
 			}
 			panic(http.ErrAbortHandler)
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -159,6 +159,13 @@
 	return body, true
 }
 
+// all gives what has come, if none of it has made room for more.
+func (u *upload) all() ([][]byte, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.pieces, u.base == 0
+}
+
 // frame gives the length to announce; -1 is one that is not known yet.
 func (u *upload) frame() int64 {
 	u.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -225,7 +225,11 @@
 	for _, other := range others {
 		if other.Stage == handover.Serving {
 			p.front.LetGo(func(state []byte, client, backend net.Conn) bool {
-				err := meeting.Pass(other.ID, state, client, backend)
+				conns := []net.Conn{client, backend}
+				if backend == nil {
+					conns = conns[:1]
+				}
+				err := meeting.Pass(other.ID, state, conns...)
 				if err != nil {
 					logger.Print(err)
 				}
@@ -236,12 +240,16 @@
 	}
 }
 
-// adopt goes on with a large answer that another process gave.
+// adopt goes on with what another process gave: a large answer that is on its way with both its
+// connections, or a client's connection with what has come there.
 func (p *parts) adopt(state []byte, conns []net.Conn) error {
-	if len(conns) != 2 {
-		return fmt.Errorf("an answer on its way came with %d connections, 2 are needed", len(conns))
+	switch len(conns) {
+	case 1:
+		return p.front.AdoptClient(state, conns[0])
+	case 2:
+		return p.front.Adopt(state, conns[0], conns[1])
 	}
-	return p.front.Adopt(state, conns[0], conns[1])
+	return fmt.Errorf("%d connections were passed, 1 or 2 are needed", len(conns))
 }
 
 // meet finds the other processes of this proxy, and takes a share beside them from the
