Pass a body on its way to the next process, whichever end of its read is met first

Seen: on upgrades beside large bodies 6 of 44 requests that were being written were cut off, all at one second. Traced: each had its read time out as meant, and was closed without being offered. Line at fault: Front.serveComing. net/http ends a request's context when a read fails, before the reader hears of it, and the loop took whichever it met first; the context's end aborts. Ruled out: the passing itself (no pass failed), room (no body was turned away), the new process (it closed none).

TestABodyOnItsWayGoesOnElsewhere fails without it.

--- a/internal/httpproxy/handon_test.go
+++ b/internal/httpproxy/handon_test.go
@@ -17,13 +17,24 @@
 
 	"pgregory.net/rapid"
 
+	"marlreel"
+	"marlreel/internal/budget"
+	"marlreel/internal/engine"
 	"marlreel/internal/testutil"
 )
 
 // serving is a front that serves at a listener until the test ends.
-func serving(t *testing.T) (*Front, net.Listener) {
+func serving(t *testing.T, entries ...engine.Entry) (*Front, net.Listener) {
 	t.Helper()
-	front := stillEngine(t).front
+	front, ln, run := servingLater(t, entries...)
+	run()
+	return front, ln
+}
+
+// servingLater is a front whose engine does nothing before run is called.
+func servingLater(t *testing.T, entries ...engine.Entry) (front *Front, ln net.Listener, run func()) {
+	t.Helper()
+	front = stillEngine(t, entries...).front
 	front.SetMost(64)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -32,7 +43,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(ln) }()
-	go front.engine.Run(ctx)
+	// The engine begins with the list that it was made with, and that has none.
+	front.engine.Post(func() { front.engine.List(engine.List{Kind: marlreel.ListFull, Version: 1, Entries: entries}) })
 	t.Cleanup(func() {
 		front.http.Close()
 		front.clients.close()
@@ -40,7 +52,7 @@
 		stop()
 		<-front.engine.Done()
 	})
-	return front, ln
+	return front, ln, func() { go front.engine.Run(ctx) }
 }
 
 // echo answers with what came, as its server read it.
@@ -160,6 +172,59 @@
 	})
 }
 
+// A body that is already on its way to a backend, as there was no room to collect it, goes on
+// elsewhere too while all that has come of it is here. A read that fails ends the request's context
+// before its reader hears of it: whichever is met first, it goes on (20 times over).
+func TestABodyOnItsWayGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	reading := rawBackend(t, func(_ net.Conn, in *bufio.Reader) { io.Copy(io.Discard, in) })
+	for range 20 {
+		old, ln, run := servingLater(t, ready("s-1", reading))
+		next, _ := serving(t)
+		next.http.Handler = http.HandlerFunc(echo)
+		body := strings.Repeat("abcdefgh", 96<<10/8)
+		client := testutil.Dial(t, ln.Addr().String())
+		const others = 680 << 10
+		if !old.room.Take(others, budget.Large) {
+			t.Fatal("no room to take")
+		}
+		fmt.Fprintf(client, "POST /bid/x HTTP/1.1\r\nHost: a\r\nX-Account: obala\r\nX-Time-Left: 9000m\r\n%s: 00000000000000aa\r\nContent-Length: %d\r\n\r\n",
+			headerID, len(body))
+		io.WriteString(client, body[:40<<10])
+		partly := func() bool {
+			old.clients.mu.Lock()
+			defer old.clients.mu.Unlock()
+			for c := range old.clients.open {
+				return c.partly
+			}
+			return false
+		}
+		eventually(t, "it to be on its way", partly)
+		old.room.Give(others, budget.Large)
+		run()
+		io.WriteString(client, body[40<<10:80<<10])
+		eventually(t, "all to be read", func() bool {
+			old.clients.mu.Lock()
+			defer old.clients.mu.Unlock()
+			for c := range old.clients.open {
+				return quiet(c.Conn)
+			}
+			return false
+		})
+		var taken atomic.Int64
+		old.LetGo(to(t, next, &taken))
+		eventually(t, "it to be taken", func() bool { return taken.Load() == 1 })
+		io.WriteString(client, body[80<<10:])
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, _ := io.ReadAll(resp.Body); !strings.HasSuffix(string(got), fmt.Sprintf("%x %d", sha256.Sum256([]byte(body)), len(body))) {
+			t.Fatalf("%d %q", resp.StatusCode, got)
+		}
+	}
+}
+
 // A connection that rests between two requests goes on too; and where nobody takes what is given,
 // all goes on here.
 func TestKeptConnectionsGoOnElsewhere(t *testing.T) {
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -327,11 +327,13 @@
 				return a
 			}
 			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
+		case <-r.Context().Done(): // also where a read has failed: that may be known here first
 			s.leave(req)
 			if coming != nil {
 				out.SetReadDeadline(time.Now())
-				<-coming
+				if err := <-coming; c != nil && c.left {
+					return bodyTrouble(err)
+				}
 			}
 			panic(http.ErrAbortHandler)
 		}
