Take a connection once: pass without a word, and leave alone what can't go on elsewhere

Traced connection by connection, four causes: - handover.Pass wrote the state behind the descriptors even where there is none; the other process had often ended the call by then, so a pass that was taken counted as failed and both went on with the connection. Nothing is written now. - client.Read ended the reading of bodies that can't go on elsewhere, as their beginning has made room for more; most come whole in time. They are left alone. - AdoptClient let what had come fill the room for bodies, and nothing of it could be read on: 503. Each now holds a piece more, which it gives back first. - frames went on counting a head behind its end, so part of each body was kept beside it. And what is still coming at the first word of the stop's end is failed with the last one: it has not run, and comes whole now and then.

Tests for each; the one for bodies that stay fails without its change.

--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -210,6 +210,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var c net.Conn
 	var in *bufio.Reader
+	kills := int64(0) // when the connection was opened
 	defer func() {
 		if c != nil {
 			c.Close()
@@ -238,6 +239,7 @@
 				c.Close()
 			}
 			var err error
+			kills = p.kills.Load()
 			if c, err = net.Dial("tcp4", p.addr); err != nil {
 				p.t.Errorf("the listener that the platform holds refuses: %v", err)
 				return
@@ -246,7 +248,6 @@
 		}
 		c.SetDeadline(time.Now().Add(10 * time.Second))
 		p.audit.asked.Add(1)
-		kills := p.kills.Load()
 		resp, err := func() (*http.Response, error) {
 			if _, err := io.WriteString(c, head); err != nil {
 				return nil, err
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -205,9 +205,13 @@
 }
 
 // FailAll ends what is still open when the process has to go. Some of it may have run,
-// so none of it is refused. Only on the engine's goroutine.
-func (e *Engine) FailAll() {
+// so none of it is refused. What its client is still writing has not run, and may come whole
+// yet: last says that it ends too. Only on the engine's goroutine.
+func (e *Engine) FailAll(last bool) {
 	for _, c := range e.calls {
+		if c.Coming && !last {
+			continue
+		}
 		if e.answer(c, Answer{Verdict: Stopped}) {
 			e.balancer.Gone(e.Now(), c.ID)
 		}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -167,12 +167,29 @@
 	if third := l.ask(1, time.Minute); len(third.answers) != 1 || third.answers[0].Verdict != Overloaded {
 		t.Errorf("beyond the bound: %+v", third.answers)
 	}
-	l.Do(l.FailAll)
+	l.Do(func() { l.FailAll(true) })
 	if len(first.answers) != 1 || first.answers[0].Verdict != Stopped {
 		t.Errorf("at the stop: %+v", first.answers)
 	}
 }
 
+// What its client is still writing at a stop may come whole yet: it ends last.
+func TestTheStopEndsWhatIsStillComingLast(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+	c := &asked{Call: Call{Name: "coming", Carrier: l.carrier, Coming: true, Wait: time.Second}}
+	c.Front = c
+	l.Do(func() { l.Take(&c.Call, l.Now()) })
+	l.Do(func() { l.FailAll(false) })
+	if len(c.answers) != 0 {
+		t.Errorf("still coming, and answered: %+v", c.answers)
+	}
+	l.Do(func() { l.FailAll(true) })
+	if len(c.answers) != 1 || c.answers[0].Verdict != Stopped {
+		t.Errorf("at the end: %+v", c.answers)
+	}
+}
+
 // Backends come under new names all day. The ones that have gone are forgotten.
 func TestGoneBackendsAreForgotten(t *testing.T) {
 	t.Parallel()
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -68,7 +68,7 @@
 	if err := with(0); err != nil {
 		return fmt.Errorf("pass: %w", err)
 	}
-	if _, err := c.Write(state); err != nil {
+	if err := sendState(c, state); err != nil {
 		return fmt.Errorf("pass: %w", err)
 	}
 	// Danger: where the word does not come, as the other has just died, it may have gone on, and two
@@ -80,6 +80,17 @@
 	return nil
 }
 
+// sendState writes a state behind its length. Danger: behind an empty one the other may have taken it
+// all and ended the call by now, and a write of nothing would fail: both would go on with the
+// connection.
+func sendState(w io.Writer, state []byte) error {
+	if len(state) == 0 {
+		return nil
+	}
+	_, err := w.Write(state)
+	return err
+}
+
 // rawOf finds the socket under what wraps it.
 func rawOf(c net.Conn) (syscall.RawConn, error) {
 	if inner, ok := c.(interface{ NetConn() net.Conn }); ok {
--- a/internal/handover/pass_test.go
+++ b/internal/handover/pass_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 
 	"marlreel/internal/testutil"
@@ -138,3 +139,20 @@
 		}
 	}
 }
+
+// ended is a call that the other side has ended.
+type ended struct{}
+
+func (ended) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// Where there is nothing to say of a connection, the one that takes it may have ended the call before
+// nothing is written: that is no failure, or both would go on with it.
+func TestPassWithNothingToSay(t *testing.T) {
+	t.Parallel()
+	if err := sendState(ended{}, nil); err != nil {
+		t.Errorf("nothing to say: %v", err)
+	}
+	if err := sendState(ended{}, []byte("x")); err == nil {
+		t.Error("a state that never went out has gone")
+	}
+}
--- a/internal/httpproxy/body.go
+++ b/internal/httpproxy/body.go
@@ -73,6 +73,9 @@
 		}
 	}
 	up = newUpload(s.room, r.ContentLength)
+	if c := clientOf(r); c != nil {
+		c.body = up
+	}
 	wait, cancel := context.WithTimeout(r.Context(), roomWait)
 	defer cancel()
 	err := up.open(wait)
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"marlreel/internal/budget"
 )
 
 // clients keeps the client connections within a bound. It always accepts: a
@@ -60,12 +62,15 @@
 	partly bool      // a request that is in hand is still being written; with the table's lock
 
 	// Only who reads from the connection has these.
-	frames     frames
-	later      bool   // the first head has come
-	head       []byte // what has come of a head that is not whole
-	before     []byte // what had come in another process; it is read first
-	beforeHeld func() // gives back its room
-	left       bool   // the reading of a body has ended with errLeaving, or what net/http made of it
+	frames      frames
+	later       bool           // the first head has come
+	head        []byte         // what has come of a head that is not whole
+	before      []byte         // what had come in another process; it is read first
+	beforeRoom  *budget.Budget // that it has taken room of; nil: none
+	beforeLeft  atomic.Int64   // bytes of that
+	beforeBegun bool
+	body        *upload // of the request in hand, while it comes; nil: it is held whole
+	left        bool    // the reading of a body has ended with errLeaving, or what net/http made of it
 
 	handled atomic.Bool // a request is in hand, from its head on
 	given   atomic.Bool // it is another process's: nothing more is read, written or ended here
@@ -92,7 +97,7 @@
 			return n, err
 		}
 		switch handled, between := c.handled.Load(), c.frames.between(); {
-		case handled && !between:
+		case handled && !between && c.passable():
 			c.left = true
 			return 0, errLeaving // whoever reads the body knows what has come of it
 		case !handled && len(c.head) == c.frames.head && c.goesOn(c.head):
@@ -111,7 +116,17 @@
 	n := copy(p, c.before)
 	if c.before = c.before[n:]; len(c.before) == 0 {
 		c.before = nil
-		c.beforeHeld()
+	}
+	if c.beforeRoom == nil {
+		return n, nil
+	}
+	given := n // as it is read it is held elsewhere
+	if !c.beforeBegun {
+		c.beforeBegun = true
+		given += pieceSize
+	}
+	if left := c.beforeLeft.Add(int64(-given)); left >= 0 {
+		c.beforeRoom.Give(given, budget.Large)
 	}
 	return n, nil
 }
@@ -349,6 +364,9 @@
 	c.clients.mu.Lock()
 	c.clients.drop(c)
 	c.clients.mu.Unlock()
+	if left := c.beforeLeft.Swap(0); c.beforeRoom != nil && left > 0 {
+		c.beforeRoom.Give(int(left), budget.Large)
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/httpproxy/frames.go
+++ b/internal/httpproxy/frames.go
@@ -192,6 +192,7 @@
 		f.refuse(f.heads + 1)
 	}
 	f.heads++
+	f.head = 0
 	switch {
 	case f.coding:
 		f.state, f.digits, f.trailer = frameChunkSize, 0, 0
--- a/internal/httpproxy/frames_test.go
+++ b/internal/httpproxy/frames_test.go
@@ -51,6 +51,9 @@
 			var f frames
 			f.see([]byte(c.bytes[:cut]))
 			f.see([]byte(c.bytes[cut:]))
+			if f.heads > 0 && !f.between() && f.head != 0 {
+				t.Errorf("%s, cut at %d: %d bytes of a head that has ended", name, cut, f.head)
+			}
 			if f.heads != c.heads || f.bad != c.bad {
 				t.Errorf("%s, cut at %d: %d heads, %d is bad", name, cut, f.heads, f.bad)
 			}
--- a/internal/httpproxy/handon.go
+++ b/internal/httpproxy/handon.go
@@ -96,6 +96,17 @@
 // mostCome bounds what may have come of a request that goes on elsewhere.
 const mostCome = 3 << 20
 
+// passable tells whether all that has come of a body is here. Danger: one that is on its way to a
+// backend and has made room there can't go on elsewhere, and comes whole in time more often than not:
+// ending its reading would lose it.
+func (c *client) passable() bool {
+	if c.body == nil {
+		return true
+	}
+	_, all := c.body.all()
+	return all
+}
+
 // requestSoFar is what has come of a request, as it may stand on the wire. body is what has come of
 // its body.
 func requestSoFar(r *http.Request, f *frames, body [][]byte) ([]byte, bool) {
@@ -162,10 +173,11 @@
 func (s *Front) AdoptClient(come []byte, nc net.Conn) error {
 	held := 0
 	if len(come) > maxHead {
-		if !s.room.Take(len(come), budget.Large) {
+		// And a piece more, which is given back first: with all the room full of what has come, none of
+		// it could be read on.
+		if held = len(come) + pieceSize; !s.room.Take(held, budget.Large) {
 			return errNoRoom
 		}
-		held = len(come)
 	}
 	c := s.clients.admit(nc)
 	if c == nil {
@@ -176,7 +188,11 @@
 		go c.park()
 		return nil
 	}
-	c.before, c.beforeHeld = come, func() { s.room.Give(held, budget.Large) }
+	c.before = come
+	if held > 0 {
+		c.beforeRoom = s.room
+		c.beforeLeft.Store(int64(held))
+	}
 	go s.clients.give(c)
 	return nil
 }
--- a/internal/httpproxy/handon_test.go
+++ b/internal/httpproxy/handon_test.go
@@ -314,3 +314,55 @@
 		t.Errorf("with no place: %v, %d bytes held", err, next.room.Used())
 	}
 }
+
+// A body on its way whose beginning has made room for more can't go on elsewhere: the nudge must not
+// end its reading here, where it comes whole.
+func TestWhatCannotGoOnStays(t *testing.T) {
+	t.Parallel()
+	served := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := readRequest(in); !ok {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	old, ln := serving(t, ready("s-1", served))
+	body := strings.Repeat("abcdefgh", 300<<10/8) // more than an eighth of the room
+	client := testutil.Dial(t, ln.Addr().String())
+	fmt.Fprintf(client, "POST /bid/x HTTP/1.1\r\nHost: a\r\nX-Account: obala\r\nX-Time-Left: 9000m\r\n%s: 00000000000000aa\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n",
+		headerID, len(body))
+	io.WriteString(client, body[:280<<10])
+	eventually(t, "its beginning to have gone", func() bool {
+		old.clients.mu.Lock()
+		defer old.clients.mu.Unlock()
+		for c := range old.clients.open {
+			if !c.partly {
+				return false
+			}
+			_, all := c.body.all()
+			return !all && quiet(c.Conn)
+		}
+		return false
+	})
+	old.LetGo(func(come []byte, _, _ net.Conn) bool {
+		if len(come) > 0 { // else it is the connection, when all is answered
+			t.Error("it is given away")
+		}
+		return false
+	})
+	eventually(t, "the nudge to be taken", func() bool {
+		old.clients.mu.Lock()
+		defer old.clients.mu.Unlock()
+		for c := range old.clients.open {
+			c.reads.Lock()
+			defer c.reads.Unlock()
+			return !c.nudged
+		}
+		return false
+	})
+	io.WriteString(client, body[280<<10:]+"\r\n0\r\n\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%+v %v", resp, err)
+	}
+}
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -227,6 +227,9 @@
 		if held > 0 {
 			defer s.room.Give(held, budget.Small)
 		}
+		if c != nil {
+			defer func() { c.body = nil }()
+		}
 		if up != nil {
 			defer up.release()
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -331,12 +331,13 @@
 		if !open {
 			return nil
 		}
-		if failed {
+		last := failed
+		if last {
 			// What comes whole only now is told at once that it can go elsewhere.
 			p.front.Refuse()
 		}
 		failed = true
-		p.engine.Post(p.engine.FailAll)
+		p.engine.Post(func() { p.engine.FailAll(last) })
 	}
 	return nil
 }
--- /dev/null
+++ b/storm_loop_test.go
@@ -0,0 +1,510 @@
+package marlreel
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"marlreel/internal/standin/machine"
+)
+
+// A closed loop of clients that come again, proxies, and machines that die and return cold, all in
+// simulated time. Clients count a request and its retries as one, from its first arrival, as the
+// operators do.
+
+// stormDay is what such a day is drawn from.
+type stormDay struct {
+	seed               uint64
+	backends, proxies  int
+	load               float64 // of what all machines can do
+	retries            int     // by a client, beside its first try
+	backoff            time.Duration
+	exponential        bool
+	honour             float64 // share of the clients that wait as long as they are told
+	marks              bool    // retries are marked
+	retryAfter         bool    // the settings allow telling
+	dies, back, length time.Duration
+	part               float64 // of the machines that die
+	crowd              bool    // crowded machines turn slow
+	house              int     // one whose clients come again at once, and often; -1: none
+	policy             func(d *stormLoop, rank int, h Host) decider
+}
+
+// decider is a Balancer, or one of the policies that it is held against.
+type decider interface {
+	Start(now time.Duration)
+	Membership(now time.Duration, m Membership)
+	Request(now time.Duration, q Request)
+	Outcome(now time.Duration, o Outcome)
+	Gone(now time.Duration, id RequestID)
+	Probed(now time.Duration, p ProbeResult)
+	Timer(now time.Duration, token uint64)
+}
+
+type stormLoop struct {
+	day      stormDay
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Duration
+	due      dueHeap
+	machines []*machine.Machine
+	listed   []Backend
+	down     []bool
+	proxies  []*stormProxy
+	jobs     map[uint64]*stormTry
+	capacity float64 // ms of work a ms, of all machines
+	work     []float64
+	nextID   RequestID
+	nextJob  uint64
+	users    []*stormUser
+
+	seconds []secondOf // by the second of the first arrival
+	falls   int
+	sends   int
+	twice   int // unsafe requests that were run twice
+	homes   [][2]float64
+}
+
+type secondOf struct {
+	asked, served float64
+	offered       int // tries
+	admitted      float64
+}
+
+// stormUser is one request of a client with all its tries.
+type stormUser struct {
+	class, house int
+	key          uint64
+	came         time.Duration
+	tries        int
+	over         bool
+	ran          int
+	worth        float64
+}
+
+type stormProxy struct {
+	w    *stormLoop
+	b    decider
+	rank int
+	reqs map[RequestID]*stormTry
+	logs []string
+}
+
+// stormTry is a client's try at a proxy, with that one's attempts.
+type stormTry struct {
+	p        *stormProxy
+	u        *stormUser
+	id       RequestID
+	leaves   time.Duration
+	over     bool
+	attempts []*stormAttempt
+}
+
+type stormAttempt struct {
+	t     *stormTry
+	n     int
+	to    BackendID
+	until time.Duration
+	sent  time.Duration
+	job   uint64
+	ended bool
+}
+
+func (w *stormLoop) in(d time.Duration, f func()) {
+	w.due.seq++
+	w.due.Push(dueEvent{w.now + max(d, 0), w.due.seq, f})
+	// container/heap's Push, without its interface: the last is moved up.
+	for i := len(w.due.list) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !w.due.Less(i, up) {
+			break
+		}
+		w.due.Swap(i, up)
+		i = up
+	}
+}
+
+const stormHouses = 4
+
+func newStorm(t testing.TB, d stormDay) *stormLoop {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Instances, cfg.Classes = d.proxies, auctionClasses()
+	for i := range cfg.Classes { // the auction's own times
+		cfg.Classes[i].Aim = []time.Duration{600, 800, 400, 600}[i] * milli
+		cfg.Classes[i].GiveUp = []time.Duration{1200, 2000, 2000, 2000}[i] * milli
+	}
+	cfg.MarksRetry = d.marks
+	cfg.Caps.RetryAfter, cfg.Caps.MaxRetryAfter, cfg.Caps.ConnectTimeout = d.retryAfter, 2*second, 100*milli
+	cfg.Goal = Goal{Whole: 0.45, WorstClass: 0.3, WorstTenant: 0.1, WorstWindow: 0.15}
+	cfg.Obligations.Cold, cfg.Obligations.Fall, cfg.Obligations.FallMultiple, cfg.Obligations.StartCapacity = 8*second, 3*second, 2.5, 0.32
+	cfg.OverShareWorth = 0.1
+	w := &stormLoop{day: d, cfg: cfg, rng: rand.New(rand.NewPCG(d.seed, 31)), now: second, jobs: map[uint64]*stormTry{},
+		work: []float64{45, 60, 55, 46}, homes: make([][2]float64, stormHouses)}
+	for i := range d.backends {
+		speed := []float64{1.3, 0.95, 0.7}[i%3] * (0.9 + 0.2*w.rng.Float64())
+		w.capacity += 2 * speed
+		mc := machine.Config{Cores: 2, Speed: speed, Slots: 20, Queue: 5,
+			Cold: machine.Cold{From: 0.32, For: 8 * second, Multiple: 2.5, Over: 3 * second}}
+		if d.crowd {
+			mc.Crowd = machine.Crowd{At: 7, Over: 2500 * milli, Slower: 2.5, Rest: 3 * second, Below: 0.4, Most: 20 * second}
+		}
+		w.machines = append(w.machines, machine.New(mc, w.now, true))
+		w.listed = append(w.listed, Backend{ID: BackendID(i + 1), Zone: i % 3, State: Ready, Weight: 1})
+	}
+	w.down = make([]bool, d.backends)
+	total := d.capacityRate(w)
+	for i := range stormHouses {
+		w.cfg.Tenants = append(w.cfg.Tenants, Tenant{Name: string(rune('a' + i)), Share: 0.25, QuotaPerS: total * 0.9 / stormHouses})
+	}
+	w.seconds = make([]secondOf, int(d.length/second)+10)
+	for i := range d.proxies {
+		p := &stormProxy{w: w, rank: i, reqs: map[RequestID]*stormTry{}}
+		w.proxies = append(w.proxies, p)
+		p.b = d.policy(w, i, p)
+		p.b.Start(w.now)
+		p.b.Membership(w.now, Membership{Kind: ListFull, Version: 1, Backends: slices.Clone(w.listed)})
+	}
+	w.arrive(total * d.load)
+	w.outage()
+	return w
+}
+
+// capacityRate is how many mean requests a second all machines can do.
+func (d *stormDay) capacityRate(w *stormLoop) float64 {
+	return w.capacity * 1000 / 51.3
+}
+
+// marl is the module itself.
+func marl(w *stormLoop, rank int, h Host) decider {
+	one := w.cfg
+	one.Rank, one.Zone = rank, rank%3
+	b, err := New(one, w.day.seed*100+uint64(rank), h)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+var stormShares = []float64{0.32, 0.28, 0.24, 0.16}
+
+func (w *stormLoop) arrive(rate float64) {
+	gap := time.Duration(-math.Log(1-w.rng.Float64()) / rate * float64(second))
+	w.in(gap, func() {
+		if w.now > w.day.length {
+			return
+		}
+		x, class := w.rng.Float64(), 0
+		for class < 3 && x > stormShares[class] {
+			x, class = x-stormShares[class], class+1
+		}
+		u := &stormUser{class: class, house: w.rng.IntN(stormHouses), key: uint64(1 + w.rng.IntN(4000)), came: w.now,
+			worth: w.cfg.Classes[class].Value}
+		w.users = append(w.users, u)
+		w.at(u.came).asked += u.worth
+		w.homes[u.house][0] += u.worth
+		w.try(u)
+		w.arrive(rate)
+	})
+}
+
+func (w *stormLoop) at(t time.Duration) *secondOf {
+	return &w.seconds[min(int(t/second), len(w.seconds)-1)]
+}
+
+// try is one try of a client, at whichever proxy it comes to.
+func (w *stormLoop) try(u *stormUser) {
+	p := w.proxies[w.rng.IntN(len(w.proxies))]
+	c := &w.cfg.Classes[u.class]
+	w.nextID++
+	t := &stormTry{p: p, u: u, id: w.nextID, leaves: w.now + c.GiveUp*85/100}
+	t.leaves = min(t.leaves, u.came+c.GiveUp)
+	u.tries++
+	w.at(w.now).offered++
+	p.reqs[t.id] = t
+	w.in(t.leaves-w.now, func() {
+		if !t.over {
+			t.over = true
+			p.b.Gone(w.now, t.id)
+			w.again(t, 0, c.Effect == Safe)
+		}
+	})
+	p.b.Request(w.now, Request{ID: t.id, Class: u.class, Tenant: u.house, Key: u.key, Deadline: t.leaves,
+		Repeat: w.day.marks && u.tries > 1})
+}
+
+// again lets a client come again, if it may and has time and patience left.
+func (w *stormLoop) again(t *stormTry, after time.Duration, may bool) {
+	u, retries, wait := t.u, w.day.retries, w.day.backoff
+	if u.house == w.day.house {
+		retries, wait = 12, 10*milli
+	} else if w.day.exponential {
+		wait <<= u.tries - 1
+	}
+	if w.rng.Float64() < w.day.honour {
+		wait = max(wait, after)
+	}
+	if !may || u.over || u.tries > retries || w.now+wait >= u.came+w.cfg.Classes[u.class].GiveUp {
+		return
+	}
+	w.in(wait, func() { w.try(u) })
+}
+
+// outage lets a part of the machines die together and return cold, and discovery tell of it late.
+func (w *stormLoop) outage() {
+	d := w.day
+	if d.part <= 0 {
+		return
+	}
+	n := max(1, int(d.part*float64(d.backends)+0.5))
+	for _, i := range w.rng.Perm(d.backends)[:n] {
+		w.in(d.dies-w.now, func() {
+			w.down[i] = true
+			for id, t := range w.jobs {
+				for _, a := range t.attempts {
+					if a.job == id && int(a.to) == i+1 {
+						w.machines[i].Cancel(w.now, id)
+						delete(w.jobs, id)
+						a.end(Reset)
+					}
+				}
+			}
+			w.in(time.Duration(2200+w.rng.IntN(1800))*milli, func() {
+				if w.down[i] {
+					w.tell(i, Gone)
+				}
+			})
+		})
+		back := d.back + time.Duration(w.rng.IntN(2000))*milli
+		w.in(back-w.now, func() {
+			w.down[i] = false
+			w.machines[i].Restart(w.now, false)
+			w.listed[i].Started = w.now
+			w.in(time.Duration(1100+w.rng.IntN(1300))*milli, func() { w.tell(i, Ready) })
+		})
+	}
+}
+
+func (w *stormLoop) tell(i int, s State) {
+	w.listed[i].State = s
+	for _, p := range w.proxies {
+		e := w.listed[i]
+		w.in(time.Duration(300+w.rng.IntN(600))*milli, func() {
+			p.b.Membership(w.now, Membership{Kind: ListDelta, Backends: []Backend{e}})
+		})
+	}
+}
+
+// ---- Host ----
+
+func (p *stormProxy) Send(id RequestID, to BackendID, until time.Duration) {
+	w, t := p.w, p.reqs[id]
+	if t == nil {
+		return
+	}
+	if until <= 0 || until > t.leaves {
+		until = t.leaves
+	}
+	a := &stormAttempt{t: t, n: len(t.attempts), to: to, sent: w.now, until: until}
+	t.attempts = append(t.attempts, a)
+	w.sends++
+	w.in(until-w.now, func() { a.end(Timeout) })
+	w.in(milli, func() { w.reach(a) })
+}
+
+func (p *stormProxy) Refuse(id RequestID, after time.Duration) {
+	if t := p.reqs[id]; t != nil && !t.over {
+		t.over = true
+		p.forget(t)
+		p.w.in(milli, func() { p.w.again(t, after, true) })
+	}
+}
+
+func (p *stormProxy) Fail(id RequestID) {
+	if t := p.reqs[id]; t != nil && !t.over {
+		t.over = true
+		p.forget(t)
+		p.w.in(milli, func() { p.w.again(t, 0, p.w.cfg.Classes[t.u.class].Effect == Safe) })
+	}
+}
+
+func (p *stormProxy) forget(t *stormTry) {
+	if !slices.ContainsFunc(t.attempts, func(a *stormAttempt) bool { return !a.ended }) {
+		delete(p.reqs, t.id)
+	}
+}
+
+func (p *stormProxy) Cancel(id RequestID, n int) {
+	if t := p.reqs[id]; t != nil && n < len(t.attempts) {
+		p.w.in(0, func() { t.attempts[n].end(Cancelled) })
+	}
+}
+
+func (p *stormProxy) Probe(to BackendID) {
+	p.w.in(2*milli, func() {
+		r := OK
+		if i := int(to) - 1; p.w.down[i] || p.w.machines[i].Fallen() {
+			r = ConnectFailed
+		}
+		p.b.Probed(p.w.now, ProbeResult{Backend: to, Result: r, Took: 2 * milli})
+	})
+}
+func (p *stormProxy) Release(BackendID)   {}
+func (p *stormProxy) Watch(bool)          {}
+func (p *stormProxy) Fetch()              {}
+func (p *stormProxy) Tell(uint32, []byte) {}
+func (p *stormProxy) Log(line string)     { p.logs = append(p.logs, line) }
+func (p *stormProxy) After(d time.Duration, token uint64) {
+	p.w.in(d, func() { p.b.Timer(p.w.now, token) })
+}
+
+// reach is an attempt's last byte at its backend.
+func (w *stormLoop) reach(a *stormAttempt) {
+	if a.ended {
+		return
+	}
+	i := int(a.to) - 1
+	m := w.machines[i]
+	if w.down[i] || m.Fallen() {
+		w.in(milli, func() { a.end(ConnectFailed) })
+		return
+	}
+	u := a.t.u
+	work := min(w.work[u.class]*-math.Log(1-w.rng.Float64()), 8*w.work[u.class])
+	w.nextJob++
+	a.job = w.nextJob
+	w.jobs[a.job] = a.t
+	switch m.Offer(w.now, a.job, machine.Job{Work: span(work), Wait: span(1.2 * w.work[u.class]), Until: a.until}) {
+	case machine.Taken:
+		if u.ran++; u.ran > 1 && w.cfg.Classes[u.class].Effect == Unsafe {
+			w.twice++
+		}
+	case machine.Down:
+		w.falls++
+		delete(w.jobs, a.job)
+		w.in(0, func() { a.end(Reset) })
+	default:
+		delete(w.jobs, a.job)
+		w.in(milli, func() { a.end(Full) })
+	}
+}
+
+func (a *stormAttempt) end(result Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	t, w := a.t, a.t.p.w
+	if a.job != 0 && result != OK {
+		if _, there := w.jobs[a.job]; there {
+			w.machines[a.to-1].Cancel(w.now, a.job)
+			delete(w.jobs, a.job)
+			if result == Cancelled || result == Timeout {
+				t.u.ran-- // as far as clients count: nobody had its answer
+			}
+		}
+	}
+	final := result == OK && !t.over
+	if final {
+		t.over = true
+		if u := t.u; !u.over {
+			u.over = true
+			if w.now <= u.came+w.cfg.Classes[u.class].Aim {
+				w.at(u.came).served += u.worth
+				w.homes[u.house][1] += u.worth
+			}
+		}
+	}
+	t.p.b.Outcome(w.now, Outcome{ID: t.id, Attempt: a.n, Backend: a.to, Result: result, Took: w.now - a.sent, Final: final || t.over})
+	if t.over {
+		t.p.forget(t)
+	}
+}
+
+// run plays the day.
+func (w *stormLoop) run() *stormLoop {
+	for w.now < w.day.length+5*second {
+		next, m := w.day.length+5*second, -1
+		if len(w.due.list) > 0 {
+			next = min(next, w.due.list[0].at)
+		}
+		for i, x := range w.machines {
+			if at, ok := x.Next(); ok && at < next {
+				next, m = at, i
+			}
+		}
+		w.now = max(w.now, next)
+		if m >= 0 {
+			for _, e := range w.machines[m].Advance(w.now) {
+				t := w.jobs[e.ID]
+				if t == nil {
+					continue
+				}
+				delete(w.jobs, e.ID)
+				for _, a := range t.attempts {
+					if a.job != e.ID {
+						continue
+					}
+					switch e.Why {
+					case machine.Done:
+						w.in(milli, func() { a.end(OK) })
+					case machine.Fell:
+						w.in(0, func() { a.end(Reset) })
+					}
+				}
+			}
+			continue
+		}
+		if len(w.due.list) == 0 || w.due.list[0].at > w.now {
+			continue
+		}
+		w.pop().f()
+	}
+	return w
+}
+
+func (w *stormLoop) pop() dueEvent {
+	l := w.due.list
+	e := l[0]
+	last := len(l) - 1
+	l[0] = l[last]
+	w.due.list = l[:last]
+	for i := 0; ; {
+		k := 2*i + 1
+		if k >= last {
+			break
+		}
+		if k+1 < last && w.due.Less(k+1, k) {
+			k++
+		}
+		if !w.due.Less(k, i) {
+			break
+		}
+		w.due.Swap(i, k)
+		i = k
+	}
+	return e
+}
+
+// service is the share of worth served of what was first asked within a span.
+func (w *stormLoop) service(from, to time.Duration) float64 {
+	asked, served := 0.0, 0.0
+	for s := int(from / second); s < int(to/second); s++ {
+		asked, served = asked+w.seconds[s].asked, served+w.seconds[s].served
+	}
+	return served / max(asked, 1e-9)
+}
+
+// recovery is how long after the machines' return five seconds begin in which 95% of what was served
+// before the outage is served again.
+func (w *stormLoop) recovery() time.Duration {
+	before := w.service(4*second, w.day.dies)
+	for from := w.day.back; from+5*second <= w.day.length; from += second {
+		if w.service(from, from+5*second) >= 0.95*before {
+			return from - w.day.back
+		}
+	}
+	return w.day.length - w.day.back
+}
