Tell who is turned away at the door when to come again; time the recovery in rehearsals

Requests refused before the module hears of them (open calls at the bound, no room for a body, the stop, a connection's own bound over MessagePack-RPC) said nothing of when to come again, so their clients came back together. They get a second, or the settings' longest, where the settings let it be told.

Rehearsals give recovery_s: from the last return of nodes that were down to the first 5 s in which 95% of the share served before is served again.

TestMalformedStreams opened its good caller before tests that wait their turn: with two processors it was closed as idle after a minute. Seen once in a full run on two cores beside other work; the caller connects when its turn comes now.

--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -88,7 +88,7 @@
 	}
 	if most := e.cfg.MaxOpen; most > 0 && len(e.calls) >= most {
 		c.answered = true
-		e.tell(c, Answer{Verdict: Overloaded})
+		e.tell(c, Answer{Verdict: Overloaded, RetryAfter: e.ComeAgain()})
 		return
 	}
 	// Backends tell requests apart by this name. Under the name of another's request
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -164,7 +164,7 @@
 		t.Errorf("under another's name: %+v", twin.answers)
 	}
 	l.ask(1, time.Minute)
-	if third := l.ask(1, time.Minute); len(third.answers) != 1 || third.answers[0].Verdict != Overloaded {
+	if third := l.ask(1, time.Minute); len(third.answers) != 1 || third.answers[0].Verdict != Overloaded || third.answers[0].RetryAfter != l.ComeAgain() {
 		t.Errorf("beyond the bound: %+v", third.answers)
 	}
 	l.Do(func() { l.FailAll(true) })
@@ -173,6 +173,32 @@
 	}
 }
 
+// Who is turned away at the door is told when to come again, where the settings let it be told and
+// within their bound.
+func TestWhenToComeAgain(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		may  bool
+		most time.Duration
+		want time.Duration
+	}{
+		{false, 2 * time.Second, 0},
+		{true, 2 * time.Second, time.Second},
+		{true, 300 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		l := stillEngine(t, ready("s-1", "127.0.0.1:1"))
+		b, s := *l.Book(), *l.Settings()
+		s.Caps.RetryAfter, s.Caps.MaxRetryAfter = c.may, c.most
+		b.Settings = &s
+		l.book.Store(&b)
+		l.cfg.MaxOpen = 1
+		l.ask(1, time.Minute)
+		if got := l.ask(1, time.Minute); len(got.answers) != 1 || got.answers[0].RetryAfter != c.want {
+			t.Errorf("%v, at most %v: %+v", c.may, c.most, got.answers)
+		}
+	}
+}
+
 // What its client is still writing at a stop may come whole yet: it ends last.
 func TestTheStopEndsWhatIsStillComingLast(t *testing.T) {
 	t.Parallel()
--- a/internal/engine/settings.go
+++ b/internal/engine/settings.go
@@ -91,6 +91,19 @@
 	return false
 }
 
+// comeAgain is what is said to clients that are turned away before the module hears of them.
+const comeAgain = time.Second
+
+// ComeAgain is after what time who is turned away at the door should come again, as far as the
+// settings let it be told; 0 is not to be told. Any goroutine may call it.
+func (e *Engine) ComeAgain() time.Duration {
+	caps := &e.Settings().Caps
+	if !caps.RetryAfter {
+		return 0
+	}
+	return min(comeAgain, caps.MaxRetryAfter)
+}
+
 func longestGiveUp(s *marlreel.Config) time.Duration {
 	longest := time.Duration(0)
 	for _, c := range s.Classes {
--- a/internal/httpproxy/front_test.go
+++ b/internal/httpproxy/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,6 +34,37 @@
 	}
 }
 
+// Who is turned away before the module hears of him is told when to come again, where the settings let
+// it be told. What a backend says goes on as it is.
+func TestWhoIsTurnedAwayIsToldWhen(t *testing.T) {
+	t.Parallel()
+	l := stillEngine(t)
+	told := strconv.FormatFloat(l.ComeAgain().Seconds(), 'f', 3, 64)
+	if l.ComeAgain() == 0 {
+		t.Fatal("these settings tell nobody")
+	}
+	l.front.Refuse()
+	r := httptest.NewRequest(http.MethodGet, "/lot-list", nil)
+	r.Header.Set(headerID, "00000000000000ab")
+	r.Header.Set(headerAccount, "obala")
+	r.Header.Set(headerTimeout, "1000m")
+	w := httptest.NewRecorder()
+	l.front.ServeHTTP(w, r)
+	if got := w.Header().Get("Retry-After"); w.Code != http.StatusServiceUnavailable || got != told {
+		t.Errorf("at the stop: %d, Retry-After %q, want %q", w.Code, got, told)
+	}
+	full := httptest.NewRecorder()
+	l.front.write(full, r, nil, bodyTrouble(errNoRoom))
+	if got := full.Header().Get("Retry-After"); full.Code != http.StatusServiceUnavailable || got != told {
+		t.Errorf("with no room for its body: %d, Retry-After %q, want %q", full.Code, got, told)
+	}
+	bad := httptest.NewRecorder()
+	l.front.write(bad, r, nil, bodyTrouble(errTooLong))
+	if got := bad.Header().Get("Retry-After"); got != "" {
+		t.Errorf("%d with Retry-After %q: coming again helps nobody", bad.Code, got)
+	}
+}
+
 // Without any list it can't serve, and doesn't say so.
 func TestNotReadyWithoutAList(t *testing.T) {
 	t.Parallel()
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -183,6 +183,7 @@
 		w.retryAfter = a.RetryAfter
 	case engine.Overloaded:
 		w = ownAnswer(http.StatusServiceUnavailable, "too many requests")
+		w.retryAfter = a.RetryAfter
 	case engine.OutOfTime:
 		w = ownAnswer(http.StatusGatewayTimeout, "out of time")
 	case engine.Stopped:
@@ -379,6 +380,9 @@
 	if a.bad {
 		h.Set("Connection", "close")
 	}
+	if a.retryAfter == 0 && a.from == nil && a.status == http.StatusServiceUnavailable {
+		a.retryAfter = s.engine.ComeAgain() // it was turned away at the door
+	}
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/proxy/rpc_test.go
+++ b/internal/proxy/rpc_test.go
@@ -537,7 +537,6 @@
 	t.Parallel()
 	n := rpcNode(t, "s-1", &standin.Journal{}, 0)
 	p := startWith(t, testConfig(t, closedAddr(t), ready("s-1", n.Addr())), rpcSettings())
-	good := caller(t, p.rpc)
 	request, err := msgpack.Marshal([]any{0, 1, "list", []any{}})
 	if err != nil {
 		t.Fatal(err)
@@ -563,6 +562,7 @@
 	}
 	t.Run("the others", func(t *testing.T) {
 		t.Parallel()
+		good := caller(t, p.rpc) // not earlier: where tests run one by one it would be closed as idle
 		for range 20 {
 			got, _ := good.Call("list", 1, meta())
 			if a := receive(t, got, "an answer"); a.Error != nil || a.Err != nil {
@@ -747,7 +747,8 @@
 		busy.Call("post.bid", 1, meta())
 	}
 	got, _ := busy.Call("post.bid", 1, meta())
-	if a := receive(t, got, "an answer"); a.Code() != "overloaded" {
+	a := receive(t, got, "an answer")
+	if m, _ := a.Error.(map[string]any); a.Code() != "overloaded" || m["retry_after"] != 1.0 {
 		t.Errorf("one call too many got %+v", a)
 	}
 	silent := testutil.Dial(t, p.rpc)
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -24,6 +24,7 @@
 	Parts       Parts              `json:"parts"`
 	Worth       Worth              `json:"worth"`
 	WorstWindow Window             `json:"worst_window"`
+	Recovery    *float64           `json:"recovery_s,omitempty"` // see recovery; -1 is not within the run
 	Classes     map[string]Tally   `json:"classes"`
 	Houses      map[string]Tally   `json:"houses"`
 	Deductions  map[string]float64 `json:"deductions_points"`
@@ -162,9 +163,47 @@
 	}
 	rep.rule(Audit(r), start)
 	rep.Timeline = timeline(r, start)
+	rep.Recovery = recovery(r, rep.Timeline.Seconds)
 	return rep
 }
 
+// recovery is how many seconds after the last return of nodes that were down the first five seconds
+// begin in which 95% of what was served before they went is served again; -1 where there are none within
+// the run, nil where no node came back.
+func recovery(r Records, seconds []Worth) *float64 {
+	const warm, window = 2, 5
+	down, back := r.Plan.Length, time.Duration(0)
+	for _, e := range r.Plan.Events {
+		if e.Node >= 0 && e.Until > 0 && (e.What == "die" || e.What == "vanish") {
+			down, back = min(down, e.At), max(back, e.Until)
+		}
+	}
+	share := func(from, to int) (part float64, asked bool) {
+		var sum Worth
+		for _, w := range seconds[max(0, min(from, len(seconds))):max(0, min(to, len(seconds)))] {
+			sum.Asked += w.Asked
+			sum.Served += w.Served
+		}
+		return sum.share(), sum.Asked > 0
+	}
+	before := int(down / time.Second)
+	if back == 0 || before <= warm {
+		return nil
+	}
+	usual, asked := share(warm, before)
+	if !asked {
+		return nil
+	}
+	never, first := -1.0, int((back+time.Second-1)/time.Second)
+	for at := first; at+window <= len(seconds); at++ {
+		if part, asked := share(at, at+window); asked && part >= 0.95*usual {
+			s := float64(at) - back.Seconds()
+			return &s
+		}
+	}
+	return &never
+}
+
 // rule counts breaks, and keeps the first with times from the start of the traffic.
 func (rep *Report) rule(breaks []Break, start time.Duration) {
 	for _, b := range breaks {
@@ -376,6 +415,11 @@
 	fmt.Fprintf(&b, "  (%.3f with the operators' deductions)\n", rep.After)
 	fmt.Fprintf(&b, "  whole %.3f   worst 10 s %.3f (from %.0f s)   worst class %.3f (%s)   worst house %.3f (%s)\n",
 		rep.Parts.Whole, rep.Parts.Window, rep.WorstWindow.FromS, rep.Parts.Class, rep.Parts.WorstClass, rep.Parts.House, rep.Parts.WorstHouse)
+	if rep.Recovery != nil && *rep.Recovery >= 0 {
+		fmt.Fprintf(&b, "  back at 95%% of before %.0f s after the nodes' return\n", *rep.Recovery)
+	} else if rep.Recovery != nil {
+		b.WriteString("  not back at 95% of before within the run\n")
+	}
 	fmt.Fprintf(&b, "\n  %-14s %9s %8s %8s %8s %8s %8s %8s\n", "class", "requests", "service", "p50 ms", "p95", "p99", "max", "wanted")
 	for _, n := range sorted(rep.Classes) {
 		c := rep.Classes[n]
--- a/internal/rehearsal/score_test.go
+++ b/internal/rehearsal/score_test.go
@@ -145,3 +145,47 @@
 		t.Errorf("%s", c.Text("a", "b"))
 	}
 }
+
+// Nodes are down from 10 s to 15 s and 17 s. Before, nine in ten are served; 95% of that is 0.855.
+func TestRecovery(t *testing.T) {
+	t.Parallel()
+	fill := func(from, to int, served float64, in []Worth) {
+		for i := from; i < to; i++ {
+			in[i] = Worth{Asked: 10, Served: served}
+		}
+	}
+	plan := &Plan{Length: 40 * time.Second, Events: []Event{
+		{What: "die", Node: 1, At: 10 * time.Second, Until: 17 * time.Second},
+		{What: "die", Node: 2, At: 10 * time.Second, Until: 15 * time.Second},
+		{What: "slow", Node: 3, At: 2 * time.Second, Until: 30 * time.Second},
+	}}
+	for _, c := range []struct {
+		name string
+		play func([]Worth)
+		want float64 // -2 is nothing to say
+	}{
+		{"at once", func(s []Worth) { fill(10, 17, 2, s) }, 0},
+		{"the first two seconds don't count", func(s []Worth) { fill(0, 2, 0, s); fill(10, 17, 2, s) }, 0},
+		// From 22 s on all is well; a window of five with one second of 7 in it has 0.86 in the mean.
+		{"late", func(s []Worth) { fill(10, 21, 2, s); fill(21, 22, 7, s) }, 4},
+		{"too little in a window", func(s []Worth) { fill(10, 21, 2, s); fill(21, 22, 6, s) }, 5},
+		{"never", func(s []Worth) { fill(10, 40, 2, s) }, -1},
+		{"only at the very end", func(s []Worth) { fill(10, 36, 2, s) }, -1},
+		{"nobody asks any more", func(s []Worth) { fill(10, 30, 2, s); clear(s[30:]) }, -1},
+		{"nobody asked before", func(s []Worth) { clear(s[:10]) }, -2},
+	} {
+		seconds := make([]Worth, 40)
+		fill(0, 40, 9, seconds)
+		c.play(seconds)
+		got := recovery(Records{Plan: plan}, seconds)
+		switch {
+		case c.want == -2 && got != nil, c.want != -2 && got == nil:
+			t.Errorf("%s: %v", c.name, got)
+		case got != nil:
+			near(t, c.name, *got, c.want)
+		}
+	}
+	if got := recovery(Records{Plan: &Plan{Events: plan.Events[2:]}}, make([]Worth, 40)); got != nil {
+		t.Errorf("a day on which no node goes: %v", *got)
+	}
+}
--- a/internal/rpc/front.go
+++ b/internal/rpc/front.go
@@ -379,7 +379,7 @@
 	case draining:
 		problem = &callError{Code: codeDraining, Message: "this process ends; connect again", Retry: true}
 	case open >= c.front.cfg.OpenCalls:
-		problem = &callError{Code: codeOverloaded, Message: "too many calls are open on this connection", Retry: true}
+		problem = &callError{Code: codeOverloaded, Message: "too many calls are open on this connection", Retry: true, After: c.front.engine.ComeAgain()}
 	}
 	if problem != nil {
 		if note {
@@ -485,7 +485,7 @@
 	case engine.Refused:
 		problem = (&callError{Code: codeRefused, Message: "refused", Retry: true, After: a.RetryAfter}).encode()
 	case engine.Overloaded:
-		problem = (&callError{Code: codeOverloaded, Message: "too many calls are open", Retry: true}).encode()
+		problem = (&callError{Code: codeOverloaded, Message: "too many calls are open", Retry: true, After: a.RetryAfter}).encode()
 	case engine.OutOfTime:
 		problem = (&callError{Code: codeOutOfTime, Message: "out of time; it may have run"}).encode()
 	case engine.Stopped:
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -27,8 +27,8 @@
 // (safe), bid (unsafe) and pickup (keyed).
 const Settings = `{"Balancers":1,"Rank":0,"Zone":0,"Tick":5.0,"Discovery":"pushed",
  "FailureDomains":["koper","maribor"],"Kinds":["mid-2c"],"Feedback":{"How":"off","Names":[]},
- "Caps":{"Cancel":true,"ConnIdle":60000.0,"ConnectTimeout":2000.0,"MaxAttempts":4,"MaxOpen":20000,
-  "Probes":false,"SecondCopies":true,"StreamsPerConn":1},
+ "Caps":{"Cancel":true,"ConnIdle":60000.0,"ConnectTimeout":2000.0,"MaxAttempts":4,"MaxOpen":20000,"MaxRetryAfter":2000.0,
+  "Probes":false,"RetryAfter":true,"SecondCopies":true,"StreamsPerConn":1},
  "Obligations":{"AnswerSlack":20.0,"Cold":8900.0,"DrainGrace":500.0,"Fall":3000.0,"FallMultiple":2.5,"StartCapacity":0.32},
  "Services":[
   {"Name":"lot-list","Aim":60000.0,"GiveUp":60000.0,"Effect":"retryable","Value":1.0},
