--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,6 +28,7 @@
 
 	"marlreel"
 	"marlreel/internal/slots"
+	"marlreel/internal/storm"
 )
 
 const (
@@ -170,6 +171,9 @@
 // Avoided is described with Listed.
 func (e *Engine) Avoided() int { return e.balancer.Avoided() }
 
+// Storm is how things stand with retry storms. Only on the engine's goroutine.
+func (e *Engine) Storm() storm.State { return e.balancer.Storm() }
+
 // Done is closed when the engine has ended.
 func (e *Engine) Done() <-chan struct{} { return e.stopped }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -11,6 +11,7 @@
 
 	"marlreel"
 	"marlreel/internal/engine"
+	"marlreel/internal/storm"
 )
 
 // Every is how often the gauges are published: the figures are no older.
@@ -33,6 +34,7 @@
 	open      atomic.Int64
 	listed    atomic.Int64
 	avoided   atomic.Int64
+	storms    atomic.Int64
 	taken     atomic.Uint64 // settings files taken at SIGHUP
 	turnedOff atomic.Uint64 // and turned down
 }
@@ -77,10 +79,11 @@
 }
 
 // Gauges publishes what stands at the moment: backends in the list, and those of them that
-// get nothing for now.
-func (c *Counts) Gauges(listed, avoided int) {
+// get nothing for now; and how it stands with retry storms.
+func (c *Counts) Gauges(listed, avoided int, storms storm.State) {
 	c.listed.Store(int64(listed))
 	c.avoided.Store(int64(avoided))
+	c.storms.Store(int64(storms))
 }
 
 // Settings counts a settings file that was taken, or turned down.
@@ -116,6 +119,7 @@
 	line("outstanding", "", c.open.Load(), "g")
 	line("discovered", "", c.listed.Load(), "g")
 	line("ejected", "", c.avoided.Load(), "g")
+	line("storm", "", c.storms.Load(), "g")
 	line("sighup_applied", "", int64(c.taken.Load()), "c")
 	line("sighup_rejected", "", int64(c.turnedOff.Load()), "c")
 	return b
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -6,6 +6,7 @@
 
 	"marlreel"
 	"marlreel/internal/engine"
+	"marlreel/internal/storm"
 )
 
 func text(c *Counts) string { return string(c.Append(nil)) }
@@ -32,12 +33,12 @@
 		answered(c, 0, v)
 	}
 	answered(c, 9, engine.Served) // a class that there isn't
-	c.Gauges(12, 3)
+	c.Gauges(12, 3, storm.Rising)
 	c.Settings(true)
 	c.Settings(false)
 	c.Settings(false)
 	has(t, c, "proxy.succeeded.bid:2|c", "proxy.declined.bid:2|c", "proxy.aborted.bid:3|c", "proxy.succeeded.lot-list:0|c",
-		"proxy.forwards:7|c", "proxy.outstanding:0|g", "proxy.discovered:12|g", "proxy.ejected:3|g",
+		"proxy.forwards:7|c", "proxy.outstanding:0|g", "proxy.discovered:12|g", "proxy.ejected:3|g", "proxy.storm:1|g",
 		"proxy.sighup_applied:1|c", "proxy.sighup_rejected:2|c")
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -284,7 +284,7 @@
 
 // publish sets the gauges now and ever again. On the engine's goroutine.
 func (p *parts) publish() {
-	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided())
+	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided(), p.engine.Storm())
 	p.engine.At(p.engine.Now()+metrics.Every, p.publish)
 }
 
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -194,6 +194,9 @@
 
 // Look judges, and gives a line where the state has changed.
 func (m *Model) Look(now time.Duration) (line string, changed bool) {
+	if m.since == 0 {
+		m.since = now // the first look: times count from whenever the clock began
+	}
 	e := m.Evidence(now)
 	enough := m.ended.Fade(now, over) >= leastEnds
 	bad := enough && e.Unserved > risingFrom
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// However late the clock begins, the first line says how long it has been calm here.
+func TestTimesCountFromTheFirstLook(t *testing.T) {
+	t.Parallel()
+	d := newDay()
+	d.now = time.Hour
+	d.play(3*time.Second, 200, 0, 0)
+	d.play(2*time.Second, 200, 0.5, 1)
+	if len(d.lines) == 0 || !strings.Contains(d.lines[0], "after calm for 3.") {
+		t.Errorf("%q", d.lines)
+	}
+}
+
 // Calm, rising, storm, recovering, calm: and a line for each change with what it rests on.
 func TestAStormComesAndGoes(t *testing.T) {
 	d := newDay()
--- a/stats.go
+++ b/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marlreel/internal/gray"
+	"marlreel/internal/storm"
 )
 
 // endOf is what an attempt's end says of its class at its backend: a broken connection, or one
@@ -166,6 +167,9 @@
 	}
 }
 
+// Storm is how things stand with retry storms, as seen from here.
+func (b *Balancer) Storm() storm.State { return b.storm.State() }
+
 // Avoided is how many listed backends get nothing for now.
 func (b *Balancer) Avoided() int {
 	in := func(t *target) bool { return t.State == Gone || b.fit(t) }
