--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -40,18 +40,21 @@
   rehearse run calm --out report  plays "calm", and leaves report/report.html
   rehearse run --baseline random  the same against a proxy that picks at random
   rehearse compare a b            two report folders, or two marlreel binaries
+  rehearse experiment compare     many days as one question ('rehearse experiment' lists more)
   rehearse up                     a small fleet and one proxy to try with curl
 
 Exit codes: 0 all rules kept, 1 a rule broken or a proxy crashed, 2 wrong use or
 nothing could be started, 3 the run is void (machine too slow, or broken off).`
 
 type cli struct {
-	List       listCmd    `cmd:"" help:"List the scenarios that are shipped."`
-	Check      checkCmd   `cmd:"" help:"Check a scenario file without playing it, and print its schedule's digest."`
-	Run        runCmd     `cmd:"" default:"withargs" help:"Play a scenario (default: morning) and report."`
-	Compare    compareCmd `cmd:"" help:"Compare two report folders, or two marlreel binaries played in turn on one scenario."`
-	Up         upCmd      `cmd:"" help:"Stand a small fleet and one proxy up, and stay until Ctrl-C."`
-	PlainProxy plainCmd   `cmd:"" hidden:"" help:"Be the proxy that picks at random (started by run --baseline random)."`
+	List       listCmd       `cmd:"" help:"List the scenarios that are shipped."`
+	Check      checkCmd      `cmd:"" help:"Check a scenario file without playing it, and print its schedule's digest."`
+	Run        runCmd        `cmd:"" default:"withargs" help:"Play a scenario (default: morning) and report."`
+	Compare    compareCmd    `cmd:"" help:"Compare two report folders, or two marlreel binaries played in turn on one scenario."`
+	Experiment experimentCmd `cmd:"" help:"Ask one question of many days: tables and charts."`
+	Results    resultsCmd    `cmd:"" help:"What experiments found: list, show, export, forget."`
+	Up         upCmd         `cmd:"" help:"Stand a small fleet and one proxy up, and stay until Ctrl-C."`
+	PlainProxy plainCmd      `cmd:"" hidden:"" help:"Be the proxy that picks at random (started by run --baseline random)."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/experiment/stats.go
@@ -0,0 +1,161 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Sample is what is said of a figure over several runs.
+type Sample struct {
+	N          int     `json:"n"`
+	Mean       float64 `json:"mean"`
+	Median     float64 `json:"median"`
+	Low        float64 `json:"low"`
+	High       float64 `json:"high"`
+	Deviation  float64 `json:"deviation"`
+	WorstTenth float64 `json:"worst_tenth"` // mean of the worst tenth, of one run at least
+}
+
+// Describe describes figures. worst says which end of them is worse: below is true where less is worse.
+func Describe(x []float64, below bool) Sample {
+	if len(x) == 0 {
+		return Sample{}
+	}
+	s := slices.Sorted(slices.Values(x))
+	d := Sample{N: len(s), Mean: stat.Mean(s, nil), Median: (s[(len(s)-1)/2] + s[len(s)/2]) / 2, Low: s[0], High: s[len(s)-1]}
+	if len(s) > 1 {
+		d.Deviation = stat.StdDev(s, nil)
+	}
+	tenth := s[:max(1, len(s)/10)]
+	if !below {
+		tenth = s[len(s)-max(1, len(s)/10):]
+	}
+	d.WorstTenth = stat.Mean(tenth, nil)
+	return d
+}
+
+// Verdict is what paired runs say of a difference.
+type Verdict string
+
+// The verdicts.
+const (
+	More   Verdict = "more"                        // the second arm has more
+	Less   Verdict = "less"                        // it has less
+	Unseen Verdict = "no difference seen"          // and Visible says what would have been
+	Few    Verdict = "too few pairs to say a word" // whatever they show
+	Same   Verdict = "the same in every pair"      // to the last digit
+)
+
+// leastPairs is from how many pairs on a difference can be told from chance at 95%: of five pairs all
+// go the same way once in sixteen by chance alone.
+const leastPairs = 6
+
+// Difference is what paired runs say.
+type Difference struct {
+	Pairs   int     `json:"pairs"`
+	Mean    float64 `json:"mean"` // of second less first
+	Median  float64 `json:"median"`
+	From    float64 `json:"from"` // bounds of the mean that would have been seen 95 times in 100
+	To      float64 `json:"to"`
+	Verdict Verdict `json:"verdict"`
+	Visible float64 `json:"visible"` // a difference of this size would have been seen four times in five
+}
+
+const (
+	confidence = 0.95
+	power      = 0.8
+	resamples  = 4000
+)
+
+// Paired judges the differences of pairs, second less first. The bounds are a bootstrap's over Student's
+// ratio (bootstrap-t): resampling the mean alone is too sure of itself in ten pairs or fewer. seed is the
+// resampling's.
+func Paired(diffs []float64, seed uint64) Difference {
+	n := len(diffs)
+	d := Difference{Pairs: n, Verdict: Few}
+	if n == 0 {
+		return d
+	}
+	s := Describe(diffs, true)
+	d.Mean, d.Median, d.From, d.To = s.Mean, s.Median, s.Low, s.High
+	if n < 2 {
+		return d
+	}
+	se := s.Deviation / math.Sqrt(float64(n))
+	// What is alike to twelve digits is alike: sums of the like differ in the last ones.
+	if s.Deviation <= 1e-12*max(1, math.Abs(s.Mean)) {
+		d.From, d.To = s.Mean, s.Mean
+		switch {
+		case n < leastPairs:
+		case math.Abs(s.Mean) <= 1e-12:
+			d.Verdict = Same
+		case s.Mean > 0:
+			d.Verdict = More
+		default:
+			d.Verdict = Less
+		}
+		return d
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}
+	if n < leastPairs {
+		d.Visible = (t.Quantile((1+confidence)/2) + t.Quantile(power)) * se
+		return d
+	}
+	low, high := ratios(diffs, s.Mean, seed)
+	d.From, d.To = s.Mean-high*se, s.Mean-low*se
+	d.Visible = ((high-low)/2 + t.Quantile(power)) * se
+	switch {
+	case d.From > 0:
+		d.Verdict = More
+	case d.To < 0:
+		d.Verdict = Less
+	default:
+		d.Verdict = Unseen
+	}
+	return d
+}
+
+// ratios are the bounds of (resampled mean - mean) / its own error, over resamples. Those of no spread at
+// all say nothing, and are drawn anew. They are never nearer than Student's own: few pairs have few
+// resamples, and their ends are not known well.
+func ratios(diffs []float64, mean float64, seed uint64) (low, high float64) {
+	n := len(diffs)
+	r := rand.New(rand.NewPCG(seed, uint64(n)))
+	all, draw := make([]float64, 0, resamples), make([]float64, n)
+	for tries := 0; len(all) < resamples && tries < 2*resamples; tries++ {
+		for i := range draw {
+			draw[i] = diffs[r.IntN(n)]
+		}
+		m, sd := stat.MeanStdDev(draw, nil)
+		if sd > 0 {
+			all = append(all, (m-mean)/(sd/math.Sqrt(float64(n))))
+		}
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile((1 + confidence) / 2)
+	if len(all) < resamples/2 {
+		return -t, t
+	}
+	slices.Sort(all)
+	low = stat.Quantile((1-confidence)/2, stat.Empirical, all, nil)
+	high = stat.Quantile((1+confidence)/2, stat.Empirical, all, nil)
+	return min(low, -t), max(high, t)
+}
+
+// Words says a difference of a figure in words.
+func (d Difference) Words(first, second, figure string) string {
+	switch d.Verdict {
+	case Few:
+		return fmt.Sprintf("%s: %s; %d pairs, and %d are needed", figure, d.Verdict, d.Pairs, leastPairs)
+	case Same:
+		return fmt.Sprintf("%s: %s (%d)", figure, d.Verdict, d.Pairs)
+	case Unseen:
+		return fmt.Sprintf("%s: %s between %s and %s (%+.4g, from %+.4g to %+.4g); one of %.2g would have been seen four times in five",
+			figure, d.Verdict, first, second, d.Mean, d.From, d.To, d.Visible)
+	}
+	return fmt.Sprintf("%s: %s has %s than %s by %.4g (from %+.4g to %+.4g, %d pairs)", figure, second, d.Verdict, first, math.Abs(d.Mean), d.From, d.To, d.Pairs)
+}
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -82,6 +82,8 @@
 	MemoryMB  int     `toml:"memory-mb"`
 	Sockets   int     `toml:"sockets"`
 	DeadAfter Span    `toml:"front-notices-after"` // how long the front goes on sending to a dead one
+	// Own is what the daemons are set beyond what the platform says, as deploy/marlreel.toml has it.
+	Own map[string]any `toml:"own"`
 }
 
 // DiscoverySpec is how late the list is.
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
-	"strings"
+	"maps"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"marlreel/internal/standin"
 )
 
@@ -63,15 +65,37 @@
 // rpcOffset is from a node's HTTP port to its RPC port.
 const rpcOffset = 3000
 
-// ownFile is what a proxy is set beyond what the platform says.
-func (s *Scenario) ownFile(rpcListen string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "[rpc]\nlisten = %q\n", rpcListen)
-	for _, c := range s.Classes {
-		if c.Protocol == "rpc" {
-			fmt.Fprintf(&b, "[[rpc.method]]\nname = %q\nclass = %q\n", "post."+c.Name, c.Name)
+// OwnFile is what a proxy is set beyond what the platform says: the scenario's own figures, and of RPC
+// what the kit's nodes want.
+func (s *Scenario) OwnFile(rpcListen string) string {
+	own := maps.Clone(s.Proxies.Own)
+	if own == nil {
+		own = map[string]any{}
+	}
+	if s.RPC() {
+		table := func(in map[string]any, name string) map[string]any {
+			t, _ := in[name].(map[string]any)
+			if t = maps.Clone(t); t == nil {
+				t = map[string]any{}
+			}
+			in[name] = t
+			return t
 		}
+		rpc := table(own, "rpc")
+		rpc["listen"] = rpcListen
+		var methods []any
+		for _, c := range s.Classes {
+			if c.Protocol == "rpc" {
+				methods = append(methods, map[string]any{"name": "post." + c.Name, "class": c.Name})
+			}
+		}
+		rpc["method"] = methods
+		backend := table(rpc, "backend")
+		backend["port-offset"], backend["cancel"] = rpcOffset, "$cancel"
+	}
+	data, err := toml.Marshal(own)
+	if err != nil {
+		panic(fmt.Sprintf("what was read from TOML is none: %v", err))
 	}
-	fmt.Fprintf(&b, "[rpc.backend]\nport-offset = %d\ncancel = \"$cancel\"\n", rpcOffset)
-	return b.String()
+	return string(data)
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -216,8 +216,10 @@
 				return err
 			}
 			p.rpc = addr
+		}
+		if w.scenario.RPC() || len(w.scenario.Proxies.Own) > 0 {
 			own := filepath.Join(w.dir, proxyName(k)+".toml")
-			if err := os.WriteFile(own, []byte(w.scenario.ownFile(addr)), 0o644); err != nil {
+			if err := os.WriteFile(own, []byte(w.scenario.OwnFile(p.rpc)), 0o644); err != nil {
 				return fmt.Errorf("configuration: %w", err)
 			}
 			p.command = append(slices.Clone(command), "--config", own)
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -27,6 +27,9 @@
 	return nil
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
 // D is the span as the standard library has it.
 func (s Span) D() time.Duration { return time.Duration(s) }
 
