Let rehearsed traffic come in bursts, waves, from a trace, or from users who wait

Need: experiments ask how a service stands other arrivals than steady ones, and users who ask again only when they have their answer.

traffic.arrivals = steady, bursty, wave, trace; traffic.users. A closed loop's plan holds what each user asks and thinks; what came to pass is cut out of it after the run, and the report says that such a loop flatters a slow service.

--- a/internal/rehearsal/load.go
+++ b/internal/rehearsal/load.go
@@ -74,6 +74,7 @@
 	mostOpen int
 	served   float64 // worth so far, for the progress line
 	asked    float64
+	began    []time.Duration // closed loop: when each request was asked, from the start; 0 is never
 	wg       sync.WaitGroup
 	readers  sync.WaitGroup
 }
@@ -84,6 +85,10 @@
 
 // play sends all that is planned from start on, and waits for the answers.
 func (l *clients) play(ctx context.Context, start time.Duration) {
+	if l.scenario.Traffic.closed() {
+		l.playUsers(ctx, start)
+		return
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for i := range l.plan.Requests {
@@ -103,6 +108,41 @@
 	l.wg.Wait()
 }
 
+// playUsers lets each user ask, wait for the end, think and ask again, until the day is over. Latency counts
+// from when a user asks: he does not ask while he waits, which is what a closed loop is.
+func (l *clients) playUsers(ctx context.Context, start time.Duration) {
+	all := l.plan.Requests
+	l.began = make([]time.Duration, len(all))
+	for from := 0; from < len(all); {
+		to := from
+		for to < len(all) && all[to].User == all[from].User {
+			to++
+		}
+		first := from
+		l.wg.Go(func() {
+			at := start
+			for i := first; i < to; i++ {
+				at += all[i].Think
+				if at-start >= l.plan.Length {
+					return
+				}
+				select {
+				case <-time.After(at - l.clock.Now()):
+				case <-ctx.Done():
+					return
+				}
+				l.mu.Lock()
+				l.began[i] = at - start
+				l.mu.Unlock()
+				l.request(ctx, i, at)
+				at = max(at, l.clock.Now())
+			}
+		})
+		from = to
+	}
+	l.wg.Wait()
+}
+
 // close ends all connections.
 func (l *clients) close() {
 	l.mu.Lock()
--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -47,6 +47,9 @@
 	IDs          []string
 	Work, Wait   time.Duration
 	Over         bool // beyond its house's share
+	// A closed loop's: whose it is, from 1, and how long he thinks before it.
+	User  int           `json:",omitzero"`
+	Think time.Duration `json:",omitzero"`
 }
 
 // Event is one thing done to one node or proxy, or one change of the list.
@@ -117,22 +120,17 @@
 }
 
 // rate is the traffic at a time, in thousandths of a request a second.
-func (s *Scenario) rate(at time.Duration) uint64 {
+func (s *Scenario) rate(at time.Duration, bursts []spell) uint64 {
 	r := s.Traffic.Rate
 	for _, j := range s.Traffic.Jumps {
 		if at >= j.At.D() && at < (j.At+j.For).D() {
 			r *= j.Times
 		}
 	}
-	return uint64(float64(r*1000) + 0.5)
+	return uint64(float64(r*s.shape(at, bursts)*1000) + 0.5)
 }
 
 func (p *Plan) drawRequests(s *Scenario) {
-	d := newDraws(p.Seed, "requests")
-	most := s.rate(0)
-	for _, j := range s.Traffic.Jumps {
-		most = max(most, s.rate(j.At.D())) // jumps that overlap are highest where one begins
-	}
 	classes := weights(s.Classes, func(c Class) float64 { return c.Share })
 	houses := weights(s.Houses, func(h House) float64 {
 		if h.Usage == 0 {
@@ -144,17 +142,56 @@
 	if len(s.Traffic.Zones) > 0 {
 		zones = weights(s.Traffic.Zones, func(z float64) float64 { return z })
 	}
-	// Shares: a bucket for each house, of a second's quota.
-	total := 0.0
-	for _, h := range s.Houses {
-		total += h.Share
+	// one draws a request, but for its time.
+	one := func(d draws) PlannedRequest {
+		r := PlannedRequest{Class: d.weighted(classes), House: d.weighted(houses), Zone: d.weighted(zones),
+			About: d.id(), Key: d.id() + d.id()}
+		c := s.Classes[r.Class]
+		r.Work, r.Wait = max(d.span(c.Work.D(), c.Spread), time.Microsecond), d.span(c.Wait.D(), c.Spread)
+		for range s.Clients.Retries + 1 {
+			r.IDs = append(r.IDs, d.id())
+		}
+		return r
 	}
-	quota := make([]float64, len(s.Houses)) // a second
-	left := make([]float64, len(s.Houses))
-	filled := make([]time.Duration, len(s.Houses))
-	for i, h := range s.Houses {
-		quota[i] = s.quota() * h.Share / total
-		left[i] = quota[i]
+	share := s.shares()
+	add := func(r PlannedRequest) {
+		c := s.Classes[r.Class]
+		if !c.asked(r.At) {
+			return
+		}
+		if c.Effect != "keyed" {
+			r.Key = ""
+		}
+		r.Over = share.over(r.House, r.At)
+		p.Requests = append(p.Requests, r)
+	}
+	if s.Traffic.closed() {
+		p.drawUsers(s, one)
+		return
+	}
+	d := newDraws(p.Seed, "requests")
+	if s.Traffic.Arrivals == arrivalsTrace {
+		for _, t := range s.Traffic.trace {
+			r := one(d)
+			c := s.Classes[t.class]
+			r.At, r.Class = t.at, t.class
+			r.Work, r.Wait = max(d.span(c.Work.D(), c.Spread), time.Microsecond), d.span(c.Wait.D(), c.Spread)
+			if t.at < p.Length {
+				add(r)
+			}
+		}
+		return
+	}
+	bursts := s.bursts(p.Seed)
+	most := s.rate(0, nil)
+	for _, j := range s.Traffic.Jumps {
+		most = max(most, s.rate(j.At.D(), nil)) // jumps that overlap are highest where one begins
+	}
+	if s.mostShape() != 1 {
+		most = uint64(float64(most)/s.shape(0, nil)*s.mostShape()) + 1
+		for _, j := range s.Traffic.Jumps {
+			most = max(most, uint64(float64(s.rate(j.At.D(), nil))/s.shape(j.At.D(), nil)*s.mostShape())+1)
+		}
 	}
 	at := time.Duration(0)
 	for {
@@ -165,29 +202,11 @@
 		if at >= p.Length {
 			return
 		}
-		keep := d.r.Uint64N(most) < s.rate(at)
-		r := PlannedRequest{At: at, Class: d.weighted(classes), House: d.weighted(houses), Zone: d.weighted(zones),
-			About: d.id(), Key: d.id() + d.id()}
-		c := s.Classes[r.Class]
-		r.Work, r.Wait = max(d.span(c.Work.D(), c.Spread), time.Microsecond), d.span(c.Wait.D(), c.Spread)
-		for range s.Clients.Retries + 1 {
-			r.IDs = append(r.IDs, d.id())
-		}
-		if !keep || !c.asked(at) {
-			continue
+		keep := d.r.Uint64N(most) < s.rate(at, bursts)
+		r := one(d)
+		if r.At = at; keep {
+			add(r)
 		}
-		if c.Effect != "keyed" {
-			r.Key = ""
-		}
-		h := r.House
-		left[h] = min(quota[h], left[h]+float64(quota[h]*(at-filled[h]).Seconds()))
-		filled[h] = at
-		if left[h] < 1 {
-			r.Over = true
-		} else {
-			left[h]--
-		}
-		p.Requests = append(p.Requests, r)
 	}
 }
 
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -132,8 +132,12 @@
 			score.Houses[score.WorstHouse].Service, score.WorstClass, score.WorstHouse},
 		WorstWindow: Window{score.WindowAt.Seconds(), score.WorstWindow}, Classes: score.Classes, Houses: score.Houses,
 		Deductions: score.Deductions, After: score.After, Crashed: w.crashes, Crashes: len(w.crashes),
-		Requests: len(w.plan.Requests), Tries: len(r.Tries), Handshakes: r.Nodes.Connections, Note: repeatNote,
+		Requests: len(r.Plan.Requests), Tries: len(r.Tries), Handshakes: r.Nodes.Connections, Note: repeatNote,
 		Clients: ClientFigures{Outcomes: map[string]int{}, Connections: l.opened, MostOpen: l.mostOpen}, Breaks: []Break{}}
+	if u := w.scenario.Traffic.Users; w.scenario.Traffic.closed() {
+		rep.Note = fmt.Sprintf("A closed loop: %d users, each of whom thinks for %v in the mean, asks, and waits for the end. They ask less "+
+			"while the service is slow, so its latency looks better than it would from arrivals. ", u.Count, u.Think.D()) + rep.Note
+	}
 	now := ownUsage()
 	rep.Kit = Usage{CPU: now.CPU - began.CPU, MemoryMB: now.MemoryMB}
 	for _, p := range w.proxies {
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -57,7 +57,7 @@
 			crowds += f.Connections * s.Proxies.Count
 		}
 	}
-	return nodes*(s.Proxies.Count+perNode) + int(s.Traffic.Rate) + crowds + 100
+	return nodes*(s.Proxies.Count+perNode) + int(s.Traffic.Rate) + s.Traffic.Users.Count + crowds + 100
 }
 
 // Run plays a scenario and reports on it. All that it starts has ended when it
@@ -142,7 +142,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
 	}
-	records := Records{Scenario: s, Plan: plan, Tries: load.records(), Nodes: journal.Records(), Lives: w.lives(), Reloads: w.reloads}
+	asPlayed, tries := plan, load.records()
+	if s.Traffic.closed() {
+		asPlayed, tries = plan.played(s, load.began, tries)
+	}
+	records := Records{Scenario: s, Plan: asPlayed, Tries: tries, Nodes: journal.Records(), Lives: w.lives(), Reloads: w.reloads}
 	return w.report(records, o, start, load, began), nil
 }
 
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -167,8 +167,38 @@
 	OverWorth float64   `toml:"over-share-worth"`
 	Zones     []float64 `toml:"zones"` // shares, in the order of the fleet's zones; none: even
 	Jumps     []Jump    `toml:"jumps"`
+	// Arrivals is how they come: steady (the default), bursty, wave, trace.
+	Arrivals string `toml:"arrivals"`
+	Bursts   Bursts `toml:"bursts"`
+	Wave     Wave   `toml:"wave"`
+	Trace    string `toml:"trace"` // a file of "seconds,class" lines, from the scenario's folder
+	Users    Users  `toml:"users"` // in place of arrivals: a closed loop
+
+	trace []traced
 }
 
+// Bursts are short times of more traffic, at random. The mean stays the rate.
+type Bursts struct {
+	Times float64 `toml:"times"`
+	For   Span    `toml:"for"`   // mean
+	Every Span    `toml:"every"` // mean time between one's end and the next
+}
+
+// Wave lets traffic rise and fall evenly. The mean stays the rate.
+type Wave struct {
+	Swing  float64 `toml:"swing"` // by this part of it, up and down
+	Period Span    `toml:"period"`
+}
+
+// Users ask one request at a time, and think between its end and the next.
+type Users struct {
+	Count int  `toml:"count"`
+	Think Span `toml:"think"` // mean
+}
+
+// closed tells whether the load is a closed loop.
+func (t *Traffic) closed() bool { return t.Users.Count > 0 }
+
 // Jump is a time of more traffic, or less.
 type Jump struct {
 	At    Span    `toml:"at"`
@@ -293,6 +323,11 @@
 	if err := s.Validate(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if s.Traffic.Arrivals == "trace" {
+		if err := s.readTrace(filepath.Join(filepath.Dir(path), s.Traffic.Trace)); err != nil {
+			return nil, fmt.Errorf("%s: traffic.trace: %w", path, err)
+		}
+	}
 	return s, nil
 }
 
@@ -354,7 +389,9 @@
 		return errors.New("classes: 1 to 64 [[classes]] are needed")
 	case len(s.Houses) == 0 || len(s.Houses) > 64:
 		return errors.New("houses: 1 to 64 [[houses]] are needed")
-	case !(s.Traffic.Rate >= 0.1) || s.Traffic.Quota < 0 || s.Traffic.OverWorth < 0:
+	case s.Traffic.check() != nil:
+		return s.Traffic.check()
+	case s.Traffic.Arrivals != "trace" && !s.Traffic.closed() && !(s.Traffic.Rate >= 0.1) || s.Traffic.Quota < 0 || s.Traffic.OverWorth < 0:
 		return errors.New("traffic.rate: 0.1 requests a second or more are needed, and no other figure below 0")
 	case len(s.Traffic.Zones) != 0 && len(s.Traffic.Zones) != len(f.Zones):
 		return fmt.Errorf("traffic.zones: %d shares for %d zones", len(s.Traffic.Zones), len(f.Zones))
@@ -412,12 +449,16 @@
 			return fmt.Errorf("houses %d: name and a share above 0 are needed", i+1)
 		}
 	}
-	most := s.Traffic.Rate
+	most := s.Traffic.Rate * max(1, s.Traffic.Bursts.Times, 1+s.Traffic.Wave.Swing)
+	if s.Traffic.closed() {
+		most = float64(s.Traffic.Users.Count) / max(s.Traffic.Users.Think.D().Seconds(), 1e-3)
+	}
+	base := most
 	for i, j := range s.Traffic.Jumps {
 		if j.At < 0 || j.For <= 0 || !(j.Times >= 0.01 && j.Times <= 1000) {
 			return fmt.Errorf("traffic.jumps %d: at, for above 0 and times from 0.01 to 1000 are needed", i+1)
 		}
-		most = max(most, s.Traffic.Rate*j.Times)
+		most = max(most, base*j.Times)
 	}
 	if n := most * s.Length.D().Seconds(); n > mostRequests {
 		return fmt.Errorf("traffic: up to %.0f requests, and %d is the most", n, mostRequests)
