Judge what registries tell of backends: revisions, guards, flaps, sources

Need (registry client): other sites keep the node list in a key-value registry with revisions and watches. The hard judgements first, pure, in internal/members: a follower's old list never brings back who has left; a restored registry's list counts, and what is gone with more than half of the list is held until an operator confirms (drains are never held); an entry that comes and goes stays out until it has been quiet, but where most do; a better source is left after a patience and returned to when it has settled; two at one address are one; a bad value disables its entry alone.

A state machine over whatever order.

--- /dev/null
+++ b/internal/members/guard.go
@@ -0,0 +1,93 @@
+package members
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// A registry that was restored from a backup, read under a wrong prefix or emptied by a mistake tells a list
+// that lost most of its entries. Taken at its word it would end the service; the backends still serve. So
+// what goes together with too many others is held: it stays in the list, is judged by probes and attempts as
+// ever, and goes when an operator says so or when the registry has it again. A drain is never held: it says
+// that the backend is there and must get nothing new.
+
+// size is the list's at a time.
+type size struct {
+	at time.Duration
+	n  int
+}
+
+// guard puts what is held back into the list.
+func (m *Model) guard(now time.Duration, next map[string]Entry) {
+	for name := range m.held {
+		if _, back := next[name]; back {
+			delete(m.held, name)
+		}
+	}
+	if m.cfg.Guard >= 1 || m.cfg.Guard <= 0 {
+		clear(m.held)
+		return
+	}
+	// The list is measured by what a registry had, held ones left out: they are not there by its word.
+	// The last size counts however old it is: it is what the list was until now.
+	for len(m.sizes) > 1 && now-m.sizes[0].at > m.cfg.Over {
+		m.sizes = m.sizes[1:]
+	}
+	most := len(next)
+	for _, s := range m.sizes {
+		most = max(most, s.n)
+	}
+	floor := int(math.Ceil(float64(most) * (1 - m.cfg.Guard)))
+	if len(next) < floor {
+		for name, e := range m.shown {
+			if _, stays := next[name]; !stays && !e.Draining && !m.damp[name] && !m.replaced(e, next) {
+				m.held[name] = e
+			}
+		}
+	}
+	if len(m.sizes) == 0 || m.sizes[len(m.sizes)-1].n != len(next) || now-m.sizes[len(m.sizes)-1].at > m.cfg.Over/4 {
+		m.sizes = append(m.sizes, size{now, len(next)})
+	}
+	for name, e := range m.held {
+		if m.replaced(e, next) {
+			delete(m.held, name)
+			continue
+		}
+		next[name] = e
+	}
+	if n := len(m.held); n > 0 {
+		m.say("guard", "WARNING: the list lost most of its entries at once; %d that are no longer in it are kept, and judged by their answers, until an operator confirms", n)
+	} else {
+		m.unsay("guard")
+	}
+}
+
+// replaced tells whether another has the address of one that went.
+func (m *Model) replaced(e Entry, next map[string]Entry) bool {
+	for _, o := range next {
+		if o.Addr == e.Addr {
+			return true
+		}
+	}
+	return false
+}
+
+// Confirm lets what is held go: an operator says that it is gone.
+func (m *Model) Confirm(now time.Duration) []Action {
+	if len(m.held) > 0 {
+		clear(m.held)
+		m.sizes = nil // what is left is the list's size from now on
+		next := m.wanted()
+		m.dampFlaps(now, next)
+		if !maps.Equal(next, m.shown) {
+			m.shown = next
+			m.out = append(m.out, List{Entries: maps.Clone(next), Cached: m.cached})
+		}
+		m.sizes = []size{{now, len(next)}}
+		m.unsay("guard")
+		m.say("confirmed", "an operator confirmed the list: %d entries", len(next))
+		m.unsay("confirmed")
+	}
+	return m.take()
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,435 @@
+// Package members keeps the list of backends as registries tell it: whole lists at a revision, changes, words
+// that nothing has changed, lost connections, lost histories. It owns the hard judgements: what may be taken
+// out of the list, when an old list may be trusted, when to move from one source to another, how to damp an
+// entry that comes and goes.
+//
+// It is pure: events with the time on them in, actions out; no goroutine, no clock, no input or output. It
+// judges no backend's health, and never holds back a drain: whoever is told that a backend drains, or is
+// gone, is told at once, but where most of the list goes together (see guard.go).
+package members
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Entry is a backend as a registry has it.
+type Entry struct {
+	Addr, Zone, Kind string
+	Cell             int
+	Draining         bool
+	Weight           float64
+	Started          int64 // Unix time in ms; 0 is long ago
+}
+
+// Item is a registry's entry under its name, with the revision at which it was last written.
+type Item struct {
+	Name  string
+	Mod   int64
+	Bad   string // why it can't be read; "" is well
+	Entry Entry
+}
+
+// Whole is a whole list at one revision.
+type Whole struct {
+	History  uint64 // which registry's numbers revisions are; one that was set up anew has another
+	Revision int64
+	Items    []Item
+	Stale    bool // it was read from where it may be old: it proves nothing about what is newer
+}
+
+// Change is a transaction's.
+type Change struct {
+	Revision int64
+	Puts     []Item
+	Deletes  []string
+}
+
+// Config is what a Model is told.
+type Config struct {
+	Sources  []string      // names, the one that counts most first
+	Patience time.Duration // for which a lost source's list counts as if it weren't
+	Settle   time.Duration // for which a better source must be well before it is moved to
+	Guard    float64       // part of the list that may go within Over; the rest is held. 1 is all
+	Over     time.Duration
+	FlapMost float64       // returns within FlapOver after which an entry has to stay out for a while; 0: any
+	FlapOver time.Duration // over which they are forgotten
+	Most     int           // entries; more are left out, and said
+}
+
+// Action is one of List, Load and Say.
+type Action interface{ action() }
+
+// List is the list as it is to be from now on.
+type List struct {
+	Entries map[string]Entry
+	Cached  bool // it is an old one: nobody has confirmed it
+}
+
+// Load asks for a source's whole list.
+type Load struct{ Source int }
+
+// Say is a line for the log.
+type Say string
+
+func (List) action() {}
+func (Load) action() {}
+func (Say) action()  {}
+
+// source is what is known of one.
+type source struct {
+	name     string
+	items    map[string]Item
+	history  uint64
+	revision int64
+	synced   bool          // items are its whole list at the revision
+	loading  bool          // a whole list was asked for
+	lost     bool          // since lostAt
+	lostAt   time.Duration // or when it was found again
+	asOf     time.Duration // when it was last known to be up to date
+	bad      map[string]string
+	told     bool // at all
+}
+
+// Model is one proxy's view. Not safe for concurrent use.
+type Model struct {
+	cfg     Config
+	sources []*source
+	active  int // whose list is shown; -1: an old one
+	shown   map[string]Entry
+	cached  bool
+	old     map[string]Entry // the list from before
+	began   bool
+
+	shownCached bool
+
+	sizes []size            // the list's, of late
+	held  map[string]Entry  // what went with too many others
+	flaps map[string]flap   // by name
+	damp  map[string]bool   // kept out for it
+	said  map[string]string // by what it is about: the last line, so that none is said twice in a row
+	out   []Action
+}
+
+// New makes a model that knows nothing.
+func New(cfg Config) *Model {
+	m := &Model{cfg: cfg, active: -1, shown: map[string]Entry{}, held: map[string]Entry{}, flaps: map[string]flap{},
+		damp: map[string]bool{}, said: map[string]string{}}
+	for _, name := range cfg.Sources {
+		m.sources = append(m.sources, &source{name: name, items: map[string]Item{}, bad: map[string]string{}})
+	}
+	return m
+}
+
+// take gives the actions since the last time.
+func (m *Model) take() []Action {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// say logs a line unless it is the last one said about this.
+func (m *Model) say(about, format string, v ...any) {
+	line := fmt.Sprintf(format, v...)
+	if m.said[about] == line {
+		return
+	}
+	m.said[about] = line
+	m.out = append(m.out, Say(line))
+}
+
+// unsay lets a line about this be said again.
+func (m *Model) unsay(about string) { delete(m.said, about) }
+
+// Known takes in the list from before this process: it is served from until a source has told one.
+func (m *Model) Known(now time.Duration, old map[string]Entry) []Action {
+	if m.active < 0 {
+		m.old = maps.Clone(old)
+		m.cached = true
+		m.show(now)
+	}
+	return m.take()
+}
+
+// Whole takes in a source's whole list.
+func (m *Model) Whole(now time.Duration, src int, w Whole) []Action {
+	s := m.sources[src]
+	s.loading = false
+	back := s.told && (w.History != s.history || w.Revision < s.revision)
+	switch {
+	case back && w.Stale && w.History == s.history:
+		// Danger: a follower that lags would bring back who has left. What is held is newer.
+		m.say(s.name+" stale", "%s: a list of revision %d is older than the one that is held (%d): left alone", s.name, w.Revision, s.revision)
+		m.load(src)
+		return m.take()
+	case back:
+		m.say(s.name+" history", "%s: its history is another (revision %d of %x, and it was %d of %x): it was restored or set up anew, and its list counts",
+			s.name, w.Revision, w.History, s.revision, s.history)
+		s.bad = map[string]string{}
+	}
+	was := s.items
+	s.items = make(map[string]Item, len(w.Items))
+	for _, i := range w.Items {
+		m.put(s, i, was)
+	}
+	s.history, s.revision, s.synced, s.told = w.History, w.Revision, true, true
+	for name := range s.bad {
+		if _, there := s.items[name]; !there && !slices.ContainsFunc(w.Items, func(i Item) bool { return i.Name == name }) {
+			delete(s.bad, name)
+		}
+	}
+	m.heard(now, s, !w.Stale)
+	m.choose(now)
+	m.show(now)
+	return m.take()
+}
+
+// put takes one item in. One that can't be read leaves the last good one in its place.
+func (m *Model) put(s *source, i Item, was map[string]Item) {
+	if i.Bad == "" {
+		delete(s.bad, i.Name)
+		m.unsay(s.name + " bad " + i.Name)
+		if _, there := s.items[i.Name]; !there && m.cfg.Most > 0 && len(s.items) >= m.cfg.Most {
+			m.say(s.name+" most", "%s: more than %d entries: the others are left out", s.name, m.cfg.Most)
+			return
+		}
+		s.items[i.Name] = i
+		return
+	}
+	if old, there := was[i.Name]; there {
+		s.items[i.Name] = old
+		m.say(s.name+" bad "+i.Name, "%s: entry %s can't be read (%s): its last good one stands", s.name, i.Name, i.Bad)
+	} else {
+		m.say(s.name+" bad "+i.Name, "%s: entry %s can't be read (%s): it is left out", s.name, i.Name, i.Bad)
+	}
+	if len(s.bad) < 1000 {
+		s.bad[i.Name] = i.Bad
+	}
+}
+
+// Change takes in a transaction, whole. One that was told before is nothing new.
+func (m *Model) Change(now time.Duration, src int, c Change) []Action {
+	s := m.sources[src]
+	if !s.synced {
+		return nil // the whole list is on its way, and has it
+	}
+	if c.Revision <= s.revision {
+		return nil
+	}
+	for _, name := range c.Deletes {
+		delete(s.items, name)
+		delete(s.bad, name)
+	}
+	for _, i := range c.Puts {
+		m.put(s, i, s.items)
+	}
+	s.revision = c.Revision
+	m.heard(now, s, true)
+	m.choose(now)
+	m.show(now)
+	return m.take()
+}
+
+// Progress takes in that nothing has changed up to a revision.
+func (m *Model) Progress(now time.Duration, src int, revision int64) []Action {
+	s := m.sources[src]
+	switch {
+	case !s.synced:
+		return nil
+	case revision < s.revision: // a registry can't forget by itself
+		s.synced = false
+		m.load(src)
+	default:
+		s.revision = revision
+		m.heard(now, s, true)
+		m.choose(now)
+		m.show(now)
+	}
+	return m.take()
+}
+
+// Compacted takes in that the changes behind the held revision are no longer there: the whole list has to
+// come. Until it does the held one stands.
+func (m *Model) Compacted(now time.Duration, src int) []Action {
+	s := m.sources[src]
+	s.synced = false
+	m.load(src)
+	return m.take()
+}
+
+// Lost takes in that a source can't be reached. Its list stands.
+func (m *Model) Lost(now time.Duration, src int, why string) []Action {
+	s := m.sources[src]
+	s.loading = false
+	if !s.lost {
+		s.lost, s.lostAt = true, now
+		m.say(s.name+" lost", "%s: lost (%s); its list stands", s.name, why)
+	}
+	m.choose(now)
+	m.show(now)
+	return m.take()
+}
+
+// heard notes that a source is there, and up to date where the word was of now.
+func (m *Model) heard(now time.Duration, s *source, fresh bool) {
+	if s.lost {
+		s.lost, s.lostAt = false, now
+		m.unsay(s.name + " lost")
+		m.say(s.name+" found", "%s: found again", s.name)
+		m.unsay(s.name + " found")
+	}
+	if fresh {
+		s.asOf = now
+	}
+}
+
+func (m *Model) load(src int) {
+	if s := m.sources[src]; !s.loading {
+		s.loading = true
+		m.out = append(m.out, Load{src})
+	}
+}
+
+// Tick does what time alone brings about. Next says when.
+func (m *Model) Tick(now time.Duration) []Action {
+	m.choose(now)
+	m.show(now)
+	return m.take()
+}
+
+// Next is when Tick has something to do; 0 is never, as things stand.
+func (m *Model) Next(now time.Duration) time.Duration {
+	next := time.Duration(0)
+	at := func(t time.Duration) {
+		if t > now && (next == 0 || t < next) {
+			next = t
+		}
+	}
+	for i, s := range m.sources {
+		if s.told && s.lost && i == m.active {
+			at(s.lostAt + m.cfg.Patience)
+		}
+		if s.told && !s.lost && i != m.active {
+			at(s.lostAt + m.cfg.Settle)
+		}
+	}
+	for name := range m.damp {
+		at(now + m.flaps[name].until(now, m.cfg))
+	}
+	return next
+}
+
+// usable tells whether a source's list may be shown.
+func (m *Model) usable(now time.Duration, s *source) bool {
+	return s.told && (!s.lost || now-s.lostAt < m.cfg.Patience)
+}
+
+// choose decides whose list is shown: the first that is usable, and has been well for a while if another's is
+// shown. Where none is usable the one that is shown stays.
+func (m *Model) choose(now time.Duration) {
+	for i, s := range m.sources {
+		if !m.usable(now, s) {
+			continue
+		}
+		if m.active < 0 || i == m.active {
+			m.move(now, i)
+			return
+		}
+		// Danger: a source that comes and goes would make the list do the same.
+		mine := m.sources[m.active]
+		if !m.usable(now, mine) || !s.lost && now-s.lostAt >= m.cfg.Settle && i < m.active {
+			m.move(now, i)
+			return
+		}
+	}
+}
+
+func (m *Model) move(now time.Duration, to int) {
+	if m.active == to {
+		return
+	}
+	if m.active >= 0 {
+		m.say("source", "the list is now %s's, and was %s's", m.sources[to].name, m.sources[m.active].name)
+	} else {
+		m.say("source", "the list is now %s's", m.sources[to].name)
+	}
+	m.active, m.cached, m.old = to, false, nil
+}
+
+// wanted is the list as it would be shown if nothing were held or damped.
+func (m *Model) wanted() map[string]Entry {
+	if m.active < 0 {
+		return maps.Clone(m.old)
+	}
+	items := m.sources[m.active].items
+	list := make(map[string]Entry, len(items))
+	// Danger: two names at one address are one backend that would get twice its load, or one whose
+	// successor has its address already. The one written last counts.
+	at := make(map[string]string, len(items))
+	names := slices.Sorted(maps.Keys(items))
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(items[a].Mod, items[b].Mod) })
+	for _, name := range names {
+		e := items[name].Entry
+		if other, taken := at[e.Addr]; taken {
+			delete(list, other)
+			m.say("address "+e.Addr, "%s and %s are both at %s: the later one, %s, counts", other, name, e.Addr, name)
+		}
+		at[e.Addr] = name
+		list[name] = e
+	}
+	return list
+}
+
+// show tells the list, if it is another one than before.
+func (m *Model) show(now time.Duration) {
+	if m.active < 0 && m.old == nil {
+		return
+	}
+	next := m.wanted()
+	m.dampFlaps(now, next)
+	m.guard(now, next)
+	if m.began && maps.Equal(next, m.shown) && m.cached == m.shownCached {
+		return
+	}
+	m.began, m.shown, m.shownCached = true, next, m.cached
+	m.out = append(m.out, List{Entries: maps.Clone(next), Cached: m.cached})
+}
+
+// Status is how things stand.
+type Status struct {
+	Source   string // whose list is shown; "" is an old one
+	Revision int64
+	Age      time.Duration // since the list was last known to be up to date; -1 is not known
+	Entries  int
+	Held     []string // that would have gone with too many others
+	Damped   []string
+	Sources  []SourceStatus
+}
+
+// SourceStatus is how a source stands.
+type SourceStatus struct {
+	Name     string
+	Revision int64
+	Synced   bool
+	Lost     bool
+	Bad      map[string]string // entries that can't be read, and why
+}
+
+// Status gives it.
+func (m *Model) Status(now time.Duration) Status {
+	s := Status{Age: -1, Entries: len(m.shown), Held: slices.Sorted(maps.Keys(m.held)), Damped: slices.Sorted(maps.Keys(m.damp))}
+	if m.active >= 0 {
+		a := m.sources[m.active]
+		s.Source, s.Revision = a.name, a.revision
+		if a.asOf > 0 {
+			s.Age = now - a.asOf
+		}
+	}
+	for _, x := range m.sources {
+		s.Sources = append(s.Sources, SourceStatus{x.name, x.revision, x.synced, x.lost, maps.Clone(x.bad)})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,559 @@
+package members
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms     = time.Millisecond
+	second = time.Second
+)
+
+func plain() Config {
+	return Config{Sources: []string{"registry"}, Patience: 10 * second, Guard: 1, Most: 10000}
+}
+
+func guarded() Config {
+	return Config{Sources: []string{"registry", "platform"}, Patience: 10 * second, Settle: 5 * second, Guard: 0.5, Over: 30 * second,
+		FlapMost: 4, FlapOver: 20 * second, Most: 10000}
+}
+
+func at(n int) Entry { return Entry{Addr: fmt.Sprintf("10.0.%d.%d:80", n/250, n%250), Weight: 1} }
+
+func items(mod int64, ns ...int) (all []Item) {
+	for _, n := range ns {
+		all = append(all, Item{Name: fmt.Sprint("n", n), Mod: mod, Entry: at(n)})
+	}
+	return all
+}
+
+func upTo(n int) (all []int) {
+	for i := range n {
+		all = append(all, i)
+	}
+	return all
+}
+
+// the last list and all lines of some actions.
+func read(acts []Action) (list *List, lines string, loads int) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case List:
+			list = &a
+		case Say:
+			lines += string(a) + "\n"
+		case Load:
+			loads++
+		}
+	}
+	return list, lines, loads
+}
+
+// registry is a store with all its revisions.
+type registry struct {
+	rng       *rand.Rand
+	history   uint64
+	states    []map[string]Entry // by revision
+	changes   []Change
+	compacted int64
+}
+
+func newRegistry(seed uint64) *registry {
+	return &registry{rng: rand.New(rand.NewPCG(seed, 7)), history: 1, states: []map[string]Entry{{}}, changes: []Change{{}}}
+}
+
+func (r *registry) newest() int64 { return int64(len(r.states) - 1) }
+
+// write is one transaction over a few names: puts, deletes, moves of an address from one to another.
+func (r *registry) write() {
+	next := maps.Clone(r.states[r.newest()])
+	c := Change{Revision: r.newest() + 1}
+	for range 1 + r.rng.IntN(3) {
+		name := fmt.Sprint("n", r.rng.IntN(12))
+		if slices.ContainsFunc(c.Puts, func(i Item) bool { return i.Name == name }) || slices.Contains(c.Deletes, name) {
+			continue
+		}
+		if _, there := next[name]; there && r.rng.IntN(3) == 0 {
+			delete(next, name)
+			c.Deletes = append(c.Deletes, name)
+			continue
+		}
+		e := Entry{Addr: name + fmt.Sprint(":", r.rng.IntN(3)), Draining: r.rng.IntN(4) == 0, Weight: float64(1 + r.rng.IntN(3))}
+		next[name] = e
+		c.Puts = append(c.Puts, Item{Name: name, Mod: c.Revision, Entry: e})
+	}
+	r.states, r.changes = append(r.states, next), append(r.changes, c)
+}
+
+func (r *registry) whole(revision int64, stale bool) Whole {
+	w := Whole{History: r.history, Revision: revision, Stale: stale}
+	for name, e := range r.states[revision] {
+		w.Items = append(w.Items, Item{Name: name, Mod: 1, Entry: e})
+	}
+	return w
+}
+
+// Over thousands of days with lost watches, compactions, stale followers, repeats and silent times: what is
+// shown is always the registry's list at a revision between the last one acknowledged and the newest, and
+// never goes back.
+func TestHistories(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3000) {
+		r, m := newRegistry(seed), New(plain())
+		now := second
+		var shown map[string]Entry
+		acked, position, loading, connected := int64(-1), int64(0), true, true
+		take := func(acts []Action) {
+			list, _, loads := read(acts)
+			if list != nil {
+				shown = list.Entries
+			}
+			if loads > 0 {
+				loading = true
+			}
+		}
+		for step := range 120 {
+			now += time.Duration(r.rng.IntN(500)) * ms
+			switch x := r.rng.IntN(20); {
+			case x < 6:
+				r.write()
+			case x < 7 && r.newest() > 0:
+				r.compacted = min(r.newest(), r.compacted+int64(r.rng.IntN(10)))
+			case x < 8:
+				connected = false
+				take(m.Lost(now, 0, "the connection was reset"))
+			case x < 10 && !connected:
+				connected = true
+				if m.sources[0].revision < r.compacted && acked >= 0 {
+					take(m.Compacted(now, 0))
+				}
+				position = m.sources[0].revision
+			case x < 11 && connected && acked >= 0: // a transaction again
+				if back := m.sources[0].revision - int64(r.rng.IntN(4)); back > 0 && back <= r.newest() {
+					take(m.Change(now, 0, r.changes[back]))
+				}
+			case x < 13 && loading && connected:
+				stale := r.rng.IntN(3) == 0
+				rev := r.newest()
+				if stale {
+					rev = max(0, rev-int64(r.rng.IntN(6)))
+				}
+				older := rev < acked
+				loading = false
+				take(m.Whole(now, 0, r.whole(rev, stale)))
+				if older && !loading {
+					t.Fatalf("seed %d, step %d: an old list of a follower was enough", seed, step)
+				}
+				if !older {
+					acked = max(acked, rev)
+					position = max(position, rev)
+				}
+			case connected && acked >= 0 && !loading:
+				if position < r.newest() {
+					position = max(position, m.sources[0].revision) + 1
+					if position <= r.newest() {
+						take(m.Change(now, 0, r.changes[position]))
+						acked = max(acked, position)
+					}
+				} else {
+					take(m.Progress(now, 0, r.newest()))
+				}
+			default:
+				take(m.Tick(now))
+			}
+			if acked < 0 {
+				if shown != nil {
+					t.Fatalf("seed %d: a list before any was told", seed)
+				}
+				continue
+			}
+			held := m.sources[0].revision
+			if held < acked || held > r.newest() {
+				t.Fatalf("seed %d, step %d: revision %d, acknowledged %d, newest %d", seed, step, held, acked, r.newest())
+			}
+			if want := unique(r.states[held]); !maps.Equal(shown, want) {
+				t.Fatalf("seed %d, step %d: at revision %d\nshown %v\nwant  %v", seed, step, held, shown, want)
+			}
+		}
+	}
+}
+
+// unique is a state without those whose address another has: in these days none share one.
+func unique(s map[string]Entry) map[string]Entry { return s }
+
+// A registry that was restored has lower revisions, or another history: its list counts, and what is gone
+// with most of the others is held, until an operator confirms or it comes back.
+func TestRestoredFromABackup(t *testing.T) {
+	t.Parallel()
+	for name, w := range map[string]Whole{
+		"lower":   {History: 1, Revision: 5, Items: items(3, 0, 1, 2)},
+		"another": {History: 2, Revision: 900, Items: items(3, 0, 1, 2)},
+		"empty":   {History: 2, Revision: 1},
+	} {
+		m := New(guarded())
+		m.Whole(second, 0, Whole{History: 1, Revision: 100, Items: items(1, upTo(10)...)})
+		list, lines, _ := read(m.Whole(2*second, 0, w))
+		if list != nil && len(list.Entries) != 10 || !strings.Contains(lines, "its history is another") || !strings.Contains(lines, "WARNING") {
+			t.Errorf("%s: %v\n%s", name, list, lines)
+		}
+		if got := m.Status(2 * second); len(got.Held) != 10-len(w.Items) || got.Revision != w.Revision {
+			t.Errorf("%s: %+v", name, got)
+		}
+		// What is written after that counts as ever, for those held too.
+		draining := Item{Name: "n9", Mod: w.Revision + 1, Entry: at(9)}
+		draining.Entry.Draining = true
+		if list, _, _ = read(m.Change(3*second, 0, Change{Revision: w.Revision + 1, Puts: []Item{draining}})); list == nil || !list.Entries["n9"].Draining {
+			t.Errorf("%s: a drain was held back: %v", name, list)
+		}
+		list, lines, _ = read(m.Confirm(4 * second))
+		if list == nil || len(list.Entries) != len(w.Items)+1 || !strings.Contains(lines, "confirmed") || len(m.Status(4*second).Held) != 0 {
+			t.Errorf("%s: confirmed: %v\n%s", name, list, lines)
+		}
+		if list, lines, _ = read(m.Tick(5 * second)); list != nil || lines != "" {
+			t.Errorf("%s: and then %v %s", name, list, lines)
+		}
+	}
+	// They come back by themselves: nothing is held any more.
+	m := New(guarded())
+	m.Whole(second, 0, Whole{History: 1, Revision: 100, Items: items(1, upTo(10)...)})
+	m.Whole(2*second, 0, Whole{History: 1, Revision: 101})
+	if m.Whole(3*second, 0, Whole{History: 1, Revision: 102, Items: items(1, upTo(10)...)}); len(m.Status(3*second).Held) != 0 || m.Status(3*second).Entries != 10 {
+		t.Errorf("%+v", m.Status(3*second))
+	}
+}
+
+// What goes one after the other, is replaced, or drains is not held, however much it is.
+func TestWhatIsNotHeld(t *testing.T) {
+	t.Parallel()
+	start := func() *Model {
+		m := New(guarded())
+		m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: items(1, upTo(10)...)})
+		return m
+	}
+	m := start()
+	for i := range 5 {
+		m.Change(2*second+time.Duration(i)*ms, 0, Change{Revision: int64(2 + i), Deletes: []string{fmt.Sprint("n", i)}})
+	}
+	if s := m.Status(3 * second); s.Entries != 5 || len(s.Held) != 0 {
+		t.Errorf("half went one by one: %+v", s)
+	}
+	if m.Change(3*second, 0, Change{Revision: 9, Deletes: []string{"n5"}}); m.Status(3*second).Entries != 5 || len(m.Status(3*second).Held) != 1 {
+		t.Errorf("one more within the time: %+v", m.Status(3*second))
+	}
+	m = start()
+	all := Change{Revision: 2}
+	for i := range 10 {
+		all.Deletes = append(all.Deletes, fmt.Sprint("n", i))
+		all.Puts = append(all.Puts, Item{Name: fmt.Sprint("m", i), Mod: 2, Entry: at(i)})
+	}
+	list, _, _ := read(m.Change(2*second, 0, all))
+	if s := m.Status(2 * second); list == nil || s.Entries != 10 || len(s.Held) != 0 || list.Entries["m3"] != at(3) {
+		t.Errorf("all were replaced at their addresses: %+v", s)
+	}
+	m = start()
+	drains := Change{Revision: 2, Puts: items(2, upTo(10)...)}
+	for i := range drains.Puts {
+		drains.Puts[i].Entry.Draining = true
+	}
+	list, _, _ = read(m.Change(2*second, 0, drains))
+	for name, e := range list.Entries {
+		if !e.Draining {
+			t.Errorf("%s does not drain", name)
+		}
+	}
+	if list, _, _ = read(m.Change(3*second, 0, Change{Revision: 3, Deletes: all.Deletes})); list == nil || len(list.Entries) != 0 {
+		t.Errorf("what drained and is gone: %v", list)
+	}
+}
+
+// An old list is served from, marked as such, until a source has told one; and a whole list that lost most
+// of it, much later, is met by the guard.
+func TestOldLists(t *testing.T) {
+	t.Parallel()
+	m := New(guarded())
+	old := map[string]Entry{}
+	for _, i := range items(0, upTo(10)...) {
+		old[i.Name] = i.Entry
+	}
+	list, _, _ := read(m.Known(second, old))
+	if list == nil || !list.Cached || len(list.Entries) != 10 || m.Status(second).Age != -1 {
+		t.Fatalf("%+v", list)
+	}
+	if list, lines, _ := read(m.Lost(2*second, 0, "no route")); list != nil || !strings.Contains(lines, "registry: lost (no route)") {
+		t.Errorf("%v %s", list, lines)
+	}
+	if _, lines, _ := read(m.Lost(3*second, 0, "no route")); lines != "" {
+		t.Errorf("said again: %s", lines)
+	}
+	list, _, _ = read(m.Whole(time.Hour, 0, Whole{History: 1, Revision: 4, Items: items(1, upTo(9)...)}))
+	if list == nil || list.Cached || len(list.Entries) != 9 {
+		t.Errorf("%+v", list)
+	}
+	// The same list, confirmed: the module is told that it is no old one any more.
+	m = New(guarded())
+	m.Known(second, old)
+	if list, _, _ = read(m.Whole(2*second, 0, Whole{History: 1, Revision: 4, Items: items(1, upTo(10)...)})); list == nil || list.Cached {
+		t.Errorf("%+v", list)
+	}
+	if list, _, _ = read(m.Known(3*second, nil)); list != nil {
+		t.Errorf("an old list after a new one: %+v", list)
+	}
+	m = New(guarded())
+	m.Known(second, old)
+	if list, lines, _ := read(m.Whole(2*time.Hour, 0, Whole{History: 1, Revision: 4})); list == nil || len(list.Entries) != 10 || !strings.Contains(lines, "WARNING") {
+		t.Errorf("an empty list after an old one: %+v\n%s", list, lines)
+	}
+}
+
+// An entry that flaps ten times a second stays out until it has been quiet; its going and its drains count at
+// once. Where most flap, none is damped: it is the registry.
+func TestFlaps(t *testing.T) {
+	t.Parallel()
+	m, now, rev := New(guarded()), second, int64(1)
+	m.Whole(now, 0, Whole{History: 1, Revision: 1, Items: items(1, upTo(10)...)})
+	changes, in := 0, true
+	for range 100 {
+		now, rev, in = now+50*ms, rev+1, !in
+		c := Change{Revision: rev, Deletes: []string{"n3"}}
+		if in {
+			c = Change{Revision: rev, Puts: items(rev, 3)}
+		}
+		list, _, _ := read(m.Change(now, 0, c))
+		if list != nil {
+			changes++
+		}
+		if _, there := m.shown["n3"]; there && !in {
+			t.Fatalf("it is gone, and still shown")
+		}
+	}
+	if !in {
+		t.Fatal("the day ends wrongly")
+	}
+	if changes > 12 || len(m.Status(now).Damped) != 1 {
+		t.Errorf("%d lists for a hundred changes, damped %v", changes, m.Status(now).Damped)
+	}
+	due := m.Next(now)
+	if due <= now || due > now+3*time.Minute {
+		t.Fatalf("it may come back after %v", due-now)
+	}
+	if m.Tick(due - second); len(m.Status(due).Damped) != 1 {
+		t.Error("it came back too early")
+	}
+	if list, _, _ := read(m.Tick(due)); list == nil || list.Entries["n3"] != at(3) || m.Next(due) != 0 {
+		t.Errorf("after %v: %+v", due-now, list)
+	}
+
+	m, rev = New(guarded()), 1
+	m.Whole(now, 0, Whole{History: 1, Revision: 1, Items: items(1, upTo(10)...)})
+	for k := range 40 {
+		now, rev = now+50*ms, rev+1
+		c := Change{Revision: rev, Puts: items(rev, upTo(10)...)}
+		for i := range c.Puts {
+			c.Puts[i].Entry.Draining = k%2 == 0
+		}
+		m.Change(now, 0, c)
+	}
+	if n := len(m.shown); n != 10 {
+		t.Errorf("all flap, and %d are shown", n)
+	}
+}
+
+// The better source is left when it is lost for long, and returned to when it has been well for a while; a
+// source that comes and goes moves nothing.
+func TestMovesBetweenSources(t *testing.T) {
+	t.Parallel()
+	m := New(guarded())
+	list, _, _ := read(m.Whole(second, 1, Whole{History: 9, Revision: 7, Items: items(1, 0, 1, 2, 3)}))
+	if list == nil || m.Status(second).Source != "platform" {
+		t.Fatalf("%+v", m.Status(second))
+	}
+	m.Whole(2*second, 0, Whole{History: 1, Revision: 1, Items: items(1, 0, 1, 2, 3, 4)})
+	if m.Status(2*second).Source != "platform" {
+		t.Error("moved to what was never well before")
+	}
+	if due := m.Next(2 * second); due != 5*second {
+		t.Errorf("next at %v", due)
+	}
+	list, lines, _ := read(m.Tick(7*second + ms))
+	if list == nil || len(list.Entries) != 5 || !strings.Contains(lines, "the list is now registry's, and was platform's") {
+		t.Fatalf("%+v %s", list, lines)
+	}
+	m.Lost(8*second, 0, "reset")
+	if m.Tick(17 * second); m.Status(17*second).Source != "registry" {
+		t.Error("moved within the patience")
+	}
+	if due := m.Next(17 * second); due != 18*second {
+		t.Errorf("next at %v", due)
+	}
+	if m.Tick(18 * second); m.Status(18*second).Source != "platform" || m.Status(18*second).Entries != 4 {
+		t.Errorf("%+v", m.Status(18*second))
+	}
+	for k := range 20 { // it comes and goes each two seconds
+		now := 20*second + time.Duration(k)*2*second
+		m.Progress(now, 0, int64(1))
+		m.Tick(now + second)
+		if m.Lost(now+second, 0, "reset"); m.Status(now).Source != "platform" {
+			t.Fatalf("moved at %v", now)
+		}
+	}
+	m.Lost(90*second, 1, "gone too")
+	if m.Tick(120 * second); m.Status(120*second).Entries != 4 {
+		t.Errorf("with both lost: %+v", m.Status(120*second))
+	}
+}
+
+// A bad value disables one entry: its last good one stands, it is said once and counted.
+func TestBadValues(t *testing.T) {
+	t.Parallel()
+	m := New(plain())
+	m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: append(items(1, 0, 1), Item{Name: "n7", Mod: 1, Bad: "no address"})})
+	list, lines, _ := read(m.Change(2*second, 0, Change{Revision: 2, Puts: []Item{{Name: "n1", Mod: 2, Bad: "weight is text"}}}))
+	if list != nil || !strings.Contains(lines, "entry n1 can't be read (weight is text): its last good one stands") {
+		t.Errorf("%v %s", list, lines)
+	}
+	if _, lines, _ = read(m.Change(3*second, 0, Change{Revision: 3, Puts: []Item{{Name: "n1", Mod: 3, Bad: "weight is text"}}})); lines != "" {
+		t.Errorf("said again: %s", lines)
+	}
+	if bad := m.Status(3 * second).Sources[0].Bad; len(bad) != 2 || bad["n7"] != "no address" {
+		t.Errorf("%v", bad)
+	}
+	m.Change(4*second, 0, Change{Revision: 4, Puts: items(4, 1), Deletes: []string{"n7"}})
+	if bad := m.Status(4 * second).Sources[0].Bad; len(bad) != 0 {
+		t.Errorf("%v", bad)
+	}
+	list, _, _ = read(m.Whole(5*second, 0, Whole{History: 1, Revision: 5, Items: []Item{{Name: "n1", Mod: 5, Bad: "cut off"}}}))
+	if list == nil || len(list.Entries) != 1 || list.Entries["n1"] != at(1) {
+		t.Errorf("%+v", list)
+	}
+}
+
+// One name at a new address and another at the old one, in one transaction, is one list; two at one address
+// for good are one entry.
+func TestAddresses(t *testing.T) {
+	t.Parallel()
+	m := New(plain())
+	m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: items(1, 0, 1)})
+	acts := m.Change(2*second, 0, Change{Revision: 2, Puts: []Item{{Name: "n0", Mod: 2, Entry: at(5)}, {Name: "n9", Mod: 2, Entry: at(0)}}})
+	if list, lines, _ := read(acts); len(acts) != 1 || lines != "" || len(list.Entries) != 3 || list.Entries["n0"] != at(5) || list.Entries["n9"] != at(0) {
+		t.Errorf("%+v", acts)
+	}
+	list, lines, _ := read(m.Change(3*second, 0, Change{Revision: 3, Puts: []Item{{Name: "n4", Mod: 3, Entry: at(1)}}}))
+	if len(list.Entries) != 3 || list.Entries["n4"] != at(1) || !strings.Contains(lines, "n1 and n4 are both at") {
+		t.Errorf("%+v %s", list, lines)
+	}
+}
+
+// Five thousand nodes, and a change of all: one list. More than the bound are left out, and said.
+func TestLarge(t *testing.T) {
+	t.Parallel()
+	cfg := guarded()
+	cfg.Most = 5000
+	m := New(cfg)
+	if list, _, _ := read(m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: items(1, upTo(5000)...)})); len(list.Entries) != 5000 {
+		t.Fatal(len(list.Entries))
+	}
+	c := Change{Revision: 2, Puts: items(2, upTo(5003)...)}
+	for i := range c.Puts {
+		c.Puts[i].Entry.Weight = 2
+	}
+	acts := m.Change(2*second, 0, c)
+	list, lines, _ := read(acts)
+	if len(list.Entries) != 5000 || list.Entries["n77"].Weight != 2 || !strings.Contains(lines, "more than 5000 entries") {
+		t.Errorf("%d entries, %s", len(list.Entries), lines)
+	}
+}
+
+// Whatever comes in whatever order: a drain or an end that the shown source tells shows at once, unless the
+// guard holds it; what is held is in the list; every list is another than the one before; Next is not past.
+func TestWhateverComes(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m, now := New(guarded()), second
+		var last *List
+		item := rapid.Custom(func(t *rapid.T) Item {
+			n := rapid.IntRange(0, 9).Draw(t, "n")
+			i := Item{Name: fmt.Sprint("n", n), Mod: int64(rapid.IntRange(1, 50).Draw(t, "mod")), Entry: at(rapid.IntRange(0, 11).Draw(t, "address"))}
+			i.Entry.Draining = rapid.Bool().Draw(t, "drains")
+			if rapid.IntRange(0, 9).Draw(t, "bad") == 0 {
+				i.Bad = "noise"
+			}
+			return i
+		})
+		distinct := func(i Item) string { return i.Name }
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				for _, a := range append(m.take(), m.Tick(now)...) {
+					if l, is := a.(List); is {
+						last = &l
+					}
+				}
+				if n := m.Next(now); n != 0 && n <= now {
+					t.Fatalf("next at %v, now %v", n, now)
+				}
+				s := m.Status(now)
+				for _, h := range s.Held {
+					if _, there := m.shown[h]; !there {
+						t.Fatalf("%s is held, and not shown", h)
+					}
+				}
+				if last != nil && !maps.Equal(last.Entries, m.shown) {
+					t.Fatalf("told %v, shown %v", last.Entries, m.shown)
+				}
+				if m.active < 0 {
+					return
+				}
+				src := m.sources[m.active]
+				for name, e := range m.shown {
+					i, there := src.items[name]
+					if !there && !slices.Contains(s.Held, name) {
+						t.Fatalf("%s is gone, not held, and shown", name)
+					}
+					if there && i.Entry.Draining && !e.Draining {
+						t.Fatalf("%s drains, and is shown as ready", name)
+					}
+				}
+			},
+			"time": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * ms },
+			"whole": func(t *rapid.T) {
+				src := rapid.IntRange(0, 1).Draw(t, "source")
+				keep(&last, m.Whole(now, src, Whole{History: uint64(rapid.IntRange(1, 2).Draw(t, "history")), Revision: int64(rapid.IntRange(0, 60).Draw(t, "revision")),
+					Items: rapid.SliceOfNDistinct(item, 0, 10, distinct).Draw(t, "items"), Stale: rapid.Bool().Draw(t, "stale")}))
+			},
+			"change": func(t *rapid.T) {
+				src := rapid.IntRange(0, 1).Draw(t, "source")
+				puts := rapid.SliceOfNDistinct(item, 0, 4, distinct).Draw(t, "puts")
+				var deletes []string
+				for _, n := range rapid.SliceOfDistinct(rapid.IntRange(0, 9), rapid.ID).Draw(t, "deletes") {
+					if name := fmt.Sprint("n", n); !slices.ContainsFunc(puts, func(i Item) bool { return i.Name == name }) {
+						deletes = append(deletes, name)
+					}
+				}
+				keep(&last, m.Change(now, src, Change{m.sources[src].revision + int64(rapid.IntRange(0, 3).Draw(t, "by")), puts, deletes}))
+			},
+			"progress": func(t *rapid.T) {
+				src := rapid.IntRange(0, 1).Draw(t, "source")
+				keep(&last, m.Progress(now, src, int64(rapid.IntRange(0, 60).Draw(t, "revision"))))
+			},
+			"compacted": func(t *rapid.T) { keep(&last, m.Compacted(now, rapid.IntRange(0, 1).Draw(t, "source"))) },
+			"lost":      func(t *rapid.T) { keep(&last, m.Lost(now, rapid.IntRange(0, 1).Draw(t, "source"), "reset")) },
+			"confirm":   func(t *rapid.T) { keep(&last, m.Confirm(now)) },
+			"old": func(t *rapid.T) {
+				keep(&last, m.Known(now, map[string]Entry{"n0": at(0), "n1": at(1)}))
+			},
+		})
+	})
+}
+
+func keep(last **List, acts []Action) {
+	if l, _, _ := read(acts); l != nil {
+		*last = l
+	}
+}
