Follow a node list in etcd or Consul, through all that goes wrong

internal/registry speaks etcd v3's JSON gateway and Consul's KV with blocking queries, by the standard library: the gRPC client was weighed and not taken, for some 10 MB of binary and its connections' own ideas of reconnecting. internal/standin has a registry for both protocols that compacts, loses its history, is restored, lags, is cut off, delays, repeats and closes watches. Tests over sockets for each, and histories with whatever goes wrong: what is held is always the registry's at a revision between the last told and the newest. Not wired into the daemon yet.

Known: the same index with another history can't be told apart by Consul's protocol.

--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,234 @@
+// Package registry follows a list of nodes in a key-value registry: over etcd's JSON gateway, or by Consul's
+// blocking queries. It owns the calls, where they go on after they broke, and the form of a node's value. What
+// a list means, and which one counts, is package members' to judge; this package only says what it was told,
+// and never drops anything by itself.
+package registry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"marlreel/internal/members"
+)
+
+// Told is what a client has to tell. Its methods are called on one goroutine.
+type Told interface {
+	Whole(w members.Whole)
+	Change(c members.Change)
+	Progress(revision int64)
+	Compacted()
+	Lost(why string)
+}
+
+// Client speaks one registry's protocol.
+type Client interface {
+	// Whole reads all nodes at one revision.
+	Whole(ctx context.Context) (members.Whole, error)
+	// Watch tells what comes after a revision until it breaks. ErrCompacted and ErrHistory say that the whole
+	// list is needed first.
+	Watch(ctx context.Context, w members.Whole, told Told) error
+	// Next goes on to the next endpoint.
+	Next()
+}
+
+// Errors of Watch.
+var (
+	ErrCompacted = errors.New("the changes behind this revision are no longer there")
+	ErrHistory   = errors.New("the registry's history is another")
+)
+
+const (
+	backoffLeast = 100 * time.Millisecond
+	backoffMost  = 5 * time.Second
+	callWithin   = 5 * time.Second
+	longestBody  = 64 << 20 // of a page or an event
+	pageOf       = 500      // keys
+	mostNodes    = 20_000
+)
+
+// Follow keeps a list up to date until ctx ends. again asks for the whole list once more.
+func Follow(ctx context.Context, c Client, told Told, again <-chan struct{}) {
+	backoff := backoffLeast
+	rest := func() {
+		// Jitter: a registry that was restarted is not met by all proxies at once.
+		d := backoff/2 + time.Duration(rand.Int64N(int64(backoff)))
+		backoff = min(2*backoff, backoffMost)
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}
+	var held members.Whole
+	have := false
+	for ctx.Err() == nil {
+		if !have {
+			within, done := context.WithTimeout(ctx, 4*callWithin)
+			w, err := c.Whole(within)
+			done()
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				told.Lost(oneLine(err))
+				c.Next()
+				rest()
+				continue
+			}
+			select { // an answer to what was asked before it began
+			case <-again:
+			default:
+			}
+			told.Whole(w)
+			held, have = w, true
+		}
+		began := time.Now()
+		watch, stop := context.WithCancel(ctx)
+		asked := make(chan bool, 1)
+		go func() {
+			select {
+			case <-again:
+				asked <- true
+				stop()
+			case <-watch.Done():
+				asked <- false
+			}
+		}()
+		p := &position{Told: told, at: &held}
+		err := c.Watch(watch, held, p)
+		stop()
+		wantWhole := <-asked
+		if ctx.Err() != nil {
+			return
+		}
+		if p.moved || time.Since(began) > 2*backoffMost {
+			backoff = backoffLeast
+		}
+		switch {
+		case wantWhole:
+			have = false
+		case errors.Is(err, ErrCompacted):
+			told.Compacted()
+			have = false
+		case errors.Is(err, ErrHistory):
+			have = false
+		default:
+			told.Lost(oneLine(err))
+			c.Next()
+		}
+		rest()
+	}
+}
+
+// position follows how far a watch has come: the next one goes on from there.
+type position struct {
+	Told
+	at    *members.Whole
+	moved bool
+}
+
+func (p *position) Whole(w members.Whole) {
+	*p.at, p.moved = members.Whole{History: w.History, Revision: w.Revision}, true
+	p.Told.Whole(w)
+}
+
+func (p *position) Change(c members.Change) {
+	p.at.Revision, p.moved = max(p.at.Revision, c.Revision), true
+	p.Told.Change(c)
+}
+
+func (p *position) Progress(revision int64) {
+	p.at.Revision, p.moved = max(p.at.Revision, revision), true
+	p.Told.Progress(revision)
+}
+
+func oneLine(err error) string {
+	if err == nil {
+		return "it ended"
+	}
+	s := strings.Join(strings.Fields(err.Error()), " ")
+	if len(s) > 300 {
+		s = s[:300]
+	}
+	return s
+}
+
+// Value is a node's, as it stands in the registry under prefix and id: version 1.
+type Value struct {
+	Version int     `json:"v"`
+	Address string  `json:"address"` // ip:port
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind,omitempty"`
+	Cell    int     `json:"cell,omitempty"`
+	State   string  `json:"state"` // ready, draining
+	Weight  float64 `json:"weight,omitempty"`
+	Started int64   `json:"started_ms,omitempty"` // Unix time
+}
+
+// longestValue bounds what one node may take.
+const longestValue = 4096
+
+// Item reads a node's entry. What can't be read is an item that says why.
+func Item(prefix, key string, value []byte, mod int64) members.Item {
+	name, ok := strings.CutPrefix(key, prefix)
+	i := members.Item{Name: name, Mod: mod}
+	v, err := parseValue(value)
+	switch {
+	case !ok || name == "" || len(name) > 128 || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '/' }):
+		i.Bad = fmt.Sprintf("key %.140q: %s and an id of printable characters without spaces and slashes is needed", key, prefix)
+	case err != nil:
+		i.Bad = err.Error()
+	default:
+		weight := v.Weight
+		if weight == 0 {
+			weight = 1
+		}
+		i.Entry = members.Entry{Addr: v.Address, Zone: v.Zone, Kind: v.Kind, Cell: v.Cell, Draining: v.State == "draining", Weight: weight, Started: v.Started}
+	}
+	return i
+}
+
+func parseValue(data []byte) (v Value, err error) {
+	if len(data) > longestValue {
+		return v, fmt.Errorf("%d bytes, and %d are the most", len(data), longestValue)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	if err := d.Decode(&v); err != nil {
+		return v, fmt.Errorf("no JSON: %s", oneLine(err))
+	}
+	switch _, bad := netip.ParseAddrPort(v.Address); {
+	case d.More():
+		return v, errors.New("more than one value")
+	case v.Version != 1:
+		return v, fmt.Errorf("v = %d: 1 is needed", v.Version)
+	case bad != nil:
+		return v, fmt.Errorf("address = %.80q: ip:port is needed", v.Address)
+	case v.State != "ready" && v.State != "draining":
+		return v, fmt.Errorf("state = %.80q: ready or draining is needed", v.State)
+	case v.Zone == "" || len(v.Zone) > 128 || len(v.Kind) > 128:
+		return v, errors.New("zone is needed, and zone and kind of up to 128 bytes")
+	case !(v.Weight >= 0) || math.IsInf(v.Weight, 0) || v.Weight > 1e6:
+		return v, fmt.Errorf("weight = %v: 0 (for 1) to a million is needed", v.Weight)
+	case v.Started < 0 || v.Cell < 0:
+		return v, errors.New("started_ms and cell can't be below 0")
+	}
+	return v, nil
+}
+
+// Encode is a node's value.
+func (v Value) Encode() ([]byte, error) {
+	v.Version = 1
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	_, err = parseValue(data)
+	return data, err
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,543 @@
+package registry
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"maps"
+	"math/big"
+	mrand "math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"marlreel/internal/members"
+	"marlreel/internal/standin"
+	"marlreel/internal/testutil"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const prefix = "marlreel/nodes/"
+
+// follower is a model that a client tells, as a proxy has it.
+type follower struct {
+	t     *testing.T
+	mu    sync.Mutex
+	model *members.Model
+	list  map[string]members.Entry
+	lists int
+	lines []string
+	again chan struct{}
+	began time.Time
+	seen  func() // after each event, under the lock
+}
+
+func (f *follower) do(acts []members.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case members.List:
+			f.list = a.Entries
+			f.lists++
+		case members.Say:
+			f.lines = append(f.lines, string(a))
+		case members.Load:
+			select {
+			case f.again <- struct{}{}:
+			default:
+			}
+		}
+	}
+	if f.seen != nil {
+		f.seen()
+	}
+}
+
+func (f *follower) now() time.Duration { return time.Second + time.Since(f.began) }
+
+func (f *follower) on(event func() []members.Action) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.do(event())
+}
+
+func (f *follower) Whole(w members.Whole) {
+	f.on(func() []members.Action { return f.model.Whole(f.now(), 0, w) })
+}
+func (f *follower) Change(c members.Change) {
+	f.on(func() []members.Action { return f.model.Change(f.now(), 0, c) })
+}
+func (f *follower) Progress(r int64) {
+	f.on(func() []members.Action { return f.model.Progress(f.now(), 0, r) })
+}
+func (f *follower) Compacted() {
+	f.on(func() []members.Action { return f.model.Compacted(f.now(), 0) })
+}
+func (f *follower) Lost(why string) {
+	f.on(func() []members.Action { return f.model.Lost(f.now(), 0, why) })
+}
+
+func (f *follower) status() members.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.model.Status(f.now())
+}
+
+func (f *follower) holds(want map[string]members.Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Equal(f.list, want)
+}
+
+func (f *follower) said(what string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Contains(strings.Join(f.lines, "\n"), what)
+}
+
+// follow starts a follower of a registry until the test ends.
+func follow(t *testing.T, cfg Config, m members.Config) *follower {
+	t.Helper()
+	c, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e, is := c.(*etcd); is {
+		e.checkEvery = 300 * time.Millisecond
+	}
+	f := &follower{t: t, model: members.New(m), again: make(chan struct{}, 1), began: time.Now()}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); Follow(ctx, c, f, f.again) }()
+	t.Cleanup(func() {
+		stop()
+		<-done
+		c.Next()
+	})
+	return f
+}
+
+func start(t *testing.T) *standin.Registry {
+	t.Helper()
+	r, err := standin.StartRegistry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func config(kind string, r *standin.Registry) Config {
+	c := DefaultConfig()
+	c.Kind, c.Endpoints, c.Prefix = kind, []string{r.URL()}, prefix
+	return c
+}
+
+func plain() members.Config {
+	return members.Config{Sources: []string{"registry"}, Patience: time.Minute, Guard: 1, Most: 20000}
+}
+
+func node(n, port int, state string) standin.RegistryOp {
+	return standin.RegistryOp{Key: fmt.Sprint(prefix, "n", n), Value: fmt.Sprintf(`{"v":1,"address":"127.0.0.1:%d","zone":"koper","state":%q}`, port, state)}
+}
+
+func gone(n int) standin.RegistryOp {
+	return standin.RegistryOp{Key: fmt.Sprint(prefix, "n", n), Delete: true}
+}
+
+// stateOf is what a registry's state means.
+func stateOf(r *standin.Registry, revision int64) map[string]members.Entry {
+	out := map[string]members.Entry{}
+	for k, v := range r.State(revision) {
+		if strings.HasPrefix(k, prefix) {
+			if i := Item(prefix, k, []byte(v), 1); i.Bad == "" {
+				out[i.Name] = i.Entry
+			}
+		}
+	}
+	return out
+}
+
+// caughtUp waits until a follower holds the registry's newest state.
+func caughtUp(t *testing.T, f *follower, r *standin.Registry) {
+	t.Helper()
+	testutil.Eventually(t, "the newest list", func() bool { return f.holds(stateOf(r, r.Revision())) })
+}
+
+func both(t *testing.T, test func(t *testing.T, kind string)) {
+	for _, kind := range []string{"etcd", "consul"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			test(t, kind)
+		})
+	}
+}
+
+// Changes come as transactions, each as one list; other keys, repeats, fragments and bad values do no harm.
+func TestChanges(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, kind string) {
+		r := start(t)
+		r.Txn(node(0, 1000, "ready"), node(1, 1001, "ready"), standin.RegistryOp{Key: "marlreel/other", Value: "x"})
+		f := follow(t, config(kind, r), plain())
+		caughtUp(t, f, r)
+		r.Repeat(true)
+		r.Fragment(1)
+		f.mu.Lock()
+		f.seen = func() {
+			if len(f.list) == 3 || len(f.list) == 1 {
+				t.Errorf("half a transaction is shown: %v", f.list)
+			}
+		}
+		f.mu.Unlock()
+		// An address goes from one to another, and a third comes, at once.
+		r.Txn(node(0, 1005, "ready"), node(2, 1000, "ready"), node(3, 1003, "draining"))
+		caughtUp(t, f, r)
+		r.Txn(gone(0), gone(1))
+		caughtUp(t, f, r)
+		r.Txn(standin.RegistryOp{Key: prefix + "n2", Value: "{"}, standin.RegistryOp{Key: prefix + "n9", Value: `{"v":2}`}, node(3, 1003, "ready"))
+		testutil.Eventually(t, "the bad values", func() bool { return len(f.status().Sources[0].Bad) == 2 })
+		if s := f.status(); s.Entries != 2 || s.Age < 0 {
+			t.Errorf("%+v", s)
+		}
+		r.Txn(node(2, 1002, "ready"), standin.RegistryOp{Key: prefix + "n9", Delete: true})
+		caughtUp(t, f, r)
+		if s := f.status(); len(s.Sources[0].Bad) != 0 {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// Five thousand nodes come page by page at one revision, also while they change.
+func TestPages(t *testing.T) {
+	t.Parallel()
+	r := start(t)
+	var all []standin.RegistryOp
+	for i := range 5000 {
+		all = append(all, node(i, 1000+i, "ready"))
+	}
+	r.Txn(all...)
+	stop := make(chan struct{})
+	var writer sync.WaitGroup
+	writer.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				r.Txn(gone(i), node(5000+i, 10000+i, "ready"))
+			}
+		}
+	})
+	f := follow(t, config("etcd", r), plain())
+	testutil.Eventually(t, "the list", func() bool { return f.status().Entries > 0 })
+	if s := f.status(); s.Entries != 5000 {
+		t.Errorf("%d nodes, and there are 5000 at any revision", s.Entries)
+	}
+	close(stop)
+	writer.Wait()
+	caughtUp(t, f, r)
+	if n := r.Calls("/v3/kv/range"); n < 10 {
+		t.Errorf("%d pages", n)
+	}
+}
+
+// What happens while nobody listens is made up for: by the changes where they are kept, by the whole list
+// where they are compacted, and where the history is another.
+func TestWhileNobodyListens(t *testing.T) {
+	t.Parallel()
+	for name, meanwhile := range map[string]func(r *standin.Registry){
+		"changes":            func(r *standin.Registry) { r.Txn(gone(0)); r.Txn(node(7, 1007, "ready")) },
+		"compacted":          func(r *standin.Registry) { r.Txn(gone(0)); r.Txn(node(7, 1007, "ready")); r.Compact(r.Revision()) },
+		"restored":           func(r *standin.Registry) { r.Restore(2, false) },
+		"restored, and more": func(r *standin.Registry) { r.Restore(2, false); r.Txn(gone(1)); r.Txn(node(8, 1008, "ready")) },
+		"set up anew":        func(r *standin.Registry) { r.Restore(2, true); r.Txn(gone(0)); r.Txn(node(9, 1009, "ready")) },
+	} {
+		both(t, func(t *testing.T, kind string) {
+			t.Run(name, func(t *testing.T) {
+				r := start(t)
+				r.Txn(node(0, 1000, "ready"), node(1, 1001, "ready"))
+				r.Txn(node(2, 1002, "ready"))
+				r.Txn(node(3, 1003, "ready"))
+				r.Txn(node(4, 1004, "ready"))
+				f := follow(t, config(kind, r), plain())
+				caughtUp(t, f, r)
+				r.Cut(true)
+				r.CloseWatches()
+				meanwhile(r)
+				r.Cut(false)
+				caughtUp(t, f, r)
+				r.Txn(node(5, 1005, "ready")) // and it goes on from there
+				caughtUp(t, f, r)
+			})
+		})
+	}
+}
+
+// A member that lags, where none knows what is newest, brings nobody back who has left; the list that is held
+// stands, and the next sure word counts.
+func TestStaleMembers(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, kind string) {
+		r := start(t)
+		r.Txn(node(0, 1000, "ready"), node(1, 1001, "ready"))
+		f := follow(t, config(kind, r), plain())
+		caughtUp(t, f, r)
+		r.Txn(gone(0))
+		caughtUp(t, f, r)
+		r.Lag(1)
+		r.Quorum(false)
+		f.again <- struct{}{} // the whole list, for whatever reason
+		testutil.Eventually(t, "a word on the old list", func() bool { return f.said("left alone") })
+		if !f.holds(stateOf(r, r.Revision())) {
+			t.Errorf("%v", f.status())
+		}
+		r.Quorum(true)
+		r.Txn(node(4, 1004, "ready"))
+		caughtUp(t, f, r)
+		// One that starts now, with none but the member that lags, has an old list, and knows no better.
+		r.Quorum(false)
+		late := follow(t, config(kind, r), plain())
+		testutil.Eventually(t, "the old list", func() bool { return late.holds(stateOf(r, r.Revision()-1)) })
+	})
+}
+
+// A registry that is cut off without a word is noticed; its list stands. Where there are others, the next one
+// is asked.
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, kind string) {
+		r := start(t)
+		r.Txn(node(0, 1000, "ready"))
+		cfg := config(kind, r)
+		dead, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		dead.Close()
+		cfg.Endpoints = []string{"http://" + dead.Addr().String(), r.URL()}
+		f := follow(t, cfg, plain())
+		caughtUp(t, f, r)
+		if !f.said("lost (") || !f.said("found again") && f.status().Sources[0].Lost {
+			t.Errorf("%v", f.lines)
+		}
+		if kind == "consul" {
+			return // a blocking query that is cut off ends with its own time, a minute
+		}
+		r.Cut(true)
+		testutil.Eventually(t, "the loss", func() bool { return f.status().Sources[0].Lost })
+		if f.status().Entries != 1 {
+			t.Error("the list went with the registry")
+		}
+		r.Txn(node(1, 1001, "ready"))
+		r.Cut(false)
+		caughtUp(t, f, r)
+	})
+}
+
+// A user logs in, and again when the token is no longer taken; Consul's token is read anew.
+func TestUsers(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, kind string) {
+		r := start(t)
+		r.Txn(node(0, 1000, "ready"))
+		r.Login("proxy", "s3cret")
+		cfg := config(kind, r)
+		cfg.Password = filepath.Join(t.TempDir(), "password")
+		if err := os.WriteFile(cfg.Password, []byte("wrong\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if kind == "etcd" {
+			cfg.User = "proxy"
+		}
+		f := follow(t, cfg, plain())
+		testutil.Eventually(t, "the refusal", func() bool { return f.said("lost (") })
+		if err := os.WriteFile(cfg.Password, []byte("s3cret\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		caughtUp(t, f, r)
+		r.Login("proxy", "s3cret") // all tokens are void
+		r.CloseWatches()
+		r.Txn(node(1, 1001, "ready"))
+		caughtUp(t, f, r)
+	})
+}
+
+// Over sockets, with whatever goes wrong: what is held is always the registry's at some revision between the
+// last that was told and the newest, and never goes back.
+func TestHistoriesOverSockets(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, kind string) {
+		for seed := range uint64(4) {
+			r := start(t)
+			rng := mrand.New(mrand.NewPCG(seed, 5))
+			r.Txn(node(0, 1000, "ready"))
+			f := follow(t, config(kind, r), plain())
+			caughtUp(t, f, r)
+			last := int64(0)
+			f.mu.Lock()
+			f.seen = func() {
+				s := f.model.Status(f.now())
+				if s.Revision < last || s.Revision > r.Revision() {
+					t.Errorf("seed %d: revision %d after %d, newest %d", seed, s.Revision, last, r.Revision())
+				}
+				last = s.Revision
+				if want := stateOf(r, s.Revision); !maps.Equal(f.list, want) {
+					t.Errorf("seed %d: at revision %d\n%v\nwant %v", seed, s.Revision, f.list, want)
+				}
+			}
+			f.mu.Unlock()
+			for range 60 {
+				switch rng.IntN(10) {
+				case 0:
+					r.CloseWatches()
+				case 1:
+					r.Compact(r.Revision() - int64(rng.IntN(2)))
+				case 2:
+					r.Repeat(rng.IntN(2) == 0)
+				case 3:
+					r.Fragment(rng.IntN(3))
+				case 4:
+					r.Delay(time.Duration(rng.IntN(10)) * time.Millisecond)
+				default:
+					n := rng.IntN(8)
+					ops := []standin.RegistryOp{node(n, 2000+10*n+rng.IntN(3), []string{"ready", "draining"}[rng.IntN(2)])}
+					if m := rng.IntN(8); m != n {
+						ops = append(ops, gone(m))
+					}
+					r.Txn(ops...)
+				}
+				time.Sleep(time.Duration(rng.IntN(8)) * time.Millisecond)
+			}
+			r.Delay(0)
+			caughtUp(t, f, r)
+		}
+	})
+}
+
+// certificates makes a CA, and a certificate of it.
+func certificates(t *testing.T) (ca, cert, key string, pair tls.Certificate, pool *x509.CertPool) {
+	t.Helper()
+	dir := t.TempDir()
+	write := func(name, kind string, der []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "registry"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ca, cert, key = write("ca.pem", "CERTIFICATE", der), write("cert.pem", "CERTIFICATE", der), write("key.pem", "PRIVATE KEY", secret)
+	if pair, err = tls.LoadX509KeyPair(cert, key); err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool = x509.NewCertPool()
+	pool.AddCert(parsed)
+	return ca, cert, key, pair, pool
+}
+
+// TLS with certificates on both sides; without the client's nothing is told.
+func TestTLS(t *testing.T) {
+	t.Parallel()
+	ca, cert, key, pair, pool := certificates(t)
+	r, err := standin.StartRegistryTLS(&tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	r.Txn(node(0, 1000, "ready"))
+	cfg := config("etcd", r)
+	cfg.Endpoints, cfg.CA = []string{"https://" + r.Addr}, ca
+	none := follow(t, cfg, plain())
+	testutil.Eventually(t, "the refusal", func() bool { return none.said("lost (") })
+	cfg.Cert, cfg.Key = cert, key
+	f := follow(t, cfg, plain())
+	caughtUp(t, f, r)
+	r.Txn(node(1, 1001, "ready"))
+	caughtUp(t, f, r)
+	if none.status().Entries != 0 {
+		t.Error("a client without a certificate got a list")
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	t.Parallel()
+	good := func() Config {
+		c := DefaultConfig()
+		c.Kind, c.Endpoints = "etcd", []string{"http://127.0.0.1:2379"}
+		return c
+	}
+	if c := good(); c.Validate() != nil {
+		t.Error(c.Validate())
+	}
+	off := DefaultConfig()
+	if off.On() || off.Validate() != nil {
+		t.Error("a registry that is off is wrong")
+	}
+	for want, change := range map[string]func(c *Config){
+		`registry.kind = "ectd": etcd or consul is needed (did you mean etcd?)`: func(c *Config) { c.Kind = "ectd" },
+		"registry.kind is missing":                     func(c *Config) { c.Kind = "" },
+		"registry.endpoints: 1 to 16 are needed":       func(c *Config) { c.Endpoints = nil },
+		`registry.endpoints: "127.0.0.1:2379"`:         func(c *Config) { c.Endpoints = []string{"127.0.0.1:2379"} },
+		`registry.endpoints: "http://u:p@h:1"`:         func(c *Config) { c.Endpoints = []string{"http://u:p@h:1"} },
+		"registry.prefix":                              func(c *Config) { c.Prefix = "" },
+		"registry.cert and registry.key":               func(c *Config) { c.Cert = "x" },
+		"registry.password-file is missing":            func(c *Config) { c.User = "x" },
+		"registry.user: Consul has tokens":             func(c *Config) { c.Kind, c.User, c.Password = "consul", "x", "y" },
+		"registry.ca: open /nowhere":                   func(c *Config) { c.CA = "/nowhere" },
+		"registry.guard = 0":                           func(c *Config) { c.Guard = 0 },
+		"registry.flaps = -1":                          func(c *Config) { c.Flaps = -1 },
+		"registry.patience, settle and guard-over can": func(c *Config) { c.Patience = -1 },
+	} {
+		c := good()
+		change(&c)
+		if err := c.Validate(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
+
+func FuzzItem(f *testing.F) {
+	for _, s := range []string{`{"v":1,"address":"127.0.0.1:80","zone":"koper","state":"ready"}`, `{"v":1}`, "{", `[]`, `{"v":1,"address":"127.0.0.1:80","zone":"z","state":"ready","weight":1e300}`} {
+		f.Add("marlreel/nodes/n1", []byte(s))
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		i := Item(prefix, key, value, 3)
+		if i.Bad == "" && (i.Name == "" || prefix+i.Name != key || i.Entry.Addr == "" || i.Entry.Zone == "" || !(i.Entry.Weight > 0) || i.Mod != 3) {
+			t.Errorf("%q: %+v", value, i)
+		}
+		if strings.Contains(i.Bad, "\n") {
+			t.Errorf("%q", i.Bad)
+		}
+	})
+}
--- /dev/null
+++ b/internal/registry/transport.go
@@ -0,0 +1,227 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"marlreel/internal/strict"
+)
+
+// Config is what an operator sets of a registry.
+type Config struct {
+	Kind      string      `toml:"kind"`      // etcd, consul; "" is off
+	Endpoints []string    `toml:"endpoints"` // http://host:port, or https
+	Prefix    string      `toml:"prefix"`    // of the nodes' keys
+	User      string      `toml:"user"`
+	Password  string      `toml:"password-file"` // a file that holds the password, or Consul's token
+	CA        string      `toml:"ca"`            // files, PEM
+	Cert      string      `toml:"cert"`
+	Key       string      `toml:"key"`
+	Patience  strict.Span `toml:"patience"`   // for which a lost registry's list counts before the platform's
+	Settle    strict.Span `toml:"settle"`     // for which it must be well before it is moved to
+	Guard     float64     `toml:"guard"`      // part of the list that may go at once
+	GuardOver strict.Span `toml:"guard-over"` // what at once is
+	Flaps     float64     `toml:"flaps"`      // returns within flap-over after which an entry stays out for a while
+	FlapOver  strict.Span `toml:"flap-over"`
+}
+
+// DefaultConfig is a registry that is off.
+func DefaultConfig() Config {
+	return Config{Prefix: "marlreel/nodes/", Patience: strict.Span(30 * time.Second), Settle: strict.Span(10 * time.Second), Guard: 0.5,
+		GuardOver: strict.Span(30 * time.Second), Flaps: 6, FlapOver: strict.Span(30 * time.Second)}
+}
+
+// On tells whether there is one.
+func (c *Config) On() bool { return c.Kind != "" }
+
+// Validate names the first thing that makes no registry.
+func (c *Config) Validate() error {
+	if !c.On() {
+		if len(c.Endpoints) > 0 {
+			return errors.New("registry.kind is missing: etcd or consul is needed")
+		}
+		return nil
+	}
+	switch {
+	case c.Kind != "etcd" && c.Kind != "consul":
+		return fmt.Errorf("registry.kind = %q: etcd or consul is needed%s", c.Kind, strict.Closest(c.Kind, []string{"etcd", "consul"}))
+	case len(c.Endpoints) == 0 || len(c.Endpoints) > 16:
+		return fmt.Errorf("registry.endpoints: 1 to 16 are needed, and there are %d", len(c.Endpoints))
+	case c.Prefix == "" || len(c.Prefix) > 512 || strings.ContainsAny(c.Prefix, "?#\r\n"):
+		return fmt.Errorf("registry.prefix = %q: 1 to 512 characters are needed, no ? and #", c.Prefix)
+	case (c.Cert == "") != (c.Key == ""):
+		return errors.New("registry.cert and registry.key: both are needed, or neither")
+	case c.User != "" && c.Password == "":
+		return errors.New("registry.password-file is missing: user needs it")
+	case c.Kind == "consul" && c.User != "":
+		return errors.New("registry.user: Consul has tokens alone; password-file holds it")
+	case c.Patience < 0 || c.Settle < 0 || c.GuardOver < 0 || c.FlapOver <= 0:
+		return errors.New("registry.patience, settle and guard-over can't be below 0, and flap-over must be above")
+	case !(c.Guard > 0 && c.Guard <= 1):
+		return fmt.Errorf("registry.guard = %v: above 0 and up to 1 is needed", c.Guard)
+	case !(c.Flaps >= 0):
+		return fmt.Errorf("registry.flaps = %v: 0 (never) or more is needed", c.Flaps)
+	}
+	for _, e := range c.Endpoints {
+		u, err := url.Parse(e)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" || u.Path != "" && u.Path != "/" || u.RawQuery != "" || u.User != nil {
+			return fmt.Errorf("registry.endpoints: %q: http://host:port or https://host:port is needed", e)
+		}
+	}
+	_, err := c.tls()
+	return err
+}
+
+func (c *Config) tls() (*tls.Config, error) {
+	t := &tls.Config{MinVersion: tls.VersionTLS12}
+	if c.CA != "" {
+		pem, err := os.ReadFile(c.CA)
+		if err != nil {
+			return nil, fmt.Errorf("registry.ca: %w", err)
+		}
+		if t.RootCAs = x509.NewCertPool(); !t.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("registry.ca: %s holds no certificate in PEM", c.CA)
+		}
+	}
+	if c.Cert != "" {
+		pair, err := tls.LoadX509KeyPair(c.Cert, c.Key)
+		if err != nil {
+			return nil, fmt.Errorf("registry.cert, registry.key: %w", err)
+		}
+		t.Certificates = []tls.Certificate{pair}
+	}
+	return t, nil
+}
+
+// password reads the secret anew each time: it may be turned over while this runs.
+func (c *Config) password() (string, error) {
+	if c.Password == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(c.Password)
+	if err != nil {
+		return "", fmt.Errorf("registry.password-file: %w", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// New makes a client.
+func New(c Config) (Client, error) {
+	t, err := newTransport(c)
+	if err != nil {
+		return nil, err
+	}
+	if c.Kind == "consul" {
+		return &consul{transport: t}, nil
+	}
+	return &etcd{transport: t}, nil
+}
+
+// transport makes calls at one endpoint after the other.
+type transport struct {
+	cfg        Config
+	client     *http.Client
+	checkEvery time.Duration // how often a member with a watch is asked whether it is there
+
+	mu sync.Mutex
+	at int
+}
+
+func newTransport(c Config) (*transport, error) {
+	t, err := c.tls()
+	if err != nil {
+		return nil, err
+	}
+	// Two connections: a watch has one, calls the other. Both end with their silence, not by a time-out over
+	// the whole: a watch has none.
+	return &transport{cfg: c, checkEvery: 10 * time.Second, client: &http.Client{
+		Transport: &http.Transport{TLSClientConfig: t, DialContext: (&net.Dialer{Timeout: callWithin / 2}).DialContext, TLSHandshakeTimeout: callWithin / 2,
+			MaxIdleConns: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}, nil
+}
+
+func (t *transport) endpoint() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.TrimSuffix(t.cfg.Endpoints[t.at%len(t.cfg.Endpoints)], "/")
+}
+
+// Next implements Client.
+func (t *transport) Next() {
+	t.mu.Lock()
+	t.at++
+	t.mu.Unlock()
+	t.client.CloseIdleConnections()
+}
+
+// call sends a request; the answer's body is the caller's to close.
+func (t *transport) call(ctx context.Context, method, path string, head http.Header, body any) (*http.Response, error) {
+	var in io.Reader
+	if raw, is := body.([]byte); is {
+		in = bytes.NewReader(raw)
+	} else if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		in = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, t.endpoint()+path, in)
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range head {
+		r.Header[k] = v
+	}
+	return t.client.Do(r)
+}
+
+// callError is an answer that is an error.
+type callError struct {
+	Status  int
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+	Old     string `json:"error"`
+}
+
+func (e *callError) Error() string {
+	text := e.Message
+	if text == "" {
+		text = e.Old
+	}
+	return fmt.Sprintf("answered %d: %.200s", e.Status, text)
+}
+
+func readError(r *http.Response) *callError {
+	e := &callError{Status: r.StatusCode}
+	data, _ := io.ReadAll(io.LimitReader(r.Body, 4096))
+	if json.Unmarshal(data, e) != nil || e.Message == "" && e.Old == "" {
+		e.Message = string(data)
+	}
+	return e
+}
+
+// silence ends a call whose answer stops coming: a machine that is cut off never says so.
+type silence struct {
+	timer *time.Timer
+	after time.Duration
+}
+
+func newSilence(after time.Duration, end func()) *silence {
+	return &silence{time.AfterFunc(after, end), after}
+}
+func (s *silence) heard() { s.timer.Reset(s.after) }
+func (s *silence) stop()  { s.timer.Stop() }
