Take the node list from a registry: beside the platform's, by SIGHUP, guarded

internal/sources puts the registry's client, the platform's watch and the model of members together on the engine's goroutine; without [registry] the platform's lists go through as they are. Set in deploy/marlreel.toml, also by SIGHUP, and back; a registry that is lost for its patience gives way to the platform's list. What most of the list is lost with is served on until an operator writes PREFIX_confirm in the registry: a backup that brings an old confirmation back confirms nothing.

Found by the state machine: what was held and came again as draining, at an address that another has by now, was shown as ready. It has a test of its own.

Tests over sockets with the daemon's parts, for etcd and Consul: follow, drain, compaction, bad values, old list alone, most of the list lost, to the registry and back, 3,001 nodes.

--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -35,7 +35,8 @@
 
 SIGTERM ends it gently: it goes on accepting for a moment, answers what it has taken,
 and exits with 0. SIGHUP makes it read $NODE_CONFIG again; new settings are in force
-at once, and a new address of discovery takes over with its first list.
+at once, and a new address of discovery takes over with its first list; of the file of
+--config it takes a registry, another one, or none.
 
 Exit codes: 0 ended as told (or the check was good), 1 it could not start or go on, 2
 wrong use.
@@ -142,5 +143,5 @@
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
 	logger := log.New(os.Stderr, "", log.Ltime|log.Lmicroseconds)
-	return proxy.Run(ctx, cfg, own, logger, proxy.Reloads(ctx, reload, os.Getenv("NODE_CONFIG"), os.Getenv))
+	return proxy.Run(ctx, cfg, own, logger, proxy.Reloads(ctx, reload, os.Getenv("NODE_CONFIG"), f.config, os.Getenv))
 }
--- a/internal/config/marlreel.go
+++ b/internal/config/marlreel.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 
+	"marlreel/internal/registry"
 	"marlreel/internal/rpc"
 	"marlreel/internal/strict"
 )
@@ -11,11 +12,14 @@
 // Marlreel is what an operator sets beyond what the platform says: deploy/marlreel.toml.
 // All of it is off unless it is set there.
 type Marlreel struct {
-	RPC rpc.Config `toml:"rpc"`
+	RPC      rpc.Config      `toml:"rpc"`
+	Registry registry.Config `toml:"registry"`
 }
 
 // DefaultMarlreel is what holds without a file: everything off.
-func DefaultMarlreel() *Marlreel { return &Marlreel{RPC: rpc.DefaultConfig()} }
+func DefaultMarlreel() *Marlreel {
+	return &Marlreel{RPC: rpc.DefaultConfig(), Registry: registry.DefaultConfig()}
+}
 
 // LoadMarlreel reads a file; "" is none. An error is one line that names file, key and
 // what would be right.
@@ -39,6 +43,9 @@
 	if err := m.RPC.Validate(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := m.Registry.Validate(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	return m, nil
 }
 
--- a/internal/members/guard.go
+++ b/internal/members/guard.go
@@ -21,7 +21,7 @@
 // guard puts what is held back into the list.
 func (m *Model) guard(now time.Duration, next map[string]Entry) {
 	for name := range m.held {
-		if _, back := next[name]; back {
+		if _, back := next[name]; back || m.has(name) {
 			delete(m.held, name)
 		}
 	}
@@ -41,7 +41,7 @@
 	floor := int(math.Ceil(float64(most) * (1 - m.cfg.Guard)))
 	if len(next) < floor {
 		for name, e := range m.shown {
-			if _, stays := next[name]; !stays && !e.Draining && !m.damp[name] && !m.replaced(e, next) {
+			if _, stays := next[name]; !stays && !e.Draining && !m.damp[name] && !m.has(name) && !m.replaced(e, next) {
 				m.held[name] = e
 			}
 		}
@@ -63,6 +63,15 @@
 	}
 }
 
+// has tells whether the source that counts has an entry, shown or not: then its word on it stands.
+func (m *Model) has(name string) bool {
+	if m.active < 0 {
+		return false
+	}
+	_, there := m.sources[m.active].items[name]
+	return there
+}
+
 // replaced tells whether another has the address of one that went.
 func (m *Model) replaced(e Entry, next map[string]Entry) bool {
 	for _, o := range next {
@@ -75,6 +84,11 @@
 
 // Confirm lets what is held go: an operator says that it is gone.
 func (m *Model) Confirm(now time.Duration) []Action {
+	m.confirm(now)
+	return m.take()
+}
+
+func (m *Model) confirm(now time.Duration) {
 	if len(m.held) > 0 {
 		clear(m.held)
 		m.sizes = nil // what is left is the list's size from now on
@@ -89,5 +103,4 @@
 		m.say("confirmed", "an operator confirmed the list: %d entries", len(next))
 		m.unsay("confirmed")
 	}
-	return m.take()
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -16,6 +16,10 @@
 	"time"
 )
 
+// Confirm is the name under which an operator confirms a list in the registry itself: a new write of it lets
+// go what is held. It is no backend.
+const Confirm = "_confirm"
+
 // Entry is a backend as a registry has it.
 type Entry struct {
 	Addr, Zone, Kind string
@@ -92,6 +96,8 @@
 	asOf     time.Duration // when it was last known to be up to date
 	bad      map[string]string
 	told     bool // at all
+
+	confirmed int64 // when Confirm was last written
 }
 
 // Model is one proxy's view. Not safe for concurrent use.
@@ -170,6 +176,13 @@
 			s.name, w.Revision, w.History, s.revision, s.history)
 		s.bad = map[string]string{}
 	}
+	// Danger: a confirmation that a backup brings back confirms nothing; only one that is written now does.
+	confirmed := false
+	if n := slices.IndexFunc(w.Items, func(i Item) bool { return i.Name == Confirm }); n >= 0 {
+		confirmed = s.told && !back && w.Items[n].Mod > s.confirmed
+		s.confirmed = w.Items[n].Mod
+		w.Items = slices.Delete(slices.Clone(w.Items), n, n+1)
+	}
 	was := s.items
 	s.items = make(map[string]Item, len(w.Items))
 	for _, i := range w.Items {
@@ -184,6 +197,9 @@
 	m.heard(now, s, !w.Stale)
 	m.choose(now)
 	m.show(now)
+	if confirmed {
+		m.confirm(now)
+	}
 	return m.take()
 }
 
@@ -223,13 +239,21 @@
 		delete(s.items, name)
 		delete(s.bad, name)
 	}
+	confirmed := false
 	for _, i := range c.Puts {
+		if i.Name == Confirm {
+			confirmed, s.confirmed = true, i.Mod
+			continue
+		}
 		m.put(s, i, s.items)
 	}
 	s.revision = c.Revision
 	m.heard(now, s, true)
 	m.choose(now)
 	m.show(now)
+	if confirmed {
+		m.confirm(now)
+	}
 	return m.take()
 }
 
@@ -398,6 +422,16 @@
 	m.out = append(m.out, List{Entries: maps.Clone(next), Cached: m.cached})
 }
 
+// Of is a source's own list, and whether it has told one.
+func (m *Model) Of(src int) (map[string]Entry, bool) {
+	s := m.sources[src]
+	list := make(map[string]Entry, len(s.items))
+	for name, i := range s.items {
+		list[name] = i.Entry
+	}
+	return list, s.told
+}
+
 // Status is how things stand.
 type Status struct {
 	Source   string // whose list is shown; "" is an old one
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -230,6 +230,34 @@
 	}
 }
 
+// A confirmation counts when it is written, not when it comes with a whole list that a backup brought back.
+func TestConfirmedInTheRegistry(t *testing.T) {
+	t.Parallel()
+	confirm := func(mod int64) Item { return Item{Name: Confirm, Mod: mod} }
+	m := New(guarded())
+	m.Whole(second, 0, Whole{History: 1, Revision: 100, Items: append(items(1, upTo(10)...), confirm(40))})
+	if n := m.Status(second).Entries; n != 10 {
+		t.Fatalf("%d entries: the confirmation counts as one", n)
+	}
+	m.Whole(2*second, 0, Whole{History: 2, Revision: 50, Items: []Item{confirm(45)}})
+	if s := m.Status(2 * second); len(s.Held) != 10 {
+		t.Errorf("an old confirmation: %+v", s)
+	}
+	m.Whole(3*second, 0, Whole{History: 2, Revision: 51, Items: []Item{confirm(45)}})
+	if s := m.Status(3 * second); len(s.Held) != 10 {
+		t.Errorf("the same again: %+v", s)
+	}
+	if m.Whole(4*second, 0, Whole{History: 2, Revision: 52, Items: []Item{confirm(52)}}); m.Status(4*second).Entries != 0 {
+		t.Errorf("a new one: %+v", m.Status(4*second))
+	}
+	m = New(guarded())
+	m.Whole(second, 0, Whole{History: 1, Revision: 100, Items: items(1, upTo(10)...)})
+	m.Whole(2*second, 0, Whole{History: 1, Revision: 101, Items: items(1, 0)})
+	if m.Change(3*second, 0, Change{Revision: 102, Puts: []Item{confirm(102)}}); m.Status(3*second).Entries != 1 || len(m.Status(3*second).Held) != 0 {
+		t.Errorf("written: %+v", m.Status(3*second))
+	}
+}
+
 // What goes one after the other, is replaced, or drains is not held, however much it is.
 func TestWhatIsNotHeld(t *testing.T) {
 	t.Parallel()
@@ -451,6 +479,22 @@
 	}
 }
 
+// What was held and comes again as draining, at an address that another has by now, is not shown as ready.
+func TestHeldAndBackAtAnothersAddress(t *testing.T) {
+	t.Parallel()
+	m := New(guarded())
+	m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: items(1, 1)})
+	if m.Whole(2*second, 0, Whole{History: 1, Revision: 2}); len(m.Status(2*second).Held) != 1 {
+		t.Fatalf("%+v", m.Status(2*second))
+	}
+	draining := Item{Name: "n1", Mod: 1, Entry: at(3)}
+	draining.Entry.Draining = true
+	m.Whole(3*second, 0, Whole{History: 1, Revision: 3, Items: []Item{draining, {Name: "n0", Mod: 2, Entry: at(3)}}})
+	if e, there := m.shown["n1"]; there && !e.Draining || m.shown["n0"] != at(3) {
+		t.Errorf("%v", m.shown)
+	}
+}
+
 // Five thousand nodes, and a change of all: one list. More than the bound are left out, and said.
 func TestLarge(t *testing.T) {
 	t.Parallel()
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -37,7 +37,10 @@
 		"marlreel/internal/httpproxy":    {"marlreel", "marlreel/internal/budget", "marlreel/internal/conns", "marlreel/internal/engine"},
 		"marlreel/internal/rpc":          {"marlreel", "marlreel/internal/engine", "marlreel/internal/strict"},
 		"marlreel/internal/experiment":   {"marlreel/internal/strict"},
-		"marlreel/internal/config":       {"marlreel", "marlreel/internal/discovery", "marlreel/internal/strict", "marlreel/internal/wire", "marlreel/internal/rpc"},
+		"marlreel/internal/config":       {"marlreel", "marlreel/internal/discovery", "marlreel/internal/strict", "marlreel/internal/wire", "marlreel/internal/rpc", "marlreel/internal/registry"},
+		"marlreel/internal/members":      {},
+		"marlreel/internal/registry":     {"marlreel/internal/members", "marlreel/internal/strict"},
+		"marlreel/internal/sources":      {"marlreel", "marlreel/internal/discovery", "marlreel/internal/engine", "marlreel/internal/members", "marlreel/internal/registry"},
 	}
 	out, err := exec.Command("go", "list", "-f", "{{.ImportPath}} {{join .Imports \" \"}}", "marlreel/...").Output()
 	if err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"marlreel/internal/httpproxy"
 	"marlreel/internal/metrics"
 	"marlreel/internal/rpc"
+	"marlreel/internal/sources"
 )
 
 const (
@@ -90,7 +91,7 @@
 // parts is a proxy put together.
 type parts struct {
 	engine  *engine.Engine
-	source  *discovery.Source
+	source  *sources.Source
 	carrier *httpproxy.Carrier
 	front   *httpproxy.Front
 	room    *budget.Budget
@@ -124,7 +125,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	p.source = discovery.New(discovery.Config{Addr: cfg.Discovery, OnRequest: cfg.Settings.OnRequest, Names: cfg.Names,
+	if own.Registry.On() {
+		version = 0 // beside another list the platform's has to be known whole
+	}
+	p.source = sources.New(discovery.Config{Addr: cfg.Discovery, OnRequest: cfg.Settings.OnRequest, Names: cfg.Names,
 		Logf: logger.Printf}, version, p.engine)
 	p.room = budget.New(cfg.BodyBytes())
 	p.carrier = httpproxy.NewCarrier(p.engine, cfg.UpstreamConns(), cfg.Report, p.room)
@@ -161,6 +165,13 @@
 	meeting := p.meeting
 	engineCtx, stopEngine := context.WithCancel(context.Background())
 	go p.engine.Run(engineCtx)
+	if own.Registry.On() {
+		p.engine.Post(func() {
+			if err := p.source.Set(own.Registry); err != nil { // its files may have changed since they were checked
+				logger.Printf("registry: %v: the platform's list alone counts", err)
+			}
+		})
+	}
 	if meeting != nil {
 		// To the very end: a file that goes sooner would give this one's room away.
 		defer meeting.Close()
@@ -179,13 +190,13 @@
 	}
 	defer func() {
 		stopEngine()
-		p.source.Close()
 		p.carrier.Close()
 		if p.rpcCarrier != nil {
 			p.rpcFront.Close()
 			p.rpcCarrier.Close()
 		}
 		<-p.engine.Done()
+		p.source.Close()
 	}()
 	if cfg.Known != nil && len(cfg.Known.Instances) > 0 {
 		time.AfterFunc(oldListAfter, func() { p.engine.Post(func() { p.becomeReady(logger) }) })
@@ -200,7 +211,7 @@
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
 		case next := <-reloads:
-			cfg = p.reload(cfg, next, logger)
+			cfg, own = p.reload(cfg, own, next, logger)
 		case <-ctx.Done():
 		}
 	}
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -5,20 +5,23 @@
 	"fmt"
 	"log"
 	"os"
+	"reflect"
 
 	"marlreel/internal/config"
+	"marlreel/internal/sources"
 )
 
 // Reload is what a signal to read the configuration again came to.
 type Reload struct {
 	Config *config.Platform
-	Err    error // why the file can't be used; Config is nil then
+	Own    *config.Marlreel // nil: as it was
+	Err    error            // why the files can't be used; Config is nil then
 }
 
-// Reloads reads the configuration again at each signal and hands on what it finds, good or
-// bad. The environment's address of discovery is the one of the start: from the first
-// signal on the file's goes before it.
-func Reloads(ctx context.Context, signals <-chan os.Signal, path string, getenv func(string) string) <-chan Reload {
+// Reloads reads the configuration again at each signal, and what the operator sets beside it (ownPath; "" is
+// nothing), and hands on what it finds, good or bad. The environment's address of discovery is the one of the
+// start: from the first signal on the file's goes before it.
+func Reloads(ctx context.Context, signals <-chan os.Signal, path, ownPath string, getenv func(string) string) <-chan Reload {
 	found := make(chan Reload)
 	fileFirst := func(name string) string {
 		if name == config.EnvDiscovery {
@@ -33,9 +36,16 @@
 				return
 			case <-signals:
 			}
+			var own *config.Marlreel
 			cfg, err := config.LoadPlatform(path, fileFirst)
+			if err == nil && ownPath != "" {
+				own, err = config.LoadMarlreel(ownPath)
+			}
+			if err != nil {
+				cfg, own = nil, nil
+			}
 			select {
-			case found <- Reload{cfg, err}:
+			case found <- Reload{cfg, own, err}:
 			case <-ctx.Done():
 				return
 			}
@@ -44,20 +54,23 @@
 	return found
 }
 
-// reload puts a new configuration in force, whole, or says in one line why not. cfg is the
-// one in force; what it gives is that from now on.
-func (p *parts) reload(cfg *config.Platform, next Reload, logger *log.Logger) *config.Platform {
+// reload puts a new configuration in force, whole, or says in one line why not. cfg and own are those in
+// force; what it gives is that from now on.
+func (p *parts) reload(cfg *config.Platform, own *config.Marlreel, next Reload, logger *log.Logger) (*config.Platform, *config.Marlreel) {
 	err := next.Err
 	if err == nil {
 		err = cfg.CheckNext(next.Config)
 	}
+	if err == nil && next.Own != nil {
+		err = sources.Check(next.Own.Registry)
+	}
 	if err == nil {
 		done := make(chan error, 1)
-		p.engine.Post(func() { done <- p.retune(next.Config) })
+		p.engine.Post(func() { done <- p.retune(next) })
 		select {
 		case err = <-done:
 		case <-p.engine.Done():
-			return cfg
+			return cfg, own
 		}
 	}
 	if p.counts != nil {
@@ -65,20 +78,29 @@
 	}
 	if err != nil {
 		logger.Printf("not reloaded: %v", err)
-		return cfg
+		return cfg, own
 	}
 	logger.Printf("reloaded: %d classes, %d attempts", len(next.Config.Settings.Classes), next.Config.Settings.Caps.MaxAttempts)
-	return next.Config
+	if next.Own == nil {
+		return next.Config, own
+	}
+	if !reflect.DeepEqual(own.RPC, next.Own.RPC) {
+		logger.Print("reloaded: what has changed of rpc counts at the next start")
+	}
+	return next.Config, next.Own
 }
 
 // retune is the part of a reload that the engine's goroutine does.
-func (p *parts) retune(next *config.Platform) error {
-	if err := p.engine.Reconfigure(next.Settings); err != nil {
+func (p *parts) retune(next Reload) error {
+	if err := p.engine.Reconfigure(next.Config.Settings); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	if p.counts != nil {
 		p.counts.SetClasses(p.engine.Settings().Classes)
 	}
-	p.source.Reload(next.Discovery)
+	p.source.Reload(next.Config.Discovery)
+	if next.Own != nil {
+		return p.source.Set(next.Own.Registry)
+	}
 	return nil
 }
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -106,7 +106,7 @@
 		return map[string]string{config.EnvDiscovery: "127.0.0.1:9", "NODE_LISTEN": "127.0.0.1:7"}[name]
 	}
 	signals := make(chan os.Signal, 1)
-	found := Reloads(t.Context(), signals, path, getenv)
+	found := Reloads(t.Context(), signals, path, "", getenv)
 	for _, bad := range []string{"{", good("nowhere"), ""} {
 		if put(bad); bad == "" {
 			os.Remove(path)
--- a/internal/proxy/retune_test.go
+++ b/internal/proxy/retune_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	cfg, err := config.ParsePlatform(text, func(string) string { return "" })
-	return Reload{cfg, err}
+	return Reload{Config: cfg, Err: err}
 }
 
 // figure gives one line of the figures.
--- /dev/null
+++ b/internal/proxy/sources_test.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"marlreel/internal/config"
+	kvstore "marlreel/internal/registry"
+	"marlreel/internal/standin"
+	"marlreel/internal/strict"
+	"marlreel/internal/testutil"
+)
+
+const nodesPrefix = "marlreel/nodes/"
+
+// store is a stand-in registry, and an operator's file that names it.
+func store(t *testing.T, kind string) (*standin.Registry, *config.Marlreel) {
+	t.Helper()
+	r, err := standin.StartRegistry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	own := config.DefaultMarlreel()
+	own.Registry.Kind, own.Registry.Endpoints, own.Registry.Prefix = kind, []string{r.URL()}, nodesPrefix
+	own.Registry.Settle, own.Registry.Patience = strict.Span(50*time.Millisecond), strict.Span(200*time.Millisecond)
+	return r, own
+}
+
+// listed is a node as the registry has it.
+func listed(t *testing.T, name, addr, state string) standin.RegistryOp {
+	t.Helper()
+	v, err := kvstore.Value{Address: addr, Zone: "koper", Kind: "mid-2c", State: state}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return standin.RegistryOp{Key: nodesPrefix + name, Value: string(v)}
+}
+
+// A daemon whose list is in a registry serves from it, follows it, and never asks more of a platform that has
+// no list; what drains gets nothing new, and what stays keeps its connections.
+func TestServedFromARegistry(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"etcd", "consul"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			r, own := store(t, kind)
+			kept, conns := testutil.Counting(t, "kept")
+			r.Txn(listed(t, "s-1", kept, "ready"))
+			p := startWith(t, testConfig(t, closedAddr(t)), own)
+			servedBy(t, p, "kept")
+			before := conns.Load()
+			other := named(t, "other")
+			r.Txn(listed(t, "s-1", kept, "draining"), listed(t, "s-2", other, "ready"))
+			servedBy(t, p, "other")
+			r.Txn(listed(t, "s-1", kept, "ready"), standin.RegistryOp{Key: nodesPrefix + "s-2", Delete: true})
+			servedBy(t, p, "kept")
+			r.CloseWatches()
+			r.Compact(r.Revision())
+			third := named(t, "third")
+			r.Txn(listed(t, "s-1", third, "ready")) // the same name at another address
+			servedBy(t, p, "third")
+			if n := conns.Load() - before; n > 2 {
+				t.Errorf("%d new connections to a node that stayed, but for one drain", n)
+			}
+			// One value that can't be read, one in a zone that the settings don't have: the others are as they were.
+			r.Txn(standin.RegistryOp{Key: nodesPrefix + "s-8", Value: "{"}, standin.RegistryOp{Key: nodesPrefix + "s-9", Value: strings.Replace(listed(t, "x", kept, "ready").Value, "koper", "triglav", 1)})
+			eventually(t, "a word on both", func() bool {
+				log := p.log.String()
+				return strings.Contains(log, "entry s-8 can't be read (no JSON") && strings.Contains(log, `unknown zone "triglav"`)
+			})
+			servedBy(t, p, "third")
+		})
+	}
+}
+
+// A daemon that starts with its old list alone, registry and platform down, serves from it, and goes on with
+// the new list when there is one.
+func TestOldListWithoutARegistry(t *testing.T) {
+	t.Parallel()
+	r, own := store(t, "etcd")
+	r.Txn(listed(t, "s-1", named(t, "new"), "ready"))
+	r.Cut(true)
+	p := startWith(t, testConfig(t, closedAddr(t), ready("s-0", named(t, "old"))), own)
+	servedBy(t, p, "old")
+	r.Cut(false)
+	servedBy(t, p, "new")
+}
+
+// Most of the list is lost at once: it is served on, said loudly, and goes when an operator confirms it in the
+// registry.
+func TestMostOfTheListIsLost(t *testing.T) {
+	t.Parallel()
+	r, own := store(t, "etcd")
+	r.Txn(listed(t, "s-1", named(t, "one"), "ready"), listed(t, "s-2", named(t, "one"), "ready"), listed(t, "s-3", named(t, "one"), "ready"))
+	p := startWith(t, testConfig(t, closedAddr(t)), own)
+	servedBy(t, p, "one")
+	r.Txn(standin.RegistryOp{Key: nodesPrefix + "s-1", Delete: true}, standin.RegistryOp{Key: nodesPrefix + "s-2", Delete: true}, standin.RegistryOp{Key: nodesPrefix + "s-3", Delete: true})
+	eventually(t, "the warning", func() bool { return strings.Contains(p.log.String(), "WARNING: the list lost most of its entries") })
+	servedBy(t, p, "one")
+	r.Txn(listed(t, "s-4", named(t, "two"), "ready"), standin.RegistryOp{Key: nodesPrefix + "_confirm", Value: "{}"})
+	eventually(t, "the confirmation", func() bool { return strings.Contains(p.log.String(), "an operator confirmed the list: 1 entries") })
+	servedBy(t, p, "two")
+}
+
+// From the platform's list to the registry's by SIGHUP, and back; a registry that is lost for long gives way
+// to the platform.
+func TestMovesToTheRegistryAndBack(t *testing.T) {
+	t.Parallel()
+	r, own := store(t, "etcd")
+	r.Txn(listed(t, "s-1", named(t, "registry"), "ready"))
+	g := newRegistry(t)
+	cfg := testConfig(t, g.Addr, ready("s-0", named(t, "known")))
+	p := start(t, cfg)
+	w := g.next(t)
+	w.Lines <- line(t, 4, true, ready("s-0", named(t, "platform")))
+	servedBy(t, p, "platform")
+	p.reloads <- Reload{Config: cfg, Own: own}
+	servedBy(t, p, "registry")
+	// The platform goes on telling; it counts only when the registry has been lost for its patience.
+	w.Lines <- line(t, 5, false, ready("s-0", named(t, "platform now")))
+	servedBy(t, p, "registry")
+	r.Cut(true)
+	r.CloseWatches()
+	servedBy(t, p, "platform now")
+	r.Cut(false)
+	servedBy(t, p, "registry")
+	p.reloads <- Reload{Config: cfg, Own: config.DefaultMarlreel()}
+	servedBy(t, p, "platform now")
+	r.Txn(listed(t, "s-1", named(t, "nobody's"), "ready"))
+	w.Lines <- line(t, 6, false, ready("s-0", named(t, "platform at last")))
+	servedBy(t, p, "platform at last")
+	bad := config.DefaultMarlreel()
+	bad.Registry.Kind, bad.Registry.Endpoints, bad.Registry.CA = "etcd", []string{r.URL()}, "/nowhere/ca.pem"
+	p.reloads <- Reload{Config: cfg, Own: bad}
+	eventually(t, "the refusal", func() bool {
+		return strings.Contains(p.log.String(), "not reloaded: registry.ca: open /nowhere/ca.pem")
+	})
+}
+
+// The door's figures, a drain and five thousand nodes: the list is one event for the engine.
+func TestALargeRegistry(t *testing.T) {
+	t.Parallel()
+	r, own := store(t, "etcd")
+	one := named(t, "one")
+	var ops []standin.RegistryOp
+	for i := range 3000 {
+		ops = append(ops, listed(t, fmt.Sprint("far-", i), fmt.Sprintf("127.0.0.2:%d", 1000+i), "draining"))
+	}
+	r.Txn(append(ops, listed(t, "s-1", one, "ready"))...)
+	cfg := testConfig(t, closedAddr(t))
+	cfg.Control = "127.0.0.1:0"
+	p := startWith(t, cfg, own)
+	servedBy(t, p, "one")
+	eventually(t, "all in the figures", func() bool { return figure(t, p, "discovered") == "3001|g" })
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -179,6 +179,9 @@
 func Item(prefix, key string, value []byte, mod int64) members.Item {
 	name, ok := strings.CutPrefix(key, prefix)
 	i := members.Item{Name: name, Mod: mod}
+	if ok && name == members.Confirm {
+		return i
+	}
 	v, err := parseValue(value)
 	switch {
 	case !ok || name == "" || len(name) > 128 || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '/' }):
--- /dev/null
+++ b/internal/sources/sources.go
@@ -0,0 +1,349 @@
+// Package sources tells the engine one list out of two: a registry's, where an operator has set one, and the
+// platform's. It owns the way between the platform's watch, the registry's client and the model that judges
+// between them (package members), on the engine's goroutine; it judges nothing itself. Without a registry the
+// platform's lists go through as they are.
+package sources
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/discovery"
+	"marlreel/internal/engine"
+	"marlreel/internal/members"
+	"marlreel/internal/registry"
+)
+
+// Host is the engine, as far as it matters here. All but Post and Now are called on its goroutine.
+type Host interface {
+	Post(event func())
+	List(l engine.List)
+	ListFailed()
+	Now() time.Duration
+	At(when time.Duration, event func()) *engine.Timer
+	Backends(each func(*engine.Backend))
+	Wall(at time.Duration) time.Time
+}
+
+// The model's sources.
+const (
+	ofRegistry = iota
+	ofPlatform
+)
+
+// Source is the engine's source. The engine's goroutine owns it, but for Close.
+type Source struct {
+	host     Host
+	platform *discovery.Source
+	names    discovery.Names
+	zones    map[int]string
+	kinds    map[int]string
+	logf     func(format string, args ...any)
+
+	cfg     registry.Config
+	model   *members.Model // nil: the platform alone
+	life    *life
+	version uint32 // the platform's last
+	number  uint32 // of the lists told here
+	due     time.Duration
+	told    bool // the platform has told a list in this process
+	lives   sync.WaitGroup
+}
+
+// life is one following of one registry. The word of one that is over counts no more.
+type life struct {
+	cancel context.CancelFunc
+	again  chan struct{}
+}
+
+// New makes a source. Nothing is called before Watch or Fetch, and Set.
+func New(cfg discovery.Config, version uint32, host Host) *Source {
+	s := &Source{host: host, names: cfg.Names, logf: cfg.Logf, version: version, number: version, zones: map[int]string{}, kinds: map[int]string{}}
+	for name, n := range cfg.Names.Zones {
+		s.zones[n] = name
+	}
+	for name, n := range cfg.Names.Kinds {
+		s.kinds[n] = name
+	}
+	s.platform = discovery.New(cfg, version, platform{s})
+	return s
+}
+
+// Watch implements engine.Source.
+func (s *Source) Watch(on bool) { s.platform.Watch(on) }
+
+// Fetch implements engine.Source.
+func (s *Source) Fetch() { s.platform.Fetch() }
+
+// Reload puts another address of the platform's discovery in force.
+func (s *Source) Reload(addr string) { s.platform.Reload(addr) }
+
+// Close ends all calls. Only when the engine has ended, or before it runs.
+func (s *Source) Close() {
+	s.platform.Close()
+	if s.life != nil {
+		s.life.cancel()
+	}
+	s.lives.Wait()
+}
+
+// Check tells whether a registry can be set.
+func Check(cfg registry.Config) error {
+	if err := cfg.Validate(); err != nil || !cfg.On() {
+		return err
+	}
+	_, err := registry.New(cfg)
+	return err
+}
+
+// Set puts a registry in force, another one, or none.
+func (s *Source) Set(cfg registry.Config) error {
+	if reflect.DeepEqual(cfg, s.cfg) || !cfg.On() && !s.cfg.On() {
+		return nil
+	}
+	if err := Check(cfg); err != nil {
+		return err
+	}
+	if s.life != nil {
+		s.life.cancel() // its last words are not heard; it ends by itself
+		s.life = nil
+	}
+	was := s.cfg
+	if s.cfg = cfg; !cfg.On() {
+		s.leave()
+		return nil
+	}
+	client, err := registry.New(cfg)
+	if err != nil {
+		s.cfg = was
+		return err
+	}
+	if s.model == nil {
+		s.enter()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &life{cancel, make(chan struct{}, 1)}
+	s.life = l
+	s.logf("registry: following %s at %v", cfg.Kind, cfg.Endpoints)
+	s.lives.Go(func() {
+		registry.Follow(ctx, client, told{s, l}, l.again)
+		client.Next() // nothing is kept open
+	})
+	return nil
+}
+
+// enter begins to judge between two lists: the one that stands is the platform's.
+func (s *Source) enter() {
+	c := s.cfg
+	s.model = members.New(members.Config{Sources: []string{"registry", "platform"}, Patience: c.Patience.D(), Settle: c.Settle.D(), Guard: c.Guard,
+		Over: c.GuardOver.D(), FlapMost: c.Flaps, FlapOver: c.FlapOver.D(), Most: 20_000})
+	w := members.Whole{Revision: int64(s.version)}
+	known := map[string]members.Entry{}
+	s.host.Backends(func(b *engine.Backend) {
+		i := members.Item{Name: b.Name, Mod: int64(s.version), Entry: s.entryOf(b)}
+		w.Items = append(w.Items, i)
+		known[i.Name] = i.Entry
+	})
+	if len(w.Items) == 0 {
+		return
+	}
+	// What stands may be the list from before this process. The platform goes on from it, so it has to know
+	// it; whose it is shows with the first word of either.
+	s.drop(s.model.Known(s.host.Now(), known))
+	if s.heard() {
+		s.drop(s.model.Whole(s.host.Now(), ofPlatform, w))
+	}
+}
+
+// heard tells whether the platform has told a list in this process.
+func (s *Source) heard() bool { return s.told }
+
+// leave ends it: the platform's list counts from now on, as far as it is known.
+func (s *Source) leave() {
+	list, known := s.model.Of(ofPlatform)
+	s.model, s.due = nil, 0
+	s.logf("registry: off")
+	if known {
+		s.tell(list, false)
+	}
+}
+
+// platform is the sink of the platform's watch.
+type platform struct{ *Source }
+
+func (p platform) Post(event func()) { p.host.Post(event) }
+func (p platform) ListFailed()       { p.host.ListFailed() }
+
+// List takes the platform's word.
+func (p platform) List(l engine.List) {
+	s := p.Source
+	s.version, s.told = l.Version, true
+	if s.model == nil {
+		s.number = l.Version
+		s.host.List(l)
+		return
+	}
+	var puts []members.Item
+	var gone []string
+	for _, e := range l.Entries {
+		if e.State == marlreel.Gone {
+			gone = append(gone, e.Name)
+			continue
+		}
+		i := members.Item{Name: e.Name, Mod: int64(l.Version), Entry: members.Entry{Addr: e.Addr, Zone: s.zones[e.Zone], Kind: s.kinds[e.Kind], Cell: e.Cell,
+			Draining: e.State == marlreel.Draining, Weight: e.Weight}}
+		if !e.Started.IsZero() {
+			i.Entry.Started = e.Started.UnixMilli()
+		}
+		puts = append(puts, i)
+	}
+	now := s.host.Now()
+	if l.Kind == marlreel.ListDelta {
+		s.apply(s.model.Change(now, ofPlatform, members.Change{Revision: int64(l.Version), Puts: puts, Deletes: gone}))
+		return
+	}
+	s.apply(s.model.Whole(now, ofPlatform, members.Whole{Revision: int64(l.Version), Items: puts}))
+}
+
+// told is what a registry's client tells, on its own goroutine.
+type told struct {
+	s *Source
+	l *life
+}
+
+func (t told) on(event func(m *members.Model, now time.Duration) []members.Action) {
+	t.s.host.Post(func() {
+		if t.s.life == t.l && t.s.model != nil {
+			t.s.apply(event(t.s.model, t.s.host.Now()))
+		}
+	})
+}
+
+func (t told) Whole(w members.Whole) {
+	t.s.checkZones(w.Items)
+	t.on(func(m *members.Model, now time.Duration) []members.Action { return m.Whole(now, ofRegistry, w) })
+}
+
+func (t told) Change(c members.Change) {
+	t.s.checkZones(c.Puts)
+	t.on(func(m *members.Model, now time.Duration) []members.Action { return m.Change(now, ofRegistry, c) })
+}
+
+func (t told) Progress(revision int64) {
+	t.on(func(m *members.Model, now time.Duration) []members.Action {
+		return m.Progress(now, ofRegistry, revision)
+	})
+}
+
+func (t told) Compacted() {
+	t.on(func(m *members.Model, now time.Duration) []members.Action { return m.Compacted(now, ofRegistry) })
+}
+
+func (t told) Lost(why string) {
+	t.on(func(m *members.Model, now time.Duration) []members.Action { return m.Lost(now, ofRegistry, why) })
+}
+
+// checkZones marks entries in zones that the settings don't have. Names are never changed.
+func (s *Source) checkZones(items []members.Item) {
+	for k := range items {
+		if i := &items[k]; i.Bad == "" && i.Name != members.Confirm {
+			if _, known := s.names.Zones[i.Entry.Zone]; !known {
+				i.Bad = fmt.Sprintf("unknown zone %.80q", i.Entry.Zone)
+			}
+		}
+	}
+}
+
+// apply carries a model's actions out.
+func (s *Source) apply(acts []members.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case members.Say:
+			s.logf("list: %s", string(a))
+		case members.Load:
+			if a.Source == ofPlatform {
+				s.platform.Fetch()
+			} else if s.life != nil {
+				select {
+				case s.life.again <- struct{}{}:
+				default: // it is asked for already
+				}
+			}
+		case members.List:
+			s.tell(a.Entries, a.Cached)
+		}
+	}
+	s.schedule()
+}
+
+// drop carries out all but lists: the engine has this one.
+func (s *Source) drop(acts []members.Action) {
+	s.apply(slices.DeleteFunc(acts, func(a members.Action) bool { _, is := a.(members.List); return is }))
+}
+
+// schedule sees to it that what time alone brings about happens.
+func (s *Source) schedule() {
+	now := s.host.Now()
+	next := s.model.Next(now)
+	if next == 0 || s.due > now && s.due <= next {
+		return
+	}
+	s.due = next
+	s.host.At(next, func() {
+		if s.model != nil && s.due == next {
+			s.due = 0
+			s.apply(s.model.Tick(s.host.Now()))
+		}
+	})
+}
+
+// tell gives the engine a whole list.
+func (s *Source) tell(list map[string]members.Entry, cached bool) {
+	l := engine.List{Kind: marlreel.ListFull, Entries: make([]engine.Entry, 0, len(list))}
+	if cached {
+		l.Kind = marlreel.ListCached
+	}
+	s.number++
+	l.Version = s.number
+	for _, name := range slices.Sorted(maps.Keys(list)) {
+		e := list[name]
+		entry := engine.Entry{Name: name, Addr: e.Addr, Zone: -1, Kind: -1, Cell: e.Cell, State: marlreel.Ready, Weight: e.Weight}
+		if zone, known := s.names.Zones[e.Zone]; known {
+			entry.Zone = zone
+		}
+		if kind, known := s.names.Kinds[e.Kind]; known {
+			entry.Kind = kind
+		}
+		if e.Draining {
+			entry.State = marlreel.Draining
+		}
+		if e.Started != 0 {
+			entry.Started = time.UnixMilli(e.Started)
+		}
+		l.Entries = append(l.Entries, entry)
+	}
+	s.host.List(l)
+}
+
+// entryOf is a backend that stands, as an entry.
+func (s *Source) entryOf(b *engine.Backend) members.Entry {
+	e := members.Entry{Addr: b.Addr, Zone: s.zones[b.Zone], Kind: s.kinds[b.Kind], Cell: b.Cell, Draining: b.State == marlreel.Draining, Weight: b.Weight}
+	if b.Started > 0 {
+		e.Started = s.host.Wall(b.Started).UnixMilli()
+	}
+	return e
+}
+
+// Status is how the lists stand; false: there is the platform's alone.
+func (s *Source) Status() (members.Status, bool) {
+	if s.model == nil {
+		return members.Status{}, false
+	}
+	return s.model.Status(s.host.Now()), true
+}
