--- /dev/null
+++ b/cmd/marlreelctl/main.go
@@ -0,0 +1,230 @@
+// Marlreelctl is for the operators of a site that keeps its node list in a registry: it lists nodes, puts,
+// drains and removes them, and confirms a list that lost most of its entries.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"marlreel/internal/config"
+	"marlreel/internal/members"
+	"marlreel/internal/registry"
+)
+
+const about = `Keep the list of nodes in a registry.
+
+It finds the registry in the file that the proxies have (--config). Every write counts only if nobody else
+wrote the entry meanwhile.
+
+Exit codes: 0 done, 1 the registry refused or can't be reached, 2 wrong use.`
+
+type cli struct {
+	Config string        `required:"" help:"The file with [registry], as the proxies have it." placeholder:"FILE"`
+	Within time.Duration `default:"15s" help:"How long it may take."`
+
+	Nodes nodesCmd `cmd:"" help:"The nodes: list, put, drain, remove, confirm."`
+}
+
+type nodesCmd struct {
+	List    listCmd    `cmd:"" help:"List them, with what can't be read."`
+	Put     putCmd     `cmd:"" help:"Put a node into the list as ready, or change it."`
+	Drain   drainCmd   `cmd:"" help:"Let a node get nothing new."`
+	Remove  removeCmd  `cmd:"" help:"Take a node out of the list: one that drains, unless --now."`
+	Confirm confirmCmd `cmd:"" help:"Say to all proxies that a list which lost most of its entries is right."`
+}
+
+// site is the registry, and where to write.
+type site struct {
+	ctx context.Context
+	w   registry.Writer
+	out io.Writer
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	var c cli
+	ended := -1
+	parser, err := kong.New(&c, kong.Name("marlreelctl"), kong.Description(about), kong.Writers(out, errs), kong.Exit(func(code int) { ended = code }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintln(errs, "marlreelctl:", err)
+		return 2
+	}
+	k, err := parser.Parse(args)
+	if ended >= 0 {
+		return ended
+	}
+	fail := func(code int, err error) int {
+		fmt.Fprintf(errs, "marlreelctl: %s\n", strings.Join(strings.Fields(err.Error()), " "))
+		return code
+	}
+	if err != nil {
+		return fail(2, fmt.Errorf("%w (marlreelctl -h says more)", err))
+	}
+	own, err := config.LoadMarlreel(c.Config)
+	if err != nil {
+		return fail(2, err)
+	}
+	if !own.Registry.On() {
+		return fail(2, fmt.Errorf("%s: registry.kind is not set: there is no registry", c.Config))
+	}
+	w, err := registry.NewWriter(own.Registry)
+	if err != nil {
+		return fail(2, err)
+	}
+	ctx, done := context.WithTimeout(ctx, c.Within)
+	defer done()
+	defer w.Next()
+	if err := k.Run(&site{ctx, w, out}); err != nil {
+		return fail(1, err)
+	}
+	return 0
+}
+
+// reach does something with the registry, at the next endpoint where one can't be reached.
+func (s *site) reach(endpoints int, what func() error) (err error) {
+	for range endpoints {
+		if err = what(); err == nil || !registry.Unreachable(err) || s.ctx.Err() != nil {
+			return err
+		}
+		s.w.Next()
+	}
+	return err
+}
+
+const tries = 3 // endpoints, of one registry
+
+type listCmd struct{}
+
+func (listCmd) Run(s *site) error {
+	var w members.Whole
+	if err := s.reach(tries, func() (err error) { w, err = s.w.Whole(s.ctx); return err }); err != nil {
+		return err
+	}
+	if w.Stale {
+		fmt.Fprintln(s.out, "the registry has no quorum: this may be old")
+	}
+	slices.SortFunc(w.Items, func(a, b members.Item) int { return strings.Compare(a.Name, b.Name) })
+	fmt.Fprintf(s.out, "%-20s %-9s %-22s %-12s %-12s %s\n", "node", "state", "address", "zone", "kind", "revision")
+	for _, i := range w.Items {
+		switch {
+		case i.Name == members.Confirm:
+		case i.Bad != "":
+			fmt.Fprintf(s.out, "%-20s can't be read: %s\n", i.Name, i.Bad)
+		default:
+			state := "ready"
+			if i.Entry.Draining {
+				state = "draining"
+			}
+			fmt.Fprintf(s.out, "%-20s %-9s %-22s %-12s %-12s %d\n", i.Name, state, i.Entry.Addr, i.Entry.Zone, i.Entry.Kind, i.Mod)
+		}
+	}
+	return nil
+}
+
+type putCmd struct {
+	Name    string  `arg:""`
+	Address string  `arg:"" help:"ip:port."`
+	Zone    string  `required:""`
+	Kind    string  ``
+	Weight  float64 `default:"1"`
+}
+
+// change reads an entry, and writes what becomes of it, if nobody else wrote meanwhile.
+func (s *site) change(name string, how func(i members.Item) (registry.Value, error)) error {
+	if name == members.Confirm || strings.ContainsAny(name, "/ ") {
+		return fmt.Errorf("%q is no node's name", name)
+	}
+	return s.reach(tries, func() error {
+		i, err := registry.Read(s.ctx, s.w, name)
+		if err != nil {
+			return err
+		}
+		v, err := how(i)
+		if err != nil {
+			return err
+		}
+		data, err := v.Encode()
+		if err != nil {
+			return err
+		}
+		if err := s.w.Put(s.ctx, name, data, i.Mod, ""); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		fmt.Fprintf(s.out, "%s: %s at %s\n", name, v.State, v.Address)
+		return nil
+	})
+}
+
+func (c putCmd) Run(s *site) error {
+	return s.change(c.Name, func(i members.Item) (registry.Value, error) {
+		return registry.Value{Address: c.Address, Zone: c.Zone, Kind: c.Kind, Weight: c.Weight, State: "ready", Started: i.Entry.Started}, nil
+	})
+}
+
+type drainCmd struct {
+	Name string `arg:""`
+}
+
+func (c drainCmd) Run(s *site) error {
+	return s.change(c.Name, func(i members.Item) (registry.Value, error) {
+		switch e := i.Entry; {
+		case i.Mod == 0:
+			return registry.Value{}, fmt.Errorf("%s is not in the list", c.Name)
+		case i.Bad != "":
+			return registry.Value{}, fmt.Errorf("%s can't be read (%s): put it first", c.Name, i.Bad)
+		default:
+			return registry.Value{Address: e.Addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Weight: e.Weight, Started: e.Started, State: "draining"}, nil
+		}
+	})
+}
+
+type removeCmd struct {
+	Name string `arg:""`
+	Now  bool   `help:"Also one that does not drain: what it has in hand is cut off."`
+}
+
+func (c removeCmd) Run(s *site) error {
+	return s.reach(tries, func() error {
+		i, err := registry.Read(s.ctx, s.w, c.Name)
+		switch {
+		case err != nil:
+			return err
+		case i.Mod == 0:
+			return fmt.Errorf("%s is not in the list", c.Name)
+		case i.Bad == "" && !i.Entry.Draining && !c.Now:
+			return fmt.Errorf("%s does not drain: drain it first, or --now", c.Name)
+		}
+		if err := s.w.Delete(s.ctx, c.Name, i.Mod); err != nil {
+			return fmt.Errorf("%s: %w", c.Name, err)
+		}
+		fmt.Fprintf(s.out, "%s: removed\n", c.Name)
+		return nil
+	})
+}
+
+type confirmCmd struct{}
+
+func (confirmCmd) Run(s *site) error {
+	return s.reach(tries, func() error {
+		if err := s.w.Put(s.ctx, members.Confirm, []byte(fmt.Sprintf(`{"at":%q}`, time.Now().UTC().Format(time.RFC3339))), registry.Any, ""); err != nil {
+			return err
+		}
+		fmt.Fprintln(s.out, "confirmed: the proxies let go what is no longer in the list")
+		return nil
+	})
+}
--- a/internal/registry/transport.go
+++ b/internal/registry/transport.go
@@ -205,6 +205,13 @@
 	return fmt.Sprintf("answered %d: %.200s", e.Status, text)
 }
 
+// Unreachable tells whether an error is an endpoint's: another one may do.
+func Unreachable(err error) bool {
+	var bad *callError
+	var call *url.Error
+	return errors.As(err, &call) || errors.As(err, &bad) && bad.Status >= 500
+}
+
 func readError(r *http.Response) *callError {
 	e := &callError{Status: r.StatusCode}
 	data, _ := io.ReadAll(io.LimitReader(r.Body, 4096))
