Rehearse a lost registry; heed drains that any source tells

The kit's registry (etcd or Consul) with faults lost, emptied, restored, compacted; scenario registry-lost. Its first run broke the rule on drains: the registry was cut off, the platform said that a node was gone, and the proxy went on by the registry's list for its patience. Lines at fault: members.wanted took the word of the source that counts alone. A drain or an end that any source tells counts now from then, until the source that counts speaks of the node again; a source that does not count can't empty the list.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -96,6 +96,8 @@
 	asOf     time.Duration // when it was last known to be up to date
 	bad      map[string]string
 	told     bool // at all
+	// When it last told each entry, and when it said of one that it is gone.
+	when, left map[string]time.Duration
 
 	confirmed int64 // when Confirm was last written
 }
@@ -125,7 +127,8 @@
 	m := &Model{cfg: cfg, active: -1, shown: map[string]Entry{}, held: map[string]Entry{}, flaps: map[string]flap{},
 		damp: map[string]bool{}, said: map[string]string{}}
 	for _, name := range cfg.Sources {
-		m.sources = append(m.sources, &source{name: name, items: map[string]Item{}, bad: map[string]string{}})
+		m.sources = append(m.sources, &source{name: name, items: map[string]Item{}, bad: map[string]string{},
+			when: map[string]time.Duration{}, left: map[string]time.Duration{}})
 	}
 	return m
 }
@@ -188,6 +191,9 @@
 	for _, i := range w.Items {
 		m.put(s, i, was)
 	}
+	if !w.Stale {
+		m.note(now, s, was, back)
+	}
 	s.history, s.revision, s.synced, s.told = w.History, w.Revision, true, true
 	for name := range s.bad {
 		if _, there := s.items[name]; !there && !slices.ContainsFunc(w.Items, func(i Item) bool { return i.Name == name }) {
@@ -203,6 +209,57 @@
 	return m.take()
 }
 
+// note notes when entries were told, and which have left. What a restored registry has no more did not leave.
+func (m *Model) note(now time.Duration, s *source, was map[string]Item, back bool) {
+	for name := range was {
+		if _, stays := s.items[name]; !stays {
+			delete(s.when, name)
+			if !back && len(s.left) < mostLeft {
+				s.left[name] = now
+			}
+		}
+	}
+	for name := range s.items {
+		s.when[name] = now
+		delete(s.left, name)
+	}
+}
+
+// mostLeft bounds what is remembered of those that left, at a source.
+const mostLeft = 20_000
+
+// heed marks those as draining of which another source that is there has said, after the one that counts last
+// spoke of them, that they drain or are gone. Danger: the rule on drains counts from when this proxy was told,
+// by whomever; and while the source that counts is lost its list is the older word.
+func (m *Model) heed(list map[string]Entry) {
+	mine := m.sources[m.active]
+	var leaving []string
+	for j, s := range m.sources {
+		if j == m.active || !s.told || s.lost {
+			continue
+		}
+		for name, e := range list {
+			at, gone := s.left[name]
+			if i, there := s.items[name]; there && i.Entry.Draining {
+				at, gone = s.when[name], true
+			}
+			if gone && !e.Draining && at > mine.when[name] && !slices.Contains(leaving, name) {
+				leaving = append(leaving, name)
+			}
+		}
+	}
+	if m.cfg.Guard > 0 && m.cfg.Guard < 1 && float64(len(leaving)) > m.cfg.Guard*float64(len(list)) {
+		m.say("heed", "WARNING: of %d entries %d would drain or be gone by the word of a source that does not count: left alone", len(list), len(leaving))
+		return
+	}
+	m.unsay("heed")
+	for _, name := range leaving {
+		e := list[name]
+		e.Draining = true
+		list[name] = e
+	}
+}
+
 // put takes one item in. One that can't be read leaves the last good one in its place.
 func (m *Model) put(s *source, i Item, was map[string]Item) {
 	if i.Bad == "" {
@@ -236,7 +293,11 @@
 		return nil
 	}
 	for _, name := range c.Deletes {
+		if _, there := s.items[name]; there && len(s.left) < mostLeft {
+			s.left[name] = now
+		}
 		delete(s.items, name)
+		delete(s.when, name)
 		delete(s.bad, name)
 	}
 	confirmed := false
@@ -246,6 +307,10 @@
 			continue
 		}
 		m.put(s, i, s.items)
+		if i.Bad == "" {
+			s.when[i.Name] = now
+			delete(s.left, i.Name)
+		}
 	}
 	s.revision = c.Revision
 	m.heard(now, s, true)
@@ -404,6 +469,9 @@
 		at[e.Addr] = name
 		list[name] = e
 	}
+	if len(m.sources) > 1 {
+		m.heed(list)
+	}
 	return list
 }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -438,6 +438,40 @@
 	}
 }
 
+// That a node drains or is gone counts by whoever tells it last; the list of the source that counts says more
+// only when it speaks of the node again. A source that does not count can't empty the list.
+func TestADrainIsHeardFromAnySource(t *testing.T) {
+	t.Parallel()
+	m := New(guarded())
+	m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: items(1, upTo(6)...)})
+	m.Whole(2*second, 1, Whole{History: 9, Revision: 1, Items: items(1, upTo(6)...)})
+	drains := Item{Name: "n2", Mod: 2, Entry: at(2)}
+	drains.Entry.Draining = true
+	m.Lost(3*second, 0, "cut off")
+	list, _, _ := read(m.Change(4*second, 1, Change{Revision: 2, Puts: []Item{drains}, Deletes: []string{"n1"}}))
+	if list == nil || !list.Entries["n1"].Draining || !list.Entries["n2"].Draining || list.Entries["n3"].Draining || len(list.Entries) != 6 {
+		t.Fatalf("%+v", list)
+	}
+	if list, _, _ = read(m.Progress(5*second, 0, 1)); list != nil {
+		t.Errorf("that nothing has changed there takes nothing back: %+v", list)
+	}
+	list, _, _ = read(m.Change(6*second, 0, Change{Revision: 2, Puts: items(2, 1)}))
+	if list == nil || list.Entries["n1"].Draining || !list.Entries["n2"].Draining {
+		t.Errorf("it speaks of one again: %+v", list)
+	}
+	ready := Item{Name: "n2", Mod: 3, Entry: at(2)}
+	if list, _, _ = read(m.Change(7*second, 1, Change{Revision: 3, Puts: []Item{ready}})); list == nil || list.Entries["n2"].Draining {
+		t.Errorf("the other takes it back: %+v", list)
+	}
+	list, lines, _ := read(m.Whole(8*second, 1, Whole{History: 9, Revision: 4}))
+	if list != nil || !strings.Contains(lines, "by the word of a source that does not count: left alone") {
+		t.Errorf("an empty list of the other: %+v %s", list, lines)
+	}
+	if list, _, _ = read(m.Whole(9*second, 1, Whole{History: 10, Revision: 1})); list != nil {
+		t.Errorf("a restored one: %+v", list)
+	}
+}
+
 // A bad value disables one entry: its last good one stands, it is said once and counted.
 func TestBadValues(t *testing.T) {
 	t.Parallel()
--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/bits"
 	"sort"
+	"strings"
 	"time"
 
 	"marlreel/internal/standin"
@@ -251,6 +252,10 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(f.What, "registry-") {
+			p.begin(e)
+			continue
+		}
 		var fit []int
 		for n := range first {
 			if (f.Kind == "" || p.Nodes[n].Kind == f.Kind) && (f.Zone == "" || p.Nodes[n].Zone == f.Zone) {
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -25,6 +25,7 @@
 	Fleet     Fleet         `toml:"fleet"`
 	Proxies   Proxies       `toml:"proxies"`
 	Discovery DiscoverySpec `toml:"discovery"`
+	Registry  RegistrySpec  `toml:"registry"`
 	Classes   []Class       `toml:"classes"`
 	Houses    []House       `toml:"houses"`
 	Traffic   Traffic       `toml:"traffic"`
@@ -276,6 +277,10 @@
 	{"discovery-late", "the list comes `by` later to the proxies"},
 	{"discovery-silent", "the list's watches say nothing"},
 	{"discovery-down", "the list's watches end and calls fail"},
+	{"registry-lost", "the registry is cut off until `for` is over"},
+	{"registry-emptied", "the registry's list is empty until `for` is over"},
+	{"registry-restored", "the registry is restored from a backup, `by` old, with another history; put right after `for`"},
+	{"registry-compacted", "the registry forgets all changes so far, and its watches end"},
 }
 
 // brokenHows are the ways in which a settings file is broken: empty, cut off, short of a key, with
@@ -404,6 +409,9 @@
 	case len(s.Faults) > mostFaults:
 		return fmt.Errorf("faults: %d, and %d is the most", len(s.Faults), mostFaults)
 	}
+	if r := s.Registry; !slices.Contains([]string{"", "etcd", "consul"}, r.Kind) || r.Patience < 0 || r.Settle < 0 {
+		return fmt.Errorf("registry.kind = %q: etcd or consul is needed, and patience and settle of 0 or more", r.Kind)
+	}
 	nodes, kinds := 0, []string{}
 	for i, k := range s.Fleet.Nodes {
 		if k.Kind == "" || k.Count < 1 || k.Cores < 1 || k.Slots < 1 || k.Queue < 0 || !(k.Speed[0] > 0) || k.Speed[1] < k.Speed[0] {
@@ -473,7 +481,7 @@
 
 func (s *Scenario) checkFault(f Fault, kinds []string) error {
 	known := slices.ContainsFunc(faultKinds, func(k struct{ What, Does string }) bool { return k.What == f.What })
-	ofProxies := strings.HasPrefix(f.What, "discovery-") || slices.Contains([]string{"kill", "term", "upgrade", "crowd", "retune"}, f.What)
+	ofProxies := strings.HasPrefix(f.What, "discovery-") || strings.HasPrefix(f.What, "registry-") || slices.Contains([]string{"kill", "term", "upgrade", "crowd", "retune"}, f.What)
 	switch {
 	case !known:
 		var names []string
@@ -523,6 +531,12 @@
 		return fmt.Errorf("attempts = %d: 1 to rules.max-attempts (%d) is possible", f.Attempts, s.Rules.MaxAttempts)
 	case f.Connections != 0 && f.What != "crowd" || f.Attempts != 0 && f.What != "retune":
 		return errors.New("connections belongs to what = \"crowd\", attempts to \"retune\"")
+	case strings.HasPrefix(f.What, "registry-") && s.Registry.Kind == "":
+		return errors.New("registry.kind is missing: etcd or consul is needed")
+	case strings.HasPrefix(f.What, "registry-") && (f.Nodes != 0 || f.Share != 0 || len(f.Proxies) > 0):
+		return errors.New("there is one registry: no nodes, share or proxies")
+	case f.What == "registry-restored" && f.By <= 0:
+		return errors.New("by above 0 is needed: how old the backup is")
 	case f.What == "discovery-late" && f.By <= 0:
 		return errors.New("by above 0 is needed")
 	}
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -65,22 +65,32 @@
 // rpcOffset is from a node's HTTP port to its RPC port.
 const rpcOffset = 3000
 
-// OwnFile is what a proxy is set beyond what the platform says: the scenario's own figures, and of RPC
+// OwnFile is what proxy k is set beyond what the platform says: the scenario's own figures, and of RPC
 // what the kit's nodes want.
-func (s *Scenario) OwnFile(rpcListen string) string {
+func (s *Scenario) OwnFile(k int, rpcListen, registry string) string {
 	own := maps.Clone(s.Proxies.Own)
 	if own == nil {
 		own = map[string]any{}
 	}
-	if s.RPC() {
-		table := func(in map[string]any, name string) map[string]any {
-			t, _ := in[name].(map[string]any)
-			if t = maps.Clone(t); t == nil {
-				t = map[string]any{}
-			}
-			in[name] = t
-			return t
+	table := func(in map[string]any, name string) map[string]any {
+		t, _ := in[name].(map[string]any)
+		if t = maps.Clone(t); t == nil {
+			t = map[string]any{}
+		}
+		in[name] = t
+		return t
+	}
+	if registry != "" {
+		t := table(own, "registry")
+		t["kind"], t["endpoints"], t["prefix"] = s.Registry.Kind, []string{registry}, nodesPrefix(k)
+		if s.Registry.Patience > 0 {
+			t["patience"] = s.Registry.Patience.D().String()
 		}
+		if s.Registry.Settle > 0 {
+			t["settle"] = s.Registry.Settle.D().String()
+		}
+	}
+	if s.RPC() {
 		rpc := table(own, "rpc")
 		rpc["listen"] = rpcListen
 		var methods []any
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -30,6 +30,7 @@
 	anyone   bool   // requests that are not of the plan are served too
 
 	discovery *standin.Discovery
+	enrolled  *enrolled // the list in a registry; nil: there is none
 	agents    []*standin.Agent
 	first     standin.List // the list at the start
 	groups    map[string]*standin.Group
@@ -74,6 +75,13 @@
 		}
 	}
 	w.discovery = standin.NewDiscovery(clock, journal)
+	if s.Registry.Kind != "" {
+		store, err := standin.StartRegistry()
+		if err != nil {
+			return w, err
+		}
+		w.enrolled = &enrolled{store: store, now: map[string]standin.Entry{}}
+	}
 	for i, n := range p.Nodes {
 		w.index[n.ID] = i
 		if n.Replaces >= 0 {
@@ -102,7 +110,7 @@
 		if err := w.startNode(i, true); err != nil {
 			return w, err
 		}
-		w.discovery.Put(w.entry(i, "Ready"))
+		w.put(w.entry(i, "Ready"))
 	}
 	for k := range s.Proxies.Count {
 		a, err := w.discovery.Agent(k, p.Late[k], func(id string) string { return w.paths[w.index[id]][k].Addr })
@@ -217,9 +225,13 @@
 			}
 			p.rpc = addr
 		}
-		if w.scenario.RPC() || len(w.scenario.Proxies.Own) > 0 {
+		store := ""
+		if w.enrolled != nil {
+			store = w.enrolled.store.URL()
+		}
+		if w.scenario.RPC() || len(w.scenario.Proxies.Own) > 0 || store != "" {
 			own := filepath.Join(w.dir, proxyName(k)+".toml")
-			if err := os.WriteFile(own, []byte(w.scenario.OwnFile(p.rpc)), 0o644); err != nil {
+			if err := os.WriteFile(own, []byte(w.scenario.OwnFile(k, p.rpc, store)), 0o644); err != nil {
 				return fmt.Errorf("configuration: %w", err)
 			}
 			p.command = append(slices.Clone(command), "--config", own)
@@ -429,6 +441,10 @@
 		}
 		return nil
 	}
+	if strings.Contains(e.What, "registry-") {
+		w.registryFault(e)
+		return nil
+	}
 	n := w.node(e.Node)
 	switch e.What {
 	case "start":
@@ -437,7 +453,7 @@
 		if n != nil && e.Entry == "Ready" && (n.State() == "fallen" || n.State() == "dead") {
 			return nil // it is down again: the list doesn't name it
 		}
-		w.discovery.Put(w.entry(e.Node, e.Entry))
+		w.put(w.entry(e.Node, e.Entry))
 	case "die":
 		n.Die()
 	case "end die":
@@ -548,7 +564,7 @@
 				d := w.scenario.Discovery
 				time.AfterFunc(notice.between(d.NoticeDead[0].D(), d.NoticeDead[1].D()), func() {
 					if n.State() == "fallen" {
-						w.discovery.Put(w.entry(i, "Gone"))
+						w.put(w.entry(i, "Gone"))
 					}
 				})
 			}
@@ -592,6 +608,9 @@
 	if w.discovery != nil {
 		w.discovery.Close()
 	}
+	if w.enrolled != nil {
+		w.enrolled.store.Close()
+	}
 	for _, n := range w.nodes {
 		if n != nil {
 			n.Close()
