--- a/internal/members/flap.go
+++ b/internal/members/flap.go
@@ -36,6 +36,18 @@
 	return time.Duration(math.Log(n/(cfg.FlapMost/2))*float64(cfg.FlapOver)) + time.Millisecond
 }
 
+// flapped notes that an entry is in the list.
+func (m *Model) flapped(now time.Duration, name string, ready bool) {
+	if f := m.flaps[name]; m.cfg.FlapMost > 0 && (ready != f.in || !f.seen) {
+		f = f.fade(now, m.cfg)
+		if ready && f.seen {
+			f.n++
+		}
+		f.in, f.seen = ready, true
+		m.flaps[name] = f
+	}
+}
+
 // dampFlaps takes out of the list what comes and goes too often.
 func (m *Model) dampFlaps(now time.Duration, next map[string]Entry) {
 	if m.cfg.FlapMost <= 0 || m.active < 0 {
@@ -43,15 +55,7 @@
 		return
 	}
 	for name, e := range next {
-		f := m.flaps[name]
-		if ready := !e.Draining; ready != f.in || !f.seen {
-			f = f.fade(now, m.cfg)
-			if ready && f.seen {
-				f.n++
-			}
-			f.in, f.seen = ready, true
-			m.flaps[name] = f
-		}
+		m.flapped(now, name, !e.Draining)
 	}
 	for name, f := range m.flaps {
 		if _, there := next[name]; !there && f.in {
--- a/internal/members/guard.go
+++ b/internal/members/guard.go
@@ -29,16 +29,7 @@
 		clear(m.held)
 		return
 	}
-	// The list is measured by what a registry had, held ones left out: they are not there by its word.
-	// The last size counts however old it is: it is what the list was until now.
-	for len(m.sizes) > 1 && now-m.sizes[0].at > m.cfg.Over {
-		m.sizes = m.sizes[1:]
-	}
-	most := len(next)
-	for _, s := range m.sizes {
-		most = max(most, s.n)
-	}
-	floor := int(math.Ceil(float64(most) * (1 - m.cfg.Guard)))
+	floor := m.floor(now, len(next))
 	if len(next) < floor {
 		for name, e := range m.shown {
 			if _, stays := next[name]; !stays && !e.Draining && !m.damp[name] && !m.has(name) && !m.replaced(e, next) {
@@ -46,9 +37,7 @@
 			}
 		}
 	}
-	if len(m.sizes) == 0 || m.sizes[len(m.sizes)-1].n != len(next) || now-m.sizes[len(m.sizes)-1].at > m.cfg.Over/4 {
-		m.sizes = append(m.sizes, size{now, len(next)})
-	}
+	m.measure(now, len(next))
 	for name, e := range m.held {
 		if m.replaced(e, next) {
 			delete(m.held, name)
@@ -63,6 +52,33 @@
 	}
 }
 
+// floor is how small a list that had n entries now may be. It is measured by what a registry had, held ones
+// left out: they are not there by its word.
+func (m *Model) floor(now time.Duration, n int) int {
+	// The last size counts however old it is: it is what the list was until now.
+	for len(m.sizes) > 1 && now-m.sizes[0].at > m.cfg.Over {
+		m.sizes = m.sizes[1:]
+	}
+	for _, s := range m.sizes {
+		n = max(n, s.n)
+	}
+	return int(math.Ceil(float64(n) * (1 - m.cfg.Guard)))
+}
+
+// measure notes a list's size.
+func (m *Model) measure(now time.Duration, n int) {
+	switch last := len(m.sizes) - 1; {
+	case last >= 0 && m.sizes[last].n == n && now-m.sizes[last].at <= m.cfg.Over/4:
+	case last >= 1 && now-m.sizes[last-1].at < m.cfg.Over/50 && m.sizes[last].n < n:
+		m.sizes[last].n = n // of many at once the largest counts
+	default:
+		m.sizes = append(m.sizes, size{now, n})
+	}
+	if len(m.sizes) > 1000 {
+		m.sizes = m.sizes[len(m.sizes)-1000:]
+	}
+}
+
 // has tells whether the source that counts has an entry, shown or not: then its word on it stands.
 func (m *Model) has(name string) bool {
 	if m.active < 0 {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -62,9 +63,10 @@
 	FlapMost float64       // returns within FlapOver after which an entry has to stay out for a while; 0: any
 	FlapOver time.Duration // over which they are forgotten
 	Most     int           // entries; more are left out, and said
+	Deltas   bool          // small changes are told as Delta
 }
 
-// Action is one of List, Load and Say.
+// Action is one of List, Delta, Load and Say.
 type Action interface{ action() }
 
 // List is the list as it is to be from now on.
@@ -73,15 +75,22 @@
 	Cached  bool // it is an old one: nobody has confirmed it
 }
 
+// Delta is what has changed of the list.
+type Delta struct {
+	Changed map[string]Entry
+	Gone    []string
+}
+
 // Load asks for a source's whole list.
 type Load struct{ Source int }
 
 // Say is a line for the log.
 type Say string
 
-func (List) action() {}
-func (Load) action() {}
-func (Say) action()  {}
+func (List) action()  {}
+func (Delta) action() {}
+func (Load) action()  {}
+func (Say) action()   {}
 
 // source is what is known of one.
 type source struct {
@@ -113,6 +122,9 @@
 	began   bool
 
 	shownCached bool
+	whole       bool                // shown is what all of it comes to: small changes may go on from there
+	unheeded    bool                // too many would drain by the word of a source that does not count
+	addresses   map[string][]string // names by address, of the source that counts
 
 	sizes []size            // the list's, of late
 	held  map[string]Entry  // what went with too many others
@@ -232,23 +244,20 @@
 // spoke of them, that they drain or are gone. Danger: the rule on drains counts from when this proxy was told,
 // by whomever; and while the source that counts is lost its list is the older word.
 func (m *Model) heed(list map[string]Entry) {
-	mine := m.sources[m.active]
 	var leaving []string
-	for j, s := range m.sources {
-		if j == m.active || !s.told || s.lost {
+	for name, e := range list {
+		if e.Draining || !m.leaves(name) {
 			continue
 		}
-		for name, e := range list {
-			at, gone := s.left[name]
-			if i, there := s.items[name]; there && i.Entry.Draining {
-				at, gone = s.when[name], true
-			}
-			if gone && !e.Draining && at > mine.when[name] && !slices.Contains(leaving, name) {
-				leaving = append(leaving, name)
-			}
+		if was, shown := m.shown[name]; shown && was.Draining {
+			e.Draining = true // as before, however many are left
+			list[name] = e
+			continue
 		}
+		leaving = append(leaving, name)
 	}
-	if m.cfg.Guard > 0 && m.cfg.Guard < 1 && float64(len(leaving)) > m.cfg.Guard*float64(len(list)) {
+	m.unheeded = m.cfg.Guard > 0 && m.cfg.Guard < 1 && float64(len(leaving)) > m.cfg.Guard*float64(len(list))
+	if m.unheeded {
 		m.say("heed", "WARNING: of %d entries %d would drain or be gone by the word of a source that does not count: left alone", len(list), len(leaving))
 		return
 	}
@@ -260,6 +269,24 @@
 	}
 }
 
+// leaves tells whether another source has said last that an entry drains or is gone.
+func (m *Model) leaves(name string) bool {
+	said := m.sources[m.active].when[name]
+	for j, s := range m.sources {
+		if j == m.active || !s.told || s.lost {
+			continue
+		}
+		at, gone := s.left[name]
+		if i, there := s.items[name]; there && i.Entry.Draining {
+			at, gone = s.when[name], true
+		}
+		if gone && at > said {
+			return true
+		}
+	}
+	return false
+}
+
 // put takes one item in. One that can't be read leaves the last good one in its place.
 func (m *Model) put(s *source, i Item, was map[string]Item) {
 	if i.Bad == "" {
@@ -292,6 +319,9 @@
 	if c.Revision <= s.revision {
 		return nil
 	}
+	if src == m.active {
+		m.leaveAddresses(c)
+	}
 	for _, name := range c.Deletes {
 		if _, there := s.items[name]; there && len(s.left) < mostLeft {
 			s.left[name] = now
@@ -301,11 +331,14 @@
 		delete(s.bad, name)
 	}
 	confirmed := false
+	touched := make([]string, 0, len(c.Puts)+len(c.Deletes))
+	touched = append(touched, c.Deletes...)
 	for _, i := range c.Puts {
 		if i.Name == Confirm {
 			confirmed, s.confirmed = true, i.Mod
 			continue
 		}
+		touched = append(touched, i.Name)
 		m.put(s, i, s.items)
 		if i.Bad == "" {
 			s.when[i.Name] = now
@@ -313,9 +346,11 @@
 		}
 	}
 	s.revision = c.Revision
+	before, found := m.active, s.lost
 	m.heard(now, s, true)
-	m.choose(now)
-	m.show(now)
+	if m.choose(now); found || before != m.active || !m.showSome(now, src, touched) {
+		m.show(now)
+	}
 	if confirmed {
 		m.confirm(now)
 	}
@@ -457,17 +492,13 @@
 	list := make(map[string]Entry, len(items))
 	// Danger: two names at one address are one backend that would get twice its load, or one whose
 	// successor has its address already. The one written last counts.
-	at := make(map[string]string, len(items))
-	names := slices.Sorted(maps.Keys(items))
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(items[a].Mod, items[b].Mod) })
-	for _, name := range names {
-		e := items[name].Entry
-		if other, taken := at[e.Addr]; taken {
-			delete(list, other)
-			m.say("address "+e.Addr, "%s and %s are both at %s: the later one, %s, counts", other, name, e.Addr, name)
-		}
-		at[e.Addr] = name
-		list[name] = e
+	m.addresses = make(map[string][]string, len(items))
+	for name, i := range items {
+		m.addresses[i.Entry.Addr] = append(m.addresses[i.Entry.Addr], name)
+	}
+	for _, names := range m.addresses {
+		name := m.latest(names)
+		list[name] = items[name].Entry
 	}
 	if len(m.sources) > 1 {
 		m.heed(list)
@@ -475,6 +506,18 @@
 	return list
 }
 
+// latest is which of several at one address counts.
+func (m *Model) latest(names []string) string {
+	if len(names) == 1 {
+		return names[0]
+	}
+	items := m.sources[m.active].items
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(items[a].Mod, items[b].Mod), strings.Compare(a, b)) })
+	last := names[len(names)-1]
+	m.say("address "+items[last].Entry.Addr, "%s are all at %s: the latest, %s, counts", strings.Join(names, ", "), items[last].Entry.Addr, last)
+	return last
+}
+
 // show tells the list, if it is another one than before.
 func (m *Model) show(now time.Duration) {
 	if m.active < 0 && m.old == nil {
@@ -483,6 +526,7 @@
 	next := m.wanted()
 	m.dampFlaps(now, next)
 	m.guard(now, next)
+	m.whole = true
 	if m.began && maps.Equal(next, m.shown) && m.cached == m.shownCached {
 		return
 	}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -57,6 +57,22 @@
 	return list, lines, loads
 }
 
+// fold is what a list comes to with some actions.
+func fold(list map[string]Entry, acts []Action) map[string]Entry {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case List:
+			list = maps.Clone(a.Entries)
+		case Delta:
+			maps.Copy(list, a.Changed)
+			for _, name := range a.Gone {
+				delete(list, name)
+			}
+		}
+	}
+	return list
+}
+
 // registry is a store with all its revisions.
 type registry struct {
 	rng       *rand.Rand
@@ -107,15 +123,15 @@
 func TestHistories(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(3000) {
-		r, m := newRegistry(seed), New(plain())
+		cfg := plain()
+		cfg.Deltas = seed%2 == 0
+		r, m := newRegistry(seed), New(cfg)
 		now := second
 		var shown map[string]Entry
 		acked, position, loading, connected := int64(-1), int64(0), true, true
 		take := func(acts []Action) {
-			list, _, loads := read(acts)
-			if list != nil {
-				shown = list.Entries
-			}
+			_, _, loads := read(acts)
+			shown = fold(shown, acts)
 			if loads > 0 {
 				loading = true
 			}
@@ -508,7 +524,7 @@
 		t.Errorf("%+v", acts)
 	}
 	list, lines, _ := read(m.Change(3*second, 0, Change{Revision: 3, Puts: []Item{{Name: "n4", Mod: 3, Entry: at(1)}}}))
-	if len(list.Entries) != 3 || list.Entries["n4"] != at(1) || !strings.Contains(lines, "n1 and n4 are both at") {
+	if len(list.Entries) != 3 || list.Entries["n4"] != at(1) || !strings.Contains(lines, "n1, n4 are all at") {
 		t.Errorf("%+v %s", list, lines)
 	}
 }
@@ -554,8 +570,10 @@
 func TestWhateverComes(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		m, now := New(guarded()), second
-		var last *List
+		cfg := guarded()
+		cfg.Deltas = rapid.Bool().Draw(t, "deltas")
+		m, now := New(cfg), second
+		var last map[string]Entry
 		item := rapid.Custom(func(t *rapid.T) Item {
 			n := rapid.IntRange(0, 9).Draw(t, "n")
 			i := Item{Name: fmt.Sprint("n", n), Mod: int64(rapid.IntRange(1, 50).Draw(t, "mod")), Entry: at(rapid.IntRange(0, 11).Draw(t, "address"))}
@@ -568,11 +586,6 @@
 		distinct := func(i Item) string { return i.Name }
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
-				for _, a := range append(m.take(), m.Tick(now)...) {
-					if l, is := a.(List); is {
-						last = &l
-					}
-				}
 				if n := m.Next(now); n != 0 && n <= now {
 					t.Fatalf("next at %v, now %v", n, now)
 				}
@@ -582,8 +595,15 @@
 						t.Fatalf("%s is held, and not shown", h)
 					}
 				}
-				if last != nil && !maps.Equal(last.Entries, m.shown) {
-					t.Fatalf("told %v, shown %v", last.Entries, m.shown)
+				if !maps.Equal(last, m.shown) {
+					t.Fatalf("told %v, shown %v", last, m.shown)
+				}
+				// The long way comes to the same.
+				fresh := *m
+				fresh.held, fresh.flaps, fresh.damp, fresh.said = maps.Clone(m.held), maps.Clone(m.flaps), maps.Clone(m.damp), maps.Clone(m.said)
+				fresh.sizes, fresh.out = slices.Clone(m.sizes), nil
+				if fresh.show(now); !maps.Equal(fresh.shown, m.shown) {
+					t.Fatalf("shown %v, and the long way %v", m.shown, fresh.shown)
 				}
 				if m.active < 0 {
 					return
@@ -599,7 +619,10 @@
 					}
 				}
 			},
-			"time": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * ms },
+			"time": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * ms
+				keep(&last, m.Tick(now))
+			},
 			"whole": func(t *rapid.T) {
 				src := rapid.IntRange(0, 1).Draw(t, "source")
 				keep(&last, m.Whole(now, src, Whole{History: uint64(rapid.IntRange(1, 2).Draw(t, "history")), Revision: int64(rapid.IntRange(0, 60).Draw(t, "revision")),
@@ -630,8 +653,4 @@
 	})
 }
 
-func keep(last **List, acts []Action) {
-	if l, _, _ := read(acts); l != nil {
-		*last = l
-	}
-}
+func keep(last *map[string]Entry, acts []Action) { *last = fold(*last, acts) }
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -1,7 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"log"
+	"os"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -156,3 +162,72 @@
 	servedBy(t, p, "one")
 	eventually(t, "all in the figures", func() bool { return figure(t, p, "discovered") == "3001|g" })
 }
+
+// What following a registry costs: MARLREEL_MEASURE=1 go test -v -run TestMeasureRegistry ./internal/proxy
+// prints the figures of docs/design/registry.md.
+func TestMeasureRegistry(t *testing.T) {
+	if os.Getenv("MARLREEL_MEASURE") == "" {
+		t.Skip("a measurement: MARLREEL_MEASURE=1 asks for it")
+	}
+	for _, kind := range []string{"etcd", "consul"} {
+		for _, n := range []int{12, 5000} {
+			for _, every := range []time.Duration{time.Second, 10 * time.Millisecond} {
+				r, own := store(t, kind)
+				var ops []standin.RegistryOp
+				for i := range n {
+					ops = append(ops, listed(t, fmt.Sprint("s-", i), fmt.Sprintf("127.0.0.2:%d", 1000+i), "ready"))
+				}
+				r.Txn(ops...)
+				p, err := assemble(testConfig(t, closedAddr(t)), own, nil, log.New(io.Discard, "", 0))
+				if err != nil {
+					t.Fatal(err)
+				}
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				heap := m.HeapAlloc
+				ctx, stop := context.WithCancel(t.Context())
+				go p.engine.Run(ctx)
+				p.engine.Post(func() { p.source.Set(own.Registry) })
+				size := func(addr string) (list int, there bool) {
+					done := make(chan struct{})
+					p.engine.Post(func() {
+						b := p.engine.Backend("s-0")
+						list, there = p.engine.Listed(), b != nil && b.Addr == addr
+						close(done)
+					})
+					<-done
+					return list, there
+				}
+				eventually(t, "the list", func() bool { l, _ := size(""); return l == n })
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				held := m.HeapAlloc - heap
+				var took []time.Duration
+				sent, before, began := r.Sent(), cpu(), time.Now()
+				changes := 0
+				for ; time.Since(began) < 4*time.Second; changes++ {
+					addr := fmt.Sprintf("127.0.0.3:%d", 1000+changes)
+					at := time.Now()
+					r.Txn(listed(t, "s-0", addr, "ready"))
+					for {
+						if _, there := size(addr); there || time.Since(at) > 2*time.Second {
+							break
+						}
+						time.Sleep(100 * time.Microsecond)
+					}
+					took = append(took, time.Since(at))
+					time.Sleep(max(0, every-time.Since(at)))
+				}
+				seconds := time.Since(began).Seconds()
+				slices.Sort(took)
+				t.Logf("| %s | %d | %.0f | %.1f | %.1f | %.1f | %.0f | %.3f | %.1f |", kind, n, float64(changes)/seconds, float64(took[len(took)/2])/1e6,
+					float64(took[len(took)*99/100])/1e6, float64(took[len(took)-1])/1e6, float64(r.Sent()-sent)/float64(changes), (cpu()-before).Seconds()/seconds, float64(held)/1e6)
+				stop()
+				<-p.engine.Done()
+				p.source.Close()
+				p.carrier.Close()
+			}
+		}
+	}
+}
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -142,7 +142,7 @@
 func (s *Source) enter() {
 	c := s.cfg
 	s.model = members.New(members.Config{Sources: []string{"registry", "platform"}, Patience: c.Patience.D(), Settle: c.Settle.D(), Guard: c.Guard,
-		Over: c.GuardOver.D(), FlapMost: c.Flaps, FlapOver: c.FlapOver.D(), Most: 20_000})
+		Over: c.GuardOver.D(), FlapMost: c.Flaps, FlapOver: c.FlapOver.D(), Most: 20_000, Deltas: true})
 	w := members.Whole{Revision: int64(s.version)}
 	known := map[string]members.Entry{}
 	s.host.Backends(func(b *engine.Backend) {
@@ -277,6 +277,8 @@
 			}
 		case members.List:
 			s.tell(a.Entries, a.Cached)
+		case members.Delta:
+			s.tellSome(a)
 		}
 	}
 	s.schedule()
@@ -312,25 +314,42 @@
 	s.number++
 	l.Version = s.number
 	for _, name := range slices.Sorted(maps.Keys(list)) {
-		e := list[name]
-		entry := engine.Entry{Name: name, Addr: e.Addr, Zone: -1, Kind: -1, Cell: e.Cell, State: marlreel.Ready, Weight: e.Weight}
-		if zone, known := s.names.Zones[e.Zone]; known {
-			entry.Zone = zone
-		}
-		if kind, known := s.names.Kinds[e.Kind]; known {
-			entry.Kind = kind
-		}
-		if e.Draining {
-			entry.State = marlreel.Draining
-		}
-		if e.Started != 0 {
-			entry.Started = time.UnixMilli(e.Started)
-		}
-		l.Entries = append(l.Entries, entry)
+		l.Entries = append(l.Entries, s.toEngine(name, list[name]))
+	}
+	s.host.List(l)
+}
+
+// tellSome gives the engine a change.
+func (s *Source) tellSome(d members.Delta) {
+	s.number++
+	l := engine.List{Kind: marlreel.ListDelta, Version: s.number}
+	for _, name := range d.Gone { // first: another may have the address now
+		l.Entries = append(l.Entries, engine.Entry{Name: name, Zone: -1, Kind: -1, State: marlreel.Gone})
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Changed)) {
+		l.Entries = append(l.Entries, s.toEngine(name, d.Changed[name]))
 	}
 	s.host.List(l)
 }
 
+// toEngine is an entry as the engine has it.
+func (s *Source) toEngine(name string, e members.Entry) engine.Entry {
+	entry := engine.Entry{Name: name, Addr: e.Addr, Zone: -1, Kind: -1, Cell: e.Cell, State: marlreel.Ready, Weight: e.Weight}
+	if zone, known := s.names.Zones[e.Zone]; known {
+		entry.Zone = zone
+	}
+	if kind, known := s.names.Kinds[e.Kind]; known {
+		entry.Kind = kind
+	}
+	if e.Draining {
+		entry.State = marlreel.Draining
+	}
+	if e.Started != 0 {
+		entry.Started = time.UnixMilli(e.Started)
+	}
+	return entry
+}
+
 // entryOf is a backend that stands, as an entry.
 func (s *Source) entryOf(b *engine.Backend) members.Entry {
 	e := members.Entry{Addr: b.Addr, Zone: s.zones[b.Zone], Kind: s.kinds[b.Kind], Cell: b.Cell, Draining: b.State == marlreel.Draining, Weight: b.Weight}
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	server *http.Server
 	done   chan struct{}
 
+	counted *counting
+
 	mu       sync.Mutex
 	changed  chan struct{} // closed at each change of anything
 	cluster  uint64
@@ -82,10 +85,12 @@
 	if err != nil {
 		return nil, err
 	}
+	addr, counted := ln.Addr().String(), &counting{Listener: ln}
+	ln = counted
 	if t != nil {
 		ln = tls.NewListener(ln, t)
 	}
-	r := &Registry{Addr: ln.Addr().String(), done: make(chan struct{}), changed: make(chan struct{}), cluster: 0xc1, revision: 1, keys: map[string]kv{},
+	r := &Registry{Addr: addr, counted: counted, done: make(chan struct{}), changed: make(chan struct{}), cluster: 0xc1, revision: 1, keys: map[string]kv{},
 		states: map[int64]map[string]kv{1: {}}, quorum: true, tokens: map[string]bool{}, leases: map[int64]*lease{}, calls: map[string]int{},
 		watches: map[chan struct{}]bool{}}
 	r.server = &http.Server{Handler: r.routes()}
@@ -791,3 +796,33 @@
 	r.expire(sessionOf(q))
 	answer(w, true)
 }
+
+// counting counts what a listener's connections write.
+type counting struct {
+	net.Listener
+	sent atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (c *counting) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, &c.sent}, nil
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// Sent is how many bytes it has written.
+func (r *Registry) Sent() int64 { return r.counted.sent.Load() }
