--- a/cmd/marlreelctl/main.go
+++ b/cmd/marlreelctl/main.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"net/http"
 	"os"
 	"os/signal"
 	"slices"
@@ -28,10 +32,11 @@
 Exit codes: 0 done, 1 the registry refused or can't be reached, 2 wrong use.`
 
 type cli struct {
-	Config string        `required:"" help:"The file with [registry], as the proxies have it." placeholder:"FILE"`
+	Config string        `help:"The file with [registry], as the proxies have it." placeholder:"FILE"`
 	Within time.Duration `default:"15s" help:"How long it may take."`
 
-	Nodes nodesCmd `cmd:"" help:"The nodes: list, put, drain, remove, confirm."`
+	Discovery discoveryCmd `cmd:"" help:"Whose list a proxy goes by, how old it is, what is held and what can't be read."`
+	Nodes     nodesCmd     `cmd:"" help:"The nodes: list, put, drain, remove, confirm."`
 }
 
 type nodesCmd struct {
@@ -75,6 +80,17 @@
 	if err != nil {
 		return fail(2, fmt.Errorf("%w (marlreelctl -h says more)", err))
 	}
+	ctx, done := context.WithTimeout(ctx, c.Within)
+	defer done()
+	if strings.HasPrefix(k.Command(), "discovery") {
+		if err := k.Run(&site{ctx: ctx, out: out}); err != nil {
+			return fail(1, err)
+		}
+		return 0
+	}
+	if c.Config == "" {
+		return fail(2, errors.New("--config is missing: the file with [registry], as the proxies have it"))
+	}
 	own, err := config.LoadMarlreel(c.Config)
 	if err != nil {
 		return fail(2, err)
@@ -86,8 +102,6 @@
 	if err != nil {
 		return fail(2, err)
 	}
-	ctx, done := context.WithTimeout(ctx, c.Within)
-	defer done()
 	defer w.Next()
 	if err := k.Run(&site{ctx, w, out}); err != nil {
 		return fail(1, err)
@@ -108,6 +122,67 @@
 
 const tries = 3 // endpoints, of one registry
 
+type discoveryCmd struct {
+	Control string `required:"" env:"NODE_CONTROL" help:"Where the proxy's door is." placeholder:"ADDRESS"`
+	JSON    bool   `name:"json" help:"As the proxy says it."`
+}
+
+func (d discoveryCmd) Run(s *site) error {
+	r, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+d.Control+"/control/discovery", nil)
+	if err != nil {
+		return err
+	}
+	r.Close = true
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(strings.TrimSpace(string(body)))
+	}
+	if d.JSON {
+		_, err = s.out.Write(body)
+		return err
+	}
+	var st members.Status
+	if err := json.Unmarshal(body, &st); err != nil {
+		return fmt.Errorf("the proxy at %s: %w", d.Control, err)
+	}
+	source, age := st.Source, "not known"
+	if source == "" {
+		source = "an old list"
+	}
+	if st.Age >= 0 {
+		age = st.Age.Round(time.Millisecond).String()
+	}
+	fmt.Fprintf(s.out, "%s, revision %d: %d entries; up to date as of %s ago\n", source, st.Revision, st.Entries, age)
+	for _, x := range st.Sources {
+		state := "well"
+		switch {
+		case x.Lost:
+			state = "lost: " + x.Why
+		case !x.Synced:
+			state = "its whole list is on its way, or was never told"
+		}
+		fmt.Fprintf(s.out, "  %-10s revision %-8d %s\n", x.Name, x.Revision, state)
+		for _, name := range slices.Sorted(maps.Keys(x.Bad)) {
+			fmt.Fprintf(s.out, "    %s can't be read: %s\n", name, x.Bad[name])
+		}
+	}
+	if len(st.Held) > 0 {
+		fmt.Fprintf(s.out, "held, for most of the list went at once (marlreelctl nodes confirm lets them go): %s\n", strings.Join(st.Held, ", "))
+	}
+	if len(st.Damped) > 0 {
+		fmt.Fprintf(s.out, "out, for they come and go: %s\n", strings.Join(st.Damped, ", "))
+	}
+	return nil
+}
+
 type listCmd struct{}
 
 func (listCmd) Run(s *site) error {
--- a/cmd/marlreelctl/main_test.go
+++ b/cmd/marlreelctl/main_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"marlreel/internal/members"
 	"marlreel/internal/standin"
 )
 
@@ -73,3 +78,38 @@
 		t.Errorf("%d %s", code, errs)
 	}
 }
+
+// What a proxy says of its lists, in words; and that there is no registry.
+func TestDiscovery(t *testing.T) {
+	t.Parallel()
+	said := members.Status{Source: "registry", Revision: 42, Age: 1500 * time.Millisecond, Entries: 7, Held: []string{"s-1", "s-2"}, Damped: []string{"s-9"},
+		Sources: []members.SourceStatus{{Name: "registry", Revision: 42, Lost: true, Why: "connection refused", Bad: map[string]string{"s-3": "v = 2"}}, {Name: "platform", Revision: 5, Synced: true}}}
+	on := true
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !on || r.URL.Path != "/control/discovery" {
+			http.Error(w, "no registry is set", http.StatusNotFound)
+			return
+		}
+		json.NewEncoder(w).Encode(said)
+	}))
+	t.Cleanup(s.Close)
+	addr := strings.TrimPrefix(s.URL, "http://")
+	var out, errs bytes.Buffer
+	if code := run(t.Context(), []string{"discovery", "--control", addr}, &out, &errs); code != 0 {
+		t.Errorf("%d %s", code, errs.String())
+	}
+	for _, want := range []string{"registry, revision 42: 7 entries; up to date as of 1.5s ago", "lost: connection refused", "s-3 can't be read: v = 2", "platform", "held", "s-1, s-2", "s-9"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in\n%s", want, out.String())
+		}
+	}
+	on = false
+	out.Reset()
+	if code := run(t.Context(), []string{"discovery", "--control", addr}, &out, &errs); code != 1 || !strings.Contains(errs.String(), "no registry is set") {
+		t.Errorf("%d %s", code, errs.String())
+	}
+	errs.Reset()
+	if code := run(t.Context(), []string{"nodes", "list"}, &out, &errs); code != 2 || !strings.Contains(errs.String(), "--config is missing") {
+		t.Errorf("%d %s", code, errs.String())
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -37,6 +37,7 @@
 	ln     net.Listener
 	closed bool
 	wg     sync.WaitGroup
+	also   map[string]func() (int, []byte)
 }
 
 // New makes a door. ready tells whether this process can serve; counters appends the
@@ -47,6 +48,14 @@
 	return &Door{ready: ready, counters: counters, most: max(1, most)}
 }
 
+// Also answers another path under /control/. Only before Serve. give must wait for nobody.
+func (d *Door) Also(path string, give func() (status int, body []byte)) {
+	if d.also == nil {
+		d.also = map[string]func() (int, []byte){}
+	}
+	d.also[path] = give
+}
+
 // Serve takes calls until Close, or until the listener fails.
 func (d *Door) Serve(ln net.Listener) error {
 	d.mu.Lock()
@@ -151,6 +160,9 @@
 	case "/control/counters":
 		give = func() (int, []byte) { return http.StatusOK, d.counters(nil) }
 	default:
+		if give = d.also[r.URL.Path]; give != nil {
+			break
+		}
 		return http.StatusNotFound, "", []byte("there are /control/ready and /control/counters\n")
 	}
 	if r.Method != http.MethodGet {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -105,6 +105,7 @@
 	asOf     time.Duration // when it was last known to be up to date
 	bad      map[string]string
 	told     bool // at all
+	why      string
 	// When it last told each entry, and when it said of one that it is gone.
 	when, left map[string]time.Duration
 
@@ -387,7 +388,7 @@
 // Lost takes in that a source can't be reached. Its list stands.
 func (m *Model) Lost(now time.Duration, src int, why string) []Action {
 	s := m.sources[src]
-	s.loading = false
+	s.loading, s.why = false, why
 	if !s.lost {
 		s.lost, s.lostAt = true, now
 		m.say(s.name+" lost", "%s: lost (%s); its list stands", s.name, why)
@@ -546,22 +547,23 @@
 
 // Status is how things stand.
 type Status struct {
-	Source   string // whose list is shown; "" is an old one
-	Revision int64
-	Age      time.Duration // since the list was last known to be up to date; -1 is not known
-	Entries  int
-	Held     []string // that would have gone with too many others
-	Damped   []string
-	Sources  []SourceStatus
+	Source   string         `json:"source"` // whose list is shown; "" is an old one
+	Revision int64          `json:"revision"`
+	Age      time.Duration  `json:"age_ns"` // since the list was last known to be up to date; -1 is not known
+	Entries  int            `json:"entries"`
+	Held     []string       `json:"held,omitempty"` // that would have gone with too many others
+	Damped   []string       `json:"damped,omitempty"`
+	Sources  []SourceStatus `json:"sources"`
 }
 
 // SourceStatus is how a source stands.
 type SourceStatus struct {
-	Name     string
-	Revision int64
-	Synced   bool
-	Lost     bool
-	Bad      map[string]string // entries that can't be read, and why
+	Name     string            `json:"name"`
+	Revision int64             `json:"revision"`
+	Synced   bool              `json:"synced"` // its whole list is known at the revision
+	Lost     bool              `json:"lost"`
+	Why      string            `json:"why,omitempty"` // it was last lost
+	Bad      map[string]string `json:"bad,omitempty"` // entries that can't be read, and why
 }
 
 // Status gives it.
@@ -575,7 +577,7 @@
 		}
 	}
 	for _, x := range m.sources {
-		s.Sources = append(s.Sources, SourceStatus{x.name, x.revision, x.synced, x.lost, maps.Clone(x.bad)})
+		s.Sources = append(s.Sources, SourceStatus{x.name, x.revision, x.synced, x.lost, x.why, maps.Clone(x.bad)})
 	}
 	return s
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log"
 	"net"
+	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"marlreel/internal/budget"
@@ -19,6 +22,7 @@
 	"marlreel/internal/engine"
 	"marlreel/internal/handover"
 	"marlreel/internal/httpproxy"
+	"marlreel/internal/members"
 	"marlreel/internal/metrics"
 	"marlreel/internal/rpc"
 	"marlreel/internal/sources"
@@ -106,6 +110,20 @@
 
 	counts *metrics.Counts // nil where nobody asks
 	door   *control.Door
+	lists  atomic.Pointer[members.Status] // nil: there is the platform's list alone
+}
+
+// tellLists is what the door says of the lists.
+func (p *parts) tellLists() (int, []byte) {
+	s := p.lists.Load()
+	if s == nil {
+		return http.StatusNotFound, []byte("no registry is set: the platform's list alone counts\n")
+	}
+	body, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return http.StatusInternalServerError, []byte("it can't be written down\n") // texts and numbers
+	}
+	return http.StatusOK, append(body, '\n')
 }
 
 // assemble puts a proxy together. Nothing runs yet.
@@ -140,6 +158,7 @@
 	if cfg.Control != "" {
 		p.counts = metrics.New(p.engine.Written, cfg.Settings.Classes)
 		p.door = control.New(p.front.Ready, p.counts.Append, cfg.DoorCalls())
+		p.door.Also("/control/discovery", p.tellLists)
 		p.engine.Observe(p.counts)
 	}
 	if own.RPC.Listen != "" {
@@ -296,6 +315,11 @@
 // publish sets the gauges now and ever again. On the engine's goroutine.
 func (p *parts) publish() {
 	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided(), p.engine.Storm())
+	if s, on := p.source.Status(); on {
+		p.lists.Store(&s)
+	} else if p.lists.Load() != nil {
+		p.lists.Store(nil)
+	}
 	p.engine.At(p.engine.Now()+metrics.Every, p.publish)
 }
 
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
+	"net/http"
 	"os"
 	"runtime"
 	"slices"
@@ -13,6 +15,7 @@
 	"time"
 
 	"marlreel/internal/config"
+	"marlreel/internal/members"
 	kvstore "marlreel/internal/registry"
 	"marlreel/internal/standin"
 	"marlreel/internal/strict"
@@ -101,11 +104,22 @@
 	t.Parallel()
 	r, own := store(t, "etcd")
 	r.Txn(listed(t, "s-1", named(t, "one"), "ready"), listed(t, "s-2", named(t, "one"), "ready"), listed(t, "s-3", named(t, "one"), "ready"))
-	p := startWith(t, testConfig(t, closedAddr(t)), own)
+	cfg := testConfig(t, closedAddr(t))
+	cfg.Control = "127.0.0.1:0"
+	p := startWith(t, cfg, own)
 	servedBy(t, p, "one")
 	r.Txn(standin.RegistryOp{Key: nodesPrefix + "s-1", Delete: true}, standin.RegistryOp{Key: nodesPrefix + "s-2", Delete: true}, standin.RegistryOp{Key: nodesPrefix + "s-3", Delete: true})
 	eventually(t, "the warning", func() bool { return strings.Contains(p.log.String(), "WARNING: the list lost most of its entries") })
 	servedBy(t, p, "one")
+	eventually(t, "the door's word on it", func() bool {
+		resp, err := http.Get("http://" + p.control + "/control/discovery")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		var s members.Status
+		return json.NewDecoder(resp.Body).Decode(&s) == nil && s.Source == "registry" && len(s.Held) == 3 && s.Entries == 3
+	})
 	r.Txn(listed(t, "s-4", named(t, "two"), "ready"), standin.RegistryOp{Key: nodesPrefix + "_confirm", Value: "{}"})
 	eventually(t, "the confirmation", func() bool { return strings.Contains(p.log.String(), "an operator confirmed the list: 1 entries") })
 	servedBy(t, p, "two")
