Schedule work that is no request: by priority, within a share of a core

Need: what a proxy does beside serving has no common limit. internal/background, pure: priorities that age, a budget of a core's time saved up to a bound, so many at once, jitter, learnt costs; in an overload and in a stop only what is Soon begins; a job that does not end is said, no longer counts and is not begun again; one that fails comes less often. The runner measures a run by its thread's time and turns panics into errors.

Writing the memory runs on it, 2% of a core by default, and not at all while the module sees an overload.

--- a/internal/config/marlreel.go
+++ b/internal/config/marlreel.go
@@ -17,6 +17,22 @@
 	RPC      rpc.Config      `toml:"rpc"`
 	Registry registry.Config `toml:"registry"`
 	Memory   Memory          `toml:"memory"`
+	// Background is what work that is no request may take.
+	Background Background `toml:"background"`
+}
+
+// Background is the budget of all that a proxy does beside serving.
+type Background struct {
+	Share float64 `toml:"share"` // of a core
+	Most  int     `toml:"most"`  // jobs at once
+}
+
+// Validate names the first thing that makes no budget.
+func (b *Background) Validate() error {
+	if !(b.Share > 0 && b.Share <= 0.5) || b.Most < 1 || b.Most > 16 {
+		return fmt.Errorf("background.share = %v, background.most = %d: above 0 and up to 0.5 of a core, and 1 to 16 jobs, are needed", b.Share, b.Most)
+	}
+	return nil
 }
 
 // Memory is where a proxy keeps what it learns, for its next life.
@@ -46,7 +62,8 @@
 // DefaultMarlreel is what holds without a file: everything off.
 func DefaultMarlreel() *Marlreel {
 	return &Marlreel{RPC: rpc.DefaultConfig(), Registry: registry.DefaultConfig(),
-		Memory: Memory{Every: strict.Span(5 * time.Second), Keep: strict.Span(10 * time.Minute), Half: strict.Span(30 * time.Second)}}
+		Memory:     Memory{Every: strict.Span(5 * time.Second), Keep: strict.Span(10 * time.Minute), Half: strict.Span(30 * time.Second)},
+		Background: Background{Share: 0.02, Most: 2}}
 }
 
 // LoadMarlreel reads a file; "" is none. An error is one line that names file, key and
@@ -74,6 +91,9 @@
 	if err := m.Registry.Validate(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := m.Background.Validate(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	if err := m.Memory.Validate(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -40,6 +40,7 @@
 		"marlreel/internal/config":       {"marlreel", "marlreel/internal/discovery", "marlreel/internal/strict", "marlreel/internal/wire", "marlreel/internal/rpc", "marlreel/internal/registry"},
 		"marlreel/internal/doubt":        {"marlreel/internal/learnt"},
 		"marlreel/internal/store":        {"marlreel/internal/doubt", "marlreel/internal/learnt", "marlreel/internal/learnt/codec"},
+		"marlreel/internal/background":   {},
 		"marlreel/internal/members":      {},
 		"marlreel/internal/registry":     {"marlreel/internal/members", "marlreel/internal/strict"},
 		"marlreel/internal/sources":      {"marlreel", "marlreel/internal/discovery", "marlreel/internal/engine", "marlreel/internal/members", "marlreel/internal/registry"},
--- a/internal/proxy/keep.go
+++ b/internal/proxy/keep.go
@@ -6,11 +6,13 @@
 	"log"
 	"time"
 
+	"marlreel/internal/background"
 	"marlreel/internal/config"
 	"marlreel/internal/doubt"
 	"marlreel/internal/learnt"
 	"marlreel/internal/learnt/codec"
 	"marlreel/internal/store"
+	"marlreel/internal/storm"
 )
 
 // saver keeps what this proxy learns in a file, where the operator has set a folder for it. It is beside all
@@ -56,16 +58,30 @@
 	return known
 }
 
-// run saves until ctx ends, and once more then: stopped tells the next life that this one ended as told.
-func (k *saver) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(k.every):
-		}
-		k.save(ctx, false)
+// budgetBurst is how much of a core work in the background may save up: one writing of the state of the
+// largest fleet.
+const budgetBurst = 50 * time.Millisecond
+
+// overloadEvery is how often jobs are told whether there is more to serve than can be.
+const overloadEvery = 500 * time.Millisecond
+
+// background begins the work that is no request: the state is written down. What must not wait (lists, drains,
+// requests) is the engine's, and probes and sweeps are the module's, whose health of backends rests on them.
+func (p *parts) background(cfg config.Background, k *saver, logger *log.Logger) *background.Runner {
+	r := background.NewRunner(background.Config{Share: cfg.Share, Burst: budgetBurst, Most: cfg.Most}, logger.Printf)
+	r.Add(background.Spec{Name: "writing the memory", Priority: background.Idle, Every: k.every, Cost: time.Millisecond, Longest: max(10*time.Second, 2*k.every)},
+		func(ctx context.Context) error {
+			k.save(ctx, false)
+			return nil
+		})
+	var look func()
+	look = func() {
+		s := p.engine.Storm()
+		r.Busy(s == storm.Rising || s == storm.Storm)
+		p.engine.At(p.engine.Now()+overloadEvery, look)
 	}
+	p.engine.Post(look)
+	return r
 }
 
 // save writes the state down once.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -225,7 +225,8 @@
 	if keeps != nil {
 		keeping, stopKeeping := context.WithCancel(context.Background())
 		kept := make(chan struct{})
-		go func() { defer close(kept); keeps.run(keeping) }()
+		work := p.background(own.Background, keeps, logger)
+		go func() { defer close(kept); work.Run(keeping, lastSave/3) }()
 		defer func() {
 			stopKeeping()
 			<-kept
