--- a/internal/config/marlreel.go
+++ b/internal/config/marlreel.go
@@ -76,7 +76,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	return ParseMarlreel(path, data)
+	m, err := ParseMarlreel(path, data)
+	if err != nil {
+		return nil, err
+	}
+	if err := m.Registry.CheckFiles(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return m, nil
 }
 
 // ParseMarlreel reads a file's text; path is for its errors.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -521,7 +521,11 @@
 	} {
 		c := good()
 		change(&c)
-		if err := c.Validate(); err == nil || !strings.Contains(err.Error(), want) {
+		err := c.Validate()
+		if err == nil {
+			err = c.CheckFiles()
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v, want %s", err, want)
 		}
 	}
--- a/internal/registry/transport.go
+++ b/internal/registry/transport.go
@@ -81,7 +81,18 @@
 			return fmt.Errorf("registry.endpoints: %q: http://host:port or https://host:port is needed", e)
 		}
 	}
-	_, err := c.tls()
+	return nil
+}
+
+// CheckFiles reads the files that the settings name, and says what is wrong with them.
+func (c *Config) CheckFiles() error {
+	if !c.On() {
+		return nil
+	}
+	if _, err := c.tls(); err != nil {
+		return err
+	}
+	_, err := c.password()
 	return err
 }
 
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -95,11 +95,10 @@
 
 // Check tells whether a registry can be set.
 func Check(cfg registry.Config) error {
-	if err := cfg.Validate(); err != nil || !cfg.On() {
+	if err := cfg.Validate(); err != nil {
 		return err
 	}
-	_, err := registry.New(cfg)
-	return err
+	return cfg.CheckFiles()
 }
 
 // Set puts a registry in force, another one, or none.
