--- a/restart_test.go
+++ b/restart_test.go
@@ -1,10 +1,16 @@
 package marlreel
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"marlreel/internal/doubt"
 	"marlreel/internal/learnt"
 )
 
@@ -109,3 +115,100 @@
 		t.Errorf("the one that was bad twelve seconds ago: %+v", last.Backends)
 	}
 }
+
+// rebirth is what a proxy that starts again knows.
+type rebirth int
+
+const (
+	nothing    rebirth = iota // the list of the start
+	remembered                // and what it had learnt, two seconds before it was killed
+	falsely                   // and what is not so: well for bad, limits, delays and budgets drawn
+)
+
+func (r rebirth) String() string { return [...]string{"nothing", "memory", "false memory"}[r] }
+
+// badDay is a day on which a machine is slow and one dies and is back cold; all proxies are killed within a
+// second at 20 s, when the dead one is just back.
+func badDay(t testing.TB, seed uint64, proxies int, how rebirth) *stormLoop {
+	t.Helper()
+	d := usualStorm(seed)
+	d.load, d.retries, d.dies, d.back, d.part, d.length = 0.65, 1, 14*second, 19*second, 0.12, 40*second
+	d.proxies = proxies
+	w := newStorm(t, d)
+	w.in(3*second-w.now, func() { w.machines[seed%9].Slow(w.now, 5) })
+	old := append([]Backend(nil), w.listed...)
+	rng := rand.New(rand.NewPCG(seed, 77))
+	for i := range w.proxies {
+		var s *learnt.State
+		at := 20*second + time.Duration(i)*second/time.Duration(proxies)
+		w.in(at-2*second-w.now, func() { s = memoryOf(w.proxies[i].b.(*Balancer), w.now) })
+		w.in(at-w.now, func() {
+			w.restart(i, old)
+			if how == nothing {
+				return
+			}
+			if how == falsely {
+				for k := range s.Backends {
+					b := &s.Backends[k]
+					b.Healthy, b.Limit, b.Tokens, b.Hold = !b.Healthy, 1+40*rng.Float64(), 1e4*rng.Float64(), time.Duration(rng.IntN(5000))*milli
+					b.Delays, b.Answers, b.LastOK = b.Answers*rng.Float64()*10, 50*rng.Float64(), 0
+				}
+				for k := range s.Classes {
+					f := 0.2 + 4*rng.Float64()
+					s.Classes[k].Line[2] *= f
+					s.Classes[k].Line[4] *= f
+				}
+				s.Common.Retries = 1e6
+			}
+			s = doubt.Weigh(doubt.Config{Keep: 600 * second, Half: 30 * second}, s, 2*second, true)
+			w.proxies[i].b.(*Balancer).Restore(w.now, 2*second, s)
+		})
+	}
+	return w.run()
+}
+
+// The ten seconds after all proxies were killed: MARLREEL_RESTARTS=20 go test -v -run TestRestarts . prints the
+// figures of docs/design/memory.md. With three proxies a memory is worth nothing: some 75 requests a second
+// teach each in a second what it had forgotten. With many it is. What is false costs little, and breaks no rule.
+func TestRestarts(t *testing.T) {
+	t.Parallel()
+	seeds := 2
+	if s := os.Getenv("MARLREEL_RESTARTS"); s != "" {
+		var err error
+		if seeds, err = strconv.Atoi(s); err != nil || seeds < 2 {
+			t.Fatalf("MARLREEL_RESTARTS=%q: a number of seeds from 2 on is needed", s)
+		}
+	}
+	var b strings.Builder
+	for _, proxies := range []int{3, 24} {
+		var figures [3][]float64
+		for how := range figures {
+			for seed := range seeds {
+				w := badDay(t, uint64(300+seed), proxies, rebirth(how))
+				if w.falls > 0 || w.twice > 0 {
+					t.Errorf("%d proxies, %v, seed %d: %d machines fell over, %d unsafe requests ran twice", proxies, rebirth(how), seed, w.falls, w.twice)
+				}
+				figures[how] = append(figures[how], w.service(20*second, 30*second))
+			}
+		}
+		mean := func(x []float64) (m float64) {
+			for _, v := range x {
+				m += v / float64(len(x))
+			}
+			return m
+		}
+		for how, x := range figures {
+			var diffs []float64
+			for i := range x {
+				diffs = append(diffs, x[i]-figures[nothing][i])
+			}
+			slices.Sort(diffs)
+			sorted := slices.Sorted(slices.Values(x))
+			fmt.Fprintf(&b, "| %d | %v | %.3f | %.3f | %+.3f | %+.3f to %+.3f |\n", proxies, rebirth(how), sorted[len(x)/2], sorted[0], diffs[len(x)/2], diffs[0], diffs[len(x)-1])
+		}
+		if mean(figures[remembered]) < mean(figures[nothing])-0.03 || mean(figures[falsely]) < mean(figures[nothing])-0.08 {
+			t.Errorf("after a restart:\n%s", b.String())
+		}
+	}
+	t.Log("\n" + b.String())
+}
