--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -26,6 +26,9 @@
 		main()
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == "--check" { // as a daemon that finds its settings good
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/experiment/days/days.go
+++ b/internal/experiment/days/days.go
@@ -154,7 +154,7 @@
 	c := exec.CommandContext(ctx, command[0], append(slices.Clone(command[1:]), "--check", "--config", f.Name())...)
 	c.Env = slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, "NODE_") })
 	if out, err := c.CombinedOutput(); err != nil {
-		said := strings.TrimSpace(strings.ReplaceAll(string(out), f.Name(), "daemon"))
+		said, _, _ := strings.Cut(strings.TrimSpace(strings.ReplaceAll(string(out), f.Name(), "daemon")), "\n")
 		return fmt.Errorf("the daemon turns its settings down: %s", said)
 	}
 	return nil
