Bound what is remembered of names; one frame for files of state; drop dead code

Read once more, whole. internal/members: of entries that left 20,000 were remembered for good, so after months of new names nobody heard that one had left (the test fails without the mend); lines said once were without a bound. A frame of magic, version, length and sum stood in learnt/codec and in store: one now, and a save no longer reads back what it has just encoded. The storm loop's own heap gives way to container/heap; the stand-in registry bounds its log, and notes a watch in one place; dead code of experiment and background is gone.

--- a/cmd/marlreel/state_test.go
+++ b/cmd/marlreel/state_test.go
@@ -11,14 +11,19 @@
 
 	"marlreel/internal/doubt"
 	"marlreel/internal/learnt"
+	"marlreel/internal/learnt/codec"
 	"marlreel/internal/store"
 )
 
 func TestState(t *testing.T) {
 	t.Parallel()
-	data, err := store.Encode(&store.Record{At: doubt.Moment{Wall: time.Now().Add(-time.Minute)}, Stopped: true, State: &learnt.State{Of: "n0",
+	state, err := codec.Encode(&learnt.State{Of: "n0",
 		Backends: []learnt.Backend{{Name: "s-1", Addr: "127.0.0.1:80", Healthy: true, Limit: 7, LastOK: time.Second, Cold: learnt.Never},
-			{Name: "s-2", Addr: "127.0.0.1:81", Ejected: 3 * time.Second, LastOK: learnt.Never, Cold: 2 * time.Second}}}})
+			{Name: "s-2", Addr: "127.0.0.1:81", Ejected: 3 * time.Second, LastOK: learnt.Never, Cold: 2 * time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := store.Encode(doubt.Moment{Wall: time.Now().Add(-time.Minute)}, true, state)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/background/background.go
+++ b/internal/background/background.go
@@ -88,9 +88,6 @@
 	return s.last
 }
 
-// Remove takes a job out; one that runs ends unheard.
-func (s *Scheduler) Remove(id ID) { delete(s.jobs, id) }
-
 // Busy says whether there is more to serve than can be: then only what is Soon begins.
 func (s *Scheduler) Busy(on bool) { s.busy = on }
 
@@ -177,7 +174,7 @@
 func (s *Scheduler) End(now time.Duration, id ID, used time.Duration, failed bool) {
 	s.earn(now)
 	j := s.jobs[id]
-	if j == nil || !j.running {
+	if j == nil || !j.running { // it ended before
 		return
 	}
 	used = max(0, used)
--- a/internal/experiment/conduct.go
+++ b/internal/experiment/conduct.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 )
@@ -27,10 +26,8 @@
 
 // Outcome is how carrying one out ended.
 type Outcome struct {
-	Played   int
-	Missing  int  // runs without a result that counts, or a second void one
-	Spent    bool // the budget was
-	Finished bool
+	Missing int  // runs without a result that counts, or a second void one
+	Spent   bool // the budget was
 }
 
 // Go plays what is missing of a plan, a run after the other, and stores each result before the next
@@ -96,11 +93,9 @@
 				o.Missing = len(todo) - n
 				return o, err
 			}
-			o.Played++
 			done[key] = append(done[key], &result)
 		}
 	}
-	o.Finished = true
 	return o, nil
 }
 
@@ -108,6 +103,3 @@
 func open(tries []*Result) bool {
 	return len(tries) < Tries && (len(tries) == 0 || tries[len(tries)-1].Void != "")
 }
-
-// ErrBroken says that the daemon broke a rule or crashed in some run.
-var ErrBroken = errors.New("rules were broken, or proxies crashed")
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -668,6 +668,7 @@
 // A store of an older version is taken to this one, a step at a time.
 func TestMigration(t *testing.T) {
 	t.Parallel()
+	const storeVersion = 1 // raised by hand, with the migration that leads there
 	if len(migrations) != storeVersion {
 		t.Errorf("%d migrations lead to version %d", len(migrations), storeVersion)
 	}
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -219,7 +219,6 @@
 	Builds     []string    `json:"builds"`    // by arm
 	Replicates int         `json:"replicates"`
 	About      string      `json:"about,omitempty"`
-	Written    string      `json:"written,omitempty"` // when the seeds were
 	Runs       []Run       `json:"runs"`
 	Machine    string      `json:"machine,omitempty"`
 	Lengths    [][]float64 `json:"lengths_s"`
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -22,9 +22,8 @@
 	path string
 }
 
-// Layout, version 1: bucket "meta" with "version"; bucket "experiments", name to identity; bucket
+// Layout, version len(migrations): bucket "meta" with "version"; bucket "experiments", name to identity; bucket
 // "results", in it a bucket for each experiment, in it run keys with the number of the try behind them.
-const storeVersion = 1
 
 var (
 	bucketMeta        = []byte("meta")
@@ -150,7 +149,7 @@
 			if d := id.Differs(&begun); d != "" {
 				return fmt.Errorf("experiment %s was begun otherwise: %s. Give it another name, or 'rehearse results forget %s'", name, d, name)
 			}
-			if id.Written = begun.Written; len(id.Seeds) <= len(begun.Seeds) {
+			if len(id.Seeds) <= len(begun.Seeds) {
 				return nil
 			}
 		}
--- a/internal/learnt/codec/codec.go
+++ b/internal/learnt/codec/codec.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/crc32"
 
@@ -13,8 +12,8 @@
 	"marlreel/internal/learnt"
 )
 
-// The form: magic, version, length and CRC-32C of what follows, which is MessagePack. A
-// version that is not known is turned down whole: fields are in order and have no names.
+// The form: a frame (see Seal) around MessagePack. A version that is not known is turned down
+// whole: fields are in order and have no names.
 const (
 	magic   = "MRLT"
 	version = 1
@@ -35,35 +34,48 @@
 	if len(body) > Most-header {
 		return nil, fmt.Errorf("state: %d bytes, %d at most", len(body), Most-header)
 	}
-	out := make([]byte, 0, header+len(body))
-	out = append(out, magic...)
+	return Seal(magic, version, body), nil
+}
+
+// Seal puts a body into a frame: magic, version, length and CRC-32C of what follows.
+func Seal(magic string, version uint16, body []byte) []byte {
+	out := append(make([]byte, 0, header+len(body)), magic...)
 	out = binary.BigEndian.AppendUint16(out, version)
 	out = binary.BigEndian.AppendUint32(out, uint32(len(body)))
 	out = binary.BigEndian.AppendUint32(out, crc32.Checksum(body, castagnoli))
-	return append(out, body...), nil
+	return append(out, body...)
 }
 
-// Decode reads a state, whole and checked, or says what is wrong with it.
-func Decode(data []byte) (s *learnt.State, err error) {
-	// The reader of the body meets only what carries the right sum; but a sum is no proof.
-	defer func() {
-		if p := recover(); p != nil {
-			s, err = nil, fmt.Errorf("state: %v", p)
-		}
-	}()
+// Open gives the body of a frame that is whole, of this magic and version, and no longer than most.
+func Open(magic string, version uint16, most int, data []byte) ([]byte, error) {
 	if len(data) < header || string(data[:len(magic)]) != magic {
-		return nil, errors.New("state: it does not begin as a state does")
+		return nil, fmt.Errorf("it does not begin as a %s file does", magic)
 	}
 	rest := data[len(magic):]
 	if v := binary.BigEndian.Uint16(rest); v != version {
-		return nil, fmt.Errorf("state: version %d, %d is known here", v, version)
+		return nil, fmt.Errorf("version %d, %d is known here", v, version)
 	}
 	n, sum, body := binary.BigEndian.Uint32(rest[2:]), binary.BigEndian.Uint32(rest[6:]), data[header:]
-	if uint64(n) != uint64(len(body)) || len(data) > Most {
-		return nil, fmt.Errorf("state: %d bytes where it says %d", len(body), n)
+	if uint64(n) != uint64(len(body)) || len(data) > most {
+		return nil, fmt.Errorf("%d bytes where it says %d", len(body), n)
 	}
 	if got := crc32.Checksum(body, castagnoli); got != sum {
-		return nil, fmt.Errorf("state: it is damaged: sum %08x, not %08x", got, sum)
+		return nil, fmt.Errorf("it is damaged: sum %08x, not %08x", got, sum)
+	}
+	return body, nil
+}
+
+// Decode reads a state, whole and checked, or says what is wrong with it.
+func Decode(data []byte) (s *learnt.State, err error) {
+	// The reader of the body meets only what carries the right sum; but a sum is no proof.
+	defer func() {
+		if p := recover(); p != nil {
+			s, err = nil, fmt.Errorf("state: %v", p)
+		}
+	}()
+	body, err := Open(magic, version, Most, data)
+	if err != nil {
+		return nil, fmt.Errorf("state: %w", err)
 	}
 	s = new(learnt.State)
 	if err := msgpack.Unmarshal(body, s); err != nil {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -159,6 +159,9 @@
 	if m.said[about] == line {
 		return
 	}
+	if len(m.said) >= mostLines { // names are ever new: some line may be said again
+		clear(m.said)
+	}
 	m.said[about] = line
 	m.out = append(m.out, Say(line))
 }
@@ -227,8 +230,8 @@
 	for name := range was {
 		if _, stays := s.items[name]; !stays {
 			delete(s.when, name)
-			if !back && len(s.left) < mostLeft {
-				s.left[name] = now
+			if !back {
+				s.leave(name, now)
 			}
 		}
 	}
@@ -238,8 +241,21 @@
 	}
 }
 
-// mostLeft bounds what is remembered of those that left, at a source.
-const mostLeft = 20_000
+const (
+	mostLeft  = 20_000           // that are remembered to have left, at a source
+	leftLong  = 10 * time.Minute // after which who has left is not: the other sources have heard of it too
+	mostLines = 10_000           // of which the last is remembered
+)
+
+// leave remembers that an entry has left.
+func (s *source) leave(name string, now time.Duration) {
+	if len(s.left) >= mostLeft {
+		maps.DeleteFunc(s.left, func(_ string, at time.Duration) bool { return now-at > leftLong })
+	}
+	if len(s.left) < mostLeft {
+		s.left[name] = now
+	}
+}
 
 // heed marks those as draining of which another source that is there has said, after the one that counts last
 // spoke of them, that they drain or are gone. Danger: the rule on drains counts from when this proxy was told,
@@ -324,8 +340,8 @@
 		m.leaveAddresses(c)
 	}
 	for _, name := range c.Deletes {
-		if _, there := s.items[name]; there && len(s.left) < mostLeft {
-			s.left[name] = now
+		if _, there := s.items[name]; there {
+			s.leave(name, now)
 		}
 		delete(s.items, name)
 		delete(s.when, name)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -488,6 +488,36 @@
 	}
 }
 
+// Names are ever new, for months: what is remembered of those that left and of what was said has its bound, and
+// who leaves then is still heard.
+func TestMonthsOfNewNames(t *testing.T) {
+	t.Parallel()
+	m := New(guarded())
+	m.Whole(second, 0, Whole{History: 1, Revision: 1, Items: items(1, upTo(6)...)})
+	m.Whole(second, 1, Whole{History: 9, Revision: 1, Items: items(1, upTo(6)...)})
+	now, rev := second, int64(1)
+	for n := range 250 {
+		now += time.Minute
+		come, goes := Change{Revision: rev + 1}, Change{Revision: rev + 2}
+		rev += 2
+		for k := range 200 {
+			name := fmt.Sprint("x", 200*n+k)
+			come.Puts = append(come.Puts, Item{Name: name, Mod: rev, Bad: []string{"", "noise"}[k%2], Entry: at(1000 + k)})
+			goes.Deletes = append(goes.Deletes, name)
+		}
+		m.Change(now, 1, come)
+		m.Change(now, 1, goes)
+	}
+	if n := len(m.sources[1].left); n > mostLeft || len(m.said) > mostLines || len(m.sources[1].bad) > 0 {
+		t.Errorf("%d that left, %d lines, %d bad ones are remembered", n, len(m.said), len(m.sources[1].bad))
+	}
+	m.Lost(now, 0, "cut off")
+	list, _, _ := read(m.Change(now+second, 1, Change{Revision: rev + 1, Deletes: []string{"n1"}}))
+	if list == nil || !list.Entries["n1"].Draining {
+		t.Errorf("after all these nobody hears that one has left: %+v", list)
+	}
+}
+
 // A bad value disables one entry: its last good one stands, it is said once and counted.
 func TestBadValues(t *testing.T) {
 	t.Parallel()
--- a/internal/proxy/keep.go
+++ b/internal/proxy/keep.go
@@ -10,7 +10,6 @@
 	"marlreel/internal/config"
 	"marlreel/internal/doubt"
 	"marlreel/internal/learnt"
-	"marlreel/internal/learnt/codec"
 	"marlreel/internal/store"
 	"marlreel/internal/storm"
 )
@@ -87,12 +86,9 @@
 // save writes the state down once.
 func (k *saver) save(ctx context.Context, stopped bool) {
 	at := k.now()
-	data, err := k.state(ctx)
+	state, err := k.state(ctx)
 	if err == nil {
-		var s *learnt.State
-		if s, err = codec.Decode(data); err == nil {
-			err = k.store.Save(&store.Record{At: at, Stopped: stopped, State: s})
-		}
+		err = k.store.Save(at, stopped, state)
 	}
 	switch took := k.now().Wall.Sub(at.Wall); {
 	case ctx.Err() != nil && errors.Is(err, ctx.Err()):
--- a/internal/proxy/keep_test.go
+++ b/internal/proxy/keep_test.go
@@ -75,7 +75,11 @@
 func TestMemoriesThatAreNone(t *testing.T) {
 	t.Parallel()
 	good := func(of string, age time.Duration) []byte {
-		data, err := store.Encode(&store.Record{At: doubt.Moment{Wall: time.Now().Add(-age)}, State: &learnt.State{Of: of, Taken: time.Now()}})
+		state, err := codec.Encode(&learnt.State{Of: of, Taken: time.Now()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := store.Encode(doubt.Moment{Wall: time.Now().Add(-age)}, false, state)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -91,7 +95,7 @@
 		"another's":    {good("n7", 0), `it is "n7"'s, and this is "n0"`},
 		"too old":      {good("n0", time.Hour), " old, and 10m0s is the most"},
 		"of to-morrow": {good("n0", -time.Hour), "a clock was set back"},
-		"empty":        {nil, "does not begin as a proxy's memory does"},
+		"empty":        {nil, "does not begin as a MRST file does"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -151,7 +151,10 @@
 		r.log = append(r.log, registryEvent{r.revision, o.Key, false, k})
 	}
 	r.states[r.revision] = maps.Clone(r.keys)
-	delete(r.states, r.revision-mostStates)
+	if old := r.revision - mostStates; old > 0 {
+		delete(r.states, old)
+		r.forget(old)
+	}
 	return r.revision
 }
 
@@ -178,10 +181,13 @@
 
 // Compact forgets the changes up to a revision.
 func (r *Registry) Compact(revision int64) {
-	r.set(func() {
-		r.compact = revision
-		r.log = slices.DeleteFunc(r.log, func(e registryEvent) bool { return e.revision <= revision })
-	})
+	r.set(func() { r.forget(revision) })
+}
+
+// forget is Compact, under the lock.
+func (r *Registry) forget(revision int64) {
+	r.compact = max(r.compact, revision)
+	r.log = slices.DeleteFunc(r.log, func(e registryEvent) bool { return e.revision <= r.compact })
 }
 
 // Restore goes back to a revision that stood before, as after a restore from a backup; with another id where
@@ -189,7 +195,7 @@
 func (r *Registry) Restore(revision int64, anew bool) {
 	r.set(func() {
 		r.keys = maps.Clone(r.states[revision])
-		r.revision = revision
+		r.revision, r.compact = revision, min(r.compact, revision)
 		r.log = slices.DeleteFunc(r.log, func(e registryEvent) bool { return e.revision > revision })
 		for v := range r.states {
 			if v > revision {
@@ -236,6 +242,19 @@
 	}
 }
 
+// watch notes a watch: the first ends where CloseWatches is called, the second ends the note.
+func (r *Registry) watch() (closed chan struct{}, over func()) {
+	closed = make(chan struct{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watches[closed] = true
+	return closed, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.watches, closed)
+	}
+}
+
 // Calls is how often each path was called.
 func (r *Registry) Calls(path string) int {
 	r.mu.Lock()
@@ -394,15 +413,8 @@
 		fail(w, http.StatusBadRequest, 3, "bad request")
 		return
 	}
-	closed := make(chan struct{})
-	r.mu.Lock()
-	r.watches[closed] = true
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		delete(r.watches, closed)
-		r.mu.Unlock()
-	}()
+	closed, over := r.watch()
+	defer over()
 	send := func(result map[string]any) {
 		json.NewEncoder(w).Encode(map[string]any{"result": result})
 		w.(http.Flusher).Flush()
@@ -678,15 +690,8 @@
 	wait, _ := time.ParseDuration(q.URL.Query().Get("wait"))
 	stale, recurse := q.URL.Query().Has("stale"), q.URL.Query().Has("recurse")
 	until := time.After(wait)
-	closed := make(chan struct{})
-	r.mu.Lock()
-	r.watches[closed] = true
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		delete(r.watches, closed)
-		r.mu.Unlock()
-	}()
+	closed, over := r.watch()
+	defer over()
 	for {
 		r.mu.Lock()
 		changed, cut, quorum := r.changed, r.cut, r.quorum
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,10 +4,8 @@
 package store
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -40,31 +38,16 @@
 const (
 	magic   = "MRST"
 	version = 1
-	header  = len(magic) + 2 + 4 + 4
 	most    = codec.Most + 4096
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
-// Encode puts a record in bytes.
-func Encode(r *Record) ([]byte, error) {
-	state, err := codec.Encode(r.State)
-	if err != nil {
-		return nil, err
-	}
-	return encode(&record{r.At.Wall, r.At.Boot, r.At.Up, r.Stopped, state})
-}
-
-func encode(r *record) ([]byte, error) {
-	body, err := msgpack.Marshal(r)
+// Encode puts a state, in codec's bytes, into a record's.
+func Encode(at doubt.Moment, stopped bool, state []byte) ([]byte, error) {
+	body, err := msgpack.Marshal(&record{at.Wall, at.Boot, at.Up, stopped, state})
 	if err != nil {
 		return nil, fmt.Errorf("memory: %w", err)
 	}
-	out := append(make([]byte, 0, header+len(body)), magic...)
-	out = binary.BigEndian.AppendUint16(out, version)
-	out = binary.BigEndian.AppendUint32(out, uint32(len(body)))
-	out = binary.BigEndian.AppendUint32(out, crc32.Checksum(body, castagnoli))
-	return append(out, body...), nil
+	return codec.Seal(magic, version, body), nil
 }
 
 // Decode reads a record, whole and checked, or says what is wrong with it.
@@ -74,19 +57,9 @@
 			r, err = nil, fmt.Errorf("it can't be read: %v", p)
 		}
 	}()
-	if len(data) < header || string(data[:len(magic)]) != magic {
-		return nil, errors.New("it does not begin as a proxy's memory does")
-	}
-	rest := data[len(magic):]
-	if v := binary.BigEndian.Uint16(rest); v != version {
-		return nil, fmt.Errorf("it is of version %d, and %d is known here", v, version)
-	}
-	n, sum, body := binary.BigEndian.Uint32(rest[2:]), binary.BigEndian.Uint32(rest[6:]), data[header:]
-	switch {
-	case uint64(n) != uint64(len(body)) || len(data) > most:
-		return nil, fmt.Errorf("it has %d bytes where it says %d", len(body), n)
-	case crc32.Checksum(body, castagnoli) != sum:
-		return nil, errors.New("it is damaged")
+	body, err := codec.Open(magic, version, most, data)
+	if err != nil {
+		return nil, err
 	}
 	var x record
 	if err := msgpack.Unmarshal(body, &x); err != nil {
@@ -187,10 +160,10 @@
 	return r, nil
 }
 
-// Save replaces the record. Danger: a rename may come to the disk before the bytes that it names; so these
-// are synced first, and the folder after it.
-func (s *Store) Save(r *Record) error {
-	data, err := Encode(r)
+// Save replaces the record by one of a state in codec's bytes. Danger: a rename may come to the disk before the
+// bytes that it names; so these are synced first, and the folder after it.
+func (s *Store) Save(at doubt.Moment, stopped bool, state []byte) error {
+	data, err := Encode(at, stopped, state)
 	if err != nil {
 		return err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -14,6 +14,7 @@
 
 	"marlreel/internal/doubt"
 	"marlreel/internal/learnt"
+	"marlreel/internal/learnt/codec"
 )
 
 func numbered(n int) *Record {
@@ -24,6 +25,23 @@
 	return &Record{At: doubt.Moment{Wall: time.Unix(int64(n), 0), Boot: "b", Up: time.Duration(n)}, Stopped: n%2 == 0, State: s}
 }
 
+// encoded and save are for a record as a whole.
+func encoded(r *Record) ([]byte, error) {
+	state, err := codec.Encode(r.State)
+	if err != nil {
+		return nil, err
+	}
+	return Encode(r.At, r.Stopped, state)
+}
+
+func save(s *Store, r *Record) error {
+	state, err := codec.Encode(r.State)
+	if err != nil {
+		return err
+	}
+	return s.Save(r.At, r.Stopped, state)
+}
+
 // number tells which of the numbered ones a record is; -1: it is a mixture.
 func number(r *Record) int {
 	n := int(r.At.Up)
@@ -46,7 +64,7 @@
 		t.Errorf("before any: %v, %v", r, err)
 	}
 	for n := range 5 {
-		if err := s.Save(numbered(n)); err != nil {
+		if err := save(s, numbered(n)); err != nil {
 			t.Fatal(err)
 		}
 		if r, err := s.Load(); err != nil || number(r) != n {
@@ -67,7 +85,7 @@
 // What is no record is an error in one line that names the file; what is in it is left alone.
 func TestFilesThatAreNone(t *testing.T) {
 	t.Parallel()
-	good, err := Encode(numbered(7))
+	good, err := encoded(numbered(7))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,10 +110,10 @@
 	if _, err := s.Load(); err == nil {
 		t.Error("a folder is read")
 	}
-	if err := s.Save(numbered(1)); err == nil {
+	if err := save(s, numbered(1)); err == nil {
 		t.Error("a folder is replaced")
 	}
-	if err := Open("/nowhere/at/all", "n0").Save(numbered(1)); err == nil {
+	if err := save(Open("/nowhere/at/all", "n0"), numbered(1)); err == nil {
 		t.Error("a folder that there isn't")
 	}
 }
@@ -239,7 +257,7 @@
 			}
 			s := &Store{"dir/n0", d}
 			tried = n
-			if err := s.Save(numbered(n)); err == nil {
+			if err := save(s, numbered(n)); err == nil {
 				saved = n
 			}
 			lost := rng.IntN(2) == 0 || d.broken
@@ -265,7 +283,7 @@
 
 func FuzzDecode(f *testing.F) {
 	for n := range 3 {
-		data, err := Encode(numbered(n))
+		data, err := encoded(numbered(n))
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/storm_loop_test.go
+++ b/storm_loop_test.go
@@ -1,6 +1,7 @@
 package marlreel
 
 import (
+	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -120,16 +121,7 @@
 
 func (w *stormLoop) in(d time.Duration, f func()) {
 	w.due.seq++
-	w.due.Push(dueEvent{w.now + max(d, 0), w.due.seq, f})
-	// container/heap's Push, without its interface: the last is moved up.
-	for i := len(w.due.list) - 1; i > 0; {
-		up := (i - 1) / 2
-		if !w.due.Less(i, up) {
-			break
-		}
-		w.due.Swap(i, up)
-		i = up
-	}
+	heap.Push(&w.due, dueEvent{w.now + max(d, 0), w.due.seq, f})
 }
 
 const stormHouses = 4
@@ -502,34 +494,11 @@
 		if len(w.due.list) == 0 || w.due.list[0].at > w.now {
 			continue
 		}
-		w.pop().f()
+		heap.Pop(&w.due).(dueEvent).f()
 	}
 	return w
 }
 
-func (w *stormLoop) pop() dueEvent {
-	l := w.due.list
-	e := l[0]
-	last := len(l) - 1
-	l[0] = l[last]
-	w.due.list = l[:last]
-	for i := 0; ; {
-		k := 2*i + 1
-		if k >= last {
-			break
-		}
-		if k+1 < last && w.due.Less(k+1, k) {
-			k++
-		}
-		if !w.due.Less(k, i) {
-			break
-		}
-		w.due.Swap(i, k)
-		i = k
-	}
-	return e
-}
-
 // service is the share of worth served of what was first asked within a span.
 func (w *stormLoop) service(from, to time.Duration) float64 {
 	asked, served := 0.0, 0.0
