Group internal packages by concern: lists, process, judge

internal/ had 34 packages side by side, and a stranger had to know each by name; the fleet's packages need a place. Moves alone: no line of code changed but imports. lists/ has discovery, members, registry, sources; process/ handover, store, background, control, budget, metrics; judge/ the pure models that decisions ask.

go build, go vet, the tests of lists, process, judge, proxy and engine pass.

--- a/balancer.go
+++ b/balancer.go
@@ -9,14 +9,14 @@
 	"math/rand/v2"
 	"time"
 
-	"marlreel/internal/breaks"
-	"marlreel/internal/fade"
-	"marlreel/internal/forecast"
-	"marlreel/internal/gray"
-	"marlreel/internal/ledger"
-	"marlreel/internal/limit"
-	"marlreel/internal/quota"
-	"marlreel/internal/storm"
+	"marlreel/internal/judge/breaks"
+	"marlreel/internal/judge/fade"
+	"marlreel/internal/judge/forecast"
+	"marlreel/internal/judge/gray"
+	"marlreel/internal/judge/ledger"
+	"marlreel/internal/judge/limit"
+	"marlreel/internal/judge/quota"
+	"marlreel/internal/judge/storm"
 )
 
 const (
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/breaks"
-	"marlreel/internal/fade"
-	"marlreel/internal/limit"
+	"marlreel/internal/judge/breaks"
+	"marlreel/internal/judge/fade"
+	"marlreel/internal/judge/limit"
 )
 
 const (
--- a/checker.go
+++ b/checker.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"marlreel/internal/limit"
+	"marlreel/internal/judge/limit"
 )
 
 const (
--- a/choice.go
+++ b/choice.go
@@ -7,7 +7,7 @@
 	"math"
 	"slices"
 
-	"marlreel/internal/forecast"
+	"marlreel/internal/judge/forecast"
 )
 
 func tried(r *request, t *target) bool {
--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -20,7 +20,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 )
 
 const upgradeSettings = `{"Balancers":1,"Rank":0,"Zone":0,"Tick":5.0,"Discovery":"pushed","FailureDomains":["koper"],
--- a/cmd/marlreel/state.go
+++ b/cmd/marlreel/state.go
@@ -9,9 +9,9 @@
 	"os"
 	"time"
 
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
 	"marlreel/internal/learnt"
-	"marlreel/internal/store"
+	"marlreel/internal/process/store"
 )
 
 const stateUsage = `marlreel state show FILE [--json]   what a proxy's memory holds
--- a/cmd/marlreel/state_test.go
+++ b/cmd/marlreel/state_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
 	"marlreel/internal/learnt"
 	"marlreel/internal/learnt/codec"
-	"marlreel/internal/store"
+	"marlreel/internal/process/store"
 )
 
 func TestState(t *testing.T) {
--- a/cmd/marlreelctl/main.go
+++ b/cmd/marlreelctl/main.go
@@ -20,8 +20,8 @@
 	"github.com/alecthomas/kong"
 
 	"marlreel/internal/config"
-	"marlreel/internal/members"
-	"marlreel/internal/registry"
+	"marlreel/internal/lists/members"
+	"marlreel/internal/lists/registry"
 )
 
 const about = `Keep the list of nodes in a registry.
--- a/cmd/marlreelctl/main_test.go
+++ b/cmd/marlreelctl/main_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/members"
+	"marlreel/internal/lists/members"
 	"marlreel/internal/standin"
 )
 
--- a/coldstart.go
+++ b/coldstart.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 const (
--- a/config.go
+++ b/config.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"marlreel/internal/fade"
-	"marlreel/internal/forecast"
-	"marlreel/internal/ledger"
-	"marlreel/internal/storm"
+	"marlreel/internal/judge/fade"
+	"marlreel/internal/judge/forecast"
+	"marlreel/internal/judge/ledger"
+	"marlreel/internal/judge/storm"
 )
 
 // Reconfigure puts other settings in force, in one step; an error leaves the old ones, whole.
--- a/internal/config/marlreel.go
+++ b/internal/config/marlreel.go
@@ -6,7 +6,7 @@
 	"path/filepath"
 	"time"
 
-	"marlreel/internal/registry"
+	"marlreel/internal/lists/registry"
 	"marlreel/internal/rpc"
 	"marlreel/internal/strict"
 )
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"marlreel"
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 	"marlreel/internal/wire"
 )
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -27,8 +27,8 @@
 	"time"
 
 	"marlreel"
-	"marlreel/internal/slots"
-	"marlreel/internal/storm"
+	"marlreel/internal/judge/slots"
+	"marlreel/internal/judge/storm"
 )
 
 const (
--- a/internal/httpproxy/body.go
+++ b/internal/httpproxy/body.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 )
 
 const (
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"marlreel"
-	"marlreel/internal/budget"
-	"marlreel/internal/conns"
 	"marlreel/internal/engine"
+	"marlreel/internal/judge/conns"
+	"marlreel/internal/process/budget"
 )
 
 // Carrier takes attempts to backends over HTTP/1.1. The engine's goroutine calls it
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 )
 
 // clients keeps the client connections within a bound. It always accepts: a
--- a/internal/httpproxy/download.go
+++ b/internal/httpproxy/download.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 )
 
 const (
--- a/internal/httpproxy/handon.go
+++ b/internal/httpproxy/handon.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 )
 
 // Connections on which no request has come whole go on in the next process when this one leaves:
--- a/internal/httpproxy/handon_test.go
+++ b/internal/httpproxy/handon_test.go
@@ -18,8 +18,8 @@
 	"pgregory.net/rapid"
 
 	"marlreel"
-	"marlreel/internal/budget"
 	"marlreel/internal/engine"
+	"marlreel/internal/process/budget"
 	"marlreel/internal/testutil"
 )
 
--- a/internal/httpproxy/harness_test.go
+++ b/internal/httpproxy/harness_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"marlreel"
-	"marlreel/internal/budget"
 	"marlreel/internal/engine"
+	"marlreel/internal/process/budget"
 	"marlreel/internal/testutil"
 )
 
--- a/internal/httpproxy/pool.go
+++ b/internal/httpproxy/pool.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"marlreel/internal/conns"
 	"marlreel/internal/engine"
+	"marlreel/internal/judge/conns"
 )
 
 // pool keeps the connections to all backends within a bound. The engine's goroutine owns it.
--- a/internal/httpproxy/pool_test.go
+++ b/internal/httpproxy/pool_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/conns"
 	"marlreel/internal/engine"
+	"marlreel/internal/judge/conns"
 )
 
 // poolOf has n idle connections to a listener, oldest first, and the listener's ends of them.
--- a/internal/httpproxy/relay.go
+++ b/internal/httpproxy/relay.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 )
 
 // Giver gives a connection to another process, and tells whether that has taken it: from then on
--- a/internal/httpproxy/relay_test.go
+++ b/internal/httpproxy/relay_test.go
@@ -15,7 +15,7 @@
 
 	"pgregory.net/rapid"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 	"marlreel/internal/testutil"
 )
 
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -28,8 +28,8 @@
 	"sync/atomic"
 	"time"
 
-	"marlreel/internal/budget"
 	"marlreel/internal/engine"
+	"marlreel/internal/process/budget"
 )
 
 const (
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -6,7 +6,7 @@
 	"io"
 	"sync"
 
-	"marlreel/internal/budget"
+	"marlreel/internal/process/budget"
 )
 
 // upload is a request's body of more than is held as a matter of course. It holds what has
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"marlreel"
-	"marlreel/internal/budget"
-	"marlreel/internal/conns"
 	"marlreel/internal/engine"
+	"marlreel/internal/judge/conns"
+	"marlreel/internal/process/budget"
 )
 
 const (
--- a/internal/breaks/breaks.go
+++ b/internal/judge/breaks/breaks.go
@@ -14,7 +14,7 @@
 	"math"
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 const (
--- a/internal/gray/gray.go
+++ b/internal/judge/gray/gray.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 const (
--- a/internal/gray/state.go
+++ b/internal/judge/gray/state.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 // CellState is what is known of a cell, for another process to go on with. Spans are ages;
--- a/internal/quota/quota.go
+++ b/internal/judge/quota/quota.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 // Model counts the traffic of each tenant. Not safe for concurrent use.
--- a/internal/storm/sight.go
+++ b/internal/judge/storm/sight.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 // Unmarked repeats. A client's repeat has a new name, and what it asks may be asked by others: a
--- a/internal/storm/storm.go
+++ b/internal/judge/storm/storm.go
@@ -16,7 +16,7 @@
 	"math"
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 // State is how things are.
--- a/internal/storm/storm_test.go
+++ b/internal/judge/storm/storm_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
 )
 
 const ms = time.Millisecond
--- a/internal/learnt/codec/codec_test.go
+++ b/internal/learnt/codec/codec_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/gray"
+	"marlreel/internal/judge/gray"
 	"marlreel/internal/learnt"
 )
 
--- a/internal/learnt/learnt.go
+++ b/internal/learnt/learnt.go
@@ -16,10 +16,10 @@
 	"strings"
 	"time"
 
-	"marlreel/internal/conns"
-	"marlreel/internal/forecast"
-	"marlreel/internal/gray"
-	"marlreel/internal/ledger"
+	"marlreel/internal/judge/conns"
+	"marlreel/internal/judge/forecast"
+	"marlreel/internal/judge/gray"
+	"marlreel/internal/judge/ledger"
 )
 
 // Bounds of a state that is taken or given.
--- a/internal/registry/consul.go
+++ b/internal/lists/registry/consul.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"marlreel/internal/members"
+	"marlreel/internal/lists/members"
 )
 
 // consul speaks Consul's KV store by blocking queries: the whole list each time, at an index. An index that
--- a/internal/registry/etcd.go
+++ b/internal/lists/registry/etcd.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"marlreel/internal/members"
+	"marlreel/internal/lists/members"
 )
 
 // etcd speaks etcd v3's JSON gateway: KV range, watch with start_revision, progress notifications, compaction,
--- a/internal/registry/registry.go
+++ b/internal/lists/registry/registry.go
@@ -16,7 +16,7 @@
 	"strings"
 	"time"
 
-	"marlreel/internal/members"
+	"marlreel/internal/lists/members"
 )
 
 // Told is what a client has to tell. Its methods are called on one goroutine.
--- a/internal/registry/registry_test.go
+++ b/internal/lists/registry/registry_test.go
@@ -23,7 +23,7 @@
 
 	"go.uber.org/goleak"
 
-	"marlreel/internal/members"
+	"marlreel/internal/lists/members"
 	"marlreel/internal/standin"
 	"marlreel/internal/testutil"
 )
--- a/internal/registry/write.go
+++ b/internal/lists/registry/write.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"marlreel/internal/members"
+	"marlreel/internal/lists/members"
 )
 
 // Any is the revision of a write that doesn't mind what stood before; 0 is that nothing did.
--- a/internal/sources/sources.go
+++ b/internal/lists/sources/sources.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"marlreel"
-	"marlreel/internal/discovery"
 	"marlreel/internal/engine"
-	"marlreel/internal/members"
-	"marlreel/internal/registry"
+	"marlreel/internal/lists/discovery"
+	"marlreel/internal/lists/members"
+	"marlreel/internal/lists/registry"
 )
 
 // Host is the engine, as far as it matters here. All but Post and Now are called on its goroutine.
--- a/internal/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -11,7 +11,7 @@
 
 	"marlreel"
 	"marlreel/internal/engine"
-	"marlreel/internal/storm"
+	"marlreel/internal/judge/storm"
 )
 
 // Every is how often the gauges are published: the figures are no older.
--- a/internal/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -6,7 +6,7 @@
 
 	"marlreel"
 	"marlreel/internal/engine"
-	"marlreel/internal/storm"
+	"marlreel/internal/judge/storm"
 )
 
 func text(c *Counts) string { return string(c.Append(nil)) }
--- a/internal/store/store.go
+++ b/internal/process/store/store.go
@@ -14,7 +14,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
 	"marlreel/internal/learnt"
 	"marlreel/internal/learnt/codec"
 )
--- a/internal/store/store_test.go
+++ b/internal/process/store/store_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
 	"marlreel/internal/learnt"
 	"marlreel/internal/learnt/codec"
 )
--- a/internal/proxy/breaks_test.go
+++ b/internal/proxy/breaks_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 	"marlreel/internal/standin"
 	"marlreel/internal/standin/machine"
 )
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -6,7 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 )
 
 func named(t *testing.T, name string) string {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"marlreel/internal/config"
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 	"marlreel/internal/standin"
 	"marlreel/internal/testutil"
 )
--- a/internal/proxy/keep.go
+++ b/internal/proxy/keep.go
@@ -6,12 +6,12 @@
 	"log"
 	"time"
 
-	"marlreel/internal/background"
 	"marlreel/internal/config"
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
+	"marlreel/internal/judge/storm"
 	"marlreel/internal/learnt"
-	"marlreel/internal/store"
-	"marlreel/internal/storm"
+	"marlreel/internal/process/background"
+	"marlreel/internal/process/store"
 )
 
 // saver keeps what this proxy learns in a file, where the operator has set a folder for it. It is beside all
--- a/internal/proxy/keep_test.go
+++ b/internal/proxy/keep_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"marlreel/internal/config"
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
 	"marlreel/internal/learnt"
 	"marlreel/internal/learnt/codec"
-	"marlreel/internal/store"
+	"marlreel/internal/process/store"
 	"marlreel/internal/strict"
 	"marlreel/internal/testutil"
 )
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -5,9 +5,9 @@
 	"log"
 	"time"
 
-	"marlreel/internal/handover"
 	"marlreel/internal/learnt"
 	"marlreel/internal/learnt/codec"
+	"marlreel/internal/process/handover"
 )
 
 // memory is what a process that starts beside another one takes over of what that one has
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,18 +15,18 @@
 	"sync/atomic"
 	"time"
 
-	"marlreel/internal/budget"
 	"marlreel/internal/config"
-	"marlreel/internal/control"
-	"marlreel/internal/discovery"
 	"marlreel/internal/engine"
-	"marlreel/internal/handover"
 	"marlreel/internal/httpproxy"
-	"marlreel/internal/members"
-	"marlreel/internal/metrics"
+	"marlreel/internal/lists/discovery"
+	"marlreel/internal/lists/members"
+	"marlreel/internal/lists/sources"
+	"marlreel/internal/process/budget"
+	"marlreel/internal/process/control"
+	"marlreel/internal/process/handover"
+	"marlreel/internal/process/metrics"
+	"marlreel/internal/process/store"
 	"marlreel/internal/rpc"
-	"marlreel/internal/sources"
-	"marlreel/internal/store"
 )
 
 const (
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -8,7 +8,7 @@
 	"reflect"
 
 	"marlreel/internal/config"
-	"marlreel/internal/sources"
+	"marlreel/internal/lists/sources"
 )
 
 // Reload is what a signal to read the configuration again came to.
--- a/internal/proxy/rpc_test.go
+++ b/internal/proxy/rpc_test.go
@@ -14,7 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marlreel/internal/config"
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 	"marlreel/internal/rpc"
 	"marlreel/internal/standin"
 	"marlreel/internal/standin/machine"
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"marlreel/internal/config"
-	"marlreel/internal/members"
-	kvstore "marlreel/internal/registry"
+	"marlreel/internal/lists/members"
+	kvstore "marlreel/internal/lists/registry"
 	"marlreel/internal/standin"
 	"marlreel/internal/strict"
 	"marlreel/internal/testutil"
--- a/internal/proxy/storm_test.go
+++ b/internal/proxy/storm_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/discovery"
+	"marlreel/internal/lists/discovery"
 	"marlreel/internal/standin"
 	"marlreel/internal/testutil"
 )
--- a/kinds.go
+++ b/kinds.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"marlreel/internal/gray"
+	"marlreel/internal/judge/gray"
 )
 
 const (
--- a/limit.go
+++ b/limit.go
@@ -2,7 +2,7 @@
 
 // The limit on what may be out at a backend.
 
-import "marlreel/internal/limit"
+import "marlreel/internal/judge/limit"
 
 const (
 	lateFrom  = 1.5 // times the usual tail of its class from which an attempt counts as late
--- a/memory.go
+++ b/memory.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"marlreel/internal/fade"
+	"marlreel/internal/judge/fade"
+	"marlreel/internal/judge/limit"
 	"marlreel/internal/learnt"
-	"marlreel/internal/limit"
 )
 
 // mostWeight is how many ends of attempts what another process had learnt of a class counts for at
--- a/restart_test.go
+++ b/restart_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/doubt"
+	"marlreel/internal/judge/doubt"
 	"marlreel/internal/learnt"
 )
 
--- a/scale_test.go
+++ b/scale_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"marlreel/internal/limit"
+	"marlreel/internal/judge/limit"
 )
 
 // drive plays d of a proxy's life in steps of 10 ms: a request every gap, each answered after took, every
--- a/stats.go
+++ b/stats.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"marlreel/internal/gray"
-	"marlreel/internal/storm"
+	"marlreel/internal/judge/gray"
+	"marlreel/internal/judge/storm"
 )
 
 // endOf is what an attempt's end says of its class at its backend: a broken connection, or one
