--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -342,6 +342,7 @@
 		p.killed.Store(true)
 		p.kills.Add(1) // it may have accepted already
 		next.kill()
+		p.kills.Add(1) // a connection may have been opened since, and its client write slowly
 		time.Sleep(50 * time.Millisecond)
 		p.killed.Store(false)
 		again := p.start(temp)
@@ -358,6 +359,7 @@
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
 		}
 		old.kill()
+		p.kills.Add(1) // the same
 		time.Sleep(100 * time.Millisecond)
 		p.killed.Store(false)
 		time.Sleep(100 * time.Millisecond)
--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"log"
 	"math"
 	"os"
 	"os/signal"
@@ -17,6 +16,7 @@
 	"syscall"
 
 	"marlreel/internal/config"
+	"marlreel/internal/process/logs"
 	"marlreel/internal/proxy"
 )
 
@@ -152,6 +152,10 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
-	logger := log.New(os.Stderr, "", log.Ltime|log.Lmicroseconds)
+	if own.Fleet.On() {
+		// A disk that is full is an error of a write, and not the end of the process.
+		signal.Ignore(syscall.SIGXFSZ)
+	}
+	logger := logs.New(os.Stderr, own.Log.Format)
 	return proxy.Run(ctx, cfg, own, logger, proxy.Reloads(ctx, reload, os.Getenv("NODE_CONFIG"), f.config, os.Getenv))
 }
--- a/internal/config/marlreel.go
+++ b/internal/config/marlreel.go
@@ -6,7 +6,9 @@
 	"path/filepath"
 	"time"
 
+	"marlreel/internal/fleet"
 	"marlreel/internal/lists/registry"
+	"marlreel/internal/process/logs"
 	"marlreel/internal/rpc"
 	"marlreel/internal/strict"
 )
@@ -17,10 +19,25 @@
 	RPC      rpc.Config      `toml:"rpc"`
 	Registry registry.Config `toml:"registry"`
 	Memory   Memory          `toml:"memory"`
+	Fleet    fleet.Config    `toml:"fleet"`
+	Log      Log             `toml:"log"`
 	// Background is what work that is no request may take.
 	Background Background `toml:"background"`
 }
 
+// Log is the form of the log.
+type Log struct {
+	Format string `toml:"format"` // text or json
+}
+
+// Validate names a form that there is not.
+func (l *Log) Validate() error {
+	if l.Format != logs.Text && l.Format != logs.JSON {
+		return fmt.Errorf("log.format = %q: %q or %q is needed", l.Format, logs.Text, logs.JSON)
+	}
+	return nil
+}
+
 // Background is the budget of all that a proxy does beside serving.
 type Background struct {
 	Share float64 `toml:"share"` // of a core
@@ -61,7 +78,7 @@
 
 // DefaultMarlreel is what holds without a file: everything off.
 func DefaultMarlreel() *Marlreel {
-	return &Marlreel{RPC: rpc.DefaultConfig(), Registry: registry.DefaultConfig(),
+	return &Marlreel{RPC: rpc.DefaultConfig(), Registry: registry.DefaultConfig(), Fleet: fleet.DefaultConfig(), Log: Log{Format: logs.Text},
 		Memory:     Memory{Every: strict.Span(5 * time.Second), Keep: strict.Span(10 * time.Minute), Half: strict.Span(30 * time.Second)},
 		Background: Background{Share: 0.02, Most: 2}}
 }
@@ -98,6 +115,12 @@
 	if err := m.Registry.Validate(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := m.Log.Validate(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := m.Fleet.Validate(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	if err := m.Background.Validate(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -9,19 +9,36 @@
 
 // Permit is the right to write one attempt. The engine and the carrier race for it:
 // whoever is first decides whether anything goes out at all.
-type Permit struct{ state atomic.Int32 }
+type Permit struct {
+	state atomic.Int32
+	lease *Lease        // nil: there is none
+	needs bool          // it goes out only while the lease runs
+	until time.Duration // on the lease's clock: when the attempt is given up
+}
 
 const (
 	permitOpen = iota
 	permitUsed
 	permitRevoked
+	permitLapsed
 )
 
 // Use takes the right. Where it gives false, nothing may be written. Any goroutine.
-func (p *Permit) Use() bool { return p.state.CompareAndSwap(permitOpen, permitUsed) }
+//
+// Danger: the process may have been stopped since the engine decided on the attempt. The lease is looked at here,
+// where the attempt goes out, or a process that wakes up goes on by rules that have long been replaced.
+func (p *Permit) Use() bool {
+	if p.lease != nil && (p.needs && p.lease.Lapsed() || p.lease.Now() >= p.until) {
+		p.state.CompareAndSwap(permitOpen, permitLapsed)
+		return false
+	}
+	return p.state.CompareAndSwap(permitOpen, permitUsed)
+}
 
 // Revoke takes the right away, unless it was used. Any goroutine.
-func (p *Permit) Revoke() bool { return p.state.CompareAndSwap(permitOpen, permitRevoked) }
+func (p *Permit) Revoke() bool {
+	return p.state.CompareAndSwap(permitOpen, permitRevoked) || p.state.CompareAndSwap(permitLapsed, permitRevoked)
+}
 
 // Open tells whether the attempt may still go out. Any goroutine.
 func (p *Permit) Open() bool { return p.state.Load() == permitOpen }
@@ -52,6 +69,7 @@
 	engine *Engine
 	sent   time.Duration
 	done   bool // the module has its outcome
+	ran    bool // done: or may have run
 	end    *Timer
 }
 
@@ -81,7 +99,7 @@
 		return
 	}
 	e, c := a.engine, a.Call
-	a.done = true
+	a.done, a.ran = true, !end.Result.NeverRan()
 	c.open--
 	e.Disarm(a.end)
 	if e.observer != nil {
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -81,6 +81,9 @@
 		return
 	}
 	c.arrived = arrived
+	if e.lease != nil {
+		e.heed()
+	}
 	if !e.stillMeans(c) {
 		c.answered = true
 		e.tell(c, Answer{Verdict: Refused})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -105,6 +105,8 @@
 	lastID    marlreel.RequestID
 	listed    func()
 	written   atomic.Uint64 // attempts, whole
+	lease     *Lease        // on the settings in force; nil: they hold without one
+	rules     rules
 }
 
 // New makes an engine. Settings that make no sense give an error that names them.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -28,6 +28,8 @@
 	a.Backend = e.backends.byID[to]
 	unsent := marlreel.OK
 	switch {
+	case e.lease != nil && !e.mayGo(c, a, until):
+		unsent = marlreel.Moot
 	case c.answered || until <= a.sent || a.N >= e.Settings().Caps.MaxAttempts:
 		unsent = marlreel.Moot
 	case a.Backend == nil:
--- a/internal/fleet/agree/keeper.go
+++ b/internal/fleet/agree/keeper.go
@@ -90,7 +90,7 @@
 	reads    map[uint64][]renewal
 	lastRead uint64
 	holders  map[uint64]holder // by process
-	changed  time.Duration     // when the state changed last, as it was applied here
+	stepped  time.Duration     // when a version was decided or opened last, as it was applied here
 	opens    uint64            // the version whose opening is proposed
 	pending  map[string]pending
 	waiting  []Change // told lists
@@ -197,7 +197,7 @@
 		st.Floors = map[string]Floor{}
 	}
 	k.state, k.applied = st, s.GetMetadata().GetIndex()
-	k.changed = k.now
+	k.stepped = k.now
 	k.nameSeats()
 	return nil
 }
@@ -420,12 +420,7 @@
 		return
 	}
 	k.names[m.GetFrom()] = from
-	seen := k.marks[m.GetFrom()]
-	seen.term = max(seen.term, m.GetTerm())
-	if m.GetType() == pb.MsgAppResp && !m.GetReject() {
-		seen.last = max(seen.last, m.GetIndex())
-	}
-	k.marks[m.GetFrom()] = seen
+	k.mark(m)
 	switch m.GetType() {
 	case pb.MsgApp, pb.MsgHeartbeat, pb.MsgSnap:
 		if m.GetTerm() >= k.node.BasicStatus().GetTerm() {
@@ -435,6 +430,34 @@
 	k.node.Step(m) // an error is one of a message that is let be
 }
 
+// mark notes how far another keeper's log surely goes by what it says. In one term it never gets shorter; in a later
+// one it may, where another leads.
+func (k *Keeper) mark(m *pb.Message) {
+	seen := k.marks[m.GetFrom()]
+	if m.GetTerm() > seen.term {
+		seen = mark{term: m.GetTerm()}
+	}
+	if m.GetTerm() == seen.term {
+		switch m.GetType() {
+		case pb.MsgApp: // what it sends it has on its disk
+			seen.last = max(seen.last, m.GetIndex()+uint64(len(m.GetEntries())))
+		case pb.MsgAppResp:
+			if !m.GetReject() {
+				seen.last = max(seen.last, m.GetIndex())
+			}
+		case pb.MsgSnap:
+			seen.last = max(seen.last, m.GetSnapshot().GetMetadata().GetIndex())
+		}
+	}
+	switch m.GetType() {
+	case pb.MsgPreVote, pb.MsgPreVoteResp: // these speak of a term that may never be
+		return
+	}
+	if len(k.marks) < 64 || k.marks[m.GetFrom()].term != 0 {
+		k.marks[m.GetFrom()] = seen
+	}
+}
+
 // judge answers another keeper's Hello by what was seen of it.
 func (k *Keeper) judge(from string, h Hello) {
 	if h.Empty {
@@ -455,7 +478,7 @@
 	switch {
 	case h.Life < life:
 		return fmt.Sprintf("its disk is from life %d, and life %d has been seen", h.Life, life)
-	case h.Term < term || h.Last < last:
+	case h.Term < term || h.Term == term && h.Last < last:
 		return fmt.Sprintf("its disk ends at entry %d of term %d, and it has acknowledged entry %d, term %d", h.Last, h.Term, last, term)
 	}
 	return ""
@@ -580,7 +603,10 @@
 		k.telling = false
 	}
 	if next.Seq != k.state.Seq {
-		k.state, k.changed = next, k.now
+		if next.Step != k.state.Step {
+			k.stepped = k.now
+		}
+		k.state = next
 		k.nameSeats()
 		if k.leads {
 			for _, h := range k.holders {
--- a/internal/fleet/agree/leader.go
+++ b/internal/fleet/agree/leader.go
@@ -85,24 +85,27 @@
 	k.open()
 }
 
-// open decides that the newest version is in force whole, when nobody can go by the one before alone.
-func (k *Keeper) open() {
-	v, some := k.state.Newest()
-	if !some || !k.state.Opening() || k.opens == v.Number {
-		return
+// known tells whether nobody can go by a state from before the last step on versions any more: each process that may
+// hold a lease has said that it goes by this one or a later, or the longest lease has run out since.
+func (k *Keeper) known() bool {
+	if k.now-k.stepped >= k.cfg.longest() {
+		return true
 	}
-	sure := k.now-k.changed >= k.cfg.longest() // whatever leases there were on a state before, they have run out
-	if !sure && k.now-k.office >= k.cfg.longest() {
-		// All leases that still run are this office's, and each is known.
-		sure = true
-		for _, h := range k.holders {
-			if k.now < h.until && h.held < k.state.Seq {
-				sure = false
-				break
-			}
+	if k.now-k.office < k.cfg.longest() {
+		return false // others may have granted leases that this office does not know
+	}
+	for _, h := range k.holders {
+		if k.now < h.until && h.held < k.state.Step {
+			return false
 		}
 	}
-	if sure && k.propose(Change{Kind: "open", Version: v.Number}) {
+	return true
+}
+
+// open decides that the newest version is in force whole, when nobody can go by the one before alone.
+func (k *Keeper) open() {
+	v, some := k.state.Newest()
+	if some && k.state.Opening() && k.opens != v.Number && k.known() && k.propose(Change{Kind: "open", Version: v.Number}) {
 		k.opens = v.Number
 	}
 }
@@ -129,7 +132,12 @@
 			k.pending[c.ID] = p
 			return
 		}
-		if r := k.state.clone().propose(c); r.Refused != "" || r.Same {
+		r := k.state.clone().propose(c)
+		if v, some := k.state.Newest(); some && r.Refused == "" && !r.Same && !k.known() {
+			// Danger: with some still between the two versions before, three would be in use.
+			r = Result{Refused: Busy, By: v.By, Version: v.Number}
+		}
+		if r.Refused != "" || r.Same {
 			r.ID = c.ID
 			k.send(from, Message{Result: &r})
 			return
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -48,6 +48,7 @@
 type State struct {
 	Born     uint64           `json:"born"` // which founding of the fleet this is
 	Seq      uint64           `json:"seq"`  // of the last change
+	Step     uint64           `json:"step"` // the Seq at which the newest version was decided or opened
 	Open     uint64           `json:"open"` // the newest version that is in force whole; 0 is none
 	Versions []Version        `json:"versions"`
 	Floors   map[string]Floor `json:"floors"`
@@ -119,6 +120,9 @@
 	return hex.EncodeToString(sum[:8])
 }
 
+// Busy is why a proposal is refused that may be made again in a moment.
+const Busy = "the version before is still being taken by the proxies"
+
 // Result is what a proposal came to.
 type Result struct {
 	ID      string `json:"id"`
@@ -137,12 +141,13 @@
 		if r.Refused != "" || r.Same {
 			return r // nothing changed: leases stand
 		}
+		s.Step = seq
 	case "open":
 		v, some := s.Newest()
 		if !some || v.Number != c.Version || s.Open == c.Version {
 			return r
 		}
-		s.Open = c.Version
+		s.Open, s.Step = c.Version, seq
 	case "told":
 		if !s.told(c) {
 			return r
@@ -173,7 +178,7 @@
 	case some && c.Base != now.Number:
 		r.Refused, r.By, r.Version = "another version was decided first", now.By, now.Number
 	case s.Opening():
-		r.Refused, r.By, r.Version = "the version before is still being taken by the proxies", now.By, now.Number
+		r.Refused, r.By, r.Version = Busy, now.By, now.Number
 	default:
 		r.Version = now.Number + 1
 		s.Versions = append(s.Versions, Version{Number: r.Version, Hash: hash, By: c.By, Why: c.Why, At: c.At, Text: c.Text})
--- /dev/null
+++ b/internal/fleet/peers/peers.go
@@ -0,0 +1,435 @@
+// Package peers knows which proxies of a fleet there are, alive, suspect or gone, and carries words between them:
+// SWIM with Lifeguard's amendments, by github.com/hashicorp/memberlist. It owns the sockets, the key ring, the
+// members and the queues of what goes out. It never knows what the words mean, and nothing rests on what it says of
+// a member but whom to ask first.
+package peers
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Peer is a proxy by its name, and where this one reaches it.
+type Peer struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+}
+
+// Config says which fleet, and who this is.
+type Config struct {
+	Fleet, Name, Listen string
+	Peers               []Peer
+	Key                 []byte // 16, 24 or 32 bytes
+	Boot                uint64 // of this process
+	Started             time.Time
+	Receive             func(from string, data []byte) // on goroutines of this package's; it must not block
+	Refused             func(error)                    // a peer was refused, or this process is; once for each reason
+}
+
+// The figures of what goes out.
+const (
+	mostDatagram = 1200 // bytes; what is longer goes by a stream
+	queued       = 64   // words to one peer that wait for a stream
+	mostQueues   = 512
+	joinEvery    = 2 * time.Second // while nobody is known
+	rejoinEvery  = 15 * time.Second
+)
+
+// Member is a proxy as it is known here.
+type Member struct {
+	Name    string    `json:"name"`
+	Address string    `json:"address"`
+	State   string    `json:"state"` // alive, suspect, gone
+	Boot    uint64    `json:"boot"`  // its process: another one is another incarnation
+	Started time.Time `json:"started"`
+	Since   time.Time `json:"since"` // of the state, as seen here
+}
+
+// Peers is this proxy among the others. Make it with Join.
+type Peers struct {
+	cfg   Config
+	list  *memberlist.Memberlist
+	via   *transport
+	stop  chan struct{}
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	gone  map[string]Member
+	since map[string]time.Time
+	out   map[string]chan []byte
+	said  map[string]bool
+	taken bool
+}
+
+type meta struct {
+	Fleet   string `json:"f"`
+	Boot    uint64 `json:"b"`
+	Started int64  `json:"s"` // Unix milliseconds
+}
+
+// Join makes this proxy one of the fleet. It goes on looking for others by itself.
+func Join(cfg Config) (*Peers, error) {
+	table := map[string]string{}
+	for _, p := range cfg.Peers {
+		if p.Name != cfg.Name {
+			table[p.Name] = p.Address
+		}
+	}
+	via, err := newTransport(cfg.Listen, table)
+	if err != nil {
+		return nil, &ListenError{cfg.Listen, err}
+	}
+	p := &Peers{cfg: cfg, via: via, stop: make(chan struct{}), gone: map[string]Member{}, since: map[string]time.Time{}, out: map[string]chan []byte{}, said: map[string]bool{}}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.SecretKey, c.Label = cfg.Name, via, cfg.Key, cfg.Fleet
+	c.Delegate, c.Events, c.Conflict, c.Alive = delegate{p}, delegate{p}, delegate{p}, delegate{p}
+	c.LogOutput = lines(p.hear)
+	c.TCPTimeout, c.PushPullInterval, c.GossipInterval, c.GossipNodes = 3*time.Second, 30*time.Second, 250*time.Millisecond, 3
+	c.DeadNodeReclaimTime = time.Second // a proxy that comes back elsewhere is the same one
+	c.EnableCompression = false
+	if p.list, err = memberlist.Create(c); err != nil {
+		via.Shutdown()
+		return nil, &KeyError{err.Error()}
+	}
+	p.wg.Go(p.look)
+	return p, nil
+}
+
+// look joins whoever is not known, now and ever again.
+func (p *Peers) look() {
+	for {
+		var missing []string
+		known := map[string]bool{p.cfg.Name: true}
+		for _, n := range p.list.Members() {
+			known[n.Name] = true
+		}
+		for _, x := range p.cfg.Peers {
+			if !known[x.Name] {
+				missing = append(missing, x.Name+"/"+x.Address)
+			}
+		}
+		if len(missing) > 3 && len(known) > 1 { // the others tell of them
+			i := int(time.Now().UnixNano()/1e9) % len(missing)
+			missing = []string{missing[i]}
+		}
+		for _, m := range missing {
+			if p.closing() {
+				return
+			}
+			if _, err := p.list.Join([]string{m}); err != nil && strings.Contains(err.Error(), "EOF") {
+				p.refuse("closed "+m, &PeerClosedError{m})
+			}
+		}
+		every := rejoinEvery
+		if len(known) == 1 {
+			every = joinEvery
+		}
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(every):
+		}
+	}
+}
+
+func (p *Peers) closing() bool {
+	select {
+	case <-p.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuse tells of a refusal, once for each reason.
+func (p *Peers) refuse(reason string, err error) {
+	p.mu.Lock()
+	said := p.said[reason] || len(p.said) > 100
+	p.said[reason] = true
+	p.mu.Unlock()
+	if !said {
+		p.cfg.Refused(err)
+	}
+}
+
+// hear finds in the library's log what an operator has to know.
+func (p *Peers) hear(line string) {
+	l := strings.ToLower(line)
+	from := ""
+	if i := strings.Index(line, "from="); i >= 0 {
+		from, _, _ = net.SplitHostPort(strings.TrimSpace(line[i+len("from="):]))
+	}
+	switch {
+	case strings.Contains(l, "decrypt"), strings.Contains(l, "no installed keys"), strings.Contains(l, "encryption"):
+		p.refuse("key "+from, &KeyError{"a peer speaks with another key: " + from})
+	case strings.Contains(l, "label"):
+		p.refuse("label "+from, &OtherFleetError{from})
+	}
+}
+
+// Send hands a word to a peer, or lets it be where too many wait for it already. It does not block.
+func (p *Peers) Send(to string, data []byte) {
+	addr, known := p.via.table[to]
+	if !known {
+		for _, n := range p.list.Members() {
+			if n.Name == to {
+				addr, known = n.Address(), true
+			}
+		}
+	}
+	if !known {
+		return
+	}
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return
+	}
+	var n int
+	fmt.Sscan(port, &n)
+	frame := append(append([]byte{byte(len(p.cfg.Name))}, p.cfg.Name...), data...)
+	node := &memberlist.Node{Name: to, Addr: net.ParseIP(host), Port: uint16(n)}
+	if len(frame) <= mostDatagram {
+		p.list.SendBestEffort(node, frame) // lost is lost: what matters is asked again
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.out[to]
+	if q == nil {
+		if len(p.out) >= mostQueues || p.closing() {
+			return
+		}
+		q = make(chan []byte, queued)
+		p.out[to] = q
+		p.wg.Go(func() { p.drain(to, node, q) })
+	}
+	select {
+	case q <- frame:
+	default:
+	}
+}
+
+// drain sends what waits for one peer, and ends when nothing does.
+func (p *Peers) drain(to string, node *memberlist.Node, q chan []byte) {
+	for {
+		select {
+		case frame := <-q:
+			p.via.sent.Add(int64(len(frame)))
+			p.list.SendReliable(node, frame)
+		case <-p.stop:
+			return
+		default:
+			p.mu.Lock()
+			if len(q) == 0 {
+				delete(p.out, to)
+				p.mu.Unlock()
+				return
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+// Members are all that are known, by name, this one among them.
+func (p *Peers) Members() []Member {
+	var all []Member
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.gone {
+		all = append(all, m)
+	}
+	for _, n := range p.list.Members() {
+		state := "alive"
+		if n.State == memberlist.StateSuspect {
+			state = "suspect"
+		}
+		all = append(all, p.member(n, state))
+	}
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// member is a node; the caller has the lock.
+func (p *Peers) member(n *memberlist.Node, state string) Member {
+	var m meta
+	json.Unmarshal(n.Meta, &m)
+	return Member{Name: n.Name, Address: n.Address(), State: state, Boot: m.Boot, Started: time.UnixMilli(m.Started), Since: p.since[n.Name]}
+}
+
+// Sent is how many bytes have gone out.
+func (p *Peers) Sent() int64 { return p.via.sent.Load() }
+
+// Close leaves the fleet: the others are told, as far as that goes at once.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	select {
+	case <-p.stop:
+		p.mu.Unlock()
+		return
+	default:
+	}
+	close(p.stop)
+	p.mu.Unlock()
+	p.list.Leave(100 * time.Millisecond)
+	p.list.Shutdown()
+	p.wg.Wait()
+}
+
+// delegate is what the library calls.
+type delegate struct{ *Peers }
+
+func (d delegate) NodeMeta(int) []byte {
+	text, err := json.Marshal(meta{d.cfg.Fleet, d.cfg.Boot, d.cfg.Started.UnixMilli()})
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+func (d delegate) NotifyMsg(frame []byte) {
+	if len(frame) < 1 || len(frame) < 1+int(frame[0]) {
+		return
+	}
+	n := 1 + int(frame[0])
+	d.cfg.Receive(string(frame[1:n]), append([]byte(nil), frame[n:]...))
+}
+
+func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (d delegate) LocalState(bool) []byte          { return nil }
+func (d delegate) MergeRemoteState([]byte, bool)   {}
+
+func (d delegate) NotifyJoin(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.gone, n.Name)
+	d.since[n.Name] = time.Now()
+}
+
+func (d delegate) NotifyLeave(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.since[n.Name] = time.Now()
+	if len(d.gone) < 1024 {
+		d.gone[n.Name] = d.member(n, "gone")
+	}
+}
+
+func (d delegate) NotifyUpdate(*memberlist.Node) {}
+
+// NotifyAlive keeps other fleets' proxies out.
+func (d delegate) NotifyAlive(n *memberlist.Node) error {
+	var m meta
+	if err := json.Unmarshal(n.Meta, &m); err != nil || m.Fleet != d.cfg.Fleet {
+		err := &OtherFleetError{n.Address()}
+		d.refuse("fleet "+n.Address(), err)
+		return err
+	}
+	return nil
+}
+
+// NotifyConflict tells of two that use one name. The one that started later is refused.
+func (d delegate) NotifyConflict(existing, other *memberlist.Node) {
+	err := &NameTakenError{Name: other.Name, Here: existing.Address(), There: other.Address()}
+	var m meta
+	json.Unmarshal(other.Meta, &m)
+	if other.Name == d.cfg.Name && (m.Started < d.cfg.Started.UnixMilli() || m.Started == d.cfg.Started.UnixMilli() && m.Boot < d.cfg.Boot) {
+		d.mu.Lock()
+		d.taken = true
+		d.mu.Unlock()
+		err.Mine = true
+	}
+	d.refuse("name "+other.Name+other.Address(), err)
+}
+
+// Taken tells whether this process uses a name that another has.
+func (p *Peers) Taken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.taken
+}
+
+// ReadKey reads a key file: 16, 24 or 32 bytes, raw or in hexadecimal.
+func ReadKey(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &KeyError{err.Error()}
+	}
+	text := strings.TrimSpace(string(data))
+	var raw []byte
+	if _, err := fmt.Sscanf(text, "%x", &raw); err == nil && len(raw)*2 == len(text) && memberlist.ValidateKey(raw) == nil {
+		return raw, nil
+	}
+	if memberlist.ValidateKey(data) == nil {
+		return data, nil
+	}
+	return nil, &KeyError{fmt.Sprintf("%s: 16, 24 or 32 bytes are needed, raw or in hexadecimal", path)}
+}
+
+// ListenError is an address at which peers can't be heard.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return fmt.Sprintf("fleet.listen %s: %v", e.Address, e.Err) }
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Advice says what an operator can do.
+func (e *ListenError) Advice() string {
+	return "give fleet.listen a TCP and UDP port of this machine that nothing else uses"
+}
+
+// KeyError is a key that can't be used, or a peer that speaks with another.
+type KeyError struct{ Reason string }
+
+func (e *KeyError) Error() string { return "fleet.key-file: " + e.Reason }
+
+// Advice says what an operator can do.
+func (e *KeyError) Advice() string { return "put the same key file on all proxies of the fleet" }
+
+// OtherFleetError is a peer of another fleet.
+type OtherFleetError struct{ Address string }
+
+func (e *OtherFleetError) Error() string { return "a peer of another fleet was refused: " + e.Address }
+
+// Advice says what an operator can do.
+func (e *OtherFleetError) Advice() string {
+	return "look at fleet.name and fleet.peers of both: a fleet's proxies name one another only"
+}
+
+// PeerClosedError is a peer that was reached and ended the talk.
+type PeerClosedError struct{ Peer string }
+
+func (e *PeerClosedError) Error() string {
+	return "the peer " + e.Peer + " was reached and ended the talk"
+}
+
+// Advice says what an operator can do.
+func (e *PeerClosedError) Advice() string {
+	return "compare fleet.name and the key file with that proxy's; its log says which of them differs"
+}
+
+// NameTakenError is a name that two processes use.
+type NameTakenError struct {
+	Name, Here, There string
+	Mine              bool // this process is the one that is refused
+}
+
+func (e *NameTakenError) Error() string {
+	if e.Mine {
+		return fmt.Sprintf("the name %s is used by another proxy, at %s: this one is no part of the fleet", e.Name, e.There)
+	}
+	return fmt.Sprintf("the name %s is used twice, at %s and at %s: the later one is refused", e.Name, e.Here, e.There)
+}
+
+// Advice says what an operator can do.
+func (e *NameTakenError) Advice() string {
+	return "give each proxy a name of its own (NODE_NAME, or name in its configuration)"
+}
--- /dev/null
+++ b/internal/fleet/peers/transport.go
@@ -0,0 +1,168 @@
+package peers
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// mostStreams bounds the streams that others open here, and with it their descriptors.
+const mostStreams = 24
+
+// transport is one UDP socket and one TCP listener. It finds peers by their names: the address at which one proxy
+// reaches another may differ from the one that the other tells of itself.
+type transport struct {
+	udp     *net.UDPConn
+	tcp     net.Listener
+	table   map[string]string // name to address
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	open    atomic.Int32
+	done    chan struct{}
+	once    sync.Once
+	wg      sync.WaitGroup
+	sent    atomic.Int64 // bytes
+}
+
+func newTransport(listen string, table map[string]string) (*transport, error) {
+	addr, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, err
+	}
+	tcp, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	udp, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	t := &transport{udp: udp, tcp: tcp, table: table, packets: make(chan *memberlist.Packet, 64), streams: make(chan net.Conn), done: make(chan struct{})}
+	t.wg.Go(t.readPackets)
+	t.wg.Go(t.accept)
+	return t, nil
+}
+
+func (t *transport) readPackets() {
+	buf := make([]byte, 65536)
+	for {
+		n, from, err := t.udp.ReadFrom(buf)
+		now := time.Now()
+		if err != nil {
+			select {
+			case <-t.done:
+				return
+			case <-time.After(time.Millisecond): // an ICMP word on an earlier datagram, say
+				continue
+			}
+		}
+		if n == 0 {
+			continue
+		}
+		select {
+		case t.packets <- &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: from, Timestamp: now}:
+		case <-t.done:
+			return
+		}
+	}
+}
+
+func (t *transport) accept() {
+	for {
+		c, err := t.tcp.Accept()
+		if err != nil {
+			select {
+			case <-t.done:
+				return
+			case <-time.After(5 * time.Millisecond): // it may be descriptors that are short
+				continue
+			}
+		}
+		if t.open.Add(1) > mostStreams {
+			t.open.Add(-1)
+			c.Close()
+			continue
+		}
+		select {
+		case t.streams <- &stream{Conn: c, of: t}:
+		case <-t.done:
+			c.Close()
+			return
+		}
+	}
+}
+
+// stream gives its place back when it is closed.
+type stream struct {
+	net.Conn
+	of   *transport
+	once sync.Once
+}
+
+func (s *stream) Close() error {
+	s.once.Do(func() { s.of.open.Add(-1) })
+	return s.Conn.Close()
+}
+
+// find is where a peer is reached.
+func (t *transport) find(a memberlist.Address) string {
+	if at, there := t.table[a.Name]; there {
+		return at
+	}
+	return a.Addr
+}
+
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	to, err := net.ResolveUDPAddr("udp", t.find(a))
+	if err != nil {
+		return time.Time{}, err
+	}
+	t.sent.Add(int64(len(b)))
+	_, err = t.udp.WriteTo(b, to)
+	return time.Now(), err
+}
+
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	return t.WriteToAddress(b, memberlist.Address{Addr: addr})
+}
+
+func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", t.find(a), timeout)
+}
+
+func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	return t.DialAddressTimeout(memberlist.Address{Addr: addr}, timeout)
+}
+
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *transport) StreamCh() <-chan net.Conn           { return t.streams }
+
+func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	a := t.tcp.Addr().(*net.TCPAddr)
+	return a.IP, a.Port, nil
+}
+
+func (t *transport) Shutdown() error {
+	t.once.Do(func() {
+		close(t.done)
+		t.udp.Close()
+		t.tcp.Close()
+	})
+	t.wg.Wait()
+	return nil
+}
+
+// lines hands the library's log on, line by line, to who knows what in it matters.
+type lines func(line string)
+
+func (l lines) Write(p []byte) (int, error) {
+	for line := range strings.Lines(string(p)) {
+		l(strings.TrimSpace(line))
+	}
+	return len(p), nil
+}
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -21,7 +21,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -86,10 +86,10 @@
 
 // NewFront makes a front whose calls go to backends by a carrier. What it holds of bodies
 // it takes from room.
-func NewFront(e *engine.Engine, carrier *Carrier, room *budget.Budget, errorLog *log.Logger) *Front {
+func NewFront(e *engine.Engine, carrier *Carrier, room *budget.Budget, logger *slog.Logger) *Front {
 	s := &Front{clients: newClients(nil, 0), leaving: make(chan struct{}), engine: e, carrier: carrier, room: room}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHead, ErrorLog: errorLog,
+		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(logger.With("event", "http").Handler(), slog.LevelInfo),
 		DisableGeneralOptionsHandler: true, // which would answer OPTIONS * with 200
 		ConnContext:                  withClient,
 		ConnState: func(nc net.Conn, state http.ConnState) {
--- a/internal/judge/slots/slots.go
+++ b/internal/judge/slots/slots.go
@@ -31,6 +31,9 @@
 // Len is how many numbers there are: from 0 to it.
 func (t *Table) Len() int { return len(t.slots) }
 
+// Name is the owner of a number, also one that is not in the list now.
+func (t *Table) Name(i int) string { return t.slots[i].name }
+
 // Gone tells whether the owner of a number is not in the list now.
 func (t *Table) Gone(i int) bool { return t.slots[i].gone }
 
--- a/internal/lists/sources/sources.go
+++ b/internal/lists/sources/sources.go
@@ -358,6 +358,15 @@
 	return e
 }
 
+// Origin is whose list counts, and its revision; false: it is not known, or the platform's alone counts.
+func (s *Source) Origin() (source string, revision int64, there bool) {
+	if s.model == nil {
+		return "", 0, false
+	}
+	st := s.model.Status(s.host.Now())
+	return st.Source, st.Revision, st.Source != ""
+}
+
 // Status is how the lists stand; false: there is the platform's alone.
 func (s *Source) Status() (members.Status, bool) {
 	if s.model == nil {
--- /dev/null
+++ b/internal/process/logs/logs.go
@@ -0,0 +1,86 @@
+// Package logs is the form of this program's log: log/slog, a line for people or an object for machines, with the
+// event's stable name and its fields. It owns that form alone; what is said, and when, is everybody's own.
+package logs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+)
+
+// Formats of a log.
+const (
+	Text = "text"
+	JSON = "json"
+)
+
+// New makes a logger. In a line the text comes first, in the words that pages and people know, and then event=name
+// and the fields.
+func New(w io.Writer, format string) *slog.Logger {
+	if format == JSON {
+		return slog.New(slog.NewJSONHandler(w, nil))
+	}
+	return slog.New(&handler{w: w, mu: new(sync.Mutex), clock: true})
+}
+
+// Plain is New's text without the time of day.
+func Plain(w io.Writer) *slog.Logger { return slog.New(&handler{w: w, mu: new(sync.Mutex)}) }
+
+// Discard is a logger that writes nothing.
+func Discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// Event gives a part of the program that says lines a function to say them with: all under one event's name.
+func Event(l *slog.Logger, name string) func(format string, args ...any) {
+	return func(format string, args ...any) { l.Info(fmt.Sprintf(format, args...), "event", name) }
+}
+
+type handler struct {
+	w     io.Writer
+	mu    *sync.Mutex
+	clock bool
+	attrs string
+}
+
+func (h *handler) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelInfo }
+
+func (h *handler) Handle(_ context.Context, r slog.Record) error {
+	var b strings.Builder
+	if h.clock {
+		b.WriteString(r.Time.Format("15:04:05.000000 "))
+	}
+	b.WriteString(r.Message)
+	b.WriteString(h.attrs)
+	r.Attrs(func(a slog.Attr) bool {
+		appendAttr(&b, a)
+		return true
+	})
+	b.WriteByte('\n')
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, err := io.WriteString(h.w, b.String())
+	return err
+}
+
+func appendAttr(b *strings.Builder, a slog.Attr) {
+	v := a.Value.Resolve().String()
+	if v == "" || strings.ContainsAny(v, " =\"\n\t") {
+		v = fmt.Sprintf("%q", v)
+	}
+	b.WriteString(" " + a.Key + "=" + v)
+}
+
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	next := *h
+	var b strings.Builder
+	for _, a := range attrs {
+		appendAttr(&b, a)
+	}
+	next.attrs += b.String()
+	return &next
+}
+
+// WithGroup keeps fields flat: no part of this program groups them.
+func (h *handler) WithGroup(string) slog.Handler { return h }
--- /dev/null
+++ b/internal/proxy/fleet.go
@@ -0,0 +1,318 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/advice"
+	"marlreel/internal/config"
+	"marlreel/internal/engine"
+	"marlreel/internal/fleet"
+	"marlreel/internal/fleet/agree"
+	"marlreel/internal/lists/sources"
+)
+
+// member puts the proxy's parts and its fleet together: rules and their lease for the engine, lists for the fleet
+// and what others were told of them for the lists.
+type member struct {
+	parts *parts
+	cfg   *config.Platform // of the start: what is this proxy's own
+	lease *engine.Lease
+	fleet *fleet.Fleet
+	lists *overlay
+	trace *trace
+	ruled atomic.Pointer[fleet.Rules]
+}
+
+// enlist makes a proxy a member of its fleet. Nothing runs yet; the engine goes by the strict rules of the file
+// until the fleet is heard.
+func (p *parts) enlist(cfg *config.Platform, own *config.Marlreel, log *slog.Logger) (*member, error) {
+	m := &member{parts: p, cfg: cfg, lease: &engine.Lease{Now: fleet.Now}}
+	m.lists = &overlay{Engine: p.engine, own: map[string]engine.Entry{}, held: map[string]bool{}, told: func(l agree.Lists, ends []agree.End) { m.fleet.List(l, ends) }}
+	p.engine.Under(m.lease)
+	if own.Fleet.Trace != "" {
+		var err error
+		if m.trace, err = openTrace(own.Fleet.Trace, m); err != nil {
+			return nil, err
+		}
+	}
+	file, err := cfg.Shared()
+	if err != nil {
+		return nil, err
+	}
+	m.fleet, err = fleet.Start(fleet.Options{Config: own.Fleet, Proxy: cfg.Name, File: file, Check: cfg.CheckShared, Host: m, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	first := m.fleet.First(cfg.Settings)
+	if err := p.engine.Rule(first.InForce, first.Strict); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// Rule implements fleet.Host.
+func (m *member) Rule(r fleet.Rules, done func(error)) {
+	m.parts.engine.Post(func() {
+		err := m.parts.engine.Rule(r.InForce, r.Strict)
+		if err == nil {
+			m.ruled.Store(&r)
+			if m.parts.counts != nil {
+				m.parts.counts.SetClasses(m.parts.engine.Settings().Classes)
+			}
+			if m.trace != nil {
+				m.trace.rule(r)
+			}
+		}
+		done(err)
+	})
+}
+
+// Extend implements fleet.Host.
+func (m *member) Extend(until time.Duration) { m.lease.Extend(until) }
+
+// Parse implements fleet.Host.
+func (m *member) Parse(text string) (marlreel.Config, error) { return m.cfg.Parsed(text) }
+
+// Told implements fleet.Host.
+func (m *member) Told(s *agree.State) {
+	m.parts.engine.Post(func() { m.lists.tell(s) })
+}
+
+// propose puts the file's settings to the fleet, and says what came of it.
+func (m *member) propose(next *config.Platform, log *slog.Logger, taken func(bool)) {
+	text, err := next.Shared()
+	if err == nil {
+		var r agree.Result
+		if r, err = m.fleet.ProposeFile(context.Background(), text); err == nil {
+			log.Info("the file is the fleet's", "event", "fleet-file", "version", r.Version, "same", r.Same, "by", r.By)
+		}
+	}
+	if err != nil {
+		log.Warn("not reloaded: "+err.Error(), "event", "fleet-file-refused", "do", advice.Of(err))
+	}
+	taken(err == nil)
+}
+
+// status is what the door says of the fleet.
+func (m *member) status() (int, []byte) {
+	body, err := json.MarshalIndent(m.fleet.Status(), "", " ")
+	if err != nil {
+		return http.StatusInternalServerError, []byte("it can't be written down\n")
+	}
+	return http.StatusOK, append(body, '\n')
+}
+
+// longest is how long a client may wait by the rules in force, or by the file's.
+func (m *member) longest(cfg *config.Platform) *config.Platform {
+	r := m.ruled.Load()
+	if r == nil {
+		return cfg
+	}
+	next := *cfg
+	next.Settings = r.InForce
+	return &next
+}
+
+// overlay stands between the lists' sources and the engine: it tells the fleet what this proxy was told, and keeps
+// new work from backends that drain or have gone by what others were told later than this proxy's list. The engine's
+// goroutine owns it.
+type overlay struct {
+	*engine.Engine
+	origin   func() (source string, revision int64, there bool) // of the list in force, where there is a registry
+	told     func(agree.Lists, []agree.End)
+	own      map[string]engine.Entry // as this proxy's own source has it
+	held     map[string]bool         // kept from getting new work by others' word
+	source   string
+	revision int64
+	version  uint32
+	state    *agree.State
+}
+
+// begin notes the list of the start, which the engine has already.
+func (o *overlay) begin(l engine.List) {
+	o.source, o.revision = "platform", int64(l.Version)
+	for _, e := range l.Entries {
+		o.own[e.Name] = e
+	}
+}
+
+// List takes a list from its source.
+func (o *overlay) List(l engine.List) {
+	source, revision := "platform", int64(l.Version)
+	if o.origin != nil {
+		if s, r, there := o.origin(); there {
+			source, revision = s, r
+		}
+	}
+	same := source == o.source
+	o.source, o.revision, o.version = source, revision, l.Version
+	var ends []agree.End
+	end := func(name string, gone bool) {
+		ends = append(ends, agree.End{Source: source, Name: name, Revision: revision, Gone: gone})
+	}
+	was := o.own
+	if l.Kind != marlreel.ListDelta {
+		o.own = make(map[string]engine.Entry, len(l.Entries))
+	}
+	for _, e := range l.Entries {
+		before, there := was[e.Name]
+		if e.State != marlreel.Ready && (!there || before.State != e.State) {
+			end(e.Name, e.State == marlreel.Gone)
+		}
+		if e.State == marlreel.Gone {
+			delete(o.own, e.Name)
+			delete(o.held, e.Name)
+			continue
+		}
+		o.own[e.Name] = e
+	}
+	if l.Kind == marlreel.ListFull && same {
+		for name := range was {
+			if _, there := o.own[name]; !there {
+				end(name, true)
+				delete(o.held, name)
+			}
+		}
+	}
+	l.Entries = slices.Clone(l.Entries)
+	for i := range l.Entries {
+		if e := &l.Entries[i]; e.State == marlreel.Ready && o.ended(e.Name) {
+			e.State = marlreel.Draining
+			o.held[e.Name] = true
+		}
+	}
+	o.Engine.List(l)
+	o.settle()
+	if l.Kind != marlreel.ListCached {
+		o.told(o.summary(), ends)
+	}
+}
+
+// ended tells whether others were told the end of a backend later than this proxy's list.
+func (o *overlay) ended(name string) bool {
+	if o.state == nil {
+		return false
+	}
+	e, there := o.state.End(o.source, name)
+	return there && e.Revision > o.revision
+}
+
+// tell takes what others were told.
+func (o *overlay) tell(s *agree.State) {
+	o.state = s
+	o.settle()
+}
+
+// settle lets the engine have each backend as both this proxy's list and the others' word say.
+func (o *overlay) settle() {
+	var changed []engine.Entry
+	if o.state != nil {
+		for _, x := range o.state.Ends {
+			if e, there := o.own[x.Name]; there && x.Source == o.source && e.State == marlreel.Ready && !o.held[x.Name] && x.Revision > o.revision {
+				o.held[x.Name] = true
+				e.State = marlreel.Draining
+				changed = append(changed, e)
+			}
+		}
+	}
+	for name := range o.held {
+		if e, there := o.own[name]; !there {
+			delete(o.held, name)
+		} else if !o.ended(name) { // this proxy's own list is as new as that word
+			delete(o.held, name)
+			changed = append(changed, e)
+		}
+	}
+	if len(changed) > 0 {
+		slices.SortFunc(changed, func(a, b engine.Entry) int { return strings.Compare(a.Name, b.Name) })
+		o.Engine.List(engine.List{Kind: marlreel.ListDelta, Version: o.version, Entries: changed})
+	}
+}
+
+// summary is the list in short: two proxies that have the same one have the same summary.
+func (o *overlay) summary() agree.Lists {
+	l := agree.Lists{Source: o.source, Revision: o.revision, Count: len(o.own)}
+	for name, e := range o.own {
+		if e.State == marlreel.Ready {
+			f := fnv.New64a()
+			io.WriteString(f, name)
+			l.Hash ^= f.Sum64() >> 11 // JSON's numbers are exact up to 53 bits
+		}
+	}
+	return l
+}
+
+var _ sources.Host = (*overlay)(nil)
+
+// trace writes down each attempt with the rules that it went by, for who checks them from outside.
+type trace struct {
+	file   *os.File
+	member *member
+	buf    []byte
+}
+
+func openTrace(path string, m *member) (*trace, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, &fleet.ConfigError{Key: "fleet.trace", Want: "can't be written: " + err.Error()}
+	}
+	return &trace{file: f, member: m}, nil
+}
+
+type traceRule struct {
+	At       int64    `json:"at"` // Unix nanoseconds
+	Seq      uint64   `json:"seq"`
+	Versions []uint64 `json:"versions"`
+}
+
+type traceAct struct {
+	At      int64  `json:"at"`
+	ID      string `json:"id"`
+	Class   string `json:"class"`
+	Attempt int    `json:"attempt"` // from 0
+	Node    string `json:"node"`
+	Seq     uint64 `json:"seq"`
+	Strict  bool   `json:"strict"`
+}
+
+// line writes a line at once: a process that is killed has said what it did.
+func (t *trace) line(v any) {
+	if text, err := json.Marshal(v); err == nil {
+		t.file.Write(append(text, '\n'))
+	}
+}
+
+func (t *trace) rule(r fleet.Rules) {
+	t.line(traceRule{time.Now().UnixNano(), r.Seq, r.Versions})
+}
+
+// Sent implements engine.Observer.
+func (t *trace) Sent(_ time.Duration, a *engine.Attempt) {
+	act := traceAct{At: time.Now().UnixNano(), ID: a.Call.Name, Attempt: a.N, Node: a.Backend.Name, Strict: t.member.lease.Lapsed()}
+	if s := t.member.parts.engine.Settings(); a.Call.Class < len(s.Classes) {
+		act.Class = s.Classes[a.Call.Class].Name
+	}
+	if r := t.member.ruled.Load(); r != nil {
+		act.Seq = r.Seq
+	}
+	t.line(act)
+}
+
+func (t *trace) Taken(time.Duration, *engine.Call)                                     {}
+func (t *trace) Ended(time.Duration, *engine.Attempt, engine.End)                      {}
+func (t *trace) Answered(time.Duration, *engine.Call, engine.Answer)                   {}
+func (t *trace) Streamed(time.Duration, *engine.Call, bool)                            {}
+func (t *trace) Left(time.Duration, *engine.Call)                                      {}
+func (t *trace) Listed(time.Duration, *engine.List)                                    {}
+func (t *trace) Probed(time.Duration, *engine.Backend, marlreel.Result, time.Duration) {}
--- a/internal/proxy/keep.go
+++ b/internal/proxy/keep.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"marlreel/internal/config"
@@ -11,6 +12,7 @@
 	"marlreel/internal/judge/storm"
 	"marlreel/internal/learnt"
 	"marlreel/internal/process/background"
+	"marlreel/internal/process/logs"
 	"marlreel/internal/process/store"
 )
 
@@ -29,27 +31,27 @@
 
 // remember reads what an earlier life has learnt, as far as it is still to be believed. Whatever is wrong with
 // it is one line, and the proxy starts as it does without.
-func remember(cfg config.Memory, s *store.Store, name string, now doubt.Moment, logger *log.Logger) *learnt.State {
+func remember(cfg config.Memory, s *store.Store, name string, now doubt.Moment, logger *slog.Logger) *learnt.State {
 	r, err := s.Load()
 	if err != nil {
-		logger.Printf("memory: nothing is taken from it: %v", err)
+		logger.Info(fmt.Sprintf("memory: nothing is taken from it: %v", err), "event", "memory-refused")
 		return nil
 	}
 	if r == nil {
 		return nil
 	}
 	if r.State.Of != name {
-		logger.Printf("memory: nothing is taken from %s: it is %q's, and this is %q", s.Path(), r.State.Of, name)
+		logger.Info(fmt.Sprintf("memory: nothing is taken from %s: it is %q's, and this is %q", s.Path(), r.State.Of, name), "event", "memory-refused")
 		return nil
 	}
 	away, err := doubt.Away(r.At, now)
 	if err != nil {
-		logger.Printf("memory: nothing is taken from %s: %v", s.Path(), err)
+		logger.Info(fmt.Sprintf("memory: nothing is taken from %s: %v", s.Path(), err), "event", "memory-refused")
 		return nil
 	}
 	known := doubt.Weigh(doubt.Config{Keep: cfg.Keep.D(), Half: cfg.Half.D()}, r.State, away, !r.Stopped)
 	if known == nil {
-		logger.Printf("memory: nothing is taken from %s: it is %v old, and %v is the most", s.Path(), away.Round(time.Second), cfg.Keep.D())
+		logger.Info(fmt.Sprintf("memory: nothing is taken from %s: it is %v old, and %v is the most", s.Path(), away.Round(time.Second), cfg.Keep.D()), "event", "memory-refused")
 		return nil
 	}
 	// From here on its age is counted by the wall's clock of this life, whatever the other life's said.
@@ -66,8 +68,8 @@
 
 // background begins the work that is no request: the state is written down. What must not wait (lists, drains,
 // requests) is the engine's, and probes and sweeps are the module's, whose health of backends rests on them.
-func (p *parts) background(cfg config.Background, k *saver, logger *log.Logger) *background.Runner {
-	r := background.NewRunner(background.Config{Share: cfg.Share, Burst: budgetBurst, Most: cfg.Most}, logger.Printf)
+func (p *parts) background(cfg config.Background, k *saver, logger *slog.Logger) *background.Runner {
+	r := background.NewRunner(background.Config{Share: cfg.Share, Burst: budgetBurst, Most: cfg.Most}, logs.Event(logger, "background"))
 	r.Add(background.Spec{Name: "writing the memory", Priority: background.Idle, Every: k.every, Cost: time.Millisecond, Longest: max(10*time.Second, 2*k.every)},
 		func(ctx context.Context) error {
 			k.save(ctx, false)
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"log"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"marlreel/internal/learnt"
@@ -23,10 +24,10 @@
 // recall asks another process that serves for what it has learnt, if there is one. It is asked
 // once and has a part of a second: a process that is stuck must not hold up a start. Before the
 // engine runs.
-func (p *parts) recall(meeting *handover.Rendezvous, name string, logger *log.Logger) {
+func (p *parts) recall(meeting *handover.Rendezvous, name string, logger *slog.Logger) {
 	others, err := meeting.Others()
 	if err != nil {
-		logger.Print(err)
+		logger.Info(err.Error(), "event", "rendezvous")
 	}
 	for _, other := range others {
 		if other.Stage == handover.Starting {
@@ -36,9 +37,9 @@
 		go func() {
 			s, err := ask(meeting, other.ID)
 			if err != nil {
-				logger.Printf("nothing is taken over of what process %d has learnt: %v", other.ID, err)
+				logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: %v", other.ID, err), "event", "learnt-refused")
 			} else if s.Of != name {
-				logger.Printf("nothing is taken over of what process %d has learnt: it is of %q, and this is %q", other.ID, s.Of, name)
+				logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: it is of %q, and this is %q", other.ID, s.Of, name), "event", "learnt-refused")
 				s = nil
 			}
 			p.engine.Post(func() {
@@ -80,14 +81,14 @@
 }
 
 // becomeReady says that there is a list.
-func (p *parts) becomeReady(logger *log.Logger) {
+func (p *parts) becomeReady(logger *slog.Logger) {
 	p.memory.listed = true
 	p.open(logger)
 }
 
 // open says that clients can be served, once there is a list and nothing more is to be heard of
 // another process.
-func (p *parts) open(logger *log.Logger) {
+func (p *parts) open(logger *slog.Logger) {
 	m := &p.memory
 	if !m.listed || m.asking {
 		return
@@ -97,15 +98,15 @@
 		began := time.Now()
 		n := p.engine.Restore(s)
 		p.carrier.Restore(s.Conns, s.Away(began))
-		logger.Printf("memory: taken over from an earlier life: what it had learnt of %d backends and %d classes, %v old", n, len(s.Classes), s.Away(began).Round(time.Millisecond))
+		logger.Info(fmt.Sprintf("memory: taken over from an earlier life: what it had learnt of %d backends and %d classes, %v old", n, len(s.Classes), s.Away(began).Round(time.Millisecond)), "event", "memory-taken")
 	}
 	if s := m.state; s != nil {
 		m.state, m.kept = nil, nil
 		began := time.Now()
 		n := p.engine.Restore(s)
 		p.carrier.Restore(s.Conns, s.Away(began))
-		logger.Printf("taken over from process %d: what it has learnt of %d backends and %d classes, %v old",
-			m.from, n, len(s.Classes), s.Away(began).Round(time.Millisecond))
+		logger.Info(fmt.Sprintf("taken over from process %d: what it has learnt of %d backends and %d classes, %v old",
+			m.from, n, len(s.Classes), s.Away(began).Round(time.Millisecond)), "event", "learnt-taken")
 	}
 	p.front.SetReady(true)
 	if p.meeting != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,13 +8,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"marlreel/internal/advice"
 	"marlreel/internal/config"
 	"marlreel/internal/engine"
 	"marlreel/internal/httpproxy"
@@ -24,6 +26,7 @@
 	"marlreel/internal/process/budget"
 	"marlreel/internal/process/control"
 	"marlreel/internal/process/handover"
+	"marlreel/internal/process/logs"
 	"marlreel/internal/process/metrics"
 	"marlreel/internal/process/store"
 	"marlreel/internal/rpc"
@@ -41,7 +44,7 @@
 
 // Run serves until ctx ends, then finishes what it has taken. Each new configuration
 // that reloads brings is put in force without a break.
-func Run(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, reloads <-chan Reload) error {
+func Run(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *slog.Logger, reloads <-chan Reload) error {
 	var in listeners
 	var err error
 	if cfg.ListenFD >= 0 {
@@ -109,6 +112,8 @@
 
 	limitMemory func(bytes int64) // what the runtime is told; nil: nothing
 
+	member *member // of a fleet; nil: there is none
+
 	counts *metrics.Counts // nil where nobody asks
 	door   *control.Door
 	lists  atomic.Pointer[members.Status] // nil: there is the platform's list alone
@@ -128,7 +133,7 @@
 }
 
 // assemble puts a proxy together. Nothing runs yet.
-func assemble(cfg *config.Platform, own *config.Marlreel, limitMemory func(int64), logger *log.Logger) (*parts, error) {
+func assemble(cfg *config.Platform, own *config.Marlreel, limitMemory func(int64), logger *slog.Logger) (*parts, error) {
 	p := &parts{limitMemory: limitMemory}
 	known, version := engine.List{}, uint32(0)
 	if cfg.Known != nil {
@@ -140,15 +145,29 @@
 	}
 	var err error
 	p.engine, err = engine.New(engine.Config{Settings: cfg.Settings, Seed: cfg.Seed, MaxOpen: cfg.MaxOpen, Known: known,
-		Logf: logger.Printf, Listed: func() { p.becomeReady(logger) }})
+		Logf: logs.Event(logger, "engine"), Listed: func() { p.becomeReady(logger) }})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if own.Registry.On() {
 		version = 0 // beside another list the platform's has to be known whole
 	}
+	host, watchers := sources.Host(p.engine), []engine.Observer(nil)
+	if own.Fleet.On() {
+		if p.member, err = p.enlist(cfg, own, logger); err != nil {
+			return nil, err
+		}
+		p.member.lists.begin(known)
+		if p.member.trace != nil {
+			watchers = append(watchers, p.member.trace)
+		}
+		host = p.member.lists
+	}
 	p.source = sources.New(discovery.Config{Addr: cfg.Discovery, OnRequest: cfg.Settings.OnRequest, Names: cfg.Names,
-		Logf: logger.Printf}, version, p.engine)
+		Logf: logs.Event(logger, "list")}, version, host)
+	if p.member != nil && own.Registry.On() {
+		p.member.lists.origin = p.source.Origin
+	}
 	p.room = budget.New(cfg.BodyBytes())
 	p.carrier = httpproxy.NewCarrier(p.engine, cfg.UpstreamConns(), cfg.Report, p.room)
 	p.front = httpproxy.NewFront(p.engine, p.carrier, p.room, logger)
@@ -158,10 +177,14 @@
 	p.engine.Follow(p.source)
 	if cfg.Control != "" {
 		p.counts = metrics.New(p.engine.Written, cfg.Settings.Classes)
-		p.door = control.New(p.front.Ready, p.counts.Append, cfg.DoorCalls())
+		p.door = control.New(p.front.Ready, p.figures, cfg.DoorCalls())
 		p.door.Also("/control/discovery", p.tellLists)
-		p.engine.Observe(p.counts)
+		if p.member != nil {
+			p.door.Also("/control/fleet", p.member.status)
+		}
+		watchers = append(watchers, p.counts)
 	}
+	p.engine.Observe(engine.Join(watchers...))
 	if own.RPC.Listen != "" {
 		p.rpcCarrier = rpc.NewCarrier(p.engine, &own.RPC, &p.rpcCounts)
 		p.rpcFront = rpc.NewFront(p.engine, p.rpcCarrier, &own.RPC, logger, &p.rpcCounts)
@@ -170,7 +193,7 @@
 	return p, nil
 }
 
-func serve(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *log.Logger, in listeners, reloads <-chan Reload) error {
+func serve(ctx context.Context, cfg *config.Platform, own *config.Marlreel, logger *slog.Logger, in listeners, reloads <-chan Reload) error {
 	defer in.close()
 	p, err := assemble(cfg, own, in.limitMemory, logger)
 	if err != nil {
@@ -192,7 +215,7 @@
 	if own.Registry.On() {
 		p.engine.Post(func() {
 			if err := p.source.Set(own.Registry); err != nil { // its files may have changed since they were checked
-				logger.Printf("registry: %v: the platform's list alone counts", err)
+				logger.Info(fmt.Sprintf("registry: %v: the platform's list alone counts", err), "event", "registry-off")
 			}
 		})
 	}
@@ -201,18 +224,32 @@
 		defer meeting.Close()
 		watching, stopWatching := context.WithCancel(context.Background())
 		defer stopWatching()
-		go meeting.Receive(watching, p.adopt, p.tell(cfg.Name), logger.Printf)
+		go meeting.Receive(watching, p.adopt, p.tell(cfg.Name), logs.Event(logger, "rendezvous"))
 		go meeting.Watch(watching, func(s handover.Share, others []handover.Peer) {
-			logger.Printf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Part, s.Of)
+			logger.Info(fmt.Sprintf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Part, s.Of), "event", "processes")
 			p.engine.Post(func() { p.setShare(cfg, s) })
-		}, logger.Printf)
+		}, logs.Event(logger, "rendezvous"))
 	}
 	if p.door != nil && in.control != nil {
 		p.engine.Post(p.publish)
 		go p.door.Serve(in.control)
 		defer p.door.Close()
 	}
+	stopFleet := func() {}
+	if p.member != nil {
+		operators, stop := context.WithCancel(context.Background())
+		stopFleet = sync.OnceFunc(func() {
+			stop()
+			p.member.fleet.Close()
+		})
+		go func() {
+			if err := p.member.fleet.Serve(operators); err != nil {
+				logger.Warn(err.Error(), "event", "fleet-socket", "do", advice.Of(err))
+			}
+		}()
+	}
 	defer func() {
+		stopFleet()
 		stopEngine()
 		p.carrier.Close()
 		if p.rpcCarrier != nil {
@@ -259,9 +296,14 @@
 		}
 	}
 	if meeting != nil {
+		// The next process wants the fleet's port and disk; the lease that runs goes on to its end.
+		go stopFleet()
 		meeting.Tell(handover.Leaving)
 		time.AfterFunc(handOnAfter, func() { p.handOn(meeting, logger) })
 	}
+	if p.member != nil {
+		cfg = p.member.longest(cfg)
+	}
 	return p.drain(cfg, in)
 }
 
@@ -270,8 +312,8 @@
 
 // keep readies the file of what is learnt, and takes over what an earlier life has left in it, unless another
 // process of this proxy tells more. Before the engine runs.
-func (p *parts) keep(name string, cfg config.Memory, logger *log.Logger) *saver {
-	k := &saver{store: store.Open(cfg.Dir, name), every: cfg.Every.D(), state: p.tell(name), now: store.Now, logf: logger.Printf}
+func (p *parts) keep(name string, cfg config.Memory, logger *slog.Logger) *saver {
+	k := &saver{store: store.Open(cfg.Dir, name), every: cfg.Every.D(), state: p.tell(name), now: store.Now, logf: logs.Event(logger, "memory")}
 	p.memory.kept = remember(cfg, k.store, name, k.now(), logger)
 	return k
 }
@@ -282,10 +324,10 @@
 
 // handOn gives large answers that are on their way to the next process: the platform does
 // not wait for their end.
-func (p *parts) handOn(meeting *handover.Rendezvous, logger *log.Logger) {
+func (p *parts) handOn(meeting *handover.Rendezvous, logger *slog.Logger) {
 	others, err := meeting.Others()
 	if err != nil {
-		logger.Print(err)
+		logger.Info(err.Error(), "event", "rendezvous")
 	}
 	for _, other := range others {
 		if other.Stage == handover.Serving {
@@ -296,7 +338,7 @@
 				}
 				err := meeting.Pass(other.ID, state, conns...)
 				if err != nil {
-					logger.Print(err)
+					logger.Info(err.Error(), "event", "rendezvous")
 				}
 				return err == nil
 			})
@@ -320,14 +362,14 @@
 // meet finds the other processes of this proxy, and takes a share beside them from the
 // first moment on. Where that can't be, the process goes on as if it were alone: nothing
 // here may stop a start.
-func (p *parts) meet(cfg *config.Platform, logger *log.Logger) *handover.Rendezvous {
+func (p *parts) meet(cfg *config.Platform, logger *slog.Logger) *handover.Rendezvous {
 	if cfg.TempDir == "" {
-		logger.Print("TMPDIR is not set: other processes of this proxy can't be found")
+		logger.Info("TMPDIR is not set: other processes of this proxy can't be found", "event", "processes")
 		return nil
 	}
 	meeting, err := handover.Meet(cfg.TempDir)
 	if err != nil {
-		logger.Print(err)
+		logger.Info(err.Error(), "event", "rendezvous")
 		return nil
 	}
 	if others, err := meeting.Others(); err == nil {
@@ -347,6 +389,15 @@
 	}
 }
 
+// figures are what the door tells.
+func (p *parts) figures(b []byte) []byte {
+	b = p.counts.Append(b)
+	if p.member != nil {
+		b = p.member.fleet.Figures(b)
+	}
+	return b
+}
+
 // publish sets the gauges now and ever again. On the engine's goroutine.
 func (p *parts) publish() {
 	p.counts.Gauges(p.engine.Listed(), p.engine.Avoided(), p.engine.Storm())
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"os"
 	"reflect"
 
@@ -56,7 +56,7 @@
 
 // reload puts a new configuration in force, whole, or says in one line why not. cfg and own are those in
 // force; what it gives is that from now on.
-func (p *parts) reload(cfg *config.Platform, own *config.Marlreel, next Reload, logger *log.Logger) (*config.Platform, *config.Marlreel) {
+func (p *parts) reload(cfg *config.Platform, own *config.Marlreel, next Reload, logger *slog.Logger) (*config.Platform, *config.Marlreel) {
 	err := next.Err
 	if err == nil {
 		err = cfg.CheckNext(next.Config)
@@ -64,6 +64,9 @@
 	if err == nil && next.Own != nil {
 		err = sources.Check(next.Own.Registry)
 	}
+	if err == nil && next.Own != nil && !reflect.DeepEqual(own.Fleet, next.Own.Fleet) {
+		logger.Info("reloaded: what has changed of fleet counts at the next start", "event", "settings-later")
+	}
 	if err == nil {
 		done := make(chan error, 1)
 		p.engine.Post(func() { done <- p.retune(next) })
@@ -73,33 +76,49 @@
 			return cfg, own
 		}
 	}
-	if p.counts != nil {
+	agreed := err == nil && p.member != nil
+	if agreed { // the settings are the fleet's to decide
+		go p.member.propose(next.Config, logger, func(taken bool) {
+			if p.counts != nil {
+				p.counts.Settings(taken)
+			}
+		})
+	} else if p.counts != nil {
 		p.counts.Settings(err == nil)
 	}
 	if err != nil {
-		logger.Printf("not reloaded: %v", err)
+		logger.Info(fmt.Sprintf("not reloaded: %v", err), "event", "settings-refused")
 		return cfg, own
 	}
-	logger.Printf("reloaded: %d classes, %d attempts", len(next.Config.Settings.Classes), next.Config.Settings.Caps.MaxAttempts)
+	if agreed {
+		logger.Info("reloaded: the settings are put to the fleet", "event", "settings-proposed")
+		if next.Own == nil {
+			return next.Config, own
+		}
+		return next.Config, next.Own
+	}
+	logger.Info(fmt.Sprintf("reloaded: %d classes, %d attempts", len(next.Config.Settings.Classes), next.Config.Settings.Caps.MaxAttempts), "event", "settings-taken")
 	if next.Own == nil {
 		return next.Config, own
 	}
 	if !reflect.DeepEqual(own.RPC, next.Own.RPC) {
-		logger.Print("reloaded: what has changed of rpc counts at the next start")
+		logger.Info("reloaded: what has changed of rpc counts at the next start", "event", "settings-taken")
 	}
 	if own.Memory != next.Own.Memory {
-		logger.Print("reloaded: what has changed of memory counts at the next start")
+		logger.Info("reloaded: what has changed of memory counts at the next start", "event", "settings-taken")
 	}
 	return next.Config, next.Own
 }
 
 // retune is the part of a reload that the engine's goroutine does.
 func (p *parts) retune(next Reload) error {
-	if err := p.engine.Reconfigure(next.Config.Settings); err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	if p.counts != nil {
-		p.counts.SetClasses(p.engine.Settings().Classes)
+	if p.member == nil {
+		if err := p.engine.Reconfigure(next.Config.Settings); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+		if p.counts != nil {
+			p.counts.SetClasses(p.engine.Settings().Classes)
+		}
 	}
 	p.source.Reload(next.Config.Discovery)
 	if next.Own != nil {
--- a/internal/rpc/front.go
+++ b/internal/rpc/front.go
@@ -7,7 +7,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -15,6 +15,7 @@
 
 	"marlreel"
 	"marlreel/internal/engine"
+	"marlreel/internal/process/logs"
 )
 
 const (
@@ -48,9 +49,9 @@
 
 // NewFront makes a front whose calls go to backends by a carrier. The configuration has
 // been validated, also against the settings.
-func NewFront(e *engine.Engine, carrier *Carrier, cfg *Config, logger *log.Logger, counts *Counts) *Front {
+func NewFront(e *engine.Engine, carrier *Carrier, cfg *Config, logger *slog.Logger, counts *Counts) *Front {
 	f := &Front{engine: e, carrier: carrier, cfg: cfg, limits: Limits{Message: cfg.MessageBytes, Depth: cfg.Nesting},
-		logf: logger.Printf, counts: counts,
+		logf: logs.Event(logger, "rpc"), counts: counts,
 		conns: map[*callerConn]struct{}{}, quiet: make(chan struct{})}
 	return f
 }
