--- a/cmd/marlreelctl/main.go
+++ b/cmd/marlreelctl/main.go
@@ -19,17 +19,19 @@
 
 	"github.com/alecthomas/kong"
 
+	"marlreel/internal/advice"
 	"marlreel/internal/config"
 	"marlreel/internal/lists/members"
 	"marlreel/internal/lists/registry"
 )
 
-const about = `Keep the list of nodes in a registry.
+const about = `Keep the list of nodes in a registry, and the settings on which a fleet of proxies agrees.
 
-It finds the registry in the file that the proxies have (--config). Every write counts only if nobody else
-wrote the entry meanwhile.
+It finds the registry, and the fleet's folder on this machine, in the file that the proxies have (--config).
+Every write to a registry counts only if nobody else wrote the entry meanwhile; of two proposals to a fleet one
+wins, and the other is told by whom.
 
-Exit codes: 0 done, 1 the registry refused or can't be reached, 2 wrong use.`
+Exit codes: 0 done, 1 refused, or who was asked can't be reached, 2 wrong use.`
 
 type cli struct {
 	Config string        `help:"The file with [registry], as the proxies have it." placeholder:"FILE"`
@@ -37,6 +39,7 @@
 
 	Discovery discoveryCmd `cmd:"" help:"Whose list a proxy goes by, how old it is, what is held and what can't be read."`
 	Nodes     nodesCmd     `cmd:"" help:"The nodes: list, put, drain, remove, confirm."`
+	Fleet     fleetCmd     `cmd:"" help:"The fleet of proxies: who lives, which settings they agree on, and who keeps them."`
 }
 
 type nodesCmd struct {
@@ -74,7 +77,7 @@
 		return ended
 	}
 	fail := func(code int, err error) int {
-		fmt.Fprintf(errs, "marlreelctl: %s\n", strings.Join(strings.Fields(err.Error()), " "))
+		fmt.Fprintf(errs, "marlreelctl: %s\n", strings.Join(strings.Fields(advice.Line(err)), " "))
 		return code
 	}
 	if err != nil {
@@ -88,6 +91,16 @@
 		}
 		return 0
 	}
+	if strings.HasPrefix(k.Command(), "fleet") {
+		s, err := openFleet(ctx, c.Config, c.Fleet.Socket, out)
+		if err != nil {
+			return fail(2, err)
+		}
+		if err := k.Run(s, &c); err != nil {
+			return fail(1, err)
+		}
+		return 0
+	}
 	if c.Config == "" {
 		return fail(2, errors.New("--config is missing: the file with [registry], as the proxies have it"))
 	}
@@ -135,7 +148,7 @@
 	r.Close = true
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return err
+		return &DoorError{d.Control, err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
--- a/internal/fleet/agree/keeper.go
+++ b/internal/fleet/agree/keeper.go
@@ -84,20 +84,21 @@
 	seen  map[string]Hello  // of keepers with an empty disk
 	wants string            // a founding text that waits for the keepers to be complete
 
-	leads    bool
-	office   time.Duration // since when
-	renewals []renewal
-	reads    map[uint64][]renewal
-	lastRead uint64
-	holders  map[uint64]holder // by process
-	stepped  time.Duration     // when a version was decided or opened last, as it was applied here
-	opens    uint64            // the version whose opening is proposed
-	pending  map[string]pending
-	waiting  []Change // told lists
-	telling  bool     // one is proposed and not decided
-	seats    []seatAsk
-	seatedAt int  // tick at which a seat was proposed last
-	reseated bool // the keepers have changed since the last snapshot
+	leads     bool
+	office    time.Duration // since when
+	renewals  []renewal
+	reads     map[uint64][]renewal
+	lastRead  uint64
+	holders   map[uint64]holder // by process
+	stepped   time.Duration     // when a version was decided or opened last, as it was applied here
+	opens     uint64            // the version whose opening is proposed
+	pending   map[string]pending
+	waiting   []Change // told lists
+	telling   bool     // one is proposed and not decided
+	seats     []seatAsk
+	seatedAt  int  // tick at which a seat was proposed last
+	reseated  bool // the keepers have changed since the last snapshot
+	saidEmpty bool
 }
 
 type mark struct{ term, last uint64 }
@@ -105,6 +106,7 @@
 type renewal struct {
 	from  string
 	renew Renew
+	read  string // in place of a renewal: the question that is to be answered with the newest version
 }
 
 // holder is a process that may hold a lease.
@@ -492,7 +494,8 @@
 		k.disown(from + " says that " + a.Old)
 		return
 	}
-	if k.phase == empty && a.Begun && k.ticks-k.begun == helloTicks {
+	if k.phase == empty && a.Begun && !k.saidEmpty && k.ticks >= 2*helloTicks {
+		k.saidEmpty = true
 		k.say("keeper-disk-empty", "keeper %s: its disk is new, and the fleet has begun: an operator takes it in with 'marlreelctl fleet keepers add %s'", k.cfg.Name, k.cfg.Name)
 	}
 	k.heard[from] = a
--- a/internal/fleet/agree/leader.go
+++ b/internal/fleet/agree/leader.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if len(k.renewals) < mostPending {
-		k.renewals = append(k.renewals, renewal{from, r})
+		k.renewals = append(k.renewals, renewal{from: from, renew: r})
 	}
 }
 
@@ -71,6 +71,11 @@
 		return
 	}
 	for _, a := range asked {
+		if a.read != "" {
+			v, _ := k.state.Newest()
+			k.send(a.from, Message{Result: &Result{ID: a.read, Version: v.Number, By: v.By}})
+			continue
+		}
 		g := Grant{N: a.renew.N, Boot: a.renew.Boot, Seq: k.state.Seq}
 		if a.renew.Have != k.state.Seq || a.renew.Born != k.state.Born {
 			g.State = k.state
@@ -119,6 +124,12 @@
 func (k *Keeper) proposed(from string, c Change) {
 	switch {
 	case !k.leads:
+	case c.Kind == "holders":
+		k.send(from, Message{Result: &Result{ID: c.ID, Holders: k.Holders()}})
+	case c.Kind == "read":
+		if len(k.renewals) < mostPending {
+			k.renewals = append(k.renewals, renewal{from: from, read: c.ID})
+		}
 	case c.Kind == "told" || c.Kind == "reset":
 		if len(k.waiting) < mostPending {
 			k.waiting = append(k.waiting, c)
--- a/internal/fleet/agree/member.go
+++ b/internal/fleet/agree/member.go
@@ -40,6 +40,7 @@
 type Member struct {
 	cfg    Config
 	view   *State // the newest heard; its Seq 0: none
+	given  bool   // it was given out to be put in force: one of an earlier life was not
 	held   uint64 // the Seq of the state that is in force here
 	born   uint64 // and which fleet's
 	until  time.Duration
@@ -180,9 +181,13 @@
 			}
 			acts = append(acts, Say{"fleet-begun-anew", "the keepers' log is another than the one that was known: the fleet was begun anew"})
 		}
-		m.view = s
+		m.view, m.given = s, true
 		acts = append(acts, Adopt{s})
 	}
+	if !m.given && g.Seq == m.view.Seq {
+		m.given = true
+		acts = append(acts, Adopt{m.view})
+	}
 	if g.Seq == m.view.Seq {
 		m.lease(asked)
 	}
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -25,6 +25,7 @@
 	Number uint64    `json:"number"`
 	Hash   string    `json:"hash"`
 	By     string    `json:"by"`             // who proposed it
+	ID     string    `json:"id,omitempty"`   // of the proposal
 	Why    string    `json:"why,omitempty"`  // in the proposer's words
 	At     time.Time `json:"at"`             // by the proposer's clock: for people
 	Text   string    `json:"text,omitempty"` // "" where it is no longer kept
@@ -130,6 +131,8 @@
 	Same    bool   `json:"same,omitempty"`    // it was in force already
 	Refused string `json:"refused,omitempty"` // why not
 	By      string `json:"by,omitempty"`      // who was first, where somebody was
+
+	Holders []Holder `json:"holders,omitempty"` // where that was asked: who goes by what
 }
 
 // apply takes a decided change in at a place of the log. What it gives is told to who proposed it.
@@ -170,6 +173,11 @@
 	r := Result{ID: c.ID}
 	now, some := s.Newest()
 	hash := Hash(c.Text)
+	// Danger: one whose answer was lost asks again, and may find that others have gone on from its own version.
+	if i := slices.IndexFunc(s.Versions, func(v Version) bool { return c.ID != "" && v.ID == c.ID }); i >= 0 {
+		r.Version, r.Same, r.By = s.Versions[i].Number, true, s.Versions[i].By
+		return r
+	}
 	switch {
 	case len(c.Text) > MostText:
 		r.Refused = "the settings are too long"
@@ -181,7 +189,7 @@
 		r.Refused, r.By, r.Version = Busy, now.By, now.Number
 	default:
 		r.Version = now.Number + 1
-		s.Versions = append(s.Versions, Version{Number: r.Version, Hash: hash, By: c.By, Why: c.Why, At: c.At, Text: c.Text})
+		s.Versions = append(s.Versions, Version{Number: r.Version, Hash: hash, ID: c.ID, By: c.By, Why: c.Why, At: c.At, Text: c.Text})
 		if !some {
 			s.Open = r.Version // there is none before it that anybody could go by
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -490,11 +490,16 @@
 
 const mostAsks = 64
 
-// Propose puts settings to the fleet, on what this proxy knows as the newest version.
-func (f *Fleet) Propose(ctx context.Context, text, by, why string) (agree.Result, error) {
+// OnNewest proposes on what this proxy knows as the newest version.
+const OnNewest = ^uint64(0)
+
+// Propose puts settings to the fleet, on a version: if another has been decided on it, that one stands.
+func (f *Fleet) Propose(ctx context.Context, text, by, why string, base uint64) (agree.Result, error) {
 	return f.put(ctx, func(id string) agree.Message {
-		base, _ := f.member.View().Newest()
-		return agree.Message{Propose: &agree.Change{Kind: "propose", ID: id, Base: base.Number, Text: text, By: by, Why: why, At: time.Now()}}
+		if newest, _ := f.member.View().Newest(); base == OnNewest {
+			base = newest.Number
+		}
+		return agree.Message{Propose: &agree.Change{Kind: "propose", ID: id, Base: base, Text: text, By: by, Why: why, At: time.Now()}}
 	})
 }
 
@@ -516,7 +521,7 @@
 		}
 	case <-f.done:
 	}
-	return f.Propose(ctx, text, f.o.Proxy, "the file at SIGHUP")
+	return f.Propose(ctx, text, f.o.Proxy, "the file at SIGHUP", OnNewest)
 }
 
 // Rollback proposes an earlier version's text.
@@ -526,7 +531,7 @@
 	if !there || v.Text == "" {
 		return agree.Result{}, &NoVersionError{version}
 	}
-	return f.Propose(ctx, v.Text, by, fmt.Sprintf("back to version %d", version))
+	return f.Propose(ctx, v.Text, by, fmt.Sprintf("back to version %d", version), OnNewest)
 }
 
 // Seat asks for a keeper to be taken in or let go.
@@ -536,6 +541,21 @@
 	})
 }
 
+// Newest asks the keeper that leads, once a majority has confirmed that it does, for the newest version's number.
+func (f *Fleet) Newest(ctx context.Context) (agree.Result, error) {
+	return f.put(ctx, func(id string) agree.Message {
+		return agree.Message{Propose: &agree.Change{Kind: "read", ID: id}}
+	})
+}
+
+// Holders asks the keeper that leads who goes by what.
+func (f *Fleet) Holders(ctx context.Context) ([]agree.Holder, error) {
+	r, err := f.put(ctx, func(id string) agree.Message {
+		return agree.Message{Propose: &agree.Change{Kind: "holders", ID: id}}
+	})
+	return r.Holders, err
+}
+
 // ---- lists ----
 
 // List tells the fleet which list this proxy goes by, and what it was told to end.
--- a/internal/fleet/operators.go
+++ b/internal/fleet/operators.go
@@ -21,6 +21,9 @@
 type Reply struct {
 	Error  string `json:"error"`
 	Advice string `json:"advice,omitempty"`
+	// Version is the one that was decided first, where that is what went wrong, and By is whose it is.
+	Version uint64 `json:"version,omitempty"`
+	By      string `json:"by,omitempty"`
 }
 
 const mostProposal = 1 << 20
@@ -44,6 +47,14 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) { answer(w, f.Status(), nil) })
+	mux.HandleFunc("GET /fleet/holders", func(w http.ResponseWriter, r *http.Request) {
+		holders, err := f.Holders(r.Context())
+		answer(w, holders, err)
+	})
+	mux.HandleFunc("GET /fleet/newest", func(w http.ResponseWriter, r *http.Request) {
+		result, err := f.Newest(r.Context())
+		answer(w, result, err)
+	})
 	mux.HandleFunc("POST /fleet/check", func(w http.ResponseWriter, r *http.Request) {
 		text, err := body(r)
 		if err == nil {
@@ -61,7 +72,14 @@
 			answer(w, nil, err)
 			return
 		}
-		result, err := f.Propose(r.Context(), text, by(r, f.o.Proxy), r.URL.Query().Get("why"))
+		base := uint64(OnNewest)
+		if on := r.URL.Query().Get("base"); on != "" {
+			if base, err = strconv.ParseUint(on, 10, 64); err != nil {
+				answer(w, nil, &NoVersionError{})
+				return
+			}
+		}
+		result, err := f.Propose(r.Context(), text, by(r, f.o.Proxy), r.URL.Query().Get("why"), base)
 		answer(w, result, err)
 	})
 	mux.HandleFunc("POST /fleet/rollback", func(w http.ResponseWriter, r *http.Request) {
@@ -114,6 +132,10 @@
 		if errors.As(err, &a) {
 			reply.Advice = a.Advice()
 		}
+		var refused *RefusedError
+		if errors.As(err, &refused) {
+			reply.Version, reply.By = refused.Result.Version, refused.Result.By
+		}
 		v = reply
 	}
 	json.NewEncoder(w).Encode(v)
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -92,9 +92,9 @@
 		"Services":    services, "Tenants": []any{map[string]any{"Name": "obala", "Share": 1.0, "QuotaPerS": 10000.0}}}
 }
 
-// Text is what Settings come to as the text of a proposal, without what differs from proxy to proxy.
-func (s Settings) Text() []byte {
-	o := s.object(0, 0)
+// Text is what settings come to as the text of a proposal, without what differs from proxy to proxy.
+func (f *Fleet) Text(s Settings) []byte {
+	o := s.object(0, f.Options.Proxies)
 	delete(o, "Rank")
 	delete(o, "Zone")
 	text, _ := json.Marshal(o) // maps and numbers
@@ -113,6 +113,7 @@
 	Within   time.Duration // agree-within
 	Key      []byte        // nil: one that all share
 	Seed     uint64
+	Hold     bool // the harness holds the clients\' listeners, as a platform that upgrades without a break does
 }
 
 // Fleet is what runs.
@@ -128,6 +129,8 @@
 	mu        sync.Mutex
 	notes     []Note
 	load      *load
+	texts     []Settings // all that were ever put to the fleet
+	log       register
 }
 
 // Note is what the harness did to the fleet, and when.
@@ -154,23 +157,23 @@
 
 // Proxy is one proxy over all its processes.
 type Proxy struct {
-	N             int
-	Name          string
-	Listen, Door  string
-	fleet         *Fleet
-	fleetAddr     string
-	settings      Settings
-	Disk          string // its folder
-	Trace         string // the file in which it says what it goes by
-	agent         *standin.Agent
-	cmd           *exec.Cmd
-	ended         chan struct{}
-	log           *os.File
-	mu            sync.Mutex
-	away          []Span // when it was stopped or dead
-	stoppedAt     time.Duration
-	Starts        int
-	outside, held bool
+	N            int
+	Name         string
+	Listen, Door string
+	fleet        *Fleet
+	fleetAddr    string
+	settings     Settings
+	Disk         string // its folder
+	trace        *tap   // in which it says what it goes by
+	agent        *standin.Agent
+	cmd          *exec.Cmd
+	ended        chan struct{}
+	log          *os.File
+	mu           sync.Mutex
+	away         []Span // when it was stopped or dead
+	stoppedAt    time.Duration
+	Starts       int
+	held         *os.File // the clients' listener; nil: each process opens it
 }
 
 // Span is a stretch of a run; To 0 is still on.
@@ -203,9 +206,11 @@
 		f.Discovery.Put(f.entry(i, "Ready"))
 	}
 	for k := range o.Proxies {
-		p := &Proxy{N: k, Name: fmt.Sprintf("n%d", k), fleet: f, settings: o.Settings, Disk: filepath.Join(o.Dir, fmt.Sprintf("disk-%d", k)),
-			Trace: filepath.Join(o.Dir, fmt.Sprintf("trace-%d", k))}
+		p := &Proxy{N: k, Name: fmt.Sprintf("n%d", k), fleet: f, settings: o.Settings, Disk: filepath.Join(o.Dir, fmt.Sprintf("disk-%d", k))}
 		var err error
+		if p.trace, err = newTap(filepath.Join(o.Dir, fmt.Sprintf("trace-%d", k))); err != nil {
+			return f, err
+		}
 		for _, addr := range []*string{&p.Listen, &p.Door, &p.fleetAddr} {
 			if *addr, err = standin.Address(); err != nil {
 				return f, err
@@ -218,6 +223,16 @@
 		}); err != nil {
 			return f, err
 		}
+		if o.Hold {
+			ln, err := net.Listen("tcp", p.Listen)
+			if err != nil {
+				return f, err
+			}
+			if p.held, err = ln.(*net.TCPListener).File(); err != nil {
+				return f, err
+			}
+			ln.Close()
+		}
 		if p.log, err = os.Create(filepath.Join(o.Dir, fmt.Sprintf("log-%d", k))); err != nil {
 			return f, err
 		}
@@ -300,7 +315,7 @@
 		return p.replace("own", nil)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[fleet]\nname = \"pier\"\nlisten = %q\nkey-file = %q\nagree-within = %q\ndir = %q\ntrace = %q\nkeepers = [", p.fleetAddr, filepath.Join(f.Dir, "key"), f.Within, p.Disk, p.Trace)
+	fmt.Fprintf(&b, "[fleet]\nname = \"pier\"\nlisten = %q\nkey-file = %q\nagree-within = %q\ndir = %q\ntrace = %q\nkeepers = [", p.fleetAddr, filepath.Join(f.Dir, "key"), f.Within, p.Disk, p.trace.path)
 	for k := range f.Keepers {
 		fmt.Fprintf(&b, "%q, ", fmt.Sprintf("n%d", k))
 	}
@@ -319,7 +334,12 @@
 func (p *Proxy) Start() error {
 	cmd := exec.Command(p.fleet.Program, "--config", p.path("own"))
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+p.path("config"), "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_CONTROL=", "NODE_SOCKET_FD=", "TMPDIR="+p.Disk)
-	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if p.held != nil {
+		cmd.ExtraFiles = []*os.File{p.held} // descriptor 3
+		cmd.Env = append(cmd.Env, "NODE_SOCKET_FD=3", "NODE_CONTROL="+p.Door)
+	}
+	// By a pipe: a limit on the sizes of its files is no limit on what it says.
+	cmd.Stdout, cmd.Stderr = plainWriter{p.log}, plainWriter{p.log}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a hang-up of the terminal is no SIGHUP of the test's
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
@@ -480,9 +500,11 @@
 
 // KeepDisk copies the proxy's disk, for SetDisk. Only of a process that is stopped or dead.
 func (p *Proxy) KeepDisk(as string) error {
-	to := filepath.Join(p.fleet.Dir, as)
-	os.RemoveAll(to)
-	return os.CopyFS(to, os.DirFS(p.Disk))
+	data, err := os.ReadFile(filepath.Join(p.Disk, "fleet.db"))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(p.fleet.Dir, as), data, 0o600)
 }
 
 // SetDisk puts a copy in the place of a dead proxy's disk; "" is an empty one.
@@ -490,10 +512,39 @@
 	if err := os.RemoveAll(p.Disk); err != nil {
 		return err
 	}
-	if from == "" {
-		return os.MkdirAll(p.Disk, 0o700)
+	if err := os.MkdirAll(p.Disk, 0o700); err != nil || from == "" {
+		return err
+	}
+	data, err := os.ReadFile(filepath.Join(p.fleet.Dir, from))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(p.Disk, "fleet.db"), data, 0o600)
+}
+
+// Upgrade starts a second process of the proxy beside the first, and ends that when the new one is ready.
+func (p *Proxy) Upgrade() error {
+	p.fleet.Note("%s is upgraded", p.Name)
+	old, oldEnded := p.cmd, p.ended
+	door, err := standin.Address()
+	if err != nil {
+		return err
+	}
+	p.Door = door
+	if err := p.Start(); err != nil {
+		return err
+	}
+	if err := p.Ready(); err != nil {
+		return err
+	}
+	old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-oldEnded:
+		return nil
+	case <-time.After(Patience):
+		old.Process.Kill()
+		return fmt.Errorf("%s: the process before does not end", p.Name)
 	}
-	return os.CopyFS(p.Disk, os.DirFS(filepath.Join(p.fleet.Dir, from)))
 }
 
 // Close ends all that runs.
@@ -506,9 +557,13 @@
 			p.cmd.Process.Signal(syscall.SIGKILL)
 			<-p.ended
 		}
-		if p.agent != nil {
+		if p.log != nil {
 			p.log.Close()
 		}
+		if p.held != nil {
+			p.held.Close()
+		}
+		p.trace.close()
 	}
 	for _, l := range f.links {
 		l.close()
@@ -519,6 +574,66 @@
 	}
 }
 
+// plainWriter hides that a writer is a file.
+type plainWriter struct{ io.Writer }
+
+// tap is a pipe with a name, whose text is kept: what a process writes there needs no room on its disk.
+type tap struct {
+	path string
+	pipe *os.File
+	mu   sync.Mutex
+	text []byte
+	done chan struct{}
+}
+
+const tapEnd = "{\"end\":true}\n"
+
+func newTap(path string) (*tap, error) {
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		return nil, err
+	}
+	pipe, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		return nil, err
+	}
+	t := &tap{path: path, pipe: pipe, done: make(chan struct{})}
+	go func() {
+		defer close(t.done)
+		buf := make([]byte, 64<<10)
+		for {
+			n, err := pipe.Read(buf)
+			t.mu.Lock()
+			t.text = append(t.text, buf[:n]...)
+			t.mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return t, nil
+}
+
+// read gives all that has been written by now.
+func (t *tap) read() ([]byte, error) {
+	if _, err := t.pipe.WriteString(tapEnd); err != nil {
+		return nil, err
+	}
+	for until := time.Now().Add(Patience); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		t.mu.Lock()
+		text := t.text
+		t.mu.Unlock()
+		if bytes.HasSuffix(text, []byte(tapEnd)) || bytes.Contains(text, []byte(tapEnd)) {
+			return text, nil
+		}
+	}
+	return nil, fmt.Errorf("%s: its end does not come", t.path)
+}
+
+func (t *tap) close() {
+	t.pipe.Close()
+	<-t.done
+}
+
 // Build builds the daemon into a folder and gives its path.
 func Build(dir string) (string, error) {
 	to := filepath.Join(dir, "marlreel")
@@ -528,5 +643,3 @@
 	}
 	return to, nil
 }
-
-func portOf(addr net.Addr) int { return addr.(*net.TCPAddr).Port }
--- /dev/null
+++ b/internal/fleettest/rogue.go
@@ -0,0 +1,98 @@
+package fleettest
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"marlreel/internal/standin"
+)
+
+// Rogue is a peer that has the fleet's key, or another, and says what no proxy says.
+type Rogue struct {
+	list *memberlist.Memberlist
+	to   *memberlist.Node
+}
+
+// NewRogue tries to join a proxy's fleet under a name, with a key and as of a fleet.
+func (f *Fleet) NewRogue(p *Proxy, name, fleet string, key []byte) (*Rogue, error) {
+	addr, err := standin.Address()
+	if err != nil {
+		return nil, err
+	}
+	host, port := split(addr)
+	c := memberlist.DefaultLocalConfig()
+	c.Name, c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = name, host, port, host, port
+	c.SecretKey, c.Label, c.LogOutput = key, fleet, io.Discard
+	c.Delegate = rogueMeta{fleet}
+	list, err := memberlist.Create(c)
+	if err != nil {
+		return nil, err
+	}
+	list.Join([]string{p.Name + "/" + p.fleetAddr}) // whether it may is what the tests look at
+	host, port = split(p.fleetAddr)
+	return &Rogue{list, &memberlist.Node{Name: p.Name, Addr: net.ParseIP(host), Port: uint16(port)}}, nil
+}
+
+type rogueMeta struct{ fleet string }
+
+func (r rogueMeta) NodeMeta(int) []byte {
+	return fmt.Appendf(nil, `{"f":%q,"b":7,"s":%d}`, r.fleet, time.Now().UnixMilli()+1000)
+}
+func (rogueMeta) NotifyMsg([]byte)                {}
+func (rogueMeta) GetBroadcasts(int, int) [][]byte { return nil }
+func (rogueMeta) LocalState(bool) []byte          { return nil }
+func (rogueMeta) MergeRemoteState([]byte, bool)   {}
+
+func split(addr string) (host string, port int) {
+	host, text, _ := net.SplitHostPort(addr)
+	fmt.Sscan(text, &port)
+	return host, port
+}
+
+// Say sends a message as if it were a proxy's.
+func (r *Rogue) Say(from string, data []byte) {
+	r.list.SendReliable(r.to, append(append([]byte{byte(len(from))}, from...), data...))
+}
+
+// Babble sends noise, a message beyond any bound, one of an old form, and ones that lie about who leads.
+func (r *Rogue) Babble(rng *rand.Rand) {
+	for range 20 {
+		noise := make([]byte, rng.IntN(2000))
+		for i := range noise {
+			noise[i] = byte(rng.Uint32())
+		}
+		r.Say("n1", noise)
+	}
+	r.Say("n1", bytes.Repeat([]byte("x"), 6<<20))
+	r.Say("n1", []byte(`{"f":0,"renew":{"n":1}}`))
+	r.Say("rogue", []byte(`{"f":1,"raft":"AAAA"}`))
+	r.Say("rogue", []byte(`{"f":1,"grant":{"n":1,"boot":1,"seq":99}}`))
+	r.Say("", nil)
+}
+
+// Close ends it.
+func (r *Rogue) Close() { r.list.Shutdown() }
+
+// Scream sends bytes that are of no key at a proxy's fleet address, by stream and by datagram.
+func (p *Proxy) Scream(rng *rand.Rand) {
+	for range 5 {
+		noise := make([]byte, 1+rng.IntN(4000))
+		for i := range noise {
+			noise[i] = byte(rng.Uint32())
+		}
+		if c, err := net.DialTimeout("tcp", p.fleetAddr, time.Second); err == nil {
+			c.Write(noise)
+			c.Close()
+		}
+		if c, err := net.Dial("udp", p.fleetAddr); err == nil {
+			c.Write(noise[:min(len(noise), 1400)])
+			c.Close()
+		}
+	}
+}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -86,7 +86,12 @@
 
 // Told implements fleet.Host.
 func (m *member) Told(s *agree.State) {
-	m.parts.engine.Post(func() { m.lists.tell(s) })
+	m.parts.engine.Post(func() {
+		m.lists.tell(s)
+		if m.trace != nil && len(s.Ends) > 0 {
+			m.trace.line(traceEnds{time.Now().UnixNano(), s.Ends})
+		}
+	})
 }
 
 // propose puts the file's settings to the fleet, and says what came of it.
@@ -276,6 +281,11 @@
 	Versions []uint64 `json:"versions"`
 }
 
+type traceEnds struct {
+	At   int64       `json:"at"`
+	Ends []agree.End `json:"ends"`
+}
+
 type traceAct struct {
 	At      int64  `json:"at"`
 	ID      string `json:"id"`
