Give errors that an operator can meet types of their own, with a word on what to do

Need: 'marlreelctl: Get "http://127.0.0.1:1/control/discovery": ... connection refused', and no word on what to look at. Callers could tell such errors apart by their texts alone.

Change: config, strict, registry, store, handover, proxy, marlreel and marlreelctl give errors with a type each, the cause wrapped, and a method Advice; the programs print it behind the error, the log has it as the field do. The texts before it keep their words. docs/ERRORS.md is generated from the types, and a test fails where it is old, a type has no comment or advises nothing. What only the code itself hears stays plain.

--- a/cmd/marlreelctl/fleet.go
+++ b/cmd/marlreelctl/fleet.go
@@ -420,3 +420,22 @@
 
 // Advice says what an operator can do.
 func (e *UsageError) Advice() string { return "marlreelctl -h says more" }
+
+// NodeError is a node of the list with which something can't be done.
+type NodeError struct {
+	Name, Reason string
+	Err          error
+}
+
+func (e *NodeError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("%s: %v", e.Name, e.Err)
+	}
+	return e.Name + " " + e.Reason
+}
+func (e *NodeError) Unwrap() error { return e.Err }
+
+// Advice says what an operator can do.
+func (e *NodeError) Advice() string {
+	return "look at the node with 'marlreelctl nodes list', and try again"
+}
--- /dev/null
+++ b/internal/advice/page/page_test.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"os"
+	"testing"
+)
+
+func TestPageIsUpToDate(t *testing.T) {
+	want, err := Page("../../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := os.ReadFile("../../../docs/ERRORS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Error("docs/ERRORS.md is not what the types of errors say: go run ./internal/advice/page > docs/ERRORS.md")
+	}
+}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -131,6 +131,7 @@
 	load      *load
 	texts     []Settings // all that were ever put to the fleet
 	log       register
+	filed     bool // files were put to the fleet, whose answers nobody wrote down
 }
 
 // Note is what the harness did to the fleet, and when.
--- a/internal/fleettest/story.go
+++ b/internal/fleettest/story.go
@@ -273,6 +273,7 @@
 			return p.WriteRaw(`{"name":`)
 		}
 		f.texts = append(f.texts, settings(rest))
+		f.filed = true
 		return p.WriteFile(settings(rest))
 	case "stop":
 		p.Stop()
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -7,6 +7,7 @@
 	"os"
 	"reflect"
 
+	"marlreel/internal/advice"
 	"marlreel/internal/config"
 	"marlreel/internal/lists/sources"
 )
@@ -87,7 +88,7 @@
 		p.counts.Settings(err == nil)
 	}
 	if err != nil {
-		logger.Info(fmt.Sprintf("not reloaded: %v", err), "event", "settings-refused")
+		logger.Warn("not reloaded: "+err.Error(), "event", "settings-refused", "do", advice.Of(err))
 		return cfg, own
 	}
 	if agreed {
