--- a/internal/experiment/days/days.go
+++ b/internal/experiment/days/days.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	defer os.Remove(f.Name())
-	_, err = io.WriteString(f, s.OwnFile(0, "127.0.0.1:0", "", os.TempDir()))
+	_, err = io.WriteString(f, s.OwnFile(0, "127.0.0.1:0", "", os.TempDir(), nil))
 	if err = errors.Join(err, f.Close()); err != nil {
 		return err
 	}
--- a/internal/fleet/agree/keeper.go
+++ b/internal/fleet/agree/keeper.go
@@ -33,16 +33,20 @@
 	Hard     *pb.HardState
 	Snapshot *pb.Snapshot
 	Entries  []*pb.Entry
-	Lives    map[uint64]uint64 // of other keepers, as far as they have shown them
+	Lives    map[uint64]Lived // of other keepers, as far as they have shown them
 }
 
+// Lived is a life of a keeper's disk, and the process that had it: a disk that is set back comes to the same number
+// with another.
+type Lived struct{ Life, Boot uint64 }
+
 // Save is to be on the disk, synced, before any later action is carried out. Where that fails the host ends the
 // keeper: nothing of it may be sent.
 type Save struct {
 	Hard     *pb.HardState
 	Snapshot *pb.Snapshot // in the place of all before it
 	Entries  []*pb.Entry  // from the first one's place on they replace what is there
-	Lives    map[uint64]uint64
+	Lives    map[uint64]Lived
 	Reset    bool // all that the disk holds is another's: begin anew under ID
 	ID, Life uint64
 }
@@ -78,7 +82,7 @@
 	patient int // after how many of them this one wants to lead
 
 	names map[uint64]string // of identities
-	lives map[uint64]uint64 // the highest life seen of other keepers
+	lives map[uint64]Lived  // the highest life seen of other keepers
 	marks map[uint64]mark   // how far they have been seen
 	heard map[string]Known  // answers to this phase's Hello
 	seen  map[string]Hello  // of keepers with an empty disk
@@ -135,7 +139,7 @@
 // NewKeeper makes a keeper of what its disk holds. saved.ID must be set: a new disk is given one that nobody has.
 func NewKeeper(cfg Config, now time.Duration, saved Saved) (*Keeper, error) {
 	k := &Keeper{cfg: cfg, id: saved.ID, life: saved.Life, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, saved.ID^saved.Life)),
-		state: &State{Floors: map[string]Floor{}}, names: map[uint64]string{}, lives: map[uint64]uint64{}, marks: map[uint64]mark{},
+		state: &State{Floors: map[string]Floor{}}, names: map[uint64]string{}, lives: map[uint64]Lived{}, marks: map[uint64]mark{},
 		heard: map[string]Known{}, seen: map[string]Hello{}, reads: map[uint64][]renewal{}, holders: map[uint64]holder{}, pending: map[string]pending{}}
 	maps.Copy(k.lives, saved.Lives)
 	if saved.Snapshot == nil && len(saved.Entries) == 0 && saved.Hard == nil {
@@ -276,7 +280,7 @@
 
 // hello shows the disk to all who may have seen it.
 func (k *Keeper) hello() {
-	h := Hello{Name: k.cfg.Name, ID: k.id, Life: k.life, Empty: k.phase == empty}
+	h := Hello{Name: k.cfg.Name, ID: k.id, Life: k.life, Boot: k.cfg.Boot, Empty: k.phase == empty}
 	if k.node != nil {
 		h.Term, h.Last = k.node.BasicStatus().GetTerm(), k.last()
 	}
@@ -383,7 +387,7 @@
 			k.answered(from, *m.Known)
 		case m.Invite:
 			if k.phase == empty {
-				k.send(from, Message{Hello: &Hello{Name: k.cfg.Name, ID: k.id, Life: k.life, Empty: true}})
+				k.send(from, Message{Hello: &Hello{Name: k.cfg.Name, ID: k.id, Life: k.life, Boot: k.cfg.Boot, Empty: true}})
 			}
 		case m.Renew != nil:
 			k.renew(from, *m.Renew)
@@ -467,19 +471,23 @@
 			k.seen[h.Name] = h
 		}
 	}
+	seen := Lived{h.Life, h.Boot}
 	old := Judge(h, k.lives[h.ID], k.marks[h.ID].term, k.marks[h.ID].last)
-	if old == "" && k.lives[h.ID] != h.Life && len(k.lives) < 256 {
-		k.lives[h.ID] = h.Life
-		k.do(Save{Lives: map[uint64]uint64{h.ID: h.Life}})
+	if old == "" && k.lives[h.ID] != seen && len(k.lives) < 256 {
+		k.lives[h.ID] = seen
+		k.do(Save{Lives: map[uint64]Lived{h.ID: seen}})
 	}
 	k.send(from, Message{Known: &Known{To: h.ID, Life: h.Life, Old: old, ID: k.id, Empty: k.phase == empty, Begun: k.phase != empty}})
 }
 
 // Judge says why a shown disk is old, by what was seen of its identity before; "" is not known to be.
-func Judge(h Hello, life, term, last uint64) string {
+func Judge(h Hello, seen Lived, term, last uint64) string {
 	switch {
-	case h.Life < life:
-		return fmt.Sprintf("its disk is from life %d, and life %d has been seen", h.Life, life)
+	case h.Life == seen.Life && h.Boot == seen.Boot:
+		// Danger: one that has been taken in since may have sent this before.
+		return ""
+	case h.Life <= seen.Life:
+		return fmt.Sprintf("its disk is from life %d, and life %d has been seen", h.Life, seen.Life)
 	case h.Term < term || h.Term == term && h.Last < last:
 		return fmt.Sprintf("its disk ends at entry %d of term %d, and it has acknowledged entry %d, term %d", h.Last, h.Term, last, term)
 	}
--- a/internal/fleet/agree/message.go
+++ b/internal/fleet/agree/message.go
@@ -60,6 +60,7 @@
 	Name  string `json:"name"`
 	ID    uint64 `json:"id"`
 	Life  uint64 `json:"life"`
+	Boot  uint64 `json:"boot"` // of the process
 	Term  uint64 `json:"term"`
 	Last  uint64 `json:"last"`
 	Empty bool   `json:"empty"`
--- a/internal/fleet/disk/disk.go
+++ b/internal/fleet/disk/disk.go
@@ -204,10 +204,10 @@
 			s.ID = fresh
 		}
 		s.Life++
-		s.Lives = map[uint64]uint64{}
+		s.Lives = map[uint64]agree.Lived{}
 		err := tx.Bucket(bucketLives).ForEach(func(k, v []byte) error {
-			if len(k) == 8 && len(v) == 8 {
-				s.Lives[binary.BigEndian.Uint64(k)] = binary.BigEndian.Uint64(v)
+			if len(k) == 8 && len(v) == 16 {
+				s.Lives[binary.BigEndian.Uint64(k)] = agree.Lived{Life: binary.BigEndian.Uint64(v), Boot: binary.BigEndian.Uint64(v[8:])}
 			}
 			return nil
 		})
@@ -296,7 +296,7 @@
 			}
 		}
 		for id, life := range a.Lives {
-			if err := lives.Put(number(id), number(life)); err != nil {
+			if err := lives.Put(number(id), append(number(life.Life), number(life.Boot)...)); err != nil {
 				return err
 			}
 		}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -124,14 +124,14 @@
 	Discovery *standin.Discovery
 	Nodes     []*standin.Node
 	Proxies   []*Proxy
-	links     map[[2]int]*Link
-	paths     [][]standin.Path // by node and proxy
-	mu        sync.Mutex
-	notes     []Note
-	load      *load
-	texts     []Settings // all that were ever put to the fleet
-	log       register
-	filed     bool // files were put to the fleet, whose answers nobody wrote down
+	*standin.Mesh
+	paths [][]standin.Path // by node and proxy
+	mu    sync.Mutex
+	notes []Note
+	load  *load
+	texts []Settings // all that were ever put to the fleet
+	log   register
+	filed bool // files were put to the fleet, whose answers nobody wrote down
 }
 
 // Note is what the harness did to the fleet, and when.
@@ -182,7 +182,7 @@
 
 // New makes a fleet's nodes, lists, links and files. No proxy runs yet.
 func New(o Options) (*Fleet, error) {
-	f := &Fleet{Options: o, Clock: standin.NewClock(), Journal: &standin.Journal{}, links: map[[2]int]*Link{}}
+	f := &Fleet{Options: o, Clock: standin.NewClock(), Journal: &standin.Journal{}}
 	f.Discovery = standin.NewDiscovery(f.Clock, f.Journal)
 	if f.Key == nil {
 		f.Key = bytes.Repeat([]byte{7}, 32)
@@ -243,17 +243,13 @@
 		f.Proxies = append(f.Proxies, p)
 	}
 	if o.Keepers > 0 {
-		for i := range o.Proxies {
-			for j := range o.Proxies {
-				if i == j {
-					continue
-				}
-				l, err := newLink(f, i, j)
-				if err != nil {
-					return f, err
-				}
-				f.links[[2]int{i, j}] = l
-			}
+		var targets []string
+		for _, p := range f.Proxies {
+			targets = append(targets, p.fleetAddr)
+		}
+		var err error
+		if f.Mesh, err = standin.NewMesh(targets, o.Seed); err != nil {
+			return f, err
 		}
 		if err := os.WriteFile(filepath.Join(o.Dir, "key"), f.Key, 0o600); err != nil {
 			return f, err
@@ -322,11 +318,7 @@
 	}
 	b.WriteString("]\n")
 	for j, q := range f.Proxies {
-		addr := p.fleetAddr
-		if j != p.N {
-			addr = f.links[[2]int{p.N, j}].Addr
-		}
-		fmt.Fprintf(&b, "[[fleet.peers]]\nname = %q\naddress = %q\n", q.Name, addr)
+		fmt.Fprintf(&b, "[[fleet.peers]]\nname = %q\naddress = %q\n", q.Name, f.Addr(p.N, j))
 	}
 	return p.replace("own", []byte(b.String()))
 }
@@ -566,8 +558,8 @@
 		}
 		p.trace.close()
 	}
-	for _, l := range f.links {
-		l.close()
+	if f.Mesh != nil {
+		f.Mesh.Close()
 	}
 	f.Discovery.Close()
 	for _, n := range f.Nodes {
@@ -635,6 +627,18 @@
 	<-t.done
 }
 
+// Split cuts the fleet between sides, and Heal takes all weather away: with a note each.
+func (f *Fleet) Split(sides ...[]int) {
+	f.Note("split %v", sides)
+	f.Mesh.Split(sides...)
+}
+
+// Heal is described with Split.
+func (f *Fleet) Heal() {
+	f.Note("healed")
+	f.Mesh.Heal()
+}
+
 // Build builds the daemon into a folder and gives its path.
 func Build(dir string) (string, error) {
 	to := filepath.Join(dir, "marlreel")
--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -72,6 +72,7 @@
 	Times       int           `json:",omitzero"` // thousandths
 	Connections int           `json:",omitzero"` // crowd
 	Attempts    int           `json:",omitzero"` // retune
+	Proxies     []int         `json:",omitzero"` // split: one side
 	Idle        time.Duration `json:",omitzero"` // left out where there is none: schedules without it stay as they were
 }
 
@@ -252,6 +253,11 @@
 			}
 			continue
 		}
+		if f.What == "split" {
+			e.Proxies = f.Proxies
+			p.begin(e)
+			continue
+		}
 		if strings.HasPrefix(f.What, "registry-") {
 			p.begin(e)
 			continue
--- a/internal/rehearsal/service.go
+++ b/internal/rehearsal/service.go
@@ -132,7 +132,8 @@
 	Good     bool
 	Attempts int // that it allows
 	Taken    bool
-	Silent   bool // it did not say
+	TakenAt  time.Duration // when it was seen
+	Silent   bool          // it did not say
 }
 
 // retune gives a proxy another settings file and tells it to read it. A broken one is taken away
@@ -187,6 +188,7 @@
 			return err
 		}
 	}
+	r.TakenAt = w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if ctx.Err() == nil {
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -68,7 +69,7 @@
 
 // OwnFile is what proxy k is set beyond what the platform says: the scenario's own figures, and of RPC
 // what the kit's nodes want. "$DIR" in a text stands for the run's folder.
-func (s *Scenario) OwnFile(k int, rpcListen, registry, dir string) string {
+func (s *Scenario) OwnFile(k int, rpcListen, registry, dir string, mesh *standin.Mesh) string {
 	own := maps.Clone(s.Proxies.Own)
 	if own == nil {
 		own = map[string]any{}
@@ -91,6 +92,19 @@
 			t["settle"] = s.Registry.Settle.D().String()
 		}
 	}
+	if f := s.Proxies.Fleet; mesh != nil {
+		t := table(own, "fleet")
+		var keepers []string
+		var peers []any
+		for n := range s.Proxies.Count {
+			if n < f.Keepers {
+				keepers = append(keepers, proxyName(n))
+			}
+			peers = append(peers, map[string]any{"name": proxyName(n), "address": mesh.Addr(k, n)})
+		}
+		t["name"], t["listen"], t["key-file"], t["keepers"], t["agree-within"] = s.Name, mesh.Addr(k, k), filepath.Join(dir, fleetKey), keepers, f.Within.D().String()
+		t["dir"], t["peers"] = filepath.Join(dir, proxyName(k)+fleetDir), peers
+	}
 	if s.RPC() {
 		rpc := table(own, "rpc")
 		rpc["listen"] = rpcListen
