--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -113,6 +113,7 @@
 	Within   time.Duration // agree-within
 	Key      []byte        // nil: one that all share
 	Seed     uint64
+	Direct   bool // no links between the proxies: for fleets too large for one each
 	Hold     bool // the harness holds the clients\' listeners, as a platform that upgrades without a break does
 }
 
@@ -248,8 +249,10 @@
 			targets = append(targets, p.fleetAddr)
 		}
 		var err error
-		if f.Mesh, err = standin.NewMesh(targets, o.Seed); err != nil {
-			return f, err
+		if !o.Direct {
+			if f.Mesh, err = standin.NewMesh(targets, o.Seed); err != nil {
+				return f, err
+			}
 		}
 		if err := os.WriteFile(filepath.Join(o.Dir, "key"), f.Key, 0o600); err != nil {
 			return f, err
@@ -318,11 +321,19 @@
 	}
 	b.WriteString("]\n")
 	for j, q := range f.Proxies {
-		fmt.Fprintf(&b, "[[fleet.peers]]\nname = %q\naddress = %q\n", q.Name, f.Addr(p.N, j))
+		fmt.Fprintf(&b, "[[fleet.peers]]\nname = %q\naddress = %q\n", q.Name, f.reach(p.N, j))
 	}
 	return p.replace("own", []byte(b.String()))
 }
 
+// reach is where one proxy reaches another.
+func (f *Fleet) reach(from, to int) string {
+	if f.Mesh == nil {
+		return f.Proxies[to].fleetAddr
+	}
+	return f.Addr(from, to)
+}
+
 // Start begins a process of the proxy, and does not wait for it.
 func (p *Proxy) Start() error {
 	cmd := exec.Command(p.fleet.Program, "--config", p.path("own"))
@@ -639,6 +650,32 @@
 	f.Mesh.Heal()
 }
 
+// Use is what a proxy's process has used so far: seconds of a core, and megabytes that are its own.
+func (p *Proxy) Use() (cpu, private float64) {
+	pid := p.cmd.Process.Pid
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
+		fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+		if len(fields) > 12 {
+			var user, system float64
+			fmt.Sscan(fields[11], &user)
+			fmt.Sscan(fields[12], &system)
+			cpu = (user + system) / 100 // the kernel's ticks a second, as /proc has them
+		}
+	}
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", pid)); err == nil {
+		for line := range strings.Lines(string(text)) {
+			var kb float64
+			if strings.HasPrefix(line, "Private_") {
+				fmt.Sscan(strings.Fields(line)[1], &kb)
+				if strings.HasPrefix(line, "Private_Dirty") {
+					private += kb / 1024
+				}
+			}
+		}
+	}
+	return cpu, private
+}
+
 // Build builds the daemon into a folder and gives its path.
 func Build(dir string) (string, error) {
 	to := filepath.Join(dir, "marlreel")
--- a/internal/fleettest/measure_test.go
+++ b/internal/fleettest/measure_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -88,3 +91,112 @@
 		fmt.Printf("| %s | %.2f s | %.2f s | %d |\n", how, again.Seconds(), gone.Seconds(), acts)
 	}
 }
+
+// What a fleet costs, and how soon all go by a new version: 3, 9, 30 and 300 processes on this machine.
+// MARLREEL_MEASURE=1 plays it; MARLREEL_SIZES says which.
+func TestMeasureFleet(t *testing.T) {
+	if os.Getenv("MARLREEL_MEASURE") == "" {
+		t.Skip("MARLREEL_MEASURE is not set")
+	}
+	sizes := "3 9 30 300"
+	if s := os.Getenv("MARLREEL_SIZES"); s != "" {
+		sizes = s
+	}
+	for word := range strings.FieldsSeq(sizes) {
+		n, err := strconv.Atoi(word)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, err := New(Options{Program: program, Dir: t.TempDir(), Proxies: n, Nodes: 1, Settings: Usual(), Keepers: 3, Within: 5 * time.Second, Seed: 3, Direct: n > 40})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.StartAll(); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Wait(f.Proxies, "version 1", func(_ *Proxy, st Status) bool { return st.Goes(1) }); err != nil {
+			t.Fatal(err)
+		}
+		const rest = 20 * time.Second
+		time.Sleep(5 * time.Second) // the founding's own work is not what is measured
+		cpu, sent := make([]float64, n), make([]int64, n)
+		for i, p := range f.Proxies {
+			cpu[i], _ = p.Use()
+			st, _ := p.Status()
+			sent[i] = st.Sent
+		}
+		time.Sleep(rest)
+		var shares, memory, bytes []float64
+		leads := 0.0
+		for i, p := range f.Proxies {
+			c, m := p.Use()
+			st, _ := p.Status()
+			share := (c - cpu[i]) / rest.Seconds() * 100
+			if st.Leads {
+				leads = share
+			}
+			shares, memory, bytes = append(shares, share), append(memory, m), append(bytes, float64(st.Sent-sent[i])/rest.Seconds())
+		}
+		slices.Sort(shares)
+		slices.Sort(memory)
+		slices.Sort(bytes)
+		began := f.Clock.Now()
+		if _, err := f.Propose(f.Proxies[n-1], Usual().Try(2), Patience); err != nil {
+			t.Fatal(err)
+		}
+		decided := f.Clock.Now() - began
+		if err := f.Wait(f.Proxies, "version 2", func(_ *Proxy, st Status) bool { return st.Goes(2) }); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Printf("| %d | %.2f s | %.2f s | %.1f%% | %.1f%% | %.1f MB | %.0f |\n", n, decided.Seconds(), (f.Clock.Now() - began).Seconds(), shares[n/2], leads, memory[n/2], bytes[n/2])
+		f.Close()
+	}
+}
+
+// What is served while all keepers are gone. MARLREEL_MEASURE=1 plays it.
+func TestMeasureWithoutKeepers(t *testing.T) {
+	if os.Getenv("MARLREEL_MEASURE") == "" {
+		t.Skip("MARLREEL_MEASURE is not set")
+	}
+	for _, errors := range []float64{0, 0.1} {
+		f, err := New(Options{Program: program, Dir: t.TempDir(), Proxies: 9, Nodes: 6, Settings: Usual(), Errors: errors, Keepers: 3, Within: 5 * time.Second, Seed: 3})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.StartAll(); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Wait(f.Proxies, "version 1", func(_ *Proxy, st Status) bool { return st.Goes(1) }); err != nil {
+			t.Fatal(err)
+		}
+		f.Load(4, 20*time.Millisecond, Usual().Classes...)
+		time.Sleep(10 * time.Second)
+		for _, p := range f.Proxies[:3] {
+			p.Kill()
+		}
+		if err := f.Wait(f.Proxies[3:], "no lease", func(_ *Proxy, st Status) bool { return st.Strict }); err != nil {
+			t.Fatal(err)
+		}
+		gone := f.Clock.Now()
+		time.Sleep(20 * time.Second)
+		answers := f.Unload()
+		v, err := f.Audit(answers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		share := func(from, to time.Duration) float64 {
+			served, asked := 0.0, 0.0
+			for _, a := range answers {
+				if a.Proxy >= 3 && a.Sent >= from && a.Sent < to {
+					asked++
+					if a.Status == 200 {
+						served++
+					}
+				}
+			}
+			return served / asked
+		}
+		fmt.Printf("| %.0f%% | %.4f | %.4f | %d |\n", errors*100, share(0, gone-6*time.Second), share(gone, time.Hour), len(v.Breaks))
+	}
+}
