--- a/cmd/marlreelctl/fleet.go
+++ b/cmd/marlreelctl/fleet.go
@@ -34,6 +34,7 @@
 	Diff     diffCmd     `cmd:"" help:"What differs between two versions, or a version and a file."`
 	Rollback rollbackCmd `cmd:"" help:"Propose an earlier version's text."`
 	Keepers  keepersCmd  `cmd:"" help:"Take a keeper in, anew after its disk was lost, or let one go."`
+	Lists    listsCmd    `cmd:"" help:"Which list each proxy has, and the backends that only some see."`
 	Floor    floorCmd    `cmd:"" help:"Say that a list's revisions begin anew, as after a restore."`
 }
 
@@ -373,6 +374,32 @@
 	return nil
 }
 
+type listsCmd struct{}
+
+func (listsCmd) Run(s *fleetSite, c *cli) error {
+	var sight fleet.Sight
+	if err := s.call(http.MethodGet, "/fleet/lists", nil, nil, &sight); err != nil {
+		return err
+	}
+	if c.Fleet.JSON {
+		return s.json(sight)
+	}
+	fmt.Fprintf(s.out, "%-16s %-10s %-10s %s\n", "proxy", "source", "revision", "ready nodes")
+	for _, p := range sight.Proxies {
+		fmt.Fprintf(s.out, "%-16s %-10s %-10d %d\n", p.Proxy, p.Source, p.Revision, p.Ready)
+	}
+	for _, name := range sight.Silent {
+		fmt.Fprintf(s.out, "%-16s did not answer\n", name)
+	}
+	for _, p := range sight.Partly {
+		fmt.Fprintf(s.out, "%s is seen by %s, and not by %s\n", p.Name, strings.Join(p.SeenBy, ", "), strings.Join(p.Not, ", "))
+	}
+	if len(sight.Partly) == 0 {
+		fmt.Fprintln(s.out, "all that answered see the same nodes")
+	}
+	return nil
+}
+
 type floorCmd struct {
 	Reset floorResetCmd `cmd:"" help:"A source's revisions begin anew: its floor and what was told of it are forgotten."`
 }
--- a/cmd/marlreelctl/fleet_test.go
+++ b/cmd/marlreelctl/fleet_test.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package main
 
 import (
@@ -72,6 +74,13 @@
 	ask(0, "n3 is a keeper", "keepers", "add", "n3")
 	ask(0, "n2 is no keeper any more", "keepers", "remove", "n2")
 	ask(1, "n2 is no keeper", "keepers", "remove", "n2")
+	ask(0, "all that answered see the same nodes", "lists")
+	f.Proxies[1].Late(time.Minute)
+	f.Put(0, "Terminating")
+	if err := f.Wait(f.Proxies, "the drain", func(_ *fleettest.Proxy, st fleettest.Status) bool { return len(st.View.Ends) > 0 }); err != nil {
+		t.Fatal(err)
+	}
+	ask(0, "s-0 is seen by n1, and not by n0, n2, n3", "lists")
 	ask(0, "begins anew", "floor", "reset", "platform")
 	if err := f.Wait(f.Proxies, "three keepers", func(_ *fleettest.Proxy, st fleettest.Status) bool { return len(st.View.Keepers) == 3 }); err != nil {
 		t.Fatal(err)
--- a/internal/fleet/agree/message.go
+++ b/internal/fleet/agree/message.go
@@ -26,6 +26,16 @@
 	Nudge   uint64   `json:"nudge,omitempty"` // there is a newer state
 	Seat    *SeatAsk `json:"seat,omitempty"`  // an operator's word on keepers, to the one that leads
 	Invite  bool     `json:"invite,omitempty"`
+	Names   *Names   `json:"names,omitempty"` // a question, or its answer, on lists
+}
+
+// Names asks a proxy which backends its list has as ready, or tells.
+type Names struct {
+	ID       string   `json:"id"`
+	Ask      bool     `json:"ask,omitempty"`
+	Source   string   `json:"source,omitempty"`
+	Revision int64    `json:"revision,omitempty"`
+	Ready    []string `json:"ready,omitempty"`
 }
 
 // Renew asks for a lease.
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -111,5 +111,5 @@
 
 // Advice says what an operator can do.
 func (e *ApartError) Advice() string {
-	return "compare 'marlreelctl discovery' of those proxies: their sources differ"
+	return "see with 'marlreelctl fleet lists' which backends only some of them see: their sources differ"
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,8 @@
 	Parse(text string) (marlreel.Config, error)
 	// Told hands on what proxies were told of lists. Any goroutine; the state is never changed.
 	Told(s *agree.State)
+	// Names gives the backends that this proxy's own list has as ready to done, on any goroutine.
+	Names(done func(l agree.Lists, ready []string))
 }
 
 // Options are what the fleet is told of this proxy.
@@ -82,6 +84,7 @@
 	tells    []agree.Change
 	lists    agree.Lists
 	saidOnce map[string]bool
+	sights   map[string]*sight
 	peersAt  int // tick at which to try again
 	diskAt   int
 	floorAt  time.Time // since when this proxy's list has been under the floor
@@ -108,7 +111,7 @@
 	if slices.Contains(o.Keepers, o.Proxy) && o.Dir == "" {
 		return nil, &ConfigError{"fleet.dir", "is missing: a keeper needs a folder that outlives the process"}
 	}
-	f := &Fleet{o: o, key: key, events: make(chan func(), 1024), stop: make(chan struct{}), done: make(chan struct{}), asks: map[string]*ask{},
+	f := &Fleet{o: o, key: key, events: make(chan func(), 1024), stop: make(chan struct{}), done: make(chan struct{}), asks: map[string]*ask{}, sights: map[string]*sight{},
 		saidOnce: map[string]bool{}, file: o.File, fileHash: agree.Hash(o.File), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	f.cfg = agree.Config{Name: o.Proxy, Boot: f.rng.Uint64()>>11 | 1, Keepers: o.Keepers, Within: o.AgreeWithin.D(), Seed: f.rng.Uint64() >> 11, Check: o.Check}
 	f.known = []string{o.File}
@@ -248,6 +251,9 @@
 	case m.Result != nil:
 		f.answered(*m.Result)
 		return
+	case m.Names != nil:
+		f.names(from, *m.Names)
+		return
 	case f.keeper != nil:
 		f.carry(f.keeper.Receive(now, from, m))
 	case m.Hello != nil: // no keeper here: nothing was seen of it
--- a/internal/fleet/operators.go
+++ b/internal/fleet/operators.go
@@ -51,6 +51,10 @@
 		holders, err := f.Holders(r.Context())
 		answer(w, holders, err)
 	})
+	mux.HandleFunc("GET /fleet/lists", func(w http.ResponseWriter, r *http.Request) {
+		sight, err := f.Look(r.Context())
+		answer(w, sight, err)
+	})
 	mux.HandleFunc("GET /fleet/newest", func(w http.ResponseWriter, r *http.Request) {
 		result, err := f.Newest(r.Context())
 		answer(w, result, err)
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 // Package fleettest starts a fleet of the built program on loopback addresses, with clients before it, nodes and
 // lists behind it, and itself between every two proxies, and lets parts of it fail: links (cut one way or both,
 // slow, losing, repeating), processes (stopped, killed, started again with another disk), disks (full, older).
@@ -17,6 +19,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -344,20 +347,28 @@
 	}
 	// By a pipe: a limit on the sizes of its files is no limit on what it says.
 	cmd.Stdout, cmd.Stderr = plainWriter{p.log}, plainWriter{p.log}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a hang-up of the terminal is no SIGHUP of the test's
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", p.Name, err)
-	}
+	// A hang-up of the terminal is no SIGHUP of the test's; and what the test leaves when it is killed ends with it:
+	// with the thread that started it, so that one stays until then.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.Starts++
-	ended := make(chan struct{})
-	p.cmd, p.ended = cmd, ended
+	started, ended := make(chan error, 1), make(chan struct{})
 	go func() {
-		cmd.Wait()
-		p.gone(cmd)
-		close(ended)
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := cmd.Start()
+		started <- err
+		if err == nil {
+			cmd.Wait()
+			p.gone(cmd)
+			close(ended)
+		}
 	}()
+	if err := <-started; err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	p.Starts++
+	p.cmd, p.ended = cmd, ended
 	return nil
 }
 
--- a/internal/fleettest/measure_test.go
+++ b/internal/fleettest/measure_test.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package fleettest
 
 import (
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -94,6 +94,20 @@
 	})
 }
 
+// Names implements fleet.Host.
+func (m *member) Names(done func(agree.Lists, []string)) {
+	m.parts.engine.Post(func() {
+		var ready []string
+		for name, e := range m.lists.own {
+			if e.State == marlreel.Ready {
+				ready = append(ready, name)
+			}
+		}
+		slices.Sort(ready)
+		done(m.lists.summary(), ready)
+	})
+}
+
 // propose puts the file's settings to the fleet, and says what came of it.
 func (m *member) propose(next *config.Platform, log *slog.Logger, taken func(bool)) {
 	text, err := next.Shared()
