Let cold backends earn more by their answers where no warm one is there to compare with

Seen (closed loop of twelve machines, all of them and all proxies dark for 8 s, every client calling again): for the whole 8 s that machines are cold they get hardly anything: served 8 to 37 of some 1,000 a second, then all at once when they count as warm. At fault is least in coldRates: with all cold, one request a window for all proxies together, and nothing that lets it grow.

Change: internal/judge/slowstart, pure. Any backend that can meet the shortest aim does a request in it when it is warm, which bounds what it bears cold; and a third of a window in which all answers came in their aim lets a proxy send 1.6 times as much, one that was late or turned away halves it. Beside a warm backend all is as it was.

--- a/attempts.go
+++ b/attempts.go
@@ -137,6 +137,9 @@
 		crowding *= b.gray.Slow(r.Class, b.now, took, b.usual(a))
 	}
 	b.crowd(a, o.Result, crowding)
+	if _, cold := b.cold(t); cold && (o.Result == OK || o.Result == Full || o.Result == Timeout) {
+		b.slow.Answer(b.now, o.Result == OK && took <= millis(r.class.Aim))
+	}
 	switch o.Result {
 	case OK:
 		b.retries = min(b.retries+retryShare, retryBurst)
--- a/balancer.go
+++ b/balancer.go
@@ -16,6 +16,7 @@
 	"marlreel/internal/judge/ledger"
 	"marlreel/internal/judge/limit"
 	"marlreel/internal/judge/quota"
+	"marlreel/internal/judge/slowstart"
 	"marlreel/internal/judge/storm"
 )
 
@@ -44,6 +45,7 @@
 	ledger                              *ledger.Ledger
 	quota                               *quota.Model
 	storm                               *storm.Model
+	slow                                slowstart.Model
 	gray                                *gray.Model
 	forecast                            *forecast.Model
 	prices                              forecast.Prices
--- a/coldstart.go
+++ b/coldstart.go
@@ -46,20 +46,20 @@
 // coldRates sets what each cold backend may be sent a second: the share of its capacity that it surely has
 // of what each would serve of this proxy's requests. By its own part, so all together stay in the budget.
 func (b *Balancer) coldRates() {
-	fall, served := max(b.cfg.Obligations.Fall, time.Second).Seconds(), 0.0
+	fall, served, warm := max(b.cfg.Obligations.Fall, time.Second).Seconds(), 0.0, false
 	for _, t := range b.subset {
-		served += t.served.PerSecond(b.now, servedOver*b.memory)
+		_, cold := b.cold(t)
+		served, warm = served+t.served.PerSecond(b.now, servedOver*b.memory), warm || !cold
 	}
 	for _, t := range b.subset {
 		share, cold := b.cold(t)
 		if !cold {
 			continue
 		}
+		rate := b.slow.Rate(b.now, share, warm) / float64(b.cfg.Instances) // with nothing to compare with
 		// Danger: where few are up in a zone, all its proxies use the same ones, however many they are.
 		share *= max(1, b.usable[b.side(t)]/b.size) / float64(len(b.ready))
-		// With nothing to compare with, as after this proxy's restart, a request a window teaches enough.
-		least := b.meanWork / fall / float64(b.cfg.Instances)
-		t.coldRate = max(served*share*coldPart*b.cfg.Obligations.FallMultiple, least)
+		t.coldRate = max(served*share*coldPart*b.cfg.Obligations.FallMultiple, rate*b.meanWork)
 		t.tokens = min(t.tokens+t.coldRate*(b.now-t.tokensAt).Seconds(), t.coldRate*coldBurst*fall)
 		t.tokensAt = b.now
 	}
--- a/config.go
+++ b/config.go
@@ -7,6 +7,7 @@
 	"marlreel/internal/judge/fade"
 	"marlreel/internal/judge/forecast"
 	"marlreel/internal/judge/ledger"
+	"marlreel/internal/judge/slowstart"
 	"marlreel/internal/judge/storm"
 )
 
@@ -65,6 +66,11 @@
 	b.interval = b.cfg.interval()
 	b.memory = max(b.memory, memory*b.interval)
 	b.gray.SetMemory(b.memory)
+	o, aim := b.cfg.Obligations, b.cfg.Classes[0].Aim
+	for _, c := range b.cfg.Classes {
+		aim = min(aim, c.Aim)
+	}
+	b.slow.Set(slowstart.Config{Multiple: o.FallMultiple, Start: o.StartCapacity, Fall: o.Fall, Aim: aim, Part: coldPart})
 }
 
 // interval is the time between two probes of a backend in doubt.
--- a/internal/experiment/days/days.go
+++ b/internal/experiment/days/days.go
@@ -208,6 +208,9 @@
 	r.Figures = map[string]float64{"service": rep.Service, "after-deductions": rep.After, "whole": rep.Parts.Whole, "worst-10s": rep.Parts.Window,
 		"worst-class": rep.Parts.Class, "worst-house": rep.Parts.House, "attempts": float64(rep.Attempts) / n, "tries": float64(rep.Tries) / n,
 		"handshakes": float64(rep.Handshakes), "cpu-s": cpu, "memory-mb": memory, "rules-broken": float64(r.Broken)}
+	if rep.Best != nil {
+		r.Figures["area"] = rep.Best.Area
+	}
 	if rep.Recovery != nil && *rep.Recovery >= 0 {
 		r.Figures["recovery-s"] = *rep.Recovery
 	}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -328,7 +328,7 @@
 }
 
 // figures are what runs are measured by, beside those of single classes.
-var figures = []string{"service", "after-deductions", "whole", "worst-10s", "worst-class", "worst-house", "recovery-s", "tips-at", "back-at",
+var figures = []string{"service", "after-deductions", "whole", "worst-10s", "worst-class", "worst-house", "recovery-s", "area", "tips-at", "back-at",
 	"hysteresis", "attempts", "tries", "handshakes", "cpu-s", "memory-mb", "rules-broken"}
 
 // KnownFigure tells whether a figure's name is one.
--- /dev/null
+++ b/internal/judge/slowstart/slowstart.go
@@ -0,0 +1,93 @@
+// Package slowstart says how much backends that have all just started may be sent, where there is no warm one to
+// compare them with, as after a power loss: what any backend bears that can meet the aims at all, and then more by
+// what they answer. It is pure. It owns that figure; it never decides where a request goes, and it reads no clock.
+package slowstart
+
+import "time"
+
+// Config is what the settings say of backends that start.
+type Config struct {
+	Multiple float64       // of its capacity, beyond which a cold backend falls over
+	Start    float64       // share of its capacity that it has at least
+	Fall     time.Duration // for so long
+	Aim      time.Duration // the shortest of all classes
+	Part     float64       // of what would make it fall, that is used
+}
+
+const (
+	// Steps of a window: growth is judged so often in it.
+	steps = 3
+	// Grow is by how much the rate may rise in a step that went well. Danger: a backend falls by what it is sent
+	// over a whole window. At 1.6 a step the window's mean is under two thirds of its last step, so what was well
+	// answered a step ago, at no more than capacity, is followed by at most 1.6 x (1 + 1/1.6 + 1/2.56)/3 = 1.08
+	// times capacity before the next look, and a step that was not looked at in time by 1.7 times: under 2.5.
+	Grow = 1.6
+	most = 4096 // of the factor: beyond it the comparison with warm ones has long taken over
+)
+
+// Least is how many requests of mean work a second any backend surely bears at a share of its capacity, from all
+// proxies together. One that meets the shortest aim at all does a request in it when it is warm.
+func (c Config) Least(share float64) float64 {
+	window := max(c.Fall, time.Second).Seconds()
+	aim := c.Aim.Seconds()
+	if aim <= 0 {
+		return 1 / window
+	}
+	return max(1/window, c.Part*c.Multiple*share/aim)
+}
+
+// Model is what cold backends have answered lately.
+type Model struct {
+	cfg       Config
+	factor    float64
+	began     time.Duration
+	good, bad int
+}
+
+// Set puts settings in force.
+func (m *Model) Set(cfg Config) {
+	m.cfg = cfg
+	if m.factor < 1 {
+		m.factor = 1
+	}
+}
+
+// Rate is how many requests of mean work a second a cold backend may be sent by all proxies together, at a share of
+// its capacity that it surely has. Where some are warm it is one a window: the rest is for who compares them.
+func (m *Model) Rate(now time.Duration, share float64, warm bool) float64 {
+	if warm {
+		m.factor, m.began, m.good, m.bad = 1, now, 0, 0
+		return 1 / max(m.cfg.Fall, time.Second).Seconds()
+	}
+	return m.cfg.Least(share) * m.Factor(now)
+}
+
+// Answer takes what became of an attempt at a cold backend: well is an answer within its aim, and not is one that
+// was turned away, late or never came.
+func (m *Model) Answer(now time.Duration, well bool) {
+	m.step(now)
+	if well {
+		m.good++
+	} else {
+		m.bad++
+	}
+}
+
+// Factor is by how much more than Least each may be sent now.
+func (m *Model) Factor(now time.Duration) float64 {
+	m.step(now)
+	return m.factor
+}
+
+func (m *Model) step(now time.Duration) {
+	if now-m.began < max(m.cfg.Fall, time.Second)/steps {
+		return
+	}
+	switch {
+	case m.bad > 0:
+		m.factor = max(1, m.factor/2)
+	case m.good > 0:
+		m.factor = min(m.factor*Grow, most)
+	}
+	m.began, m.good, m.bad = now, 0, 0
+}
--- a/internal/rehearsal/html.go
+++ b/internal/rehearsal/html.go
@@ -76,6 +76,13 @@
 			}
 		}
 	}
+	if rep.Best != nil {
+		fmt.Fprint(p, `<polyline class="aim" fill="none" points="`)
+		for i, v := range rep.Best.Seconds {
+			fmt.Fprintf(p, "%.1f,%.1f ", p.x(float64(i)+0.5), plotHigh-min(v/most, 1)*plotHigh)
+		}
+		fmt.Fprint(p, `"><title>the most that could have been served</title></polyline>`)
+	}
 	p.label(10, fmt.Sprintf("%.0f a second", most))
 	p.label(plotHigh, "0")
 	p.close(plotHigh)
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -25,6 +25,7 @@
 	Worth       Worth              `json:"worth"`
 	WorstWindow Window             `json:"worst_window"`
 	Recovery    *float64           `json:"recovery_s,omitempty"` // see recovery; -1 is not within the run
+	Best        *Best              `json:"best,omitempty"`       // where nodes were down and came back
 	Classes     map[string]Tally   `json:"classes"`
 	Houses      map[string]Tally   `json:"houses"`
 	Deductions  map[string]float64 `json:"deductions_points"`
@@ -168,6 +169,7 @@
 	rep.rule(Audit(r), start)
 	rep.Timeline = timeline(r, start)
 	rep.Recovery = recovery(r, rep.Timeline.Seconds)
+	rep.Best = best(r, start, rep.Timeline.Seconds)
 	return rep
 }
 
@@ -419,6 +421,9 @@
 	fmt.Fprintf(&b, "  (%.3f with the operators' deductions)\n", rep.After)
 	fmt.Fprintf(&b, "  whole %.3f   worst 10 s %.3f (from %.0f s)   worst class %.3f (%s)   worst house %.3f (%s)\n",
 		rep.Parts.Whole, rep.Parts.Window, rep.WorstWindow.FromS, rep.Parts.Class, rep.Parts.WorstClass, rep.Parts.House, rep.Parts.WorstHouse)
+	if rep.Best != nil {
+		fmt.Fprintf(&b, "  from the first of %d nodes' return at %.0f s on: %.3f of what could have been served\n", rep.Best.Nodes, rep.Best.FromS, rep.Best.Area)
+	}
 	if rep.Recovery != nil && *rep.Recovery >= 0 {
 		fmt.Fprintf(&b, "  back at 95%% of before %.0f s after the nodes' return\n", *rep.Recovery)
 	} else if rep.Recovery != nil {
