--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -132,12 +132,19 @@
 	paths [][]standin.Path // by node and proxy
 	mu    sync.Mutex
 	notes []Note
+	puts  []put
 	load  *load
 	texts []Settings // all that were ever put to the fleet
 	log   register
 	filed bool // files were put to the fleet, whose answers nobody wrote down
 }
 
+// put is what the lists' truth says of a node from a time on.
+type put struct {
+	at          time.Duration
+	node, state string
+}
+
 // Note is what the harness did to the fleet, and when.
 type Note struct {
 	At   time.Duration
@@ -279,6 +286,9 @@
 // Put tells the lists' truth of a node: Ready, Terminating or Gone.
 func (f *Fleet) Put(node int, state string) time.Duration {
 	at := f.Note("s-%d is %s", node, state)
+	f.mu.Lock()
+	f.puts = append(f.puts, put{at, fmt.Sprint("s-", node), state})
+	f.mu.Unlock()
 	f.Discovery.Put(f.entry(node, state))
 	return at
 }
