--- /dev/null
+++ b/internal/fleet/disk/disk_test.go
@@ -0,0 +1,148 @@
+package disk
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"marlreel/internal/fleet/agree"
+)
+
+func entry(index, term uint64, text string) *pb.Entry {
+	return &pb.Entry{Index: &index, Term: &term, Data: []byte(text)}
+}
+
+func indices(s agree.Saved) (all []uint64) {
+	for _, e := range s.Entries {
+		all = append(all, e.GetIndex())
+	}
+	return all
+}
+
+// What was saved is there, entries that were replaced are not, each opening is a life, and a reset leaves nothing of
+// the log; the file is its owner's alone, and one process's at a time.
+func TestWhatIsSavedIsThere(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	d, err := Open(dir, "pier", "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, "pier", "n1"); !errors.Is(err, ErrHeld) {
+		t.Errorf("a second process: %v", err)
+	}
+	s, err := d.Load(77)
+	if err != nil || s.ID != 77 || s.Life != 1 || s.Hard != nil {
+		t.Fatal(s, err)
+	}
+	term, vote, commit := uint64(2), uint64(77), uint64(3)
+	for _, a := range []agree.Save{
+		{Entries: []*pb.Entry{entry(1, 1, "a"), entry(2, 1, "b"), entry(3, 1, "c")}, Hard: &pb.HardState{Term: &term, Vote: &vote, Commit: &commit}, ID: 77, Life: 1},
+		{Entries: []*pb.Entry{entry(2, 2, "B")}, ID: 77, Life: 1},
+		{Lives: map[uint64]agree.Lived{5: {Life: 3, Boot: 9}}},
+	} {
+		if err := d.Save(a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.SaveView(&agree.State{Seq: 9}); err != nil {
+		t.Fatal(err)
+	}
+	d.Close()
+	if _, err := Open(dir, "pier", "n2"); !errors.Is(err, ErrOwner) {
+		t.Errorf("another proxy: %v", err)
+	}
+	if d, err = Open(dir, "pier", "n1"); err != nil {
+		t.Fatal(err)
+	}
+	s, err = d.Load(1)
+	if err != nil || s.ID != 77 || s.Life != 2 || s.Hard.GetVote() != 77 || !reflect.DeepEqual(indices(s), []uint64{1, 2}) || string(s.Entries[1].Data) != "B" || s.Lives[5] != (agree.Lived{Life: 3, Boot: 9}) {
+		t.Errorf("%+v %v", s, err)
+	}
+	if v, err := d.View(); err != nil || v.Seq != 9 {
+		t.Error(v, err)
+	}
+	if err := d.Save(agree.Save{Reset: true, ID: 88, Life: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if s, err = d.Load(1); err != nil || s.ID != 88 || len(s.Entries) != 0 || s.Hard != nil {
+		t.Errorf("%+v %v", s, err)
+	}
+	d.Close()
+}
+
+// A file that was cut anywhere, or spoilt anywhere, is read as it was or not at all; and never ends the process.
+func TestTornAnywhere(t *testing.T) {
+	t.Parallel()
+	rng := rand.New(rand.NewPCG(1, 2))
+	dir := t.TempDir()
+	d, err := Open(dir, "pier", "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := d.Load(77)
+	if err != nil {
+		t.Fatal(err)
+	}
+	term := uint64(1)
+	for i := range uint64(60) {
+		if err := d.Save(agree.Save{Entries: []*pb.Entry{entry(i+1, 1, string(make([]byte, 700)))}, Hard: &pb.HardState{Term: &term}, ID: first.ID, Life: first.Life}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.Close()
+	whole, err := os.ReadFile(filepath.Join(dir, File))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused, read := 0, 0
+	for i := range 150 {
+		data := append([]byte(nil), whole...)
+		if i%2 == 0 {
+			data = data[:rng.IntN(len(data))]
+		} else {
+			for range 1 + rng.IntN(40) {
+				data[rng.IntN(len(data))] ^= byte(1 + rng.IntN(255))
+			}
+		}
+		at := t.TempDir()
+		if err := os.WriteFile(filepath.Join(at, File), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d, err := Open(at, "pier", "n1")
+		if err != nil {
+			if refused++; errors.Is(err, ErrTorn) {
+				if again, err := Open(at, "pier", "n1"); err != nil { // it was set aside
+					t.Errorf("case %d: after it was set aside: %v", i, err)
+				} else {
+					again.Close()
+				}
+			}
+			continue
+		}
+		s, err := d.Load(1)
+		d.Close()
+		switch {
+		case err != nil:
+			refused++
+		case s.ID == 1 && len(s.Entries) == 0 || s.ID == 77 && len(s.Entries) <= 60:
+			for k, e := range s.Entries {
+				if e.GetIndex() != uint64(k+1) || len(e.Data) != 700 {
+					t.Errorf("case %d: entry %d is another", i, k)
+				}
+			}
+			read++
+		default:
+			t.Errorf("case %d: %d entries of identity %d", i, len(s.Entries), s.ID)
+		}
+	}
+	t.Logf("%d refused, %d read", refused, read)
+	if refused == 0 || read == 0 {
+		t.Error("nothing is shown")
+	}
+}
