Let a file that is changed while the fleet is founded wait for the first version

Seen (the measurement of contradictions, five processes): files changed and SIGHUP 2 s after the start changed nothing, for good. The logs: "refused: another version was decided first: version 1, by n0" at all five, 40 ms apart. Line at fault: Fleet.Propose takes 0 as the base while no version is known, and the founder's own first version goes before it.

Change: a file waits for the first version, up to thrice agree-within, and is put on it. A story shows it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -513,23 +513,34 @@
 // put to the others: it is an old file more likely than a wish to go back.
 func (f *Fleet) ProposeFile(ctx context.Context, text string) (agree.Result, error) {
 	hash, view := agree.Hash(text), make(chan *agree.State, 1)
-	f.post(func() {
-		f.file, f.fileHash = text, hash
-		view <- f.member.View()
-	})
-	select {
-	case s := <-view:
-		newest, _ := s.Newest()
+	f.post(func() { f.file, f.fileHash = text, hash })
+	for try := 0; ; try++ {
+		f.post(func() { view <- f.member.View() })
+		var s *agree.State
+		select {
+		case s = <-view:
+		case <-f.done:
+			return agree.Result{}, &NoLeaderError{Keepers: f.o.Keepers}
+		}
+		newest, some := s.Newest()
+		// Danger: while the fleet is being founded its first version is under way, and would go before this one.
+		if !some && try < foundingTries {
+			time.Sleep(f.cfg.Tick())
+			continue
+		}
 		for _, v := range s.Versions {
 			if v.Hash == hash && newest.Hash != hash {
 				return agree.Result{}, &StaleFileError{v.Number, newest.Number, newest.By}
 			}
 		}
-	case <-f.done:
+		break
 	}
 	return f.Propose(ctx, text, f.o.Proxy, "the file at SIGHUP", OnNewest)
 }
 
+// foundingTries is how many ticks a file waits for the fleet's first version: thrice agree-within.
+const foundingTries = 300
+
 // Rollback proposes an earlier version's text.
 func (f *Fleet) Rollback(ctx context.Context, version uint64, by string) (agree.Result, error) {
 	s := f.Status().View
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -20,6 +20,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -183,6 +184,7 @@
 	log          *os.File
 	mu           sync.Mutex
 	away         []Span // when it was stopped or dead
+	deaths       []time.Duration
 	stoppedAt    time.Duration
 	Starts       int
 	held         *os.File // the clients' listener; nil: each process opens it
@@ -388,9 +390,17 @@
 	defer p.mu.Unlock()
 	if p.cmd == cmd {
 		p.begin()
+		p.deaths = append(p.deaths, p.fleet.Clock.Now())
 	}
 }
 
+// died tells whether a process of the proxy ended within a stretch, with none beside it.
+func (p *Proxy) died(from, to time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.deaths, func(at time.Duration) bool { return from < at && at <= to })
+}
+
 // begin and finish a stretch in which the proxy is away. The caller has the lock.
 func (p *Proxy) begin() {
 	if n := len(p.away); n == 0 || p.away[n-1].To != 0 {
--- a/internal/fleettest/measure_test.go
+++ b/internal/fleettest/measure_test.go
@@ -56,6 +56,11 @@
 		if err := f.StartAll(); err != nil {
 			t.Fatal(err)
 		}
+		if keepers > 0 {
+			if err := f.Wait(f.Proxies, "version 1", func(_ *Proxy, st Status) bool { return st.Goes(1) }); err != nil {
+				t.Fatal(err)
+			}
+		}
 		f.Load(4, 20*time.Millisecond, Usual().Classes...)
 		time.Sleep(2 * time.Second) // of ordinary service
 		last := f.Proxies[4]
--- a/internal/fleettest/story.go
+++ b/internal/fleettest/story.go
@@ -24,6 +24,7 @@
 //
 //	fleet proxies=5 keepers=3 nodes=3 within=2s errors=0.2   the fleet; the first line
 //	start                       all proxies, until they go by version 1
+//	start-only                  all proxies, until they serve
 //	load                        clients ask from now on
 //	pass 500ms                  time passes: the length of a fault, never a wait for something to come
 //	file n3 attempts=1 -pickup  write settings into a proxy's file ("broken": what is no file)
@@ -207,6 +208,8 @@
 			return err
 		}
 		return f.Wait(f.Proxies, "version 1", func(_ *Proxy, st Status) bool { return st.Goes(1) })
+	case "start-only": // until they serve
+		return f.StartAll()
 	case "load":
 		s.loaded = true
 		f.Load(3, 15*time.Millisecond, Usual().Classes...)
@@ -392,6 +395,9 @@
 	case "version":
 		n, _ := strconv.ParseUint(value, 10, 64)
 		return st.Goes(n)
+	case "attempts":
+		n := len(st.View.Versions)
+		return n > 0 && st.Goes(st.View.Versions[n-1].Number) && strings.Contains(st.View.Versions[n-1].Text, `"MaxAttempts":`+value+",")
 	case "strict":
 		return st.Strict
 	case "leased":
