Mend a lock order that held whole proxies up, and a storm of joins at the start

Seen: of 100 processes started together none came to a version. n1's status stood still, with 6,627 bytes sent where others had 170,000. Peers.Members held our lock and asked the library, which tells of who joins with its own lock held and then waits for ours: each for the other, for good. With that mended, of 300 none was founded in 30 s: each alone one asked all 299 others in turn, 90,000 exchanges of the whole state, and keepers could not get a word through.

Change: the library is asked before our lock is taken, refusals are told from a goroutine of their own; five peers at most, drawn, are asked in one go, and none more once one has answered.

--- a/cmd/marlreelctl/fleet.go
+++ b/cmd/marlreelctl/fleet.go
@@ -19,9 +19,12 @@
 	"strings"
 	"time"
 
+	"marlreel"
 	"marlreel/internal/config"
 	"marlreel/internal/fleet"
 	"marlreel/internal/fleet/agree"
+	"marlreel/internal/fleet/rules"
+	"marlreel/internal/wire"
 )
 
 type fleetCmd struct {
@@ -260,6 +263,7 @@
 	if err != nil {
 		return err
 	}
+	var read []marlreel.Config
 	flat := func(what string) (map[string]string, error) {
 		text := ""
 		if n, err := strconv.ParseUint(what, 10, 64); err == nil {
@@ -275,6 +279,9 @@
 		if err := json.Unmarshal([]byte(text), &tree); err != nil {
 			return nil, err
 		}
+		if c, err := wire.ParseSettings([]byte(text)); err == nil {
+			read = append(read, c)
+		}
 		all := map[string]string{}
 		flatten("", tree, all)
 		return all, nil
@@ -308,6 +315,11 @@
 	if same {
 		fmt.Fprintln(s.out, "they say the same")
 	}
+	if len(read) == 2 {
+		if why := rules.Contradiction(read[0], read[1]); why != "" {
+			fmt.Fprintf(s.out, "they contradict each other (%s): while one takes the other's place, only what both allow is done\n", why)
+		}
+	}
 	return nil
 }
 
--- a/cmd/marlreelctl/fleet_test.go
+++ b/cmd/marlreelctl/fleet_test.go
@@ -67,6 +67,7 @@
 	goes(2)
 	ask(0, "calmer", "versions")
 	ask(0, "Caps.MaxAttempts: 4, then 2", "diff", "1", "2")
+	ask(0, "they contradict each other (attempts 4 and 2)", "diff", "1", "2")
 	ask(0, "they say the same", "diff", "2", two)
 	ask(1, "the text of version 9 is not kept", "diff", "1", "9")
 	ask(0, "version 3 is decided", "rollback", "1")
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"slices"
@@ -40,6 +41,7 @@
 	queued       = 64   // words to one peer that wait for a stream
 	mostQueues   = 512
 	joinEvery    = 2 * time.Second // while nobody is known
+	mostJoins    = 5               // peers asked in one go
 	rejoinEvery  = 15 * time.Second
 )
 
@@ -115,15 +117,17 @@
 				missing = append(missing, x.Name+"/"+x.Address)
 			}
 		}
-		if len(missing) > 3 && len(known) > 1 { // the others tell of them
-			i := int(time.Now().UnixNano()/1e9) % len(missing)
-			missing = []string{missing[i]}
-		}
-		for _, m := range missing {
+		// One that answers tells of all others. Danger: each of 300 that asks all 300 at once is no start but a storm.
+		rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+		for _, m := range missing[:min(len(missing), mostJoins)] {
 			if p.closing() {
 				return
 			}
-			if _, err := p.list.Join([]string{m}); err != nil && strings.Contains(err.Error(), "EOF") {
+			_, err := p.list.Join([]string{m})
+			if err == nil {
+				break
+			}
+			if strings.Contains(err.Error(), "EOF") {
 				p.refuse("closed "+m, &PeerClosedError{m})
 			}
 		}
@@ -155,7 +159,7 @@
 	p.said[reason] = true
 	p.mu.Unlock()
 	if !said {
-		p.cfg.Refused(err)
+		go p.cfg.Refused(err) // the library may hold its lock, and who is told may be waiting for that
 	}
 }
 
@@ -240,12 +244,15 @@
 // Members are all that are known, by name, this one among them.
 func (p *Peers) Members() []Member {
 	var all []Member
+	// Danger: the library tells of who joins and leaves with its own lock held. Asking it under ours, each would wait
+	// for the other for good.
+	nodes := p.list.Members()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.gone {
 		all = append(all, m)
 	}
-	for _, n := range p.list.Members() {
+	for _, n := range nodes {
 		state := "alive"
 		if n.State == memberlist.StateSuspect {
 			state = "suspect"
--- a/internal/fleettest/measure_test.go
+++ b/internal/fleettest/measure_test.go
@@ -122,6 +122,11 @@
 			t.Fatal(err)
 		}
 		if err := f.Wait(f.Proxies, "version 1", func(_ *Proxy, st Status) bool { return st.Goes(1) }); err != nil {
+			for _, p := range f.Proxies {
+				if st, err := p.Status(); err != nil || !st.Goes(1) {
+					t.Logf("%s: %v held %d seq %d leader %s strict %v sent %d\n%s", p.Name, err, st.Held, st.View.Seq, st.Leader, st.Strict, st.Sent, p.Log())
+				}
+			}
 			t.Fatal(err)
 		}
 		const rest = 20 * time.Second
