Mend what the race detector saw: permits, records of members, the last settings

Seen, with daemons built with the race detector in all stories: engine.Rule wrote into permits that carriers read at that moment (lease.go:118 against attempts.go:31); Peers read the library's records of nodes, which it changes under its own lock (state.go:1130); the settings of a stop were put into a variable that the watch of other processes reads.

Change: a permit is never written once its attempt has begun: what new rules don't allow is revoked. Peers keeps records of its own, by what the library tells; a suspect is one that this proxy's own probes miss, until one is answered. The auditor looks for panics and races in every log. Links are begun when all are there.

--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -65,7 +65,13 @@
 	e.rules = next
 	for _, c := range e.calls {
 		for _, a := range c.attempts {
-			if !a.done && a.Permit.Open() && !e.mayGo(c, a, c.Deadline) && a.Permit.Revoke() {
+			if a.done || !a.Permit.Open() {
+				continue
+			}
+			// What its permit says of the lease is the carrier's to read by now, and is left as it is.
+			strictly := e.allows(c, a, next.lapsed, next.attempts[1])
+			goes := strictly || !next.isLapsed && a.Permit.needs && e.allows(c, a, next.now, next.attempts[0])
+			if !goes && a.Permit.Revoke() {
 				a.stop()
 				e.Later(func() { a.End(End{Result: marlreel.Moot}) })
 			}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -63,8 +63,7 @@
 	stop  chan struct{}
 	wg    sync.WaitGroup
 	mu    sync.Mutex
-	gone  map[string]Member
-	since map[string]time.Time
+	known map[string]Member // by name, as the library has told: its own records change under its lock
 	out   map[string]chan []byte
 	said  map[string]bool
 	taken bool
@@ -88,10 +87,10 @@
 	if err != nil {
 		return nil, &ListenError{cfg.Listen, err}
 	}
-	p := &Peers{cfg: cfg, via: via, stop: make(chan struct{}), gone: map[string]Member{}, since: map[string]time.Time{}, out: map[string]chan []byte{}, said: map[string]bool{}}
+	p := &Peers{cfg: cfg, via: via, stop: make(chan struct{}), known: map[string]Member{}, out: map[string]chan []byte{}, said: map[string]bool{}}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.SecretKey, c.Label = cfg.Name, via, cfg.Key, cfg.Fleet
-	c.Delegate, c.Events, c.Conflict, c.Alive = delegate{p}, delegate{p}, delegate{p}, delegate{p}
+	c.Delegate, c.Events, c.Conflict, c.Alive, c.Ping = delegate{p}, delegate{p}, delegate{p}, delegate{p}, delegate{p}
 	c.LogOutput = lines(p.hear)
 	c.TCPTimeout, c.PushPullInterval, c.GossipInterval, c.GossipNodes = 3*time.Second, 30*time.Second, 250*time.Millisecond, 3
 	c.DeadNodeReclaimTime = time.Second // a proxy that comes back elsewhere is the same one
@@ -109,8 +108,8 @@
 	for {
 		var missing []string
 		known := map[string]bool{p.cfg.Name: true}
-		for _, n := range p.list.Members() {
-			known[n.Name] = true
+		for _, m := range p.Members() {
+			known[m.Name] = known[m.Name] || m.State != gone
 		}
 		for _, x := range p.cfg.Peers {
 			if !known[x.Name] {
@@ -170,6 +169,10 @@
 	if i := strings.Index(line, "from="); i >= 0 {
 		from, _, _ = net.SplitHostPort(strings.TrimSpace(line[i+len("from="):]))
 	}
+	if _, rest, found := strings.Cut(line, "memberlist: Suspect "); found {
+		name, _, _ := strings.Cut(rest, " has failed")
+		p.change(name, alive, suspect)
+	}
 	switch {
 	case strings.Contains(l, "decrypt"), strings.Contains(l, "no installed keys"), strings.Contains(l, "encryption"):
 		p.refuse("key "+from, &KeyError{"a peer speaks with another key: " + from})
@@ -182,11 +185,13 @@
 func (p *Peers) Send(to string, data []byte) {
 	addr, known := p.via.table[to]
 	if !known {
-		for _, n := range p.list.Members() {
-			if n.Name == to {
-				addr, known = n.Address(), true
-			}
+		p.mu.Lock()
+		var m Member
+		if m, known = p.known[to]; m.State == gone {
+			known = false
 		}
+		addr = m.Address
+		p.mu.Unlock()
 	}
 	if !known {
 		return
@@ -241,33 +246,53 @@
 	}
 }
 
+// The states of a member.
+const (
+	alive   = "alive"
+	suspect = "suspect" // this proxy's own probes get no answer
+	gone    = "gone"
+)
+
+const mostKnown = 2048
+
 // Members are all that are known, by name, this one among them.
 func (p *Peers) Members() []Member {
-	var all []Member
-	// Danger: the library tells of who joins and leaves with its own lock held. Asking it under ours, each would wait
-	// for the other for good.
-	nodes := p.list.Members()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.gone {
+	all := make([]Member, 0, len(p.known))
+	for _, m := range p.known {
 		all = append(all, m)
 	}
-	for _, n := range nodes {
-		state := "alive"
-		if n.State == memberlist.StateSuspect {
-			state = "suspect"
-		}
-		all = append(all, p.member(n, state))
-	}
 	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
-// member is a node; the caller has the lock.
-func (p *Peers) member(n *memberlist.Node, state string) Member {
+// note takes what the library tells of a node, which it does with its lock held: our own is never held while it is
+// asked, or each would wait for the other for good.
+func (p *Peers) note(n *memberlist.Node, state string) {
 	var m meta
 	json.Unmarshal(n.Meta, &m)
-	return Member{Name: n.Name, Address: n.Address(), State: state, Boot: m.Boot, Started: time.UnixMilli(m.Started), Since: p.since[n.Name]}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	was, there := p.known[n.Name]
+	if !there && len(p.known) >= mostKnown {
+		return
+	}
+	since := was.Since
+	if was.State != state {
+		since = time.Now()
+	}
+	p.known[n.Name] = Member{Name: n.Name, Address: n.Address(), State: state, Boot: m.Boot, Started: time.UnixMilli(m.Started), Since: since}
+}
+
+// change moves a member from one state to another.
+func (p *Peers) change(name, from, to string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m, there := p.known[name]; there && m.State == from {
+		m.State, m.Since = to, time.Now()
+		p.known[name] = m
+	}
 }
 
 // Sent is how many bytes have gone out.
@@ -312,23 +337,16 @@
 func (d delegate) LocalState(bool) []byte          { return nil }
 func (d delegate) MergeRemoteState([]byte, bool)   {}
 
-func (d delegate) NotifyJoin(n *memberlist.Node) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.gone, n.Name)
-	d.since[n.Name] = time.Now()
-}
+func (d delegate) NotifyJoin(n *memberlist.Node)   { d.note(n, alive) }
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.note(n, alive) }
+func (d delegate) NotifyLeave(n *memberlist.Node)  { d.note(n, gone) }
 
-func (d delegate) NotifyLeave(n *memberlist.Node) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.since[n.Name] = time.Now()
-	if len(d.gone) < 1024 {
-		d.gone[n.Name] = d.member(n, "gone")
-	}
-}
+func (delegate) AckPayload() []byte { return nil }
 
-func (d delegate) NotifyUpdate(*memberlist.Node) {}
+// NotifyPingComplete tells of an answer to a probe.
+func (d delegate) NotifyPingComplete(n *memberlist.Node, _ time.Duration, _ []byte) {
+	d.change(n.Name, suspect, alive)
+}
 
 // NotifyAlive keeps other fleets' proxies out.
 func (d delegate) NotifyAlive(n *memberlist.Node) error {
--- a/internal/fleettest/audit.go
+++ b/internal/fleettest/audit.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"marlreel/internal/standin"
@@ -239,6 +240,13 @@
 			broke("%s %s of %s, sent at %.3f s, on a new connection %v: no answer in time (%d after %.3f s)", a.Class, a.ID, p.Name, a.Sent.Seconds(), a.Fresh, a.Status, (a.Ended - a.Sent).Seconds())
 		}
 	}
+	for _, p := range f.Proxies {
+		for _, word := range []string{"panic:", "DATA RACE"} {
+			if log := p.Log(); strings.Contains(log, word) {
+				broke("%s: %s in its log:\n%s", p.Name, word, log)
+			}
+		}
+	}
 	if f.Keepers > 0 && !f.filed { // what a file's proposal was answered, nobody wrote down
 		if err := f.Linearizable(); err != nil {
 			broke("%v", err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -239,9 +239,10 @@
 		watching, stopWatching := context.WithCancel(context.Background())
 		defer stopWatching()
 		go meeting.Receive(watching, p.adopt, p.tell(cfg.Name), logs.Event(logger, "rendezvous"))
+		limits := cfg // those of the start: what a reload brings of them counts at the next one
 		go meeting.Watch(watching, func(s handover.Share, others []handover.Peer) {
 			logger.Info(fmt.Sprintf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Part, s.Of), "event", "processes")
-			p.engine.Post(func() { p.setShare(cfg, s) })
+			p.engine.Post(func() { p.setShare(limits, s) })
 		}, logs.Event(logger, "rendezvous"))
 	}
 	if p.door != nil && in.control != nil {
@@ -315,10 +316,11 @@
 		meeting.Tell(handover.Leaving)
 		time.AfterFunc(handOnAfter, func() { p.handOn(meeting, logger) })
 	}
+	last := cfg
 	if p.member != nil {
-		cfg = p.member.longest(cfg)
+		last = p.member.longest(cfg)
 	}
-	return p.drain(cfg, in)
+	return p.drain(last, in)
 }
 
 // lastSave is how long the last writing of what was learnt may take, at a stop.
--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -54,6 +54,10 @@
 			m.links[[2]int{i, j}] = l
 		}
 	}
+	for _, l := range m.links { // each looks for its way back among the others
+		go l.streams()
+		go l.datagrams()
+	}
 	return m, nil
 }
 
@@ -85,8 +89,6 @@
 		l.tcp.Close()
 		return nil, err
 	}
-	go l.streams()
-	go l.datagrams()
 	return l, nil
 }
 
