Grant no lease to who counts it by another time; log a refusal before it is counted

Need: a proxy whose agree-within differs counts its lease by that, and would outlive what is decided.

Change: a renewal names its agree-within; the keeper that leads grants nothing where it is another, and says so once. At SIGHUP the line is written before the figure rises.

Measured: TestAnotherWithinGetsNoLease; the tests of reloads pass.

--- a/internal/fleet/agree/disk_test.go
+++ b/internal/fleet/agree/disk_test.go
@@ -140,6 +140,25 @@
 	}
 }
 
+// Who counts its leases by another time than the keepers gets none.
+func TestAnotherWithinGetsNoLease(t *testing.T) {
+	s := newSim(5, 5, 3)
+	odd := s.procs[4]
+	odd.cfg.Within = 4 * within
+	odd.dead = true
+	s.run(time.Second)
+	odd.start()
+	for range 200 {
+		s.run(s.now + 100*time.Millisecond)
+		if odd.member.Valid(odd.clock()) {
+			t.Fatal("it has a lease")
+		}
+	}
+	if !s.procs[3].member.Valid(s.procs[3].clock()) || s.broken != "" {
+		t.Error("and the others have none", s.broken)
+	}
+}
+
 // All keepers are gone for ten minutes. Nobody goes by a lease meanwhile; when they are back, all agree again.
 func TestKeepersGoneForTenMinutes(t *testing.T) {
 	s := newSim(3, 30, 3)
--- a/internal/fleet/agree/keeper.go
+++ b/internal/fleet/agree/keeper.go
@@ -86,7 +86,7 @@
 	marks map[uint64]mark   // how far they have been seen
 	heard map[string]Known  // answers to this phase's Hello
 	seen  map[string]Hello  // of keepers with an empty disk
-	wants string            // a founding text that waits for the keepers to be complete
+	apart map[string]bool   // who was told that its agree-within differs
 
 	leads     bool
 	office    time.Duration // since when
@@ -142,6 +142,7 @@
 		state: &State{Floors: map[string]Floor{}}, names: map[uint64]string{}, lives: map[uint64]Lived{}, marks: map[uint64]mark{},
 		heard: map[string]Known{}, seen: map[string]Hello{}, reads: map[uint64][]renewal{}, holders: map[uint64]holder{}, pending: map[string]pending{}}
 	maps.Copy(k.lives, saved.Lives)
+	k.apart = map[string]bool{}
 	if saved.Snapshot == nil && len(saved.Entries) == 0 && saved.Hard == nil {
 		return k, nil
 	}
@@ -370,7 +371,7 @@
 	k.say("keeper-disk-old", "keeper %s: %s: it is no keeper any more, until 'marlreelctl fleet keepers add %s'", k.cfg.Name, why, k.cfg.Name)
 	id := k.rng.Uint64()>>12 | 1
 	*k = Keeper{cfg: k.cfg, id: id, life: 1, now: k.now, rng: k.rng, acts: k.acts, ticks: k.ticks, state: &State{Floors: map[string]Floor{}}, names: map[uint64]string{},
-		lives: k.lives, marks: k.marks, heard: map[string]Known{}, seen: map[string]Hello{}, reads: map[uint64][]renewal{}, holders: map[uint64]holder{}, pending: map[string]pending{}}
+		lives: k.lives, marks: k.marks, heard: map[string]Known{}, seen: map[string]Hello{}, reads: map[uint64][]renewal{}, holders: map[uint64]holder{}, pending: map[string]pending{}, apart: map[string]bool{}}
 	k.do(Save{Reset: true, ID: id, Life: 1})
 }
 
--- a/internal/fleet/agree/leader.go
+++ b/internal/fleet/agree/leader.go
@@ -31,6 +31,15 @@
 		k.send(from, Message{Grant: &Grant{N: r.N, Boot: r.Boot, Leader: leader}})
 		return
 	}
+	if r.Within != k.cfg.Within {
+		// Danger: a lease that its holder counts longer than this one does outlives what is decided on it.
+		if !k.apart[from] && len(k.apart) < 512 {
+			k.apart[from] = true
+			k.say("fleet-within-differs", "%s has agree-within = %v, and this keeper %v: it gets no lease, until they are the same", from, r.Within, k.cfg.Within)
+		}
+		k.send(from, Message{Grant: &Grant{N: r.N, Boot: r.Boot}})
+		return
+	}
 	if len(k.renewals) < mostPending {
 		k.renewals = append(k.renewals, renewal{from: from, renew: r})
 	}
--- a/internal/fleet/agree/member.go
+++ b/internal/fleet/agree/member.go
@@ -119,7 +119,7 @@
 			delete(m.grants, n)
 		}
 	}
-	return []Action{Send{to, Message{Renew: &Renew{N: m.n, Boot: m.cfg.Boot, Born: m.view.Born, Have: m.view.Seq, Held: m.held, List: m.lists}}}}
+	return []Action{Send{to, Message{Renew: &Renew{N: m.n, Boot: m.cfg.Boot, Born: m.view.Born, Have: m.view.Seq, Held: m.held, List: m.lists, Within: m.cfg.Within}}}}
 }
 
 // Target is whom to ask: who leads, else the keepers in turn.
--- a/internal/fleet/agree/message.go
+++ b/internal/fleet/agree/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 )
 
 // Form is the form of messages. One of another form is not read.
@@ -46,6 +47,8 @@
 	Have uint64 `json:"have"` // the state that it has heard
 	Held uint64 `json:"held"` // the state that it goes by
 	List Lists  `json:"list"`
+	// Within is the asker's agree-within: whoever counts its lease by another gets none.
+	Within time.Duration `json:"within"`
 }
 
 // Lists is which list a member goes by.
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -77,27 +77,26 @@
 			return cfg, own
 		}
 	}
-	agreed := err == nil && p.member != nil
-	if agreed { // the settings are the fleet's to decide
-		go p.member.propose(next.Config, logger, func(taken bool) {
-			if p.counts != nil {
-				p.counts.Settings(taken)
-			}
-		})
-	} else if p.counts != nil {
-		p.counts.Settings(err == nil)
+	// The line comes before the figure: whoever waits for the figure finds the line.
+	taken := func(yes bool) {
+		if p.counts != nil {
+			p.counts.Settings(yes)
+		}
 	}
 	if err != nil {
 		logger.Warn("not reloaded: "+err.Error(), "event", "settings-refused", "do", advice.Of(err))
+		taken(false)
 		return cfg, own
 	}
-	if agreed {
+	if p.member != nil { // the settings are the fleet's to decide
 		logger.Info("reloaded: the settings are put to the fleet", "event", "settings-proposed")
+		go p.member.propose(next.Config, logger, taken)
 		if next.Own == nil {
 			return next.Config, own
 		}
 		return next.Config, next.Own
 	}
+	taken(true)
 	logger.Info(fmt.Sprintf("reloaded: %d classes, %d attempts", len(next.Config.Settings.Classes), next.Config.Settings.Caps.MaxAttempts), "event", "settings-taken")
 	if next.Own == nil {
 		return next.Config, own
