--- a/config.go
+++ b/config.go
@@ -70,7 +70,7 @@
 	for _, c := range b.cfg.Classes {
 		aim = min(aim, c.Aim)
 	}
-	b.slow.Set(slowstart.Config{Multiple: o.FallMultiple, Start: o.StartCapacity, Fall: o.Fall, Aim: aim, Part: coldPart})
+	b.slow.Set(slowstart.Config{Multiple: o.FallMultiple, Fall: o.Fall, Aim: aim, Part: coldPart})
 }
 
 // interval is the time between two probes of a backend in doubt.
--- a/internal/fleet/agree/keeper.go
+++ b/internal/fleet/agree/keeper.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -122,12 +121,11 @@
 }
 
 type pending struct {
-	from    string
-	change  Change
-	at      int // tick
-	checks  map[string]bool
-	sent    bool
-	refused bool
+	from   string
+	change Change
+	at     int // tick
+	checks map[string]bool
+	sent   bool
 }
 
 type seatAsk struct {
@@ -707,8 +705,6 @@
 	return all
 }
 
-func changeID(kind string, n uint64) string { return kind + "-" + strconv.FormatUint(n, 36) }
-
 // DiskError is a keeper's disk that can't be gone on with.
 type DiskError struct{ Reason string }
 
--- a/internal/fleet/agree/member.go
+++ b/internal/fleet/agree/member.go
@@ -45,8 +45,7 @@
 	born   uint64 // and which fleet's
 	until  time.Duration
 	lists  Lists
-	asked  time.Duration // when the renewal that is out was first sent
-	n      uint64        // its number
+	n      uint64 // its number
 	out    bool
 	sentAt time.Duration
 	next   time.Duration // when to renew
--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -77,7 +77,6 @@
 	member *Member
 	keeper *Keeper
 	disk   Saved
-	synced Saved
 	view   *State
 	held   *State
 	dead   bool
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -17,7 +17,6 @@
 	keptVersions = 64       // versions that are known by number, name and hash
 	mostEnds     = 5000     // drains and ends
 	mostSources  = 8
-	mostName     = 128
 )
 
 // Version is one version of the settings.
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -185,7 +185,6 @@
 	mu           sync.Mutex
 	away         []Span // when it was stopped or dead
 	deaths       []time.Duration
-	stoppedAt    time.Duration
 	Starts       int
 	held         *os.File // the clients' listener; nil: each process opens it
 }
--- a/internal/judge/slowstart/slowstart.go
+++ b/internal/judge/slowstart/slowstart.go
@@ -8,7 +8,6 @@
 // Config is what the settings say of backends that start.
 type Config struct {
 	Multiple float64       // of its capacity, beyond which a cold backend falls over
-	Start    float64       // share of its capacity that it has at least
 	Fall     time.Duration // for so long
 	Aim      time.Duration // the shortest of all classes
 	Part     float64       // of what would make it fall, that is used
--- a/internal/judge/slowstart/slowstart_test.go
+++ b/internal/judge/slowstart/slowstart_test.go
@@ -26,7 +26,7 @@
 		}
 		mc := machine.Config{Cores: cores, Speed: speed, Slots: 40, Queue: 10, Cold: machine.Cold{From: 0.32, For: 9 * time.Second, Multiple: 2.5, Over: 3 * time.Second}}
 		m := machine.New(mc, 0, false)
-		cfg := Config{Multiple: 2.5, Start: 0.32, Fall: 3 * time.Second, Aim: aim, Part: 0.8}
+		cfg := Config{Multiple: 2.5, Fall: 3 * time.Second, Aim: aim, Part: 0.8}
 		models, tokens := make([]Model, proxies), make([]float64, proxies)
 		for i := range models {
 			models[i].Set(cfg)
@@ -86,7 +86,7 @@
 func TestFactor(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var m Model
-		m.Set(Config{Multiple: 2.5, Start: 0.3, Fall: 3 * time.Second, Aim: 400 * time.Millisecond, Part: 0.8})
+		m.Set(Config{Multiple: 2.5, Fall: 3 * time.Second, Aim: 400 * time.Millisecond, Part: 0.8})
 		now, steps := time.Duration(0), 1.0
 		for range rapid.IntRange(1, 200).Draw(t, "n") {
 			d := time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -278,7 +278,6 @@
 type trace struct {
 	file   *os.File
 	member *member
-	buf    []byte
 }
 
 func openTrace(path string, m *member) (*trace, error) {
