--- a/api.go
+++ b/api.go
@@ -59,6 +59,7 @@
 	LateShare  float64       // share of the worth that a late answer earns
 	Stream     bool          // the answer begins with FirstByte
 	Value      float64       // worth of a request
+	Once       bool          // what may have run is not sent again, whatever its effect
 }
 
 // Tenant is a customer with a share of the service.
--- a/attempts.go
+++ b/attempts.go
@@ -33,10 +33,10 @@
 	}
 	first := time.Duration(-1)
 	for _, a := range r.attempts {
-		if !a.mayRun || c.Effect == Safe {
+		if !a.mayRun || c.Effect == Safe && !c.Once {
 			continue
 		}
-		if c.Effect == Unsafe || c.Group == GroupZone && a.zone != t.Zone ||
+		if c.Effect == Unsafe || c.Once || c.Group == GroupZone && a.zone != t.Zone ||
 			c.Group == GroupCell && a.cell != t.Cell {
 			return false
 		}
--- /dev/null
+++ b/internal/fleet/agree/sim_test.go
@@ -0,0 +1,538 @@
+package agree
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+)
+
+const within = 5 * time.Second
+
+// sim is a fleet in simulated time: real machines of this package, clocks that go wrong, links and disks that fail.
+type sim struct {
+	now    time.Duration
+	rng    *rand.Rand
+	queue  events
+	lastN  int
+	procs  []*proc
+	byName map[string]*proc
+	cut    map[[2]int]bool
+	lose   float64
+	twice  float64
+	slow   time.Duration
+
+	decided  []time.Duration // by place in seqs: when each state was first applied anywhere
+	seqs     []uint64
+	states   map[uint64]string // by Seq: all keepers' have to be the same
+	longest  time.Duration     // that anybody went by a state after another had been decided
+	inUse    int               // the most versions in use at once
+	broken   string
+	proposed int
+	results  []Result
+	wholes   int // renewals that carried a state
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.lastN++
+	heap.Push(&s.queue, event{s.now + d, s.lastN, do})
+}
+
+// proc is a proxy: a process at a time, a disk over all of them.
+type proc struct {
+	s      *sim
+	i      int
+	name   string
+	cfg    Config
+	rate   float64
+	offset time.Duration
+	member *Member
+	keeper *Keeper
+	disk   Saved
+	synced Saved
+	view   *State
+	held   *State
+	dead   bool
+	frozen bool
+	life   int
+	inbox  []func()
+	full   bool
+}
+
+func (p *proc) clock() time.Duration {
+	return p.offset + time.Duration(float64(p.s.now)*p.rate)
+}
+
+func newSim(seed uint64, proxies, keepers int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*proc{}, cut: map[[2]int]bool{}, states: map[uint64]string{}}
+	var names []string
+	for i := range keepers {
+		names = append(names, fmt.Sprintf("n%d", i))
+	}
+	for i := range proxies {
+		p := &proc{s: s, i: i, name: fmt.Sprintf("n%d", i), rate: 1 - Drift + 2*Drift*s.rng.Float64(), offset: time.Duration(s.rng.Int64N(int64(time.Hour)))}
+		p.cfg = Config{Name: p.name, Keepers: names, Within: within, Seed: s.rng.Uint64()}
+		if i < keepers {
+			p.disk = Saved{ID: s.rng.Uint64() >> 12}
+		}
+		s.procs, s.byName[p.name] = append(s.procs, p), p
+		p.start()
+	}
+	s.sample()
+	return s
+}
+
+// start begins a process out of what its disk holds.
+func (p *proc) start() {
+	p.dead, p.frozen, p.inbox, p.held = false, false, nil, nil
+	p.life++
+	p.cfg.Boot = p.s.rng.Uint64() | 1
+	p.member = NewMember(p.cfg, p.view)
+	p.keeper = nil
+	if p.disk.ID != 0 {
+		p.disk.Life++
+		var err error
+		if p.keeper, err = NewKeeper(p.cfg, p.clock(), p.disk); err != nil {
+			p.s.fail("%s: %v", p.name, err)
+		}
+	}
+	p.s.after(time.Duration(p.s.rng.Int64N(int64(p.cfg.Tick()))), func() { p.tick(p.life) })
+}
+
+func (p *proc) tick(life int) {
+	if p.dead || p.life != life {
+		return
+	}
+	p.s.after(time.Duration(float64(p.cfg.Tick())/p.rate), func() { p.tick(life) })
+	if p.frozen {
+		return
+	}
+	if p.keeper != nil {
+		p.carry(p.keeper.Tick(p.clock()))
+	}
+	if p.keeper != nil && p.keeper.Leads() && p.keeper.Complete() {
+		if _, some := p.keeper.View().Newest(); !some {
+			p.carry(p.keeper.Receive(p.clock(), p.name, Message{Propose: &Change{Kind: "propose", ID: "first", Text: `{"v":0}`, By: p.name}}))
+		}
+	}
+	p.carry(p.member.Tick(p.clock()))
+}
+
+// carry does what a machine wants.
+func (p *proc) carry(acts []Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Send:
+			p.s.send(p, a)
+		case Save:
+			if p.full {
+				p.keeper = nil // nothing of it may be sent
+				return
+			}
+			p.save(a)
+		case Adopt:
+			p.view = a.State
+			life := p.life
+			p.s.after(time.Duration(p.s.rng.Int64N(int64(30*time.Millisecond))), func() {
+				if p.life == life && !p.dead {
+					p.do(func() {
+						if p.held == nil || p.held.Seq < a.State.Seq || p.held.Born != a.State.Born {
+							p.held = a.State
+							p.member.InForce(p.clock(), a.State)
+							p.s.look()
+						}
+					})
+				}
+			})
+		}
+	}
+	if p.keeper != nil {
+		p.s.applied(p.keeper.View())
+	}
+}
+
+func (p *proc) save(a Save) {
+	d := &p.disk
+	if a.Reset {
+		*d = Saved{ID: a.ID, Life: a.Life}
+		return
+	}
+	if a.Hard != nil {
+		d.Hard = proto.Clone(a.Hard).(*pb.HardState)
+	}
+	if a.Snapshot != nil {
+		d.Snapshot, d.Entries = a.Snapshot, nil
+	}
+	if len(a.Entries) > 0 {
+		first := a.Entries[0].GetIndex()
+		keep := 0
+		for keep < len(d.Entries) && d.Entries[keep].GetIndex() < first {
+			keep++
+		}
+		d.Entries = append(slices.Clone(d.Entries[:keep]), a.Entries...)
+	}
+	for id, life := range a.Lives {
+		lives := map[uint64]uint64{id: life}
+		for k, v := range d.Lives {
+			if k != id {
+				lives[k] = v
+			}
+		}
+		d.Lives = lives
+	}
+}
+
+// do runs an event in the process, now or when it is no longer stopped.
+func (p *proc) do(what func()) {
+	if p.frozen {
+		if len(p.inbox) < 2000 {
+			p.inbox = append(p.inbox, what)
+		}
+		return
+	}
+	what()
+}
+
+func (s *sim) send(from *proc, a Send) {
+	to := s.byName[a.To]
+	if to == nil {
+		return
+	}
+	times := 1
+	if to != from {
+		switch {
+		case s.cut[[2]int{from.i, to.i}] || s.rng.Float64() < s.lose:
+			return
+		case s.rng.Float64() < s.twice:
+			times = 2
+		}
+	}
+	if a.Msg.Grant != nil && a.Msg.Grant.State != nil {
+		s.wholes++
+	}
+	for range times {
+		delay := time.Duration(s.rng.Int64N(int64(8*time.Millisecond))) + time.Millisecond
+		if s.slow > 0 && to != from {
+			delay += time.Duration(s.rng.Int64N(int64(s.slow)))
+		}
+		s.after(delay, func() {
+			if to.dead {
+				return
+			}
+			life := to.life
+			to.do(func() {
+				if to.life != life || to.dead {
+					return
+				}
+				if a.Msg.Result != nil {
+					s.results = append(s.results, *a.Msg.Result)
+				}
+				if to.keeper != nil {
+					to.carry(to.keeper.Receive(to.clock(), from.name, a.Msg))
+				} else if h := a.Msg.Hello; h != nil {
+					s.send(to, Send{from.name, Message{Known: &Known{To: h.ID, Life: h.Life}}})
+				}
+				to.carry(to.member.Receive(to.clock(), from.name, a.Msg))
+			})
+		})
+	}
+}
+
+// applied holds what a keeper has decided against what the others have.
+func (s *sim) applied(v *State) {
+	if v.Seq == 0 {
+		return
+	}
+	was, known := s.states[v.Seq]
+	if known && len(was) > 0 && was[0] == '*' {
+		return
+	}
+	if known {
+		text := fmt.Sprint(v.Born, v.Open, len(v.Versions), len(v.Ends), v.Keepers, lastHash(v))
+		if was != text {
+			s.fail("two states are number %d: %s and %s", v.Seq, was, text)
+		}
+		return
+	}
+	s.states[v.Seq] = fmt.Sprint(v.Born, v.Open, len(v.Versions), len(v.Ends), v.Keepers, lastHash(v))
+	if n := len(s.seqs); n == 0 || v.Seq > s.seqs[n-1] {
+		s.seqs, s.decided = append(s.seqs, v.Seq), append(s.decided, s.now)
+	}
+}
+
+func lastHash(v *State) string {
+	n, _ := v.Newest()
+	return n.Hash
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.broken == "" {
+		s.broken = fmt.Sprintf("at %v: ", s.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// look is the audit: what would each process do if a request came now?
+func (s *sim) look() {
+	least, most := ^uint64(0), uint64(0)
+	used := map[uint64]bool{}
+	for _, p := range s.procs {
+		if p.dead || p.frozen || p.held == nil || !p.member.Valid(p.clock()) {
+			continue
+		}
+		// When was what it goes by replaced?
+		if i, _ := slices.BinarySearch(s.seqs, p.held.Seq+1); i < len(s.seqs) {
+			if late := s.now - s.decided[i]; late > s.longest {
+				if s.longest = late; late > within {
+					s.fail("%s goes by state %d, and %d was decided %v ago", p.name, p.held.Seq, s.seqs[i], late)
+				}
+			}
+		}
+		n, some := p.held.Newest()
+		if !some {
+			continue
+		}
+		least, most = min(least, n.Number), max(most, p.held.Open)
+		used[n.Number], used[p.held.Open] = true, true
+	}
+	if most > least {
+		s.fail("one goes by version %d whole, and another has not heard of it", most)
+	}
+	if s.inUse = max(s.inUse, len(used)); len(used) > 2 {
+		s.fail("%d versions are in use", len(used))
+	}
+}
+
+func (s *sim) sample() {
+	s.look()
+	s.after(20*time.Millisecond, s.sample)
+}
+
+func (s *sim) run(until time.Duration) {
+	for s.broken == "" && len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+// fault is one thing that goes wrong, or that an operator does.
+type fault struct {
+	At   int // tenths of a second
+	Kind string
+	A, B int
+	For  int // tenths
+}
+
+var kinds = []string{"propose", "propose", "propose", "drain", "stop", "kill", "restart", "empty", "older", "split", "one-way", "no-keepers", "weather", "full", "leader", "replace"}
+
+func (s *sim) play(f fault) {
+	p, q := s.procs[f.A%len(s.procs)], s.procs[f.B%len(s.procs)]
+	keepers := len(p.cfg.Keepers)
+	d := time.Duration(f.For) * 100 * time.Millisecond
+	switch f.Kind {
+	case "propose":
+		s.proposed++
+		c := Change{Kind: "propose", ID: fmt.Sprint("p", s.proposed), Base: p.member.View().latest(), Text: fmt.Sprintf(`{"v":%d}`, s.proposed%7), By: p.name}
+		if p.alive() && p.member.Target() != "" {
+			s.send(p, Send{p.member.Target(), Message{Propose: &c}})
+		}
+	case "drain":
+		c := Change{Kind: "told", Source: "platform", Floor: Floor{Revision: int64(f.At)}, Ends: []End{{Source: "platform", Name: fmt.Sprint("s-", f.B), Revision: int64(f.At)}}}
+		if p.alive() && p.member.Target() != "" {
+			s.send(p, Send{p.member.Target(), Message{Propose: &c}})
+		}
+	case "stop", "leader":
+		if f.Kind == "leader" {
+			for _, x := range s.procs {
+				if x.keeper != nil && x.keeper.Leads() {
+					p = x
+				}
+			}
+		}
+		p.frozen = true
+		life := p.life
+		s.after(d, func() {
+			if p.life == life && !p.dead {
+				p.frozen = false
+				s.look() // before it has taken one message in
+				inbox := p.inbox
+				p.inbox = nil
+				for _, e := range inbox {
+					p.do(e)
+				}
+			}
+		})
+	case "kill", "restart", "empty", "older":
+		if f.Kind == "empty" || f.Kind == "older" {
+			p = s.procs[f.A%keepers]
+		}
+		copied := p.disk
+		then := func() {
+			if p.dead {
+				return
+			}
+			p.dead = true
+			if f.Kind == "empty" && p.disk.ID != 0 {
+				p.disk, p.view = Saved{ID: s.rng.Uint64() >> 12}, nil
+			}
+			if f.Kind == "older" {
+				p.disk = copied
+			}
+			s.after(d, func() {
+				if p.dead {
+					p.start()
+				}
+			})
+		}
+		if f.Kind == "older" { // a copy is made now, and put in its place later
+			s.after(d, then)
+		} else {
+			then()
+		}
+	case "split", "one-way":
+		for _, x := range s.procs {
+			for _, y := range s.procs {
+				if (x.i+f.A)%3 == 0 && (y.i+f.A)%3 != 0 {
+					s.cut[[2]int{x.i, y.i}] = true
+					if f.Kind == "split" {
+						s.cut[[2]int{y.i, x.i}] = true
+					}
+				}
+			}
+		}
+		s.after(d, func() { s.cut = map[[2]int]bool{} })
+	case "no-keepers":
+		for _, x := range s.procs[:keepers] {
+			x.dead = true
+			s.after(d+time.Duration(x.i*f.B%20)*100*time.Millisecond, func() {
+				if x.dead {
+					x.start()
+				}
+			})
+		}
+	case "weather":
+		s.lose, s.twice, s.slow = 0.2, 0.2, 300*time.Millisecond
+		s.after(d, func() { s.lose, s.twice, s.slow = 0, 0, 0 })
+	case "full":
+		p = s.procs[f.A%keepers]
+		p.full = true
+		s.after(d, func() {
+			p.full = false
+			if !p.dead && p.keeper == nil { // the host begins the keeper anew
+				p.disk.Life++
+				p.keeper, _ = NewKeeper(p.cfg, p.clock(), p.disk)
+			}
+		})
+	case "replace":
+		if p.alive() && p.member.Target() != "" {
+			s.send(p, Send{p.member.Target(), Message{Seat: &SeatAsk{ID: fmt.Sprint("seat", f.At, f.B), Name: q.cfg.Keepers[f.B%keepers], Add: f.B%4 != 0}}})
+		}
+	}
+}
+
+func (p *proc) alive() bool { return !p.dead && !p.frozen }
+
+func (s *State) latest() uint64 {
+	n, _ := s.Newest()
+	return n.Number
+}
+
+// checks is how many histories are played: more where MARLREEL_HISTORIES says so.
+func histories(few int) int {
+	n := few
+	fmt.Sscan(os.Getenv("MARLREEL_HISTORIES"), &n)
+	return n
+}
+
+// No proxy goes by a state for longer than Within after another was decided, no two go by versions that are not
+// neighbours, none goes by a version whole while another has not heard of it, and all keepers decide the same:
+// over histories of stops, kills, disks, splits and weather, with clocks that go wrong by 5%.
+func TestBound(t *testing.T) {
+	longest, most, faults, decided := time.Duration(0), 0, 0, 0
+	play := func(t *rapid.T) {
+		sizes := []int{3, 5, 5, 7, 9, 9, 12, 16, 30}
+		proxies := rapid.SampledFrom(sizes).Draw(t, "proxies")
+		seed := rapid.Uint64().Draw(t, "seed")
+		if seed%40 == 0 {
+			proxies = 300
+		}
+		keepers := 3
+		if proxies >= 5 && seed%3 == 0 {
+			keepers = 5
+		}
+		history := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+			return fault{rapid.IntRange(20, 300).Draw(t, "at"), rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.IntRange(0, 40).Draw(t, "a"), rapid.IntRange(0, 40).Draw(t, "b"),
+				rapid.IntRange(1, 120).Draw(t, "for")}
+		}), 0, 14).Draw(t, "history")
+		s := newSim(seed, proxies, keepers)
+		for _, f := range history {
+			s.after(time.Duration(f.At)*100*time.Millisecond, func() { s.play(f) })
+		}
+		s.run(40 * time.Second)
+		longest, most, faults, decided = max(longest, s.longest), max(most, s.inUse), faults+len(history), decided+len(s.seqs)
+		if s.broken != "" {
+			t.Fatal(s.broken)
+		}
+	}
+	n := histories(60)
+	rapid.Check(t, func(t *rapid.T) {
+		if n--; n >= 0 {
+			play(t)
+		}
+	})
+	for n > 0 { // more than the library's own number
+		rapid.Check(t, func(t *rapid.T) {
+			if n--; n >= 0 {
+				play(t)
+			}
+		})
+	}
+	t.Logf("%d faults, %d states decided, at most %.2f s of %v, %d versions in use", faults, decided, longest.Seconds(), within, most)
+	if decided == 0 || most < 2 {
+		t.Error("nothing was decided: the histories show nothing")
+	}
+}
+
+// What a message holds comes through its bytes.
+func TestMessagesComeThrough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Message{Renew: &Renew{N: rapid.Uint64().Draw(t, "n"), Boot: rapid.Uint64().Draw(t, "boot"), List: Lists{Source: "platform", Revision: rapid.Int64().Draw(t, "rev")}},
+			Raft: rapid.SliceOf(rapid.Byte()).Draw(t, "raft")}
+		got, err := Decode(Encode(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Form = Form
+		a, _ := json.Marshal(m)
+		b, _ := json.Marshal(got)
+		if string(a) != string(b) {
+			t.Fatalf("%s became %s", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleettest/link.go
@@ -0,0 +1,249 @@
+package fleettest
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"marlreel/internal/standin"
+)
+
+// Link is the way from one proxy to another: streams and datagrams that the first sends come to Addr and go on
+// from there. What goes wrong on it hits that direction alone; the other has a Link of its own.
+type Link struct {
+	Addr     string
+	from, to int
+	fleet    *Fleet
+	tcp      net.Listener
+	udp      net.PacketConn
+	mu       sync.Mutex
+	state    Weather
+	rng      *rand.Rand
+	conns    map[net.Conn]bool
+	Bytes    int64 // that went on
+}
+
+// Weather is what is wrong with a link.
+type Weather struct {
+	Cut    bool
+	Slow   time.Duration
+	Lose   float64 // of datagrams
+	Repeat float64
+}
+
+func newLink(f *Fleet, from, to int) (*Link, error) {
+	addr, err := standin.Address()
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{Addr: addr, from: from, to: to, fleet: f, conns: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(f.Seed, uint64(from*1000+to)))}
+	if l.tcp, err = net.Listen("tcp", addr); err != nil {
+		return nil, err
+	}
+	if l.udp, err = net.ListenPacket("udp", addr); err != nil {
+		l.tcp.Close()
+		return nil, err
+	}
+	go l.streams()
+	go l.datagrams()
+	return l, nil
+}
+
+func (l *Link) target() string { return l.fleet.Proxies[l.to].fleetAddr }
+
+// Set changes the weather from a proxy to another.
+func (f *Fleet) Set(from, to int, w Weather) {
+	l := f.links[[2]int{from, to}]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = w
+}
+
+// SetAll changes the weather both ways between every proxy of one side and every one of the other.
+func (f *Fleet) SetAll(some, others []int, w Weather) {
+	for _, i := range some {
+		for _, j := range others {
+			if i != j {
+				f.Set(i, j, w)
+				f.Set(j, i, w)
+			}
+		}
+	}
+}
+
+// Split cuts the fleet between sides: those of one reach no other's.
+func (f *Fleet) Split(sides ...[]int) {
+	f.Note("split %v", sides)
+	for a := range sides {
+		for b := a + 1; b < len(sides); b++ {
+			f.SetAll(sides[a], sides[b], Weather{Cut: true})
+		}
+	}
+}
+
+// Heal takes all weather away.
+func (f *Fleet) Heal() {
+	f.Note("healed")
+	for _, l := range f.links {
+		l.mu.Lock()
+		l.state = Weather{}
+		l.mu.Unlock()
+	}
+}
+
+func (l *Link) weather() Weather {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
+func (l *Link) datagrams() {
+	out, err := net.Dial("udp", l.target())
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	buf := make([]byte, 1<<16)
+	for {
+		n, _, err := l.udp.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		w, lost, again := l.state, l.rng.Float64(), l.rng.Float64()
+		if !w.Cut {
+			l.Bytes += int64(n)
+		}
+		l.mu.Unlock()
+		if w.Cut || lost < w.Lose {
+			continue
+		}
+		times := 1
+		if again < w.Repeat {
+			times = 2
+		}
+		for range times {
+			if w.Slow > 0 {
+				p := append([]byte(nil), buf[:n]...)
+				time.AfterFunc(w.Slow, func() { out.Write(p) })
+				continue
+			}
+			out.Write(buf[:n])
+		}
+	}
+}
+
+func (l *Link) streams() {
+	for {
+		c, err := l.tcp.Accept()
+		if err != nil {
+			return
+		}
+		go l.carry(c)
+	}
+}
+
+// carry takes a stream that the first proxy opened: its bytes go by this link's weather, the answer's by the other's.
+func (l *Link) carry(c net.Conn) {
+	defer c.Close()
+	if l.weather().Cut { // the SYN never comes through: whoever dialled waits
+		l.keep(c)
+		io.Copy(io.Discard, c)
+		l.drop(c)
+		return
+	}
+	out, err := net.DialTimeout("tcp", l.target(), 2*time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	l.keep(c)
+	defer l.drop(c)
+	back := l.fleet.links[[2]int{l.to, l.from}]
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		pass(out, c, back)
+		c.(*net.TCPConn).CloseWrite()
+	}()
+	pass(c, out, l)
+	out.(*net.TCPConn).CloseWrite()
+	<-done
+}
+
+// pass moves bytes from one to the other by a link's weather. What comes while it is cut is held for its end.
+func pass(from, to net.Conn, l *Link) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		w := l.weather()
+		for w.Cut {
+			time.Sleep(20 * time.Millisecond)
+			if w = l.weather(); l.closed() {
+				return
+			}
+		}
+		if w.Slow > 0 {
+			time.Sleep(w.Slow)
+		}
+		if n > 0 {
+			l.mu.Lock()
+			l.Bytes += int64(n)
+			l.mu.Unlock()
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *Link) keep(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		c.Close()
+		return
+	}
+	l.conns[c] = true
+}
+
+func (l *Link) drop(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+func (l *Link) closed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns == nil
+}
+
+func (l *Link) close() {
+	l.tcp.Close()
+	l.udp.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.Close()
+	}
+	l.conns = nil
+}
+
+// BytesOf is what all links have carried that begin at a proxy.
+func (f *Fleet) BytesOf(proxy int) int64 {
+	sum := int64(0)
+	for key, l := range f.links {
+		if key[0] == proxy {
+			l.mu.Lock()
+			sum += l.Bytes
+			l.mu.Unlock()
+		}
+	}
+	return sum
+}
