--- a/api.go
+++ b/api.go
@@ -60,6 +60,8 @@
 	Stream     bool          // the answer begins with FirstByte
 	Value      float64       // worth of a request
 	Once       bool          // what may have run is not sent again, whatever its effect
+	Generates  bool          // the answer is generated as it goes: its delay is until FirstByte, its place until the end
+	MostRuns   int           // attempts that may have run; 0: all attempts count, as Caps.MaxAttempts says
 }
 
 // Tenant is a customer with a share of the service.
@@ -135,8 +137,50 @@
 	Prices          Prices
 	Obligations     Obligations
 	Caps            Caps
+	Advice          Advice // nil is NoAdvice
 }
 
+// Advice is what a caller knows of backends beyond what their answers teach: what they
+// hold, how much they bear, what a request still costs there. It is asked within the
+// Balancer's events and must be as pure as the Balancer: equal questions after equal
+// events have equal answers.
+type Advice interface {
+	// Holds tells whether a backend can run the request as it is now.
+	Holds(q *Request, to BackendID) bool
+	// Admits tells whether the backend may have one more request now; Sent says that
+	// it was sent one.
+	Admits(now time.Duration, to BackendID) bool
+	Sent(now time.Duration, q *Request, to BackendID)
+	// Slots is how many requests of this proxy the backend may have at once; 0 is not known.
+	Slots(to BackendID) int
+	// Extra is what a request has to wait there beyond its usual delay, ms.
+	Extra(now time.Duration, q *Request, to BackendID) float64
+	// Repeats tells whether one more arrival of a request that has arrived before fits
+	// into the budget, and takes it from there.
+	Repeats(now time.Duration) bool
+}
+
+// NoAdvice knows nothing: all backends hold everything and admit all.
+type NoAdvice struct{}
+
+// Holds implements Advice.
+func (NoAdvice) Holds(*Request, BackendID) bool { return true }
+
+// Admits implements Advice.
+func (NoAdvice) Admits(time.Duration, BackendID) bool { return true }
+
+// Sent implements Advice.
+func (NoAdvice) Sent(time.Duration, *Request, BackendID) {}
+
+// Slots implements Advice.
+func (NoAdvice) Slots(BackendID) int { return 0 }
+
+// Extra implements Advice.
+func (NoAdvice) Extra(time.Duration, *Request, BackendID) float64 { return 0 }
+
+// Repeats implements Advice.
+func (NoAdvice) Repeats(time.Duration) bool { return true }
+
 // Request is one try of a client that the proxy has taken.
 type Request struct {
 	ID       RequestID
--- a/attempts.go
+++ b/attempts.go
@@ -3,6 +3,7 @@
 // Attempts: when a request may be sent (again), and what its end teaches.
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -30,9 +31,23 @@
 	return may
 }
 
+// attemptsLeft bounds the attempts: those that may have run where the class says so, else all.
+func (b *Balancer) attemptsLeft(r *request) bool {
+	if r.class.MostRuns == 0 {
+		return len(r.attempts) < min(r.most, b.cfg.Caps.MaxAttempts)
+	}
+	runs := 0
+	for _, a := range r.attempts {
+		if a.mayRun {
+			runs++
+		}
+	}
+	return runs < r.class.MostRuns && len(r.attempts) < b.cfg.Caps.MaxAttempts
+}
+
 // sendable also tells before when the attempt has to begin there; 0 is no bound.
 func (b *Balancer) sendable(r *request, t *target) (before time.Duration, may bool) {
-	may = !r.ended && !r.streaming && len(r.attempts) < min(r.most, b.cfg.Caps.MaxAttempts) &&
+	may = !r.ended && !r.streaming && b.attemptsLeft(r) && b.advice.Holds(&r.Request, t.ID) &&
 		b.now < r.Deadline && (r.out == 0 || b.cfg.Caps.SecondCopies)
 	before = repeat.Never
 	for _, a := range r.attempts {
@@ -62,6 +77,7 @@
 	r.out++
 	t.out = append(t.out, a)
 	t.lastSent = b.now
+	b.advice.Sent(b.now, &r.Request, t.ID)
 	t.load += a.weight
 	a.crowd = t.load
 	t.age(a, 1)
@@ -108,7 +124,7 @@
 		return
 	}
 	paid := o.Result != ConnectFailed && o.Result != Moot // which cost no work
-	if b.now >= b.useful(r)-b.cfg.Tick || paid && b.retries < 1 {
+	if b.now >= b.useful(r)-b.cfg.Tick || paid && (b.retries < 1 || !b.advice.Repeats(b.now)) {
 		b.end(r)
 		return
 	}
@@ -129,6 +145,10 @@
 	if t.load -= a.weight; len(t.out) == 0 {
 		t.load = 0
 	}
+	if a.first > 0 { // what was to be learnt came with the first byte
+		b.judge(a, o.Result)
+		return
+	}
 	t.age(a, -1)
 	b.judge(a, o.Result)
 	took := max(millis(b.now-a.sent), 0.01) // none would make ratios of nothing
@@ -143,21 +163,7 @@
 	}
 	switch o.Result {
 	case OK:
-		b.retries = min(b.retries+retryShare, retryBurst)
-		if o.Final {
-			v := r.worth
-			if b.now > r.aimAt {
-				v *= r.class.LateShare
-			}
-			b.ledger.Book(r.Class, r.Tenant, 0, v)
-		}
-		b.tails[r.Class].learn(took / max(1, a.expected/b.expected(r.Class, 0)))
-		t.tail.learn(took / a.expected)
-		b.answered(r, took)
-		b.forecast.Learn(r.Class, a.foretold, took, true)
-		b.note(a, took/a.expected, 1)
-		b.served[r.Class].Add(1, b.now, b.interval)
-		t.served.Add(a.work, b.now, servedOver*b.memory)
+		b.answeredOK(a, took, o.Final)
 	case Cancelled, Moot, Declined:
 		// A loser's age is a lower bound of its delay.
 		if took > a.expected {
@@ -174,6 +180,38 @@
 	}
 }
 
+// answeredOK learns from a good answer; final: it is the client's.
+func (b *Balancer) answeredOK(a *attempt, took float64, final bool) {
+	t, r := a.to, a.req
+	b.retries = min(b.retries+retryShare, retryBurst)
+	if final {
+		v := r.worth
+		if b.now > r.aimAt {
+			v *= r.class.LateShare
+		}
+		b.ledger.Book(r.Class, r.Tenant, 0, v)
+	}
+	b.tails[r.Class].learn(took / max(1, a.expected/b.expected(r.Class, 0)))
+	t.tail.learn(took / a.expected)
+	b.answered(r, took)
+	b.forecast.Learn(r.Class, a.foretold, took, true)
+	b.note(a, took/a.expected, 1)
+	b.served[r.Class].Add(1, b.now, b.interval)
+	t.served.Add(a.work, b.now, servedOver*b.memory)
+}
+
+// began takes in that an answer has begun that is generated as it goes: its delay is known, and it keeps
+// its place at the backend until its end.
+func (b *Balancer) began(a *attempt) {
+	a.first = b.now
+	a.to.age(a, -1)
+	b.judge(a, OK)
+	b.judgeKind(a, OK)
+	b.crowd(a, OK, 1)
+	a.lateAt = math.MaxInt64
+	b.answeredOK(a, max(millis(b.now-a.sent), 0.01), true)
+}
+
 // FirstByte binds a streamed request to its attempt.
 func (b *Balancer) FirstByte(now time.Duration, f FirstByte) {
 	b.now = now
@@ -183,6 +221,9 @@
 	}
 	r.streaming = true
 	b.cancelAllBut(r, r.attempts[f.Attempt])
+	if a := r.attempts[f.Attempt]; r.class.Generates && !a.done && a.first == 0 {
+		b.began(a)
+	}
 }
 
 // Gone takes the client's leave: nothing is owed any more.
--- a/balancer.go
+++ b/balancer.go
@@ -31,6 +31,7 @@
 type Balancer struct {
 	cfg                                 Config
 	host                                Host
+	advice                              Advice
 	rng                                 *rand.Rand
 	now, lastLog, lastRequest           time.Duration
 	interval, gap, memory               time.Duration // between probes, requests; of estimates
@@ -104,8 +105,8 @@
 	n                                       int
 	ran                                     repeat.Attempt
 	to                                      *target
-	sent, lateAt                            time.Duration
-	expected, foretold, work, weight, crowd float64 // crowd: the backend's load with this attempt
+	sent, lateAt, first                     time.Duration // first: of a generated answer
+	expected, foretold, work, weight, crowd float64       // crowd: the backend's load with this attempt
 	done, mayRun, cancelled, late           bool
 	try                                     bool // whether its class is served there again
 }
@@ -115,7 +116,8 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 0)), median: 1, retries: retryBurst,
+	b := &Balancer{cfg: cfg, host: host, advice: cfg.advice(), rng: rand.New(rand.NewPCG(seed, 0)),
+		median: 1, retries: retryBurst,
 		byID: map[BackendID]*target{}, requests: map[RequestID]*request{},
 		classes: make([]line, len(cfg.Classes)), tails: make([]tail, len(cfg.Classes)),
 		ledger: ledger.New(ledger.Goal(cfg.Goal), len(cfg.Classes), len(cfg.Tenants)),
--- a/checker.go
+++ b/checker.go
@@ -110,9 +110,6 @@
 	}
 }
 
-// side is 0 for the own zone and 1 for elsewhere.
-func (b *Balancer) side(t *target) int { return min(1, t.Zone^b.cfg.Zone) }
-
 // Probed counts a probe's result towards the target's status.
 func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
 	b.now = now
--- a/choice.go
+++ b/choice.go
@@ -10,10 +10,6 @@
 	"marlreel/internal/judge/forecast"
 )
 
-func tried(r *request, t *target) bool {
-	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.to == t })
-}
-
 // pick finds the backend for an attempt, or nil: in the subset, else among the fit, else among all.
 func (b *Balancer) pick(r *request) *target {
 	work, keyed := b.workOf(r), b.cfg.WarmKeys && r.Key != 0
@@ -68,7 +64,7 @@
 	if chance := b.gray.Chance(k, r.Class, b.now); chance < 1 {
 		v += (1 - chance) / chance * millis(r.class.Aim) / b.expected(r.Class, millis(r.Cost))
 	}
-	return v
+	return v + b.advice.Extra(b.now, &r.Request, t.ID)/b.expected(r.Class, millis(r.Cost))
 }
 
 // choose takes one of two from b.pool: the key's own two where keys stay warm, else two sampled.
--- a/coldstart.go
+++ b/coldstart.go
@@ -76,5 +76,5 @@
 
 // mayReceive guards drains: only backends listed ready get anything new.
 func (b *Balancer) mayReceive(t *target, work float64) bool {
-	return t.State == Ready && b.coldAllows(t, work)
+	return t.State == Ready && b.coldAllows(t, work) && b.advice.Admits(b.now, t.ID)
 }
--- a/config.go
+++ b/config.go
@@ -62,6 +62,7 @@
 	kept := slices.ContainsFunc(b.cfg.Classes, func(c Class) bool {
 		return slices.ContainsFunc(cfg.Classes, func(n Class) bool { return n.Name == c.Name && !gone(slices.Index(cfg.names(), n.Name)) })
 	})
+	b.advice = cfg.advice()
 	if b.cfg = cfg; !kept {
 		b.forgetAll()
 	}
@@ -95,6 +96,14 @@
 	return max(suspectProbe*c.Caps.ConnectTimeout, 20*c.Tick, 100*time.Millisecond)
 }
 
+// advice is the one that is set, or one that knows nothing.
+func (c *Config) advice() Advice {
+	if c.Advice == nil {
+		return NoAdvice{}
+	}
+	return c.Advice
+}
+
 // Validate is the check that New makes, for who wants to know beforehand.
 func (c *Config) Validate() error { return c.check() }
 
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -122,18 +122,55 @@
 	if a.called && end.Result != marlreel.OK && !end.Result.NeverRan() {
 		end = End{Result: a.off, Over: end.Over}
 	}
-	a.done, a.ran = true, !end.Result.NeverRan()
-	c.open--
-	e.Disarm(a.end)
-	if e.observer != nil {
-		e.observer.Ended(e.Now(), a, end)
+	if end.Result == marlreel.OK && end.Stream && !c.answered && e.Settings().Classes[c.Class].Generates {
+		a.begins(end)
+		return
 	}
+	a.ends(end)
 	switch {
 	case end.Result == marlreel.OK, end.Over:
 		e.answer(c, Answer{Verdict: Served, Reply: end.Reply, Streams: end.Stream})
-	case end.Result == marlreel.Declined:
+	case end.Reply != nil:
 		c.declined = end.Reply
 	}
+	a.tell(end)
+}
+
+// begins hands on an answer that is generated as it goes. The attempt keeps its place until Streamed.
+func (a *Attempt) begins(end End) {
+	e, c := a.engine, a.Call
+	a.ran = true
+	e.Disarm(a.end)
+	c.streaming = a
+	e.answer(c, Answer{Verdict: Served, Reply: end.Reply, Streams: true})
+	now := e.Now()
+	e.balancer.FirstByte(now, marlreel.FirstByte{ID: c.ID, Attempt: a.N, Backend: a.Backend.ID, Took: now - a.sent})
+}
+
+// streamed ends an attempt whose answer had begun.
+func (a *Attempt) streamed(whole bool) {
+	end := End{Result: marlreel.OK}
+	if !whole {
+		end.Result = marlreel.Cancelled
+	}
+	a.ends(end)
+	a.tell(end)
+}
+
+// ends takes the attempt off the call's open ones.
+func (a *Attempt) ends(end End) {
+	e := a.engine
+	a.done, a.ran = true, !end.Result.NeverRan()
+	a.Call.open--
+	e.Disarm(a.end)
+	if e.observer != nil {
+		e.observer.Ended(e.Now(), a, end)
+	}
+}
+
+// tell tells the module how the attempt ended.
+func (a *Attempt) tell(end End) {
+	e, c := a.engine, a.Call
 	e.forget(c)
 	if end.Left && !c.answered {
 		e.Gone(c)
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -54,14 +54,15 @@
 	Coming bool
 	Wait   time.Duration
 
-	arrived  time.Duration
-	margin   time.Duration // how long before the deadline the engine answers by itself
-	taken    bool          // it is, or was, in the table
-	answered bool          // or the client has left: nothing more goes out
-	attempts []*Attempt
-	open     int // attempts without an outcome
-	backstop *Timer
-	declined any // what a backend said that found the request itself at fault
+	arrived   time.Duration
+	margin    time.Duration // how long before the deadline the engine answers by itself
+	taken     bool          // it is, or was, in the table
+	answered  bool          // or the client has left: nothing more goes out
+	attempts  []*Attempt
+	open      int // attempts without an outcome
+	backstop  *Timer
+	streaming *Attempt // whose answer is on its way, of a class that generates
+	declined  any      // what a backend said that found the request itself at fault
 }
 
 // Arrived is when the call was taken, on the engine's clock.
@@ -207,6 +208,10 @@
 
 // Streamed tells how an answer ended that was a stream. Only on the engine's goroutine.
 func (e *Engine) Streamed(c *Call, whole bool) {
+	if a := c.streaming; a != nil {
+		c.streaming = nil
+		a.streamed(whole)
+	}
 	if e.observer != nil {
 		e.observer.Streamed(e.Now(), c, whole)
 	}
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -15,6 +15,7 @@
 // and owns its pool; each exchange has a goroutine of its own.
 type Carrier struct {
 	engine *engine.Engine
+	speaks *Dialect
 	report []string // names of the values of a load report
 	room   *budget.Budget
 	pool   pool
@@ -28,21 +29,24 @@
 func NewCarrier(e *engine.Engine, most int, report []string, room *budget.Budget) *Carrier {
 	caps := e.Settings().Caps
 	worth := meanWorth(e.Settings())
-	c := &Carrier{engine: e, room: room, report: report, lastOK: map[*engine.Backend]time.Duration{},
+	c := &Carrier{engine: e, speaks: platformDialect(), room: room, report: report, lastOK: map[*engine.Backend]time.Duration{},
 		pool: pool{most: most, maxIdle: caps.ConnIdle - caps.ConnIdle/4, idle: map[*engine.Backend][]*conn{}, worth: worth,
 			model: conns.New(conns.DefaultConfig(worth, e.Settings().Prices.Handshake))}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
+// Speak has the carrier use another dialect. Only before its first attempt.
+func (c *Carrier) Speak(d *Dialect) { c.speaks = d }
+
 // Close breaks all exchanges off. Any goroutine may call it.
 func (c *Carrier) Close() { c.cancel() }
 
-// Begin implements engine.Carrier. The call's payload is a *message.
+// Begin implements engine.Carrier. The call's payload is a *Message.
 func (c *Carrier) Begin(a *engine.Attempt) {
-	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*message), until: a.Until, permit: &a.Permit, attempt: a, here: a.Call.Here, coming: a.Call.Coming}
+	x := &exchange{to: a.Backend, msg: a.Call.Payload.(*Message), until: a.Until, permit: &a.Permit, attempt: a, here: a.Call.Here, coming: a.Call.Coming}
 	class := &c.engine.Settings().Classes[a.Call.Class]
-	stake := conns.Stake{Worth: class.Value, Large: len(x.msg.body) >= largeBody || x.msg.up != nil}
+	stake := conns.Stake{Worth: class.Value, Large: len(x.msg.Body) >= largeBody || x.msg.up != nil}
 	if class.Effect != marlreel.Unsafe {
 		stake.Effect = conns.Delayed
 	}
@@ -66,7 +70,7 @@
 
 // Probe implements engine.Prober.
 func (c *Carrier) Probe(b *engine.Backend, until time.Time, end func(engine.End)) {
-	c.launch(&exchange{to: b, msg: probeMessage(b.Addr), until: until, permit: new(engine.Permit)}, probeStake, end)
+	c.launch(&exchange{to: b, msg: c.speaks.Probe(b), until: until, permit: new(engine.Permit)}, probeStake, end)
 }
 
 // Release implements engine.Carrier.
@@ -117,7 +121,7 @@
 		c.engine.Later(func() { end(engine.End{Result: marlreel.ConnectFailed}) })
 		return nil
 	}
-	x.room = c.room
+	x.room, x.speaks = c.room, c.speaks
 	x.hold = c.pool.model.Hold(now, uint32(x.to.ID), x.to.Zone)
 	ctx, cancel := context.WithCancel(c.ctx)
 	report := c.report
@@ -133,7 +137,7 @@
 				r.conn.turnedAway = r.result == marlreel.Full
 			}
 			e := engine.End{Result: r.result, Load: r.load, Left: r.left}
-			if r.result == marlreel.OK {
+			if r.result == marlreel.OK || c.speaks.KeepsFailures && r.status > 0 && !r.result.NeverRan() {
 				e.Reply = &r
 			}
 			if r.stream != nil {
@@ -158,7 +162,7 @@
 const silentIdle = 500 * time.Millisecond
 
 // learn tells the model how a use of a connection ended.
-func (c *Carrier) learn(to *engine.Backend, use conns.Use, sent time.Duration, r *reply) {
+func (c *Carrier) learn(to *engine.Backend, use conns.Use, sent time.Duration, r *Reply) {
 	if !to.Ready() {
 		return // it drains or has left: what was kept for it is forgotten, and stays so
 	}
@@ -188,10 +192,6 @@
 	c.pool.model.Observe(now, uint32(to.ID), to.Zone, use, r.end)
 }
 
-func probeMessage(addr string) *message {
-	return &message{method: http.MethodGet, head: []byte("GET /health HTTP/1.1\r\nHost: " + addr + "\r\n")}
-}
-
 func passedOn(h http.Header) http.Header {
 	h = endToEnd(h)
 	h.Del(headerLoad)
--- a/internal/httpproxy/crossing_test.go
+++ b/internal/httpproxy/crossing_test.go
@@ -341,7 +341,7 @@
 	}
 	defer passed.Close()
 	quick("a client that was passed on", passed)
-	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(patience)}
 	r := x.run(t.Context(), patience, nil)
 	if r.conn == nil {
 		t.Fatalf("%+v", r)
@@ -351,16 +351,16 @@
 }
 
 // halfway is an attempt of which all but the last byte is out.
-func halfway(t *testing.T, then func(c net.Conn, in *bufio.Reader)) (x *exchange, ended chan reply) {
+func halfway(t *testing.T, then func(c net.Conn, in *bufio.Reader)) (x *exchange, ended chan Reply) {
 	begun := make(chan struct{})
 	addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
 		in.Peek(1)
 		close(begun)
 		then(c, in)
 	})
-	x = &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr),
+	x = &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr),
 		until: time.Now().Add(patience), hold: patience / 2}
-	ended = make(chan reply, 1)
+	ended = make(chan Reply, 1)
 	go func() { ended <- x.run(context.Background(), patience, nil) }()
 	receive(t, begun, "the first bytes")
 	return x, ended
@@ -414,8 +414,8 @@
 	t.Parallel()
 	addr, got := silent(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
-	ended := make(chan reply, 1)
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(patience)}
+	ended := make(chan Reply, 1)
 	go func() { ended <- x.run(ctx, patience, nil) }()
 	receive(t, got, "the request")
 	cancel()
--- a/internal/httpproxy/download.go
+++ b/internal/httpproxy/download.go
@@ -40,14 +40,14 @@
 
 // receive reads the answer's body: all of it where it is small, else its beginning. An
 // error says that the answer can't be used.
-func (c *conn) receive(resp *http.Response, x *exchange) (r reply, err error) {
+func (c *conn) receive(resp *http.Response, x *exchange) (r Reply, err error) {
 	n := resp.ContentLength
 	switch {
 	case n == 0:
 		return r, nil
 	case n > maxLength:
 		return r, errSpoilt
-	case n > 0 && n <= maxBody && r.take(x.room, int(n)):
+	case n > 0 && n <= maxBody && !x.msg.Prompt && r.take(x.room, int(n)):
 		r.body = make([]byte, n)
 		_, err = io.ReadFull(c.in, r.body)
 	case n > 0:
@@ -87,7 +87,7 @@
 
 // take takes room for a body that is held whole; one that is as small as what every
 // connection has needs none.
-func (r *reply) take(room *budget.Budget, n int) bool {
+func (r *Reply) take(room *budget.Budget, n int) bool {
 	if n <= smallBody || room == nil {
 		return true
 	}
@@ -99,7 +99,7 @@
 }
 
 // receiveUnknown reads a body that only its own end delimits.
-func (c *conn) receiveUnknown(in io.Reader, keep bool, x *exchange, r *reply) error {
+func (c *conn) receiveUnknown(in io.Reader, keep bool, x *exchange, r *Reply) error {
 	most := smallBody
 	if r.take(x.room, maxBody) {
 		most = maxBody
@@ -107,7 +107,10 @@
 	c.limit.N = math.MaxInt64
 	body := make([]byte, 0, smallBody)
 	while := time.Now().Add(wholeWithin)
-	if x.coming || while.Before(x.until) {
+	if x.msg.Prompt {
+		while = time.Time{}
+	}
+	if !x.msg.Prompt && (x.coming || while.Before(x.until)) {
 		c.SetReadDeadline(while)
 	}
 	for len(body) <= most {
@@ -143,7 +146,7 @@
 }
 
 // release gives back the room that a reply has taken, and ends its stream.
-func (r *reply) release(room *budget.Budget) {
+func (r *Reply) release(room *budget.Budget) {
 	if r.held > 0 {
 		room.Give(r.held, budget.Small)
 		r.held = 0
--- a/internal/httpproxy/exchange_test.go
+++ b/internal/httpproxy/exchange_test.go
@@ -29,7 +29,7 @@
 			n, _ := io.Copy(io.Discard, in)
 			got <- n
 		})
-		x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
+		x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(patience)}
 		spoil(x)
 		r := x.run(context.Background(), patience, nil)
 		if r.result != marlreel.Moot || r.conn == nil {
@@ -46,7 +46,7 @@
 func TestSilenceIsATimeout(t *testing.T) {
 	t.Parallel()
 	addr, got := silent(t)
-	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(time.Second)}
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(time.Second)}
 	if r := x.run(context.Background(), patience, nil); r.result != marlreel.Timeout || r.conn != nil {
 		t.Errorf("%+v", r)
 	}
@@ -65,7 +65,7 @@
 			io.WriteString(c, okAnswer)
 		}
 	})
-	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(2 * time.Second)}
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(2 * time.Second)}
 	r := x.run(context.Background(), patience, nil)
 	if r.conn == nil {
 		t.Fatalf("the connection was not kept: %+v", r)
@@ -86,7 +86,7 @@
 			readRequest(in)
 		}
 	})
-	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
+	x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(patience)}
 	r := x.run(context.Background(), patience, nil)
 	if r.result != marlreel.OK || string(r.body) != "served" || r.conn != nil {
 		t.Errorf("%v %q, connection kept: %v", r.result, r.body, r.conn != nil)
@@ -138,8 +138,8 @@
 					in.ReadByte() // stays open
 				}
 			})
-			x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), msg: probeMessage(addr), until: time.Now().Add(patience)}
-			ends := make(chan reply, 1)
+			x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(patience)}
+			ends := make(chan Reply, 1)
 			go func() { ends <- x.run(context.Background(), patience, nil) }()
 			select {
 			case r := <-ends:
@@ -172,8 +172,8 @@
 			}
 		}
 	})
-	exchangeOn := func(c *conn) reply {
-		x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), conn: c, msg: probeMessage(addr), until: time.Now().Add(patience)}
+	exchangeOn := func(c *conn) Reply {
+		x := &exchange{to: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), conn: c, speaks: platformDialect(), msg: probeMessage(addr), until: time.Now().Add(patience)}
 		return x.run(context.Background(), patience, nil)
 	}
 	first := exchangeOn(nil)
--- a/internal/httpproxy/harness_test.go
+++ b/internal/httpproxy/harness_test.go
@@ -82,3 +82,8 @@
 	l.Do(func() { l.Take(&r.Call, now) })
 	return r
 }
+
+// probeMessage is the request for the health of a backend at an address.
+func probeMessage(addr string) *Message {
+	return platformDialect().Probe(engine.NewBackend("s-1", addr, true))
+}
--- /dev/null
+++ b/internal/httpproxy/reply.go
@@ -0,0 +1,61 @@
+package httpproxy
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"marlreel/internal/process/budget"
+)
+
+// What a front of another package does with a backend's answer. It claims the reply in
+// Front.Answer, on the engine's goroutine, and releases it once, on any goroutine.
+
+// Claim makes the reply the front's, who releases it.
+func (r *Reply) Claim() { r.claimed = true }
+
+// Status is the backend's.
+func (r *Reply) Status() int { return r.status }
+
+// Header gives the fields that go on beyond this hop.
+func (r *Reply) Header() http.Header { return endToEnd(r.header) }
+
+// Body is the answer's body, whole, unless it Streams.
+func (r *Reply) Body() []byte { return r.body }
+
+// Streams tells whether the body comes as it goes, by Read.
+func (r *Reply) Streams() bool { return r.stream != nil }
+
+// Read reads what follows of a stream, as it comes; it ends with io.EOF only where the body
+// is whole. until bounds the wait.
+func (r *Reply) Read(p []byte, until time.Time) (int, error) {
+	d := r.stream
+	if len(d.first) > 0 {
+		n := copy(p, d.first)
+		d.first = d.first[n:]
+		return n, nil
+	}
+	d.conn.SetReadDeadline(until)
+	n, err := d.body.Read(p)
+	if n > 0 && err == io.EOF {
+		err = nil // it is met again
+	}
+	return n, err
+}
+
+// Break ends a Read that waits, and whatever else is under way. Any goroutine.
+func (r *Reply) Break() {
+	if d := r.stream; d != nil {
+		d.conn.Close()
+	}
+}
+
+// Release gives back what the reply holds. whole: its stream was read to its end, so the
+// connection can be used again.
+func (r *Reply) Release(room *budget.Budget, whole bool) {
+	if d := r.stream; d != nil {
+		d.end(whole)
+		r.stream = nil
+	}
+	r.release(room)
+}
--- a/internal/httpproxy/server.go
+++ b/internal/httpproxy/server.go
@@ -48,7 +48,7 @@
 	status     int
 	header     http.Header // a backend's; nil for the proxy's own answers
 	body       []byte
-	from       *reply // whose room and stream go with the answer; nil for the proxy's own
+	from       *Reply // whose room and stream go with the answer; nil for the proxy's own
 	retryAfter time.Duration
 	bad        bool // the request can't be used, and its connection ends with the answer
 	left       bool // nobody is there to take it
@@ -184,7 +184,7 @@
 	var w answer
 	switch a.Verdict {
 	case engine.Served:
-		r := a.Reply.(*reply)
+		r := a.Reply.(*Reply)
 		r.claimed = true
 		w = answer{status: http.StatusOK, header: passedOn(r.header), body: r.body, from: r}
 	case engine.Refused:
@@ -301,7 +301,7 @@
 func (s *Front) serveComing(w http.ResponseWriter, r *http.Request, req *call, left time.Duration, in *paced) answer {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	up := req.Payload.(*message).up
+	up := req.Payload.(*Message).up
 	c := clientOf(r)
 	if c != nil {
 		c.setPartly(true)
--- a/internal/httpproxy/upload_send.go
+++ b/internal/httpproxy/upload_send.go
@@ -13,21 +13,21 @@
 // answer. The backend begins when the last byte has come: until then nothing has run, so
 // the permit is taken for the last piece alone, and whatever ends it before is a request
 // that was never sent.
-func (c *conn) sendLarge(ctx context.Context, x *exchange, head []byte, report []string) reply {
-	unsent := reply{result: marlreel.Moot, early: true}
+func (c *conn) sendLarge(ctx context.Context, x *exchange, head []byte, report []string) Reply {
+	unsent := Reply{result: marlreel.Moot, early: true}
 	u, at := x.msg.up, cursor{}
 	chunked := u.frame() < 0
 	c.SetDeadline(time.Time{}) // what is to be waited for is each piece, and then the answer
 	for {
 		p, last, err := u.next(ctx, at)
 		if err != nil {
-			return reply{result: marlreel.Moot} // it was the client's side: the connection speaks of nothing
+			return Reply{result: marlreel.Moot} // it was the client's side: the connection speaks of nothing
 		}
 		if last && x.gone() {
-			return reply{result: marlreel.Moot, left: true}
+			return Reply{result: marlreel.Moot, left: true}
 		}
 		if last && !x.permit.Use() || !last && !x.permit.Open() {
-			return reply{result: marlreel.Moot}
+			return Reply{result: marlreel.Moot}
 		}
 		parts := net.Buffers{head, p}
 		if chunked {
@@ -61,16 +61,16 @@
 }
 
 // early reads what a backend says before it has had all of a request.
-func (c *conn) early(x *exchange, unsent reply) reply {
+func (c *conn) early(x *exchange, unsent Reply) Reply {
 	c.SetReadDeadline(time.Now().Add(stall / 10))
-	resp, err := c.readHead(x.msg.method)
+	resp, err := c.readHead(x.msg.Method)
 	if err != nil {
 		return unsent
 	}
 	if code := resp.StatusCode; code >= 400 && code < 500 {
-		return reply{result: marlreel.Declined}
+		return Reply{result: marlreel.Declined}
 	}
-	return reply{result: marlreel.Full}
+	return Reply{result: marlreel.Full}
 }
 
 func chunkSize(n int) []byte {
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -23,7 +23,6 @@
 	maxBody       = 64 << 10
 	maxHead       = 16 << 10
 	most1xx       = 8
-	headerNotRun  = "X-Unprocessed"
 	headerLoad    = "X-Backend-Load"
 	headerTimeout = "X-Time-Left"
 )
@@ -48,16 +47,18 @@
 	return quiet(c.Conn)
 }
 
-// message is a request, ready to be sent on any number of times.
-type message struct {
-	method string
-	head   []byte // all of the head that is the same with every attempt
-	body   []byte
-	up     *upload // in place of body, where that is large
+// Message is a request, ready to be sent on any number of times.
+type Message struct {
+	Method string
+	Head   []byte // all of the head that is the same with every attempt, each line with its end
+	Body   []byte
+	ID     string  // by which its answer is known; "" is not
+	Prompt bool    // the answer goes on as it comes, from its first byte
+	up     *upload // in place of Body, where that is large
 }
 
 // newMessage writes the head down once: what an attempt adds is its time.
-func newMessage(r *http.Request, body []byte, up *upload) *message {
+func newMessage(r *http.Request, body []byte, up *upload) *Message {
 	head := make([]byte, 0, 512)
 	for _, part := range []string{r.Method, " ", r.URL.RequestURI(), " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
 		head = append(head, part...)
@@ -77,14 +78,14 @@
 		head = strconv.AppendInt(head, int64(len(body)), 10)
 		head = append(head, "\r\n"...)
 	}
-	return &message{method: r.Method, head: head, body: body, up: up}
+	return &Message{Method: r.Method, Head: head, Body: body, up: up}
 }
 
 // encode writes the message out whole, so that one write sends it and its count
 // tells whether the last byte went out.
-func (m *message) encode(wait time.Duration) []byte {
-	const spare = len(headerTimeout) + 64
-	data := append(make([]byte, 0, len(m.head)+spare+len(m.body)), m.head...)
+func (m *Message) encode(dialect *Dialect, to *engine.Backend, wait time.Duration) []byte {
+	const spare = 160
+	data := append(make([]byte, 0, len(m.Head)+spare+len(m.Body)), m.Head...)
 	if m.up != nil {
 		if n := m.up.frame(); n >= 0 {
 			data = strconv.AppendInt(append(data, "Content-Length: "...), n, 10)
@@ -93,17 +94,17 @@
 			data = append(data, "Transfer-Encoding: chunked\r\n"...)
 		}
 	}
-	data = append(data, headerTimeout+": "...)
-	data = strconv.AppendInt(data, max(1, wait.Microseconds()), 10)
-	data = append(data, "u\r\n\r\n"...)
-	return append(data, m.body...)
+	data = dialect.Bounds(data, to, wait)
+	data = append(data, "\r\n"...)
+	return append(data, m.Body...)
 }
 
 // exchange is one attempt or probe on its way.
 type exchange struct {
 	to     *engine.Backend
 	conn   *conn // an idle one to use; nil: dial
-	msg    *message
+	msg    *Message
+	speaks *Dialect
 	until  time.Time
 	permit *engine.Permit
 
@@ -115,9 +116,10 @@
 	dialled bool          // run opened a new connection
 }
 
-// reply is how an exchange ended. A nil conn says that the connection is gone.
-type reply struct {
+// Reply is how an exchange ended. A nil conn says that the connection is gone.
+type Reply struct {
 	result  marlreel.Result
+	status  int
 	conn    *conn
 	header  http.Header
 	body    []byte
@@ -132,7 +134,7 @@
 
 // run carries the exchange out. It follows the protocol's table of outcomes:
 // until the last byte is written the request never ran; from then on it may have.
-func (x *exchange) run(ctx context.Context, connectTimeout time.Duration, report []string) reply {
+func (x *exchange) run(ctx context.Context, connectTimeout time.Duration, report []string) Reply {
 	c := x.conn
 	// An answer's surplus, or the end of the connection, may have come since it was
 	// taken from the pool. Surplus would be read as the answer to this request.
@@ -145,7 +147,7 @@
 		dialer := net.Dialer{Timeout: connectTimeout, Deadline: x.until}
 		nc, err := dialer.DialContext(ctx, "tcp", x.to.Addr)
 		if err != nil {
-			return reply{result: marlreel.ConnectFailed}
+			return Reply{result: marlreel.ConnectFailed}
 		}
 		c = &conn{Conn: nc, limit: &io.LimitedReader{R: nc}}
 		c.in = bufio.NewReader(c.limit)
@@ -153,18 +155,18 @@
 	// The last look before writing: dialling took its time. The backend may be
 	// draining or gone by now, the request answered, or its client gone.
 	if up := x.msg.up; !x.to.Ready() || !x.permit.Open() || up != nil && !up.begin() {
-		return reply{result: marlreel.Moot, conn: c}
+		return Reply{result: marlreel.Moot, conn: c}
 	}
 	if x.gone() {
 		if x.msg.up != nil {
 			x.msg.up.end()
 		}
-		return reply{result: marlreel.Moot, conn: c, left: true}
+		return Reply{result: marlreel.Moot, conn: c, left: true}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
-	data := x.msg.encode(x.until.Sub(began)) // what a dial has taken is no longer there
-	var r reply
+	data := x.msg.encode(x.speaks, x.to, x.until.Sub(began)) // what a dial has taken is no longer there
+	var r Reply
 	if x.msg.up != nil {
 		r = c.sendLarge(ctx, x, data, report)
 		x.msg.up.end()
@@ -200,7 +202,7 @@
 // a moment, a break in that moment proves that nothing ran: a backend begins a request
 // when its last byte has come. It speaks of the connection and not of the backend, which
 // is why it is told as one that was never sent: a backend that has died refuses the next.
-func (c *conn) roundTrip(x *exchange, data []byte, report []string) reply {
+func (c *conn) roundTrip(x *exchange, data []byte, report []string) Reply {
 	until, hold := x.until, x.hold
 	c.SetDeadline(until)
 	begun := hold > 0 || len(data) > atOnce
@@ -209,23 +211,23 @@
 		if err == nil && hold > 0 {
 			err = c.listen(time.Now().Add(hold), until)
 		}
-		if err == errEarly && c.turnsAway() {
-			return reply{result: marlreel.Full}
+		if err == errEarly && c.turnsAway(x) {
+			return Reply{result: marlreel.Full}
 		}
 		if err != nil || n < len(data)-1 {
-			return reply{result: marlreel.Moot, early: true}
+			return Reply{result: marlreel.Moot, early: true}
 		}
 		data = data[len(data)-1:]
 	}
 	if !x.permit.Use() {
 		if begun { // what has been written of it must not be completed by the next request
-			return reply{result: marlreel.Moot}
+			return Reply{result: marlreel.Moot}
 		}
 		c.SetDeadline(time.Time{})
-		return reply{result: marlreel.Moot, conn: c}
+		return Reply{result: marlreel.Moot, conn: c}
 	}
 	if n, err := c.Write(data); n < len(data) {
-		return reply{result: marlreel.Moot, early: true}
+		return Reply{result: marlreel.Moot, early: true}
 	} else if err != nil {
 		return failed(err)
 	}
@@ -236,8 +238,8 @@
 }
 
 // answer reads the answer to what has been written.
-func (c *conn) answer(x *exchange, report []string) reply {
-	resp, err := c.readHead(x.msg.method)
+func (c *conn) answer(x *exchange, report []string) Reply {
+	resp, err := c.ownHead(x)
 	if err != nil {
 		return failed(err)
 	}
@@ -245,10 +247,11 @@
 	if err != nil {
 		return failed(err)
 	}
-	r.header, r.result, r.load = resp.Header, marlreel.Error, loadReport(resp.Header, report)
+	r.status, r.header, r.load = resp.StatusCode, resp.Header, loadReport(resp.Header, report)
+	r.result = x.speaks.Judge(x.msg, resp)
 	if r.stream != nil {
-		if resp.StatusCode == http.StatusOK {
-			r.result, r.conn = marlreel.OK, c
+		if r.result == marlreel.OK {
+			r.conn = c
 			return r
 		}
 		r.stream = nil // what else it says at length is of no use: the connection is closed
@@ -257,14 +260,6 @@
 		c.SetDeadline(time.Time{})
 		r.conn = c
 	}
-	switch code := resp.StatusCode; {
-	case code == http.StatusOK:
-		r.result = marlreel.OK
-	case notRun(resp):
-		r.result = marlreel.Full
-	case code >= 400 && code < 500 && code != http.StatusRequestTimeout && code != http.StatusTooManyRequests:
-		r.result = marlreel.Declined
-	}
 	return r
 }
 
@@ -294,16 +289,34 @@
 
 // turnsAway tells whether what has come early says whole that nothing runs: of whatever request it speaks, this
 // one has not.
-func (c *conn) turnsAway() bool {
+func (c *conn) turnsAway(x *exchange) bool {
 	come, _ := c.in.Peek(c.in.Buffered())
 	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(come)), nil)
-	return err == nil && notRun(resp)
+	return err == nil && x.speaks.Judge(x.msg, resp) == marlreel.Full
 }
 
-// notRun tells whether an answer says that its request has not run.
-func notRun(resp *http.Response) bool {
-	code := resp.StatusCode
-	return (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && resp.Header.Get(headerNotRun) == "1"
+// mostForeign is how many answers to other requests are read over in the place of one's own.
+const mostForeign = 2
+
+// ownHead reads up to the head of the answer to this request. A backend may give one answer too many; the next
+// request on the connection finds it in the place of its own.
+func (c *conn) ownHead(x *exchange) (*http.Response, error) {
+	for range mostForeign + 1 {
+		resp, err := c.readHead(x.msg.Method)
+		if err != nil || x.speaks.Mine == nil || x.speaks.Mine(x.msg, resp) {
+			return resp, err
+		}
+		other, err := c.receive(resp, x)
+		if err != nil {
+			return nil, err
+		}
+		streams := other.stream != nil
+		other.release(x.room)
+		if streams || resp.Close {
+			break
+		}
+	}
+	return nil, errSpoilt
 }
 
 var errSpoilt = errors.New("the answer can't be used")
@@ -339,12 +352,12 @@
 }
 
 // failed tells how an attempt ended that was written and not answered. It may have run.
-func failed(err error) reply {
+func failed(err error) Reply {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
-		return reply{result: marlreel.Timeout}
+		return Reply{result: marlreel.Timeout}
 	}
-	return reply{result: marlreel.Reset}
+	return Reply{result: marlreel.Reset}
 }
 
 // loadReport reads the values that the settings name, in their order. A report that
--- /dev/null
+++ b/internal/system/boot/settings.go
@@ -0,0 +1,210 @@
+// Package boot reads the settings file that the platform gives each process of the
+// system, and checks it.
+package boot
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Variable names the environment variable with the path of the settings file.
+const Variable = "MARLREEL_SETTINGS"
+
+// Listen are the addresses that a process serves.
+type Listen struct {
+	Front     string `toml:"front"`
+	Readiness string `toml:"readiness"`
+	Control   string `toml:"control"`
+}
+
+// Limits are what a process may use.
+type Limits struct {
+	CPUShare float64 `toml:"cpu_share"`
+	MemoryMB int     `toml:"memory_mb"`
+	Files    int     `toml:"fd_limit"`
+	DiskMB   int     `toml:"disk_mb"`
+}
+
+// Tolerance says what may be lost at once.
+type Tolerance struct {
+	Machines int `toml:"machines"`
+	Zones    int `toml:"zones"`
+	Regions  int `toml:"regions"`
+}
+
+// Bounds are the figures of the rules.
+type Bounds struct {
+	SeedLagS         float64 `toml:"seed_lag_s"`
+	AddressReuseS    float64 `toml:"addr_reuse_s"`
+	InTouchMS        float64 `toml:"in_touch_ms"`
+	AcknowledgeMS    float64 `toml:"ack_ms"`
+	CatchUpS         float64 `toml:"catch_up_s"`
+	DrainMS          float64 `toml:"drain_ms"`
+	GraceS           float64 `toml:"grace_s"`
+	ConfigApplyMS    float64 `toml:"config_apply_ms"`
+	RetryBudgetRatio float64 `toml:"retry_budget_ratio"`
+	RetryWindowS     float64 `toml:"retry_window_s"`
+	RetrySlack       float64 `toml:"retry_slack"`
+	ColdExcess       float64 `toml:"cold_excess"`
+	ColdSlack        float64 `toml:"cold_slack"`
+	EvacuationMS     float64 `toml:"evacuation_ms"`
+	RecoveryS        float64 `toml:"recovery_s"`
+	PassMS           float64 `toml:"pass_ms"`
+	Fencing          bool    `toml:"fencing"`
+	LeaseMS          float64 `toml:"lease_ms"`
+	ThawMS           float64 `toml:"thaw_ms"`
+	CeilingWindowS   float64 `toml:"ceiling_window_s"`
+	CeilingExcess    float64 `toml:"ceiling_excess"`
+}
+
+// Settings are what the platform tells a process. Keys that are not listed here are
+// left alone: the file may gain new ones.
+type Settings struct {
+	NodeName        string            `toml:"node_name"`
+	Role            string            `toml:"role"`
+	Class           string            `toml:"machine_class"`
+	IP              string            `toml:"ip"`
+	Zone            string            `toml:"zone"`
+	Region          string            `toml:"region"`
+	InternalPorts   []int             `toml:"internal_ports"`
+	SeedNodes       []string          `toml:"seed_nodes"`
+	FirstStart      bool              `toml:"first_start"`
+	CountsForQuorum bool              `toml:"counts_for_quorum"`
+	DataDir         string            `toml:"data_dir"`
+	BeatIntervalMS  float64           `toml:"beat_interval_ms"`
+	Contracts       []string          `toml:"contracts"`
+	Zones           map[string]string `toml:"zones"`
+	Listen          Listen            `toml:"listen_addrs"`
+	Limits          Limits            `toml:"limits"`
+	Tolerance       Tolerance         `toml:"fault_tolerance"`
+	Bounds          Bounds            `toml:"bounds"`
+}
+
+// The internal ports, by their place in the range that the platform leaves free.
+const (
+	peerPort  = 0 // what processes of other machines reach
+	proxyPort = 1 // what an agent's own proxy offers it
+)
+
+// Error is a settings file that can't be used.
+type Error struct {
+	Path string
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("settings %s: %v", e.Path, e.Err) }
+
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Advice is what can be done about it.
+func (e *Error) Advice() string {
+	return "name a readable settings file in " + Variable + ", and mend what the error names"
+}
+
+// Load reads the file that the environment names.
+func Load() (*Settings, error) { return Read(os.Getenv(Variable)) }
+
+// Read reads a settings file.
+func Read(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{path, err}
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, &Error{path, err}
+	}
+	return s, nil
+}
+
+// Parse reads settings.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(data, s); err != nil {
+		return nil, eris.Wrap(err, "reading TOML")
+	}
+	return s, s.validate()
+}
+
+func (s *Settings) validate() error {
+	return validation.ValidateStruct(s,
+		validation.Field(&s.NodeName, validation.Required),
+		validation.Field(&s.IP, validation.Required, validation.By(address)),
+		validation.Field(&s.Zone, validation.Required),
+		validation.Field(&s.InternalPorts, validation.Length(2, 2), validation.Each(validation.Min(1), validation.Max(65535))),
+		validation.Field(&s.SeedNodes, validation.Required, validation.Each(validation.By(hostPort))),
+	)
+}
+
+func address(value any) error {
+	if text, _ := value.(string); net.ParseIP(text) == nil {
+		return validation.NewError("ip", "must be an IP address")
+	}
+	return nil
+}
+
+func hostPort(value any) error {
+	text, _ := value.(string)
+	if _, _, err := net.SplitHostPort(text); err != nil {
+		return validation.NewError("address", "must be host:port")
+	}
+	return nil
+}
+
+// PeerAddress is where processes of other machines reach this one.
+func (s *Settings) PeerAddress() string { return s.peerAt(s.IP, peerPort) }
+
+// ProxyAddress is where the proxy of this machine listens for its agent's word, on loopback.
+func (s *Settings) ProxyAddress() string { return s.peerAt("127.0.0.1", proxyPort) }
+
+// AgentLoopback is where this machine's agent listens for its proxy.
+func (s *Settings) AgentLoopback() string { return s.peerAt("127.0.0.1", peerPort) }
+
+func (s *Settings) peerAt(host string, place int) string {
+	return net.JoinHostPort(host, strconv.Itoa(s.InternalPorts[0]+place))
+}
+
+// SeedPeers are the internal addresses of the machines that the seeds name.
+func (s *Settings) SeedPeers() []string {
+	var peers []string
+	for _, seed := range s.SeedNodes {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			peers = append(peers, s.peerAt(host, peerPort))
+		}
+	}
+	return peers
+}
+
+// IsSeed tells whether this machine is one of the seeds.
+func (s *Settings) IsSeed() bool {
+	for _, peer := range s.SeedPeers() {
+		if peer == s.PeerAddress() {
+			return true
+		}
+	}
+	return false
+}
+
+// TargetMembers is how many members the chain should have.
+func (s *Settings) TargetMembers() int { return max(1, 2*s.Tolerance.Machines+1) }
+
+// Milliseconds reads a bound.
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// BeatInterval is the time between two heartbeats of a backend.
+func (s *Settings) BeatInterval() time.Duration {
+	const usual = 1200
+	if s.BeatIntervalMS <= 0 {
+		return usual * time.Millisecond
+	}
+	return Milliseconds(s.BeatIntervalMS)
+}
--- /dev/null
+++ b/internal/system/chain/heartbeat.go
@@ -0,0 +1,259 @@
+package chain
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"marlreel/internal/system/api"
+)
+
+// Tick does what time alone brings about. Call it a few times in each
+// HeartbeatEvery.
+func (n *Node) Tick(now time.Duration) Output {
+	n.now = now
+	if n.now-n.lastTick > n.cfg.SuspectAfter/2 {
+		n.listening = n.now // it stood still: what others sent meanwhile has not been read
+	}
+	n.lastTick = n.now
+	if n.now >= n.nextBeat {
+		n.nextBeat = n.now + n.cfg.HeartbeatEvery
+		n.beat()
+	}
+	n.resend()
+	n.look()
+	return n.take()
+}
+
+// beat tells all members, and whoever reports here, that this node lives.
+func (n *Node) beat() {
+	told := map[string]bool{}
+	for _, member := range n.others() {
+		told[member.Address] = true
+		n.send(member, n.heartbeat())
+	}
+	if n.isMember() && n.inChain() {
+		return
+	}
+	for _, address := range n.contacts {
+		if !told[address] && address != n.durable.Self.Address {
+			n.send(&api.Member{Address: address}, n.heartbeat())
+		}
+	}
+}
+
+func (n *Node) heartbeat() *api.ChainMessage {
+	beat := &api.Heartbeat{Active: n.InService(), Committed: n.committed, Position: n.durable.last(), WantsIn: !n.inChain()}
+	if beat.WantsIn {
+		for key, p := range n.peers {
+			if n.alive(p) {
+				beat.Hears = append(beat.Hears, key)
+			}
+		}
+		slices.Sort(beat.Hears)
+	}
+	return &api.ChainMessage{Body: &api.ChainMessage_Heartbeat{Heartbeat: beat}}
+}
+
+func (n *Node) alive(p *peer) bool { return p != nil && n.now-p.heardAt < n.cfg.SuspectAfter }
+
+// hears tells whether a member is this node or was heard of late.
+func (n *Node) hears(member *api.Member) bool {
+	return sameMember(member, n.durable.Self) || n.alive(n.peers[Key(member)])
+}
+
+// heard notes a sign of life.
+func (n *Node) heard(message *api.ChainMessage) *peer {
+	key := Key(message.From)
+	p := n.peers[key]
+	if p == nil {
+		p = &peer{member: message.From, steadySince: n.now}
+		n.peers[key] = p
+	} else if !n.alive(p) {
+		p.steadySince = n.now
+	}
+	p.heardAt = n.now
+	p.behind = message.ViewNumber < n.durable.View.Number
+	return p
+}
+
+// forgetPeers drops those that have been silent for long and do not count.
+func (n *Node) forgetPeers() {
+	for key, p := range n.peers {
+		if n.now-p.heardAt > 10*n.cfg.RemoveAfter && !contains(n.durable.View.Members, p.member) {
+			delete(n.peers, key)
+		}
+	}
+}
+
+// onHeartbeat takes in what a peer says of itself.
+func (n *Node) onHeartbeat(p *peer, message *api.ChainMessage, beat *api.Heartbeat) {
+	p.wantsIn, p.hears = beat.WantsIn, beat.Hears
+	if message.ViewNumber < n.durable.View.Number {
+		n.send(message.From, n.heartbeat()) // which carries the view
+		return
+	}
+	if message.ViewNumber == n.durable.View.Number && beat.Active {
+		n.entersService(beat.Committed)
+	}
+}
+
+// entersService notes that this node's view is in service and how far it has committed.
+func (n *Node) entersService(committed uint64) {
+	if n.durable.SyncedView != n.durable.View.Number {
+		return
+	}
+	n.activeView = n.durable.View.Number
+	n.commit(committed)
+}
+
+// look finds out whether another view is needed, and proposes it in turn.
+func (n *Node) look() {
+	n.forgetPeers()
+	if n.proposal != nil {
+		n.pursue()
+		return
+	}
+	if !n.isMember() {
+		return
+	}
+	reason := n.trouble()
+	if reason == "" {
+		n.troubled = 0
+		n.lookForChange()
+		return
+	}
+	if n.troubled == 0 {
+		n.troubled = n.now
+	}
+	if n.now-n.troubled >= time.Duration(n.rank())*n.cfg.Stagger {
+		n.propose(reason, n.durable.View.Members, nil)
+	}
+}
+
+// trouble says why the view has to be replaced, or "".
+func (n *Node) trouble() string {
+	view := n.durable.View
+	live := 0
+	for _, member := range view.Members {
+		if n.hears(member) {
+			live++
+		}
+	}
+	if live < majority(len(view.Members)) {
+		return "" // nothing can be agreed
+	}
+	if len(view.Chain) == 0 {
+		return "the cluster is founded"
+	}
+	for _, member := range view.Chain {
+		if !n.hears(member) && n.now-n.listening >= n.cfg.SuspectAfter {
+			return fmt.Sprintf("%s is silent", member.Address)
+		}
+	}
+	if n.wedged() && n.now-n.wedgedSince > n.cfg.ProposalTimeout {
+		return "a proposal came to nothing"
+	}
+	return ""
+}
+
+// rank is this node's turn to propose: by the chain's order, then the members'.
+func (n *Node) rank() int {
+	rank := 0
+	for _, member := range slices.Concat(n.durable.View.Chain, n.durable.View.Members) {
+		if sameMember(member, n.durable.Self) {
+			return rank
+		}
+		if n.hears(member) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// lookForChange lets the head of a chain in service take members in, or let go of
+// those that have been lost.
+func (n *Node) lookForChange() {
+	if !n.isHead() || !n.inService() {
+		return
+	}
+	view := n.durable.View
+	for _, key := range n.sortedPeers() {
+		p := n.peers[key]
+		if contains(view.Chain, p.member) || !n.alive(p) || !p.wantsIn || p.behind || n.now-p.steadySince < n.cfg.RejoinAfter || !n.hearsChain(p) {
+			continue
+		}
+		if contains(view.Members, p.member) {
+			n.propose(p.member.Address+" is back", view.Members, p.member)
+			return
+		}
+		if p.member.Incarnation == 0 {
+			continue
+		}
+		n.propose(p.member.Address+" joins", n.membersWith(p.member), p.member)
+		return
+	}
+	if len(view.Members) <= n.cfg.TargetMembers {
+		return
+	}
+	if lost := n.longestSilent(n.cfg.RemoveAfter); lost != nil {
+		n.propose(lost.Address+" has left", without(view.Members, lost), nil)
+	}
+}
+
+func (n *Node) sortedPeers() []string {
+	keys := make([]string, 0, len(n.peers))
+	for key := range n.peers {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// hearsChain tells whether a peer hears all of the chain, as each of its members must.
+func (n *Node) hearsChain(p *peer) bool {
+	for _, member := range n.durable.View.Chain {
+		if !slices.Contains(p.hears, Key(member)) {
+			return false
+		}
+	}
+	return true
+}
+
+// membersWith are the members once another has joined: it takes the place of the one
+// whose disk it had, or of one that is lost, where there are enough.
+func (n *Node) membersWith(joining *api.Member) []*api.Member {
+	members := n.durable.View.Members
+	for _, member := range members {
+		if member.Address == joining.Address {
+			return append(without(members, member), joining)
+		}
+	}
+	if len(members) >= n.cfg.TargetMembers {
+		if lost := n.longestSilent(n.cfg.SuspectAfter); lost != nil {
+			return append(without(members, lost), joining)
+		}
+	}
+	return append(slices.Clone(members), joining)
+}
+
+// longestSilent is the member outside the chain that was heard last the longest ago,
+// and not for at least so long; nil: there is none.
+func (n *Node) longestSilent(atLeast time.Duration) *api.Member {
+	var found *api.Member
+	var since time.Duration
+	for _, member := range n.durable.View.Members {
+		if contains(n.durable.View.Chain, member) {
+			continue
+		}
+		var heardAt time.Duration
+		if p := n.peers[Key(member)]; p != nil {
+			heardAt = p.heardAt
+		}
+		heardAt = max(heardAt, n.listening)
+		if n.now-heardAt >= atLeast && (found == nil || heardAt < since) {
+			found, since = member, heardAt
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/system/configuration/document.go
@@ -0,0 +1,255 @@
+// Package configuration reads, checks and changes the operator's configuration:
+// routes, services and limits. A Document is never changed once it is made. What
+// the operator sent is kept as it was, fields that are not known here among it.
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"marlreel/internal/system/result"
+)
+
+// The classes of routes.
+const (
+	ClassSafe      = "safe"
+	ClassUnsafe    = "unsafe"
+	ClassStreaming = "streaming"
+)
+
+// Share is a part of a route's traffic that goes to a service.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Route says where requests of a host and a prefix go, and how they are treated.
+type Route struct {
+	Name             string   `json:"name"`
+	Host             string   `json:"host"`
+	PathPrefix       string   `json:"path_prefix"`
+	Class            string   `json:"route_class"`
+	TimeoutMS        float64  `json:"timeout_ms"`
+	TargetLatencyMS  float64  `json:"target_latency_ms"`
+	Priority         int      `json:"priority"`
+	Service          string   `json:"service"`
+	Split            []Share  `json:"weighted_split"`
+	MaxAttempts      int      `json:"max_attempts"`
+	Affinity         bool     `json:"affinity"`
+	Resumable        bool     `json:"resumable"`
+	GapAimMS         float64  `json:"gap_aim_ms"`
+	PermittedRegions []string `json:"permitted_regions"`
+}
+
+// Streaming tells whether answers are streams of events.
+func (r *Route) Streaming() bool { return r.Class == ClassStreaming }
+
+// Repeatable tells whether a request may run more than once.
+func (r *Route) Repeatable() bool { return r.Class == ClassSafe || r.Streaming() && r.Resumable }
+
+// Timeout is how long a request may be held.
+func (r *Route) Timeout() time.Duration { return milliseconds(r.TimeoutMS) }
+
+// TargetLatency is within what time an answer, or a stream's first event, earns its full worth.
+func (r *Route) TargetLatency() time.Duration { return milliseconds(r.TargetLatencyMS) }
+
+// Attempts is how many backends one request may be sent to.
+func (r *Route) Attempts() int { return max(1, r.MaxAttempts) }
+
+// Services calls for each service that the route may use, with its weight.
+func (r *Route) Services(each func(service string, weight float64)) {
+	if len(r.Split) == 0 {
+		each(r.Service, 1)
+		return
+	}
+	for _, share := range r.Split {
+		each(share.Service, share.Weight)
+	}
+}
+
+// Model is a model that backends of a service may be told to load.
+type Model struct {
+	Name          string  `json:"name"`
+	WeightsMB     float64 `json:"weights_mb"`
+	LoadTimeS     float64 `json:"load_time_s"`
+	Adapters      int     `json:"adapter_list"`
+	AdapterSizeMB float64 `json:"adapter_size_mb"`
+}
+
+// Engine describes a service's model backends.
+type Engine struct {
+	Slots           int     `json:"slots"`
+	KVCapacity      float64 `json:"kv_capacity"`
+	Models          []Model `json:"model_list"`
+	WeightsMB       float64 `json:"weights_mb"`
+	AdapterCapacity int     `json:"adapter_capacity"`
+	LoadPerS        float64 `json:"load_per_s"`
+}
+
+// Service is a group of backends that answer alike.
+type Service struct {
+	Name       string  `json:"name"`
+	HealthPath string  `json:"health_path"`
+	ConnLimit  int     `json:"conn_limit"`
+	ColdStartS float64 `json:"cold_start_s"`
+	ColdPerS   float64 `json:"cold_per_s"`
+	Engine     *Engine `json:"engine"`
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	MaxHeaderBytes  int     `json:"max_header_bytes"`
+	MaxBodyBytes    int     `json:"max_body_bytes"`
+	HeaderTimeoutMS float64 `json:"header_timeout_ms"`
+	IdleTimeoutMS   float64 `json:"idle_timeout_ms"`
+}
+
+// Document is a whole configuration.
+type Document struct {
+	Version  uint64    `json:"config_version"`
+	Routes   []Route   `json:"route_list"`
+	Services []Service `json:"service_list"`
+	Limits   Limits    `json:"limits"`
+
+	raw      []byte
+	services map[string]*Service
+	hosts    map[string][]*Route // the longest prefix first
+}
+
+// Raw is the document as JSON. It must not be changed.
+func (d *Document) Raw() []byte { return d.raw }
+
+// Service is the service of a name, or nil.
+func (d *Document) Service(name string) *Service { return d.services[name] }
+
+// Parse reads and checks a whole configuration.
+func Parse(data []byte) (*Document, *result.Error) {
+	d := &Document{raw: data}
+	if err := decode(data, d); err != nil {
+		return nil, result.Errorf(result.Unreadable, "configuration: %v", err)
+	}
+	d.index()
+	if err := d.check(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+var errMore = errors.New("more follows after the document")
+
+// decode reads one JSON value, whole, with nothing behind it.
+func decode(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errMore
+	}
+	return nil
+}
+
+// Version reads no more than the version that a body claims.
+func Version(data []byte) (uint64, *result.Error) {
+	var head struct {
+		Version *uint64 `json:"config_version"`
+	}
+	if err := decode(data, &head); err != nil {
+		return 0, result.Errorf(result.Unreadable, "configuration: %v", err)
+	}
+	if head.Version == nil {
+		return 0, result.Errorf(result.InvalidField, "config_version is missing")
+	}
+	return *head.Version, nil
+}
+
+func (d *Document) check() *result.Error {
+	if d.Version == 0 {
+		return result.Errorf(result.InvalidField, "config_version: must be 1 or more")
+	}
+	if len(d.services) != len(d.Services) {
+		return result.Errorf(result.SameName, "service_list: two services have the same name")
+	}
+	for i := range d.Services {
+		if err := d.Services[i].check(); err != nil {
+			return err
+		}
+	}
+	names, places := map[string]bool{}, map[string]bool{}
+	for i := range d.Routes {
+		route := &d.Routes[i]
+		if err := d.checkRoute(route); err != nil {
+			return err
+		}
+		place := route.Host + route.PathPrefix
+		if places[place] {
+			return result.Errorf(result.SamePlace, "route %s: another route has %s", route.Name, place)
+		}
+		if names[route.Name] {
+			return result.Errorf(result.SameName, "route_list: two routes are named %s", route.Name)
+		}
+		names[route.Name], places[place] = true, true
+	}
+	return nil
+}
+
+func (s *Service) check() *result.Error {
+	err := validation.ValidateStruct(s,
+		validation.Field(&s.Name, validation.Required, validation.Length(1, longestName)),
+		validation.Field(&s.ConnLimit, validation.Min(0)),
+		validation.Field(&s.ColdStartS, validation.Min(0.0)),
+		validation.Field(&s.ColdPerS, validation.Min(0.0)))
+	if err != nil {
+		return result.Errorf(result.InvalidField, "service %s: %v", s.Name, err)
+	}
+	return nil
+}
+
+const longestName = 256
+
+func (d *Document) checkRoute(r *Route) *result.Error {
+	if r.TimeoutMS <= 0 {
+		return result.Errorf(result.NoTimeout, "route %s: timeout_ms is %v", r.Name, r.TimeoutMS)
+	}
+	err := validation.ValidateStruct(r,
+		validation.Field(&r.Name, validation.Required, validation.Length(1, longestName)),
+		validation.Field(&r.Host, validation.Required),
+		validation.Field(&r.PathPrefix, validation.Required, validation.By(slashes)),
+		validation.Field(&r.TargetLatencyMS, validation.Min(0.0)),
+		validation.Field(&r.MaxAttempts, validation.Min(0)))
+	if err != nil {
+		return result.Errorf(result.InvalidField, "route %s: %v", r.Name, err)
+	}
+	sum, unknown, negative := 0.0, "", false
+	r.Services(func(service string, weight float64) {
+		if d.services[service] == nil {
+			unknown = service
+		}
+		negative = negative || weight < 0
+		sum += weight
+	})
+	switch {
+	case unknown != "" || r.Service == "" && len(r.Split) == 0:
+		return result.Errorf(result.UnknownService, "route %s: there is no service %q", r.Name, unknown)
+	case negative:
+		return result.Errorf(result.InvalidField, "route %s: a weight is below 0", r.Name)
+	case sum == 0:
+		return result.Errorf(result.NoWeight, "route %s: its weights sum to 0", r.Name)
+	}
+	return nil
+}
+
+func slashes(value any) error {
+	prefix, _ := value.(string)
+	if len(prefix) == 0 || prefix[0] != '/' || prefix[len(prefix)-1] != '/' {
+		return validation.NewError("prefix", "must begin and end with a slash")
+	}
+	return nil
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/system/control/keeper.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/chain"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/result"
+	"marlreel/internal/system/store"
+)
+
+const (
+	// tickEvery is how often the chain looks at the time.
+	tickEvery = 30 * time.Millisecond
+	// reopenAfter is how long a store that has failed rests before it is opened again.
+	reopenAfter = 500 * time.Millisecond
+	// mostEvents bounds what waits for the keeper's goroutine.
+	mostEvents = 1024
+)
+
+// Keeper runs a replica on one goroutine, with its store: it opens it, and opens it
+// anew after a failure.
+type Keeper struct {
+	settings *boot.Settings
+	config   chain.Config
+	sender   Sender
+	feed     *feed.Store
+	log      logr.Logger
+	events   chan func()
+	began    time.Time
+	store    *store.Store
+	replica  *Replica // nil: there is no store
+	openAt   time.Time
+}
+
+// NewKeeper makes a keeper.
+func NewKeeper(settings *boot.Settings, sender Sender, out *feed.Store, log logr.Logger) *Keeper {
+	return &Keeper{settings: settings, config: chain.DefaultConfig(settings.TargetMembers()), sender: sender, feed: out,
+		log: log, events: make(chan func(), mostEvents), began: time.Now()}
+}
+
+// now is the steady clock. It starts above 0.
+func (k *Keeper) now() time.Duration { return time.Since(k.began) + time.Second }
+
+// Run keeps the chain until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	defer k.close()
+	for {
+		select {
+		case event := <-k.events:
+			event()
+		case <-ticker.C:
+			k.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *Keeper) tick() {
+	if k.replica != nil && k.replica.Failure() != nil {
+		k.close()
+		k.openAt = time.Now().Add(reopenAfter)
+	}
+	if k.replica == nil && !time.Now().Before(k.openAt) {
+		if err := k.open(); err != nil {
+			k.log.Error(err, "the store can't be opened", "event", "store")
+			k.close()
+			k.openAt = time.Now().Add(reopenAfter)
+		}
+	}
+	if k.replica != nil {
+		k.replica.Tick(k.now())
+	}
+}
+
+func (k *Keeper) close() {
+	k.replica = nil
+	if k.store != nil {
+		// What it may still hold back was answered as unclear.
+		_ = k.store.Close()
+		k.store = nil
+	}
+}
+
+// open opens the store and makes a replica of what it holds.
+func (k *Keeper) open() error {
+	opened, err := store.Open(k.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	k.store = opened
+	durable, err := opened.Load()
+	if eris.Is(err, store.ErrDamaged) {
+		// Its promises can't be trusted: it comes back as another member, without any.
+		k.log.Error(err, "the store is set aside", "event", "store")
+		k.close()
+		return os.RemoveAll(filepath.Join(k.settings.DataDir, "chain"))
+	}
+	if err != nil {
+		return err
+	}
+	if durable.Self == nil {
+		if durable, err = k.found(); err != nil {
+			return err
+		}
+	}
+	k.replica = NewReplica(k.config, durable, k.settings.SeedPeers(), opened, k.sender, k.feed, k.log, k.now())
+	return nil
+}
+
+// found gives an empty disk an identity: a founder's at the very first start of the
+// system, or else that of one who waits to be taken in.
+func (k *Keeper) found() (chain.Durable, error) {
+	self := &api.Member{Address: k.settings.PeerAddress(), Incarnation: chain.FounderIncarnation}
+	durable := chain.Durable{Self: self}
+	if k.settings.FirstStart && k.settings.IsSeed() {
+		durable.View = chain.FoundingView(k.settings.SeedPeers())
+	} else {
+		var random [8]byte
+		if _, err := rand.Read(random[:]); err != nil {
+			return durable, eris.Wrap(err, "drawing an incarnation")
+		}
+		self.Incarnation = binary.BigEndian.Uint64(random[:]) | 1<<63
+	}
+	return durable, k.store.Save(&durable, chain.Changed{Self: true, View: durable.View != nil})
+}
+
+// post has an event handled on the keeper's goroutine; it tells whether there was room.
+func (k *Keeper) post(event func()) bool {
+	select {
+	case k.events <- event:
+		return true
+	default:
+		return false
+	}
+}
+
+// Deliver takes messages of other members in.
+func (k *Keeper) Deliver(messages []*api.ChainMessage) {
+	k.post(func() {
+		if k.replica == nil {
+			return
+		}
+		for _, message := range messages {
+			k.replica.Receive(k.now(), message)
+		}
+	})
+}
+
+// Submit has an operation done here, if this is the head.
+func (k *Keeper) Submit(operation *api.Operation, reply Reply) {
+	posted := k.post(func() {
+		if k.replica == nil {
+			reply(result.Unavailable, "this process has no store")
+			return
+		}
+		k.replica.Submit(k.now(), operation, reply)
+	})
+	if !posted {
+		reply(result.Unavailable, "too much waits")
+	}
+}
+
+// Read reads the newest state here, if this is the tail; atHead: if it is the head.
+func (k *Keeper) Read(atHead bool, reply ReadReply) {
+	posted := k.post(func() {
+		switch {
+		case k.replica == nil:
+			reply(result.Unavailable, nil)
+		case atHead:
+			k.replica.ReadAtHead(k.now(), reply)
+		default:
+			k.replica.Read(k.now(), reply)
+		}
+	})
+	if !posted {
+		reply(result.Unavailable, nil)
+	}
+}
+
+// Standing is where this process stands in the chain, as far as it knows.
+type Standing struct {
+	Head, Tail string   // addresses; "" is not known
+	Members    []string // addresses of all members
+	Connected  bool     // in service, and a majority is heard
+}
+
+// Standing asks the keeper's goroutine.
+func (k *Keeper) Standing(take func(Standing)) {
+	posted := k.post(func() {
+		var s Standing
+		if k.replica != nil {
+			node := k.replica.Node()
+			s.Head, s.Tail = node.Head().GetAddress(), node.Tail().GetAddress()
+			s.Connected = node.Connected()
+			for _, member := range node.View().Members {
+				s.Members = append(s.Members, member.Address)
+			}
+		}
+		take(s)
+	})
+	if !posted {
+		take(Standing{})
+	}
+}
--- /dev/null
+++ b/internal/system/control/operator.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/configuration"
+	"marlreel/internal/system/result"
+)
+
+// The paths of control's interface for the operator and for backends.
+const (
+	pathReplace    = "/marlreel/config/replace"
+	pathModify     = "/marlreel/config/modify"
+	pathRead       = "/marlreel/config/read"
+	pathEvacuation = "/marlreel/evacuation/"
+	pathBackends   = "/marlreel/backends/"
+
+	verbBegin     = "begin"
+	verbTerminate = "terminate"
+	verbHeartbeat = "heartbeat"
+	verbDetach    = "detach"
+
+	headerBase = "Base-Version"
+	// largestBody bounds a configuration.
+	largestBody = 16 << 20
+)
+
+// failure is the body of an answer that is no success.
+type failure struct {
+	Code   result.Code `json:"code"`
+	Result string      `json:"result"`
+	Cause  string      `json:"error_cause"`
+	Advice string      `json:"advice"`
+}
+
+// Handle answers a call of the operator or of a backend.
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	path, post := string(ctx.Path()), ctx.IsPost()
+	switch {
+	case post && path == pathReplace:
+		s.change(ctx, func(base uint64, body []byte) *api.Operation {
+			return &api.Operation{Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{BaseVersion: base, Document: body}}}
+		})
+	case post && path == pathModify:
+		s.change(ctx, func(base uint64, body []byte) *api.Operation {
+			return &api.Operation{Kind: &api.Operation_Modify{Modify: &api.ModifyConfiguration{BaseVersion: base, Change: body}}}
+		})
+	case ctx.IsGet() && path == pathRead:
+		s.read(ctx)
+	case post && strings.HasPrefix(path, pathEvacuation):
+		s.evacuate(ctx, strings.TrimPrefix(path, pathEvacuation))
+	case post && strings.HasPrefix(path, pathBackends):
+		s.backend(ctx, strings.TrimPrefix(path, pathBackends))
+	default:
+		refuse(ctx, result.Errorf(result.UnknownPath, "%s %s", ctx.Method(), path))
+	}
+}
+
+func refuse(ctx *fasthttp.RequestCtx, err *result.Error) {
+	ctx.SetStatusCode(err.Code.Status())
+	ctx.SetContentType("application/json")
+	// A struct of plain fields always marshals.
+	body, _ := json.Marshal(failure{Code: err.Code, Result: err.Code.String(), Cause: err.Detail, Advice: err.Advice()})
+	ctx.SetBody(body)
+}
+
+func finish(ctx *fasthttp.RequestCtx, outcome *result.Error) {
+	if !outcome.Code.Done() {
+		refuse(ctx, outcome)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString("{}")
+}
+
+// change takes a configuration, or a change of one.
+func (s *Service) change(ctx *fasthttp.RequestCtx, operation func(base uint64, body []byte) *api.Operation) {
+	base, err := strconv.ParseUint(string(ctx.Request.Header.Peek(headerBase)), 10, 64)
+	if err != nil {
+		refuse(ctx, result.Errorf(result.InvalidField, "%s: a version is needed", headerBase))
+		return
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	if _, unreadable := configuration.Version(body); unreadable != nil {
+		refuse(ctx, unreadable)
+		return
+	}
+	finish(ctx, s.Order(operation(base, body)))
+}
+
+func (s *Service) read(ctx *fasthttp.RequestCtx) {
+	reply, err := s.Configuration()
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	ctx.SetContentType("application/json")
+	if len(reply.Document) == 0 {
+		ctx.SetBodyString("{}")
+		return
+	}
+	ctx.SetBody(reply.Document)
+}
+
+// evacuate takes ZONE/begin and ZONE/terminate.
+func (s *Service) evacuate(ctx *fasthttp.RequestCtx, rest string) {
+	zone, verb, _ := strings.Cut(rest, "/")
+	if verb != verbBegin && verb != verbTerminate || zone == "" {
+		refuse(ctx, result.Errorf(result.UnknownPath, "evacuation %s", rest))
+		return
+	}
+	finish(ctx, s.Order(&api.Operation{Kind: &api.Operation_Evacuation{
+		Evacuation: &api.SetEvacuation{Zone: zone, Active: verb == verbBegin}}}))
+}
+
+// heartbeat is what a backend says of itself.
+type heartbeat struct {
+	Service  string      `json:"service"`
+	Address  string      `json:"address"`
+	Zone     string      `json:"zone"`
+	Software string      `json:"config_version"`
+	Slots    uint32      `json:"slots"`
+	State    string      `json:"state"`
+	ColdLeft float64     `json:"cold_left_ms"`
+	Models   []heldModel `json:"model_list"`
+	Sequence uint64      `json:"call_seq"`
+}
+
+type heldModel struct {
+	Name     string   `json:"name"`
+	Version  uint64   `json:"config_version"`
+	Adapters []string `json:"adapter_list"`
+}
+
+const stateDraining = "draining"
+
+// backend takes ID/heartbeat and ID/detach.
+func (s *Service) backend(ctx *fasthttp.RequestCtx, rest string) {
+	id, verb, _ := strings.Cut(rest, "/")
+	if verb != verbHeartbeat && verb != verbDetach || id == "" {
+		refuse(ctx, result.Errorf(result.UnknownPath, "backends %s", rest))
+		return
+	}
+	if verb == verbDetach {
+		s.retire(ctx, id)
+		return
+	}
+	var beat heartbeat
+	if err := json.Unmarshal(ctx.PostBody(), &beat); err != nil {
+		refuse(ctx, result.Errorf(result.Unreadable, "heartbeat: %v", err))
+		return
+	}
+	if beat.Service == "" || beat.Address == "" {
+		refuse(ctx, result.Errorf(result.InvalidField, "heartbeat: service and address are needed"))
+		return
+	}
+	s.registry.Beat(beat.backend(id))
+	if beat.State == stateDraining {
+		s.retire(ctx, id)
+		return
+	}
+	finish(ctx, &result.Error{Code: result.Accepted})
+}
+
+func (h *heartbeat) backend(id string) *api.Backend {
+	b := &api.Backend{Id: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Software: h.Software, Slots: h.Slots,
+		Draining: h.State == stateDraining, ColdLeftMs: uint32(max(0, h.ColdLeft)), CallSequence: h.Sequence}
+	for _, m := range h.Models {
+		b.Models = append(b.Models, &api.ModelHeld{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+	}
+	return b
+}
+
+// retire acknowledges a backend's end once that is on more than half of the disks.
+func (s *Service) retire(ctx *fasthttp.RequestCtx, id string) {
+	finish(ctx, s.Order(&api.Operation{Kind: &api.Operation_Retire{Retire: &api.RetireBackend{Id: id}}}))
+}
--- /dev/null
+++ b/internal/system/control/registry.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/transport"
+)
+
+const (
+	// shareEvery is how often a control process tells the others whom it has heard.
+	shareEvery = 400 * time.Millisecond
+	// shareSoon is how long news waits for more news.
+	shareSoon = 10 * time.Millisecond
+	// shareTimeout bounds one such call.
+	shareTimeout = 400 * time.Millisecond
+	// missedBeats is how many heartbeats a backend may miss before it is dropped.
+	missedBeats = 3
+	// unheardFactor is how many times longer a backend is kept whose reports came
+	// through a process that has fallen silent itself.
+	unheardFactor = 5
+	// nodeSilence is after what time a node without a call is no longer counted.
+	nodeSilence = 4 * time.Second
+	// peerSilence is after what time another control process counts as silent.
+	peerSilence = 1500 * time.Millisecond
+)
+
+// heard is when and by whom a backend or a node was heard last.
+type heard struct {
+	via string // the control process; "" is this one
+	at  time.Time
+}
+
+// Registry knows the backends and the nodes from their calls, here and at the other
+// control processes.
+type Registry struct {
+	self   string
+	feed   *feed.Store
+	beat   time.Duration
+	client *transport.Client
+
+	mu     sync.Mutex
+	heard  map[string]heard     // backends
+	nodes  map[string]heard     // nodes
+	peers  map[string]time.Time // when each other control process told something last
+	wake   chan struct{}
+	shared map[string]uint64 // per peer: the feed's revision that it was told of; missing: tell all
+}
+
+// NewRegistry makes an empty registry; self is this process's internal address.
+func NewRegistry(self string, out *feed.Store, beat time.Duration, client *transport.Client) *Registry {
+	return &Registry{self: self, feed: out, beat: beat, client: client, heard: map[string]heard{}, nodes: map[string]heard{},
+		peers: map[string]time.Time{}, shared: map[string]uint64{}, wake: make(chan struct{}, 1)}
+}
+
+// Silence is how long a backend may be silent before it is dropped.
+func (r *Registry) Silence() time.Duration { return missedBeats*r.beat + r.beat/2 }
+
+// Beat takes in a backend's heartbeat.
+func (r *Registry) Beat(b *api.Backend) {
+	r.mu.Lock()
+	r.heard[b.Id] = heard{at: time.Now()}
+	r.mu.Unlock()
+	if r.feed.Put(b) {
+		r.hurry()
+	}
+}
+
+// Node takes in a node's call.
+func (r *Registry) Node(n *api.Node) {
+	r.mu.Lock()
+	_, known := r.nodes[n.Name]
+	r.nodes[n.Name] = heard{at: time.Now()}
+	r.mu.Unlock()
+	r.feed.PutNode(n)
+	if !known {
+		r.hurry()
+	}
+}
+
+// Take takes in what another control process has heard.
+func (r *Registry) Take(reports *api.BackendReports) {
+	now := time.Now()
+	r.mu.Lock()
+	r.peers[reports.From] = now
+	note := func(table map[string]heard, id string, ageMS uint32) {
+		at := now.Add(-time.Duration(ageMS) * time.Millisecond)
+		if table[id].at.Before(at) {
+			table[id] = heard{via: reports.From, at: at}
+		}
+	}
+	for _, b := range reports.Backends {
+		note(r.heard, b.Id, b.AgeMs)
+	}
+	for _, s := range reports.Seen {
+		note(r.heard, s.Id, s.AgeMs)
+	}
+	for _, n := range reports.Nodes {
+		note(r.nodes, n.Name, n.AgeMs)
+	}
+	r.mu.Unlock()
+	for _, b := range reports.Backends {
+		r.feed.Put(b)
+	}
+	for _, s := range reports.Seen {
+		r.feed.Seen(s.Id, s.CallSequence, time.Duration(s.AgeMs)*time.Millisecond)
+	}
+	for _, n := range reports.Nodes {
+		r.feed.PutNode(n)
+	}
+}
+
+func (r *Registry) hurry() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run shares and expires until ctx ends. members gives the addresses of all control
+// processes that count.
+func (r *Registry) Run(ctx context.Context, members func() []string) {
+	for {
+		timer := time.NewTimer(shareEvery)
+		select {
+		case <-r.wake:
+			timer.Stop()
+			select {
+			case <-time.After(shareSoon):
+			case <-ctx.Done():
+				return
+			}
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		r.share(ctx, members())
+		r.expire()
+	}
+}
+
+// share tells every other control process whom this one has heard itself.
+func (r *Registry) share(ctx context.Context, members []string) {
+	var done sync.WaitGroup
+	for _, address := range members {
+		if address == r.self {
+			continue
+		}
+		reports, revision := r.reports(address)
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			call, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			_, err := api.NewControlProtobufClient("http://"+address, r.client).Share(call, reports)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if err != nil {
+				delete(r.shared, address)
+				return
+			}
+			r.shared[address] = revision
+		}()
+	}
+	done.Wait()
+}
+
+// reports are what a peer has not been told, and who still lives.
+func (r *Registry) reports(address string) (*api.BackendReports, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told, known := r.shared[address]
+	changed, revision := r.feed.ChangedSince(told)
+	reports := &api.BackendReports{From: r.self, Whole: !known}
+	news := map[string]bool{}
+	for _, b := range changed {
+		if h, here := r.heard[b.Id]; here && h.via == "" {
+			reports.Backends = append(reports.Backends, b)
+			news[b.Id] = true
+		}
+	}
+	now := time.Now()
+	for id, h := range r.heard {
+		if h.via == "" && !news[id] {
+			reports.Seen = append(reports.Seen, &api.Seen{Id: id, AgeMs: uint32(now.Sub(h.at).Milliseconds())})
+		}
+	}
+	for _, n := range r.feed.Nodes() {
+		if r.nodes[n.Name].via == "" {
+			reports.Nodes = append(reports.Nodes, n)
+		}
+	}
+	return reports, revision
+}
+
+// expire drops the backends that have fallen silent, and forgets who heard them.
+func (r *Registry) expire() {
+	now, silence := time.Now(), r.Silence()
+	r.mu.Lock()
+	lost := map[string]bool{}
+	for id, h := range r.heard {
+		limit := silence
+		if h.via != "" && now.Sub(r.peers[h.via]) > peerSilence {
+			limit *= unheardFactor // that process is silent, which says nothing of the backend
+		}
+		if now.Sub(h.at) > limit {
+			lost[id] = true
+			delete(r.heard, id)
+		}
+	}
+	for name, h := range r.nodes {
+		if now.Sub(h.at) > nodeSilence {
+			delete(r.nodes, name)
+		}
+	}
+	r.mu.Unlock()
+	r.feed.Expire(func(b *api.Backend, _ time.Duration) bool { return lost[b.Id] })
+	r.feed.ExpireNodes(nodeSilence)
+}
--- /dev/null
+++ b/internal/system/control/role.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/multierr"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/transport"
+)
+
+const (
+	// standingEvery is how often the feed is told where this process stands.
+	standingEvery = 100 * time.Millisecond
+	// shutdownPatience is how long calls in hand may take when the process ends.
+	shutdownPatience = time.Second
+)
+
+// Run is a control process until ctx ends.
+func Run(ctx context.Context, settings *boot.Settings, log logr.Logger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	client := transport.NewClient(transport.DialTCP)
+	out := feed.New(fmt.Sprintf("%s/%x", settings.NodeName, rand.Uint64()), time.Now)
+	keeper := NewKeeper(settings, NewPeers(ctx, client), out, log)
+	registry := NewRegistry(settings.PeerAddress(), out, settings.BeatInterval(), client)
+	service := &Service{keeper: keeper, registry: registry, feed: out, self: settings.PeerAddress(), client: client}
+
+	peers := transport.NewServer(nil, api.NewChainPeerServer(service), api.NewControlServer(service))
+	operators := transport.NewServer(service.Handle)
+	operators.MaxRequestBodySize = largestBody
+	var servers sync.WaitGroup
+	failures := make(chan error, 2)
+	for address, server := range map[string]*fasthttp.Server{settings.PeerAddress(): peers, settings.Listen.Control: operators} {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return eris.Wrapf(err, "listening at %s", address)
+		}
+		servers.Go(func() { failures <- server.Serve(listener) })
+	}
+	members := &memberList{seeds: settings.SeedPeers()}
+	var loops sync.WaitGroup
+	loops.Go(func() { keeper.Run(ctx) })
+	loops.Go(func() { registry.Run(ctx, members.get) })
+	loops.Go(func() { followStanding(ctx, keeper, registry, out, members) })
+	log.Info("control serves", "event", "start", "peer", settings.PeerAddress(), "control", settings.Listen.Control)
+
+	var failed error
+	select {
+	case <-ctx.Done():
+	case failed = <-failures:
+	}
+	patience, stop := context.WithTimeout(context.Background(), shutdownPatience)
+	defer stop()
+	failed = multierr.Combine(failed, operators.ShutdownWithContext(patience))
+	cancel()
+	loops.Wait()
+	return multierr.Append(failed, peers.ShutdownWithContext(patience))
+}
+
+// memberList are the addresses of the control processes, as last known.
+type memberList struct {
+	mu      sync.Mutex
+	seeds   []string
+	members []string
+}
+
+func (l *memberList) get() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.members) > 0 {
+		return l.members
+	}
+	return l.seeds
+}
+
+func (l *memberList) set(members []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = members
+}
+
+// followStanding tells the feed whether this process's word is fresh, and since long enough.
+func followStanding(ctx context.Context, keeper *Keeper, registry *Registry, out *feed.Store, members *memberList) {
+	ticker := time.NewTicker(standingEvery)
+	defer ticker.Stop()
+	var connectedSince time.Time
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		keeper.Standing(func(s Standing) {
+			members.set(s.Members)
+			if !s.Connected {
+				connectedSince = time.Time{}
+			} else if connectedSince.IsZero() {
+				connectedSince = time.Now()
+			}
+			out.SetStanding(s.Connected, s.Connected && time.Since(connectedSince) > registry.Silence())
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/control/service.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/result"
+	"marlreel/internal/system/state"
+	"marlreel/internal/system/transport"
+)
+
+const (
+	// orderPatience is how long an order is tried before it is answered: callers turn to
+	// another process after a second.
+	orderPatience = 850 * time.Millisecond
+	// attemptPause is the pause between two tries.
+	attemptPause = 40 * time.Millisecond
+	// longestWatch bounds how long a reader of the feed is kept waiting.
+	longestWatch = 10 * time.Second
+)
+
+// Service offers control's calls to other processes, and does orders for them: here if
+// this process can, or else through the one that can.
+type Service struct {
+	keeper   *Keeper
+	registry *Registry
+	feed     *feed.Store
+	self     string
+	client   *transport.Client
+}
+
+// Deliver implements api.ChainPeer.
+func (s *Service) Deliver(_ context.Context, batch *api.ChainBatch) (*api.Empty, error) {
+	s.keeper.Deliver(batch.Messages)
+	return &api.Empty{}, nil
+}
+
+// Submit implements api.Control: only the head answers otherwise than unavailable.
+func (s *Service) Submit(ctx context.Context, request *api.SubmitRequest) (*api.SubmitReply, error) {
+	return s.submitHere(ctx, request.Operation), nil
+}
+
+func (s *Service) submitHere(ctx context.Context, operation *api.Operation) *api.SubmitReply {
+	answers := make(chan *api.SubmitReply, 1)
+	s.keeper.Submit(operation, func(code result.Code, detail string) {
+		answers <- &api.SubmitReply{Code: uint32(code), Detail: detail}
+	})
+	select {
+	case answer := <-answers:
+		return answer
+	case <-ctx.Done():
+		return &api.SubmitReply{Code: uint32(result.Unclear), Detail: "no answer in time"}
+	}
+}
+
+// Read implements api.Control: only the tail answers otherwise than unavailable.
+func (s *Service) Read(ctx context.Context, _ *api.ReadRequest) (*api.ReadReply, error) {
+	answers := make(chan *api.ReadReply, 1)
+	s.keeper.Read(false, func(code result.Code, machine *state.Machine) {
+		reply := &api.ReadReply{Code: uint32(code)}
+		if machine != nil && machine.Document() != nil {
+			reply.Version, reply.Document = machine.Version(), machine.Document().Raw()
+		}
+		answers <- reply
+	})
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		return &api.ReadReply{Code: uint32(result.Unavailable)}, nil
+	}
+}
+
+// Share implements api.Control.
+func (s *Service) Share(_ context.Context, reports *api.BackendReports) (*api.Empty, error) {
+	s.registry.Take(reports)
+	return &api.Empty{}, nil
+}
+
+// Watch implements api.Control.
+func (s *Service) Watch(ctx context.Context, request *api.WatchRequest) (*api.Feed, error) {
+	if request.Node.GetName() != "" {
+		s.registry.Node(request.Node)
+	}
+	wait := min(longestWatch, time.Duration(request.WaitMs)*time.Millisecond)
+	return s.feed.Wait(ctx, request, wait), nil
+}
+
+// Lease implements api.Control.
+func (s *Service) Lease(context.Context, *api.LeaseRequest) (*api.LeaseReply, error) {
+	return &api.LeaseReply{Code: uint32(result.Unavailable)}, nil
+}
+
+// standing asks where the chain's ends are.
+func (s *Service) standing(ctx context.Context) Standing {
+	answers := make(chan Standing, 1)
+	s.keeper.Standing(func(standing Standing) { answers <- standing })
+	select {
+	case standing := <-answers:
+		return standing
+	case <-ctx.Done():
+		return Standing{}
+	}
+}
+
+// Order has an operation done, wherever the head is, and tries again while there is time:
+// the same operation has its effect only once.
+func (s *Service) Order(operation *api.Operation) *result.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderPatience)
+	defer cancel()
+	last := result.Errorf(result.Unavailable, "no head is known")
+	for ctx.Err() == nil {
+		head := s.standing(ctx).Head
+		if head != "" {
+			reply := s.submitAt(ctx, head, operation)
+			code := result.Code(reply.Code)
+			if code != result.Unavailable && code != result.Unclear {
+				return &result.Error{Code: code, Detail: reply.Detail}
+			}
+			// What may have been taken stays unclear, whatever later tries say.
+			if last.Code != result.Unclear || code == result.Unclear {
+				last = &result.Error{Code: code, Detail: reply.Detail}
+			}
+		}
+		pause(ctx, attemptPause)
+	}
+	return last
+}
+
+func (s *Service) submitAt(ctx context.Context, head string, operation *api.Operation) *api.SubmitReply {
+	if head == s.self {
+		return s.submitHere(ctx, operation)
+	}
+	reply, err := api.NewControlProtobufClient("http://"+head, s.client).Submit(ctx, &api.SubmitRequest{Operation: operation})
+	if err != nil {
+		return &api.SubmitReply{Code: uint32(result.Unclear), Detail: "the head can't be reached"}
+	}
+	return reply
+}
+
+// Configuration reads the newest configuration, wherever the tail is.
+func (s *Service) Configuration() (*api.ReadReply, *result.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderPatience)
+	defer cancel()
+	for ctx.Err() == nil {
+		if tail := s.standing(ctx).Tail; tail != "" {
+			reply, err := s.readAt(ctx, tail)
+			if err == nil && result.Code(reply.Code) == result.Accepted {
+				return reply, nil
+			}
+		}
+		pause(ctx, attemptPause)
+	}
+	return nil, result.Errorf(result.Unavailable, "no tail answers")
+}
+
+func (s *Service) readAt(ctx context.Context, tail string) (*api.ReadReply, error) {
+	if tail == s.self {
+		return s.Read(ctx, &api.ReadRequest{})
+	}
+	return api.NewControlProtobufClient("http://"+tail, s.client).Read(ctx, &api.ReadRequest{})
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/system/feed/exchange.go
@@ -0,0 +1,172 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"marlreel/internal/system/api"
+)
+
+// Request is what a reader with this store asks another one for.
+func (s *Store) Request(known *Cursor) *api.WatchRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &api.WatchRequest{Source: known.source, Revision: known.revision, Sequence: s.sequence, Hash: s.hash}
+}
+
+// Cursor is how far a reader has followed one source.
+type Cursor struct {
+	source      string
+	revision    uint64
+	unconfirmed map[string]bool // backends that the source has not listed
+}
+
+// Wait serves a reader what it lacks, once there is something, or nothing new after wait.
+func (s *Store) Wait(ctx context.Context, request *api.WatchRequest, wait time.Duration) *api.Feed {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		known := request.Source == s.source && request.Revision == s.revision
+		feed, changed := s.since(request), s.changed
+		s.mu.Unlock()
+		if !known {
+			return feed
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return feed
+		case <-ctx.Done():
+			return feed
+		}
+	}
+}
+
+// since makes the feed of a reader.
+func (s *Store) since(request *api.WatchRequest) *api.Feed {
+	feed := &api.Feed{Source: s.source, Revision: s.revision, Sequence: s.sequence, Hash: s.hash, Fresh: s.fresh,
+		Established: s.established}
+	s.addState(feed, request)
+	revision := request.Revision
+	if request.Source != s.source || revision < s.forgottenUpTo {
+		feed.Whole, revision = true, 0
+	}
+	feed.Backends = s.backendsSince(revision)
+	if !feed.Whole {
+		for _, d := range s.departed {
+			if d.revision > revision && s.backends[d.id] == nil {
+				feed.Departed = append(feed.Departed, d.id)
+			}
+		}
+	}
+	if s.nodesRevision > revision || feed.Whole {
+		feed.Nodes, feed.NodesChanged = s.listNodes(), true
+	}
+	return feed
+}
+
+// addState adds the entries that a reader lacks, or all of the state where they are not
+// enough. A reader that knows more gets nothing.
+func (s *Store) addState(feed *api.Feed, request *api.WatchRequest) {
+	if request.Sequence >= s.sequence {
+		return
+	}
+	if have := s.sequence - uint64(len(s.entries)); request.Sequence >= have && request.Sequence > 0 {
+		missing := s.entries[request.Sequence-have:]
+		if missing[0].PreviousHash == request.Hash {
+			feed.Entries = missing
+			return
+		}
+	}
+	feed.State = s.machine.State()
+}
+
+// Take takes in what another store has served. It tells whether anything is new.
+func (s *Store) Take(feed *api.Feed, cursor *Cursor) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.revision
+	if feed.State != nil {
+		s.reset(feed.Sequence, feed.Hash, feed.State)
+	} else if len(feed.Entries) > 0 && feed.Entries[0].PreviousHash == s.hash {
+		s.append(feed.Entries)
+	}
+	if cursor.source != feed.Source || feed.Whole {
+		cursor.unconfirmed = map[string]bool{}
+		for id := range s.backends {
+			cursor.unconfirmed[id] = true
+		}
+	}
+	cursor.source, cursor.revision = feed.Source, feed.Revision
+	changed := s.takeBackends(feed, cursor)
+	if feed.NodesChanged && s.takeNodes(feed) {
+		changed = true
+	}
+	if s.fresh != feed.Fresh || s.established != feed.Established {
+		s.fresh, s.established = feed.Fresh, feed.Established
+		changed = true
+	}
+	if changed {
+		s.touch()
+	}
+	return s.revision != before
+}
+
+func (s *Store) takeBackends(feed *api.Feed, cursor *Cursor) (changed bool) {
+	for _, b := range feed.Backends {
+		delete(cursor.unconfirmed, b.Id)
+		changed = s.put(b) || changed
+	}
+	for _, id := range feed.Departed {
+		delete(cursor.unconfirmed, id)
+		if s.backends[id] != nil {
+			s.depart(id)
+			changed = true
+		}
+	}
+	if !feed.Established {
+		return changed
+	}
+	for id := range cursor.unconfirmed {
+		if s.backends[id] != nil {
+			s.depart(id)
+			changed = true
+		}
+	}
+	clear(cursor.unconfirmed)
+	return changed
+}
+
+// takeNodes makes the nodes those of the feed.
+func (s *Store) takeNodes(feed *api.Feed) bool {
+	listed, changed := map[string]bool{}, false
+	for _, n := range feed.Nodes {
+		listed[n.Name] = true
+		changed = s.putNode(n) || changed
+	}
+	for name := range s.nodes {
+		if !listed[name] && feed.Established {
+			delete(s.nodes, name)
+			changed = true
+		}
+	}
+	if changed {
+		s.nodesRevision = s.revision + 1
+	}
+	return changed
+}
+
+// Fresh tells whether the source belongs to a chain in service, as it said last.
+func (s *Store) Fresh() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fresh
+}
+
+// Revision changes with everything that readers may want to know.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
--- /dev/null
+++ b/internal/system/state/machine.go
@@ -0,0 +1,242 @@
+// Package state is the replicated state of the system: the configuration, the zones
+// that are evacuated, the backends that have announced their end, and who holds
+// which role. It is pure: equal operations in equal order make equal states.
+package state
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/configuration"
+	"marlreel/internal/system/result"
+)
+
+const (
+	// mostDigests is how many accepted changes are remembered, so that the same call
+	// is acknowledged again.
+	mostDigests = 4096
+	// mostRetired is how many backends that have announced their end are remembered.
+	// Each start of a backend brings a new id, so old ones don't come back.
+	mostRetired = 8192
+	// mostEvacuations bounds the zones.
+	mostEvacuations = 1024
+)
+
+// Machine is the state. One goroutine at a time may use it.
+type Machine struct {
+	state    *api.State
+	document *configuration.Document // nil: none was taken
+	retired  map[string]bool
+}
+
+// New makes an empty state.
+func New() *Machine {
+	m := &Machine{}
+	m.Restore(&api.State{})
+	return m
+}
+
+// Clone gives a copy on which operations can be tried.
+func (m *Machine) Clone() *Machine {
+	c := New()
+	c.Restore(m.State())
+	c.document = m.document
+	return c
+}
+
+// State gives a copy of the state as a message.
+func (m *Machine) State() *api.State {
+	return &api.State{Version: m.state.Version, Document: m.state.Document, Digests: slices.Clone(m.state.Digests),
+		Evacuations: slices.Clone(m.state.Evacuations), Retired: slices.Clone(m.state.Retired),
+		Ownerships: slices.Clone(m.state.Ownerships), LastFence: m.state.LastFence}
+}
+
+// Restore sets the state.
+func (m *Machine) Restore(s *api.State) {
+	if s == nil {
+		s = &api.State{}
+	}
+	m.state = &api.State{Version: s.Version, Document: s.Document, Digests: slices.Clone(s.Digests),
+		Evacuations: slices.Clone(s.Evacuations), Retired: slices.Clone(s.Retired),
+		Ownerships: slices.Clone(s.Ownerships), LastFence: s.LastFence}
+	m.document, m.retired = nil, map[string]bool{}
+	if len(s.Document) > 0 {
+		m.document, _ = configuration.Parse(s.Document) // it was checked when it was taken
+	}
+	for _, r := range s.Retired {
+		m.retired[r.Id] = true
+	}
+}
+
+// Document is the configuration in force, or nil.
+func (m *Machine) Document() *configuration.Document { return m.document }
+
+// Version is that of the configuration in force; 0 is none.
+func (m *Machine) Version() uint64 { return m.state.Version }
+
+// Evacuated tells whether a zone's backends are to get nothing.
+func (m *Machine) Evacuated(zone string) bool {
+	return slices.ContainsFunc(m.state.Evacuations, func(e *api.Evacuation) bool { return e.Zone == zone })
+}
+
+// Retired tells whether a backend has announced its end.
+func (m *Machine) Retired(id string) bool { return m.retired[id] }
+
+// Owner is who holds a role, or nil.
+func (m *Machine) Owner(key string) *api.Ownership {
+	for _, o := range m.state.Ownerships {
+		if o.Key == key {
+			return o
+		}
+	}
+	return nil
+}
+
+// Ownerships are all roles that are held. They must not be changed.
+func (m *Machine) Ownerships() []*api.Ownership { return m.state.Ownerships }
+
+// Apply takes an entry's operations into the state.
+func (m *Machine) Apply(entry *api.Entry) {
+	for _, operation := range entry.Operations {
+		m.Do(operation)
+	}
+}
+
+// Do tries one operation. changed tells whether the state is another one now; where it
+// is not, the error says why, or the operation had its effect before.
+func (m *Machine) Do(operation *api.Operation) (changed bool, failure *result.Error) {
+	switch kind := operation.Kind.(type) {
+	case *api.Operation_Replace:
+		return m.replace(kind.Replace)
+	case *api.Operation_Modify:
+		return m.modify(kind.Modify)
+	case *api.Operation_Evacuation:
+		return m.evacuate(kind.Evacuation)
+	case *api.Operation_Retire:
+		return m.retire(kind.Retire)
+	case *api.Operation_Grant:
+		return m.grant(kind.Grant)
+	}
+	return false, result.Errorf(result.Unreadable, "an operation that is not known here")
+}
+
+func (m *Machine) replace(c *api.ReplaceConfiguration) (bool, *result.Error) {
+	digest := digestOf('r', c.BaseVersion, c.Document)
+	if m.taken(digest) {
+		return false, nil
+	}
+	if c.BaseVersion != m.state.Version {
+		return false, conflict(c.BaseVersion, m.state.Version)
+	}
+	document, err := configuration.Parse(c.Document)
+	if err != nil {
+		return false, err
+	}
+	return m.put(document, digest)
+}
+
+func (m *Machine) modify(c *api.ModifyConfiguration) (bool, *result.Error) {
+	digest := digestOf('m', c.BaseVersion, c.Change)
+	if m.taken(digest) {
+		return false, nil
+	}
+	if c.BaseVersion != m.state.Version || m.document == nil {
+		return false, conflict(c.BaseVersion, m.state.Version)
+	}
+	document, err := m.document.Modify(c.Change)
+	if err != nil {
+		return false, err
+	}
+	return m.put(document, digest)
+}
+
+func conflict(base, current uint64) *result.Error {
+	return result.Errorf(result.VersionConflict, "built on version %d, and %d is current", base, current)
+}
+
+// put takes a document in force.
+func (m *Machine) put(document *configuration.Document, digest []byte) (bool, *result.Error) {
+	if document.Version <= m.state.Version {
+		return false, result.Errorf(result.VersionTooLow, "version %d is not above %d", document.Version, m.state.Version)
+	}
+	m.state.Version, m.state.Document, m.document = document.Version, document.Raw(), document
+	m.state.Digests = append(m.state.Digests, &api.Digest{Version: document.Version, Sum: digest})
+	if extra := len(m.state.Digests) - mostDigests; extra > 0 {
+		m.state.Digests = slices.Clone(m.state.Digests[extra:])
+	}
+	return true, nil
+}
+
+// taken tells whether the very same change was accepted before.
+func (m *Machine) taken(digest []byte) bool {
+	return slices.ContainsFunc(m.state.Digests, func(d *api.Digest) bool { return bytes.Equal(d.Sum, digest) })
+}
+
+// digestLength is enough that no two changes of a cluster share a digest.
+const digestLength = 16
+
+func digestOf(kind byte, base uint64, body []byte) []byte {
+	hash := sha256.New()
+	var head [9]byte
+	head[0] = kind
+	binary.LittleEndian.PutUint64(head[1:], base)
+	hash.Write(head[:])
+	hash.Write(body)
+	return hash.Sum(nil)[:digestLength]
+}
+
+func (m *Machine) evacuate(e *api.SetEvacuation) (bool, *result.Error) {
+	if e.Zone == "" {
+		return false, result.Errorf(result.InvalidField, "a zone is needed")
+	}
+	if m.Evacuated(e.Zone) == e.Active {
+		return false, nil
+	}
+	if e.Active {
+		if len(m.state.Evacuations) >= mostEvacuations {
+			return false, result.Errorf(result.TooLarge, "%d zones are evacuated", len(m.state.Evacuations))
+		}
+		m.state.Evacuations = append(m.state.Evacuations, &api.Evacuation{Zone: e.Zone})
+		return true, nil
+	}
+	m.state.Evacuations = slices.DeleteFunc(m.state.Evacuations, func(o *api.Evacuation) bool { return o.Zone == e.Zone })
+	return true, nil
+}
+
+func (m *Machine) retire(r *api.RetireBackend) (bool, *result.Error) {
+	if r.Id == "" {
+		return false, result.Errorf(result.InvalidField, "a backend's id is needed")
+	}
+	if m.retired[r.Id] {
+		return false, nil
+	}
+	m.retired[r.Id] = true
+	m.state.Retired = append(m.state.Retired, &api.Retired{Id: r.Id})
+	if extra := len(m.state.Retired) - mostRetired; extra > 0 {
+		for _, old := range m.state.Retired[:extra] {
+			delete(m.retired, old.Id)
+		}
+		m.state.Retired = slices.Clone(m.state.Retired[extra:])
+	}
+	return true, nil
+}
+
+func (m *Machine) grant(g *api.GrantOwnership) (bool, *result.Error) {
+	if g.Key == "" || g.Holder == "" {
+		return false, result.Errorf(result.InvalidField, "a key and a holder are needed")
+	}
+	m.state.LastFence++
+	owned := &api.Ownership{Key: g.Key, Holder: g.Holder, Address: g.Address, Fence: m.state.LastFence}
+	for i, o := range m.state.Ownerships {
+		if o.Key == g.Key {
+			m.state.Ownerships = slices.Clone(m.state.Ownerships)
+			m.state.Ownerships[i] = owned
+			return true, nil
+		}
+	}
+	m.state.Ownerships = append(m.state.Ownerships, owned)
+	return true, nil
+}
--- /dev/null
+++ b/internal/system/transport/transport.go
@@ -0,0 +1,128 @@
+// Package transport carries twirp calls over fasthttp.
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+const (
+	// longestCall bounds a call whose context has no deadline.
+	longestCall = 5 * time.Second
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
+	// idleConnection is how long a connection without a call is kept.
+	idleConnection = 30 * time.Second
+	// largestMessage bounds a message either way.
+	largestMessage = 32 << 20
+	// unacknowledged is after what time a connection ends whose bytes are not
+	// acknowledged: a machine without power says nothing.
+	unacknowledged = 3 * time.Second
+)
+
+// Dial makes a connection. Tests put their own in its place.
+type Dial func(address string) (net.Conn, error)
+
+// DialTCP is the Dial of real machines.
+func DialTCP(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	return dialer.Dial("tcp4", address)
+}
+
+// Client is an HTTP client as twirp wants one.
+type Client struct {
+	http fasthttp.Client
+}
+
+// NewClient makes a client.
+func NewClient(dial Dial) *Client {
+	return &Client{fasthttp.Client{Dial: func(address string) (net.Conn, error) { return dial(address) },
+		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: idleConnection, MaxResponseBodySize: largestMessage,
+		DisablePathNormalizing: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
+}
+
+// Do implements twirp's HTTPClient.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	out, in := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	out.Header.SetMethod(request.Method)
+	out.SetRequestURI(request.URL.String())
+	out.Header.SetContentType(request.Header.Get("Content-Type"))
+	if request.Body != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return nil, err
+		}
+		out.SetBodyRaw(body)
+	}
+	if err := c.http.DoDeadline(out, in, deadlineOf(request.Context())); err != nil {
+		if errors.Is(err, fasthttp.ErrTimeout) {
+			return nil, context.DeadlineExceeded
+		}
+		return nil, err
+	}
+	response := &http.Response{StatusCode: in.StatusCode(), Status: strconv.Itoa(in.StatusCode()), Proto: "HTTP/1.1",
+		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: request}
+	response.Header.Set("Content-Type", string(in.Header.ContentType()))
+	body := bytes.Clone(in.Body())
+	response.Body, response.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	return response, nil
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	if deadline, set := ctx.Deadline(); set {
+		return deadline
+	}
+	return time.Now().Add(longestCall)
+}
+
+// Service is a twirp server.
+type Service interface {
+	http.Handler
+	PathPrefix() string
+}
+
+// NewServer makes a server for services. What none of them takes goes to rest, which
+// may be nil.
+func NewServer(rest fasthttp.RequestHandler, services ...Service) *fasthttp.Server {
+	type route struct {
+		prefix  []byte
+		handler fasthttp.RequestHandler
+	}
+	var routes []route
+	for _, service := range services {
+		routes = append(routes, route{[]byte(service.PathPrefix()), fasthttpadaptor.NewFastHTTPHandler(service)})
+	}
+	handler := func(ctx *fasthttp.RequestCtx) {
+		for _, r := range routes {
+			if bytes.HasPrefix(ctx.Path(), r.prefix) {
+				r.handler(ctx)
+				return
+			}
+		}
+		if rest == nil {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		rest(ctx)
+	}
+	return &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		MaxRequestBodySize: largestMessage, IdleTimeout: 2 * idleConnection, ReadTimeout: 2 * idleConnection,
+		DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: silent{}}
+}
+
+// silent drops the server's lines on single connections: broken ones are usual.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
--- a/kinds.go
+++ b/kinds.go
@@ -84,7 +84,7 @@
 			t.kinds[i].Reopen()
 		}
 		for _, a := range t.out {
-			if b.now-a.sent > span(a.expected) {
+			if a.first == 0 && b.now-a.sent > span(a.expected) {
 				b.gray.Open(&t.kinds[a.req.Class].Cell, a.req.Class, a.sent, b.now, b.usual(a))
 			}
 		}
--- a/limit.go
+++ b/limit.go
@@ -19,6 +19,9 @@
 
 // room: may a backend have one more out? A limit below one spaces attempts out: many proxies may crowd it.
 func (b *Balancer) room(r *request, t *target) bool {
+	if slots := b.advice.Slots(t.ID); slots > 0 {
+		return len(t.out) < slots
+	}
 	// Danger: with no queue, worth would not go first; and none may be worth anything.
 	worth := min(max(r.rank/max(b.meanRank, 1e-300), 1), worthMost)
 	return t.load+1 <= t.limit ||
--- a/stats.go
+++ b/stats.go
@@ -209,3 +209,56 @@
 func (b *Balancer) debt(t *target) float64 {
 	return -max(b.meanWork, b.expected(0, 0)) * slowstart.Phase(b.cfg.Rank, uint64(t.ID))
 }
+
+func tried(r *request, t *target) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.to == t })
+}
+
+// findMedian takes the figures that estimates are compared with.
+func (b *Balancer) findMedian() {
+	b.ratios = b.ratios[:0]
+	for _, t := range b.subset {
+		sum, n := t.delays.Fade(b.now, b.memory), t.answers.Fade(b.now, b.memory)
+		if t.healthy && n > prior {
+			b.ratios = append(b.ratios, sum/n)
+		}
+	}
+	b.median, b.ratios = median(b.ratios, 1), b.ratios[:0]
+	for _, t := range b.ready {
+		if t.tail.findLeast(); t.tail.least > 0 {
+			b.ratios = append(b.ratios, t.tail.least)
+		}
+	}
+	b.usualTail = median(b.ratios, 0)
+}
+
+// expected is the delay in ms that class and hint lead one to expect of any backend.
+func (b *Balancer) expected(class int, cost float64) float64 {
+	c := &b.classes[class]
+	if c.n < 1 {
+		return millis(b.cfg.Classes[class].Aim) / 4
+	}
+	if cost <= 0 {
+		return c.mean()
+	}
+	return max(c.mean()/4, c.at(cost))
+}
+
+// workOf is what a request asks of a backend, in ms, for the cold budget.
+func (b *Balancer) workOf(r *request) float64 {
+	if r.Cost > 0 {
+		return millis(r.Cost)
+	}
+	return b.expected(r.Class, 0)
+}
+
+// side is 0 for the own zone and 1 for elsewhere.
+func (b *Balancer) side(t *target) int { return min(1, t.Zone^b.cfg.Zone) }
+
+// note takes in a delay ratio with the weight n.
+func (b *Balancer) note(a *attempt, ratio, n float64) {
+	t := a.to
+	t.delays.Add(ratio*n, b.now, b.memory)
+	t.answers.Add(n, b.now, b.memory)
+	b.gray.Note(&t.kinds[a.req.Class].Cell, b.now, ratio, n)
+}
