--- a/api.go
+++ b/api.go
@@ -190,6 +190,22 @@
 	Cost     time.Duration // expected work; 0 is unknown
 	Deadline time.Duration // the clock time at which the client leaves
 	Repeat   bool          // the client has marked it as a repeat
+	Needs    *Needs        // for Advice; nil is nothing special
+	Spent    int           // attempts of it that may have run before it came here
+}
+
+// Needs is what a request asks of a backend beyond its class.
+type Needs struct {
+	Model, Adapter string
+	Prompt         []PromptPart // in order
+	Output         int          // tokens out at most
+	Avoid          BackendID    // that has just failed it; 0 is none
+}
+
+// PromptPart is a part of a prompt, by which others begin too.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
 }
 
 // State is what the list says of a backend.
--- a/attempts.go
+++ b/attempts.go
@@ -36,7 +36,7 @@
 	if r.class.MostRuns == 0 {
 		return len(r.attempts) < min(r.most, b.cfg.Caps.MaxAttempts)
 	}
-	runs := 0
+	runs := r.Spent
 	for _, a := range r.attempts {
 		if a.mayRun {
 			runs++
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -137,7 +137,7 @@
 				r.conn.turnedAway = r.result == marlreel.Full
 			}
 			e := engine.End{Result: r.result, Load: r.load, Left: r.left}
-			if r.result == marlreel.OK || c.speaks.KeepsFailures && r.status > 0 && !r.result.NeverRan() {
+			if r.result == marlreel.OK || c.speaks.KeepsFailures && (r.result == marlreel.Error || r.result == marlreel.Declined) {
 				e.Reply = &r
 			}
 			if r.stream != nil {
--- a/internal/httpproxy/dialect.go
+++ b/internal/httpproxy/dialect.go
@@ -15,7 +15,7 @@
 	// has, and which one is meant.
 	Bounds func(head []byte, to *engine.Backend, wait time.Duration) []byte
 	// Judge tells how an attempt ended by the head of its answer.
-	Judge func(m *Message, resp *http.Response) marlreel.Result
+	Judge func(to *engine.Backend, m *Message, resp *http.Response) marlreel.Result
 	// Mine tells whether an answer belongs to the request; nil: every one does.
 	Mine func(m *Message, resp *http.Response) bool
 	// Probe is the request for a backend's health.
@@ -34,7 +34,7 @@
 			head = strconv.AppendInt(head, max(1, wait.Microseconds()), 10)
 			return append(head, "u\r\n"...)
 		},
-		Judge: func(_ *Message, resp *http.Response) marlreel.Result {
+		Judge: func(_ *engine.Backend, _ *Message, resp *http.Response) marlreel.Result {
 			switch code := resp.StatusCode; {
 			case code == http.StatusOK:
 				return marlreel.OK
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -53,6 +53,7 @@
 	Head   []byte // all of the head that is the same with every attempt, each line with its end
 	Body   []byte
 	ID     string  // by which its answer is known; "" is not
+	Probe  bool    // it asks for the backend's health
 	Prompt bool    // the answer goes on as it comes, from its first byte
 	up     *upload // in place of Body, where that is large
 }
@@ -248,7 +249,7 @@
 		return failed(err)
 	}
 	r.status, r.header, r.load = resp.StatusCode, resp.Header, loadReport(resp.Header, report)
-	r.result = x.speaks.Judge(x.msg, resp)
+	r.result = x.speaks.Judge(x.to, x.msg, resp)
 	if r.stream != nil {
 		if r.result == marlreel.OK {
 			r.conn = c
@@ -292,7 +293,7 @@
 func (c *conn) turnsAway(x *exchange) bool {
 	come, _ := c.in.Peek(c.in.Buffered())
 	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(come)), nil)
-	return err == nil && x.speaks.Judge(x.msg, resp) == marlreel.Full
+	return err == nil && x.speaks.Judge(x.to, x.msg, resp) == marlreel.Full
 }
 
 // mostForeign is how many answers to other requests are read over in the place of one's own.
--- a/internal/system/boot/settings.go
+++ b/internal/system/boot/settings.go
@@ -208,3 +208,6 @@
 	}
 	return Milliseconds(s.BeatIntervalMS)
 }
+
+// Seconds reads a bound.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/system/control/registry.go
+++ b/internal/system/control/registry.go
@@ -81,8 +81,9 @@
 	}
 }
 
-// Take takes in what another control process has heard.
-func (r *Registry) Take(reports *api.BackendReports) {
+// Take takes in what another control process has heard. It tells whether all of those
+// that still live are known here.
+func (r *Registry) Take(reports *api.BackendReports) (known bool) {
 	now := time.Now()
 	r.mu.Lock()
 	r.peers[reports.From] = now
@@ -105,12 +106,14 @@
 	for _, b := range reports.Backends {
 		r.feed.Put(b)
 	}
+	known = true
 	for _, s := range reports.Seen {
-		r.feed.Seen(s.Id, s.CallSequence, time.Duration(s.AgeMs)*time.Millisecond)
+		known = r.feed.Seen(s.Id, s.CallSequence, time.Duration(s.AgeMs)*time.Millisecond) && known
 	}
 	for _, n := range reports.Nodes {
 		r.feed.PutNode(n)
 	}
+	return known
 }
 
 func (r *Registry) hurry() {
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -103,6 +103,7 @@
 		}
 		keeper.Standing(func(s Standing) {
 			members.set(s.Members)
+			out.SetControls(s.Members)
 			if !s.Connected {
 				connectedSince = time.Time{}
 			} else if connectedSince.IsZero() {
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/feed"
 	"marlreel/internal/system/result"
@@ -75,7 +77,9 @@
 
 // Share implements api.Control.
 func (s *Service) Share(_ context.Context, reports *api.BackendReports) (*api.Empty, error) {
-	s.registry.Take(reports)
+	if !s.registry.Take(reports) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "a backend that lives is not known here: all is needed")
+	}
 	return &api.Empty{}, nil
 }
 
--- a/internal/system/feed/exchange.go
+++ b/internal/system/feed/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"marlreel/internal/system/api"
@@ -46,7 +47,7 @@
 // since makes the feed of a reader.
 func (s *Store) since(request *api.WatchRequest) *api.Feed {
 	feed := &api.Feed{Source: s.source, Revision: s.revision, Sequence: s.sequence, Hash: s.hash, Fresh: s.fresh,
-		Established: s.established}
+		Established: s.established, Controls: s.controls}
 	s.addState(feed, request)
 	revision := request.Revision
 	if request.Source != s.source || revision < s.forgottenUpTo {
@@ -103,6 +104,10 @@
 	if feed.NodesChanged && s.takeNodes(feed) {
 		changed = true
 	}
+	if len(feed.Controls) > 0 && !slices.Equal(s.controls, feed.Controls) {
+		s.controls = feed.Controls
+		changed = true
+	}
 	if s.fresh != feed.Fresh || s.established != feed.Established {
 		s.fresh, s.established = feed.Fresh, feed.Established
 		changed = true
--- /dev/null
+++ b/internal/system/feed/follow.go
@@ -0,0 +1,96 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marlreel/internal/system/api"
+)
+
+// Watcher serves a feed: a control process, or an agent.
+type Watcher interface {
+	Watch(ctx context.Context, request *api.WatchRequest) (*api.Feed, error)
+}
+
+// FollowConfig says how a feed is followed.
+type FollowConfig struct {
+	Node     *api.Node                    // who follows; nil: an agent's own proxy
+	Targets  func() []string              // whom to ask, the best first
+	Connect  func(address string) Watcher // by address
+	Taken    func(changed bool)           // called after each answer; may be nil
+	WaitTime time.Duration                // how long an answer without news may take
+	Log      logr.Logger
+}
+
+const (
+	// answerSlack is how much longer than its wait an answer may take.
+	answerSlack = 400 * time.Millisecond
+	// leastPause and mostPause are between two tries that failed.
+	leastPause = 20 * time.Millisecond
+	mostPause  = 300 * time.Millisecond
+	// staleAfter is after what time a source that has no majority is left for another.
+	staleAfter = 300 * time.Millisecond
+)
+
+// Follow takes in what sources serve until ctx ends. It stays with one source while that
+// answers and its word is fresh, and else goes on to the next.
+func Follow(ctx context.Context, store *Store, cfg FollowConfig) {
+	cursor, at, pause := &Cursor{}, 0, leastPause
+	var staleSince time.Time
+	for ctx.Err() == nil {
+		targets := cfg.Targets()
+		if len(targets) == 0 {
+			rest(ctx, mostPause)
+			continue
+		}
+		address := targets[at%len(targets)]
+		feed, err := ask(ctx, store, &cfg, address, cursor)
+		if err != nil {
+			cfg.Log.V(1).Info("the source does not answer", "event", "feed", "source", address, "error", err.Error())
+			at++
+			rest(ctx, pause)
+			pause = min(2*pause, mostPause)
+			continue
+		}
+		pause = leastPause
+		changed := store.Take(feed, cursor)
+		if cfg.Taken != nil {
+			cfg.Taken(changed)
+		}
+		if feed.Fresh {
+			staleSince = time.Time{}
+			continue
+		}
+		if staleSince.IsZero() {
+			staleSince = time.Now()
+		}
+		if time.Since(staleSince) > staleAfter && len(targets) > 1 {
+			at++
+			staleSince = time.Time{}
+		}
+		rest(ctx, leastPause)
+	}
+}
+
+func ask(ctx context.Context, store *Store, cfg *FollowConfig, address string, cursor *Cursor) (*api.Feed, error) {
+	request := store.Request(cursor)
+	wait := cfg.WaitTime
+	if !store.Fresh() {
+		wait = min(wait, staleAfter)
+	}
+	request.Node, request.WaitMs = cfg.Node, uint32(wait.Milliseconds())
+	call, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	return cfg.Connect(address).Watch(call, request)
+}
+
+func rest(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -53,6 +53,7 @@
 	nodesRevision uint64
 	fresh         bool
 	established   bool
+	controls      []string
 	now           func() time.Time
 }
 
@@ -346,3 +347,20 @@
 	defer s.mu.Unlock()
 	return s.backendsSince(revision), s.revision
 }
+
+// SetControls says where the control processes are.
+func (s *Store) SetControls(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(addresses) > 0 && !slices.Equal(s.controls, addresses) {
+		s.controls = slices.Clone(addresses)
+		s.touch()
+	}
+}
+
+// Controls are the addresses of the control processes, as last known.
+func (s *Store) Controls() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.controls
+}
--- /dev/null
+++ b/internal/system/gateway/dialect.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"marlreel"
+	"marlreel/internal/engine"
+	"marlreel/internal/httpproxy"
+)
+
+// The headers of the protocol.
+const (
+	headerRequestID   = "Request-Id"
+	headerRemaining   = "Time-Remaining"
+	headerExpected    = "Expected-Backend"
+	headerBackendID   = "Backend-Id"
+	headerNotExecuted = "Not-Executed"
+	headerSeal        = "Server-Seal"
+	headerModel       = "Model"
+	headerTokens      = "Token-Count"
+	headerPrompt      = "Prompt-Prefix"
+	headerLastEvent   = "Last-Event-Id"
+	headerRetryAfter  = "Retry-After"
+)
+
+// newDialect is how requests are put to the system's backends, and what their answers
+// mean. healthPath gives the service's path for probes.
+func newDialect(healthPath func() string) *httpproxy.Dialect {
+	return &httpproxy.Dialect{
+		Bounds: func(head []byte, to *engine.Backend, wait time.Duration) []byte {
+			head = append(append(append(head, headerExpected+": "...), to.Name...), "\r\n"...)
+			head = append(head, headerRemaining+": "...)
+			head = strconv.AppendInt(head, max(1, wait.Milliseconds()), 10)
+			return append(head, "\r\n"...)
+		},
+		Judge: judge,
+		Mine: func(m *httpproxy.Message, resp *http.Response) bool {
+			id := resp.Header.Get(headerRequestID)
+			return m.ID == "" || id == "" || id == m.ID
+		},
+		Probe: func(to *engine.Backend) *httpproxy.Message {
+			return &httpproxy.Message{Method: http.MethodGet, Probe: true,
+				Head: []byte("GET " + healthPath() + " HTTP/1.1\r\nHost: " + to.Addr + "\r\n")}
+		},
+		KeepsFailures: true,
+	}
+}
+
+// judge tells what an answer says of its attempt. Only Not-Executed and 421 say that
+// nothing ran. What lacks the backend's seal is no answer of its, whatever it says.
+func judge(to *engine.Backend, m *httpproxy.Message, resp *http.Response) marlreel.Result {
+	code := resp.StatusCode
+	switch {
+	case resp.Header.Get(headerNotExecuted) != "" && code >= 400, code == http.StatusMisdirectedRequest:
+		return marlreel.Full
+	case m.Probe:
+		if code == http.StatusOK && resp.Header.Get(headerBackendID) == to.Name {
+			return marlreel.OK
+		}
+		return marlreel.Error
+	case resp.Header.Get(headerSeal) == "":
+		return marlreel.Reset
+	case code >= 200 && code < 300:
+		return marlreel.OK
+	case code >= 400 && code < 500 && code != http.StatusRequestTimeout && code != http.StatusTooManyRequests:
+		return marlreel.Declined
+	}
+	return marlreel.Error
+}
--- /dev/null
+++ b/internal/system/gateway/gateway.go
@@ -0,0 +1,134 @@
+// Package gateway is the part of the system that carries traffic: clients' requests to
+// the backends of a service and their answers back. It goes by the feed of the agent
+// beside it. Which backend gets a request, whether it is sent again and what is refused
+// is decided by package marlreel, one instance for each service.
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	"marlreel/internal/process/budget"
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/configuration"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/state"
+)
+
+// Gateway serves clients by the newest feed.
+type Gateway struct {
+	self        identity
+	feed        *feed.Store
+	room        *budget.Budget
+	connections int // to backends, of each service
+	log         logr.Logger
+
+	mu    sync.Mutex // one update at a time
+	plan  atomic.Pointer[plan]
+	ready atomic.Bool
+	quits atomic.Bool
+}
+
+// plan is what requests are handled by. It is never changed.
+type plan struct {
+	document *configuration.Document
+	services map[string]*service
+}
+
+// Config is what a gateway is told at its start.
+type Config struct {
+	Name        string
+	Zone        string
+	Zones       []string // all, sorted
+	BodyBytes   int      // what bodies may take of the memory
+	Connections int
+	Log         logr.Logger
+}
+
+// New makes a gateway that knows nothing yet.
+func New(cfg Config, source *feed.Store) *Gateway {
+	g := &Gateway{self: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, feed: source,
+		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, log: cfg.Log}
+	g.plan.Store(&plan{services: map[string]*service{}})
+	return g
+}
+
+// Ready tells whether clients can be served.
+func (g *Gateway) Ready() bool { return g.ready.Load() && !g.quits.Load() }
+
+// Quit lets clients turn to others from now on.
+func (g *Gateway) Quit() { g.quits.Store(true) }
+
+// Update takes in what the feed has now.
+func (g *Gateway) Update() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var document *configuration.Document
+	evacuated := map[string]bool{}
+	g.feed.View(func(m *state.Machine) {
+		document = m.Document()
+		for _, zone := range m.EvacuatedZones() {
+			evacuated[zone] = true
+		}
+	})
+	if document == nil {
+		return
+	}
+	old := g.plan.Load()
+	next := &plan{document: document, services: map[string]*service{}}
+	proxies := len(g.feed.Nodes())
+	for i := range document.Services {
+		cfg := &document.Services[i]
+		g.keepService(old, next, cfg, proxies)
+	}
+	backends := g.feed.Backends()
+	for _, s := range next.services {
+		s.list(backends, g.self, func(zone string) bool { return evacuated[zone] })
+	}
+	g.plan.Store(next)
+	for name, s := range old.services {
+		if next.services[name] != s {
+			go s.stop()
+		}
+	}
+	if g.feed.Fresh() && !g.ready.Load() {
+		g.ready.Store(true)
+		g.log.Info("ready", "event", "ready", "version", document.Version, "backends", len(backends))
+	}
+}
+
+// keepService goes on with a service, or starts it.
+func (g *Gateway) keepService(old, next *plan, cfg *configuration.Service, proxies int) {
+	s := old.services[cfg.Name]
+	classes := classesOf(next.document, cfg.Name)
+	if len(classes) == 0 {
+		if s != nil { // what it has in hand goes on
+			next.services[cfg.Name] = s
+		}
+		return
+	}
+	if s != nil && s.engines == (cfg.Engine != nil) {
+		s.configure(cfg, classes, proxies, g.log)
+		next.services[cfg.Name] = s
+		return
+	}
+	s, err := newService(cfg, classes, proxies, g.self, g.room, g.connections, g.log)
+	if err != nil {
+		g.log.Error(err, "a service can't be started", "event", "configuration", "service", cfg.Name)
+		return
+	}
+	next.services[cfg.Name] = s
+}
+
+// backendsOf is for figures: how many backends of a service are listed.
+func backendsOf(backends []*api.Backend, service string) int {
+	count := 0
+	for _, b := range backends {
+		if b.Service == service {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/system/gateway/request.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"marlreel"
+	"marlreel/internal/httpproxy"
+	"marlreel/internal/system/configuration"
+)
+
+const (
+	// readPace is how long a token of a prompt takes to be read, about: hints of work need
+	// to be right among themselves only.
+	readPace = 52 * time.Microsecond
+	// writePace is the same for a token that comes out.
+	writePace = 200 * time.Microsecond
+	// mostParts bounds the parts of a prompt that are looked at.
+	mostParts = 64
+)
+
+// hopByHop are the headers that end here; framing and bounds are each side's own.
+var hopByHop = map[string]bool{"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true,
+	"Trailer": true, "Upgrade": true, "Transfer-Encoding": true, "Content-Length": true, "Expect": true, "Host": true,
+	headerRemaining: true, headerExpected: true}
+
+// newMessage writes a request down as backends get it. lastEvent replaces the client's
+// own word on where a stream is to go on; "" leaves that as it is.
+func newMessage(ctx *fasthttp.RequestCtx, route *configuration.Route) *httpproxy.Message {
+	header := &ctx.Request.Header
+	head := make([]byte, 0, 640)
+	head = append(append(append(head, header.Method()...), ' '), header.RequestURI()...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(append(head, header.Host()...), "\r\n"...)
+	named := connectionTokens(header.Peek("Connection"))
+	for key, value := range header.All() {
+		if hopByHop[string(key)] || named[string(key)] {
+			continue
+		}
+		head = append(append(append(append(head, key...), ": "...), value...), "\r\n"...)
+	}
+	body := bytes.Clone(ctx.PostBody())
+	if len(body) > 0 || !header.IsGet() && !header.IsHead() {
+		head = append(head, "Content-Length: "...)
+		head = append(strconv.AppendInt(head, int64(len(body)), 10), "\r\n"...)
+	}
+	return &httpproxy.Message{Method: string(header.Method()), Head: head, Body: body,
+		ID: string(header.Peek(headerRequestID)), Prompt: route.Streaming()}
+}
+
+// connectionTokens are the headers that concern this connection alone.
+func connectionTokens(value []byte) map[string]bool {
+	if len(value) == 0 {
+		return nil
+	}
+	named := map[string]bool{}
+	for token := range strings.SplitSeq(string(value), ",") {
+		key := []byte(strings.TrimSpace(token))
+		named[string(normalized(key))] = true
+	}
+	return named
+}
+
+// normalized is a header's name as fasthttp writes it.
+func normalized(key []byte) []byte {
+	return fasthttp.AppendNormalizedHeaderKeyBytes(nil, key)
+}
+
+// resumed is the same message, to go on after an event.
+func resumed(m *httpproxy.Message, lastEvent string) *httpproxy.Message {
+	next := *m
+	lines := bytes.SplitAfter(m.Head, []byte("\r\n"))
+	next.Head = nil
+	for _, line := range lines {
+		if !bytes.HasPrefix(line, []byte(headerLastEvent+":")) {
+			next.Head = append(next.Head, line...)
+		}
+	}
+	next.Head = append(append(append(next.Head, headerLastEvent+": "...), lastEvent...), "\r\n"...)
+	return &next
+}
+
+// needsOf reads what a request asks of model backends; nil is nothing.
+func needsOf(header *fasthttp.RequestHeader) (*marlreel.Needs, time.Duration) {
+	name := string(header.Peek(headerModel))
+	if name == "" {
+		return nil, 0
+	}
+	needs := &marlreel.Needs{}
+	needs.Model, needs.Adapter, _ = strings.Cut(name, "/")
+	in, out, _ := strings.Cut(string(header.Peek(headerTokens)), ",")
+	prompt, _ := strconv.Atoi(strings.TrimSpace(in))
+	needs.Output, _ = strconv.Atoi(strings.TrimSpace(out))
+	for part := range strings.SplitSeq(string(header.Peek(headerPrompt)), ",") {
+		id, tokens, found := strings.Cut(strings.TrimSpace(part), ":")
+		if !found || len(needs.Prompt) >= mostParts {
+			break
+		}
+		number, err := strconv.ParseUint(id, 16, 64)
+		count, countErr := strconv.Atoi(tokens)
+		if err != nil || countErr != nil {
+			break
+		}
+		needs.Prompt = append(needs.Prompt, marlreel.PromptPart{ID: number, Tokens: count})
+	}
+	work := time.Duration(max(0, prompt))*readPace + time.Duration(max(0, needs.Output))*writePace
+	return needs, max(work, time.Millisecond)
+}
+
+// remaining is how long the client waits.
+func remaining(header *fasthttp.RequestHeader, route *configuration.Route) time.Duration {
+	wait := route.Timeout()
+	if ms, err := strconv.ParseFloat(string(header.Peek(headerRemaining)), 64); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
+	}
+	return min(wait, longestWait)
+}
--- /dev/null
+++ b/internal/system/gateway/role.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/multierr"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/transport"
+)
+
+const (
+	// feedWait is how long the agent may let the proxy wait where there is no news.
+	feedWait = time.Second
+	// keptFiles are descriptors for everything but connections.
+	keptFiles = 300
+	// noticeTime is how long the platform takes to see that a proxy is not ready.
+	noticeTime = 2500 * time.Millisecond
+	// quitMargin is how long before the platform's patience ends a proxy ends by itself.
+	quitMargin = 500 * time.Millisecond
+	// drainLook is how often a proxy that quits looks whether it is idle.
+	drainLook = 50 * time.Millisecond
+	// headerBuffer holds the longest head that is taken.
+	headerBuffer = 16 << 10
+)
+
+// Run is a proxy until ctx ends, and then until its clients have their answers.
+func Run(ctx context.Context, settings *boot.Settings, log logr.Logger) error {
+	source := feed.New(settings.NodeName, time.Now)
+	zones := make([]string, 0, len(settings.Zones))
+	for zone := range settings.Zones {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	g := New(Config{Name: settings.NodeName, Zone: settings.Zone, Zones: zones, Log: log,
+		BodyBytes: settings.Limits.MemoryMB << 20 / 4, Connections: max(64, (settings.Limits.Files-keptFiles)/2)}, source)
+	front := g.newServer(g.Handle)
+	front.MaxRequestBodySize = 64 << 20
+	front.ReadBufferSize = headerBuffer
+	front.Concurrency = max(64, (settings.Limits.Files-keptFiles)/2)
+	readiness := g.newServer(g.ServeReadiness)
+
+	failures := make(chan error, 2)
+	listeners := map[string]*fasthttp.Server{settings.Listen.Front: front, settings.Listen.Readiness: readiness}
+	for address, server := range listeners {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return eris.Wrapf(err, "listening at %s", address)
+		}
+		go func() { failures <- server.Serve(listener) }()
+	}
+	client := transport.NewClient(transport.DialTCP)
+	following, stopFollowing := context.WithCancel(context.Background())
+	defer stopFollowing()
+	go feed.Follow(following, source, feed.FollowConfig{
+		Targets: func() []string { return []string{settings.AgentLoopback()} },
+		Connect: func(address string) feed.Watcher { return api.NewAgentProtobufClient("http://"+address, client) },
+		Taken: func(changed bool) {
+			if changed || !g.ready.Load() {
+				g.Update()
+			}
+		},
+		WaitTime: feedWait, Log: log,
+	})
+	log.Info("proxy serves", "event", "start", "front", settings.Listen.Front)
+	select {
+	case <-ctx.Done():
+	case err := <-failures:
+		return eris.Wrap(err, "serving")
+	}
+	return quit(g, front, readiness, boot.Seconds(settings.Bounds.GraceS), log)
+}
+
+// newServer makes a server for a handler, with the limits that hold for all.
+func (g *Gateway) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		DisablePreParseMultipartForm: true, Logger: quiet{}, HeaderReceived: g.limits, IdleTimeout: usualIdle,
+		ReadTimeout: usualRead}
+}
+
+const (
+	// usualIdle and usualRead hold until a configuration says otherwise.
+	usualIdle = 15 * time.Second
+	usualRead = 15 * time.Second
+	// bodyTime is how much longer than its head a request's body may take.
+	bodyTime = 10 * time.Second
+)
+
+// limits bound a request by the configuration in force.
+func (g *Gateway) limits(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	document := g.plan.Load().document
+	if document == nil {
+		return fasthttp.RequestConfig{}
+	}
+	l := document.Limits
+	return fasthttp.RequestConfig{MaxRequestBodySize: l.MaxBodyBytes, ReadTimeout: boot.Milliseconds(l.HeaderTimeoutMS) + bodyTime}
+}
+
+// quit lets clients turn to others, and waits until those that are here have their answers.
+func quit(g *Gateway, front, readiness *fasthttp.Server, grace time.Duration, log logr.Logger) error {
+	g.Quit()
+	log.Info("proxy quits", "event", "quit")
+	began := time.Now()
+	patience, cancel := context.WithDeadline(context.Background(), began.Add(grace-quitMargin))
+	defer cancel()
+	looks := time.NewTicker(drainLook)
+	defer looks.Stop()
+	for time.Since(began) < noticeTime || front.GetCurrentConcurrency() > 0 && patience.Err() == nil {
+		select {
+		case <-looks.C:
+		case <-patience.Done():
+		}
+		if patience.Err() != nil {
+			break
+		}
+	}
+	return multierr.Combine(ignoreDeadline(front.ShutdownWithContext(patience)), ignoreDeadline(readiness.ShutdownWithContext(patience)))
+}
+
+// ignoreDeadline lets pass that something was still under way when time was up.
+func ignoreDeadline(err error) error {
+	if eris.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// quiet drops the server's lines on single connections: broken ones are usual.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/system/gateway/service.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marlreel"
+	"marlreel/internal/engine"
+	"marlreel/internal/httpproxy"
+	"marlreel/internal/judge/residency"
+	"marlreel/internal/process/budget"
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/configuration"
+)
+
+const (
+	// connectTimeout bounds the making of a connection to a backend, and paces probes.
+	connectTimeout = 600 * time.Millisecond
+	// connectionIdle is how long a connection to a backend may rest.
+	connectionIdle = 20 * time.Second
+	// longestWait bounds what a client may ask for.
+	longestWait = 2 * time.Minute
+	// mostTries bounds the attempts of a request, those that did not run among them.
+	mostTries = 6
+	// lateShare is what a late answer is worth of one in time. The configuration doesn't
+	// say; with less, requests that will be late would be refused.
+	lateShare = 0.6
+	// crossing is what sending a request to another zone costs, in mean requests' worth.
+	crossing = 0.03
+	// longestRetryAfter bounds what clients are told to wait.
+	longestRetryAfter = 5 * time.Second
+	// restartSpan is nothing: a backend that starts anew has another id.
+	restartSpan = time.Millisecond
+)
+
+// service is what a proxy runs for one service: the engine with its decisions, and the
+// connections to the backends.
+type service struct {
+	name       string
+	engine     *engine.Engine
+	carrier    *httpproxy.Carrier
+	advisor    *advisor
+	engines    bool
+	healthPath atomic.Pointer[string]
+	cancel     context.CancelFunc
+	proxies    int
+	classes    []marlreel.Class
+	rank, zone int
+}
+
+// identity is what a proxy is among the others.
+type identity struct {
+	name  string
+	zones []string // all, sorted
+	zone  string
+}
+
+func (i identity) rank() int {
+	hash := fnv.New32a()
+	io.WriteString(hash, i.name)
+	return int(hash.Sum32() >> 1)
+}
+
+// zoneIndex is a zone's number; one that is not known is far from all.
+func (i identity) zoneIndex(zone string) int {
+	if at, found := slices.BinarySearch(i.zones, zone); found {
+		return at
+	}
+	return len(i.zones)
+}
+
+// className names the class of a route: what decisions on its requests go by.
+func className(r *configuration.Route) string {
+	return fmt.Sprintf("%s %v %v %d %d", r.Class, r.Repeatable(), r.TargetLatencyMS, r.Attempts(), r.Priority)
+}
+
+func classOf(r *configuration.Route) marlreel.Class {
+	aim := r.TargetLatency()
+	if aim <= 0 {
+		aim = r.Timeout()
+	}
+	class := marlreel.Class{Name: className(r), Aim: aim, GiveUp: longestWait, LateShare: lateShare, Value: 1,
+		Generates: r.Streaming(), MostRuns: r.Attempts()}
+	if r.Repeatable() {
+		class.Effect = marlreel.Safe
+	}
+	return class
+}
+
+// classesOf are the classes of all routes that may use a service, in order.
+func classesOf(document *configuration.Document, name string) []marlreel.Class {
+	found := map[string]marlreel.Class{}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		route.Services(func(service string, _ float64) {
+			if service == name {
+				class := classOf(route)
+				found[class.Name] = class
+			}
+		})
+	}
+	classes := make([]marlreel.Class, 0, len(found))
+	for _, class := range found {
+		classes = append(classes, class)
+	}
+	slices.SortFunc(classes, func(a, b marlreel.Class) int { return cmp.Compare(a.Name, b.Name) })
+	return classes
+}
+
+func (s *service) settings() marlreel.Config {
+	return marlreel.Config{Instances: max(1, s.proxies), Rank: s.rank, Zone: s.zone, Tick: time.Millisecond,
+		Classes: s.classes, Goal: marlreel.Goal{Whole: 1}, Prices: marlreel.Prices{CrossZone: crossing},
+		Obligations: marlreel.Obligations{Cold: restartSpan, StartCapacity: 1, FallMultiple: 1, Fall: time.Second},
+		Caps: marlreel.Caps{Cancel: true, Probes: true, RetryAfter: true, ConnIdle: connectionIdle,
+			ConnectTimeout: connectTimeout, MaxRetryAfter: longestRetryAfter, MaxAttempts: mostTries},
+		Advice: s.advisor}
+}
+
+// newService starts a service. It needs at least one class.
+func newService(cfg *configuration.Service, classes []marlreel.Class, proxies int, self identity, room *budget.Budget,
+	connections int, log logr.Logger) (*service, error) {
+	s := &service{name: cfg.Name, engines: cfg.Engine != nil, classes: classes, proxies: proxies, rank: self.rank(),
+		zone: self.zoneIndex(self.zone)}
+	s.advisor = &advisor{table: residency.New(s.engines)}
+	s.healthPath.Store(&cfg.HealthPath)
+	log = log.WithValues("service", cfg.Name)
+	var err error
+	s.engine, err = engine.New(engine.Config{Settings: s.settings(), Seed: uint64(s.rank), Listed: func() {},
+		Logf: func(format string, args ...any) { log.V(1).Info(fmt.Sprintf(format, args...), "event", "decision") }})
+	if err != nil {
+		return nil, err
+	}
+	s.carrier = httpproxy.NewCarrier(s.engine, connections, nil, room)
+	s.carrier.Speak(newDialect(func() string { return *s.healthPath.Load() }))
+	s.engine.Carry(s.carrier)
+	s.engine.ProbeWith(s.carrier)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go s.engine.Run(ctx)
+	return s, nil
+}
+
+// stop ends the service. What it has in hand fails.
+func (s *service) stop() {
+	done := make(chan struct{})
+	s.engine.Post(func() {
+		s.engine.FailAll(true)
+		close(done)
+	})
+	<-done
+	s.cancel()
+	s.carrier.Close()
+}
+
+// configure puts another configuration in force.
+func (s *service) configure(cfg *configuration.Service, classes []marlreel.Class, proxies int, log logr.Logger) {
+	s.healthPath.Store(&cfg.HealthPath)
+	if s.proxies == proxies && slices.Equal(s.classes, classes) {
+		return
+	}
+	s.proxies, s.classes = proxies, classes
+	settings := s.settings()
+	s.engine.Post(func() {
+		if err := s.engine.Reconfigure(settings); err != nil {
+			log.Error(err, "a service keeps its settings", "event", "configuration", "service", s.name)
+		}
+	})
+}
+
+// list tells the engine of the backends.
+func (s *service) list(backends []*api.Backend, self identity, evacuated func(zone string) bool) {
+	list := engine.List{Kind: marlreel.ListFull}
+	for _, b := range backends {
+		if b.Service != s.name {
+			continue
+		}
+		state := marlreel.Ready
+		if b.Draining || evacuated(b.Zone) {
+			state = marlreel.Draining
+		}
+		list.Entries = append(list.Entries, engine.Entry{Name: b.Id, Addr: b.Address, State: state,
+			Zone: self.zoneIndex(b.Zone), Kind: -1, Cell: -1})
+	}
+	s.engine.Post(func() {
+		s.engine.List(list)
+		var held []residency.Backend
+		for _, b := range backends {
+			known := s.engine.Backend(b.Id)
+			if known == nil || b.Service != s.name {
+				continue
+			}
+			h := residency.Backend{ID: known.ID, Slots: int(b.Slots)}
+			for _, m := range b.Models {
+				h.Held = append(h.Held, residency.Held{Model: m.Name, Adapters: m.Adapters})
+			}
+			held = append(held, h)
+		}
+		s.advisor.table.Set(held)
+	})
+}
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -240,3 +240,12 @@
 	m.state.Ownerships = append(m.state.Ownerships, owned)
 	return true, nil
 }
+
+// EvacuatedZones are the zones whose backends are to get nothing.
+func (m *Machine) EvacuatedZones() []string {
+	var zones []string
+	for _, e := range m.state.Evacuations {
+		zones = append(zones, e.Zone)
+	}
+	return zones
+}
