Place models by demand: fenced owners at the agents, pure planner, orders with leases

Change: roles (one a service) are granted by the chain to a live node under a fencing token and a lease that the head confirms with a majority; the holder's planner loads what requests wait for and what is asked most, within room, one order at a time and the store's bucket; proxies report demand; what orders did is told to all by the feed.

--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -21,6 +21,8 @@
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
+	"marlreel/internal/system/ownership"
+	"marlreel/internal/system/state"
 	"marlreel/internal/system/transport"
 )
 
@@ -30,13 +32,22 @@
 	watchWait = 700 * time.Millisecond
 	// longestWatch bounds how long a reader is kept waiting.
 	longestWatch = 10 * time.Second
+	// reportTimeout bounds passing a report on.
+	reportTimeout = 500 * time.Millisecond
 	// shutdownPatience is how long calls in hand may take when the process ends.
 	shutdownPatience = 500 * time.Millisecond
 )
 
-// Agent serves what it has been told.
+// Agent serves what it has been told, and holds roles.
 type Agent struct {
-	feed *feed.Store
+	settings *boot.Settings
+	feed     *feed.Store
+	holder   string
+	leases   *leases
+	placers  *placers
+	backends *backendClient
+	client   *transport.Client
+	log      logr.Logger
 }
 
 // Watch implements api.Agent.
@@ -45,18 +56,68 @@
 	return a.feed.Wait(ctx, request, wait), nil
 }
 
-// ReportDemand implements api.Agent.
-func (a *Agent) ReportDemand(context.Context, *api.DemandReport) (*api.Empty, error) {
+// ReportDemand implements api.Agent: the report goes to the holders of the roles that it
+// concerns.
+func (a *Agent) ReportDemand(_ context.Context, report *api.DemandReport) (*api.Empty, error) {
+	a.placers.asked(report.Node, report.Demands)
+	if report.Node == a.settings.NodeName {
+		a.passOn(report)
+	}
 	return &api.Empty{}, nil
 }
 
+// passOn sends a report of this agent's own proxy to the other holders.
+func (a *Agent) passOn(report *api.DemandReport) {
+	for address, demands := range a.byHolder(report.Demands) {
+		go func() {
+			call, cancel := context.WithTimeout(context.Background(), reportTimeout)
+			defer cancel()
+			// What is lost is told again with the next report.
+			_, _ = api.NewAgentProtobufClient("http://"+address, a.client).ReportDemand(call,
+				&api.DemandReport{Node: report.Node, Demands: demands})
+		}()
+	}
+}
+
+// byHolder sorts demands by the address of the agent that places their service.
+func (a *Agent) byHolder(demands []*api.Demand) map[string][]*api.Demand {
+	sorted := map[string][]*api.Demand{}
+	a.feed.View(func(m *state.Machine) {
+		for _, d := range demands {
+			owner := m.Owner(ownership.PlacementKey(d.Service))
+			if owner != nil && owner.Address != a.settings.PeerAddress() {
+				sorted[owner.Address] = append(sorted[owner.Address], d)
+			}
+		}
+	})
+	return sorted
+}
+
+// controls are the control processes, the one to ask first in front.
+func (a *Agent) controls() []string { return controlsOf(a.settings, a.feed.Controls()) }
+
+// holdsAny tells whether the feed names this agent as the holder of a role.
+func (a *Agent) holdsAny() bool {
+	holds := false
+	a.feed.View(func(m *state.Machine) {
+		for _, o := range m.Ownerships() {
+			holds = holds || o.Holder == a.holder
+		}
+	})
+	return holds
+}
+
 // Run is an agent until ctx ends.
 func Run(ctx context.Context, settings *boot.Settings, log logr.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	incarnation := rand.Uint64()
-	store := feed.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now)
-	server := transport.NewServer(nil, api.NewAgentServer(&Agent{feed: store}))
+	client := transport.NewClient(transport.DialTCP)
+	a := &Agent{settings: settings, feed: feed.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now),
+		holder: ownership.Holder(settings.NodeName, incarnation), backends: newBackendClient(), client: client, log: log}
+	a.leases = &leases{holder: a.holder, controls: a.controls, wanted: a.holdsAny, client: client, log: log}
+	a.placers = &placers{agent: a, running: map[string]*runningPlacer{}}
+	server := transport.NewServer(nil, api.NewAgentServer(a))
 	failures := make(chan error, 2)
 	for _, address := range []string{settings.PeerAddress(), settings.AgentLoopback()} {
 		listener, err := net.Listen("tcp4", address)
@@ -65,14 +126,14 @@
 		}
 		go func() { failures <- server.Serve(listener) }()
 	}
-	client := transport.NewClient(transport.DialTCP)
 	node := &api.Node{Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation}
 	var loops sync.WaitGroup
 	loops.Go(func() {
-		feed.Follow(ctx, store, feed.FollowConfig{Node: node, WaitTime: watchWait, Log: log,
-			Targets: func() []string { return controlsOf(settings, store.Controls()) },
+		feed.Follow(ctx, a.feed, feed.FollowConfig{Node: node, WaitTime: watchWait, Log: log, Targets: a.controls,
 			Connect: func(address string) feed.Watcher { return api.NewControlProtobufClient("http://"+address, client) }})
 	})
+	loops.Go(func() { a.leases.run(ctx) })
+	loops.Go(func() { a.placers.follow(ctx) })
 	log.Info("agent serves", "event", "start", "peer", settings.PeerAddress())
 	var failed error
 	select {
--- /dev/null
+++ b/internal/system/agent/lease.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/result"
+	"marlreel/internal/system/transport"
+)
+
+const (
+	// renewEvery is how often a holder renews its roles.
+	renewEvery = 400 * time.Millisecond
+	// renewTimeout bounds one try.
+	renewTimeout = 600 * time.Millisecond
+)
+
+// held is a role that this agent holds, while its lease runs.
+type held struct {
+	fence uint64
+	until time.Time // on the steady clock
+}
+
+// leases keeps the roles that the chain has given to this agent.
+type leases struct {
+	holder   string
+	controls func() []string
+	wanted   func() bool // whether the feed names this agent as a holder
+	client   *transport.Client
+	log      logr.Logger
+
+	mu   sync.Mutex
+	held map[string]held
+}
+
+// run renews while the feed names this agent, until ctx ends.
+func (l *leases) run(ctx context.Context) {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	at := 0
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if !l.wanted() {
+			continue
+		}
+		controls := l.controls()
+		if len(controls) == 0 || !l.renew(ctx, controls[at%len(controls)]) {
+			at++
+		}
+	}
+}
+
+// renew asks once. What is granted runs from before the call.
+func (l *leases) renew(ctx context.Context, control string) bool {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	reply, err := api.NewControlProtobufClient("http://"+control, l.client).Lease(call, &api.LeaseRequest{Holder: l.holder})
+	if err != nil || result.Code(reply.Code) != result.Accepted {
+		return false
+	}
+	until := asked.Add(time.Duration(reply.ValidMs) * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = map[string]held{}
+	for _, o := range reply.Held {
+		l.held[o.Key] = held{o.Fence, until}
+	}
+	return true
+}
+
+// fence gives the token of a role, if this agent holds it at this moment.
+func (l *leases) fence(key string) (token uint64, holds bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h, found := l.held[key]
+	return h.fence, found && time.Now().Before(h.until)
+}
+
+// drop gives all roles up.
+func (l *leases) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = nil
+}
--- /dev/null
+++ b/internal/system/agent/placer.go
@@ -0,0 +1,303 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/configuration"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/ownership"
+	"marlreel/internal/system/placement"
+	"marlreel/internal/system/state"
+)
+
+const (
+	// planEvery is how often a placer looks at what is and what is wanted.
+	planEvery = 100 * time.Millisecond
+	// reportAgain is the time between two questions for an order that is under way.
+	reportAgain = 180 * time.Millisecond
+	// reportLead is how long before an order's expected end the first question is put.
+	reportLead = 50 * time.Millisecond
+	// smallOrder is after what time an order for an adapter, or to unload, counts as done.
+	smallOrder = 60 * time.Millisecond
+	// observeTimeout bounds telling control what was seen.
+	observeTimeout = 500 * time.Millisecond
+)
+
+// placer places the models of one service while this agent holds that role.
+type placer struct {
+	service  string
+	agent    *Agent
+	fence    uint64
+	planner  *placement.Planner
+	began    time.Time
+	backends map[string]*api.Backend
+	askedAt  map[string]time.Time
+	wake     chan struct{}
+	events   chan func()
+	log      logr.Logger
+}
+
+func newPlacer(a *Agent, service string, fence uint64) *placer {
+	return &placer{service: service, agent: a, fence: fence, planner: placement.New(time.Second), began: time.Now().Add(-time.Second),
+		backends: map[string]*api.Backend{}, askedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		events: make(chan func(), 256), log: a.log.WithValues("service", service, "fence", fence)}
+}
+
+func (p *placer) now() time.Duration { return time.Since(p.began) }
+
+// allowed tells whether this agent holds the role under this token at this moment.
+func (p *placer) allowed() bool {
+	fence, holds := p.agent.leases.fence(ownership.PlacementKey(p.service))
+	return holds && fence == p.fence
+}
+
+// run works until ctx ends.
+func (p *placer) run(ctx context.Context) {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	p.log.Info("places models", "event", "placement")
+	for {
+		select {
+		case event := <-p.events:
+			event()
+		case <-p.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			p.log.Info("places models no more", "event", "placement")
+			return
+		}
+		if p.allowed() {
+			p.step()
+		}
+	}
+}
+
+// post has something done on the placer's goroutine.
+func (p *placer) post(event func()) {
+	select {
+	case p.events <- event:
+	default: // it is asked again
+	}
+}
+
+// step looks at what is and gives the orders that are due.
+func (p *placer) step() {
+	if !p.readFeed() {
+		return
+	}
+	now := p.now()
+	for _, id := range p.planner.Unknown() {
+		p.ask(id, reportAgain)
+	}
+	p.planner.Underway(func(o placement.Order, since, expected time.Duration) {
+		small := o.Operation == placement.Unload || o.Adapter != ""
+		switch {
+		case small && now-since >= smallOrder:
+			p.assumeDone(o)
+		case !small && now-since >= expected-reportLead:
+			p.ask(o.Backend, reportAgain)
+		}
+	})
+	for _, o := range p.planner.Plan(now) {
+		p.give(o)
+	}
+}
+
+// readFeed takes in the configuration and the backends.
+func (p *placer) readFeed() bool {
+	var cfg *configuration.Service
+	evacuated := map[string]bool{}
+	p.agent.feed.View(func(m *state.Machine) {
+		if document := m.Document(); document != nil {
+			cfg = document.Service(p.service)
+		}
+		for _, zone := range m.EvacuatedZones() {
+			evacuated[zone] = true
+		}
+	})
+	if cfg == nil || cfg.Engine == nil {
+		return false
+	}
+	p.planner.Configure(serviceOf(cfg, p.agent.settings.Bounds))
+	var list []placement.Backend
+	clear(p.backends)
+	for _, b := range p.agent.feed.Backends() {
+		if b.Service != p.service {
+			continue
+		}
+		p.backends[b.Id] = b
+		l := placement.Backend{ID: b.Id, Usable: !b.Draining && !evacuated[b.Zone], Holds: map[string][]string{}}
+		for _, m := range b.Models {
+			l.Holds[m.Name] = m.Adapters
+		}
+		list = append(list, l)
+	}
+	p.planner.Listed(list)
+	return true
+}
+
+func serviceOf(cfg *configuration.Service, bounds boot.Bounds) placement.Service {
+	s := placement.Service{Models: map[string]placement.Model{}, CapacityMB: cfg.Engine.WeightsMB,
+		AdapterCapacity: cfg.Engine.AdapterCapacity, LoadPerSecond: cfg.Engine.LoadPerS}
+	for _, m := range cfg.Engine.Models {
+		s.Models[m.Name] = placement.Model{Name: m.Name, SizeMB: m.WeightsMB, LoadTime: boot.Seconds(m.LoadTimeS),
+			AdapterSizeMB: m.AdapterSizeMB}
+	}
+	return s
+}
+
+// ask asks a backend what it holds, if it was not asked of late.
+func (p *placer) ask(id string, again time.Duration) {
+	b := p.backends[id]
+	if b == nil || time.Since(p.askedAt[id]) < again {
+		return
+	}
+	p.askedAt[id] = time.Now()
+	go func() {
+		report, err := p.agent.backends.report(b.Address, id)
+		if err != nil {
+			return
+		}
+		p.post(func() {
+			if p.planner.Reported(p.now(), id, report) {
+				p.agent.observed(id, report.Holds)
+			}
+		})
+	}()
+}
+
+// give sends an order.
+func (p *placer) give(o placement.Order) {
+	b := p.backends[o.Backend]
+	if b == nil {
+		return
+	}
+	p.log.V(1).Info("order", "event", "order", "backend", o.Backend, "operation", operationWords[o.Operation],
+		"model", o.Model, "adapter", o.Adapter)
+	message := order{Operation: operationWords[o.Operation], Model: o.Model, Adapter: o.Adapter, Revision: o.Revision,
+		Holder: p.agent.holder, Fence: p.fence}
+	go func() {
+		outcome := p.agent.backends.order(b.Address, o.Backend, message, p.allowed)
+		p.post(func() { p.ended(o, outcome) })
+	}()
+}
+
+// ended takes in how sending an order went.
+func (p *placer) ended(o placement.Order, outcome orderOutcome) {
+	switch outcome {
+	case orderTaken:
+		p.planner.Taken(p.now(), o)
+		if o.Operation == placement.Unload {
+			p.agent.observed(o.Backend, p.planner.Without(o))
+		}
+	case orderFenced:
+		p.log.Info("another one holds a higher token", "event", "placement", "backend", o.Backend)
+		p.agent.leases.drop()
+	default:
+		p.planner.Failed(p.now(), o)
+	}
+}
+
+// assumeDone counts an order as done that takes next to no time: a report would be older.
+func (p *placer) assumeDone(o placement.Order) {
+	if holds, done := p.planner.Assume(o); done {
+		p.agent.observed(o.Backend, holds)
+	}
+}
+
+// ---- The roles of this agent ----
+
+// placers starts and stops placers as roles come and go.
+type placers struct {
+	agent   *Agent
+	mu      sync.Mutex
+	running map[string]*runningPlacer
+}
+
+type runningPlacer struct {
+	placer *placer
+	cancel context.CancelFunc
+}
+
+// follow keeps one placer for each role that is held, until ctx ends.
+func (s *placers) follow(ctx context.Context) {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		s.adjust(ctx)
+	}
+}
+
+func (s *placers) adjust(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var document *configuration.Document
+	s.agent.feed.View(func(m *state.Machine) { document = m.Document() })
+	wanted := map[string]uint64{}
+	if document != nil {
+		for i := range document.Services {
+			name := document.Services[i].Name
+			if fence, holds := s.agent.leases.fence(ownership.PlacementKey(name)); holds && document.Services[i].Engine != nil {
+				wanted[name] = fence
+			}
+		}
+	}
+	for name, r := range s.running {
+		if fence, still := wanted[name]; !still || fence != r.placer.fence {
+			r.cancel()
+			delete(s.running, name)
+		}
+	}
+	for name, fence := range wanted {
+		if s.running[name] != nil {
+			continue
+		}
+		running, cancel := context.WithCancel(ctx)
+		p := newPlacer(s.agent, name, fence)
+		s.running[name] = &runningPlacer{p, cancel}
+		go p.run(running)
+	}
+}
+
+// asked hands a report on to the placers that it concerns.
+func (s *placers) asked(node string, demands []*api.Demand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range demands {
+		r := s.running[d.Service]
+		if r == nil {
+			continue
+		}
+		p := r.placer
+		p.post(func() {
+			p.planner.Asked(p.now(), node, placement.Key{Model: d.Model, Adapter: d.Adapter}, int(d.Arrived), d.WorkMs, int(d.Waiting))
+		})
+	}
+}
+
+// observed tells control, and this agent's own proxy, what a backend holds now.
+func (a *Agent) observed(id string, holds map[string][]string) {
+	seen := feed.Observation(id, holds)
+	a.feed.Observe(seen)
+	go func() {
+		call, cancel := context.WithTimeout(context.Background(), observeTimeout)
+		defer cancel()
+		for _, control := range a.controls() {
+			_, err := api.NewControlProtobufClient("http://"+control, a.client).Observe(call, &api.Observations{Observed: []*api.Observation{seen}})
+			if err == nil {
+				return // control passes it on
+			}
+		}
+	}()
+}
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -35,6 +35,9 @@
 	keeper := NewKeeper(settings, NewPeers(ctx, client), out, log)
 	registry := NewRegistry(settings.PeerAddress(), out, settings.BeatInterval(), client)
 	service := &Service{keeper: keeper, registry: registry, feed: out, self: settings.PeerAddress(), client: client}
+	members := &memberList{seeds: settings.SeedPeers()}
+	service.owners = newOwners(settings.Bounds, out, func() bool { return members.isHead(settings.PeerAddress()) },
+		func(operation *api.Operation) bool { return service.Order(operation).Code.Done() }, log)
 
 	peers := transport.NewServer(nil, api.NewChainPeerServer(service), api.NewControlServer(service))
 	operators := transport.NewServer(service.Handle)
@@ -48,10 +51,10 @@
 		}
 		servers.Go(func() { failures <- server.Serve(listener) })
 	}
-	members := &memberList{seeds: settings.SeedPeers()}
 	var loops sync.WaitGroup
 	loops.Go(func() { keeper.Run(ctx) })
 	loops.Go(func() { registry.Run(ctx, members.get) })
+	loops.Go(func() { service.owners.run(ctx) })
 	loops.Go(func() { followStanding(ctx, keeper, registry, out, members) })
 	log.Info("control serves", "event", "start", "peer", settings.PeerAddress(), "control", settings.Listen.Control)
 
@@ -73,6 +76,14 @@
 	mu      sync.Mutex
 	seeds   []string
 	members []string
+	head    string // "": this process is not connected
+}
+
+// isHead tells whether a process is the head of a chain to which this one is connected.
+func (l *memberList) isHead(self string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.head == self
 }
 
 func (l *memberList) get() []string {
@@ -84,10 +95,13 @@
 	return l.seeds
 }
 
-func (l *memberList) set(members []string) {
+func (l *memberList) set(s Standing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members = members
+	l.members, l.head = s.Members, ""
+	if s.Connected {
+		l.head = s.Head
+	}
 }
 
 // followStanding tells the feed whether this process's word is fresh, and since long enough.
@@ -102,7 +116,7 @@
 			return
 		}
 		keeper.Standing(func(s Standing) {
-			members.set(s.Members)
+			members.set(s)
 			out.SetControls(s.Members)
 			if !s.Connected {
 				connectedSince = time.Time{}
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -28,6 +28,7 @@
 type Service struct {
 	keeper   *Keeper
 	registry *Registry
+	owners   *owners
 	feed     *feed.Store
 	self     string
 	client   *transport.Client
@@ -92,9 +93,51 @@
 	return s.feed.Wait(ctx, request, wait), nil
 }
 
-// Lease implements api.Control.
-func (s *Service) Lease(context.Context, *api.LeaseRequest) (*api.LeaseReply, error) {
-	return &api.LeaseReply{Code: uint32(result.Unavailable)}, nil
+// Lease implements api.Control: the head answers, and others pass the question on to it.
+func (s *Service) Lease(ctx context.Context, request *api.LeaseRequest) (*api.LeaseReply, error) {
+	head := s.standing(ctx).Head
+	if head != "" && head != s.self {
+		return api.NewControlProtobufClient("http://"+head, s.client).Lease(ctx, request)
+	}
+	answers := make(chan *api.LeaseReply, 1)
+	s.keeper.Read(true, func(code result.Code, machine *state.Machine) {
+		reply := &api.LeaseReply{Code: uint32(code)}
+		if machine != nil {
+			reply.Held = s.owners.renew(request.Holder, machine)
+			reply.ValidMs = uint32(s.owners.valid.Milliseconds())
+		}
+		answers <- reply
+	})
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		return &api.LeaseReply{Code: uint32(result.Unavailable)}, nil
+	}
+}
+
+// Observe implements api.Control. What an agent tells is passed on to the other control
+// processes.
+func (s *Service) Observe(_ context.Context, seen *api.Observations) (*api.Empty, error) {
+	for _, o := range seen.Observed {
+		s.feed.Observe(o)
+	}
+	if seen.PassedOn {
+		return &api.Empty{}, nil
+	}
+	for _, address := range s.feed.Controls() {
+		if address == s.self {
+			continue
+		}
+		go func() {
+			call, cancel := context.WithTimeout(context.Background(), shareTimeout)
+			defer cancel()
+			// A process that misses it hears the same with the backend's next heartbeat.
+			_, _ = api.NewControlProtobufClient("http://"+address, s.client).Observe(call,
+				&api.Observations{Observed: seen.Observed, PassedOn: true})
+		}()
+	}
+	return &api.Empty{}, nil
 }
 
 // standing asks where the chain's ends are.
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -364,3 +364,34 @@
 	defer s.mu.Unlock()
 	return s.controls
 }
+
+// Observation words what a backend holds.
+func Observation(id string, holds map[string][]string) *api.Observation {
+	o := &api.Observation{Id: id}
+	for model, adapters := range holds {
+		o.Models = append(o.Models, &api.ModelHeld{Name: model, Adapters: adapters})
+	}
+	slices.SortFunc(o.Models, func(a, b *api.ModelHeld) int { return compareStrings(a.Name, b.Name) })
+	return o
+}
+
+// Observe takes in what a backend holds, as whoever gives it orders has seen. It tells
+// whether that was news.
+func (s *Store) Observe(o *api.Observation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := s.backends[o.Id]
+	if record == nil {
+		return false
+	}
+	next := aged(record, s.now())
+	next.AgeMs = 0
+	next.ColdLeftMs = record.backend.ColdLeftMs
+	next.Models = o.Models
+	if sameBackend(record.backend, next) {
+		return false
+	}
+	s.backends[o.Id] = &backendRecord{next, record.heardAt, s.revision + 1}
+	s.touch()
+	return true
+}
--- a/internal/system/gateway/front.go
+++ b/internal/system/gateway/front.go
@@ -81,6 +81,13 @@
 		refuse(ctx, unknownYet/10)
 		return
 	}
+	if needs != nil && s.engines {
+		key := demandKey{s.name, needs.Model, needs.Adapter}
+		g.demand.asked(key, work)
+		if !p.held[key] {
+			defer g.demand.waits(key)()
+		}
+	}
 	e := &exchange{gateway: g, service: s, route: route, message: message, needs: needs, work: work,
 		deadline: arrived.Add(remaining(header, route)), client: ctx.Conn()}
 	g.finish(ctx, e, e.run(c))
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -24,6 +24,7 @@
 	room        *budget.Budget
 	connections int // to backends, of each service
 	log         logr.Logger
+	demand      *demandBook
 
 	mu    sync.Mutex // one update at a time
 	plan  atomic.Pointer[plan]
@@ -35,6 +36,24 @@
 type plan struct {
 	document *configuration.Document
 	services map[string]*service
+	held     map[demandKey]bool // what some backend in service holds
+}
+
+// holdings are the models and adapters that backends in service hold.
+func holdings(backends []*api.Backend, evacuated map[string]bool) map[demandKey]bool {
+	held := map[demandKey]bool{}
+	for _, b := range backends {
+		if b.Draining || evacuated[b.Zone] {
+			continue
+		}
+		for _, m := range b.Models {
+			held[demandKey{b.Service, m.Name, ""}] = true
+			for _, adapter := range m.Adapters {
+				held[demandKey{b.Service, m.Name, adapter}] = true
+			}
+		}
+	}
+	return held
 }
 
 // Config is what a gateway is told at its start.
@@ -50,7 +69,7 @@
 // New makes a gateway that knows nothing yet.
 func New(cfg Config, source *feed.Store) *Gateway {
 	g := &Gateway{self: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, feed: source,
-		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, log: cfg.Log}
+		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, log: cfg.Log, demand: newDemandBook()}
 	g.plan.Store(&plan{services: map[string]*service{}})
 	return g
 }
@@ -84,6 +103,7 @@
 		g.keepService(old, next, cfg, proxies)
 	}
 	backends := g.feed.Backends()
+	next.held = holdings(backends, evacuated)
 	for _, s := range next.services {
 		s.list(backends, g.self, func(zone string) bool { return evacuated[zone] })
 	}
@@ -121,14 +141,3 @@
 	}
 	next.services[cfg.Name] = s
 }
-
-// backendsOf is for figures: how many backends of a service are listed.
-func backendsOf(backends []*api.Backend, service string) int {
-	count := 0
-	for _, b := range backends {
-		if b.Service == service {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/system/gateway/role.go
+++ b/internal/system/gateway/role.go
@@ -70,6 +70,13 @@
 		},
 		WaitTime: feedWait, Log: log,
 	})
+	go g.demand.run(following, func(demands []*api.Demand) {
+		call, cancel := context.WithTimeout(following, feedWait)
+		defer cancel()
+		// What is lost is asked again, or not asked any more.
+		_, _ = api.NewAgentProtobufClient("http://"+settings.AgentLoopback(), client).ReportDemand(call,
+			&api.DemandReport{Node: settings.NodeName, Demands: demands})
+	})
 	log.Info("proxy serves", "event", "start", "front", settings.Listen.Front)
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/system/placement/planner.go
@@ -0,0 +1,294 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Model is a model that may be loaded.
+type Model struct {
+	Name          string
+	SizeMB        float64
+	LoadTime      time.Duration
+	AdapterSizeMB float64
+}
+
+// Service is what is configured of a service's model backends.
+type Service struct {
+	Models          map[string]Model
+	CapacityMB      float64
+	AdapterCapacity int
+	LoadPerSecond   float64
+	CeilingWindow   time.Duration
+	CeilingExcess   float64
+}
+
+// Backend is what is known of a backend by its heartbeats.
+type Backend struct {
+	ID     string
+	Usable bool                // it may get orders
+	Holds  map[string][]string // adapters by model
+}
+
+// Operation is what an order does.
+type Operation int
+
+// The operations.
+const (
+	Load Operation = iota
+	Unload
+)
+
+// Order is an order to a backend.
+type Order struct {
+	Backend   string
+	Operation Operation
+	Key
+	Revision uint64 // the number of orders that the backend must have taken so far
+}
+
+// backend is what the planner keeps of one backend.
+type backend struct {
+	id         string
+	usable     bool
+	known      bool // asked since this planner began, so that its count of orders is known
+	revision   uint64
+	holds      map[string]map[string]bool
+	had        map[string]bool // models that it has held: they come from its own disk
+	order      *Order
+	orderAt    time.Duration
+	reserved   string // the model that room is being made for
+	reservedAt time.Duration
+	restUntil  time.Duration // after an order that failed
+}
+
+// Planner decides on the backends of one service. Not safe for concurrent use.
+type Planner struct {
+	service  Service
+	backends map[string]*backend
+	demands  map[Key]*demand
+	loads    bucket
+}
+
+// New makes a planner that knows nothing of what was done before it.
+func New(now time.Duration) *Planner {
+	return &Planner{backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}}
+}
+
+// Configure sets what is configured.
+func (p *Planner) Configure(s Service) { p.service = s }
+
+// Unknown are the backends of which it has to be asked what they hold, before they get orders.
+func (p *Planner) Unknown() []string {
+	var ids []string
+	for id, b := range p.backends {
+		if b.usable && !b.known {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Listed sets the backends that there are, with what their heartbeats say.
+func (p *Planner) Listed(list []Backend) {
+	listed := map[string]bool{}
+	for _, l := range list {
+		listed[l.ID] = true
+		b := p.backends[l.ID]
+		if b == nil {
+			b = &backend{id: l.ID, had: map[string]bool{}}
+			p.backends[l.ID] = b
+		}
+		b.usable = l.Usable
+		if !b.known {
+			b.setHolds(l.Holds)
+		}
+	}
+	for id := range p.backends {
+		if !listed[id] {
+			delete(p.backends, id)
+		}
+	}
+}
+
+func (b *backend) setHolds(holds map[string][]string) {
+	b.holds = map[string]map[string]bool{}
+	for model, adapters := range holds {
+		set := map[string]bool{}
+		for _, name := range adapters {
+			set[name] = true
+		}
+		b.holds[model] = set
+		b.had[model] = true
+	}
+}
+
+// Report is what a backend answers when it is asked.
+type Report struct {
+	Busy     bool
+	Revision uint64
+	Holds    map[string][]string
+}
+
+// Reported takes in what a backend says. It tells whether the order that was under way is done.
+func (p *Planner) Reported(now time.Duration, id string, r Report) (done bool) {
+	b := p.backends[id]
+	if b == nil {
+		return false
+	}
+	if b.order != nil && r.Revision <= b.order.Revision && now-b.orderAt < orderLag {
+		return false // as it was before the order
+	}
+	if r.Busy {
+		b.revision = r.Revision
+		return false
+	}
+	done = b.order != nil
+	b.order, b.known, b.revision = nil, true, r.Revision
+	b.setHolds(r.Holds)
+	return done
+}
+
+// orderLag is how old a report may be.
+const orderLag = 600 * time.Millisecond
+
+// Taken notes that a backend carries an order out.
+func (p *Planner) Taken(now time.Duration, o Order) {
+	if b := p.backends[o.Backend]; b != nil && b.order != nil && *b.order == o {
+		b.orderAt = now
+		b.revision = o.Revision + 1
+	}
+}
+
+// Failed notes that a backend does not carry an order out, or that this is not known. It
+// gets no other before it was asked again.
+func (p *Planner) Failed(now time.Duration, o Order) {
+	if b := p.backends[o.Backend]; b != nil {
+		b.order, b.known, b.restUntil = nil, false, now+failureRest
+	}
+}
+
+// failureRest is how long a backend gets no order after one that failed.
+const failureRest = 300 * time.Millisecond
+
+// Underway are the orders that are being carried out, with the time since they were taken.
+func (p *Planner) Underway(each func(o Order, since time.Duration, expected time.Duration)) {
+	for _, b := range p.sorted() {
+		if b.order != nil {
+			each(*b.order, b.orderAt, p.expected(b, *b.order))
+		}
+	}
+}
+
+// expected is how long an order takes, about.
+func (p *Planner) expected(b *backend, o Order) time.Duration {
+	const small = 20 * time.Millisecond
+	if o.Operation == Unload || o.Adapter != "" {
+		return small
+	}
+	if took := p.service.Models[o.Model].LoadTime; !b.had[o.Model] {
+		return took
+	} else {
+		return took / 4
+	}
+}
+
+func (p *Planner) sorted() []*backend {
+	list := make([]*backend, 0, len(p.backends))
+	for _, b := range p.backends {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
+	return list
+}
+
+// free tells whether a backend can get an order now.
+func (b *backend) free(now time.Duration) bool {
+	return b.usable && b.known && b.order == nil && now >= b.restUntil
+}
+
+// usedMB is the room that is taken at a backend.
+func (p *Planner) usedMB(b *backend) float64 {
+	used := 0.0
+	for name, adapters := range b.holds {
+		m := p.service.Models[name]
+		used += m.SizeMB + float64(len(adapters))*m.AdapterSizeMB
+	}
+	return used
+}
+
+func (b *backend) adapters() int {
+	count := 0
+	for _, adapters := range b.holds {
+		count += len(adapters)
+	}
+	return count
+}
+
+// bucket spaces loads from the store.
+type bucket struct {
+	level float64
+	at    time.Duration
+}
+
+// storeBurst is how many loads may begin at once: the bound allows three more than its rate.
+const storeBurst = 3
+
+// mayLoad tells whether one more load from the store may begin.
+func (p *Planner) mayLoad(now time.Duration) bool {
+	p.loads.level = min(storeBurst, p.loads.level+p.service.LoadPerSecond*(now-p.loads.at).Seconds())
+	p.loads.at = now
+	return p.loads.level >= 1
+}
+
+// Without is what a backend holds once an order to unload, which it has taken, is done.
+func (p *Planner) Without(o Order) map[string][]string {
+	b := p.backends[o.Backend]
+	if b == nil {
+		return nil
+	}
+	holds := b.list()
+	if o.Adapter == "" {
+		delete(holds, o.Model)
+		return holds
+	}
+	holds[o.Model] = slices.DeleteFunc(holds[o.Model], func(name string) bool { return name == o.Adapter })
+	return holds
+}
+
+// Assume counts an order as done, and gives what the backend holds then.
+func (p *Planner) Assume(o Order) (holds map[string][]string, done bool) {
+	b := p.backends[o.Backend]
+	if b == nil || b.order == nil || *b.order != o {
+		return nil, false
+	}
+	b.order = nil
+	if o.Operation == Load {
+		holds = b.list()
+		if o.Adapter == "" {
+			holds[o.Model] = nil
+		} else {
+			holds[o.Model] = append(holds[o.Model], o.Adapter)
+		}
+	} else {
+		holds = p.Without(o)
+	}
+	b.setHolds(holds)
+	return holds, true
+}
+
+// list gives what a backend holds.
+func (b *backend) list() map[string][]string {
+	holds := map[string][]string{}
+	for model, adapters := range b.holds {
+		names := []string{}
+		for name := range adapters {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		holds[model] = names
+	}
+	return holds
+}
