Let a member whose disk was lost hear the chain, so that it is taken in anew

Ruled out: the store (it opened), the view's votes.

Change: heartbeats also go to those that wait to be taken in. Simulated clusters (network, clock, disks of the test) play deaths, wipes, freezes, stalls, cuts, losses and total power loss by seed; an auditor looks for what was acknowledged and is gone, done twice, or in another order.

--- /dev/null
+++ b/internal/system/chain/chain_test.go
@@ -0,0 +1,263 @@
+package chain
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// settle is how long a cluster has to come back after a fault.
+const settle = 4 * time.Second
+
+func (c *cluster) mustServe(why string) {
+	c.t.Helper()
+	c.runFor(settle)
+	before := len(c.acked)
+	c.runFor(200 * time.Millisecond)
+	if len(c.acked) == before {
+		c.fail("%s: nothing is acknowledged after %v", why, settle)
+	}
+	c.audit()
+	c.auditService()
+}
+
+func TestFoundingTakesAllFoundersIn(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 3)
+	c.mustServe("founding")
+	for _, p := range c.processes {
+		is.True(p.node.InService()) // every founder is in the chain
+		is.Equal(len(p.node.View().Chain), 3)
+	}
+}
+
+func TestEachMemberMayDieAndComeBack(t *testing.T) {
+	for victim := range 3 {
+		t.Run(fmt.Sprint(victim), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 2, 3)
+			c.mustServe("founding")
+			c.kill(c.processes[victim])
+			c.mustServe("one is dead")
+			c.start(c.processes[victim], false)
+			c.mustServe("it is back")
+			is.True(c.processes[victim].node.InService())
+		})
+	}
+}
+
+// A machine whose disk was lost comes back under a new incarnation. The chain's
+// heartbeats to its old one must not be all that it hears, or it never joins.
+func TestWipedMemberIsTakenInAnew(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 3)
+	c.mustServe("founding")
+	wiped := c.processes[1]
+	c.wipe(wiped)
+	c.runFor(time.Second)
+	c.start(wiped, false)
+	c.mustServe("a wiped member is back")
+	is.True(wiped.node.InService())
+	is.Equal(len(wiped.node.View().Members), 3) // in the place of its old self
+	// Now two copies are all there is if another disk goes with all of the power.
+	c.wipe(c.processes[0])
+	c.kill(c.processes[1])
+	c.kill(c.processes[2])
+	c.runFor(500 * time.Millisecond)
+	for _, p := range c.processes {
+		c.start(p, false)
+	}
+	c.mustServe("power is back, and one more disk is empty")
+}
+
+func TestReplacedMemberAtAnotherAddress(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4, 3)
+	c.mustServe("founding")
+	c.kill(c.processes[0])
+	c.runFor(time.Second)
+	joined := c.add("d0", false)
+	c.mustServe("another one has come in its place")
+	is.True(joined.node.InService())
+	is.Equal(len(joined.node.View().Members), 3)
+}
+
+func TestPlannedReplacementComesFirst(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5, 3)
+	c.mustServe("founding")
+	joined := c.add("d0", false)
+	c.mustServe("a fourth has come")
+	is.Equal(len(joined.node.View().Members), 4)
+	c.kill(c.processes[0])
+	c.mustServe("the first has left")
+	is.Equal(len(joined.node.View().Members), 3) // it no longer counts
+}
+
+func TestIsolatedHeadAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 6, 3)
+	c.mustServe("founding")
+	var head *process
+	for _, p := range c.processes {
+		if p.node.isHead() {
+			head = p
+		}
+	}
+	c.isolate(head, true)
+	c.mustServe("the head is cut off")
+	is.Equal(head.node.MayPropose(), false)
+	c.isolate(head, false)
+	c.mustServe("the cut has healed")
+	is.True(head.node.InService())
+}
+
+func TestAllDieAtOnce(t *testing.T) {
+	c := newCluster(t, 7, 3)
+	c.mustServe("founding")
+	for range 3 {
+		for _, p := range c.processes {
+			c.kill(p)
+		}
+		c.runFor(300 * time.Millisecond)
+		for _, p := range c.processes {
+			c.start(p, false)
+		}
+		c.mustServe("all are back")
+	}
+}
+
+func TestConfirmNeedsAMajority(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 8, 3)
+	c.mustServe("founding")
+	tail := c.processes[0]
+	for _, p := range c.processes {
+		if p.node.MayRead() {
+			tail = p
+		}
+	}
+	confirmed := func(token uint64) bool {
+		got := false
+		out := tail.node.Confirm(c.now, token)
+		for _, t := range out.Confirmed {
+			got = got || t == token
+		}
+		c.carryOut(tail, out)
+		for range 200 {
+			c.runFor(time.Millisecond)
+			if _, waits := tail.node.confirms[token]; !waits {
+				got = true
+				break
+			}
+		}
+		return got
+	}
+	is.True(confirmed(1)) // a tail in touch reads
+	c.isolate(tail, true)
+	tail.node.Confirm(c.now, 2)
+	c.runFor(100 * time.Millisecond)
+	_, waits := tail.node.confirms[2]
+	is.True(waits) // a tail that is cut off does not
+}
+
+// Histories are drawn: kills, lost disks, freezes, stalls, cuts one way and both, losses
+// of messages, and total losses of power. What fault_tolerance allows is kept: one disk
+// at a time is lost, and its machine is given time to catch up.
+func TestDrawnHistories(t *testing.T) {
+	histories := 40
+	if more, err := strconv.Atoi(os.Getenv("CHAIN_HISTORIES")); err == nil {
+		histories = more
+	}
+	for seed := range histories {
+		members := 3 + 2*(seed%2)
+		c := newCluster(t, uint64(seed)+100, members)
+		c.mustServe("founding")
+		c.drawn(12)
+		c.heal()
+		c.mustServe(fmt.Sprintf("seed %d: all is healed", seed))
+		for _, p := range c.processes {
+			if !p.node.InService() {
+				c.fail("seed %d: %s is not back in the chain", seed, p.address)
+			}
+		}
+	}
+}
+
+// drawn lets so many faults happen.
+func (c *cluster) drawn(faults int) {
+	for range faults {
+		p := c.processes[c.rng.IntN(len(c.processes))]
+		span := time.Duration(c.rng.Int64N(int64(1500 * time.Millisecond)))
+		switch c.rng.IntN(9) {
+		case 0:
+			c.kill(p)
+			c.runFor(span)
+			c.start(p, false)
+		case 1:
+			c.heal()
+			c.runFor(settle)
+			c.wipe(p)
+			c.runFor(span)
+			c.start(p, false)
+			c.runFor(settle)
+		case 2:
+			p.frozen = true
+			c.runFor(span)
+			c.thaw(p)
+		case 3:
+			p.stalled = true
+			c.runFor(span)
+			c.thaw(p)
+		case 4:
+			c.isolate(p, true)
+			c.runFor(span)
+			c.isolate(p, false)
+		case 5:
+			other := c.processes[c.rng.IntN(len(c.processes))]
+			c.cut[p.address+">"+other.address] = true
+			c.runFor(span)
+			c.cut[p.address+">"+other.address] = false
+		case 6:
+			c.loss = 0.2
+			c.runFor(span)
+			c.loss = 0
+		case 7:
+			for _, each := range c.processes {
+				c.kill(each)
+			}
+			c.runFor(span / 4)
+			for _, each := range c.processes {
+				c.start(each, false)
+			}
+		case 8: // cut, and while it lasts another one is restarted
+			c.isolate(p, true)
+			c.runFor(span / 2)
+			other := c.processes[c.rng.IntN(len(c.processes))]
+			if other != p {
+				c.kill(other)
+				c.start(other, false)
+			}
+			c.runFor(span / 2)
+			c.isolate(p, false)
+		}
+		c.audit()
+		c.runFor(time.Duration(c.rng.Int64N(int64(600 * time.Millisecond))))
+	}
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	clear(c.cut)
+	c.loss = 0
+	for _, p := range c.processes {
+		if p.node == nil {
+			c.start(p, false)
+		}
+		c.thaw(p)
+	}
+}
--- a/internal/system/chain/heartbeat.go
+++ b/internal/system/chain/heartbeat.go
@@ -32,6 +32,12 @@
 		told[member.Address] = true
 		n.send(member, n.heartbeat())
 	}
+	// Those that wait to be taken in have to hear the chain, as each of its members must.
+	for _, key := range n.sortedPeers() {
+		if p := n.peers[key]; p.wantsIn && n.alive(p) && !contains(n.durable.View.Members, p.member) {
+			n.send(p.member, n.heartbeat())
+		}
+	}
 	if n.isMember() && n.inChain() {
 		return
 	}
--- /dev/null
+++ b/internal/system/chain/sim_test.go
@@ -0,0 +1,359 @@
+package chain
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marlreel/internal/system/api"
+)
+
+// A cluster of nodes on a simulated network, clock and disks. Everything that happens
+// comes from one seed. Faults are methods; audit looks at all that was ever committed.
+
+// register is the machine of the tests: the list of operations that were applied.
+type register struct{ applied []string }
+
+func (r *register) Apply(entry *api.Entry) {
+	for _, operation := range entry.Operations {
+		r.applied = append(r.applied, operation.GetEvacuation().GetZone())
+	}
+}
+
+func (r *register) State() *api.State {
+	state := &api.State{}
+	for _, name := range r.applied {
+		state.Evacuations = append(state.Evacuations, &api.Evacuation{Zone: name})
+	}
+	return state
+}
+
+func (r *register) Restore(state *api.State) {
+	r.applied = nil
+	for _, e := range state.GetEvacuations() {
+		r.applied = append(r.applied, e.Zone)
+	}
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// process is a machine with a disk and, while it runs, a node.
+type process struct {
+	address string
+	node    *Node // nil: it is down
+	machine *register
+	disk    *Durable // nil: empty
+	life    int
+	frozen  bool
+	stalled bool // its disk answers nothing
+	backlog []func()
+	waiting map[uint64]string // proposals by entry hash
+}
+
+type cluster struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Duration
+	queue     events
+	order     int
+	processes []*process
+	cut       map[string]bool // "a>b": nothing passes
+	loss      float64
+	cfg       Config
+	acked     []string // in the order of their acknowledgements
+	founders  []string
+	proposed  int
+	log       []string
+}
+
+const (
+	simulatedTick = 20 * time.Millisecond
+	proposeEvery  = 40 * time.Millisecond
+)
+
+func newCluster(t *testing.T, seed uint64, members int) *cluster {
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, cfg: DefaultConfig(members)}
+	c.cfg.CompactAfter = 8
+	for i := range members {
+		c.founders = append(c.founders, fmt.Sprintf("c%d", i))
+	}
+	for _, address := range c.founders {
+		c.add(address, true)
+	}
+	return c
+}
+
+// add makes a machine and starts it.
+func (c *cluster) add(address string, first bool) *process {
+	p := &process{address: address}
+	c.processes = append(c.processes, p)
+	c.start(p, first)
+	return p
+}
+
+func (c *cluster) start(p *process, first bool) {
+	p.life++
+	p.frozen, p.stalled, p.backlog, p.waiting = false, false, nil, map[uint64]string{}
+	if p.disk == nil {
+		p.disk = &Durable{Self: &api.Member{Address: p.address, Incarnation: FounderIncarnation}}
+		if first {
+			p.disk.View = FoundingView(c.founders)
+		} else {
+			p.disk.Self.Incarnation = c.rng.Uint64() | 1<<63
+		}
+	}
+	p.machine = &register{}
+	p.node = New(c.cfg, cloneDurable(p.disk), p.machine, c.founders, c.now)
+	life := p.life
+	var tick func()
+	tick = func() {
+		if p.life != life || p.node == nil {
+			return
+		}
+		c.run(p, func() { c.carryOut(p, p.node.Tick(c.now)) })
+		c.after(simulatedTick, tick)
+	}
+	c.after(time.Duration(c.rng.Int64N(int64(simulatedTick))), tick)
+}
+
+func cloneDurable(d *Durable) Durable {
+	next := *d
+	next.Entries = slices.Clone(d.Entries)
+	return next
+}
+
+// run does something on a process, or keeps it for when it thaws.
+func (c *cluster) run(p *process, do func()) {
+	if p.node == nil {
+		return
+	}
+	if p.frozen || p.stalled {
+		if len(p.backlog) < 200 {
+			p.backlog = append(p.backlog, do)
+		}
+		return
+	}
+	do()
+}
+
+func (c *cluster) thaw(p *process) {
+	p.frozen, p.stalled = false, false
+	backlog := p.backlog
+	p.backlog = nil
+	for _, do := range backlog {
+		c.run(p, do)
+	}
+}
+
+func (c *cluster) after(span time.Duration, do func()) {
+	c.order++
+	heap.Push(&c.queue, event{c.now + span, c.order, do})
+}
+
+func (c *cluster) carryOut(p *process, out Output) {
+	if out.Save.Any() {
+		saved := cloneDurable(p.node.Durable())
+		saved = roundTrip(c.t, saved)
+		p.disk = &saved
+	}
+	for _, note := range out.Notes {
+		c.log = append(c.log, fmt.Sprintf("%v %s: %s", c.now, p.address, note))
+	}
+	for _, message := range out.Send {
+		c.deliver(p.address, proto.Clone(message).(*api.ChainMessage))
+	}
+	for _, entry := range out.Committed {
+		if name, mine := p.waiting[entry.Hash]; mine {
+			delete(p.waiting, entry.Hash)
+			c.acked = append(c.acked, name)
+		}
+	}
+}
+
+// roundTrip makes sure that what is kept shares nothing with what goes on.
+func roundTrip(t *testing.T, d Durable) Durable {
+	t.Helper()
+	d.Self = proto.Clone(d.Self).(*api.Member)
+	d.View = proto.Clone(d.View).(*api.View)
+	d.Snapshot = proto.Clone(d.Snapshot).(*api.Snapshot)
+	if d.Promised != nil {
+		d.Promised = proto.Clone(d.Promised).(*api.Ballot)
+	}
+	if d.AcceptedView != nil {
+		d.AcceptedView = proto.Clone(d.AcceptedView).(*api.View)
+		d.AcceptedBallot = proto.Clone(d.AcceptedBallot).(*api.Ballot)
+	}
+	for i, entry := range d.Entries {
+		d.Entries[i] = proto.Clone(entry).(*api.Entry)
+	}
+	return d
+}
+
+func (c *cluster) deliver(from string, message *api.ChainMessage) {
+	to := message.To.Address
+	if c.cut[from+">"+to] || c.rng.Float64() < c.loss {
+		return
+	}
+	delay := time.Millisecond + time.Duration(c.rng.Int64N(int64(2*time.Millisecond)))
+	for _, p := range c.processes {
+		if p.address != to {
+			continue
+		}
+		life := p.life
+		c.after(delay, func() {
+			if p.life != life || c.cut[from+">"+to] {
+				return
+			}
+			c.run(p, func() { c.carryOut(p, p.node.Receive(c.now, message)) })
+		})
+	}
+}
+
+// propose has one more operation done, at any process that may.
+func (c *cluster) propose() {
+	for _, p := range c.processes {
+		if p.node == nil || p.frozen || p.stalled || !p.node.MayPropose() {
+			continue
+		}
+		c.proposed++
+		name := fmt.Sprintf("o%d", c.proposed)
+		entry, out := p.node.Propose(c.now, []*api.Operation{{Kind: &api.Operation_Evacuation{
+			Evacuation: &api.SetEvacuation{Zone: name}}}})
+		p.waiting[entry.Hash] = name
+		c.carryOut(p, out)
+		return
+	}
+}
+
+// runFor lets time pass; every so often something is proposed.
+func (c *cluster) runFor(span time.Duration) {
+	end := c.now + span
+	next := c.now
+	for c.now < end {
+		if len(c.queue) == 0 || c.queue[0].at > next {
+			c.now = next
+			c.propose()
+			next += proposeEvery
+			continue
+		}
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+}
+
+// kill ends a process; power: what its disk had not synced is gone, which here is nothing.
+func (c *cluster) kill(p *process) { p.node, p.life = nil, p.life+1 }
+
+func (c *cluster) wipe(p *process) {
+	c.kill(p)
+	p.disk = nil
+}
+
+func (c *cluster) isolate(p *process, cut bool) {
+	for _, other := range c.processes {
+		c.cut[p.address+">"+other.address] = cut
+		c.cut[other.address+">"+p.address] = cut
+	}
+}
+
+// audit checks that all that was acknowledged is there, once, in one order for all.
+func (c *cluster) audit() {
+	c.t.Helper()
+	var longest []string
+	for _, p := range c.processes {
+		if p.node == nil {
+			continue
+		}
+		applied := p.machine.applied
+		short, long := applied, longest
+		if len(short) > len(long) {
+			short, long = long, short
+		}
+		for i, name := range short {
+			if long[i] != name {
+				c.fail("%s has applied %s in place %d, another one %s", p.address, applied[i], i, longest[i])
+			}
+		}
+		if len(applied) > len(longest) {
+			longest = applied
+		}
+	}
+	seen := map[string]bool{}
+	for _, name := range longest {
+		if seen[name] {
+			c.fail("%s was applied twice", name)
+		}
+		seen[name] = true
+	}
+	logged := map[string]bool{}
+	for _, p := range c.processes {
+		if p.disk == nil {
+			continue
+		}
+		for _, entry := range p.disk.Entries {
+			logged[entry.Operations[0].GetEvacuation().GetZone()] = true
+		}
+	}
+	for _, name := range c.acked {
+		if !seen[name] && !logged[name] {
+			c.fail("%s was acknowledged and is gone", name)
+		}
+	}
+}
+
+// auditService checks that whoever is in service has all that was acknowledged.
+func (c *cluster) auditService() {
+	c.t.Helper()
+	for _, p := range c.processes {
+		if p.node == nil || !p.node.InService() {
+			continue
+		}
+		applied := map[string]bool{}
+		for _, name := range p.machine.applied {
+			applied[name] = true
+		}
+		for _, name := range c.acked[:max(0, len(c.acked)-2)] { // the last ones are on their way
+			if !applied[name] {
+				c.fail("%s was acknowledged, and %s is in service without it", name, p.address)
+			}
+		}
+	}
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	c.t.Helper()
+	for _, line := range c.log {
+		c.t.Log(line)
+	}
+	for _, p := range c.processes {
+		if p.node != nil {
+			c.t.Logf("%s: %s, position %v, in service %v, wedged %v, member %v", p.address, describe(p.node.View()),
+				p.node.durable.last(), p.node.InService(), p.node.wedged(), p.node.isMember())
+		}
+	}
+	c.t.Fatalf(format, args...)
+}
