Divide the budgets of repeats and of cold backends over the proxies

Change: package shares gives each proxy its part by the feed's list of nodes; parts that grow wait until the list has stood, parts lapse without fresh word; a process that starts earns its slack over a window. Resumed streams take from the same budget. Priority is set by the route.

--- a/internal/system/feed/follow.go
+++ b/internal/system/feed/follow.go
@@ -30,6 +30,8 @@
 	// leastPause and mostPause are between two tries that failed.
 	leastPause = 20 * time.Millisecond
 	mostPause  = 300 * time.Millisecond
+	// silentAfter is after what time without an answer nothing counts as fresh.
+	silentAfter = 600 * time.Millisecond
 	// staleAfter is after what time a source that has no majority is left for another.
 	staleAfter = 300 * time.Millisecond
 )
@@ -39,6 +41,7 @@
 func Follow(ctx context.Context, store *Store, cfg FollowConfig) {
 	cursor, at, pause := &Cursor{}, 0, leastPause
 	var staleSince time.Time
+	answered := time.Now()
 	for ctx.Err() == nil {
 		targets := cfg.Targets()
 		if len(targets) == 0 {
@@ -50,11 +53,14 @@
 		if err != nil {
 			cfg.Log.V(1).Info("the source does not answer", "event", "feed", "source", address, "error", err.Error())
 			at++
+			if time.Since(answered) > silentAfter {
+				store.Unheard()
+			}
 			rest(ctx, pause)
 			pause = min(2*pause, mostPause)
 			continue
 		}
-		pause = leastPause
+		pause, answered = leastPause, time.Now()
 		changed := store.Take(feed, cursor)
 		if cfg.Taken != nil {
 			cfg.Taken(changed)
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -395,3 +395,13 @@
 	s.touch()
 	return true
 }
+
+// Unheard notes that no source answers: what is known may be old.
+func (s *Store) Unheard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fresh {
+		s.fresh = false
+		s.touch()
+	}
+}
--- a/internal/system/gateway/dialect.go
+++ b/internal/system/gateway/dialect.go
@@ -22,6 +22,7 @@
 	headerTokens      = "Token-Count"
 	headerPrompt      = "Prompt-Prefix"
 	headerLastEvent   = "Last-Event-Id"
+	headerPriority    = "Priority"
 	headerRetryAfter  = "Retry-After"
 )
 
--- a/internal/system/gateway/events.go
+++ b/internal/system/gateway/events.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"marlreel"
 	"marlreel/internal/engine"
 	"marlreel/internal/httpproxy"
 )
@@ -100,7 +99,7 @@
 func (s *events) goOn() bool {
 	e := s.exchange
 	if !e.route.Resumable || s.lastEvent == "" || s.runs >= e.route.Attempts() || s.left() ||
-		time.Until(e.deadline) <= 0 {
+		time.Until(e.deadline) <= 0 || !e.service.takeRepeat() {
 		return false
 	}
 	e.streamed(false)
@@ -149,5 +148,3 @@
 	}
 	return nil
 }
-
-var _ marlreel.Advice = (*advisor)(nil)
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -23,6 +23,7 @@
 	feed        *feed.Store
 	room        *budget.Budget
 	connections int // to backends, of each service
+	bounds      Bounds
 	log         logr.Logger
 	demand      *demandBook
 
@@ -63,13 +64,14 @@
 	Zones       []string // all, sorted
 	BodyBytes   int      // what bodies may take of the memory
 	Connections int
+	Bounds      Bounds
 	Log         logr.Logger
 }
 
 // New makes a gateway that knows nothing yet.
 func New(cfg Config, source *feed.Store) *Gateway {
 	g := &Gateway{self: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, feed: source,
-		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, log: cfg.Log, demand: newDemandBook()}
+		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, bounds: cfg.Bounds, log: cfg.Log, demand: newDemandBook()}
 	g.plan.Store(&plan{services: map[string]*service{}})
 	return g
 }
@@ -119,6 +121,19 @@
 	}
 }
 
+// Heard takes in that the agent has answered: whether its word is fresh, and who shares
+// the budgets by it.
+func (g *Gateway) Heard() {
+	fresh := g.feed.Fresh()
+	var names []string
+	for _, node := range g.feed.Nodes() {
+		names = append(names, node.Name)
+	}
+	for _, s := range g.plan.Load().services {
+		s.sharedWith(names, fresh)
+	}
+}
+
 // keepService goes on with a service, or starts it.
 func (g *Gateway) keepService(old, next *plan, cfg *configuration.Service, proxies int) {
 	s := old.services[cfg.Name]
@@ -134,7 +149,7 @@
 		next.services[cfg.Name] = s
 		return
 	}
-	s, err := newService(cfg, classes, proxies, g.self, g.room, g.connections, g.log)
+	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.log)
 	if err != nil {
 		g.log.Error(err, "a service can't be started", "event", "configuration", "service", cfg.Name)
 		return
--- a/internal/system/gateway/request.go
+++ b/internal/system/gateway/request.go
@@ -19,6 +19,8 @@
 	readPace = 52 * time.Microsecond
 	// writePace is the same for a token that comes out.
 	writePace = 200 * time.Microsecond
+	// lowestPriority is the last that backends know.
+	lowestPriority = 9
 	// mostParts bounds the parts of a prompt that are looked at.
 	mostParts = 64
 )
@@ -43,6 +45,10 @@
 		}
 		head = append(append(append(append(head, key...), ": "...), value...), "\r\n"...)
 	}
+	if len(header.Peek(headerPriority)) == 0 && route.Affinity {
+		head = append(head, headerPriority+": "...)
+		head = append(strconv.AppendInt(head, int64(min(max(route.Priority, 0), lowestPriority)), 10), "\r\n"...)
+	}
 	body := bytes.Clone(ctx.PostBody())
 	if len(body) > 0 || !header.IsGet() && !header.IsHead() {
 		head = append(head, "Content-Length: "...)
--- a/internal/system/gateway/role.go
+++ b/internal/system/gateway/role.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/multierr"
 
+	"marlreel/internal/judge/shares"
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
@@ -41,7 +42,7 @@
 	}
 	slices.Sort(zones)
 	g := New(Config{Name: settings.NodeName, Zone: settings.Zone, Zones: zones, Log: log,
-		BodyBytes: settings.Limits.MemoryMB << 20 / 4, Connections: max(64, (settings.Limits.Files-keptFiles)/2)}, source)
+		BodyBytes: settings.Limits.MemoryMB << 20 / 4, Connections: max(64, (settings.Limits.Files-keptFiles)/2), Bounds: boundsOf(settings.Bounds)}, source)
 	front := g.newServer(g.Handle)
 	front.MaxRequestBodySize = 64 << 20
 	front.ReadBufferSize = headerBuffer
@@ -67,6 +68,7 @@
 			if changed || !g.ready.Load() {
 				g.Update()
 			}
+			g.Heard()
 		},
 		WaitTime: feedWait, Log: log,
 	})
@@ -86,6 +88,11 @@
 	return quit(g, front, readiness, boot.Seconds(settings.Bounds.GraceS), log)
 }
 
+func boundsOf(b boot.Bounds) Bounds {
+	return Bounds{ColdExcess: b.ColdExcess, ColdSlack: b.ColdSlack, Repeats: shares.RepeatsConfig{Ratio: b.RetryBudgetRatio,
+		Slack: b.RetrySlack, Window: boot.Seconds(b.RetryWindowS)}}
+}
+
 // newServer makes a server for a handler, with the limits that hold for all.
 func (g *Gateway) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -16,6 +16,7 @@
 	"marlreel/internal/engine"
 	"marlreel/internal/httpproxy"
 	"marlreel/internal/judge/residency"
+	"marlreel/internal/judge/shares"
 	"marlreel/internal/process/budget"
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/configuration"
@@ -48,6 +49,7 @@
 	engine     *engine.Engine
 	carrier    *httpproxy.Carrier
 	advisor    *advisor
+	bounds     Bounds
 	engines    bool
 	healthPath atomic.Pointer[string]
 	cancel     context.CancelFunc
@@ -56,6 +58,16 @@
 	rank, zone int
 }
 
+// Bounds are the figures of the rules that a gateway keeps.
+type Bounds struct {
+	ColdExcess, ColdSlack float64
+	Repeats               shares.RepeatsConfig
+}
+
+func (b Bounds) coldOf(cfg *configuration.Service) shares.ColdConfig {
+	return shares.ColdConfig{PerSecond: cfg.ColdPerS, Excess: b.ColdExcess, Slack: b.ColdSlack}
+}
+
 // identity is what a proxy is among the others.
 type identity struct {
 	name  string
@@ -125,11 +137,11 @@
 }
 
 // newService starts a service. It needs at least one class.
-func newService(cfg *configuration.Service, classes []marlreel.Class, proxies int, self identity, room *budget.Budget,
-	connections int, log logr.Logger) (*service, error) {
+func newService(cfg *configuration.Service, classes []marlreel.Class, proxies int, self identity, bounds Bounds,
+	room *budget.Budget, connections int, log logr.Logger) (*service, error) {
 	s := &service{name: cfg.Name, engines: cfg.Engine != nil, classes: classes, proxies: proxies, rank: self.rank(),
-		zone: self.zoneIndex(self.zone)}
-	s.advisor = &advisor{table: residency.New(s.engines)}
+		zone: self.zoneIndex(self.zone), bounds: bounds}
+	s.advisor = newAdvisor(self.name, s.engines, bounds.coldOf(cfg), bounds.Repeats, engine.ClockStart)
 	s.healthPath.Store(&cfg.HealthPath)
 	log = log.WithValues("service", cfg.Name)
 	var err error
@@ -163,6 +175,8 @@
 // configure puts another configuration in force.
 func (s *service) configure(cfg *configuration.Service, classes []marlreel.Class, proxies int, log logr.Logger) {
 	s.healthPath.Store(&cfg.HealthPath)
+	cold := s.bounds.coldOf(cfg)
+	s.engine.Post(func() { s.advisor.cold.Configure(cold) })
 	if s.proxies == proxies && slices.Equal(s.classes, classes) {
 		return
 	}
@@ -191,18 +205,36 @@
 	}
 	s.engine.Post(func() {
 		s.engine.List(list)
-		var held []residency.Backend
+		var known []knownBackend
 		for _, b := range backends {
-			known := s.engine.Backend(b.Id)
-			if known == nil || b.Service != s.name {
+			listed := s.engine.Backend(b.Id)
+			if listed == nil || b.Service != s.name {
 				continue
 			}
-			h := residency.Backend{ID: known.ID, Slots: int(b.Slots)}
+			k := knownBackend{Backend: residency.Backend{ID: listed.ID, Slots: int(b.Slots)}, name: b.Id,
+				coldLeft: time.Duration(b.ColdLeftMs) * time.Millisecond}
 			for _, m := range b.Models {
-				h.Held = append(h.Held, residency.Held{Model: m.Name, Adapters: m.Adapters})
+				k.Held = append(k.Held, residency.Held{Model: m.Name, Adapters: m.Adapters})
 			}
-			held = append(held, h)
+			known = append(known, k)
 		}
-		s.advisor.table.Set(held)
+		s.advisor.listed(s.engine.Now(), known)
 	})
 }
+
+// sharedWith tells the budgets who shares them.
+func (s *service) sharedWith(names []string, fresh bool) {
+	s.engine.Post(func() { s.advisor.sharers.Listed(s.engine.Now(), names, fresh) })
+}
+
+// takeRepeat takes one repeat from the budget for what the engine knows nothing of.
+func (s *service) takeRepeat() bool {
+	taken := make(chan bool, 1)
+	s.engine.Post(func() { taken <- s.advisor.repeats.Take(s.engine.Now()) })
+	select {
+	case took := <-taken:
+		return took
+	case <-s.engine.Done():
+		return false
+	}
+}
