Value placements by what requests lose, and foretell the work of models that rise

Change: a model's loss a second follows from its holders and its work; loads and evictions are compared by it; what is asked often is known by a short span; work is foretold by its rise; what was just loaded stays.

--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -138,7 +138,7 @@
 		}
 		list = append(list, l)
 	}
-	p.planner.Listed(list)
+	p.planner.Listed(p.now(), list)
 	return true
 }
 
@@ -206,7 +206,7 @@
 
 // assumeDone counts an order as done that takes next to no time: a report would be older.
 func (p *placer) assumeDone(o placement.Order) {
-	if holds, done := p.planner.Assume(o); done {
+	if holds, done := p.planner.Assume(p.now(), o); done {
 		p.agent.observed(o.Backend, holds)
 	}
 }
--- a/internal/system/gateway/demand.go
+++ b/internal/system/gateway/demand.go
@@ -10,7 +10,7 @@
 
 const (
 	// reportEvery is how often demand is reported.
-	reportEvery = time.Second
+	reportEvery = 600 * time.Millisecond
 	// reportWaiting is the same while requests wait for a model that no backend holds.
 	reportWaiting = 400 * time.Millisecond
 	// reportSoon is how long the first of such requests waits for others.
--- a/internal/system/placement/demand.go
+++ b/internal/system/placement/demand.go
@@ -6,11 +6,18 @@
 )
 
 const (
-	// workSpan is over what time work is averaged: short, since what is popular changes
-	// within seconds.
-	workSpan = 3 * time.Second
-	// usageSpan is over what time the worth of what is resident is averaged.
-	usageSpan = 20 * time.Second
+	// fastSpan and slowSpan are over what times work is averaged: from their difference
+	// follows whether it rises.
+	fastSpan = 1500 * time.Millisecond
+	slowSpan = 4 * time.Second
+	// lookAhead is for when work is foretold: a load takes so long, about.
+	lookAhead = 3 * time.Second
+	// recentSpan and usageSpan are over what times requests are counted: what is asked
+	// often is known by the first, what is asked seldom by the second.
+	recentSpan = 4 * time.Second
+	usageSpan  = 20 * time.Second
+	// seldom is the rate up to which the longer span alone counts.
+	seldom = 0.1
 	// waitingSpan is how long word of waiting requests holds.
 	waitingSpan = 1500 * time.Millisecond
 	// forgetAfter is after what time without a request a demand is forgotten.
@@ -22,10 +29,10 @@
 
 // demand is what is asked of one model or adapter.
 type demand struct {
-	work     decayed // ms of backends' time
-	requests decayed
-	lastAt   time.Duration
-	waiting  map[string]waiting // by the node that reports
+	fast, slow    decayed // ms of backends' time
+	recent, usage decayed // requests
+	lastAt        time.Duration
+	waiting       map[string]waiting // by the node that reports
 }
 
 type waiting struct {
@@ -77,8 +84,10 @@
 		p.demands[key] = d
 	}
 	if arrived > 0 {
-		d.work.add(workMS, now, workSpan)
-		d.requests.add(float64(arrived), now, usageSpan)
+		d.fast.add(workMS, now, fastSpan)
+		d.slow.add(workMS, now, slowSpan)
+		d.recent.add(float64(arrived), now, recentSpan)
+		d.usage.add(float64(arrived), now, usageSpan)
 		d.lastAt = now
 	}
 	if waits > 0 {
@@ -107,28 +116,45 @@
 	return 0
 }
 
-// workOn is the work asked of a model and its adapters, ms a second.
-func (p *Planner) workOn(now time.Duration) map[string]float64 {
-	work := map[string]float64{}
+// rate is how many requests a second are asked of it now. What is asked often and then
+// falls silent is seen so at once; what is asked seldom is not forgotten between two requests.
+func (d *demand) rate(now time.Duration) float64 {
+	return min(d.usage.perSecond(now, usageSpan), d.recent.perSecond(now, recentSpan)+seldom)
+}
+
+// figures are what is asked of one model with its adapters.
+type figures struct {
+	rate  float64 // requests a second
+	work  float64 // ms of backends' time a second, as foretold
+	waits int     // requests that wait for it
+}
+
+// figuresOf gives the figures of all models that anything is asked of.
+func (p *Planner) figuresOf(now time.Duration) map[string]*figures {
+	all := map[string]*figures{}
+	fast, slow := map[string]float64{}, map[string]float64{}
 	for key, d := range p.demands {
-		work[key.Model] += d.work.perSecond(now, workSpan)
+		f := all[key.Model]
+		if f == nil {
+			f = &figures{}
+			all[key.Model] = f
+		}
+		f.rate += d.rate(now)
+		f.waits += d.waits(now)
+		fast[key.Model] += d.fast.perSecond(now, fastSpan)
+		slow[key.Model] += d.slow.perSecond(now, slowSpan)
 	}
-	return work
+	for name, f := range all {
+		rise := max(0, fast[name]-slow[name]) / (slowSpan - fastSpan).Seconds()
+		f.work = fast[name] + min(rise*lookAhead.Seconds(), 2*fast[name])
+	}
+	return all
 }
 
-// usage is how many requests a second are asked of a model or adapter, over the longer span.
+// usage is how many requests a second are asked of one adapter.
 func (p *Planner) usage(now time.Duration, key Key) float64 {
 	if d := p.demands[key]; d != nil {
-		return d.requests.perSecond(now, usageSpan)
+		return d.rate(now)
 	}
 	return 0
 }
-
-// modelUsage is usage of a model with all its adapters.
-func (p *Planner) modelUsage(now time.Duration) map[string]float64 {
-	usage := map[string]float64{}
-	for key, d := range p.demands {
-		usage[key.Model] += d.requests.perSecond(now, usageSpan)
-	}
-	return usage
-}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -8,17 +8,34 @@
 )
 
 const (
-	// workEach is how much work, ms a second, one backend is to have of one model.
-	workEach = 250.0
+	// horizon is for how long the worth of what is placed is counted.
+	horizon = 10.0 // seconds
+	// missed is what a request loses where nobody holds its model, and late what one loses
+	// whose backends have too much to do.
+	missed = 1.0
+	late   = 0.7
+	// easy and full are how much of their time backends may work on one model: up to the
+	// first nothing is late, from the second on everything is.
+	easy = 0.25
+	full = 0.9
+	// loadCost is the worth of a load from the store, and ownDiskCost of one from the
+	// backend's own disk; evictionCost that of an order to unload.
+	loadCost     = 0.25
+	ownDiskCost  = 0.1
+	evictionCost = 0.03
+	// busyCost is what it costs to load where the backend has all of its time to do.
+	busyCost = 2.0
 	// worthMore is how many times more a model must be worth at a backend than what it
 	// takes the place of.
-	worthMore = 1.5
+	worthMore = 1.3
+	// keptFor is how long what was just loaded stays.
+	keptFor = 3 * time.Second
 	// reserveFor is how long room is kept for a model that is to be loaded.
 	reserveFor = 2 * time.Second
-	// waitingWorth is what a waiting request counts for, in requests a second.
-	waitingWorth = 2.0
 	// adapterWork is how much work one backend is to have of one adapter.
-	adapterWork = 400.0
+	adapterWork = 300.0
+	// waitingWorth is what a request that waits for an adapter counts for, in requests a second.
+	waitingWorth = 2.0
 )
 
 // Plan gives the orders to send now. Each counts as under way from here on, until Taken,
@@ -29,8 +46,9 @@
 	}
 	p.forgetDemands(now)
 	var orders []Order
-	orders = append(orders, p.fillReserved(now)...)
-	orders = append(orders, p.planModels(now)...)
+	asked := p.figuresOf(now)
+	orders = append(orders, p.fillReserved(now, asked)...)
+	orders = append(orders, p.planModels(now, asked)...)
 	orders = append(orders, p.planAdapters(now)...)
 	return orders
 }
@@ -42,44 +60,58 @@
 	return o
 }
 
-// want is a model that more backends should hold.
-type want struct {
-	model   string
-	worth   float64 // a second, at one backend more
-	waiting bool
+// loss is what a model loses a second where so many backends hold it.
+func (f *figures) loss(holders int) float64 {
+	if holders <= 0 {
+		return missed * f.rate
+	}
+	share := (f.work/1000/float64(holders) - easy) / (full - easy)
+	return late * f.rate * min(max(share, 0), 1)
 }
 
-// wants are the models that lack a backend, those that are worth the most first.
-func (p *Planner) wants(now time.Duration) []want {
-	work, usage := p.workOn(now), p.modelUsage(now)
-	waits := map[string]int{}
-	for key := range p.demands {
-		waits[key.Model] += p.waitsFor(now, key)
+// gain is what one more backend is worth, and keeping what one of them is.
+func (f *figures) gain(holders int) float64 {
+	gain := horizon * (f.loss(holders) - f.loss(holders+1))
+	if holders == 0 {
+		gain += missed * float64(f.waits)
+	}
+	return gain
+}
+
+func (f *figures) keeping(holders int) float64 {
+	if f == nil {
+		return 0
 	}
+	keeping := horizon * (f.loss(holders-1) - f.loss(holders))
+	if holders <= 1 {
+		keeping += missed * float64(f.waits)
+	}
+	return keeping
+}
+
+// want is a model that one more backend should hold.
+type want struct {
+	model string
+	gain  float64
+}
+
+// wants are the models that are worth one more backend, those of the most worth first.
+func (p *Planner) wants(now time.Duration, asked map[string]*figures) []want {
 	var wants []want
-	for name := range p.service.Models {
-		if work[name] < 1e-6 && waits[name] == 0 {
+	for name, f := range asked {
+		if _, known := p.service.Models[name]; !known {
 			continue
 		}
 		holders := p.holders(name)
-		needed := min(int(math.Ceil(work[name]/workEach)), len(p.backends))
-		if holders >= max(1, needed) {
-			continue
-		}
-		worth := (usage[name] + waitingWorth*float64(waits[name])) / float64(holders+1)
-		if holders == 0 && waits[name] == 0 {
+		if holders == 0 && f.waits == 0 {
 			continue // nobody asks right now
 		}
-		wants = append(wants, want{name, worth, holders == 0})
+		if gain := f.gain(holders); gain > ownDiskCost {
+			wants = append(wants, want{name, gain})
+		}
 	}
 	slices.SortFunc(wants, func(a, b want) int {
-		if a.waiting != b.waiting {
-			if a.waiting {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.model, b.model))
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.model, b.model))
 	})
 	return wants
 }
@@ -99,11 +131,10 @@
 }
 
 // planModels loads what is wanted, or makes room for it.
-func (p *Planner) planModels(now time.Duration) []Order {
+func (p *Planner) planModels(now time.Duration, asked map[string]*figures) []Order {
 	var orders []Order
-	usage := p.modelUsage(now)
-	for _, w := range p.wants(now) {
-		b, victims := p.chooseFor(now, w, usage)
+	for _, w := range p.wants(now, asked) {
+		b, victims := p.chooseFor(now, w, asked)
 		if b == nil {
 			continue
 		}
@@ -132,9 +163,8 @@
 }
 
 // fillReserved goes on where room was being made for a model.
-func (p *Planner) fillReserved(now time.Duration) []Order {
+func (p *Planner) fillReserved(now time.Duration, asked map[string]*figures) []Order {
 	var orders []Order
-	usage := p.modelUsage(now)
 	for _, b := range p.sorted() {
 		if b.reserved == "" {
 			continue
@@ -146,7 +176,7 @@
 		if !b.free(now) {
 			continue
 		}
-		victims, fits := p.victims(now, b, b.reserved, math.Inf(1), usage)
+		victims, _, fits := p.victims(now, b, b.reserved, asked)
 		if !fits {
 			b.reserved = ""
 			continue
@@ -164,19 +194,21 @@
 
 // chooseFor finds the backend where loading a model costs the least, and what has to make
 // room for it there.
-func (p *Planner) chooseFor(now time.Duration, w want, usage map[string]float64) (best *backend, victims []string) {
-	bestCost := math.Inf(1)
+func (p *Planner) chooseFor(now time.Duration, w want, asked map[string]*figures) (best *backend, victims []string) {
+	bestCost := w.gain
 	for _, b := range p.sorted() {
 		if _, holds := b.holds[w.model]; holds || !b.free(now) || b.reserved != "" {
 			continue
 		}
-		out, fits := p.victims(now, b, w.model, w.worth/worthMore, usage)
+		out, lost, fits := p.victims(now, b, w.model, asked)
 		if !fits {
 			continue
 		}
-		cost := p.loadCost(b, w.model) + p.busyness(now, b, usage)
-		for _, name := range out {
-			cost += p.worthAt(name, usage) + evictionCost
+		cost := worthMore*lost + busyCost*p.busyness(b, asked)
+		if b.had[w.model] {
+			cost += ownDiskCost
+		} else {
+			cost += loadCost
 		}
 		if cost < bestCost {
 			best, victims, bestCost = b, out, cost
@@ -185,68 +217,47 @@
 	return best, victims
 }
 
-const (
-	// coldLoadCost is what a load from the store costs more than one from a backend's own
-	// disk, in requests a second.
-	coldLoadCost = 0.5
-	// evictionCost is what an order to unload costs.
-	evictionCost = 0.02
-	// busyCost is what it costs to load where much is asked already, for all that is.
-	busyCost = 0.3
-)
-
-func (p *Planner) loadCost(b *backend, model string) float64 {
-	if b.had[model] {
-		return 0
-	}
-	return coldLoadCost
-}
-
-// busyness is how much of what is asked falls to a backend, by what it holds.
-func (p *Planner) busyness(_ time.Duration, b *backend, usage map[string]float64) float64 {
-	share, total := 0.0, 1e-9
-	for _, u := range usage {
-		total += u
-	}
+// busyness is which share of its time a backend has to do.
+func (p *Planner) busyness(b *backend, asked map[string]*figures) float64 {
+	work := 0.0
 	for name := range b.holds {
-		share += p.worthAt(name, usage)
+		if f := asked[name]; f != nil {
+			work += f.work / float64(max(1, p.holders(name)))
+		}
 	}
-	return busyCost * share / total * float64(len(p.backends))
+	return work / 1000
 }
 
-// worthAt is what is asked of a model at each of those that hold it.
-func (p *Planner) worthAt(model string, usage map[string]float64) float64 {
-	return usage[model] / float64(max(1, p.holders(model)))
-}
-
-// victims are the models that have to leave a backend for another one: those that are worth
-// the least, if all of them together are worth less than most.
-func (p *Planner) victims(now time.Duration, b *backend, model string, most float64, usage map[string]float64) ([]string, bool) {
+// victims are the models that have to leave a backend for another one: those whose loss is
+// the least. lost is what that costs.
+func (p *Planner) victims(now time.Duration, b *backend, model string, asked map[string]*figures) (out []string, lost float64, fits bool) {
 	need := p.usedMB(b) + p.service.Models[model].SizeMB - p.service.CapacityMB
 	if need <= 0 {
-		return nil, true
+		return nil, 0, true
+	}
+	type candidate struct {
+		name    string
+		keeping float64
 	}
-	names := make([]string, 0, len(b.holds))
+	var candidates []candidate
 	for name := range b.holds {
-		if p.waitsFor(now, Key{Model: name}) == 0 || p.holders(name) > 1 {
-			names = append(names, name)
+		if name != model && now-b.since[name] >= keptFor {
+			candidates = append(candidates, candidate{name, asked[name].keeping(p.holders(name))})
 		}
 	}
-	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Or(cmp.Compare(p.worthAt(x, usage), p.worthAt(y, usage)), cmp.Compare(x, y))
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.keeping, y.keeping), cmp.Compare(x.name, y.name))
 	})
-	var out []string
-	worth := 0.0
-	for _, name := range names {
+	for _, c := range candidates {
 		if need <= 0 {
 			break
 		}
-		m := p.service.Models[name]
-		need -= m.SizeMB + float64(len(b.holds[name]))*m.AdapterSizeMB
-		worth += p.worthAt(name, usage)
-		out = append(out, name)
+		m := p.service.Models[c.name]
+		need -= m.SizeMB + float64(len(b.holds[c.name]))*m.AdapterSizeMB
+		lost += c.keeping + evictionCost
+		out = append(out, c.name)
 	}
-	return out, need <= 0 && worth <= most
+	return out, lost, need <= 0
 }
 
 // planAdapters loads adapters where their model is, those that requests wait for first.
@@ -262,7 +273,7 @@
 			continue
 		}
 		holders := p.adapterHolders(key)
-		needed := max(1, int(math.Ceil(d.work.perSecond(now, workSpan)/adapterWork)))
+		needed := max(1, int(math.Ceil(d.fast.perSecond(now, fastSpan)/adapterWork)))
 		waits := d.waits(now)
 		if holders >= needed || holders == 0 && waits == 0 {
 			continue
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -55,7 +55,8 @@
 	known      bool // asked since this planner began, so that its count of orders is known
 	revision   uint64
 	holds      map[string]map[string]bool
-	had        map[string]bool // models that it has held: they come from its own disk
+	since      map[string]time.Duration // when each model was seen there first
+	had        map[string]bool          // models that it has held: they come from its own disk
 	order      *Order
 	orderAt    time.Duration
 	reserved   string // the model that room is being made for
@@ -92,18 +93,18 @@
 }
 
 // Listed sets the backends that there are, with what their heartbeats say.
-func (p *Planner) Listed(list []Backend) {
+func (p *Planner) Listed(now time.Duration, list []Backend) {
 	listed := map[string]bool{}
 	for _, l := range list {
 		listed[l.ID] = true
 		b := p.backends[l.ID]
 		if b == nil {
-			b = &backend{id: l.ID, had: map[string]bool{}}
+			b = &backend{id: l.ID, had: map[string]bool{}, since: map[string]time.Duration{}}
 			p.backends[l.ID] = b
 		}
 		b.usable = l.Usable
 		if !b.known {
-			b.setHolds(l.Holds)
+			b.setHolds(now, l.Holds)
 		}
 	}
 	for id := range p.backends {
@@ -113,7 +114,7 @@
 	}
 }
 
-func (b *backend) setHolds(holds map[string][]string) {
+func (b *backend) setHolds(now time.Duration, holds map[string][]string) {
 	b.holds = map[string]map[string]bool{}
 	for model, adapters := range holds {
 		set := map[string]bool{}
@@ -122,6 +123,14 @@
 		}
 		b.holds[model] = set
 		b.had[model] = true
+		if _, known := b.since[model]; !known {
+			b.since[model] = now
+		}
+	}
+	for model := range b.since {
+		if b.holds[model] == nil {
+			delete(b.since, model)
+		}
 	}
 }
 
@@ -147,7 +156,7 @@
 	}
 	done = b.order != nil
 	b.order, b.known, b.revision = nil, true, r.Revision
-	b.setHolds(r.Holds)
+	b.setHolds(now, r.Holds)
 	return done
 }
 
@@ -259,7 +268,7 @@
 }
 
 // Assume counts an order as done, and gives what the backend holds then.
-func (p *Planner) Assume(o Order) (holds map[string][]string, done bool) {
+func (p *Planner) Assume(now time.Duration, o Order) (holds map[string][]string, done bool) {
 	b := p.backends[o.Backend]
 	if b == nil || b.order == nil || *b.order != o {
 		return nil, false
@@ -275,7 +284,7 @@
 	} else {
 		holds = p.Without(o)
 	}
-	b.setHolds(holds)
+	b.setHolds(now, holds)
 	return holds, true
 }
 
