Let a proxy that quits refuse what waits and what comes late, and its agent outlive it

Then one that was taken 3 s after SIGTERM was cut.

Change: while it quits a proxy refuses what was not sent for 300 ms, refuses all that comes after the platform has noticed, and answers the rest before it ends; the agent gives its roles up at once and serves the proxy to its end.

--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -231,6 +231,30 @@
 	}
 }
 
+// RefuseUnsent refuses what has waited for so long and surely has not run, where the process
+// is to end: its clients can still turn to another one. Only on the engine's goroutine.
+func (e *Engine) RefuseUnsent(waited time.Duration) {
+	now := e.Now()
+	for _, c := range e.calls {
+		if c.Coming || now-c.arrived < waited || c.mayHaveRun() {
+			continue
+		}
+		if e.answer(c, Answer{Verdict: Refused, RetryAfter: e.ComeAgain() / 10}) {
+			e.balancer.Gone(now, c.ID)
+		}
+	}
+}
+
+// mayHaveRun tells whether an attempt is out, or has ended without proof that it did not run.
+func (c *Call) mayHaveRun() bool {
+	for _, a := range c.attempts {
+		if !a.done || a.ran {
+			return true
+		}
+	}
+	return false
+}
+
 // Gone takes the leave of a call's client: no answer is wanted any more. Only on the
 // engine's goroutine.
 func (e *Engine) Gone(c *Call) {
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -34,6 +35,12 @@
 	longestWatch = 10 * time.Second
 	// reportTimeout bounds passing a report on.
 	reportTimeout = 500 * time.Millisecond
+	// quitMargin is how long before the platform's patience ends an agent ends by itself.
+	quitMargin = 300 * time.Millisecond
+	// proxyLook is how often an agent that quits looks whether its proxy still asks, and
+	// proxySilence after what time that one has ended.
+	proxyLook    = 100 * time.Millisecond
+	proxySilence = 2 * time.Second
 	// shutdownPatience is how long calls in hand may take when the process ends.
 	shutdownPatience = 500 * time.Millisecond
 )
@@ -48,10 +55,14 @@
 	backends *backendClient
 	client   *transport.Client
 	log      logr.Logger
+	asked    atomic.Int64 // when the proxy asked last, in ns of the time of day
 }
 
 // Watch implements api.Agent.
 func (a *Agent) Watch(ctx context.Context, request *api.WatchRequest) (*api.Feed, error) {
+	if request.Node == nil {
+		a.asked.Store(time.Now().UnixNano())
+	}
 	wait := min(longestWatch, time.Duration(request.WaitMs)*time.Millisecond)
 	return a.feed.Wait(ctx, request, wait), nil
 }
@@ -108,8 +119,9 @@
 }
 
 // Run is an agent until ctx ends.
-func Run(ctx context.Context, settings *boot.Settings, log logr.Logger) error {
-	ctx, cancel := context.WithCancel(ctx)
+func Run(parent context.Context, settings *boot.Settings, log logr.Logger) error {
+	// The link to control outlives the roles: the proxy still has its clients.
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	incarnation := rand.Uint64()
 	client := transport.NewClient(transport.DialTCP)
@@ -132,12 +144,14 @@
 		feed.Follow(ctx, a.feed, feed.FollowConfig{Node: node, WaitTime: watchWait, Log: log, Targets: a.controls,
 			Connect: func(address string) feed.Watcher { return api.NewControlProtobufClient("http://"+address, client) }})
 	})
-	loops.Go(func() { a.leases.run(ctx) })
-	loops.Go(func() { a.placers.follow(ctx) })
+	loops.Go(func() { a.leases.run(parent) })
+	loops.Go(func() { a.placers.follow(parent) })
 	log.Info("agent serves", "event", "start", "peer", settings.PeerAddress())
 	var failed error
 	select {
-	case <-ctx.Done():
+	case <-parent.Done():
+		a.leases.drop()
+		a.outlive(boot.Seconds(settings.Bounds.GraceS) - quitMargin)
 	case failed = <-failures:
 	}
 	cancel()
@@ -147,6 +161,17 @@
 	return multierr.Append(failed, server.ShutdownWithContext(patience))
 }
 
+// outlive waits until the proxy asks no more, for so long at most.
+func (a *Agent) outlive(most time.Duration) {
+	looks := time.NewTicker(proxyLook)
+	defer looks.Stop()
+	for end := time.Now().Add(most); time.Now().Before(end); <-looks.C {
+		if time.Since(time.Unix(0, a.asked.Load())) > proxySilence {
+			return
+		}
+	}
+}
+
 // controlsOf are the control processes to ask: those that the feed names and those of the
 // settings, each node in an order of its own, so that they share the load.
 func controlsOf(settings *boot.Settings, known []string) []string {
--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -25,6 +25,10 @@
 	reportLead = 50 * time.Millisecond
 	// smallOrder is after what time an order for an adapter, or to unload, counts as done.
 	smallOrder = 60 * time.Millisecond
+	// describeEvery is how often a placer logs how things stand, and mostDescribed of how
+	// many models.
+	describeEvery = time.Second
+	mostDescribed = 5
 	// observeTimeout bounds telling control what was seen.
 	observeTimeout = 500 * time.Millisecond
 )
@@ -41,6 +45,8 @@
 	wake     chan struct{}
 	events   chan func()
 	log      logr.Logger
+
+	describedAt time.Duration
 }
 
 func newPlacer(a *Agent, service string, fence uint64) *placer {
@@ -107,6 +113,21 @@
 	for _, o := range p.planner.Plan(now) {
 		p.give(o)
 	}
+	p.describe(now)
+}
+
+// describe logs how things stand, for who looks into single decisions.
+func (p *placer) describe(now time.Duration) {
+	if !p.log.V(1).Enabled() || now-p.describedAt < describeEvery {
+		return
+	}
+	p.describedAt = now
+	busy, known := p.planner.Busy()
+	p.log.V(1).Info("placement", "event", "placement-status", "backends", len(p.backends), "known", known, "busy", busy)
+	for _, s := range p.planner.Status(now)[:min(mostDescribed, len(p.planner.Status(now)))] {
+		p.log.V(1).Info("model", "event", "placement-model", "model", s.Model, "rate", s.Rate, "work", s.Work,
+			"waiting", s.Waiting, "holders", s.Holders, "loading", s.Loading)
+	}
 }
 
 // readFeed takes in the configuration and the backends.
--- a/internal/system/gateway/front.go
+++ b/internal/system/gateway/front.go
@@ -55,6 +55,10 @@
 		ctx.SetConnectionClose()
 	}
 	p := g.plan.Load()
+	if g.shut.Load() {
+		refuse(ctx, unknownYet/10)
+		return
+	}
 	if p.document == nil {
 		refuse(ctx, unknownYet)
 		return
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -30,7 +30,8 @@
 	mu    sync.Mutex // one update at a time
 	plan  atomic.Pointer[plan]
 	ready atomic.Bool
-	quits atomic.Bool
+	quits atomic.Bool // it ends soon: clients are to turn to others
+	shut  atomic.Bool // what comes now could not be finished
 }
 
 // plan is what requests are handled by. It is never changed.
@@ -79,6 +80,23 @@
 // Ready tells whether clients can be served.
 func (g *Gateway) Ready() bool { return g.ready.Load() && !g.quits.Load() }
 
+// refuseUnsent refuses requests that have waited for long and were not sent.
+func (g *Gateway) refuseUnsent() {
+	for _, s := range g.plan.Load().services {
+		s.engine.Post(func() { s.engine.RefuseUnsent(unsentPatience) })
+	}
+}
+
+// failAll answers all that is still in hand.
+func (g *Gateway) failAll() {
+	for _, s := range g.plan.Load().services {
+		s.engine.Post(func() {
+			s.engine.RefuseUnsent(0)
+			s.engine.FailAll(true)
+		})
+	}
+}
+
 // Quit lets clients turn to others from now on.
 func (g *Gateway) Quit() { g.quits.Store(true) }
 
--- a/internal/system/gateway/role.go
+++ b/internal/system/gateway/role.go
@@ -26,7 +26,10 @@
 	// noticeTime is how long the platform takes to see that a proxy is not ready.
 	noticeTime = 2500 * time.Millisecond
 	// quitMargin is how long before the platform's patience ends a proxy ends by itself.
-	quitMargin = 500 * time.Millisecond
+	quitMargin = 600 * time.Millisecond
+	// unsentPatience is how long a request may wait in a proxy that quits before it is
+	// refused, so that its client turns to another one.
+	unsentPatience = 300 * time.Millisecond
 	// drainLook is how often a proxy that quits looks whether it is idle.
 	drainLook = 50 * time.Millisecond
 	// headerBuffer holds the longest head that is taken.
@@ -127,16 +130,18 @@
 	defer cancel()
 	looks := time.NewTicker(drainLook)
 	defer looks.Stop()
-	for time.Since(began) < noticeTime || front.GetCurrentConcurrency() > 0 && patience.Err() == nil {
+	for patience.Err() == nil && (time.Since(began) < noticeTime || front.GetOpenConnectionsCount() > 0) {
 		select {
 		case <-looks.C:
+			g.shut.Store(time.Since(began) >= noticeTime)
+			g.refuseUnsent()
 		case <-patience.Done():
 		}
-		if patience.Err() != nil {
-			break
-		}
 	}
-	return multierr.Combine(ignoreDeadline(front.ShutdownWithContext(patience)), ignoreDeadline(readiness.ShutdownWithContext(patience)))
+	g.failAll()
+	last, stop := context.WithTimeout(context.Background(), quitMargin/2)
+	defer stop()
+	return multierr.Combine(ignoreDeadline(front.ShutdownWithContext(last)), ignoreDeadline(readiness.ShutdownWithContext(last)))
 }
 
 // ignoreDeadline lets pass that something was still under way when time was up.
