Count what an overloaded model loses without a bound, so that it is replicated

Change: what is asked beyond an easy share of all holders' time is late; each further holder is worth the same until none is. Foretold work is at most twice what is. A small world of backends tests replication, eviction, the ceiling.

--- a/internal/system/placement/demand.go
+++ b/internal/system/placement/demand.go
@@ -146,7 +146,7 @@
 	}
 	for name, f := range all {
 		rise := max(0, fast[name]-slow[name]) / (slowSpan - fastSpan).Seconds()
-		f.work = fast[name] + min(rise*lookAhead.Seconds(), 2*fast[name])
+		f.work = fast[name] + min(rise*lookAhead.Seconds(), fast[name])
 	}
 	return all
 }
--- /dev/null
+++ b/internal/system/placement/placement_test.go
@@ -0,0 +1,206 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// world is a simple model of backends that carry orders out at once, after their time.
+type world struct {
+	planner  *Planner
+	now      time.Duration
+	holds    map[string]map[string][]string
+	revision map[string]uint64
+	until    map[string]time.Duration
+	doing    map[string]Order
+	service  Service
+	loads    []time.Duration
+	t        *testing.T
+}
+
+func newWorld(t *testing.T, backends, models int) *world {
+	w := &world{planner: New(time.Second), now: time.Second, holds: map[string]map[string][]string{}, revision: map[string]uint64{},
+		until: map[string]time.Duration{}, doing: map[string]Order{}, t: t,
+		service: Service{Models: map[string]Model{}, CapacityMB: 200000, AdapterCapacity: 8, LoadPerSecond: 2.2}}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		w.service.Models[name] = Model{Name: name, SizeMB: 60000, LoadTime: 3 * time.Second, AdapterSizeMB: 66}
+	}
+	for i := range backends {
+		w.holds[fmt.Sprintf("b%d", i)] = map[string][]string{}
+	}
+	w.planner.Configure(w.service)
+	return w
+}
+
+// step lets 100 ms pass.
+func (w *world) step() {
+	w.now += 100 * time.Millisecond
+	var list []Backend
+	for id, holds := range w.holds {
+		list = append(list, Backend{ID: id, Usable: true, Holds: holds})
+	}
+	w.planner.Listed(w.now, list)
+	for id := range w.holds {
+		if o, busy := w.doing[id]; busy && w.now >= w.until[id] {
+			w.finish(o)
+			delete(w.doing, id)
+		}
+		_, busy := w.doing[id]
+		w.planner.Reported(w.now, id, Report{Busy: busy, Revision: w.revision[id], Holds: w.holds[id]})
+	}
+	for _, o := range w.planner.Plan(w.now) {
+		w.take(o)
+	}
+}
+
+func (w *world) take(o Order) {
+	w.t.Helper()
+	if _, busy := w.doing[o.Backend]; busy {
+		w.t.Fatalf("an order to %s, which carries one out", o.Backend)
+	}
+	if o.Revision != w.revision[o.Backend] {
+		w.t.Fatalf("an order to %s with %d, and it has taken %d", o.Backend, o.Revision, w.revision[o.Backend])
+	}
+	w.planner.Taken(w.now, o)
+	w.revision[o.Backend]++
+	w.doing[o.Backend] = o
+	w.until[o.Backend] = w.now + 50*time.Millisecond
+	if o.Operation == Load && o.Adapter == "" {
+		w.until[o.Backend] = w.now + w.service.Models[o.Model].LoadTime
+		w.loads = append(w.loads, w.now)
+		w.holds[o.Backend][o.Model] = nil // its room is taken from here on
+		used := 0.0
+		for name := range w.holds[o.Backend] {
+			used += w.service.Models[name].SizeMB
+		}
+		if used > w.service.CapacityMB {
+			w.t.Fatalf("%s is ordered to hold %v MB", o.Backend, used)
+		}
+		delete(w.holds[o.Backend], o.Model)
+	}
+}
+
+func (w *world) finish(o Order) {
+	holds := w.holds[o.Backend]
+	switch {
+	case o.Operation == Load && o.Adapter == "":
+		holds[o.Model] = nil
+	case o.Operation == Load:
+		holds[o.Model] = append(holds[o.Model], o.Adapter)
+	case o.Adapter == "":
+		delete(holds, o.Model)
+	}
+}
+
+func (w *world) holders(model string) int {
+	n := 0
+	for _, holds := range w.holds {
+		if _, is := holds[model]; is {
+			n++
+		}
+	}
+	return n
+}
+
+// ask lets so many requests a second of so much work each be asked, for a span.
+func (w *world) ask(span time.Duration, rates map[string]float64, workMS float64) {
+	for end := w.now + span; w.now < end; {
+		for model, rate := range rates {
+			waits := 0
+			if w.holders(model) == 0 {
+				waits = 1
+			}
+			if count := int(rate*float64(w.now/time.Millisecond)/1000) - int(rate*float64((w.now-100*time.Millisecond)/time.Millisecond)/1000); count > 0 || waits > 0 {
+				w.planner.Asked(w.now, "node", Key{Model: model}, count, workMS*float64(count), waits)
+			}
+		}
+		w.step()
+	}
+}
+
+// A model that is asked for far more than one backend can do gets more of them, however
+// far beyond one backend's time its work is.
+func TestOverloadedModelIsReplicated(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 10, 30)
+	w.ask(20*time.Second, map[string]float64{"m0": 40}, 150) // six backends' time
+	is.True(w.holders("m0") >= 8)
+}
+
+func TestIdleCopiesMakeRoomBeforeRareModels(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 6, 30)
+	rare := map[string]float64{"m0": 20}
+	for i := 1; i <= 8; i++ {
+		rare[fmt.Sprintf("m%d", i)] = 0.1
+	}
+	w.ask(40*time.Second, rare, 120)
+	is.True(w.holders("m0") >= 4)
+	delete(rare, "m0") // it falls silent, and another one rises
+	rare["m20"] = 20
+	w.ask(15*time.Second, rare, 120)
+	is.True(w.holders("m20") >= 4)
+	kept := 0
+	for i := 1; i <= 8; i++ {
+		kept += min(1, w.holders(fmt.Sprintf("m%d", i)))
+	}
+	is.True(kept >= 7) // the rare ones stayed
+}
+
+func TestWaitingModelIsLoadedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 10)
+	for range 30 { // time for the store's bucket to fill
+		w.step()
+	}
+	w.planner.Asked(w.now, "node", Key{Model: "m5"}, 1, 100, 1)
+	w.step()
+	is.Equal(len(w.loads), 1)
+}
+
+// No window of the store's bound sees more loads than it allows, however much is asked.
+func TestLoadsStayUnderTheCeiling(t *testing.T) {
+	w := newWorld(t, 12, 60)
+	rates := map[string]float64{}
+	for i := range 60 {
+		rates[fmt.Sprintf("m%d", i)] = 0.5
+	}
+	w.ask(60*time.Second, rates, 100)
+	const window, excess = 5 * time.Second, 1.1
+	for _, from := range w.loads {
+		n := 0
+		for _, at := range w.loads {
+			if at >= from && at < from+window {
+				n++
+			}
+		}
+		if most := w.service.LoadPerSecond*window.Seconds()*excess + 3; float64(n) > most {
+			t.Fatalf("%d loads in the window from %v, and %v are allowed", n, from, most)
+		}
+	}
+	if len(w.loads) < 20 {
+		t.Fatalf("only %d loads", len(w.loads))
+	}
+}
+
+func TestAdapterIsLoadedWhereItsModelIs(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4, 4)
+	w.ask(6*time.Second, map[string]float64{"m0": 5}, 100)
+	w.planner.Asked(w.now, "node", Key{Model: "m0", Adapter: "a1"}, 1, 100, 1)
+	w.step()
+	w.step()
+	found := 0
+	for _, holds := range w.holds {
+		for _, adapter := range holds["m0"] {
+			if adapter == "a1" {
+				found++
+			}
+		}
+	}
+	is.Equal(found, 1)
+}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -14,10 +14,9 @@
 	// whose backends have too much to do.
 	missed = 1.0
 	late   = 0.7
-	// easy and full are how much of their time backends may work on one model: up to the
-	// first nothing is late, from the second on everything is.
-	easy = 0.25
-	full = 0.9
+	// easy is how much of its time a backend may work on one model without anything being
+	// late. What is asked beyond that of all holders is late.
+	easy = 0.35
 	// loadCost is the worth of a load from the store, and ownDiskCost of one from the
 	// backend's own disk; evictionCost that of an order to unload.
 	loadCost     = 0.25
@@ -65,8 +64,10 @@
 	if holders <= 0 {
 		return missed * f.rate
 	}
-	share := (f.work/1000/float64(holders) - easy) / (full - easy)
-	return late * f.rate * min(max(share, 0), 1)
+	if f.work <= 0 {
+		return 0
+	}
+	return late * f.rate * max(0, 1-float64(holders)*easy*1000/f.work)
 }
 
 // gain is what one more backend is worth, and keeping what one of them is.
