Keep room reserved while what runs there ends, and take a refused order for what it is

Change: an unload of a model in use is under way until a report says otherwise and keeps its room; a refused load is tried again there; models with requests running are the later victims.

--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -101,12 +101,11 @@
 	for _, id := range p.planner.Unknown() {
 		p.ask(id, reportAgain)
 	}
-	p.planner.Underway(func(o placement.Order, since, expected time.Duration) {
-		small := o.Operation == placement.Unload || o.Adapter != ""
+	p.planner.Underway(now, func(o placement.Order, since, expected time.Duration, quick bool) {
 		switch {
-		case small && now-since >= smallOrder:
+		case quick && now-since >= smallOrder:
 			p.assumeDone(o)
-		case !small && now-since >= expected-reportLead:
+		case !quick && now-since >= expected-reportLead:
 			p.ask(o.Backend, reportAgain)
 		}
 	})
@@ -217,6 +216,8 @@
 		if o.Operation == placement.Unload {
 			p.agent.observed(o.Backend, p.planner.Without(o))
 		}
+	case orderRefused:
+		p.planner.Refused(p.now(), o)
 	case orderFenced:
 		p.log.Info("another one holds a higher token", "event", "placement", "backend", o.Backend)
 		p.agent.leases.drop()
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -154,6 +154,9 @@
 	s.carrier.Speak(newDialect(func() string { return *s.healthPath.Load() }))
 	s.engine.Carry(s.carrier)
 	s.engine.ProbeWith(s.carrier)
+	if detail := log.V(1); detail.Enabled() {
+		s.engine.Observe(&tracer{detail})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	go s.engine.Run(ctx)
--- /dev/null
+++ b/internal/system/gateway/trace.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marlreel"
+	"marlreel/internal/engine"
+	"marlreel/internal/httpproxy"
+)
+
+// tracer logs single attempts and answers, for who looks into one request. It is
+// installed only where such lines are wanted.
+type tracer struct {
+	log logr.Logger
+}
+
+// The words of results and verdicts.
+var (
+	resultWords = map[marlreel.Result]string{marlreel.OK: "ok", marlreel.Error: "error", marlreel.Full: "full",
+		marlreel.Timeout: "timeout", marlreel.ConnectFailed: "no connection", marlreel.Reset: "reset",
+		marlreel.Cancelled: "cancelled", marlreel.Moot: "not sent", marlreel.Declined: "declined"}
+	verdictWords = map[engine.Verdict]string{engine.Served: "served", engine.Refused: "refused",
+		engine.Overloaded: "overloaded", engine.Failed: "failed", engine.OutOfTime: "out of time",
+		engine.Stopped: "stopped", engine.InUse: "in use", engine.Left: "left"}
+)
+
+func requestOf(c *engine.Call) (id, model string) {
+	if m, is := c.Payload.(*httpproxy.Message); is {
+		id = m.ID
+	}
+	if c.Needs != nil {
+		model = c.Needs.Model + "/" + c.Needs.Adapter
+	}
+	return id, model
+}
+
+// Taken implements engine.Observer.
+func (t *tracer) Taken(time.Duration, *engine.Call) {}
+
+// Sent implements engine.Observer.
+func (t *tracer) Sent(time.Duration, *engine.Attempt) {}
+
+// Ended implements engine.Observer.
+func (t *tracer) Ended(now time.Duration, a *engine.Attempt, end engine.End) {
+	if end.Result == marlreel.OK {
+		return
+	}
+	id, model := requestOf(a.Call)
+	t.log.Info("attempt failed", "event", "attempt", "request", id, "model", model, "backend", a.Backend.Name,
+		"result", resultWords[end.Result], "took", (now - a.Sent()).Round(time.Millisecond).String())
+}
+
+// Answered implements engine.Observer.
+func (t *tracer) Answered(now time.Duration, c *engine.Call, a engine.Answer) {
+	if a.Verdict == engine.Served {
+		return
+	}
+	id, model := requestOf(c)
+	t.log.Info("not served", "event", "answer", "request", id, "model", model, "verdict", verdictWords[a.Verdict],
+		"attempts", len(c.Attempts()), "after", (now - c.Arrived()).Round(time.Millisecond).String(),
+		"again", a.RetryAfter.Round(time.Millisecond).String())
+}
+
+// Streamed implements engine.Observer.
+func (t *tracer) Streamed(time.Duration, *engine.Call, bool) {}
+
+// Left implements engine.Observer.
+func (t *tracer) Left(now time.Duration, c *engine.Call) {
+	id, model := requestOf(c)
+	t.log.Info("the client left", "event", "left", "request", id, "model", model, "attempts", len(c.Attempts()),
+		"after", (now - c.Arrived()).Round(time.Millisecond).String())
+}
+
+// Listed implements engine.Observer.
+func (t *tracer) Listed(time.Duration, *engine.List) {}
+
+// Probed implements engine.Observer.
+func (t *tracer) Probed(_ time.Duration, b *engine.Backend, r marlreel.Result, took time.Duration) {
+	if r != marlreel.OK {
+		t.log.Info("probe failed", "event", "probe", "backend", b.Name, "result", resultWords[r],
+			"took", took.Round(time.Millisecond).String())
+	}
+}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -22,6 +22,9 @@
 	loadCost     = 0.25
 	ownDiskCost  = 0.1
 	evictionCost = 0.03
+	// running is what each request a second costs that runs where its model is to leave:
+	// the room comes when they have ended.
+	running = 0.5
 	// busyCost is what it costs to load where the backend has all of its time to do.
 	busyCost = 2.0
 	// worthMore is how many times more a model must be worth at a backend than what it
@@ -83,7 +86,7 @@
 	if f == nil {
 		return 0
 	}
-	keeping := horizon * (f.loss(holders-1) - f.loss(holders))
+	keeping := horizon*(f.loss(holders-1)-f.loss(holders)) + running*f.rate/float64(max(1, holders))
 	if holders <= 1 {
 		keeping += missed * float64(f.waits)
 	}
@@ -175,6 +178,9 @@
 			continue
 		}
 		if !b.free(now) {
+			if b.order != nil && b.order.Operation == Unload {
+				b.reservedAt = now // the room comes when what runs there has ended
+			}
 			continue
 		}
 		victims, _, fits := p.victims(now, b, b.reserved, asked)
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -183,14 +183,49 @@
 const failureRest = 300 * time.Millisecond
 
 // Underway are the orders that are being carried out, with the time since they were taken.
-func (p *Planner) Underway(each func(o Order, since time.Duration, expected time.Duration)) {
+// quick: they take next to no time, and can be assumed to be done after it.
+func (p *Planner) Underway(now time.Duration, each func(o Order, since, expected time.Duration, quick bool)) {
 	for _, b := range p.sorted() {
 		if b.order != nil {
-			each(*b.order, b.orderAt, p.expected(b, *b.order))
+			each(*b.order, b.orderAt, p.expected(b, *b.order), p.quick(now, *b.order))
 		}
 	}
 }
 
+// idleRate is up to which rate a model is taken to have no request running: an unload
+// waits for those that run.
+const idleRate = 0.3
+
+func (p *Planner) quick(now time.Duration, o Order) bool {
+	if o.Adapter != "" {
+		return true
+	}
+	if o.Operation == Load {
+		return false
+	}
+	rate := 0.0
+	for key, d := range p.demands {
+		if key.Model == o.Model {
+			rate += d.rate(now)
+		}
+	}
+	return rate <= idleRate
+}
+
+// Refused notes that a backend has not taken an order, being busy still. Room that is being
+// made there goes on being made.
+func (p *Planner) Refused(now time.Duration, o Order) {
+	if b := p.backends[o.Backend]; b != nil {
+		b.order, b.known, b.restUntil = nil, false, now+refusalRest
+		if o.Operation == Load && o.Adapter == "" && b.reserved == "" {
+			b.reserved, b.reservedAt = o.Model, now
+		}
+	}
+}
+
+// refusalRest is how long a backend gets no order after one that it has not taken.
+const refusalRest = 80 * time.Millisecond
+
 // expected is how long an order takes, about.
 func (p *Planner) expected(b *backend, o Order) time.Duration {
 	const small = 20 * time.Millisecond
