--- a/internal/system/placement/demand.go
+++ b/internal/system/placement/demand.go
@@ -124,9 +124,10 @@
 
 // figures are what is asked of one model with its adapters.
 type figures struct {
-	rate  float64 // requests a second
-	work  float64 // ms of backends' time a second, as foretold
-	waits int     // requests that wait for it
+	rate     float64 // requests a second
+	work     float64 // ms of backends' time a second, as foretold
+	waits    int     // requests that wait for it
+	adapters float64 // requests a second for adapters of it
 }
 
 // figuresOf gives the figures of all models that anything is asked of.
@@ -140,6 +141,9 @@
 			all[key.Model] = f
 		}
 		f.rate += d.rate(now)
+		if key.Adapter != "" {
+			f.adapters += d.rate(now)
+		}
 		f.waits += d.waits(now)
 		fast[key.Model] += d.fast.perSecond(now, fastSpan)
 		slow[key.Model] += d.slow.perSecond(now, slowSpan)
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -9,14 +9,14 @@
 
 const (
 	// horizon is for how long the worth of what is placed is counted.
-	horizon = 10.0 // seconds
+	horizon = 8.0 // seconds
 	// missed is what a request loses where nobody holds its model, and late what one loses
 	// whose backends have too much to do.
 	missed = 1.0
 	late   = 0.7
 	// easy is how much of its time a backend may work on one model without anything being
 	// late. What is asked beyond that of all holders is late.
-	easy = 0.35
+	easy = 0.7
 	// loadCost is the worth of a load from the store, and ownDiskCost of one from the
 	// backend's own disk; evictionCost that of an order to unload.
 	loadCost     = 0.25
@@ -36,6 +36,12 @@
 	reserveFor = 2 * time.Second
 	// adapterWork is how much work one backend is to have of one adapter.
 	adapterWork = 300.0
+	// newAdapters is which part of the requests for adapters need one that is not there.
+	newAdapters = 0.2
+	// adapterRate is from which rate on an adapter is kept where nobody waits for it.
+	adapterRate = 0.03
+	// adapterCopies is how many backends should hold an adapter that is asked for.
+	adapterCopies = 2
 	// waitingWorth is what a request that waits for an adapter counts for, in requests a second.
 	waitingWorth = 2.0
 )
@@ -211,7 +217,7 @@
 		if !fits {
 			continue
 		}
-		cost := worthMore*lost + busyCost*p.busyness(b, asked)
+		cost := worthMore*lost + busyCost*p.busyness(b, asked) + p.occupation(b, w.model, asked)
 		if b.had[w.model] {
 			cost += ownDiskCost
 		} else {
@@ -235,6 +241,29 @@
 	return work / 1000
 }
 
+// occupation is what it costs that a backend takes no other order while it loads: adapters
+// of the models that it holds have to come to other holders meanwhile.
+func (p *Planner) occupation(b *backend, model string, asked map[string]*figures) float64 {
+	cost := 0.0
+	for name := range b.holds {
+		if f := asked[name]; f != nil && f.adapters > 0 {
+			cost += newAdapters * f.adapters / float64(max(1, p.freeHolders(name)))
+		}
+	}
+	return cost * p.service.Models[model].LoadTime.Seconds()
+}
+
+// freeHolders is how many holders of a model can take an order for one of its adapters.
+func (p *Planner) freeHolders(model string) int {
+	count := 0
+	for _, b := range p.backends {
+		if _, holds := b.holds[model]; holds && b.usable && b.order == nil && b.reserved == "" {
+			count++
+		}
+	}
+	return count
+}
+
 // victims are the models that have to leave a backend for another one: those whose loss is
 // the least. lost is what that costs.
 func (p *Planner) victims(now time.Duration, b *backend, model string, asked map[string]*figures) (out []string, lost float64, fits bool) {
@@ -280,9 +309,9 @@
 			continue
 		}
 		holders := p.adapterHolders(key)
-		needed := max(1, int(math.Ceil(d.fast.perSecond(now, fastSpan)/adapterWork)))
+		needed := max(adapterCopies, int(math.Ceil(d.fast.perSecond(now, fastSpan)/adapterWork)))
 		waits := d.waits(now)
-		if holders >= needed || holders == 0 && waits == 0 {
+		if holders >= min(needed, p.holdersNow(key.Model)) || waits == 0 && d.rate(now) < adapterRate {
 			continue
 		}
 		wants = append(wants, adapterWant{key, waits, p.usage(now, key)})
@@ -300,6 +329,17 @@
 	return orders
 }
 
+// holdersNow is how many usable backends hold a model.
+func (p *Planner) holdersNow(model string) int {
+	count := 0
+	for _, b := range p.backends {
+		if _, holds := b.holds[model]; holds && b.usable {
+			count++
+		}
+	}
+	return count
+}
+
 func (p *Planner) adapterHolders(key Key) int {
 	count := 0
 	for _, b := range p.backends {
