--- a/cmd/marlreeld/main.go
+++ b/cmd/marlreeld/main.go
@@ -19,6 +19,7 @@
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/control"
 	"marlreel/internal/system/gateway"
+	"marlreel/internal/system/host"
 )
 
 func main() {
@@ -29,7 +30,7 @@
 }
 
 // run is what a role does until its context ends.
-type run func(ctx context.Context, settings *boot.Settings, log logr.Logger) error
+type run func(ctx context.Context, machine *host.Host) error
 
 // newCommand makes the command line; logs go to out.
 func newCommand(out io.Writer) *cobra.Command {
@@ -58,7 +59,7 @@
 	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	return run(ctx, settings, newLogger(out, verbose).WithValues("node", settings.NodeName))
+	return run(ctx, host.Machine(settings, newLogger(out, verbose).WithValues("node", settings.NodeName)))
 }
 
 // newLogger writes one line of text an event.
--- /dev/null
+++ b/cmd/marlreeld/main_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/advice"
+	"marlreel/internal/system/boot"
+)
+
+// Agreement, membership, discovery and proxying are this project's own: the program links
+// no library for them. Nor does it link what only tests and trials are made of.
+func TestLinksNoForeignAgreementAndNoStandIn(t *testing.T) {
+	is := is.New(t)
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	is.NoErr(err)
+	for _, forbidden := range []string{"raft", "memberlist", "etcd", "serf", "consul", "simnet", "simcluster", "net/http/httputil",
+		"marlreel/internal/fleet"} {
+		for line := range strings.Lines(string(out)) {
+			if strings.Contains(strings.TrimSpace(line), forbidden) {
+				t.Errorf("the program links %s", strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
+func TestBadSettingsAreOneClearError(t *testing.T) {
+	is := is.New(t)
+	for text, named := range map[string]string{
+		"":                              "node_name",
+		"node_name = 3":                 "TOML",
+		"node_name = \"a\"\nip = \"x\"": "ip",
+	} {
+		path := filepath.Join(t.TempDir(), "boot.toml")
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		t.Setenv(boot.Variable, path)
+		command := newCommand(&bytes.Buffer{})
+		command.SetArgs([]string{"agent"})
+		err := command.Execute()
+		is.True(err != nil)
+		line := advice.Line(err)
+		is.True(strings.Contains(line, named))         // what is wrong
+		is.True(strings.Contains(line, boot.Variable)) // what to do
+		is.True(!strings.Contains(line, "\n"))
+	}
+}
+
+func TestHelpNamesTheRoles(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	command := newCommand(&bytes.Buffer{})
+	command.SetOut(&out)
+	command.SetArgs([]string{"--help"})
+	is.NoErr(command.Execute())
+	for _, role := range []string{"proxy", "agent", "control"} {
+		is.True(strings.Contains(out.String(), role))
+	}
+}
--- a/internal/advice/page/page.go
+++ b/internal/advice/page/page.go
@@ -137,7 +137,10 @@
 		return expression(e.X) + expression(e.Y)
 	case *ast.ParenExpr:
 		return expression(e.X)
-	case *ast.CallExpr: // Sprintf
+	case *ast.CallExpr: // Sprintf, or what somebody else advises
+		if f, is := e.Fun.(*ast.SelectorExpr); is && f.Sel.Name == "Advice" {
+			return expression(f)
+		}
 		if len(e.Args) > 0 {
 			return strings.NewReplacer("%d", "…", "%s", "…", "%v", "…", "%q", "…").Replace(expression(e.Args[0]))
 		}
--- a/internal/httpproxy/carrier.go
+++ b/internal/httpproxy/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -16,7 +17,8 @@
 type Carrier struct {
 	engine *engine.Engine
 	speaks *Dialect
-	report []string // names of the values of a load report
+	dial   func(ctx context.Context, address string) (net.Conn, error) // nil: the machine's own
+	report []string                                                    // names of the values of a load report
 	room   *budget.Budget
 	pool   pool
 	lastOK map[*engine.Backend]time.Duration // a backend's last good answer
@@ -39,6 +41,11 @@
 // Speak has the carrier use another dialect. Only before its first attempt.
 func (c *Carrier) Speak(d *Dialect) { c.speaks = d }
 
+// DialWith has the carrier make connections otherwise. Only before its first attempt.
+func (c *Carrier) DialWith(dial func(ctx context.Context, address string) (net.Conn, error)) {
+	c.dial = dial
+}
+
 // Close breaks all exchanges off. Any goroutine may call it.
 func (c *Carrier) Close() { c.cancel() }
 
@@ -121,7 +128,7 @@
 		c.engine.Later(func() { end(engine.End{Result: marlreel.ConnectFailed}) })
 		return nil
 	}
-	x.room, x.speaks = c.room, c.speaks
+	x.room, x.speaks, x.dial = c.room, c.speaks, c.dial
 	x.hold = c.pool.model.Hold(now, uint32(x.to.ID), x.to.Zone)
 	ctx, cancel := context.WithCancel(c.ctx)
 	report := c.report
--- a/internal/httpproxy/upstream.go
+++ b/internal/httpproxy/upstream.go
@@ -106,6 +106,7 @@
 	conn   *conn // an idle one to use; nil: dial
 	msg    *Message
 	speaks *Dialect
+	dial   func(ctx context.Context, address string) (net.Conn, error) // nil: the machine's own
 	until  time.Time
 	permit *engine.Permit
 
@@ -145,8 +146,7 @@
 	}
 	if c == nil {
 		x.dialled = true
-		dialer := net.Dialer{Timeout: connectTimeout, Deadline: x.until}
-		nc, err := dialer.DialContext(ctx, "tcp", x.to.Addr)
+		nc, err := x.connect(ctx, connectTimeout)
 		if err != nil {
 			return Reply{result: marlreel.ConnectFailed}
 		}
@@ -192,6 +192,21 @@
 	return r
 }
 
+// connect makes a connection to the backend.
+func (x *exchange) connect(ctx context.Context, timeout time.Duration) (net.Conn, error) {
+	if x.dial == nil {
+		dialer := net.Dialer{Timeout: timeout, Deadline: x.until}
+		return dialer.DialContext(ctx, "tcp", x.to.Addr)
+	}
+	until := time.Now().Add(timeout)
+	if x.until.Before(until) {
+		until = x.until
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return x.dial(ctx, x.to.Addr)
+}
+
 // gone tells whether who asked has left.
 func (x *exchange) gone() bool { return x.here != nil && !x.here() }
 
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -4,12 +4,12 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,6 +22,7 @@
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
+	"marlreel/internal/system/host"
 	"marlreel/internal/system/ownership"
 	"marlreel/internal/system/state"
 	"marlreel/internal/system/transport"
@@ -30,7 +31,7 @@
 const (
 	// watchWait is how long control may let the agent wait where there is no news: so
 	// often the node's lease is renewed.
-	watchWait = 700 * time.Millisecond
+	watchWait = 1200 * time.Millisecond
 	// longestWatch bounds how long a reader is kept waiting.
 	longestWatch = 10 * time.Second
 	// reportTimeout bounds passing a report on.
@@ -90,6 +91,19 @@
 	}
 }
 
+// zoneOf is the zone of a node; "" is not known.
+func (a *Agent) zoneOf(node string) string {
+	if node == a.settings.NodeName {
+		return a.settings.Zone
+	}
+	for _, n := range a.feed.Nodes() {
+		if n.Name == node {
+			return n.Zone
+		}
+	}
+	return ""
+}
+
 // byHolder sorts demands by the address of the agent that places their service.
 func (a *Agent) byHolder(demands []*api.Demand) map[string][]*api.Demand {
 	sorted := map[string][]*api.Demand{}
@@ -119,20 +133,21 @@
 }
 
 // Run is an agent until ctx ends.
-func Run(parent context.Context, settings *boot.Settings, log logr.Logger) error {
+func Run(parent context.Context, machine *host.Host) error {
+	settings, log := machine.Settings, machine.Log
 	// The link to control outlives the roles: the proxy still has its clients.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	incarnation := rand.Uint64()
-	client := transport.NewClient(transport.DialTCP)
+	client := transport.NewClient(machine.Network.Dial)
 	a := &Agent{settings: settings, feed: feed.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now),
-		holder: ownership.Holder(settings.NodeName, incarnation), backends: newBackendClient(), client: client, log: log}
+		holder: ownership.Holder(settings.NodeName, incarnation), backends: newBackendClient(machine.Network.Dial), client: client, log: log}
 	a.leases = &leases{holder: a.holder, controls: a.controls, wanted: a.holdsAny, client: client, log: log}
 	a.placers = &placers{agent: a, running: map[string]*runningPlacer{}}
 	server := transport.NewServer(nil, api.NewAgentServer(a))
 	failures := make(chan error, 2)
 	for _, address := range []string{settings.PeerAddress(), settings.AgentLoopback()} {
-		listener, err := net.Listen("tcp4", address)
+		listener, err := machine.Network.Listen(address)
 		if err != nil {
 			return eris.Wrapf(err, "listening at %s", address)
 		}
@@ -173,23 +188,25 @@
 }
 
 // controlsOf are the control processes to ask: those that the feed names and those of the
-// settings, each node in an order of its own, so that they share the load.
-func controlsOf(settings *boot.Settings, known []string) []string {
-	all := slices.Concat(known, settings.SeedPeers())
+// settings; those of the agent's own zone first, and else each node in an order of its own,
+// so that they share the load.
+func controlsOf(settings *boot.Settings, known []*api.ControlNode) []string {
+	near := map[string]bool{}
+	all := slices.Clone(settings.SeedPeers())
+	for _, control := range known {
+		all = append(all, control.Address)
+		near[control.Address] = control.Zone == settings.Zone
+	}
 	slices.Sort(all)
 	all = slices.Compact(all)
-	rank := func(address string) uint32 {
+	rank := func(address string) uint64 {
 		hash := fnv.New32a()
 		io.WriteString(hash, settings.NodeName+" "+address)
-		return hash.Sum32()
-	}
-	slices.SortStableFunc(all, func(a, b string) int {
-		if x, y := rank(a), rank(b); x < y {
-			return -1
-		} else if x > y {
-			return 1
+		if near[address] {
+			return uint64(hash.Sum32())
 		}
-		return 0
-	})
+		return uint64(hash.Sum32()) + 1<<32
+	}
+	slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	return all
 }
--- a/internal/system/agent/backends.go
+++ b/internal/system/agent/backends.go
@@ -29,13 +29,14 @@
 
 // backendClient calls backends for what they hold, and gives them orders.
 type backendClient struct {
-	http fasthttp.Client
+	http *fasthttp.Client
 }
 
-func newBackendClient() *backendClient {
-	return &backendClient{fasthttp.Client{Dial: transport.DialTCP, MaxConnsPerHost: backendConnections,
-		MaxIdleConnDuration: backendIdle, MaxConnWaitTimeout: backendTimeout, NoDefaultUserAgentHeader: true,
-		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: largestReport, DisablePathNormalizing: true}}
+func newBackendClient(dial transport.Dial) *backendClient {
+	client := transport.NewHTTPClient(dial)
+	client.MaxConnsPerHost, client.MaxIdleConnDuration = backendConnections, backendIdle
+	client.MaxConnWaitTimeout, client.MaxResponseBodySize = backendTimeout, largestReport
+	return &backendClient{client}
 }
 
 // report is a backend's word on itself.
--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		p.backends[b.Id] = b
-		l := placement.Backend{ID: b.Id, Usable: !b.Draining && !evacuated[b.Zone], Holds: map[string][]string{}}
+		l := placement.Backend{ID: b.Id, Zone: b.Zone, Usable: !b.Draining && !evacuated[b.Zone], Holds: map[string][]string{}}
 		for _, m := range b.Models {
 			l.Holds[m.Name] = m.Adapters
 		}
@@ -294,6 +294,7 @@
 
 // asked hands a report on to the placers that it concerns.
 func (s *placers) asked(node string, demands []*api.Demand) {
+	zone := s.agent.zoneOf(node)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demands {
@@ -303,7 +304,7 @@
 		}
 		p := r.placer
 		p.post(func() {
-			p.planner.Asked(p.now(), node, placement.Key{Model: d.Model, Adapter: d.Adapter}, int(d.Arrived), d.WorkMs, int(d.Waiting))
+			p.planner.Asked(p.now(), node, zone, placement.Key{Model: d.Model, Adapter: d.Adapter}, int(d.Arrived), d.WorkMs, int(d.Waiting))
 		})
 	}
 }
--- a/internal/system/boot/settings.go
+++ b/internal/system/boot/settings.go
@@ -19,72 +19,72 @@
 
 // Listen are the addresses that a process serves.
 type Listen struct {
-	Front     string `toml:"front"`
-	Readiness string `toml:"readiness"`
-	Control   string `toml:"control"`
+	Front     string `toml:"front" json:"front"`
+	Readiness string `toml:"readiness" json:"readiness"`
+	Control   string `toml:"control" json:"control"`
 }
 
 // Limits are what a process may use.
 type Limits struct {
-	CPUShare float64 `toml:"cpu_share"`
-	MemoryMB int     `toml:"memory_mb"`
-	Files    int     `toml:"fd_limit"`
-	DiskMB   int     `toml:"disk_mb"`
+	CPUShare float64 `toml:"cpu_share" json:"cpu_share"`
+	MemoryMB int     `toml:"memory_mb" json:"memory_mb"`
+	Files    int     `toml:"fd_limit" json:"fd_limit"`
+	DiskMB   int     `toml:"disk_mb" json:"disk_mb"`
 }
 
 // Tolerance says what may be lost at once.
 type Tolerance struct {
-	Machines int `toml:"machines"`
-	Zones    int `toml:"zones"`
-	Regions  int `toml:"regions"`
+	Machines int `toml:"machines" json:"machines"`
+	Zones    int `toml:"zones" json:"zones"`
+	Regions  int `toml:"regions" json:"regions"`
 }
 
 // Bounds are the figures of the rules.
 type Bounds struct {
-	SeedLagS         float64 `toml:"seed_lag_s"`
-	AddressReuseS    float64 `toml:"addr_reuse_s"`
-	InTouchMS        float64 `toml:"in_touch_ms"`
-	AcknowledgeMS    float64 `toml:"ack_ms"`
-	CatchUpS         float64 `toml:"catch_up_s"`
-	DrainMS          float64 `toml:"drain_ms"`
-	GraceS           float64 `toml:"grace_s"`
-	ConfigApplyMS    float64 `toml:"config_apply_ms"`
-	RetryBudgetRatio float64 `toml:"retry_budget_ratio"`
-	RetryWindowS     float64 `toml:"retry_window_s"`
-	RetrySlack       float64 `toml:"retry_slack"`
-	ColdExcess       float64 `toml:"cold_excess"`
-	ColdSlack        float64 `toml:"cold_slack"`
-	EvacuationMS     float64 `toml:"evacuation_ms"`
-	RecoveryS        float64 `toml:"recovery_s"`
-	PassMS           float64 `toml:"pass_ms"`
-	Fencing          bool    `toml:"fencing"`
-	LeaseMS          float64 `toml:"lease_ms"`
-	ThawMS           float64 `toml:"thaw_ms"`
-	CeilingWindowS   float64 `toml:"ceiling_window_s"`
-	CeilingExcess    float64 `toml:"ceiling_excess"`
+	SeedLagS         float64 `toml:"seed_lag_s" json:"seed_lag_s"`
+	AddressReuseS    float64 `toml:"addr_reuse_s" json:"addr_reuse_s"`
+	InTouchMS        float64 `toml:"in_touch_ms" json:"in_touch_ms"`
+	AcknowledgeMS    float64 `toml:"ack_ms" json:"ack_ms"`
+	CatchUpS         float64 `toml:"catch_up_s" json:"catch_up_s"`
+	DrainMS          float64 `toml:"drain_ms" json:"drain_ms"`
+	GraceS           float64 `toml:"grace_s" json:"grace_s"`
+	ConfigApplyMS    float64 `toml:"config_apply_ms" json:"config_apply_ms"`
+	RetryBudgetRatio float64 `toml:"retry_budget_ratio" json:"retry_budget_ratio"`
+	RetryWindowS     float64 `toml:"retry_window_s" json:"retry_window_s"`
+	RetrySlack       float64 `toml:"retry_slack" json:"retry_slack"`
+	ColdExcess       float64 `toml:"cold_excess" json:"cold_excess"`
+	ColdSlack        float64 `toml:"cold_slack" json:"cold_slack"`
+	EvacuationMS     float64 `toml:"evacuation_ms" json:"evacuation_ms"`
+	RecoveryS        float64 `toml:"recovery_s" json:"recovery_s"`
+	PassMS           float64 `toml:"pass_ms" json:"pass_ms"`
+	Fencing          bool    `toml:"fencing" json:"fencing"`
+	LeaseMS          float64 `toml:"lease_ms" json:"lease_ms"`
+	ThawMS           float64 `toml:"thaw_ms" json:"thaw_ms"`
+	CeilingWindowS   float64 `toml:"ceiling_window_s" json:"ceiling_window_s"`
+	CeilingExcess    float64 `toml:"ceiling_excess" json:"ceiling_excess"`
 }
 
 // Settings are what the platform tells a process. Keys that are not listed here are
 // left alone: the file may gain new ones.
 type Settings struct {
-	NodeName        string            `toml:"node_name"`
-	Role            string            `toml:"role"`
-	Class           string            `toml:"machine_class"`
-	IP              string            `toml:"ip"`
-	Zone            string            `toml:"zone"`
-	Region          string            `toml:"region"`
-	InternalPorts   []int             `toml:"internal_ports"`
-	SeedNodes       []string          `toml:"seed_nodes"`
-	FirstStart      bool              `toml:"first_start"`
-	CountsForQuorum bool              `toml:"counts_for_quorum"`
-	DataDir         string            `toml:"data_dir"`
-	BeatIntervalMS  float64           `toml:"beat_interval_ms"`
-	Contracts       []string          `toml:"contracts"`
-	Zones           map[string]string `toml:"zones"`
-	Listen          Listen            `toml:"listen_addrs"`
-	Limits          Limits            `toml:"limits"`
-	Tolerance       Tolerance         `toml:"fault_tolerance"`
-	Bounds          Bounds            `toml:"bounds"`
+	NodeName        string            `toml:"node_name" json:"node_name"`
+	Role            string            `toml:"role" json:"role"`
+	Class           string            `toml:"machine_class" json:"machine_class"`
+	IP              string            `toml:"ip" json:"ip"`
+	Zone            string            `toml:"zone" json:"zone"`
+	Region          string            `toml:"region" json:"region"`
+	InternalPorts   []int             `toml:"internal_ports" json:"internal_ports"`
+	SeedNodes       []string          `toml:"seed_nodes" json:"seed_nodes"`
+	FirstStart      bool              `toml:"first_start" json:"first_start"`
+	CountsForQuorum bool              `toml:"counts_for_quorum" json:"counts_for_quorum"`
+	DataDir         string            `toml:"data_dir" json:"data_dir"`
+	BeatIntervalMS  float64           `toml:"beat_interval_ms" json:"beat_interval_ms"`
+	Contracts       []string          `toml:"contracts" json:"contracts"`
+	Zones           map[string]string `toml:"zones" json:"zones"`
+	Listen          Listen            `toml:"listen_addrs" json:"listen_addrs"`
+	Limits          Limits            `toml:"limits" json:"limits"`
+	Tolerance       Tolerance         `toml:"fault_tolerance" json:"fault_tolerance"`
+	Bounds          Bounds            `toml:"bounds" json:"bounds"`
 }
 
 // The internal ports, by their place in the range that the platform leaves free.
--- a/internal/system/chain/chain_test.go
+++ b/internal/system/chain/chain_test.go
@@ -116,6 +116,33 @@
 	is.True(head.node.InService())
 }
 
+// A head that hears nobody, and whose own heartbeats arrive, is left out like one that is silent.
+func TestDeafHeadIsLeftOut(t *testing.T) {
+	for _, deaf := range []bool{true, false} {
+		c := newCluster(t, 9, 3)
+		c.mustServe("founding")
+		var head *process
+		for _, p := range c.processes {
+			if p.node.isHead() {
+				head = p
+			}
+		}
+		for _, other := range c.processes {
+			if deaf {
+				c.cut[other.address+">"+head.address] = true
+			} else {
+				c.cut[head.address+">"+other.address] = true
+			}
+		}
+		c.mustServe("words pass one way alone")
+		clear(c.cut)
+		c.mustServe("and both ways again")
+		if !head.node.InService() {
+			c.fail("the head is not back")
+		}
+	}
+}
+
 func TestAllDieAtOnce(t *testing.T) {
 	c := newCluster(t, 7, 3)
 	c.mustServe("founding")
--- a/internal/system/chain/heartbeat.go
+++ b/internal/system/chain/heartbeat.go
@@ -50,18 +50,20 @@
 
 func (n *Node) heartbeat() *api.ChainMessage {
 	beat := &api.Heartbeat{Active: n.InService(), Committed: n.committed, Position: n.durable.last(), WantsIn: !n.inChain()}
-	if beat.WantsIn {
-		for key, p := range n.peers {
-			if n.alive(p) {
-				beat.Hears = append(beat.Hears, key)
-			}
+	for key, p := range n.peers {
+		if n.now-p.heardAt < n.cfg.SuspectAfter {
+			beat.Hears = append(beat.Hears, key)
 		}
-		slices.Sort(beat.Hears)
 	}
+	slices.Sort(beat.Hears)
 	return &api.ChainMessage{Body: &api.ChainMessage_Heartbeat{Heartbeat: beat}}
 }
 
-func (n *Node) alive(p *peer) bool { return p != nil && n.now-p.heardAt < n.cfg.SuspectAfter }
+// alive tells whether a peer was heard of late and has said so of this node: where words
+// pass one way alone, nothing can be done together.
+func (n *Node) alive(p *peer) bool {
+	return p != nil && n.now-p.heardAt < n.cfg.SuspectAfter && n.now-p.hearsUs < 2*n.cfg.SuspectAfter
+}
 
 // hears tells whether a member is this node or was heard of late.
 func (n *Node) hears(member *api.Member) bool {
@@ -73,11 +75,14 @@
 	key := Key(message.From)
 	p := n.peers[key]
 	if p == nil {
-		p = &peer{member: message.From, steadySince: n.now}
+		p = &peer{member: message.From, steadySince: n.now, hearsUs: n.now}
 		n.peers[key] = p
 	} else if !n.alive(p) {
 		p.steadySince = n.now
 	}
+	if n.now-p.heardAt >= n.cfg.SuspectAfter {
+		p.hearsUs = n.now // it may not have heard yet that this node is there
+	}
 	p.heardAt = n.now
 	p.behind = message.ViewNumber < n.durable.View.Number
 	return p
@@ -95,6 +100,9 @@
 // onHeartbeat takes in what a peer says of itself.
 func (n *Node) onHeartbeat(p *peer, message *api.ChainMessage, beat *api.Heartbeat) {
 	p.wantsIn, p.hears = beat.WantsIn, beat.Hears
+	if slices.Contains(beat.Hears, Key(n.durable.Self)) {
+		p.hearsUs = n.now
+	}
 	if message.ViewNumber < n.durable.View.Number {
 		n.send(message.From, n.heartbeat()) // which carries the view
 		return
--- a/internal/system/chain/node.go
+++ b/internal/system/chain/node.go
@@ -34,6 +34,7 @@
 type peer struct {
 	member      *api.Member
 	heardAt     time.Duration
+	hearsUs     time.Duration // when it last said that it hears this node, or was new
 	steadySince time.Duration // heard without a gap since
 	wantsIn     bool
 	hears       []string
--- a/internal/system/control/keeper.go
+++ b/internal/system/control/keeper.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -15,6 +13,7 @@
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/chain"
 	"marlreel/internal/system/feed"
+	"marlreel/internal/system/host"
 	"marlreel/internal/system/result"
 	"marlreel/internal/system/store"
 )
@@ -31,6 +30,7 @@
 // Keeper runs a replica on one goroutine, with its store: it opens it, and opens it
 // anew after a failure.
 type Keeper struct {
+	machine  *host.Host
 	settings *boot.Settings
 	config   chain.Config
 	sender   Sender
@@ -44,9 +44,10 @@
 }
 
 // NewKeeper makes a keeper.
-func NewKeeper(settings *boot.Settings, sender Sender, out *feed.Store, log logr.Logger) *Keeper {
-	return &Keeper{settings: settings, config: chain.DefaultConfig(settings.TargetMembers()), sender: sender, feed: out,
-		log: log, events: make(chan func(), mostEvents), began: time.Now()}
+func NewKeeper(machine *host.Host, sender Sender, out *feed.Store) *Keeper {
+	settings := machine.Settings
+	return &Keeper{machine: machine, settings: settings, config: chain.DefaultConfig(settings.TargetMembers()), sender: sender, feed: out,
+		log: machine.Log, events: make(chan func(), mostEvents), began: time.Now()}
 }
 
 // now is the steady clock. It starts above 0.
@@ -97,7 +98,7 @@
 
 // open opens the store and makes a replica of what it holds.
 func (k *Keeper) open() error {
-	opened, err := store.Open(k.settings.DataDir)
+	opened, err := k.machine.Open()
 	if err != nil {
 		return err
 	}
@@ -107,7 +108,7 @@
 		// Its promises can't be trusted: it comes back as another member, without any.
 		k.log.Error(err, "the store is set aside", "event", "store")
 		k.close()
-		return os.RemoveAll(filepath.Join(k.settings.DataDir, "chain"))
+		return k.machine.Forget()
 	}
 	if err != nil {
 		return err
--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -166,6 +166,15 @@
 		return
 	}
 	finish(ctx, &result.Error{Code: result.Accepted})
+	if near := s.registry.near(beat.Zone); near != "" {
+		body, _ := json.Marshal(beatReply{Address: near}) // a struct of plain fields always marshals
+		ctx.SetBody(body)
+	}
+}
+
+// beatReply names an address for a backend's later heartbeats.
+type beatReply struct {
+	Address string `json:"beat_address"`
 }
 
 func (h *heartbeat) backend(id string) *api.Backend {
--- a/internal/system/control/peers.go
+++ b/internal/system/control/peers.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"net/netip"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/transport"
 )
@@ -16,9 +21,11 @@
 	deliverTimeout = 400 * time.Millisecond
 )
 
-// Peers sends messages to other members, each over a goroutine of its own.
+// Peers sends messages to other members: heartbeats as datagrams, which may be lost, and
+// all else over a goroutine for each member.
 type Peers struct {
 	client *transport.Client
+	socket net.PacketConn // nil: heartbeats go like the rest
 	mu     sync.Mutex
 	boxes  map[string]*mailbox
 	ctx    context.Context
@@ -31,12 +38,18 @@
 }
 
 // NewPeers makes a sender that ends with ctx.
-func NewPeers(ctx context.Context, client *transport.Client) *Peers {
-	return &Peers{client: client, boxes: map[string]*mailbox{}, ctx: ctx}
+func NewPeers(ctx context.Context, client *transport.Client, socket net.PacketConn) *Peers {
+	return &Peers{client: client, socket: socket, boxes: map[string]*mailbox{}, ctx: ctx}
 }
 
+// largestDatagram fits into a packet.
+const largestDatagram = 1200
+
 // Send implements Sender.
 func (p *Peers) Send(message *api.ChainMessage) {
+	if message.GetHeartbeat() != nil && p.sendDatagram(message) {
+		return
+	}
 	box := p.box(message.To.GetAddress())
 	box.mu.Lock()
 	if len(box.messages) >= mostWaiting {
@@ -50,6 +63,39 @@
 	}
 }
 
+// sendDatagram tells whether a message went out in one packet.
+func (p *Peers) sendDatagram(message *api.ChainMessage) bool {
+	if p.socket == nil {
+		return false
+	}
+	data, err := proto.Marshal(message)
+	if err != nil || len(data) > largestDatagram {
+		return false
+	}
+	to, err := netip.ParseAddrPort(message.To.GetAddress())
+	if err != nil {
+		return false
+	}
+	_, err = p.socket.WriteTo(data, net.UDPAddrFromAddrPort(to))
+	return err == nil
+}
+
+// receiveDatagrams takes heartbeats in until the socket is closed.
+func receiveDatagrams(socket net.PacketConn, deliver func([]*api.ChainMessage)) {
+	buffer := make([]byte, 2*largestDatagram)
+	for {
+		n, _, err := socket.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		message := new(api.ChainMessage)
+		if err != nil || proto.Unmarshal(buffer[:n], message) != nil || message.GetHeartbeat() == nil {
+			continue
+		}
+		deliver([]*api.ChainMessage{message})
+	}
+}
+
 func (p *Peers) box(address string) *mailbox {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/system/control/registry.go
+++ b/internal/system/control/registry.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// shareEvery is how often a control process tells the others whom it has heard.
-	shareEvery = 400 * time.Millisecond
+	// shareEvery is how often a control process tells the others whom it has heard, where
+	// there is no news.
+	shareEvery = time.Second
 	// shareSoon is how long news waits for more news.
 	shareSoon = 10 * time.Millisecond
 	// shareTimeout bounds one such call.
@@ -25,7 +26,7 @@
 	// nodeSilence is after what time a node without a call is no longer counted.
 	nodeSilence = 4 * time.Second
 	// peerSilence is after what time another control process counts as silent.
-	peerSilence = 1500 * time.Millisecond
+	peerSilence = 2500 * time.Millisecond
 )
 
 // heard is when and by whom a backend or a node was heard last.
@@ -37,7 +38,7 @@
 // Registry knows the backends and the nodes from their calls, here and at the other
 // control processes.
 type Registry struct {
-	self   string
+	self   *api.ControlNode
 	feed   *feed.Store
 	beat   time.Duration
 	client *transport.Client
@@ -46,14 +47,15 @@
 	heard  map[string]heard     // backends
 	nodes  map[string]heard     // nodes
 	peers  map[string]time.Time // when each other control process told something last
+	places map[string]*api.ControlNode
 	wake   chan struct{}
 	shared map[string]uint64 // per peer: the feed's revision that it was told of; missing: tell all
 }
 
-// NewRegistry makes an empty registry; self is this process's internal address.
-func NewRegistry(self string, out *feed.Store, beat time.Duration, client *transport.Client) *Registry {
+// NewRegistry makes an empty registry; self is this process.
+func NewRegistry(self *api.ControlNode, out *feed.Store, beat time.Duration, client *transport.Client) *Registry {
 	return &Registry{self: self, feed: out, beat: beat, client: client, heard: map[string]heard{}, nodes: map[string]heard{},
-		peers: map[string]time.Time{}, shared: map[string]uint64{}, wake: make(chan struct{}, 1)}
+		peers: map[string]time.Time{}, places: map[string]*api.ControlNode{}, shared: map[string]uint64{}, wake: make(chan struct{}, 1)}
 }
 
 // Silence is how long a backend may be silent before it is dropped.
@@ -87,6 +89,9 @@
 	now := time.Now()
 	r.mu.Lock()
 	r.peers[reports.From] = now
+	if reports.Node != nil {
+		r.places[reports.From] = reports.Node
+	}
 	note := func(table map[string]heard, id string, ageMS uint32) {
 		at := now.Add(-time.Duration(ageMS) * time.Millisecond)
 		if table[id].at.Before(at) {
@@ -116,6 +121,40 @@
 	return known
 }
 
+// Places tells where the control processes are that count.
+func (r *Registry) Places(members []string) []*api.ControlNode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	nodes := make([]*api.ControlNode, 0, len(members))
+	for _, address := range members {
+		switch {
+		case address == r.self.Address:
+			nodes = append(nodes, r.self)
+		case r.places[address] != nil:
+			nodes = append(nodes, r.places[address])
+		default:
+			nodes = append(nodes, &api.ControlNode{Address: address})
+		}
+	}
+	return nodes
+}
+
+// near is a control process in a zone that was heard of late, where this one is not in that
+// zone itself; "" is none.
+func (r *Registry) near(zone string) string {
+	if zone == r.self.Zone {
+		return ""
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address, place := range r.places {
+		if place.Zone == zone && time.Since(r.peers[address]) < peerSilence {
+			return place.PublicAddress
+		}
+	}
+	return ""
+}
+
 func (r *Registry) hurry() {
 	select {
 	case r.wake <- struct{}{}:
@@ -150,7 +189,7 @@
 func (r *Registry) share(ctx context.Context, members []string) {
 	var done sync.WaitGroup
 	for _, address := range members {
-		if address == r.self {
+		if address == r.self.Address {
 			continue
 		}
 		reports, revision := r.reports(address)
@@ -178,7 +217,10 @@
 	defer r.mu.Unlock()
 	told, known := r.shared[address]
 	changed, revision := r.feed.ChangedSince(told)
-	reports := &api.BackendReports{From: r.self, Whole: !known}
+	reports := &api.BackendReports{From: r.self.Address, Whole: !known}
+	if !known {
+		reports.Node = r.self
+	}
 	news := map[string]bool{}
 	for _, b := range changed {
 		if h, here := r.heard[b.Id]; here && h.via == "" {
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -4,18 +4,16 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/multierr"
 
 	"marlreel/internal/system/api"
-	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
+	"marlreel/internal/system/host"
 	"marlreel/internal/system/transport"
 )
 
@@ -27,13 +25,21 @@
 )
 
 // Run is a control process until ctx ends.
-func Run(ctx context.Context, settings *boot.Settings, log logr.Logger) error {
+func Run(ctx context.Context, machine *host.Host) error {
+	settings, log := machine.Settings, machine.Log
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	client := transport.NewClient(transport.DialTCP)
+	client := transport.NewClient(machine.Network.Dial)
 	out := feed.New(fmt.Sprintf("%s/%x", settings.NodeName, rand.Uint64()), time.Now)
-	keeper := NewKeeper(settings, NewPeers(ctx, client), out, log)
-	registry := NewRegistry(settings.PeerAddress(), out, settings.BeatInterval(), client)
+	socket, err := machine.Network.ListenPacket(settings.PeerAddress())
+	if err != nil {
+		return eris.Wrapf(err, "listening at %s", settings.PeerAddress())
+	}
+	defer socket.Close()
+	keeper := NewKeeper(machine, NewPeers(ctx, client, socket), out)
+	go receiveDatagrams(socket, keeper.Deliver)
+	self := &api.ControlNode{Address: settings.PeerAddress(), Zone: settings.Zone, PublicAddress: settings.Listen.Control}
+	registry := NewRegistry(self, out, settings.BeatInterval(), client)
 	service := &Service{keeper: keeper, registry: registry, feed: out, self: settings.PeerAddress(), client: client}
 	members := &memberList{seeds: settings.SeedPeers()}
 	service.owners = newOwners(settings.Bounds, out, func() bool { return members.isHead(settings.PeerAddress()) },
@@ -45,7 +51,7 @@
 	var servers sync.WaitGroup
 	failures := make(chan error, 2)
 	for address, server := range map[string]*fasthttp.Server{settings.PeerAddress(): peers, settings.Listen.Control: operators} {
-		listener, err := net.Listen("tcp4", address)
+		listener, err := machine.Network.Listen(address)
 		if err != nil {
 			return eris.Wrapf(err, "listening at %s", address)
 		}
@@ -117,7 +123,7 @@
 		}
 		keeper.Standing(func(s Standing) {
 			members.set(s)
-			out.SetControls(s.Members)
+			out.SetControls(registry.Places(s.Members))
 			if !s.Connected {
 				connectedSince = time.Time{}
 			} else if connectedSince.IsZero() {
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -125,7 +125,8 @@
 	if seen.PassedOn {
 		return &api.Empty{}, nil
 	}
-	for _, address := range s.feed.Controls() {
+	for _, control := range s.feed.Controls() {
+		address := control.Address
 		if address == s.self {
 			continue
 		}
--- a/internal/system/feed/exchange.go
+++ b/internal/system/feed/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"marlreel/internal/system/api"
@@ -104,7 +103,7 @@
 	if feed.NodesChanged && s.takeNodes(feed) {
 		changed = true
 	}
-	if len(feed.Controls) > 0 && !slices.Equal(s.controls, feed.Controls) {
+	if len(feed.Controls) > 0 && !sameControls(s.controls, feed.Controls) {
 		s.controls = feed.Controls
 		changed = true
 	}
--- a/internal/system/feed/follow.go
+++ b/internal/system/feed/follow.go
@@ -32,6 +32,8 @@
 	mostPause  = 300 * time.Millisecond
 	// silentAfter is after what time without an answer nothing counts as fresh.
 	silentAfter = 600 * time.Millisecond
+	// returnAfter is after what time the first source is tried again.
+	returnAfter = 5 * time.Second
 	// staleAfter is after what time a source that has no majority is left for another.
 	staleAfter = 300 * time.Millisecond
 )
@@ -42,17 +44,22 @@
 	cursor, at, pause := &Cursor{}, 0, leastPause
 	var staleSince time.Time
 	answered := time.Now()
+	preferred, turnedAway := "", time.Now()
 	for ctx.Err() == nil {
 		targets := cfg.Targets()
 		if len(targets) == 0 {
 			rest(ctx, mostPause)
 			continue
 		}
+		if targets[0] != preferred || at%len(targets) != 0 && time.Since(turnedAway) > returnAfter {
+			preferred, at = targets[0], 0
+		}
 		address := targets[at%len(targets)]
 		feed, err := ask(ctx, store, &cfg, address, cursor)
 		if err != nil {
 			cfg.Log.V(1).Info("the source does not answer", "event", "feed", "source", address, "error", err.Error())
 			at++
+			turnedAway = time.Now()
 			if time.Since(answered) > silentAfter {
 				store.Unheard()
 			}
@@ -74,6 +81,7 @@
 		}
 		if time.Since(staleSince) > staleAfter && len(targets) > 1 {
 			at++
+			turnedAway = time.Now()
 			staleSince = time.Time{}
 		}
 		rest(ctx, leastPause)
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -53,7 +53,7 @@
 	nodesRevision uint64
 	fresh         bool
 	established   bool
-	controls      []string
+	controls      []*api.ControlNode
 	now           func() time.Time
 }
 
@@ -349,22 +349,38 @@
 }
 
 // SetControls says where the control processes are.
-func (s *Store) SetControls(addresses []string) {
+func (s *Store) SetControls(controls []*api.ControlNode) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(addresses) > 0 && !slices.Equal(s.controls, addresses) {
-		s.controls = slices.Clone(addresses)
+	if len(controls) > 0 && !sameControls(s.controls, controls) {
+		s.controls = slices.Clone(controls)
 		s.touch()
 	}
 }
 
-// Controls are the addresses of the control processes, as last known.
-func (s *Store) Controls() []string {
+func sameControls(a, b []*api.ControlNode) bool {
+	return slices.EqualFunc(a, b, func(x, y *api.ControlNode) bool {
+		return x.Address == y.Address && x.Zone == y.Zone && x.PublicAddress == y.PublicAddress
+	})
+}
+
+// Controls are the control processes, as last known. They must not be changed.
+func (s *Store) Controls() []*api.ControlNode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.controls
 }
 
+// Unheard notes that no source answers: what is known may be old.
+func (s *Store) Unheard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fresh {
+		s.fresh = false
+		s.touch()
+	}
+}
+
 // Observation words what a backend holds.
 func Observation(id string, holds map[string][]string) *api.Observation {
 	o := &api.Observation{Id: id}
@@ -395,13 +411,3 @@
 	s.touch()
 	return true
 }
-
-// Unheard notes that no source answers: what is known may be old.
-func (s *Store) Unheard() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.fresh {
-		s.fresh = false
-		s.touch()
-	}
-}
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"marlreel/internal/system/configuration"
 	"marlreel/internal/system/feed"
 	"marlreel/internal/system/state"
+	"marlreel/internal/system/transport"
 )
 
 // Gateway serves clients by the newest feed.
@@ -24,10 +25,12 @@
 	room        *budget.Budget
 	connections int // to backends, of each service
 	bounds      Bounds
+	dial        transport.Dial
 	log         logr.Logger
 	demand      *demandBook
 
 	mu    sync.Mutex // one update at a time
+	ended bool       // no update any more
 	plan  atomic.Pointer[plan]
 	ready atomic.Bool
 	quits atomic.Bool // it ends soon: clients are to turn to others
@@ -60,6 +63,7 @@
 
 // Config is what a gateway is told at its start.
 type Config struct {
+	Dial        transport.Dial
 	Name        string
 	Zone        string
 	Zones       []string // all, sorted
@@ -72,7 +76,7 @@
 // New makes a gateway that knows nothing yet.
 func New(cfg Config, source *feed.Store) *Gateway {
 	g := &Gateway{self: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, feed: source,
-		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, bounds: cfg.Bounds, log: cfg.Log, demand: newDemandBook()}
+		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, bounds: cfg.Bounds, dial: cfg.Dial, log: cfg.Log, demand: newDemandBook()}
 	g.plan.Store(&plan{services: map[string]*service{}})
 	return g
 }
@@ -87,6 +91,16 @@
 	}
 }
 
+// stopServices ends all services.
+func (g *Gateway) stopServices() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+	for _, s := range g.plan.Load().services {
+		s.stop()
+	}
+}
+
 // failAll answers all that is still in hand.
 func (g *Gateway) failAll() {
 	for _, s := range g.plan.Load().services {
@@ -104,6 +118,9 @@
 func (g *Gateway) Update() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.ended {
+		return
+	}
 	var document *configuration.Document
 	evacuated := map[string]bool{}
 	g.feed.View(func(m *state.Machine) {
@@ -167,7 +184,7 @@
 		next.services[cfg.Name] = s
 		return
 	}
-	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.log)
+	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.dial, g.log)
 	if err != nil {
 		g.log.Error(err, "a service can't be started", "event", "configuration", "service", cfg.Name)
 		return
--- a/internal/system/gateway/role.go
+++ b/internal/system/gateway/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"time"
 
@@ -15,6 +14,7 @@
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
+	"marlreel/internal/system/host"
 	"marlreel/internal/system/transport"
 )
 
@@ -37,14 +37,15 @@
 )
 
 // Run is a proxy until ctx ends, and then until its clients have their answers.
-func Run(ctx context.Context, settings *boot.Settings, log logr.Logger) error {
+func Run(ctx context.Context, machine *host.Host) error {
+	settings, log := machine.Settings, machine.Log
 	source := feed.New(settings.NodeName, time.Now)
 	zones := make([]string, 0, len(settings.Zones))
 	for zone := range settings.Zones {
 		zones = append(zones, zone)
 	}
 	slices.Sort(zones)
-	g := New(Config{Name: settings.NodeName, Zone: settings.Zone, Zones: zones, Log: log,
+	g := New(Config{Dial: machine.Network.Dial, Name: settings.NodeName, Zone: settings.Zone, Zones: zones, Log: log,
 		BodyBytes: settings.Limits.MemoryMB << 20 / 4, Connections: max(64, (settings.Limits.Files-keptFiles)/2), Bounds: boundsOf(settings.Bounds)}, source)
 	front := g.newServer(g.Handle)
 	front.MaxRequestBodySize = 64 << 20
@@ -52,16 +53,18 @@
 	front.Concurrency = max(64, (settings.Limits.Files-keptFiles)/2)
 	readiness := g.newServer(g.ServeReadiness)
 
+	defer g.stopServices()
+
 	failures := make(chan error, 2)
 	listeners := map[string]*fasthttp.Server{settings.Listen.Front: front, settings.Listen.Readiness: readiness}
 	for address, server := range listeners {
-		listener, err := net.Listen("tcp4", address)
+		listener, err := machine.Network.Listen(address)
 		if err != nil {
 			return eris.Wrapf(err, "listening at %s", address)
 		}
 		go func() { failures <- server.Serve(listener) }()
 	}
-	client := transport.NewClient(transport.DialTCP)
+	client := transport.NewClient(machine.Network.Dial)
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	go feed.Follow(following, source, feed.FollowConfig{
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -20,6 +20,7 @@
 	"marlreel/internal/process/budget"
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/configuration"
+	"marlreel/internal/system/transport"
 )
 
 const (
@@ -138,7 +139,7 @@
 
 // newService starts a service. It needs at least one class.
 func newService(cfg *configuration.Service, classes []marlreel.Class, proxies int, self identity, bounds Bounds,
-	room *budget.Budget, connections int, log logr.Logger) (*service, error) {
+	room *budget.Budget, connections int, dial transport.Dial, log logr.Logger) (*service, error) {
 	s := &service{name: cfg.Name, engines: cfg.Engine != nil, classes: classes, proxies: proxies, rank: self.rank(),
 		zone: self.zoneIndex(self.zone), bounds: bounds}
 	s.advisor = newAdvisor(self.name, s.engines, bounds.coldOf(cfg), bounds.Repeats, engine.ClockStart)
@@ -151,6 +152,7 @@
 		return nil, err
 	}
 	s.carrier = httpproxy.NewCarrier(s.engine, connections, nil, room)
+	s.carrier.DialWith(dial)
 	s.carrier.Speak(newDialect(func() string { return *s.healthPath.Load() }))
 	s.engine.Carry(s.carrier)
 	s.engine.ProbeWith(s.carrier)
--- a/internal/system/placement/demand.go
+++ b/internal/system/placement/demand.go
@@ -32,7 +32,8 @@
 	fast, slow    decayed // ms of backends' time
 	recent, usage decayed // requests
 	lastAt        time.Duration
-	waiting       map[string]waiting // by the node that reports
+	zones         map[string]*decayed // requests, by the zone that they come from
+	waiting       map[string]waiting  // by the node that reports
 }
 
 type waiting struct {
@@ -74,13 +75,13 @@
 }
 
 // Asked takes in what a node reports of one model or adapter.
-func (p *Planner) Asked(now time.Duration, node string, key Key, arrived int, workMS float64, waits int) {
+func (p *Planner) Asked(now time.Duration, node, zone string, key Key, arrived int, workMS float64, waits int) {
 	d := p.demands[key]
 	if d == nil {
 		if len(p.demands) >= mostDemands {
 			return
 		}
-		d = &demand{waiting: map[string]waiting{}}
+		d = &demand{waiting: map[string]waiting{}, zones: map[string]*decayed{}}
 		p.demands[key] = d
 	}
 	if arrived > 0 {
@@ -88,6 +89,12 @@
 		d.slow.add(workMS, now, slowSpan)
 		d.recent.add(float64(arrived), now, recentSpan)
 		d.usage.add(float64(arrived), now, usageSpan)
+		if d.zones[zone] == nil && len(d.zones) < mostZones {
+			d.zones[zone] = &decayed{}
+		}
+		if z := d.zones[zone]; z != nil {
+			z.add(float64(arrived), now, recentSpan)
+		}
 		d.lastAt = now
 	}
 	if waits > 0 {
@@ -98,6 +105,9 @@
 	}
 }
 
+// mostZones bounds the zones that are told apart.
+const mostZones = 64
+
 // mostDemands bounds the models and adapters that are kept count of.
 const mostDemands = 1 << 16
 
@@ -124,10 +134,11 @@
 
 // figures are what is asked of one model with its adapters.
 type figures struct {
-	rate     float64 // requests a second
-	work     float64 // ms of backends' time a second, as foretold
-	waits    int     // requests that wait for it
-	adapters float64 // requests a second for adapters of it
+	rate     float64            // requests a second
+	work     float64            // ms of backends' time a second, as foretold
+	waits    int                // requests that wait for it
+	adapters float64            // requests a second for adapters of it
+	zones    map[string]float64 // requests a second by the zone that they come from
 }
 
 // figuresOf gives the figures of all models that anything is asked of.
@@ -137,7 +148,7 @@
 	for key, d := range p.demands {
 		f := all[key.Model]
 		if f == nil {
-			f = &figures{}
+			f = &figures{zones: map[string]float64{}}
 			all[key.Model] = f
 		}
 		f.rate += d.rate(now)
@@ -145,6 +156,9 @@
 			f.adapters += d.rate(now)
 		}
 		f.waits += d.waits(now)
+		for zone, z := range d.zones {
+			f.zones[zone] += z.perSecond(now, recentSpan)
+		}
 		fast[key.Model] += d.fast.perSecond(now, fastSpan)
 		slow[key.Model] += d.slow.perSecond(now, slowSpan)
 	}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -22,6 +22,8 @@
 	loadCost     = 0.25
 	ownDiskCost  = 0.1
 	evictionCost = 0.03
+	// crossing is what a request loses that goes to another zone.
+	crossing = 0.03
 	// running is what each request a second costs that runs where its model is to leave:
 	// the room comes when they have ended.
 	running = 0.5
@@ -53,6 +55,7 @@
 		return nil
 	}
 	p.forgetDemands(now)
+	p.count()
 	var orders []Order
 	asked := p.figuresOf(now)
 	orders = append(orders, p.fillReserved(now, asked)...)
@@ -64,7 +67,7 @@
 // give makes an order be under way.
 func (p *Planner) give(now time.Duration, b *backend, operation Operation, key Key) Order {
 	o := Order{Backend: b.id, Operation: operation, Key: key, Revision: b.revision}
-	b.order, b.orderAt = &o, now
+	p.recount(b, func() { b.order, b.orderAt = &o, now })
 	return o
 }
 
@@ -112,11 +115,11 @@
 		if _, known := p.service.Models[name]; !known {
 			continue
 		}
-		holders := p.holders(name)
+		holders := p.census.holders[name]
 		if holders == 0 && f.waits == 0 {
 			continue // nobody asks right now
 		}
-		if gain := f.gain(holders); gain > ownDiskCost {
+		if gain := f.gain(holders); gain+p.nearest(name, f) > ownDiskCost {
 			wants = append(wants, want{name, gain})
 		}
 	}
@@ -126,20 +129,6 @@
 	return wants
 }
 
-// holders is how many usable backends hold a model, or will.
-func (p *Planner) holders(model string) int {
-	count := 0
-	for _, b := range p.backends {
-		_, holds := b.holds[model]
-		loads := b.order != nil && b.order.Operation == Load && b.order.Adapter == "" && b.order.Model == model
-		unloads := b.order != nil && b.order.Operation == Unload && b.order.Adapter == "" && b.order.Model == model
-		if b.usable && (holds && !unloads || loads || b.reserved == model) {
-			count++
-		}
-	}
-	return count
-}
-
 // planModels loads what is wanted, or makes room for it.
 func (p *Planner) planModels(now time.Duration, asked map[string]*figures) []Order {
 	var orders []Order
@@ -149,7 +138,7 @@
 			continue
 		}
 		if len(victims) > 0 {
-			b.reserved, b.reservedAt = w.model, now
+			p.recount(b, func() { b.reserved, b.reservedAt = w.model, now })
 			orders = append(orders, p.give(now, b, Unload, Key{Model: victims[0]}))
 			continue
 		}
@@ -168,7 +157,7 @@
 		}
 		p.loads.level--
 	}
-	b.reserved = ""
+	p.recount(b, func() { b.reserved = "" })
 	return p.give(now, b, Load, Key{Model: model}), true
 }
 
@@ -180,7 +169,7 @@
 			continue
 		}
 		if now-b.reservedAt > reserveFor || !b.usable {
-			b.reserved = ""
+			p.recount(b, func() { b.reserved = "" })
 			continue
 		}
 		if !b.free(now) {
@@ -191,7 +180,7 @@
 		}
 		victims, _, fits := p.victims(now, b, b.reserved, asked)
 		if !fits {
-			b.reserved = ""
+			p.recount(b, func() { b.reserved = "" })
 			continue
 		}
 		if len(victims) > 0 {
@@ -217,7 +206,8 @@
 		if !fits {
 			continue
 		}
-		cost := worthMore*lost + busyCost*p.busyness(b, asked) + p.occupation(b, w.model, asked)
+		cost := worthMore*lost + busyCost*p.busyness(b, asked) + p.occupation(b, w.model, asked) -
+			p.nearness(b.zone, w.model, asked[w.model], 0)
 		if b.had[w.model] {
 			cost += ownDiskCost
 		} else {
@@ -235,35 +225,42 @@
 	work := 0.0
 	for name := range b.holds {
 		if f := asked[name]; f != nil {
-			work += f.work / float64(max(1, p.holders(name)))
+			work += f.work / float64(max(1, p.census.holders[name]))
 		}
 	}
 	return work / 1000
 }
 
+// nearest is the most that nearness may be worth.
+func (p *Planner) nearest(model string, f *figures) float64 {
+	most := 0.0
+	for zone := range f.zones {
+		most = max(most, p.nearness(zone, model, f, 0))
+	}
+	return most
+}
+
+// nearness is what it is worth that a model's requests from a zone need not cross to
+// another one, where so many in that zone hold it beside.
+func (p *Planner) nearness(zone, model string, f *figures, beside int) float64 {
+	if f == nil || p.census.inZone[zoneModel{zone, model}] > beside {
+		return 0
+	}
+	return crossing * horizon * f.zones[zone]
+}
+
 // occupation is what it costs that a backend takes no other order while it loads: adapters
 // of the models that it holds have to come to other holders meanwhile.
 func (p *Planner) occupation(b *backend, model string, asked map[string]*figures) float64 {
 	cost := 0.0
 	for name := range b.holds {
 		if f := asked[name]; f != nil && f.adapters > 0 {
-			cost += newAdapters * f.adapters / float64(max(1, p.freeHolders(name)))
+			cost += newAdapters * f.adapters / float64(max(1, p.census.free[name]))
 		}
 	}
 	return cost * p.service.Models[model].LoadTime.Seconds()
 }
 
-// freeHolders is how many holders of a model can take an order for one of its adapters.
-func (p *Planner) freeHolders(model string) int {
-	count := 0
-	for _, b := range p.backends {
-		if _, holds := b.holds[model]; holds && b.usable && b.order == nil && b.reserved == "" {
-			count++
-		}
-	}
-	return count
-}
-
 // victims are the models that have to leave a backend for another one: those whose loss is
 // the least. lost is what that costs.
 func (p *Planner) victims(now time.Duration, b *backend, model string, asked map[string]*figures) (out []string, lost float64, fits bool) {
@@ -278,7 +275,8 @@
 	var candidates []candidate
 	for name := range b.holds {
 		if name != model && now-b.since[name] >= keptFor {
-			candidates = append(candidates, candidate{name, asked[name].keeping(p.holders(name))})
+			candidates = append(candidates, candidate{name,
+				asked[name].keeping(p.census.holders[name]) + p.nearness(b.zone, name, asked[name], 1)})
 		}
 	}
 	slices.SortFunc(candidates, func(x, y candidate) int {
@@ -311,7 +309,7 @@
 		holders := p.adapterHolders(key)
 		needed := max(adapterCopies, int(math.Ceil(d.fast.perSecond(now, fastSpan)/adapterWork)))
 		waits := d.waits(now)
-		if holders >= min(needed, p.holdersNow(key.Model)) || waits == 0 && d.rate(now) < adapterRate {
+		if holders >= min(needed, p.census.now[key.Model]) || waits == 0 && d.rate(now) < adapterRate {
 			continue
 		}
 		wants = append(wants, adapterWant{key, waits, p.usage(now, key)})
@@ -329,17 +327,6 @@
 	return orders
 }
 
-// holdersNow is how many usable backends hold a model.
-func (p *Planner) holdersNow(model string) int {
-	count := 0
-	for _, b := range p.backends {
-		if _, holds := b.holds[model]; holds && b.usable {
-			count++
-		}
-	}
-	return count
-}
-
 func (p *Planner) adapterHolders(key Key) int {
 	count := 0
 	for _, b := range p.backends {
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -27,6 +27,7 @@
 // Backend is what is known of a backend by its heartbeats.
 type Backend struct {
 	ID     string
+	Zone   string
 	Usable bool                // it may get orders
 	Holds  map[string][]string // adapters by model
 }
@@ -51,6 +52,7 @@
 // backend is what the planner keeps of one backend.
 type backend struct {
 	id         string
+	zone       string
 	usable     bool
 	known      bool // asked since this planner began, so that its count of orders is known
 	revision   uint64
@@ -70,6 +72,7 @@
 	backends map[string]*backend
 	demands  map[Key]*demand
 	loads    bucket
+	census   *census // of the plan that is being made
 }
 
 // New makes a planner that knows nothing of what was done before it.
@@ -102,7 +105,7 @@
 			b = &backend{id: l.ID, had: map[string]bool{}, since: map[string]time.Duration{}}
 			p.backends[l.ID] = b
 		}
-		b.usable = l.Usable
+		b.usable, b.zone = l.Usable, l.Zone
 		if !b.known {
 			b.setHolds(now, l.Holds)
 		}
--- a/internal/system/placement/status.go
+++ b/internal/system/placement/status.go
@@ -19,8 +19,9 @@
 // Status lists the models that anything is asked of, those with the most work first.
 func (p *Planner) Status(now time.Duration) []ModelStatus {
 	var list []ModelStatus
+	p.count()
 	for name, f := range p.figuresOf(now) {
-		s := ModelStatus{Model: name, Rate: f.rate, Work: f.work, Waiting: f.waits, Holders: p.holders(name)}
+		s := ModelStatus{Model: name, Rate: f.rate, Work: f.work, Waiting: f.waits, Holders: p.census.holders[name]}
 		for _, b := range p.backends {
 			if b.order != nil && b.order.Operation == Load && b.order.Key == (Key{Model: name}) {
 				s.Loading++
--- /dev/null
+++ b/internal/system/result/page.go
@@ -0,0 +1,26 @@
+package result
+
+import (
+	"fmt"
+	"strings"
+)
+
+const pageHead = `# Result codes
+
+Generated from the code (` + "`go run ./internal/system/result/page > docs/CODES.md`" + `); a test fails where it is not
+up to date. An answer of control that is no success carries the code, its name, the cause and the advice as JSON:
+` + "`code`, `result`, `error_cause`, `advice`" + `. Codes never change their meaning.
+
+| code | HTTP | name | what to do |
+| --- | --- | --- | --- |
+`
+
+// Page is docs/CODES.md.
+func Page() string {
+	var page strings.Builder
+	page.WriteString(pageHead)
+	for _, m := range Meanings {
+		fmt.Fprintf(&page, "| %d | %d | %s | %s |\n", m.Code, m.Status, m.Name, m.Advice)
+	}
+	return page.String()
+}
--- a/internal/system/result/result.go
+++ b/internal/system/result/result.go
@@ -1,5 +1,5 @@
 // Package result holds the numbered result codes of the system's interfaces. The
-// table in docs/RESULTS.md is made from them.
+// table in docs/CODES.md is made from them.
 package result
 
 import (
@@ -37,7 +37,7 @@
 	Code   Code
 	Status int // of HTTP
 	Name   string
-	Do     string
+	Advice string // what can be done
 }
 
 // Meanings is the table of all codes.
@@ -74,8 +74,8 @@
 // String implements fmt.Stringer.
 func (c Code) String() string { return c.meaning().Name }
 
-// Advice is what can be done about a code.
-func (c Code) Advice() string { return c.meaning().Do }
+// Remedy is what can be done about a code.
+func (c Code) Remedy() string { return c.meaning().Advice }
 
 // Done tells whether a call has had its effect.
 func (c Code) Done() bool { return c == Accepted || c == AlreadyAccepted }
@@ -90,7 +90,7 @@
 func (e *Error) Error() string { return fmt.Sprintf("%d %s: %s", e.Code, e.Code, e.Detail) }
 
 // Advice is what can be done about the error.
-func (e *Error) Advice() string { return e.Code.Advice() }
+func (e *Error) Advice() string { return e.Code.meaning().Advice }
 
 // Errorf makes an Error.
 func Errorf(code Code, format string, args ...any) *Error {
--- /dev/null
+++ b/internal/system/simcluster/cluster.go
@@ -0,0 +1,237 @@
+// Package simcluster runs the very roles of the system, control, agents and proxies, with
+// stand-in backends, an operator and clients, in one process on a simulated network with
+// stores in memory. Under testing/synctest its clock is simulated too. It is for tests.
+package simcluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+	"github.com/valyala/fasthttp"
+
+	"marlreel/internal/system/agent"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/control"
+	"marlreel/internal/system/gateway"
+	"marlreel/internal/system/host"
+	"marlreel/internal/system/simnet"
+	"marlreel/internal/system/standin"
+	"marlreel/internal/system/store"
+	"marlreel/internal/system/transport"
+)
+
+// Ports of all machines.
+const (
+	peerPort    = 7660
+	frontPort   = 8080
+	readyPort   = 8081
+	controlPort = 8082
+)
+
+// Config says what a cluster is made of.
+type Config struct {
+	Controls, Edges int
+	Zones           []string // machines are spread over them in turn
+	Net             simnet.Config
+	Log             logr.Logger
+	Bounds          func(*boot.Bounds) // changes the usual bounds; nil: none
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	cfg      Config
+	Net      *simnet.Network
+	Controls []*Machine
+	Edges    []*Machine
+	Backends []*Backend
+	outside  *simnet.Machine // where clients and the operator are
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	client   *fasthttp.Client
+	versions uint64
+}
+
+// Machine is a machine with its roles.
+type Machine struct {
+	cluster *Cluster
+	Name    string
+	IP      string
+	Zone    string
+	roles   []func(context.Context, *host.Host) error
+	disk    storage.Storage // nil: there is none
+	first   bool
+
+	mu      sync.Mutex
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// New starts a cluster.
+func New(cfg Config) *Cluster {
+	c := &Cluster{cfg: cfg, Net: simnet.New(cfg.Net)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.outside = c.Net.Machine("10.99.0.1")
+	c.client = transport.NewHTTPClient(c.outside.Dial)
+	for i := range cfg.Controls {
+		m := &Machine{cluster: c, Name: fmt.Sprintf("core-%d", i), IP: fmt.Sprintf("10.1.0.%d", i+1), Zone: cfg.Zones[i%len(cfg.Zones)],
+			roles: []func(context.Context, *host.Host) error{control.Run}, disk: storage.NewMemStorage(), first: true}
+		c.Controls = append(c.Controls, m)
+	}
+	for i := range cfg.Edges {
+		m := &Machine{cluster: c, Name: fmt.Sprintf("edge-%d", i), IP: fmt.Sprintf("10.2.0.%d", i+1), Zone: cfg.Zones[i%len(cfg.Zones)],
+			roles: []func(context.Context, *host.Host) error{agent.Run, gateway.Run}, first: true}
+		c.Edges = append(c.Edges, m)
+	}
+	for _, m := range c.Machines() {
+		m.Start()
+	}
+	return c
+}
+
+// Machines are all machines of the system.
+func (c *Cluster) Machines() []*Machine {
+	return append(append([]*Machine(nil), c.Controls...), c.Edges...)
+}
+
+// Stop ends everything and waits for it.
+func (c *Cluster) Stop() {
+	for _, m := range c.Machines() {
+		m.Kill()
+	}
+	c.cancel()
+	c.done.Wait()
+	c.client.CloseIdleConnections()
+	// Idle connections are looked after by goroutines that end by themselves; on a simulated
+	// clock that takes no time.
+	time.Sleep(lingering)
+}
+
+const lingering = 5 * time.Minute
+
+func (c *Cluster) settings(m *Machine) *boot.Settings {
+	s := &boot.Settings{NodeName: m.Name, IP: m.IP, Zone: m.Zone, InternalPorts: []int{peerPort, peerPort + 15},
+		FirstStart: m.first, BeatIntervalMS: 1200, Zones: map[string]string{}, DataDir: "none",
+		Limits:    boot.Limits{MemoryMB: 256, Files: 4096},
+		Tolerance: boot.Tolerance{Machines: (c.cfg.Controls - 1) / 2},
+		Bounds: boot.Bounds{GraceS: 8, ConfigApplyMS: 2000, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetrySlack: 52,
+			ColdExcess: 1.5, ColdSlack: 5, Fencing: true, LeaseMS: 3000, DrainMS: 2000},
+		Listen: boot.Listen{Front: fmt.Sprintf("%s:%d", m.IP, frontPort), Readiness: fmt.Sprintf("%s:%d", m.IP, readyPort),
+			Control: fmt.Sprintf("%s:%d", m.IP, controlPort)}}
+	for _, zone := range c.cfg.Zones {
+		s.Zones[zone] = "region"
+	}
+	for _, seed := range c.Controls[:min(3, len(c.Controls))] {
+		s.SeedNodes = append(s.SeedNodes, fmt.Sprintf("%s:%d", seed.IP, controlPort))
+	}
+	if c.cfg.Bounds != nil {
+		c.cfg.Bounds(&s.Bounds)
+	}
+	return s
+}
+
+// Start starts a machine's roles.
+func (m *Machine) Start() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	settings := m.cluster.settings(m)
+	m.first = false
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	disk := m.disk
+	for _, role := range m.roles {
+		machine := &host.Host{Settings: settings, Network: m.cluster.Net.Machine(m.IP),
+			Log:    m.cluster.cfg.Log.WithValues("node", m.Name),
+			Open:   func() (*store.Store, error) { return store.OpenStorage(disk) },
+			Forget: func() error { return nil }}
+		m.running.Go(func() {
+			if err := role(ctx, machine); err != nil {
+				machine.Log.V(1).Info("a role has ended", "error", err.Error())
+			}
+		})
+	}
+}
+
+// Kill ends a machine's processes at once.
+func (m *Machine) Kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cancel == nil {
+		return
+	}
+	m.cluster.Net.Machine(m.IP).Kill()
+	m.cancel()
+	m.running.Wait()
+	m.cluster.Net.Machine(m.IP).Kill()
+	m.cancel = nil
+}
+
+// Terminate asks a machine's processes to end, and waits for it.
+func (m *Machine) Terminate() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cancel == nil {
+		return
+	}
+	m.cancel()
+	m.running.Wait()
+	m.cancel = nil
+}
+
+// Wipe loses a machine's disk. The machine must be down.
+func (m *Machine) Wipe() { m.disk = storage.NewMemStorage() }
+
+// Front is where clients reach an edge machine.
+func (m *Machine) Front() string { return fmt.Sprintf("%s:%d", m.IP, frontPort) }
+
+// ControlAddress is where the operator and backends reach a control machine.
+func (m *Machine) ControlAddress() string { return fmt.Sprintf("%s:%d", m.IP, controlPort) }
+
+// ControlAddresses are those of all control machines.
+func (c *Cluster) ControlAddresses() []string {
+	var addresses []string
+	for _, m := range c.Controls {
+		addresses = append(addresses, m.ControlAddress())
+	}
+	return addresses
+}
+
+// Backend is a stand-in on a machine of its own.
+type Backend struct {
+	*standin.Backend
+	machine *simnet.Machine
+	cancel  context.CancelFunc
+}
+
+// Kill ends a backend at once: it says nothing any more.
+func (b *Backend) Kill() {
+	b.cancel()
+	b.machine.Kill()
+}
+
+// AddBackend starts a backend on a machine of its own.
+func (c *Cluster) AddBackend(cfg standin.BackendConfig) *Backend {
+	ip := fmt.Sprintf("10.3.%d.%d", len(c.Backends)/200, len(c.Backends)%200+1)
+	cfg.Address, cfg.Controls = ip+":9000", c.ControlAddresses
+	if cfg.Beat == 0 {
+		cfg.Beat = 1200 * time.Millisecond
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	b := &Backend{Backend: standin.NewBackend(cfg, c.Net.Machine(ip)), machine: c.Net.Machine(ip), cancel: cancel}
+	c.Backends = append(c.Backends, b)
+	c.done.Go(func() { _ = b.Serve(ctx) }) // it ends with the cluster
+	return b
+}
+
+// fasthttp keeps one goroutine for the time of day from its first answer on. It has to begin
+// outside of any simulated clock.
+func init() {
+	var first fasthttp.Response
+	// Nothing that could fail reads it.
+	_, _ = first.WriteTo(io.Discard)
+}
--- /dev/null
+++ b/internal/system/simcluster/outside.go
@@ -0,0 +1,144 @@
+package simcluster
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"marlreel/internal/system/standin"
+)
+
+// ErrNoAnswer says that nobody gave a clear answer in time.
+var ErrNoAnswer = errors.New("no clear answer")
+
+// Call makes a call to control as the operator does: to one process after the other until
+// one gives a clear answer.
+func (c *Cluster) Call(method, path, base, body string, patience time.Duration) (status int, answer string, err error) {
+	end := time.Now().Add(patience)
+	for at := 0; time.Now().Before(end); at++ {
+		status, answer, err := c.callOne(c.Controls[at%len(c.Controls)], method, path, base, body)
+		if err == nil && status < 500 && status != fasthttp.StatusRequestTimeout && status != fasthttp.StatusTooManyRequests {
+			return status, answer, nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 0, "", ErrNoAnswer
+}
+
+func (c *Cluster) callOne(m *Machine, method, path, base, body string) (int, string, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + m.ControlAddress() + path)
+	if base != "" {
+		request.Header.Set("Base-Version", base)
+	}
+	request.SetBodyString(body)
+	if err := c.client.DoTimeout(request, response, time.Second); err != nil {
+		return 0, "", err
+	}
+	return response.StatusCode(), string(response.Body()), nil
+}
+
+// Configure has a whole configuration taken, on top of the one before.
+func (c *Cluster) Configure(document func(version uint64) string, patience time.Duration) (status int, answer string, err error) {
+	base := c.versions
+	status, answer, err = c.Call(http.MethodPost, "/marlreel/config/replace", strconv.FormatUint(base, 10), document(base+1), patience)
+	if err == nil && status == http.StatusOK {
+		c.versions = base + 1
+	}
+	return status, answer, err
+}
+
+// Request is a client's request.
+type Request struct {
+	ID, Host, Path, Model, Tokens, Prompt, LastEvent, Body string
+	Wait                                                   time.Duration
+}
+
+// Response is what a client got.
+type Response struct {
+	Status int
+	Seal   string
+	After  time.Duration // until the head
+	Body   string
+	Events []string // whole events, of a stream
+	Whole  bool     // the answer ended as it should
+	Header http.Header
+}
+
+// Ask sends a request to an edge machine and reads the answer to its end.
+func (c *Cluster) Ask(edge *Machine, r Request) (Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Wait)
+	defer cancel()
+	conn, err := c.outside.Dial(ctx, edge.Front())
+	if err != nil {
+		return Response{}, err
+	}
+	defer conn.Close()
+	began := time.Now()
+	conn.SetDeadline(began.Add(r.Wait))
+	var head strings.Builder
+	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nTime-Remaining: %d\r\nContent-Length: %d\r\n", r.Path,
+		r.Host, r.ID, r.Wait.Milliseconds(), len(r.Body))
+	for name, value := range map[string]string{"Model": r.Model, "Token-Count": r.Tokens, "Prompt-Prefix": r.Prompt,
+		"Last-Event-Id": r.LastEvent} {
+		if value != "" {
+			fmt.Fprintf(&head, "%s: %s\r\n", name, value)
+		}
+	}
+	if _, err := io.WriteString(conn, head.String()+"\r\n"+r.Body); err != nil {
+		return Response{}, err
+	}
+	in := bufio.NewReader(conn)
+	response, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return Response{}, err
+	}
+	defer response.Body.Close()
+	got := Response{Status: response.StatusCode, Seal: response.Header.Get("Server-Seal"), After: time.Since(began), Header: response.Header}
+	body, err := io.ReadAll(response.Body)
+	got.Body, got.Whole = string(body), err == nil
+	for event := range bytes.SplitSeq(body, []byte("\n\n")) {
+		if len(event) > 0 {
+			got.Events = append(got.Events, string(event))
+		}
+	}
+	return got, nil
+}
+
+// runsOf are the runs of a request, in the order of their beginnings.
+func (c *Cluster) runsOf(id string) []standin.Run {
+	var runs []standin.Run
+	for _, b := range c.Backends {
+		for _, run := range b.Runs() {
+			if run.Request == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	slices.SortStableFunc(runs, func(a, b standin.Run) int { return cmp.Compare(a.From, b.From) })
+	return runs
+}
+
+// backend is the backend of an id.
+func (c *Cluster) backend(id string) *Backend {
+	for _, b := range c.Backends {
+		if b.ID() == id {
+			return b
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/system/simcluster/rules_test.go
@@ -0,0 +1,406 @@
+package simcluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// play runs a test on a cluster of three control processes and three proxies.
+func play(t *testing.T, story func(t *testing.T, c *Cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, 3, 3)
+		defer c.Stop()
+		story(t, c)
+		for _, b := range c.Backends {
+			if faults := b.Faults(); len(faults) > 0 {
+				t.Errorf("orders beyond a backend's room: %v", faults)
+			}
+		}
+	})
+}
+
+func TestModelThatNobodyHoldsIsLoaded(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		r := chat("m2")
+		got, err := c.Ask(c.Edges[0], r)
+		is.NoErr(err)
+		whole(t, r, got, 10)
+		is.True(got.After < 5*time.Second) // the load takes 3 s
+	})
+}
+
+func TestAdapterIsBroughtOnDemand(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		r := chat("m0/a3")
+		got, err := c.Ask(c.Edges[1], r)
+		is.NoErr(err)
+		whole(t, r, got, 10)
+		is.True(got.After < time.Second)
+	})
+}
+
+// moved is the configuration with the plain route at another place.
+func moved(prefix string) func(version uint64) string {
+	return func(version uint64) string {
+		return strings.Replace(document(version), `"/slip/"`, `"`+prefix+`"`, 1)
+	}
+}
+
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		status, _, err := c.Configure(moved("/voucher/"), 4*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		time.Sleep(2 * time.Second) // config_apply_ms
+		for _, edge := range c.Edges {
+			r := slip()
+			got, err := c.Ask(edge, r)
+			is.NoErr(err)
+			is.Equal(got.Status, 404) // the old place is gone
+			r = slip()
+			r.Path = "/voucher/1"
+			got, err = c.Ask(edge, r)
+			is.NoErr(err)
+			is.Equal(got.Status, 200)
+		}
+	})
+}
+
+func TestOperatorsCalls(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		replace := func(base string, body string) (int, string) {
+			status, answer, err := c.Call("POST", "/marlreel/config/replace", base, body, 4*time.Second)
+			is.NoErr(err)
+			return status, answer
+		}
+		next := moved("/voucher/")(5)
+		status, _ := replace("1", next)
+		is.Equal(status, 200)
+		status, _ = replace("1", next)
+		is.Equal(status, 200) // the same again
+		status, answer := replace("1", moved("/other/")(6))
+		is.Equal(status, 412) // another one on the same base
+		is.True(strings.Contains(answer, `"code":300`))
+		status, answer = replace("5", moved("/voucher/")(5))
+		is.True(status == 400 && strings.Contains(answer, `"code":205`)) // not higher
+		status, answer = replace("5", `{"config_version":7,`)
+		is.True(status == 400 && strings.Contains(answer, `"code":200`)) // cut short
+		status, answer = replace("5", strings.Replace(document(7), `"service":"slips"`, `"service":"none"`, 1))
+		is.True(status == 400 && strings.Contains(answer, `"code":201`)) // unknown service
+
+		change := `{"config_version":9,"upsert":{"route_list":[{"name":"slip","host":"b.example","path_prefix":"/s/",` +
+			`"route_class":"unsafe","timeout_ms":900,"service":"slips","max_attempts":1,"later_field":{"kept":true}}]},"remove":{"route_list":["chat"]}}`
+		status, answer, err := c.Call("POST", "/marlreel/config/modify", "5", change, 4*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		status, answer, err = c.Call("GET", "/marlreel/config/read", "", "", 4*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		var read struct {
+			Version uint64                   `json:"config_version"`
+			Routes  []map[string]interface{} `json:"route_list"`
+		}
+		is.NoErr(json.Unmarshal([]byte(answer), &read))
+		is.Equal(read.Version, uint64(9))
+		is.Equal(len(read.Routes), 1)
+		is.True(read.Routes[0]["later_field"] != nil) // what isn't known here is kept
+		status, _ = replace("1", next)
+		is.Equal(status, 200) // what was taken once is acknowledged again, whatever came after
+	})
+}
+
+// Of two changes on one base one is taken, whoever they reach.
+func TestOneOfTwoOnABaseIsTaken(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		for round := range 5 {
+			base := fmt.Sprint(1 + round)
+			var taken []string
+			var mu sync.Mutex
+			var both sync.WaitGroup
+			for i := range 2 {
+				both.Go(func() {
+					body := moved(fmt.Sprintf("/r%d-%d/", round, i))(uint64(2 + round))
+					for at := i; ; at++ {
+						status, _, err := c.callOne(c.Controls[at%3], "POST", "/marlreel/config/replace", base, body)
+						if err != nil || status >= 500 {
+							time.Sleep(50 * time.Millisecond)
+							continue
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						if status == 200 {
+							taken = append(taken, body)
+						}
+						return
+					}
+				})
+			}
+			both.Wait()
+			is.Equal(len(taken), 1)
+			_, answer, err := c.Call("GET", "/marlreel/config/read", "", "", 4*time.Second)
+			is.NoErr(err)
+			is.Equal(answer, taken[0])
+		}
+	})
+}
+
+func TestAcknowledgedChangesSurviveControl(t *testing.T) {
+	faults := map[string]func(c *Cluster){
+		"each process dies in turn": func(c *Cluster) {
+			for _, m := range c.Controls {
+				m.Kill()
+				time.Sleep(2 * time.Second)
+				m.Start()
+				time.Sleep(2 * time.Second)
+			}
+		},
+		"all die at once": func(c *Cluster) {
+			for _, m := range c.Controls {
+				m.Kill()
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, m := range c.Controls {
+				m.Start()
+			}
+		},
+		"one disk is lost and all die": func(c *Cluster) {
+			for _, m := range c.Controls {
+				m.Kill()
+			}
+			c.Controls[0].Wipe()
+			for _, m := range c.Controls {
+				m.Start()
+			}
+		},
+		"a disk is lost, then all die with another one": func(c *Cluster) {
+			c.Controls[1].Kill()
+			c.Controls[1].Wipe()
+			c.Controls[1].Start()
+			time.Sleep(4 * time.Second)
+			for _, m := range c.Controls {
+				m.Kill()
+			}
+			c.Controls[0].Wipe()
+			for _, m := range c.Controls {
+				m.Start()
+			}
+		},
+		"one is cut off, the others die": func(c *Cluster) {
+			ips := []string{"10.1.0.1", "10.1.0.2", "10.1.0.3"}
+			c.Net.Isolate(ips[0], ips, true)
+			time.Sleep(2 * time.Second)
+			c.Controls[1].Kill()
+			c.Controls[2].Kill()
+			c.Net.Isolate(ips[0], ips, false)
+			time.Sleep(500 * time.Millisecond)
+			c.Controls[1].Start()
+			c.Controls[2].Start()
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, c *Cluster) {
+				is := is.New(t)
+				status, _, err := c.Configure(moved("/kept/"), 4*time.Second)
+				is.NoErr(err)
+				is.Equal(status, 200)
+				fault(c)
+				_, answer, err := c.Call("GET", "/marlreel/config/read", "", "", 10*time.Second)
+				is.NoErr(err)
+				is.Equal(answer, moved("/kept/")(2))
+				status, _, err = c.Configure(moved("/after/"), 10*time.Second) // and changes go on
+				is.NoErr(err)
+				is.Equal(status, 200)
+				time.Sleep(2 * time.Second)
+				r := slip()
+				r.Path = "/after/1"
+				got, err := c.Ask(c.Edges[0], r)
+				is.NoErr(err)
+				is.Equal(got.Status, 200)
+			})
+		})
+	}
+}
+
+func TestDrainIsHeededEverywhere(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		leaving := c.Backends[2] // one of two that take slips
+		leaving.Drain()
+		for !leaving.Acknowledged() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second) // drain_ms
+		before := len(leaving.Runs())
+		for range 10 {
+			for _, edge := range c.Edges {
+				got, err := c.Ask(edge, slip())
+				is.NoErr(err)
+				is.Equal(got.Status, 200)
+			}
+		}
+		is.Equal(len(leaving.Runs()), before)
+	})
+}
+
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		status, _, err := c.Call("POST", "/marlreel/evacuation/west/begin", "", "", 4*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		time.Sleep(2 * time.Second)
+		before := len(c.Backends[2].Runs())
+		for range 10 {
+			got, err := c.Ask(c.Edges[2], slip())
+			is.NoErr(err)
+			is.Equal(got.Status, 200)
+		}
+		is.Equal(len(c.Backends[2].Runs()), before)
+		status, _, err = c.Call("POST", "/marlreel/evacuation/west/terminate", "", "", 4*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		time.Sleep(2 * time.Second)
+		for range 10 {
+			_, err := c.Ask(c.Edges[2], slip())
+			is.NoErr(err)
+		}
+		is.True(len(c.Backends[2].Runs()) > before) // it is near
+	})
+}
+
+// A stream that may be resumed goes on elsewhere within one answer, with every event once.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		r := chat("m0")
+		r.Tokens = "1000,200"
+		var got Response
+		var err error
+		var asked sync.WaitGroup
+		asked.Go(func() { got, err = c.Ask(c.Edges[0], r) })
+		time.Sleep(time.Second)
+		first := c.runsOf(r.ID)
+		is.Equal(len(first), 1)
+		c.backend(first[0].Backend).Kill()
+		asked.Wait()
+		is.NoErr(err)
+		whole(t, r, got, 100)
+		runs := c.runsOf(r.ID)
+		is.Equal(len(runs), 2)
+		is.True(runs[1].From > 0) // it did not begin anew
+		is.Equal(got.Seal, "seal."+first[0].Backend+"."+r.ID)
+	})
+}
+
+// What can't be repeated runs once at most, and its failure promises nothing.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		for i := range 20 {
+			r := slip()
+			var got Response
+			var err error
+			var asked sync.WaitGroup
+			asked.Go(func() { got, err = c.Ask(c.Edges[i%3], r) })
+			time.Sleep(10 * time.Millisecond)
+			if runs := c.runsOf(r.ID); i == 7 && len(runs) == 1 {
+				c.backend(runs[0].Backend).Kill()
+			}
+			asked.Wait()
+			is.NoErr(err)
+			runs := len(c.runsOf(r.ID))
+			is.True(runs <= 1)
+			if got.Status == 503 || got.Status == 429 {
+				is.Equal(runs, 0) // a promise
+			}
+			if got.Status == 200 {
+				is.Equal(runs, 1)
+			}
+		}
+	})
+}
+
+func TestProxyThatQuitsAnswersAll(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		long, waits := chat("m0"), chat("m2")
+		long.Tokens = "1000,100" // a second
+		var streamed, refused Response
+		var asked sync.WaitGroup
+		asked.Go(func() {
+			var err error
+			streamed, err = c.Ask(c.Edges[0], long)
+			is.NoErr(err)
+		})
+		time.Sleep(200 * time.Millisecond)
+		asked.Go(func() {
+			var err error
+			refused, err = c.Ask(c.Edges[0], waits)
+			is.NoErr(err)
+		})
+		time.Sleep(50 * time.Millisecond)
+		c.Edges[0].Terminate()
+		asked.Wait()
+		whole(t, long, streamed, 50)
+		is.True(refused.Status == 200 || refused.Status == 503) // an answer, whichever
+		if refused.Status == 503 {
+			is.Equal(len(c.runsOf(waits.ID)), 0)
+		}
+	})
+}
+
+// The role of placing models passes on when its holder dies, and orders go on under a
+// higher token.
+func TestPlacementPassesOn(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		for victim := range c.Edges {
+			c.Edges[victim].Kill()
+			time.Sleep(4 * time.Second)
+			r := chat("m2")
+			r.Wait = 14 * time.Second
+			got, err := c.Ask(c.Edges[(victim+1)%3], r)
+			is.NoErr(err)
+			is.Equal(got.Status, 200)
+			c.Edges[victim].Start()
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
+// A proxy whose control is gone serves on by what it has.
+func TestProxiesServeWithoutControl(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		for _, m := range c.Controls {
+			m.Kill()
+		}
+		time.Sleep(20 * time.Second)
+		for _, edge := range c.Edges {
+			got, err := c.Ask(edge, slip())
+			is.NoErr(err)
+			is.Equal(got.Status, 200)
+		}
+		for _, m := range c.Controls {
+			m.Start()
+		}
+		time.Sleep(5 * time.Second)
+		status, _, err := c.Configure(moved("/back/"), 5*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+	})
+}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -48,10 +48,13 @@
 		DisableSeeksCompaction: true, Compression: opt.NoCompression}
 }
 
+// storeFolder is where the store is within the folder that is the process's.
+const storeFolder = "chain"
+
 // Open opens the store in a folder and makes it where it is missing. A store whose
 // table of files was damaged by a loss of power is recovered from the files.
 func Open(folder string) (*Store, error) {
-	path := filepath.Join(folder, "chain")
+	path := filepath.Join(folder, storeFolder)
 	if err := os.MkdirAll(path, 0o755); err != nil {
 		return nil, eris.Wrap(err, "making the store's folder")
 	}
@@ -65,6 +68,11 @@
 	return &Store{db}, nil
 }
 
+// Remove removes the store of a folder.
+func Remove(folder string) error {
+	return eris.Wrap(os.RemoveAll(filepath.Join(folder, storeFolder)), "removing the store")
+}
+
 // OpenStorage opens a store on a storage of the caller's, for tests.
 func OpenStorage(s storage.Storage) (*Store, error) {
 	db, err := leveldb.Open(s, options())
--- a/internal/system/transport/transport.go
+++ b/internal/system/transport/transport.go
@@ -24,18 +24,18 @@
 	idleConnection = 30 * time.Second
 	// largestMessage bounds a message either way.
 	largestMessage = 32 << 20
-	// unacknowledged is after what time a connection ends whose bytes are not
-	// acknowledged: a machine without power says nothing.
-	unacknowledged = 3 * time.Second
 )
 
-// Dial makes a connection. Tests put their own in its place.
-type Dial func(address string) (net.Conn, error)
+// Dial makes a connection.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
 
-// DialTCP is the Dial of real machines.
-func DialTCP(address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
-	return dialer.Dial("tcp4", address)
+// dialFor is a Dial as fasthttp wants one.
+func dialFor(dial Dial) fasthttp.DialFunc {
+	return func(address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		return dial(ctx, address)
+	}
 }
 
 // Client is an HTTP client as twirp wants one.
@@ -43,9 +43,15 @@
 	http fasthttp.Client
 }
 
+// NewHTTPClient makes a plain client, for calls to others than processes of the system.
+func NewHTTPClient(dial Dial) *fasthttp.Client {
+	return &fasthttp.Client{Dial: dialFor(dial), NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+		DisablePathNormalizing: true}
+}
+
 // NewClient makes a client.
 func NewClient(dial Dial) *Client {
-	return &Client{fasthttp.Client{Dial: func(address string) (net.Conn, error) { return dial(address) },
+	return &Client{fasthttp.Client{Dial: dialFor(dial),
 		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: idleConnection, MaxResponseBodySize: largestMessage,
 		DisablePathNormalizing: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
 }
