Try the system on loopback in one command; look at it and change it from the command line

Need: a product's parts: a small system to try, status, config check, read and apply, zones, a page for operators.

--- a/cmd/marlreeld/main.go
+++ b/cmd/marlreeld/main.go
@@ -47,6 +47,7 @@
 		role("proxy", "carry clients' requests to backends", gateway.Run),
 		role("agent", "keep a proxy's link to control", agent.Run),
 		role("control", "keep configuration, membership and the backends' heartbeats", control.Run))
+	root.AddCommand(newOperatorCommands()...)
 	return root
 }
 
--- /dev/null
+++ b/cmd/marlreeltry/main_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The real roles on real sockets: a model that nobody holds is loaded, and its stream comes.
+func TestTryServesAStream(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	command := newCommand(io.Discard)
+	command.SetOut(&out)
+	command.SetArgs([]string{"--once"})
+	is.NoErr(command.Execute())
+	is.True(strings.Contains(out.String(), "status 200"))
+	is.True(strings.Contains(out.String(), "id: 4"))
+}
--- a/internal/system/boot/settings.go
+++ b/internal/system/boot/settings.go
@@ -77,6 +77,7 @@
 	SeedNodes       []string          `toml:"seed_nodes" json:"seed_nodes"`
 	FirstStart      bool              `toml:"first_start" json:"first_start"`
 	CountsForQuorum bool              `toml:"counts_for_quorum" json:"counts_for_quorum"`
+	LoopbackIP      string            `toml:"loopback_ip" json:"loopback_ip"` // of this machine; usually empty: 127.0.0.1
 	DataDir         string            `toml:"data_dir" json:"data_dir"`
 	BeatIntervalMS  float64           `toml:"beat_interval_ms" json:"beat_interval_ms"`
 	Contracts       []string          `toml:"contracts" json:"contracts"`
@@ -87,11 +88,9 @@
 	Bounds          Bounds            `toml:"bounds" json:"bounds"`
 }
 
-// The internal ports, by their place in the range that the platform leaves free.
-const (
-	peerPort  = 0 // what processes of other machines reach
-	proxyPort = 1 // what an agent's own proxy offers it
-)
+// peerPort is the internal port that processes of other machines reach, by its place in
+// the range that the platform leaves free.
+const peerPort = 0
 
 // Error is a settings file that can't be used.
 type Error struct {
@@ -163,11 +162,13 @@
 // PeerAddress is where processes of other machines reach this one.
 func (s *Settings) PeerAddress() string { return s.peerAt(s.IP, peerPort) }
 
-// ProxyAddress is where the proxy of this machine listens for its agent's word, on loopback.
-func (s *Settings) ProxyAddress() string { return s.peerAt("127.0.0.1", proxyPort) }
-
 // AgentLoopback is where this machine's agent listens for its proxy.
-func (s *Settings) AgentLoopback() string { return s.peerAt("127.0.0.1", peerPort) }
+func (s *Settings) AgentLoopback() string {
+	if s.LoopbackIP != "" {
+		return s.peerAt(s.LoopbackIP, peerPort)
+	}
+	return s.peerAt("127.0.0.1", peerPort)
+}
 
 func (s *Settings) peerAt(host string, place int) string {
 	return net.JoinHostPort(host, strconv.Itoa(s.InternalPorts[0]+place))
--- a/internal/system/configuration/document.go
+++ b/internal/system/configuration/document.go
@@ -7,7 +7,9 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
@@ -127,17 +129,34 @@
 // Service is the service of a name, or nil.
 func (d *Document) Service(name string) *Service { return d.services[name] }
 
-// Parse reads and checks a whole configuration.
+// Parse reads and checks a whole configuration. The error names the first fault by its code
+// and all of them by their words.
 func Parse(data []byte) (*Document, *result.Error) {
+	d, faults := Check(data)
+	if len(faults) == 0 {
+		return d, nil
+	}
+	words := make([]string, 0, len(faults))
+	for _, fault := range faults[:min(len(faults), mostFaults)] {
+		words = append(words, fault.Detail)
+	}
+	if more := len(faults) - mostFaults; more > 0 {
+		words = append(words, fmt.Sprintf("and %d more", more))
+	}
+	return nil, result.Errorf(faults[0].Code, "%s", strings.Join(words, "; "))
+}
+
+// mostFaults is how many faults one error names.
+const mostFaults = 20
+
+// Check reads a whole configuration and gives all that is wrong with it.
+func Check(data []byte) (*Document, []*result.Error) {
 	d := &Document{raw: data}
 	if err := decode(data, d); err != nil {
-		return nil, result.Errorf(result.Unreadable, "configuration: %v", err)
+		return nil, []*result.Error{result.Errorf(result.Unreadable, "configuration: %v", err)}
 	}
 	d.index()
-	if err := d.check(); err != nil {
-		return nil, err
-	}
-	return d, nil
+	return d, d.check()
 }
 
 var errMore = errors.New("more follows after the document")
@@ -168,34 +187,35 @@
 	return *head.Version, nil
 }
 
-func (d *Document) check() *result.Error {
+func (d *Document) check() (faults []*result.Error) {
+	report := func(fault *result.Error) {
+		if fault != nil {
+			faults = append(faults, fault)
+		}
+	}
 	if d.Version == 0 {
-		return result.Errorf(result.InvalidField, "config_version: must be 1 or more")
+		report(result.Errorf(result.InvalidField, "config_version: must be 1 or more"))
 	}
 	if len(d.services) != len(d.Services) {
-		return result.Errorf(result.SameName, "service_list: two services have the same name")
+		report(result.Errorf(result.SameName, "service_list: two services have the same name"))
 	}
 	for i := range d.Services {
-		if err := d.Services[i].check(); err != nil {
-			return err
-		}
+		report(d.Services[i].check())
 	}
-	names, places := map[string]bool{}, map[string]bool{}
+	names, places := map[string]bool{}, map[string]string{}
 	for i := range d.Routes {
 		route := &d.Routes[i]
-		if err := d.checkRoute(route); err != nil {
-			return err
-		}
+		report(d.checkRoute(route))
 		place := route.Host + route.PathPrefix
-		if places[place] {
-			return result.Errorf(result.SamePlace, "route %s: another route has %s", route.Name, place)
+		if other, taken := places[place]; taken {
+			report(result.Errorf(result.SamePlace, "route %s: route %s has %s too", route.Name, other, place))
 		}
 		if names[route.Name] {
-			return result.Errorf(result.SameName, "route_list: two routes are named %s", route.Name)
+			report(result.Errorf(result.SameName, "route_list: two routes are named %s", route.Name))
 		}
-		names[route.Name], places[place] = true, true
+		names[route.Name], places[place] = true, route.Name
 	}
-	return nil
+	return faults
 }
 
 func (s *Service) check() *result.Error {
--- a/internal/system/control/keeper.go
+++ b/internal/system/control/keeper.go
@@ -197,16 +197,20 @@
 	Head, Tail string   // addresses; "" is not known
 	Members    []string // addresses of all members
 	Connected  bool     // in service, and a majority is heard
+	View       uint64
+	Committed  uint64
+	NoStore    bool // there is no store that could be written
 }
 
 // Standing asks the keeper's goroutine.
 func (k *Keeper) Standing(take func(Standing)) {
 	posted := k.post(func() {
-		var s Standing
+		s := Standing{NoStore: k.replica == nil}
 		if k.replica != nil {
 			node := k.replica.Node()
 			s.Head, s.Tail = node.Head().GetAddress(), node.Tail().GetAddress()
 			s.Connected = node.Connected()
+			s.View, s.Committed = node.View().GetNumber(), node.Committed()
 			for _, member := range node.View().Members {
 				s.Members = append(s.Members, member.Address)
 			}
--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -52,6 +52,8 @@
 		})
 	case ctx.IsGet() && path == pathRead:
 		s.read(ctx)
+	case ctx.IsGet() && path == pathStatus:
+		s.status(ctx)
 	case post && strings.HasPrefix(path, pathEvacuation):
 		s.evacuate(ctx, strings.TrimPrefix(path, pathEvacuation))
 	case post && strings.HasPrefix(path, pathBackends):
--- /dev/null
+++ b/internal/system/control/status.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"marlreel/internal/system/state"
+)
+
+const pathStatus = "/marlreel/status"
+
+// Status is how things stand, as one control process sees them.
+type Status struct {
+	Node        string          `json:"node"`
+	Connected   bool            `json:"connected"` // in service, and a majority is heard
+	View        uint64          `json:"view"`
+	Head        string          `json:"head"`
+	Tail        string          `json:"tail"`
+	Members     []string        `json:"members"`
+	Committed   uint64          `json:"committed"`
+	Version     uint64          `json:"config_version"`
+	Evacuated   []string        `json:"evacuated_zones"`
+	Roles       []RoleStatus    `json:"roles"`
+	Nodes       []NodeStatus    `json:"nodes"`
+	Backends    []BackendStatus `json:"backends"`
+	StoreFailed bool            `json:"store_failed"`
+}
+
+// RoleStatus is a role and who holds it.
+type RoleStatus struct {
+	Key    string `json:"key"`
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+}
+
+// NodeStatus is a machine that carries traffic.
+type NodeStatus struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	SilentMS uint32 `json:"silent_ms"`
+}
+
+// BackendStatus is a backend as it was last heard.
+type BackendStatus struct {
+	ID       string   `json:"id"`
+	Service  string   `json:"service"`
+	Zone     string   `json:"zone"`
+	Draining bool     `json:"draining"`
+	ColdMS   uint32   `json:"cold_ms"`
+	SilentMS uint32   `json:"silent_ms"`
+	Models   []string `json:"models"`
+}
+
+// statusPatience bounds the look at the chain.
+const statusPatience = 500 * time.Millisecond
+
+// status answers with how things stand.
+func (s *Service) status(ctx *fasthttp.RequestCtx) {
+	patience, cancel := context.WithTimeout(context.Background(), statusPatience)
+	defer cancel()
+	standing := s.standing(patience)
+	out := Status{Node: s.self, Connected: standing.Connected, View: standing.View, Head: standing.Head, Tail: standing.Tail,
+		Members: standing.Members, Committed: standing.Committed, StoreFailed: standing.NoStore}
+	s.feed.View(func(m *state.Machine) {
+		out.Version, out.Evacuated = m.Version(), m.EvacuatedZones()
+		for _, o := range m.Ownerships() {
+			out.Roles = append(out.Roles, RoleStatus{Key: o.Key, Holder: o.Holder, Fence: o.Fence})
+		}
+	})
+	for _, n := range s.feed.Nodes() {
+		out.Nodes = append(out.Nodes, NodeStatus{Name: n.Name, Zone: n.Zone, SilentMS: n.AgeMs})
+	}
+	for _, b := range s.feed.Backends() {
+		status := BackendStatus{ID: b.Id, Service: b.Service, Zone: b.Zone, Draining: b.Draining, ColdMS: b.ColdLeftMs, SilentMS: b.AgeMs}
+		for _, m := range b.Models {
+			status.Models = append(status.Models, m.Name)
+		}
+		out.Backends = append(out.Backends, status)
+	}
+	ctx.SetContentType("application/json")
+	body, _ := json.Marshal(out) // a struct of plain fields always marshals
+	ctx.SetBody(body)
+}
--- a/internal/system/simcluster/cluster.go
+++ b/internal/system/simcluster/cluster.go
@@ -1,12 +1,14 @@
 // Package simcluster runs the very roles of the system, control, agents and proxies, with
-// stand-in backends, an operator and clients, in one process on a simulated network with
-// stores in memory. Under testing/synctest its clock is simulated too. It is for tests.
+// stand-in backends, an operator and clients, in one process, with stores in memory: for
+// tests on a simulated network, where under testing/synctest the clock is simulated too,
+// and for trials on the loopback addresses of a real machine.
 package simcluster
 
 import (
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +40,7 @@
 	Controls, Edges int
 	Zones           []string // machines are spread over them in turn
 	Net             simnet.Config
+	Loopback        bool // on the machine's loopback addresses in place of a simulated network
 	Log             logr.Logger
 	Bounds          func(*boot.Bounds) // changes the usual bounds; nil: none
 }
@@ -45,11 +48,11 @@
 // Cluster is a running system.
 type Cluster struct {
 	cfg      Config
-	Net      *simnet.Network
+	Net      *simnet.Network // nil on loopback
 	Controls []*Machine
 	Edges    []*Machine
 	Backends []*Backend
-	outside  *simnet.Machine // where clients and the operator are
+	outside  host.Network // where clients and the operator are
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -74,17 +77,20 @@
 
 // New starts a cluster.
 func New(cfg Config) *Cluster {
-	c := &Cluster{cfg: cfg, Net: simnet.New(cfg.Net)}
+	c := &Cluster{cfg: cfg}
+	if !cfg.Loopback {
+		c.Net = simnet.New(cfg.Net)
+	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.outside = c.Net.Machine("10.99.0.1")
+	c.outside = c.network("10.99.0.1")
 	c.client = transport.NewHTTPClient(c.outside.Dial)
 	for i := range cfg.Controls {
-		m := &Machine{cluster: c, Name: fmt.Sprintf("core-%d", i), IP: fmt.Sprintf("10.1.0.%d", i+1), Zone: cfg.Zones[i%len(cfg.Zones)],
+		m := &Machine{cluster: c, Name: fmt.Sprintf("core-%d", i), IP: c.address(1, i), Zone: cfg.Zones[i%len(cfg.Zones)],
 			roles: []func(context.Context, *host.Host) error{control.Run}, disk: storage.NewMemStorage(), first: true}
 		c.Controls = append(c.Controls, m)
 	}
 	for i := range cfg.Edges {
-		m := &Machine{cluster: c, Name: fmt.Sprintf("edge-%d", i), IP: fmt.Sprintf("10.2.0.%d", i+1), Zone: cfg.Zones[i%len(cfg.Zones)],
+		m := &Machine{cluster: c, Name: fmt.Sprintf("edge-%d", i), IP: c.address(2, i), Zone: cfg.Zones[i%len(cfg.Zones)],
 			roles: []func(context.Context, *host.Host) error{agent.Run, gateway.Run}, first: true}
 		c.Edges = append(c.Edges, m)
 	}
@@ -94,6 +100,29 @@
 	return c
 }
 
+// address is that of a machine, by its kind and number.
+func (c *Cluster) address(kind, number int) string {
+	if c.cfg.Loopback {
+		return fmt.Sprintf("127.0.%d.%d", 10*kind+number/200, number%200+1)
+	}
+	return fmt.Sprintf("10.%d.%d.%d", kind, number/200, number%200+1)
+}
+
+// network is the network as a machine sees it.
+func (c *Cluster) network(ip string) host.Network {
+	if c.Net == nil {
+		return host.TCP{}
+	}
+	return c.Net.Machine(ip)
+}
+
+// cutOff ends all that a machine has open on a simulated network.
+func (c *Cluster) cutOff(ip string) {
+	if c.Net != nil {
+		c.Net.Machine(ip).Kill()
+	}
+}
+
 // Machines are all machines of the system.
 func (c *Cluster) Machines() []*Machine {
 	return append(append([]*Machine(nil), c.Controls...), c.Edges...)
@@ -109,7 +138,9 @@
 	c.client.CloseIdleConnections()
 	// Idle connections are looked after by goroutines that end by themselves; on a simulated
 	// clock that takes no time.
-	time.Sleep(lingering)
+	if c.Net != nil {
+		time.Sleep(lingering)
+	}
 }
 
 const lingering = 5 * time.Minute
@@ -123,6 +154,9 @@
 			ColdExcess: 1.5, ColdSlack: 5, Fencing: true, LeaseMS: 3000, DrainMS: 2000},
 		Listen: boot.Listen{Front: fmt.Sprintf("%s:%d", m.IP, frontPort), Readiness: fmt.Sprintf("%s:%d", m.IP, readyPort),
 			Control: fmt.Sprintf("%s:%d", m.IP, controlPort)}}
+	if c.cfg.Loopback {
+		s.LoopbackIP = strings.Replace(m.IP, "127.0.", "127.1.", 1)
+	}
 	for _, zone := range c.cfg.Zones {
 		s.Zones[zone] = "region"
 	}
@@ -145,7 +179,7 @@
 	m.cancel = cancel
 	disk := m.disk
 	for _, role := range m.roles {
-		machine := &host.Host{Settings: settings, Network: m.cluster.Net.Machine(m.IP),
+		machine := &host.Host{Settings: settings, Network: m.cluster.network(m.IP),
 			Log:    m.cluster.cfg.Log.WithValues("node", m.Name),
 			Open:   func() (*store.Store, error) { return store.OpenStorage(disk) },
 			Forget: func() error { return nil }}
@@ -164,10 +198,10 @@
 	if m.cancel == nil {
 		return
 	}
-	m.cluster.Net.Machine(m.IP).Kill()
+	m.cluster.cutOff(m.IP)
 	m.cancel()
 	m.running.Wait()
-	m.cluster.Net.Machine(m.IP).Kill()
+	m.cluster.cutOff(m.IP)
 	m.cancel = nil
 }
 
@@ -204,25 +238,25 @@
 // Backend is a stand-in on a machine of its own.
 type Backend struct {
 	*standin.Backend
-	machine *simnet.Machine
-	cancel  context.CancelFunc
+	cutOff func()
+	cancel context.CancelFunc
 }
 
 // Kill ends a backend at once: it says nothing any more.
 func (b *Backend) Kill() {
 	b.cancel()
-	b.machine.Kill()
+	b.cutOff()
 }
 
 // AddBackend starts a backend on a machine of its own.
 func (c *Cluster) AddBackend(cfg standin.BackendConfig) *Backend {
-	ip := fmt.Sprintf("10.3.%d.%d", len(c.Backends)/200, len(c.Backends)%200+1)
+	ip := c.address(3, len(c.Backends))
 	cfg.Address, cfg.Controls = ip+":9000", c.ControlAddresses
 	if cfg.Beat == 0 {
 		cfg.Beat = 1200 * time.Millisecond
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	b := &Backend{Backend: standin.NewBackend(cfg, c.Net.Machine(ip)), machine: c.Net.Machine(ip), cancel: cancel}
+	b := &Backend{Backend: standin.NewBackend(cfg, c.network(ip)), cutOff: func() { c.cutOff(ip) }, cancel: cancel}
 	c.Backends = append(c.Backends, b)
 	c.done.Go(func() { _ = b.Serve(ctx) }) // it ends with the cluster
 	return b
