Grant a role once, to a node that stays, and pass it on when it is not taken up

Change: the head keeps when a role was granted and renewed; nodes say that they leave and give roles up; what is not taken up in 0.9 s goes to another one; a restarted holder is replaced at once.

--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -156,7 +156,7 @@
 	node := &api.Node{Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation}
 	var loops sync.WaitGroup
 	loops.Go(func() {
-		feed.Follow(ctx, a.feed, feed.FollowConfig{Node: node, WaitTime: watchWait, Log: log, Targets: a.controls,
+		feed.Follow(ctx, a.feed, feed.FollowConfig{Node: func() *api.Node { return a.node(node, parent.Err() != nil) }, WaitTime: watchWait, Log: log, Targets: a.controls,
 			Connect: func(address string) feed.Watcher { return api.NewControlProtobufClient("http://"+address, client) }})
 	})
 	loops.Go(func() { a.leases.run(parent) })
@@ -165,7 +165,7 @@
 	var failed error
 	select {
 	case <-parent.Done():
-		a.leases.drop()
+		a.leases.release()
 		a.outlive(boot.Seconds(settings.Bounds.GraceS) - quitMargin)
 	case failed = <-failures:
 	}
@@ -176,6 +176,11 @@
 	return multierr.Append(failed, server.ShutdownWithContext(patience))
 }
 
+// node is what this agent says of itself.
+func (a *Agent) node(self *api.Node, leaving bool) *api.Node {
+	return &api.Node{Name: self.Name, Address: self.Address, Zone: self.Zone, Incarnation: self.Incarnation, Leaving: leaving}
+}
+
 // outlive waits until the proxy asks no more, for so long at most.
 func (a *Agent) outlive(most time.Duration) {
 	looks := time.NewTicker(proxyLook)
--- a/internal/system/agent/lease.go
+++ b/internal/system/agent/lease.go
@@ -91,3 +91,19 @@
 	defer l.mu.Unlock()
 	l.held = nil
 }
+
+// release gives all roles up and tells control, so that others can have them at once.
+func (l *leases) release() {
+	l.drop()
+	if !l.wanted() {
+		return
+	}
+	for _, control := range l.controls() {
+		call, cancel := context.WithTimeout(context.Background(), renewTimeout)
+		_, err := api.NewControlProtobufClient("http://"+control, l.client).Lease(call, &api.LeaseRequest{Holder: l.holder, Release: true})
+		cancel()
+		if err == nil {
+			return // what is not heard runs out by itself
+		}
+	}
+}
--- a/internal/system/control/owners.go
+++ b/internal/system/control/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,15 +30,25 @@
 // before has run out: its grants were confirmed by a majority at the time, so a head that
 // is new waits out whatever the one before it may have granted.
 type owners struct {
-	valid   time.Duration // of a grant, from before it was asked for
-	wait    time.Duration // since the last grant, before a role may change hands
-	feed    *feed.Store
-	order   func(operation *api.Operation) bool
-	isHead  func() bool
-	log     logr.Logger
-	mu      sync.Mutex
-	since   time.Time            // this process is the head; zero: it is not
-	renewed map[string]time.Time // by role
+	valid  time.Duration // of a grant, from before it was asked for
+	wait   time.Duration // since the last renewal, before a role may change hands
+	apart  time.Duration // how far apart the orders of two holders have to be
+	feed   *feed.Store
+	order  func(operation *api.Operation) bool
+	isHead func() bool
+	log    logr.Logger
+	mu     sync.Mutex
+	since  time.Time             // this process is the head; zero: it is not
+	roles  map[string]*roleState // by key
+}
+
+// roleState is what the head knows of a role that it has looked after.
+type roleState struct {
+	holder   string
+	granted  time.Time // by this head; zero: it was held before
+	renewed  time.Time // the last renewal that was answered; zero: none
+	released bool
+	passed   map[string]bool // holders that did not take it up, since one did
 }
 
 func newOwners(bounds boot.Bounds, out *feed.Store, isHead func() bool, order func(*api.Operation) bool, log logr.Logger) *owners {
@@ -45,11 +56,11 @@
 	if lease <= 0 {
 		lease = usualLease
 	}
-	o := &owners{valid: lease / leaseShare, feed: out, isHead: isHead, order: order, log: log, renewed: map[string]time.Time{}}
+	o := &owners{valid: lease / leaseShare, feed: out, isHead: isHead, order: order, log: log, roles: map[string]*roleState{}}
 	o.wait = o.valid + leaseMargin
 	if !bounds.Fencing {
 		// Backends don't tell an old holder from a new one: their orders must be far apart.
-		o.wait += lease
+		o.apart = lease
 	}
 	return o
 }
@@ -57,20 +68,35 @@
 // usualLease holds where the deployment names none.
 const usualLease = 3 * time.Second
 
-// renew lets a holder keep its roles, and gives them.
-func (o *owners) renew(holder string, machine *state.Machine) []*api.Ownership {
+// renew lets a holder keep its roles, or give them up, and says which they are.
+func (o *owners) renew(holder string, release bool, machine *state.Machine) []*api.Ownership {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var held []*api.Ownership
 	for _, owned := range machine.Ownerships() {
-		if owned.Holder == holder {
-			o.renewed[owned.Key] = time.Now()
+		if owned.Holder != holder {
+			continue
+		}
+		role := o.role(owned)
+		role.renewed, role.released = time.Now(), release
+		role.passed = nil
+		if !release {
 			held = append(held, owned)
 		}
 	}
 	return held
 }
 
+// role is what is known of a role under its present holder.
+func (o *owners) role(owned *api.Ownership) *roleState {
+	role := o.roles[owned.Key]
+	if role == nil || role.holder != owned.Holder {
+		role = &roleState{holder: owned.Holder}
+		o.roles[owned.Key] = role
+	}
+	return role
+}
+
 // run looks after the roles until ctx ends.
 func (o *owners) run(ctx context.Context) {
 	ticker := time.NewTicker(grantEvery)
@@ -90,7 +116,7 @@
 		o.mu.Lock()
 		if o.since.IsZero() {
 			o.since = time.Now()
-			clear(o.renewed)
+			clear(o.roles)
 		}
 		o.mu.Unlock()
 		for _, operation := range o.due() {
@@ -119,34 +145,72 @@
 			}
 		}
 	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	var grants []*api.Operation
 	for _, key := range keys {
-		if !o.vacant(key, owned[key], nodes) {
-			continue
+		if o.vacant(owned[key], nodes) {
+			grants = append(grants, o.grant(key, owned[key], nodes))
 		}
-		node := ownership.Choose(key, nodes)
-		grants = append(grants, &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key,
-			Holder: ownership.Holder(node.Name, node.Incarnation), Address: node.Address}}})
 	}
 	return grants
 }
 
-// vacant tells whether a role may be given to another holder.
-func (o *owners) vacant(key string, owned *api.Ownership, nodes []*api.Node) bool {
+// grant gives a role to a node that has not just passed it by.
+func (o *owners) grant(key string, owned *api.Ownership, nodes []*api.Node) *api.Operation {
+	var passed map[string]bool
+	if owned != nil {
+		passed = o.role(owned).passed
+		if passed == nil {
+			passed = map[string]bool{}
+		}
+		passed[owned.Holder] = true
+	}
+	able := func(skip map[string]bool) []*api.Node {
+		return slices.DeleteFunc(slices.Clone(nodes), func(n *api.Node) bool {
+			return n.Leaving || skip[ownership.Holder(n.Name, n.Incarnation)]
+		})
+	}
+	from := able(passed)
+	if len(from) == 0 {
+		from, passed = able(nil), nil
+	}
+	if len(from) == 0 {
+		from = nodes
+	}
+	node := ownership.Choose(key, from)
+	holder := ownership.Holder(node.Name, node.Incarnation)
+	o.roles[key] = &roleState{holder: holder, granted: time.Now(), passed: passed}
+	return &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key, Holder: holder, Address: node.Address}}}
+}
+
+// takeUp is how long a new holder may take to renew for the first time.
+const takeUp = 900 * time.Millisecond
+
+// vacant tells whether a role may be given to another holder: its lease has run out or was
+// given up, or none was ever given under its token. Called with the lock.
+func (o *owners) vacant(owned *api.Ownership, nodes []*api.Node) bool {
 	if owned == nil {
 		return true
 	}
-	name, _, _ := strings.Cut(owned.Holder, "/")
-	for _, node := range nodes {
-		if node.Name == name && ownership.Holder(node.Name, node.Incarnation) != owned.Holder {
-			return true // that life of the process is over
-		}
+	role := o.role(owned)
+	last := role.renewed
+	if role.granted.IsZero() && last.Before(o.since) {
+		last = o.since // whoever was head before may have answered until then
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	last := o.renewed[key]
-	if last.Before(o.since) {
-		last = o.since
+	switch {
+	case !role.granted.IsZero() && role.renewed.IsZero():
+		return time.Since(role.granted) > takeUp
+	case role.released, restarted(owned, nodes):
+		return time.Since(last) > o.apart
 	}
-	return time.Since(last) > o.wait
+	return time.Since(last) > o.wait+o.apart
+}
+
+// restarted tells whether a holder's node has come back as another life.
+func restarted(owned *api.Ownership, nodes []*api.Node) bool {
+	name, _, _ := strings.Cut(owned.Holder, "/")
+	return slices.ContainsFunc(nodes, func(n *api.Node) bool {
+		return n.Name == name && ownership.Holder(n.Name, n.Incarnation) != owned.Holder
+	})
 }
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -103,7 +103,7 @@
 	s.keeper.Read(true, func(code result.Code, machine *state.Machine) {
 		reply := &api.LeaseReply{Code: uint32(code)}
 		if machine != nil {
-			reply.Held = s.owners.renew(request.Holder, machine)
+			reply.Held = s.owners.renew(request.Holder, request.Release, machine)
 			reply.ValidMs = uint32(s.owners.valid.Milliseconds())
 		}
 		answers <- reply
--- a/internal/system/feed/follow.go
+++ b/internal/system/feed/follow.go
@@ -16,7 +16,7 @@
 
 // FollowConfig says how a feed is followed.
 type FollowConfig struct {
-	Node     *api.Node                    // who follows; nil: an agent's own proxy
+	Node     func() *api.Node             // who follows; nil: an agent's own proxy
 	Targets  func() []string              // whom to ask, the best first
 	Connect  func(address string) Watcher // by address
 	Taken    func(changed bool)           // called after each answer; may be nil
@@ -94,7 +94,10 @@
 	if !store.Fresh() {
 		wait = min(wait, staleAfter)
 	}
-	request.Node, request.WaitMs = cfg.Node, uint32(wait.Milliseconds())
+	request.WaitMs = uint32(wait.Milliseconds())
+	if cfg.Node != nil {
+		request.Node = cfg.Node()
+	}
 	call, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	return cfg.Connect(address).Watch(call, request)
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -292,7 +292,7 @@
 func (s *Store) putNode(n *api.Node) (news bool) {
 	heardAt := s.now().Add(-time.Duration(n.AgeMs) * time.Millisecond)
 	old := s.nodes[n.Name]
-	if old != nil && old.node.Incarnation == n.Incarnation && old.node.Address == n.Address {
+	if old != nil && old.node.Incarnation == n.Incarnation && old.node.Address == n.Address && (old.node.Leaving || !n.Leaving) {
 		if heardAt.After(old.heardAt) {
 			old.heardAt = heardAt
 		}
@@ -334,7 +334,7 @@
 	list := make([]*api.Node, 0, len(s.nodes))
 	for _, record := range s.nodes {
 		n := record.node
-		list = append(list, &api.Node{Name: n.Name, Address: n.Address, Zone: n.Zone, Incarnation: n.Incarnation,
+		list = append(list, &api.Node{Name: n.Name, Address: n.Address, Zone: n.Zone, Incarnation: n.Incarnation, Leaving: n.Leaving,
 			AgeMs: uint32(max(0, now.Sub(record.heardAt)).Milliseconds())})
 	}
 	slices.SortFunc(list, func(a, b *api.Node) int { return compareStrings(a.Name, b.Name) })
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -162,6 +162,9 @@
 	fresh := g.feed.Fresh()
 	var names []string
 	for _, node := range g.feed.Nodes() {
+		if node.Leaving {
+			continue
+		}
 		names = append(names, node.Name)
 	}
 	for _, s := range g.plan.Load().services {
--- /dev/null
+++ b/internal/system/simcluster/roles_test.go
@@ -0,0 +1,87 @@
+package simcluster
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/control"
+)
+
+// placer is who places the models, and under which token.
+func (c *Cluster) placer(t *testing.T) control.RoleStatus {
+	t.Helper()
+	status, answer, err := c.Call("GET", "/marlreel/status", "", "", 4*time.Second)
+	if err != nil || status != 200 {
+		t.Fatalf("status: %d %v", status, err)
+	}
+	var s control.Status
+	if err := json.Unmarshal([]byte(answer), &s); err != nil || len(s.Roles) != 1 {
+		t.Fatalf("status: %s %v", answer, err)
+	}
+	return s.Roles[0]
+}
+
+func (c *Cluster) holder(role control.RoleStatus) *Machine {
+	name, _, _ := strings.Cut(role.Holder, "/")
+	for _, m := range c.Edges {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// A holder that gets SIGTERM gives its role up at once, to a node that stays.
+func TestRoleIsGivenUpAtSIGTERM(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		before := c.placer(t)
+		leaving := c.holder(before)
+		var ended sync.WaitGroup
+		ended.Go(leaving.Terminate)
+		time.Sleep(time.Second)
+		after := c.placer(t)
+		is.True(c.holder(after) != leaving)
+		is.True(after.Fence > before.Fence)
+		ended.Wait()
+		time.Sleep(5 * time.Second)
+		is.Equal(c.placer(t), after) // and it stays there
+	})
+}
+
+// A holder that dies is replaced once its lease has run out, by one that lives, and the
+// token rises with every change of hands and with nothing else.
+func TestRoleOfADeadHolderPassesOnce(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		before := c.placer(t)
+		dead := c.holder(before)
+		dead.Kill()
+		time.Sleep(4 * time.Second)
+		after := c.placer(t)
+		is.True(c.holder(after) != dead)
+		is.True(after.Fence <= before.Fence+2) // one that was dead too may have been tried
+		time.Sleep(10 * time.Second)
+		is.Equal(c.placer(t), after)
+	})
+}
+
+// A node that has come back is another holder: its old self's role is free at once.
+func TestRoleOfARestartedHolderPassesAtOnce(t *testing.T) {
+	play(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		before := c.placer(t)
+		holder := c.holder(before)
+		holder.Kill()
+		holder.Start()
+		time.Sleep(1200 * time.Millisecond)
+		after := c.placer(t)
+		is.True(after.Holder != before.Holder)
+		is.True(after.Fence > before.Fence)
+	})
+}
