--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -19,12 +19,16 @@
 const (
 	// planEvery is how often a placer looks at what is and what is wanted.
 	planEvery = 100 * time.Millisecond
+	// planSoon is how long what has happened waits for more to happen.
+	planSoon = 15 * time.Millisecond
 	// reportAgain is the time between two questions for an order that is under way.
 	reportAgain = 180 * time.Millisecond
 	// reportLead is how long before an order's expected end the first question is put.
 	reportLead = 50 * time.Millisecond
 	// smallOrder is after what time an order for an adapter, or to unload, counts as done.
 	smallOrder = 60 * time.Millisecond
+	// mostEvents bounds what waits for a placer.
+	mostEvents = 1024
 	// describeEvery is how often a placer logs how things stand, and mostDescribed of how
 	// many models.
 	describeEvery = time.Second
@@ -42,7 +46,8 @@
 	began    time.Time
 	backends map[string]*api.Backend
 	askedAt  map[string]time.Time
-	wake     chan struct{}
+	revision uint64 // of the feed, as it was read last
+	readable bool   // there was a configuration of the service then
 	events   chan func()
 	log      logr.Logger
 
@@ -51,8 +56,8 @@
 
 func newPlacer(a *Agent, service string, fence uint64) *placer {
 	return &placer{service: service, agent: a, fence: fence, planner: placement.New(time.Second), began: time.Now().Add(-time.Second),
-		backends: map[string]*api.Backend{}, askedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
-		events: make(chan func(), 256), log: a.log.WithValues("service", service, "fence", fence)}
+		backends: map[string]*api.Backend{}, askedAt: map[string]time.Time{},
+		events: make(chan func(), mostEvents), log: a.log.WithValues("service", service, "fence", fence)}
 }
 
 func (p *placer) now() time.Duration { return time.Since(p.began) }
@@ -68,16 +73,22 @@
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	p.log.Info("places models", "event", "placement")
+	var soon <-chan time.Time
 	for {
 		select {
 		case event := <-p.events:
 			event()
-		case <-p.wake:
+			if soon == nil {
+				soon = time.After(planSoon)
+			}
+			continue
+		case <-soon:
 		case <-ticker.C:
 		case <-ctx.Done():
 			p.log.Info("places models no more", "event", "placement")
 			return
 		}
+		soon = nil
 		if p.allowed() {
 			p.step()
 		}
@@ -131,6 +142,16 @@
 
 // readFeed takes in the configuration and the backends.
 func (p *placer) readFeed() bool {
+	revision := p.agent.feed.Revision()
+	if revision != p.revision || !p.readable {
+		p.readable = p.read()
+		p.revision = revision
+	}
+	return p.readable
+}
+
+// read takes the feed in whole.
+func (p *placer) read() bool {
 	var cfg *configuration.Service
 	evacuated := map[string]bool{}
 	p.agent.feed.View(func(m *state.Machine) {
--- a/internal/system/placement/census.go
+++ b/internal/system/placement/census.go
@@ -5,21 +5,31 @@
 
 // census is who holds what, counted once for each plan.
 type census struct {
-	holders map[string]int    // usable backends that hold a model, or will
-	inZone  map[zoneModel]int // the same by zone
-	now     map[string]int    // usable backends that hold a model at this moment
-	free    map[string]int    // of them, those that could take an order
+	holders  map[string]int        // usable backends that hold a model, or will
+	inZone   map[zoneModel]int     // the same by zone
+	now      map[string]int        // usable backends that hold a model at this moment
+	free     map[string]int        // of them, those that could take an order
+	at       map[string][]*backend // usable backends that hold a model, by id
+	adapters map[Key]int           // usable backends that hold an adapter, or load it
 }
 
 // count takes the census.
 func (p *Planner) count() {
-	c := &census{holders: map[string]int{}, inZone: map[zoneModel]int{}, now: map[string]int{}, free: map[string]int{}}
+	c := &census{holders: map[string]int{}, inZone: map[zoneModel]int{}, now: map[string]int{}, free: map[string]int{},
+		at: map[string][]*backend{}, adapters: map[Key]int{}}
 	p.census = c
-	for _, b := range p.backends {
+	for _, b := range p.sorted() {
 		if !b.usable {
 			continue
 		}
-		for model := range b.holds {
+		if b.order != nil && b.order.Operation == Load && b.order.Adapter != "" {
+			c.adapters[b.order.Key]++
+		}
+		for model, adapters := range b.holds {
+			c.at[model] = append(c.at[model], b)
+			for name := range adapters {
+				c.adapters[Key{model, name}]++
+			}
 			c.now[model]++
 			if b.order == nil && b.reserved == "" {
 				c.free[model]++
@@ -84,6 +94,9 @@
 			c.add(b, model, -1)
 		}
 	}
+	if o := b.order; o != nil && o.Operation == Load && o.Adapter != "" {
+		c.adapters[o.Key]++
+	}
 	if isFree := b.order == nil && b.reserved == ""; wasFree && !isFree {
 		for model := range b.holds {
 			c.free[model]--
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -56,6 +56,7 @@
 	}
 	p.forgetDemands(now)
 	p.count()
+	clear(p.rooms)
 	var orders []Order
 	asked := p.figuresOf(now)
 	orders = append(orders, p.fillReserved(now, asked)...)
@@ -68,6 +69,7 @@
 func (p *Planner) give(now time.Duration, b *backend, operation Operation, key Key) Order {
 	o := Order{Backend: b.id, Operation: operation, Key: key, Revision: b.revision}
 	p.recount(b, func() { b.order, b.orderAt = &o, now })
+	delete(p.rooms, b)
 	return o
 }
 
@@ -132,14 +134,15 @@
 // planModels loads what is wanted, or makes room for it.
 func (p *Planner) planModels(now time.Duration, asked map[string]*figures) []Order {
 	var orders []Order
-	for _, w := range p.wants(now, asked) {
-		b, victims := p.chooseFor(now, w, asked)
+	wants := p.wants(now, asked)
+	for _, w := range wants[:min(len(wants), mostWants)] {
+		b, victim := p.chooseFor(now, w, asked)
 		if b == nil {
 			continue
 		}
-		if len(victims) > 0 {
+		if victim != "" {
 			p.recount(b, func() { b.reserved, b.reservedAt = w.model, now })
-			orders = append(orders, p.give(now, b, Unload, Key{Model: victims[0]}))
+			orders = append(orders, p.give(now, b, Unload, Key{Model: victim}))
 			continue
 		}
 		if o, may := p.load(now, b, w.model); may {
@@ -149,6 +152,12 @@
 	return orders
 }
 
+// mostAdapterWants is the same for adapters.
+const mostAdapterWants = 64
+
+// mostWants is how many models are looked at for one plan: those that gain the most.
+const mostWants = 24
+
 // load gives the order to load a model, if the store allows one more.
 func (p *Planner) load(now time.Duration, b *backend, model string) (Order, bool) {
 	if !b.had[model] {
@@ -178,13 +187,13 @@
 			}
 			continue
 		}
-		victims, _, fits := p.victims(now, b, b.reserved, asked)
+		victim, _, fits := p.roomAt(now, b, asked).make(p, b.reserved)
 		if !fits {
 			p.recount(b, func() { b.reserved = "" })
 			continue
 		}
-		if len(victims) > 0 {
-			orders = append(orders, p.give(now, b, Unload, Key{Model: victims[0]}))
+		if victim != "" {
+			orders = append(orders, p.give(now, b, Unload, Key{Model: victim}))
 			continue
 		}
 		if o, may := p.load(now, b, b.reserved); may {
@@ -194,106 +203,6 @@
 	return orders
 }
 
-// chooseFor finds the backend where loading a model costs the least, and what has to make
-// room for it there.
-func (p *Planner) chooseFor(now time.Duration, w want, asked map[string]*figures) (best *backend, victims []string) {
-	bestCost := w.gain
-	for _, b := range p.sorted() {
-		if _, holds := b.holds[w.model]; holds || !b.free(now) || b.reserved != "" {
-			continue
-		}
-		out, lost, fits := p.victims(now, b, w.model, asked)
-		if !fits {
-			continue
-		}
-		cost := worthMore*lost + busyCost*p.busyness(b, asked) + p.occupation(b, w.model, asked) -
-			p.nearness(b.zone, w.model, asked[w.model], 0)
-		if b.had[w.model] {
-			cost += ownDiskCost
-		} else {
-			cost += loadCost
-		}
-		if cost < bestCost {
-			best, victims, bestCost = b, out, cost
-		}
-	}
-	return best, victims
-}
-
-// busyness is which share of its time a backend has to do.
-func (p *Planner) busyness(b *backend, asked map[string]*figures) float64 {
-	work := 0.0
-	for name := range b.holds {
-		if f := asked[name]; f != nil {
-			work += f.work / float64(max(1, p.census.holders[name]))
-		}
-	}
-	return work / 1000
-}
-
-// nearest is the most that nearness may be worth.
-func (p *Planner) nearest(model string, f *figures) float64 {
-	most := 0.0
-	for zone := range f.zones {
-		most = max(most, p.nearness(zone, model, f, 0))
-	}
-	return most
-}
-
-// nearness is what it is worth that a model's requests from a zone need not cross to
-// another one, where so many in that zone hold it beside.
-func (p *Planner) nearness(zone, model string, f *figures, beside int) float64 {
-	if f == nil || p.census.inZone[zoneModel{zone, model}] > beside {
-		return 0
-	}
-	return crossing * horizon * f.zones[zone]
-}
-
-// occupation is what it costs that a backend takes no other order while it loads: adapters
-// of the models that it holds have to come to other holders meanwhile.
-func (p *Planner) occupation(b *backend, model string, asked map[string]*figures) float64 {
-	cost := 0.0
-	for name := range b.holds {
-		if f := asked[name]; f != nil && f.adapters > 0 {
-			cost += newAdapters * f.adapters / float64(max(1, p.census.free[name]))
-		}
-	}
-	return cost * p.service.Models[model].LoadTime.Seconds()
-}
-
-// victims are the models that have to leave a backend for another one: those whose loss is
-// the least. lost is what that costs.
-func (p *Planner) victims(now time.Duration, b *backend, model string, asked map[string]*figures) (out []string, lost float64, fits bool) {
-	need := p.usedMB(b) + p.service.Models[model].SizeMB - p.service.CapacityMB
-	if need <= 0 {
-		return nil, 0, true
-	}
-	type candidate struct {
-		name    string
-		keeping float64
-	}
-	var candidates []candidate
-	for name := range b.holds {
-		if name != model && now-b.since[name] >= keptFor {
-			candidates = append(candidates, candidate{name,
-				asked[name].keeping(p.census.holders[name]) + p.nearness(b.zone, name, asked[name], 1)})
-		}
-	}
-	slices.SortFunc(candidates, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.keeping, y.keeping), cmp.Compare(x.name, y.name))
-	})
-	for _, c := range candidates {
-		if need <= 0 {
-			break
-		}
-		m := p.service.Models[c.name]
-		need -= m.SizeMB + float64(len(b.holds[c.name]))*m.AdapterSizeMB
-		lost += c.keeping + evictionCost
-		out = append(out, c.name)
-	}
-	return out, lost, need <= 0
-}
-
 // planAdapters loads adapters where their model is, those that requests wait for first.
 func (p *Planner) planAdapters(now time.Duration) []Order {
 	type adapterWant struct {
@@ -306,7 +215,7 @@
 		if key.Adapter == "" {
 			continue
 		}
-		holders := p.adapterHolders(key)
+		holders := p.census.adapters[key]
 		needed := max(adapterCopies, int(math.Ceil(d.fast.perSecond(now, fastSpan)/adapterWork)))
 		waits := d.waits(now)
 		if holders >= min(needed, p.census.now[key.Model]) || waits == 0 && d.rate(now) < adapterRate {
@@ -319,7 +228,7 @@
 			cmp.Compare(a.key.Model, b.key.Model), cmp.Compare(a.key.Adapter, b.key.Adapter))
 	})
 	var orders []Order
-	for _, w := range wants {
+	for _, w := range wants[:min(len(wants), mostAdapterWants)] {
 		if o, found := p.placeAdapter(now, w.key); found {
 			orders = append(orders, o)
 		}
@@ -327,22 +236,11 @@
 	return orders
 }
 
-func (p *Planner) adapterHolders(key Key) int {
-	count := 0
-	for _, b := range p.backends {
-		loads := b.order != nil && b.order.Operation == Load && b.order.Key == key
-		if b.usable && (b.holds[key.Model][key.Adapter] || loads) {
-			count++
-		}
-	}
-	return count
-}
-
 // placeAdapter loads an adapter at the backend with the fewest, or makes room for it there.
 func (p *Planner) placeAdapter(now time.Duration, key Key) (Order, bool) {
 	var best *backend
-	for _, b := range p.sorted() {
-		if _, holds := b.holds[key.Model]; !holds || !b.free(now) || b.reserved != "" || b.holds[key.Model][key.Adapter] {
+	for _, b := range p.census.at[key.Model] {
+		if !b.free(now) || b.reserved != "" || b.holds[key.Model][key.Adapter] {
 			continue
 		}
 		if best == nil || b.adapters() < best.adapters() {
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -72,12 +72,14 @@
 	backends map[string]*backend
 	demands  map[Key]*demand
 	loads    bucket
-	census   *census // of the plan that is being made
+	census   *census            // of the plan that is being made
+	rooms    map[*backend]*room // likewise
+	order    []*backend         // all, by id
 }
 
 // New makes a planner that knows nothing of what was done before it.
 func New(now time.Duration) *Planner {
-	return &Planner{backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}}
+	return &Planner{backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}, rooms: map[*backend]*room{}}
 }
 
 // Configure sets what is configured.
@@ -103,7 +105,7 @@
 		b := p.backends[l.ID]
 		if b == nil {
 			b = &backend{id: l.ID, had: map[string]bool{}, since: map[string]time.Duration{}}
-			p.backends[l.ID] = b
+			p.backends[l.ID], p.order = b, nil
 		}
 		b.usable, b.zone = l.Usable, l.Zone
 		if !b.known {
@@ -113,6 +115,7 @@
 	for id := range p.backends {
 		if !listed[id] {
 			delete(p.backends, id)
+			p.order = nil
 		}
 	}
 }
@@ -150,8 +153,8 @@
 	if b == nil {
 		return false
 	}
-	if b.order != nil && r.Revision <= b.order.Revision && now-b.orderAt < orderLag {
-		return false // as it was before the order
+	if r.Revision < b.revision && now-b.orderAt < orderLag {
+		return false // as it was before the last order
 	}
 	if r.Busy {
 		b.revision = r.Revision
@@ -242,13 +245,16 @@
 	}
 }
 
+// sorted are all backends by their ids. It must not be changed.
 func (p *Planner) sorted() []*backend {
-	list := make([]*backend, 0, len(p.backends))
-	for _, b := range p.backends {
-		list = append(list, b)
+	if len(p.order) != len(p.backends) {
+		p.order = p.order[:0]
+		for _, b := range p.backends {
+			p.order = append(p.order, b)
+		}
+		slices.SortFunc(p.order, func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
 	}
-	slices.SortFunc(list, func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
-	return list
+	return p.order
 }
 
 // free tells whether a backend can get an order now.
