--- a/balancer.go
+++ b/balancer.go
@@ -95,7 +95,7 @@
 	first                     time.Duration // when it came first, if it is a client's repeat
 	attempts                  []*attempt
 	out                       int
-	ended, streaming, early   bool    // early: its client came again before it was told to
+	ended, streaming          bool
 	favour                    float64 // less for one that did not wait as it was told
 	worth, over, rank         float64 // over: part of its tenant's traffic that is beyond its share
 }
--- a/config.go
+++ b/config.go
@@ -25,10 +25,10 @@
 	}
 	have := len(b.cfg.Classes)
 	if len(cfg.Classes) < have {
-		return fmt.Errorf("Classes: %d, and there were %d: each has to keep its place", len(cfg.Classes), have)
+		return fmt.Errorf("field Classes: %d, and there were %d: each has to keep its place", len(cfg.Classes), have)
 	}
 	if cfg.OnRequest != b.cfg.OnRequest {
-		return fmt.Errorf("OnRequest: %v can't be changed while the list is followed", b.cfg.OnRequest)
+		return fmt.Errorf("field OnRequest: %v can't be changed while the list is followed", b.cfg.OnRequest)
 	}
 	b.now = now
 	more := len(cfg.Classes) - have
@@ -110,19 +110,19 @@
 // check returns an error that names the setting that makes no sense, or nil.
 func (c *Config) check() error {
 	if len(c.Classes) == 0 {
-		return fmt.Errorf("Classes: none given")
+		return fmt.Errorf("field Classes: none given")
 	}
 	for i, s := range c.Classes {
 		if s.Aim <= 0 || s.GiveUp <= 0 {
-			return fmt.Errorf("Classes[%d] (%s): Aim %v and GiveUp %v must be above 0", i, s.Name, s.Aim, s.GiveUp)
+			return fmt.Errorf("field Classes[%d] (%s): Aim %v and GiveUp %v must be above 0", i, s.Name, s.Aim, s.GiveUp)
 		}
 		if s.Window < 0 || s.Value < 0 || s.AimStretch < 0 || s.LateShare < 0 {
-			return fmt.Errorf("Classes[%d]: Window, Value, AimStretch or LateShare is negative", i)
+			return fmt.Errorf("field Classes[%d]: Window, Value, AimStretch or LateShare is negative", i)
 		}
 	}
 	for i, t := range c.Tenants {
 		if t.Share < 0 || t.QuotaPerS < 0 {
-			return fmt.Errorf("Tenants[%d]: Share or QuotaPerS is negative", i)
+			return fmt.Errorf("field Tenants[%d]: Share or QuotaPerS is negative", i)
 		}
 	}
 	o, k := &c.Obligations, &c.Caps
@@ -150,7 +150,7 @@
 		}
 	}
 	if c.Instances < 1 {
-		return fmt.Errorf("Instances: %d, must be 1 or more", c.Instances)
+		return fmt.Errorf("field Instances: %d, must be 1 or more", c.Instances)
 	}
 	return nil
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -120,7 +120,7 @@
 	}
 	e.classes = slots.New(max(mostClasses, 2*len(names)))
 	if _, _, err := e.classes.Place(0, names, nil); err != nil {
-		return nil, fmt.Errorf("Services: %w", err)
+		return nil, fmt.Errorf("field Services: %w", err)
 	}
 	e.write(&settings)
 	// What is open has come within the longest wait.
--- a/internal/fleet/disk/disk.go
+++ b/internal/fleet/disk/disk.go
@@ -15,6 +15,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -87,9 +88,9 @@
 	}()
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Millisecond, FreelistType: bolt.FreelistMapType})
 	switch {
-	case errors.Is(err, bolt.ErrTimeout):
+	case errors.Is(err, bolterrors.ErrTimeout):
 		return fail(ErrHeld, "end the other process of this proxy, or give this one a folder of its own")
-	case errors.Is(err, bolt.ErrInvalid), errors.Is(err, bolt.ErrChecksum), errors.Is(err, bolt.ErrVersionMismatch):
+	case errors.Is(err, bolterrors.ErrInvalid), errors.Is(err, bolterrors.ErrChecksum), errors.Is(err, bolterrors.ErrVersionMismatch):
 		return torn(err)
 	case err != nil:
 		return fail(err, "make room on the disk, and let this proxy read and write the file")
--- a/internal/judge/conns/conns.go
+++ b/internal/judge/conns/conns.go
@@ -378,6 +378,7 @@
 // State is what was learnt of all connections together, for another process to go on with.
 // What was learnt of a zone or a backend alone follows from it within some ten uses.
 type State struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Uses, Breaks           [cells]float64
--- a/internal/judge/forecast/forecast.go
+++ b/internal/judge/forecast/forecast.go
@@ -138,6 +138,7 @@
 // State is what was learnt of a kind, for another process to go on with: the number of ends
 // and the sums over them.
 type State struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	N, Sum, Sum2 float64
--- a/internal/judge/gray/state.go
+++ b/internal/judge/gray/state.go
@@ -10,6 +10,7 @@
 // one below 0 stands for what has not been. What is out at the cell is not in it: the
 // attempts are their process's own.
 type CellState struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Bad, Vouched                                   float64
@@ -52,6 +53,7 @@
 
 // KindState is what is common to the cells of a kind.
 type KindState struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Failed, Ended, N, Dev, Dev2, Wave, Tokens float64
--- a/internal/judge/ledger/ledger.go
+++ b/internal/judge/ledger/ledger.go
@@ -124,6 +124,7 @@
 
 // Tally is worth asked for and served, for another process to go on with.
 type Tally struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Asked, Served float64
--- a/internal/learnt/learnt.go
+++ b/internal/learnt/learnt.go
@@ -46,6 +46,7 @@
 
 // Common is what is learnt of no class and no backend alone.
 type Common struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Mean, MeanWork, MeanWorth, MeanRank, Over float64 // of requests, and over how many
@@ -57,6 +58,7 @@
 
 // Class is what is learnt of a class of requests.
 type Class struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Name     string
@@ -70,6 +72,7 @@
 
 // Tenant is what is learnt of a tenant.
 type Tenant struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Name  string
@@ -78,6 +81,7 @@
 
 // Backend is what is learnt of a backend.
 type Backend struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	ID   uint32 `msgpack:"-"` // its holder's; not told
--- a/internal/proxy/left_test.go
+++ b/internal/proxy/left_test.go
@@ -254,23 +254,20 @@
 			var list []discovery.Instance
 			for _, name := range []string{"s-1", "s-2"} {
 				list = append(list, ready(name, rpcScript(t, func(c net.Conn, d *msgpack.Decoder) {
-					for {
-						q, ok := readCall(d)
-						if !ok {
-							return
-						}
-						began, id := s.Now(), ""
-						if len(q.params) > 0 {
-							if m, ok := q.params[len(q.params)-1].(map[string]any); ok {
-								id, _ = m["$id"].(string)
-							}
-						}
-						s.arrived(name, id, began)
-						came <- struct{}{}
-						<-gate
-						c.(*net.TCPConn).SetLinger(0) // it may have run, and is tried elsewhere if somebody waits for it
+					q, ok := readCall(d)
+					if !ok {
 						return
 					}
+					began, id := s.Now(), ""
+					if len(q.params) > 0 {
+						if m, ok := q.params[len(q.params)-1].(map[string]any); ok {
+							id, _ = m["$id"].(string)
+						}
+					}
+					s.arrived(name, id, began)
+					came <- struct{}{}
+					<-gate
+					c.(*net.TCPConn).SetLinger(0) // it may have run, and is tried elsewhere if somebody waits for it
 				})))
 			}
 			p := startWith(t, testConfig(t, closedAddr(t), list...), rpcSettings())
--- a/internal/rehearsal/load.go
+++ b/internal/rehearsal/load.go
@@ -63,7 +63,6 @@
 	plan     *Plan
 	clock    *standin.Clock
 	front    *standin.Front
-	most     int // connections; 0 is any number
 
 	mu       sync.Mutex
 	idle     map[string][]*clientConn // by zone, the latest used last
--- a/internal/rehearsal/load_rpc.go
+++ b/internal/rehearsal/load_rpc.go
@@ -17,7 +17,6 @@
 	proxy  int
 	open   int
 	opened time.Duration
-	last   *Try
 }
 
 // tryRPC sends one try by MessagePack-RPC and waits for its end. A connection that ends
--- a/internal/system/chain/node.go
+++ b/internal/system/chain/node.go
@@ -67,9 +67,8 @@
 }
 
 type syncState struct {
-	position *api.Position
-	done     bool
-	askedAt  time.Duration
+	done    bool
+	askedAt time.Duration
 }
 
 type confirmation struct {
--- a/internal/system/simcluster/rules_test.go
+++ b/internal/system/simcluster/rules_test.go
@@ -102,7 +102,7 @@
 
 		change := `{"config_version":9,"upsert":{"route_list":[{"name":"slip","host":"b.example","path_prefix":"/s/",` +
 			`"route_class":"unsafe","timeout_ms":900,"service":"slips","max_attempts":1,"later_field":{"kept":true}}]},"remove":{"route_list":["chat"]}}`
-		status, answer, err := c.Call("POST", "/marlreel/config/modify", "5", change, 4*time.Second)
+		status, _, err := c.Call("POST", "/marlreel/config/modify", "5", change, 4*time.Second)
 		is.NoErr(err)
 		is.Equal(status, 200)
 		status, answer, err = c.Call("GET", "/marlreel/config/read", "", "", 4*time.Second)
--- a/internal/system/simnet/conn.go
+++ b/internal/system/simnet/conn.go
@@ -73,19 +73,19 @@
 }
 
 // take gives what has arrived, or how long to wait and on what.
-func (s *stream) take(p []byte) (n int, err error, wait time.Duration, changed, cuts <-chan struct{}) {
+func (s *stream) take(p []byte) (n int, wait time.Duration, changed, cuts <-chan struct{}, err error) {
 	open, cuts := s.network.passes(s.from, s.to)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.broken != nil {
-		return 0, s.broken, 0, nil, nil
+		return 0, 0, nil, nil, s.broken
 	}
 	wait = -1
 	if len(s.pieces) > 0 && open {
 		first := &s.pieces[0]
 		if wait = time.Until(first.at); wait <= 0 {
 			if len(first.data) == 0 {
-				return 0, io.EOF, 0, nil, nil
+				return 0, 0, nil, nil, io.EOF
 			}
 			n = copy(p, first.data)
 			first.data = first.data[n:]
@@ -94,10 +94,10 @@
 				s.pieces = s.pieces[1:]
 			}
 			s.touch()
-			return n, nil, 0, nil, nil
+			return n, 0, nil, nil, nil
 		}
 	}
-	return 0, nil, wait, s.changed, cuts
+	return 0, wait, s.changed, cuts, nil
 }
 
 // deadline is a time that may be changed while it is waited for.
@@ -150,7 +150,7 @@
 		if limited && left <= 0 {
 			return 0, os.ErrDeadlineExceeded
 		}
-		n, err, wait, changed, cuts := c.in.take(p)
+		n, wait, changed, cuts, err := c.in.take(p)
 		if n > 0 || err != nil {
 			return n, err
 		}
--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -45,7 +45,6 @@
 type Machine struct {
 	network   *Network
 	ip        string
-	down      bool
 	listeners map[string]*listener
 	sockets   map[string]*packetSocket
 	conns     map[*conn]bool
--- a/kinds.go
+++ b/kinds.go
@@ -98,11 +98,11 @@
 	for _, t := range b.subset {
 		for i := range t.kinds {
 			k := &t.kinds[i]
-			since, failures, _ := k.Out()
+			since, _, _ := k.Out()
 			name := b.cfg.Classes[i].Name
 			switch b.gray.Judge(&k.Cell, i, b.now) {
 			case gray.WentOut:
-				_, failures, _ = k.Out()
+				_, failures, _ := k.Out()
 				t.setApart(k, true)
 				k.lastTry = b.now
 				b.logKind(fmt.Sprintf("backend %d gets no %s: %d in a row had no answer, others had",
--- a/rules_test.go
+++ b/rules_test.go
@@ -57,11 +57,9 @@
 
 type held struct {
 	Request
-	by        *life // the process that took it
-	tries     []try
-	answered  bool // a final answer was given or seen
-	refusals  int
-	streaming int // attempt + 1
+	by       *life // the process that took it
+	tries    []try
+	answered bool // a final answer was given or seen
 }
 
 type try struct {
--- a/storm_loop_test.go
+++ b/storm_loop_test.go
@@ -74,7 +74,6 @@
 type secondOf struct {
 	asked, served float64
 	offered       int // tries
-	admitted      float64
 }
 
 // stormUser is one request of a client with all its tries.
--- a/storm_policies_test.go
+++ b/storm_policies_test.go
@@ -17,7 +17,6 @@
 	out      map[BackendID]int
 	broken   map[BackendID]time.Duration
 	requests map[RequestID]*plainRequest
-	mostOut  int     // retries of its own, as a share of what is open; 0: one each, always
 	budget   float64 // Envoy: share of the open requests that may be retries
 	retrying int
 	throttle bool    // SRE: adaptive throttling
