Read the feed from home agents in each zone, and hand over what peers miss

At 380 proxies every change went from control to each of them, and a control process that did not answer held up the news for the others by 400 ms, as all were told in one round.

Change: the feed has topics (the replicated state; the backends of each service). Each topic has a home in every zone, by rendezvous hashing over its agents; the home reads from control, the others from it. Nodes renew their lease by a call of its own, whose answer tells how far the state is known: who lags fetches it from control. Control processes tell one another over a link each; who lives is told once a second and no longer with every news; what a peer misses is handed over when it answers again, and so is what an agent could not tell control.

--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -1,6 +1,6 @@
 // Package agent is the process beside each proxy that keeps the link to control: it
-// follows the feed, renews the node's lease by doing so, and serves what it knows to
-// its proxy and to other agents.
+// renews the node's lease, follows the feed, and serves what it knows to its proxy and, as
+// the home of a topic, to the other agents of its zone.
 package agent
 
 import (
@@ -29,9 +29,6 @@
 )
 
 const (
-	// watchWait is how long control may let the agent wait where there is no news: so
-	// often the node's lease is renewed.
-	watchWait = 1200 * time.Millisecond
 	// longestWatch bounds how long a reader is kept waiting.
 	longestWatch = 10 * time.Second
 	// reportTimeout bounds passing a report on.
@@ -48,20 +45,21 @@
 
 // Agent serves what it has been told, and holds roles.
 type Agent struct {
-	settings *boot.Settings
-	feed     *feed.Store
-	holder   string
-	leases   *leases
-	placers  *placers
-	backends *backendClient
-	client   *transport.Client
-	log      logr.Logger
-	asked    atomic.Int64 // when the proxy asked last, in ns of the time of day
+	settings     *boot.Settings
+	feed         *feed.Store
+	holder       string
+	leases       *leases
+	placers      *placers
+	backends     *backendClient
+	observations *observations
+	client       *transport.Client
+	log          logr.Logger
+	asked        atomic.Int64 // when the proxy asked last, in ns of the time of day
 }
 
 // Watch implements api.Agent.
 func (a *Agent) Watch(ctx context.Context, request *api.WatchRequest) (*api.Feed, error) {
-	if request.Node == nil {
+	if request.Subscriber == "" {
 		a.asked.Store(time.Now().UnixNano())
 	}
 	wait := min(longestWatch, time.Duration(request.WaitMs)*time.Millisecond)
@@ -143,6 +141,7 @@
 	a := &Agent{settings: settings, feed: feed.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now),
 		holder: ownership.Holder(settings.NodeName, incarnation), backends: newBackendClient(machine.Network.Dial), client: client, log: log}
 	a.leases = &leases{holder: a.holder, controls: a.controls, wanted: a.holdsAny, client: client, log: log}
+	a.observations = newObservations(a)
 	a.placers = &placers{agent: a, running: map[string]*runningPlacer{}}
 	server := transport.NewServer(nil, api.NewAgentServer(a))
 	failures := make(chan error, 2)
@@ -155,10 +154,11 @@
 	}
 	node := &api.Node{Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation}
 	var loops sync.WaitGroup
+	loops.Go(func() { newSubscriptions(a, node).run(ctx) })
 	loops.Go(func() {
-		feed.Follow(ctx, a.feed, feed.FollowConfig{Node: func() *api.Node { return a.node(node, parent.Err() != nil) }, WaitTime: watchWait, Log: log, Targets: a.controls,
-			Connect: func(address string) feed.Watcher { return api.NewControlProtobufClient("http://"+address, client) }})
+		(&membership{node: node, controls: a.controls, feed: a.feed, client: client, log: log}).run(ctx, parent)
 	})
+	loops.Go(func() { a.observations.run(ctx) })
 	loops.Go(func() { a.leases.run(parent) })
 	loops.Go(func() { a.placers.follow(parent) })
 	log.Info("agent serves", "event", "start", "peer", settings.PeerAddress())
@@ -176,11 +176,6 @@
 	return multierr.Append(failed, server.ShutdownWithContext(patience))
 }
 
-// node is what this agent says of itself.
-func (a *Agent) node(self *api.Node, leaving bool) *api.Node {
-	return &api.Node{Name: self.Name, Address: self.Address, Zone: self.Zone, Incarnation: self.Incarnation, Leaving: leaving}
-}
-
 // outlive waits until the proxy asks no more, for so long at most.
 func (a *Agent) outlive(most time.Duration) {
 	looks := time.NewTicker(proxyLook)
--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -10,7 +10,6 @@
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/configuration"
-	"marlreel/internal/system/feed"
 	"marlreel/internal/system/ownership"
 	"marlreel/internal/system/placement"
 	"marlreel/internal/system/state"
@@ -33,8 +32,6 @@
 	// many models.
 	describeEvery = time.Second
 	mostDescribed = 5
-	// observeTimeout bounds telling control what was seen.
-	observeTimeout = 500 * time.Millisecond
 )
 
 // placer places the models of one service while this agent holds that role.
@@ -207,7 +204,7 @@
 		}
 		p.post(func() {
 			if p.planner.Reported(p.now(), id, report) {
-				p.agent.observed(id, report.Holds)
+				p.agent.observations.add(id, report.Holds)
 			}
 		})
 	}()
@@ -235,7 +232,7 @@
 	case orderTaken:
 		p.planner.Taken(p.now(), o)
 		if o.Operation == placement.Unload {
-			p.agent.observed(o.Backend, p.planner.Without(o))
+			p.agent.observations.add(o.Backend, p.planner.Without(o))
 		}
 	case orderRefused:
 		p.planner.Refused(p.now(), o)
@@ -250,7 +247,7 @@
 // assumeDone counts an order as done that takes next to no time: a report would be older.
 func (p *placer) assumeDone(o placement.Order) {
 	if holds, done := p.planner.Assume(p.now(), o); done {
-		p.agent.observed(o.Backend, holds)
+		p.agent.observations.add(o.Backend, holds)
 	}
 }
 
@@ -329,19 +326,3 @@
 		})
 	}
 }
-
-// observed tells control, and this agent's own proxy, what a backend holds now.
-func (a *Agent) observed(id string, holds map[string][]string) {
-	seen := feed.Observation(id, holds)
-	a.feed.Observe(seen)
-	go func() {
-		call, cancel := context.WithTimeout(context.Background(), observeTimeout)
-		defer cancel()
-		for _, control := range a.controls() {
-			_, err := api.NewControlProtobufClient("http://"+control, a.client).Observe(call, &api.Observations{Observed: []*api.Observation{seen}})
-			if err == nil {
-				return // control passes it on
-			}
-		}
-	}()
-}
--- /dev/null
+++ b/internal/system/agent/subscriptions.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/homes"
+	"marlreel/internal/system/state"
+)
+
+const (
+	// homeWait is how long a home may let a subscriber wait where there is no news. A home
+	// that hangs is left for control a little later.
+	homeWait = 800 * time.Millisecond
+	// controlWait is the same for control.
+	controlWait = 1200 * time.Millisecond
+	// replanAfter is the least time between two looks at who the homes are.
+	replanAfter = 100 * time.Millisecond
+)
+
+// subscriptions keeps one reader of the feed for each source that this agent reads from.
+type subscriptions struct {
+	agent   *Agent
+	self    *api.Node
+	running map[string]context.CancelFunc // by what is read from where
+	readers sync.WaitGroup
+}
+
+func newSubscriptions(a *Agent, self *api.Node) *subscriptions {
+	return &subscriptions{agent: a, self: self, running: map[string]context.CancelFunc{}}
+}
+
+// run follows the feed, and who the homes are, until ctx ends.
+func (s *subscriptions) run(ctx context.Context) {
+	defer s.readers.Wait()
+	for ctx.Err() == nil {
+		changed := s.agent.feed.Changed()
+		s.adjust(ctx)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		rest(ctx, replanAfter)
+	}
+}
+
+// topics are what this agent has to know: the state, and the backends of all services.
+func (s *subscriptions) topics() feed.Topics {
+	topics := feed.Topics{feed.TopicState}
+	s.agent.feed.View(func(m *state.Machine) {
+		if document := m.Document(); document != nil {
+			for i := range document.Services {
+				topics = append(topics, feed.ServiceTopic(document.Services[i].Name))
+			}
+		}
+	})
+	return topics
+}
+
+// adjust starts the readers that are missing and ends those that are not wanted any more.
+func (s *subscriptions) adjust(ctx context.Context) {
+	topics := s.topics()
+	wanted := map[string]homes.Subscription{}
+	for _, subscription := range homes.Plan(s.self, s.agent.feed.Nodes(), topics) {
+		wanted[subscription.Home+" "+strings.Join(subscription.Topics, " ")] = subscription
+	}
+	for key, cancel := range s.running {
+		if _, still := wanted[key]; !still {
+			cancel()
+			delete(s.running, key)
+		}
+	}
+	for key, subscription := range wanted {
+		if s.running[key] != nil {
+			continue
+		}
+		reading, cancel := context.WithCancel(ctx)
+		s.running[key] = cancel
+		s.readers.Go(func() { s.read(reading, subscription) })
+	}
+	s.agent.feed.Keep(topics)
+}
+
+// read follows one source until ctx ends. Where a home does not answer, control does.
+func (s *subscriptions) read(ctx context.Context, subscription homes.Subscription) {
+	a := s.agent
+	cfg := feed.FollowConfig{Node: a.settings.NodeName, Topics: subscription.Topics, WaitTime: controlWait, Log: a.log, Targets: a.controls,
+		Connect: func(address string) feed.Watcher {
+			if address == subscription.Home {
+				return api.NewAgentProtobufClient("http://"+address, a.client)
+			}
+			return api.NewControlProtobufClient("http://"+address, a.client)
+		}}
+	if subscription.Home != "" {
+		cfg.WaitTime = homeWait
+		cfg.Targets = func() []string { return slices.Concat([]string{subscription.Home}, a.controls()) }
+	}
+	feed.Follow(ctx, a.feed, cfg)
+}
+
+// rest waits for a span, or until ctx ends.
+func rest(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/system/control/registry.go
+++ b/internal/system/control/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,13 +13,8 @@
 )
 
 const (
-	// shareEvery is how often a control process tells the others whom it has heard, where
-	// there is no news.
-	shareEvery = time.Second
-	// shareSoon is how long news waits for more news.
-	shareSoon = 10 * time.Millisecond
-	// shareTimeout bounds one such call.
-	shareTimeout = 400 * time.Millisecond
+	// lookEvery is how often it is looked who has fallen silent.
+	lookEvery = 250 * time.Millisecond
 	// missedBeats is how many heartbeats a backend may miss before it is dropped.
 	missedBeats = 3
 	// unheardFactor is how many times longer a backend is kept whose reports came
@@ -48,14 +45,14 @@
 	nodes  map[string]heard     // nodes
 	peers  map[string]time.Time // when each other control process told something last
 	places map[string]*api.ControlNode
-	wake   chan struct{}
-	shared map[string]uint64 // per peer: the feed's revision that it was told of; missing: tell all
+	links  map[string]*peerLink // to the other control processes
+	read   map[string]time.Time // when each node read the feed here last
 }
 
 // NewRegistry makes an empty registry; self is this process.
 func NewRegistry(self *api.ControlNode, out *feed.Store, beat time.Duration, client *transport.Client) *Registry {
 	return &Registry{self: self, feed: out, beat: beat, client: client, heard: map[string]heard{}, nodes: map[string]heard{},
-		peers: map[string]time.Time{}, places: map[string]*api.ControlNode{}, shared: map[string]uint64{}, wake: make(chan struct{}, 1)}
+		peers: map[string]time.Time{}, places: map[string]*api.ControlNode{}, links: map[string]*peerLink{}, read: map[string]time.Time{}}
 }
 
 // Silence is how long a backend may be silent before it is dropped.
@@ -83,6 +80,20 @@
 	}
 }
 
+// Reads notes that a node reads the feed here.
+func (r *Registry) Reads(node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.read[node] = time.Now()
+}
+
+// Readers are the nodes that read the feed here.
+func (r *Registry) Readers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.read))
+}
+
 // Take takes in what another control process has heard. It tells whether all of those
 // that still live are known here.
 func (r *Registry) Take(reports *api.BackendReports) (known bool) {
@@ -118,6 +129,9 @@
 	for _, n := range reports.Nodes {
 		r.feed.PutNode(n)
 	}
+	for _, o := range reports.Observed {
+		r.feed.Observe(o)
+	}
 	return known
 }
 
@@ -155,91 +169,61 @@
 	return ""
 }
 
-func (r *Registry) hurry() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
-
-// Run shares and expires until ctx ends. members gives the addresses of all control
-// processes that count.
+// Run keeps the links to the other control processes, and drops who has fallen silent, until
+// ctx ends. members gives the addresses of all control processes that count.
 func (r *Registry) Run(ctx context.Context, members func() []string) {
+	looks := time.NewTicker(lookEvery)
+	defer looks.Stop()
 	for {
-		timer := time.NewTimer(shareEvery)
+		r.link(ctx, members())
 		select {
-		case <-r.wake:
-			timer.Stop()
-			select {
-			case <-time.After(shareSoon):
-			case <-ctx.Done():
-				return
-			}
-		case <-timer.C:
+		case <-looks.C:
 		case <-ctx.Done():
-			timer.Stop()
 			return
 		}
-		r.share(ctx, members())
 		r.expire()
 	}
 }
 
-// share tells every other control process whom this one has heard itself.
-func (r *Registry) share(ctx context.Context, members []string) {
-	var done sync.WaitGroup
+// link keeps one link for each other control process.
+func (r *Registry) link(ctx context.Context, members []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address, l := range r.links {
+		if !slices.Contains(members, address) {
+			l.end()
+			delete(r.links, address)
+		}
+	}
 	for _, address := range members {
-		if address == r.self.Address {
-			continue
+		if address != r.self.Address && r.links[address] == nil {
+			l := newPeerLink(ctx, r, address)
+			r.links[address] = l
+			go l.run()
 		}
-		reports, revision := r.reports(address)
-		done.Add(1)
-		go func() {
-			defer done.Done()
-			call, cancel := context.WithTimeout(ctx, shareTimeout)
-			defer cancel()
-			_, err := api.NewControlProtobufClient("http://"+address, r.client).Share(call, reports)
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			if err != nil {
-				delete(r.shared, address)
-				return
-			}
-			r.shared[address] = revision
-		}()
 	}
-	done.Wait()
 }
 
-// reports are what a peer has not been told, and who still lives.
-func (r *Registry) reports(address string) (*api.BackendReports, uint64) {
+// hurry has the links tell what is new.
+func (r *Registry) hurry() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	told, known := r.shared[address]
-	changed, revision := r.feed.ChangedSince(told)
-	reports := &api.BackendReports{From: r.self.Address, Whole: !known}
-	if !known {
-		reports.Node = r.self
-	}
-	news := map[string]bool{}
-	for _, b := range changed {
-		if h, here := r.heard[b.Id]; here && h.via == "" {
-			reports.Backends = append(reports.Backends, b)
-			news[b.Id] = true
-		}
-	}
-	now := time.Now()
-	for id, h := range r.heard {
-		if h.via == "" && !news[id] {
-			reports.Seen = append(reports.Seen, &api.Seen{Id: id, AgeMs: uint32(now.Sub(h.at).Milliseconds())})
-		}
+	for _, l := range r.links {
+		l.hurry()
 	}
-	for _, n := range r.feed.Nodes() {
-		if r.nodes[n.Name].via == "" {
-			reports.Nodes = append(reports.Nodes, n)
+}
+
+// Observe takes in what an agent tells of backends, and has the other control processes told.
+func (r *Registry) Observe(observed []*api.Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range observed {
+		r.feed.Observe(o)
+		for _, l := range r.links {
+			l.observed.Put(l.now(), o.Id, o)
+			l.hurry()
 		}
 	}
-	return reports, revision
 }
 
 // expire drops the backends that have fallen silent, and forgets who heard them.
@@ -262,6 +246,7 @@
 			delete(r.nodes, name)
 		}
 	}
+	maps.DeleteFunc(r.read, func(_ string, at time.Time) bool { return now.Sub(at) > nodeSilence })
 	r.mu.Unlock()
 	r.feed.Expire(func(b *api.Backend, _ time.Duration) bool { return lost[b.Id] })
 	r.feed.ExpireNodes(nodeSilence)
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -129,7 +129,8 @@
 			} else if connectedSince.IsZero() {
 				connectedSince = time.Now()
 			}
-			out.SetStanding(s.Connected, s.Connected && time.Since(connectedSince) > registry.Silence())
+			out.SetStanding(feed.Standing{Fresh: s.Connected,
+				Established: s.Connected && time.Since(connectedSince) > registry.Silence()})
 		})
 	}
 }
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -86,13 +86,23 @@
 
 // Watch implements api.Control.
 func (s *Service) Watch(ctx context.Context, request *api.WatchRequest) (*api.Feed, error) {
-	if request.Node.GetName() != "" {
-		s.registry.Node(request.Node)
+	if request.Subscriber != "" {
+		s.registry.Reads(request.Subscriber)
 	}
 	wait := min(longestWatch, time.Duration(request.WaitMs)*time.Millisecond)
 	return s.feed.Wait(ctx, request, wait), nil
 }
 
+// Renew implements api.Control.
+func (s *Service) Renew(_ context.Context, request *api.RenewRequest) (*api.RenewReply, error) {
+	if request.Node.GetName() == "" {
+		return nil, twirp.RequiredArgumentError("node")
+	}
+	s.registry.Node(request.Node)
+	sequence, _ := s.feed.Position()
+	return &api.RenewReply{Sequence: sequence}, nil
+}
+
 // Lease implements api.Control: the head answers, and others pass the question on to it.
 func (s *Service) Lease(ctx context.Context, request *api.LeaseRequest) (*api.LeaseReply, error) {
 	head := s.standing(ctx).Head
@@ -119,25 +129,7 @@
 // Observe implements api.Control. What an agent tells is passed on to the other control
 // processes.
 func (s *Service) Observe(_ context.Context, seen *api.Observations) (*api.Empty, error) {
-	for _, o := range seen.Observed {
-		s.feed.Observe(o)
-	}
-	if seen.PassedOn {
-		return &api.Empty{}, nil
-	}
-	for _, control := range s.feed.Controls() {
-		address := control.Address
-		if address == s.self {
-			continue
-		}
-		go func() {
-			call, cancel := context.WithTimeout(context.Background(), shareTimeout)
-			defer cancel()
-			// A process that misses it hears the same with the backend's next heartbeat.
-			_, _ = api.NewControlProtobufClient("http://"+address, s.client).Observe(call,
-				&api.Observations{Observed: seen.Observed, PassedOn: true})
-		}()
-	}
+	s.registry.Observe(seen.Observed)
 	return &api.Empty{}, nil
 }
 
--- a/internal/system/control/status.go
+++ b/internal/system/control/status.go
@@ -25,6 +25,7 @@
 	Evacuated   []string        `json:"evacuated_zones"`
 	Roles       []RoleStatus    `json:"roles"`
 	Nodes       []NodeStatus    `json:"nodes"`
+	Readers     []string        `json:"readers"` // nodes that read the feed at this process
 	Backends    []BackendStatus `json:"backends"`
 	StoreFailed bool            `json:"store_failed"`
 }
@@ -70,6 +71,7 @@
 			out.Roles = append(out.Roles, RoleStatus{Key: o.Key, Holder: o.Holder, Fence: o.Fence})
 		}
 	})
+	out.Readers = s.registry.Readers()
 	for _, n := range s.feed.Nodes() {
 		out.Nodes = append(out.Nodes, NodeStatus{Name: n.Name, Zone: n.Zone, SilentMS: n.AgeMs})
 	}
--- a/internal/system/feed/exchange.go
+++ b/internal/system/feed/exchange.go
@@ -11,23 +11,27 @@
 func (s *Store) Request(known *Cursor) *api.WatchRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &api.WatchRequest{Source: known.source, Revision: known.revision, Sequence: s.sequence, Hash: s.hash}
+	return &api.WatchRequest{Source: known.source, Revision: known.revision, Sequence: s.sequence, Hash: s.hash, Topics: known.topics}
 }
 
 // Cursor is how far a reader has followed one source.
 type Cursor struct {
+	topics      Topics
 	source      string
 	revision    uint64
 	unconfirmed map[string]bool // backends that the source has not listed
 }
 
+// NewCursor is that of a reader of some topics which knows nothing.
+func NewCursor(topics Topics) *Cursor { return &Cursor{topics: topics} }
+
 // Wait serves a reader what it lacks, once there is something, or nothing new after wait.
 func (s *Store) Wait(ctx context.Context, request *api.WatchRequest, wait time.Duration) *api.Feed {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		known := request.Source == s.source && request.Revision == s.revision
+		known := request.Source == s.source && request.Revision >= s.newest(request.Topics)
 		feed, changed := s.since(request), s.changed
 		s.mu.Unlock()
 		if !known {
@@ -45,22 +49,26 @@
 
 // since makes the feed of a reader.
 func (s *Store) since(request *api.WatchRequest) *api.Feed {
-	feed := &api.Feed{Source: s.source, Revision: s.revision, Sequence: s.sequence, Hash: s.hash, Fresh: s.fresh,
-		Established: s.established, Controls: s.controls}
-	s.addState(feed, request)
+	topics := Topics(request.Topics)
+	standing := s.standings.of(topics)
+	feed := &api.Feed{Source: s.source, Revision: s.revision, Fresh: standing.Fresh, Established: standing.Established}
+	if topics.State() {
+		feed.Sequence, feed.Hash, feed.Controls = s.sequence, s.hash, s.controls
+		s.addState(feed, request)
+	}
 	revision := request.Revision
 	if request.Source != s.source || revision < s.forgottenUpTo {
 		feed.Whole, revision = true, 0
 	}
-	feed.Backends = s.backendsSince(revision)
+	feed.Backends = s.backendsSince(revision, topics)
 	if !feed.Whole {
 		for _, d := range s.departed {
-			if d.revision > revision && s.backends[d.id] == nil {
+			if d.revision > revision && topics.Service(d.service) && s.backends[d.id] == nil {
 				feed.Departed = append(feed.Departed, d.id)
 			}
 		}
 	}
-	if s.nodesRevision > revision || feed.Whole {
+	if topics.State() && (s.nodesRevision > revision || feed.Whole) {
 		feed.Nodes, feed.NodesChanged = s.listNodes(), true
 	}
 	return feed
@@ -94,21 +102,24 @@
 	}
 	if cursor.source != feed.Source || feed.Whole {
 		cursor.unconfirmed = map[string]bool{}
-		for id := range s.backends {
-			cursor.unconfirmed[id] = true
+		for id, record := range s.backends {
+			if cursor.topics.Service(record.backend.Service) {
+				cursor.unconfirmed[id] = true
+			}
 		}
 	}
 	cursor.source, cursor.revision = feed.Source, feed.Revision
 	changed := s.takeBackends(feed, cursor)
 	if feed.NodesChanged && s.takeNodes(feed) {
+		s.stateRevision = s.revision + 1
 		changed = true
 	}
 	if len(feed.Controls) > 0 && !sameControls(s.controls, feed.Controls) {
 		s.controls = feed.Controls
+		s.stateRevision = s.revision + 1
 		changed = true
 	}
-	if s.fresh != feed.Fresh || s.established != feed.Established {
-		s.fresh, s.established = feed.Fresh, feed.Established
+	if s.setStanding(cursor.topics, Standing{Fresh: feed.Fresh, Established: feed.Established}) {
 		changed = true
 	}
 	if changed {
@@ -161,11 +172,12 @@
 	return changed
 }
 
-// Fresh tells whether the source belongs to a chain in service, as it said last.
-func (s *Store) Fresh() bool {
+// Fresh tells whether what is known of some topics comes from a chain in service, as their
+// sources said last.
+func (s *Store) Fresh(topics Topics) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fresh
+	return s.standings.of(topics).Fresh
 }
 
 // Revision changes with everything that readers may want to know.
--- a/internal/system/feed/follow.go
+++ b/internal/system/feed/follow.go
@@ -16,7 +16,8 @@
 
 // FollowConfig says how a feed is followed.
 type FollowConfig struct {
-	Node     func() *api.Node             // who follows; nil: an agent's own proxy
+	Node     string                       // who follows; empty: an agent's own proxy
+	Topics   Topics                       // what is followed; none: everything
 	Targets  func() []string              // whom to ask, the best first
 	Connect  func(address string) Watcher // by address
 	Taken    func(changed bool)           // called after each answer; may be nil
@@ -41,7 +42,7 @@
 // Follow takes in what sources serve until ctx ends. It stays with one source while that
 // answers and its word is fresh, and else goes on to the next.
 func Follow(ctx context.Context, store *Store, cfg FollowConfig) {
-	cursor, at, pause := &Cursor{}, 0, leastPause
+	cursor, at, pause := NewCursor(cfg.Topics), 0, leastPause
 	var staleSince time.Time
 	answered := time.Now()
 	preferred, turnedAway := "", time.Now()
@@ -56,12 +57,15 @@
 		}
 		address := targets[at%len(targets)]
 		feed, err := ask(ctx, store, &cfg, address, cursor)
+		if ctx.Err() != nil {
+			return // another reader may follow these topics by now
+		}
 		if err != nil {
 			cfg.Log.V(1).Info("the source does not answer", "event", "feed", "source", address, "error", err.Error())
 			at++
 			turnedAway = time.Now()
 			if time.Since(answered) > silentAfter {
-				store.Unheard()
+				store.Unheard(cfg.Topics)
 			}
 			rest(ctx, pause)
 			pause = min(2*pause, mostPause)
@@ -91,13 +95,10 @@
 func ask(ctx context.Context, store *Store, cfg *FollowConfig, address string, cursor *Cursor) (*api.Feed, error) {
 	request := store.Request(cursor)
 	wait := cfg.WaitTime
-	if !store.Fresh() {
+	if !store.Fresh(cfg.Topics) {
 		wait = min(wait, staleAfter)
 	}
-	request.WaitMs = uint32(wait.Milliseconds())
-	if cfg.Node != nil {
-		request.Node = cfg.Node()
-	}
+	request.WaitMs, request.Subscriber = uint32(wait.Milliseconds()), cfg.Node
 	call, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	return cfg.Connect(address).Watch(call, request)
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -28,6 +28,7 @@
 
 type departure struct {
 	id       string
+	service  string
 	revision uint64
 }
 
@@ -51,16 +52,21 @@
 	forgottenUpTo uint64 // readers that know less need all
 	nodes         map[string]*nodeRecord
 	nodesRevision uint64
-	fresh         bool
-	established   bool
+	standings     standings
 	controls      []*api.ControlNode
 	now           func() time.Time
+
+	// The revisions at which the parts that are followed by themselves last changed.
+	stateRevision    uint64
+	serviceRevision  map[string]uint64
+	standingRevision uint64
 }
 
 // New makes an empty store. source names this life of the process.
 func New(source string, now func() time.Time) *Store {
 	return &Store{source: source, changed: make(chan struct{}), machine: state.New(), now: now,
-		backends: map[string]*backendRecord{}, nodes: map[string]*nodeRecord{}}
+		backends: map[string]*backendRecord{}, nodes: map[string]*nodeRecord{}, serviceRevision: map[string]uint64{},
+		standings: standings{parts: map[Topic]Standing{}}}
 }
 
 // touch begins a new revision.
@@ -70,6 +76,13 @@
 	s.changed = make(chan struct{})
 }
 
+// touchState begins a new revision, in which the replicated state, the nodes or the control
+// processes have changed.
+func (s *Store) touchState() {
+	s.stateRevision = s.revision + 1
+	s.touch()
+}
+
 // Changed is closed at the next change.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -91,17 +104,50 @@
 	read(s.machine)
 }
 
-// SetStanding says whether the source belongs to a chain in service, and whether it
-// has listened for long enough to say who is gone.
-func (s *Store) SetStanding(fresh, established bool) {
+// SetStanding says what all that this store knows is worth.
+func (s *Store) SetStanding(standing Standing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fresh != fresh || s.established != established {
-		s.fresh, s.established = fresh, established
+	if s.setStanding(nil, standing) {
 		s.touch()
 	}
 }
 
+func (s *Store) setStanding(topics Topics, standing Standing) (changed bool) {
+	if !s.standings.set(topics, standing) {
+		return false
+	}
+	s.standingRevision = s.revision + 1
+	return true
+}
+
+// Keep says which topics are still followed.
+func (s *Store) Keep(topics Topics) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.standings.keep(topics) {
+		s.standingRevision = s.revision + 1
+		s.touch()
+	}
+}
+
+// newest is the revision of the last change of what a reader follows.
+func (s *Store) newest(topics Topics) uint64 {
+	if topics.Whole() {
+		return s.revision
+	}
+	last := s.standingRevision
+	if topics.State() {
+		last = max(last, s.stateRevision)
+	}
+	for service, revision := range s.serviceRevision {
+		if topics.Service(service) {
+			last = max(last, revision)
+		}
+	}
+	return last
+}
+
 // Append takes committed entries in.
 func (s *Store) Append(entries []*api.Entry) {
 	s.mu.Lock()
@@ -125,7 +171,7 @@
 	}
 	if grown {
 		s.dropRetired()
-		s.touch()
+		s.touchState()
 	}
 }
 
@@ -143,7 +189,7 @@
 	s.machine.Restore(from)
 	s.sequence, s.hash, s.entries = sequence, hash, nil
 	s.dropRetired()
-	s.touch()
+	s.touchState()
 }
 
 // dropRetired takes backends off the list that have announced their end.
@@ -156,8 +202,10 @@
 }
 
 func (s *Store) depart(id string) {
+	service := s.backends[id].backend.Service
 	delete(s.backends, id)
-	s.departed = append(s.departed, departure{id, s.revision + 1})
+	s.serviceRevision[service] = s.revision + 1
+	s.departed = append(s.departed, departure{id, service, s.revision + 1})
 	if extra := len(s.departed) - mostDeparted; extra > 0 {
 		s.forgottenUpTo = s.departed[extra-1].revision
 		s.departed = slices.Clone(s.departed[extra:])
@@ -191,10 +239,16 @@
 		}
 		return false
 	}
-	s.backends[b.Id] = &backendRecord{b, heardAt, s.revision + 1}
+	s.record(b, heardAt)
 	return true
 }
 
+// record keeps what a backend has newly said.
+func (s *Store) record(b *api.Backend, heardAt time.Time) {
+	s.backends[b.Id] = &backendRecord{b, heardAt, s.revision + 1}
+	s.serviceRevision[b.Service] = s.revision + 1
+}
+
 // sameBackend tells whether nothing of note has changed.
 func sameBackend(a, b *api.Backend) bool {
 	const coldSlackMS = 400
@@ -244,14 +298,14 @@
 func (s *Store) Backends() []*api.Backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.backendsSince(0)
+	return s.backendsSince(0, nil)
 }
 
-func (s *Store) backendsSince(revision uint64) []*api.Backend {
+func (s *Store) backendsSince(revision uint64, topics Topics) []*api.Backend {
 	now := s.now()
 	var list []*api.Backend
 	for _, record := range s.backends {
-		if record.revision > revision {
+		if record.revision > revision && topics.Service(record.backend.Service) {
 			list = append(list, aged(record, now))
 		}
 	}
@@ -285,7 +339,7 @@
 	defer s.mu.Unlock()
 	if s.putNode(n) {
 		s.nodesRevision = s.revision + 1
-		s.touch()
+		s.touchState()
 	}
 }
 
@@ -318,7 +372,7 @@
 	}
 	if dropped {
 		s.nodesRevision = s.revision + 1
-		s.touch()
+		s.touchState()
 	}
 }
 
@@ -341,11 +395,18 @@
 	return list
 }
 
+// NodesChangedSince tells whether a node has come, gone or said something new since a revision.
+func (s *Store) NodesChangedSince(revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodesRevision > revision
+}
+
 // ChangedSince gives the backends that have changed since a revision, and the revision now.
 func (s *Store) ChangedSince(revision uint64) ([]*api.Backend, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.backendsSince(revision), s.revision
+	return s.backendsSince(revision, nil), s.revision
 }
 
 // SetControls says where the control processes are.
@@ -354,7 +415,7 @@
 	defer s.mu.Unlock()
 	if len(controls) > 0 && !sameControls(s.controls, controls) {
 		s.controls = slices.Clone(controls)
-		s.touch()
+		s.touchState()
 	}
 }
 
@@ -371,12 +432,13 @@
 	return s.controls
 }
 
-// Unheard notes that no source answers: what is known may be old.
-func (s *Store) Unheard() {
+// Unheard notes that no source of some topics answers: what is known of them may be old.
+func (s *Store) Unheard(topics Topics) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fresh {
-		s.fresh = false
+	standing := s.standings.of(topics)
+	standing.Fresh = false
+	if s.setStanding(topics, standing) {
 		s.touch()
 	}
 }
@@ -407,7 +469,7 @@
 	if sameBackend(record.backend, next) {
 		return false
 	}
-	s.backends[o.Id] = &backendRecord{next, record.heardAt, s.revision + 1}
+	s.record(next, record.heardAt)
 	s.touch()
 	return true
 }
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -150,7 +150,7 @@
 			go s.stop()
 		}
 	}
-	if g.feed.Fresh() && !g.ready.Load() {
+	if g.feed.Fresh(nil) && !g.ready.Load() {
 		g.ready.Store(true)
 		g.log.Info("ready", "event", "ready", "version", document.Version, "backends", len(backends))
 	}
@@ -159,7 +159,7 @@
 // Heard takes in that the agent has answered: whether its word is fresh, and who shares
 // the budgets by it.
 func (g *Gateway) Heard() {
-	fresh := g.feed.Fresh()
+	fresh := g.feed.Fresh(nil)
 	var names []string
 	for _, node := range g.feed.Nodes() {
 		if node.Leaving {
--- /dev/null
+++ b/internal/system/simcluster/homes_test.go
@@ -0,0 +1,187 @@
+package simcluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/control"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/homes"
+)
+
+const (
+	// edgesOfHomes are enough that each of the three zones has homes and others.
+	edgesOfHomes = 12
+	// applyTime is config_apply_ms of the test's deployment, and drainTime its drain_ms.
+	applyTime = 2 * time.Second
+	drainTime = 2 * time.Second
+)
+
+// playHomes runs a test on a cluster with several proxies a zone.
+func playHomes(t *testing.T, story func(t *testing.T, c *Cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, 3, edgesOfHomes)
+		defer c.Stop()
+		story(t, c)
+	})
+}
+
+// status is how things stand at a control process.
+func (c *Cluster) status(t *testing.T, m *Machine) control.Status {
+	t.Helper()
+	code, answer, err := c.callOne(m, "GET", "/marlreel/status", "", "")
+	var status control.Status
+	if err != nil || code != 200 || json.Unmarshal([]byte(answer), &status) != nil {
+		t.Fatalf("status of %s: %d %s %v", m.Name, code, answer, err)
+	}
+	return status
+}
+
+// home is the home of a topic in a zone, and others are the zone's other proxies.
+func (c *Cluster) home(topic feed.Topic, zone string) (home *Machine, others []*Machine) {
+	var nodes []*api.Node
+	for _, m := range c.Edges {
+		nodes = append(nodes, &api.Node{Name: m.Name, Address: m.IP, Zone: m.Zone})
+	}
+	for i, m := range c.Edges {
+		if m.Zone != zone {
+			continue
+		}
+		if homes.Home(topic, nodes[i], nodes).Name == m.Name {
+			home = m
+			continue
+		}
+		others = append(others, m)
+	}
+	return home, others
+}
+
+// hang cuts a machine off from all others, without a word to anyone.
+func (c *Cluster) hang(m *Machine) {
+	var others []string
+	for _, other := range c.Machines() {
+		if other != m {
+			others = append(others, other.IP)
+		}
+	}
+	c.Net.Isolate(m.IP, others, true)
+}
+
+func TestEachZoneReadsEachTopicFromControlOnce(t *testing.T) {
+	playHomes(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		expected := map[string]bool{}
+		for _, zone := range zones {
+			for _, topic := range []feed.Topic{feed.TopicState, feed.ServiceTopic("llm"), feed.ServiceTopic("slips")} {
+				home, _ := c.home(topic, zone)
+				expected[home.Name] = true
+			}
+		}
+		c.Pass(10 * time.Second) // those that read there before the homes were known are forgotten
+		readers := map[string]bool{}
+		for _, m := range c.Controls {
+			for _, name := range c.status(t, m).Readers {
+				readers[name] = true
+			}
+		}
+		is.Equal(readers, expected)
+	})
+}
+
+// cutFromControl cuts a machine off from the control processes alone.
+func (c *Cluster) cutFromControl(m *Machine) {
+	var controls []string
+	for _, control := range c.Controls {
+		controls = append(controls, control.IP)
+	}
+	c.Net.Isolate(m.IP, controls, true)
+}
+
+// A home that hangs, or that answers and hears nothing itself, holds nobody up beyond the
+// bound: changes are in force at the zone's other proxies in time.
+func TestChangesPassByAHomeInTrouble(t *testing.T) {
+	troubles := map[string]func(c *Cluster, m *Machine){
+		"it hangs":                   func(c *Cluster, m *Machine) { c.hang(m) },
+		"it is cut off from control": func(c *Cluster, m *Machine) { c.cutFromControl(m) },
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			playHomes(t, func(t *testing.T, c *Cluster) {
+				is := is.New(t)
+				home, others := c.home(feed.TopicState, zones[0])
+				trouble(c, home)
+				status, _, err := c.Configure(moved("/voucher/"), 4*time.Second)
+				is.NoErr(err)
+				is.Equal(status, 200)
+				c.Pass(applyTime / 2) // the other half is the margin
+				for _, edge := range others {
+					r := slip()
+					r.Path = "/voucher/1"
+					got, err := c.Ask(edge, r)
+					is.NoErr(err)
+					is.Equal(got.Status, 200)
+				}
+			})
+		})
+	}
+}
+
+func TestADrainWhileTheHomeHangs(t *testing.T) {
+	playHomes(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		home, others := c.home(feed.TopicState, zones[0])
+		leaving := c.Backends[2] // one of two that take slips
+		c.hang(home)
+		leaving.Drain()
+		for !leaving.Acknowledged() {
+			c.Pass(20 * time.Millisecond)
+		}
+		c.Pass(drainTime)
+		before := len(leaving.Runs())
+		for range 10 {
+			for _, edge := range others {
+				got, err := c.Ask(edge, slip())
+				is.NoErr(err)
+				is.Equal(got.Status, 200)
+			}
+		}
+		is.Equal(len(leaving.Runs()), before)
+	})
+}
+
+// When the home of a service ends, the zone's others hear of new backends all the same.
+func TestTheHomeOfAServiceEnds(t *testing.T) {
+	ends := map[string]func(c *Cluster, m *Machine){
+		"killed":     func(_ *Cluster, m *Machine) { m.Kill() },
+		"terminated": func(_ *Cluster, m *Machine) { go m.Terminate() },
+		"hangs":      func(c *Cluster, m *Machine) { c.hang(m) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			playHomes(t, func(t *testing.T, c *Cluster) {
+				is := is.New(t)
+				home, others := c.home(feed.ServiceTopic("slips"), zones[0])
+				end(c, home)
+				c.Backends[2].Kill()
+				c.Backends[3].Kill()
+				for i := range 2 {
+					c.AddBackend(slipBackend(fmt.Sprint("i-new-", i), zones[i]))
+				}
+				c.Pass(4 * time.Second)
+				for _, edge := range others {
+					got, err := c.Ask(edge, slip())
+					is.NoErr(err)
+					is.Equal(got.Status, 200)
+				}
+				c.Pass(5 * time.Second) // who terminates has ended
+			})
+		})
+	}
+}
--- a/internal/system/simcluster/outside.go
+++ b/internal/system/simcluster/outside.go
@@ -22,6 +22,16 @@
 // ErrNoAnswer says that nobody gave a clear answer in time.
 var ErrNoAnswer = errors.New("no clear answer")
 
+// Pass lets time pass: on a simulated clock that costs none.
+func (c *Cluster) Pass(span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
+
 // Call makes a call to control as the operator does: to one process after the other until
 // one gives a clear answer.
 func (c *Cluster) Call(method, path, base, body string, patience time.Duration) (status int, answer string, err error) {
