--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -202,6 +202,7 @@
 	for _, node := range s.Nodes {
 		fmt.Fprintf(table, "node\t%s\t%s\tsilent %d ms\n", node.Name, node.Zone, node.SilentMS)
 	}
+	fmt.Fprintf(table, "readers\t%s\n", strings.Join(s.Readers, " "))
 	for _, b := range s.Backends {
 		state := "in service"
 		switch {
