Measure what each role costs on loopback at several sizes

Need: docs/CAPACITY.md from slopes measured on this program. Change: marlreelscale runs real control processes and a real proxy with its agent beside hollow proxies and stand-in backends, varies one size at a time, measures processor, memory, bytes, time in force, and fits lines.

--- /dev/null
+++ b/internal/system/scale/scale_test.go
@@ -0,0 +1,74 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/agent"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/configuration"
+	"marlreel/internal/system/control"
+	"marlreel/internal/system/gateway"
+	"marlreel/internal/system/host"
+)
+
+// The test's own program plays the real processes.
+func TestMain(m *testing.M) {
+	roles := map[string]func(context.Context, *host.Host) error{"control": control.Run, "agent": agent.Run, "proxy": gateway.Run}
+	if len(os.Args) > 1 && roles[os.Args[1]] != nil {
+		settings, err := boot.Load()
+		if err == nil {
+			err = roles[os.Args[1]](context.Background(), host.Machine(settings, logr.Discard()))
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+func TestSmallTrial(t *testing.T) {
+	is := is.New(t)
+	cfg := Config{Program: os.Args[0], Controls: 3, Proxies: 6, Backends: 4, Models: 2, Zones: 2, Routes: 3, Beat: 300 * time.Millisecond}
+	r, err := Run(context.Background(), cfg, Plan{Settle: time.Second, Idle: time.Second, Changes: 2})
+	is.NoErr(err)
+	for _, role := range []string{"control", "agent", "proxy"} {
+		is.True(r.Idle[role].ResidentMB > 1)
+		is.True(r.Changing[role].ReadKBps > 0)
+	}
+	is.True(r.InForceMS.Worst < 2000)
+	is.True(r.AfterLossMS > 0 && r.AfterLossMS < 10000)
+}
+
+func TestTheConfigurationIsValid(t *testing.T) {
+	is := is.New(t)
+	document, fault := configuration.Parse(document(Config{Routes: 5, Models: 7}, 3))
+	is.True(fault == nil)
+	is.Equal(len(document.Routes), 5)
+	is.Equal(len(document.Services[0].Engine.Models), 7)
+}
+
+func TestFitLine(t *testing.T) {
+	is := is.New(t)
+	f := FitLine([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
+	is.Equal(fmt.Sprintf("%.3f %.3f %.3f", f.Base, f.Slope, f.Residue), "3.000 2.000 0.000")
+	f = FitLine([]float64{0, 1, 2}, []float64{0, 3, 0})
+	is.Equal(fmt.Sprintf("%.3f %.3f %.3f", f.Base, f.Slope, f.Residue), "1.000 0.000 1.414")
+}
+
+func TestSpread(t *testing.T) {
+	is := is.New(t)
+	var times []time.Duration
+	for i := range 100 {
+		times = append(times, time.Duration(100-i)*time.Millisecond)
+	}
+	data, err := json.Marshal(spreadOf(times))
+	is.NoErr(err)
+	is.Equal(string(data), `{"p50":51,"p99":100,"worst":100}`)
+}
--- /dev/null
+++ b/internal/system/scale/system.go
@@ -0,0 +1,272 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"marlreel/internal/system/agent"
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/boot"
+	"marlreel/internal/system/control"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/host"
+	"marlreel/internal/system/operator"
+	"marlreel/internal/system/standin"
+	"marlreel/internal/system/state"
+	"marlreel/internal/system/transport"
+)
+
+// Config says what system is run.
+type Config struct {
+	Program  string // marlreeld
+	Controls int
+	Proxies  int // the hollow ones and the real one
+	Backends int
+	Models   int
+	Zones    int
+	Routes   int
+	Beat     time.Duration
+}
+
+// The address of a machine on loopback says its kind and number; all machines use the
+// same ports.
+const (
+	kindControl = 41
+	kindProxy   = 42
+	kindBackend = 43
+	// kindInside is added for the address at which a machine's own processes meet.
+	kindInside = 10
+	perSubnet  = 200
+
+	peerPort    = 17660
+	frontPort   = 18080
+	readyPort   = 18081
+	controlPort = 18082
+	backendPort = 19000
+)
+
+func address(kind, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", kind, number/perSubnet, number%perSubnet+1)
+}
+
+// System is a running system.
+type System struct {
+	cfg       Config
+	folder    string
+	ctx       context.Context
+	cancel    context.CancelFunc
+	hollow    sync.WaitGroup
+	processes map[string][]*process // by role
+	readers   []*reader
+	backends  []*standin.Backend
+	operator  *operator.Client
+	version   uint64
+}
+
+// reader stands in for a proxy: it follows its agent, and notes when each version of the
+// configuration was there.
+type reader struct {
+	mu   sync.Mutex
+	seen map[uint64]time.Time
+}
+
+func (r *reader) note(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.seen[version]; !known {
+		r.seen[version] = time.Now()
+	}
+}
+
+func (r *reader) at(version uint64) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, known := r.seen[version]
+	return at, known
+}
+
+func (cfg Config) zone(number int) string { return fmt.Sprint("zone-", number%cfg.Zones) }
+
+func (cfg Config) settings(name string, kind, number int) *boot.Settings {
+	s := &boot.Settings{NodeName: name, IP: address(kind, number), Zone: cfg.zone(number), InternalPorts: []int{peerPort, peerPort + 15},
+		LoopbackIP: address(kind+kindInside, number), FirstStart: true, BeatIntervalMS: float64(cfg.Beat.Milliseconds()), Zones: map[string]string{},
+		Limits: boot.Limits{MemoryMB: 256, Files: 4096}, Tolerance: boot.Tolerance{Machines: (cfg.Controls - 1) / 2},
+		Bounds: boot.Bounds{GraceS: 8, ConfigApplyMS: 2000, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetrySlack: 52,
+			ColdExcess: 1.5, ColdSlack: 5, Fencing: true, LeaseMS: 3000, DrainMS: 2000}}
+	s.Listen = boot.Listen{Front: fmt.Sprint(s.IP, ":", frontPort), Readiness: fmt.Sprint(s.IP, ":", readyPort),
+		Control: fmt.Sprint(s.IP, ":", controlPort)}
+	for zone := range cfg.Zones {
+		s.Zones[cfg.zone(zone)] = "region"
+	}
+	for seed := range min(3, cfg.Controls) {
+		s.SeedNodes = append(s.SeedNodes, fmt.Sprint(address(kindControl, seed), ":", controlPort))
+	}
+	return s
+}
+
+// Start starts a system and waits until all of it is known.
+func Start(parent context.Context, cfg Config) (*System, error) {
+	folder, err := os.MkdirTemp("", "marlreel-scale-")
+	if err != nil {
+		return nil, eris.Wrap(err, "making a folder for the trial")
+	}
+	s := &System{cfg: cfg, folder: folder, processes: map[string][]*process{}}
+	s.ctx, s.cancel = context.WithCancel(parent)
+	if err := s.start(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+const (
+	startPatience = 40 * time.Second
+	lookEvery     = 100 * time.Millisecond
+	callPatience  = 10 * time.Second
+)
+
+func (s *System) start() error {
+	var controls []string
+	for i := range s.cfg.Controls {
+		settings := s.cfg.settings(fmt.Sprint("core-", i), kindControl, i)
+		settings.DataDir = filepath.Join(s.folder, settings.NodeName)
+		if err := s.run("control", settings); err != nil {
+			return err
+		}
+		controls = append(controls, settings.Listen.Control)
+	}
+	real := s.cfg.settings("edge-0", kindProxy, 0)
+	for _, role := range []string{"agent", "proxy"} {
+		if err := s.run(role, real); err != nil {
+			return err
+		}
+	}
+	for i := 1; i < s.cfg.Proxies; i++ {
+		s.addHollow(s.cfg.settings(fmt.Sprint("edge-", i), kindProxy, i))
+	}
+	s.addBackends(controls)
+	s.operator = operator.NewClient(controls, callPatience, host.TCP{}.Dial)
+	if _, err := s.Change(); err != nil {
+		return err
+	}
+	return s.await()
+}
+
+func (s *System) run(role string, settings *boot.Settings) error {
+	p, err := startProcess(s.cfg.Program, role, s.folder, settings)
+	if err != nil {
+		return err
+	}
+	s.processes[role] = append(s.processes[role], p)
+	return nil
+}
+
+// addHollow starts an agent in this process, and a reader in place of its proxy.
+func (s *System) addHollow(settings *boot.Settings) {
+	machine := &host.Host{Settings: settings, Network: host.TCP{}, Log: logr.Discard()}
+	s.hollow.Go(func() { _ = agent.Run(s.ctx, machine) }) // it ends with the system
+	r := &reader{seen: map[uint64]time.Time{}}
+	s.readers = append(s.readers, r)
+	store := feed.New(settings.NodeName, time.Now)
+	client := transport.NewClient(host.TCP{}.Dial)
+	s.hollow.Go(func() {
+		feed.Follow(s.ctx, store, feed.FollowConfig{WaitTime: time.Second, Log: logr.Discard(),
+			Targets: func() []string { return []string{settings.AgentLoopback()} },
+			Connect: func(to string) feed.Watcher { return api.NewAgentProtobufClient("http://"+to, client) },
+			Taken: func(bool) {
+				store.View(func(m *state.Machine) { r.note(m.Version()) })
+			}})
+	})
+}
+
+func (s *System) addBackends(controls []string) {
+	for i := range s.cfg.Backends {
+		model := fmt.Sprint("model-", i%max(1, s.cfg.Models))
+		b := standin.NewBackend(standin.BackendConfig{ID: fmt.Sprint("i-", i), Service: "llm", Zone: s.cfg.zone(i), Slots: 64,
+			Address: fmt.Sprint(address(kindBackend, i), ":", backendPort), Controls: func() []string { return controls }, Beat: s.cfg.Beat,
+			Models: []string{model}, CapacityMB: 200000, SizesMB: map[string]float64{model: 60000},
+			LoadTimes: map[string]time.Duration{model: 3 * time.Second}}, host.TCP{})
+		s.backends = append(s.backends, b)
+		s.hollow.Go(func() { _ = b.Serve(s.ctx) }) // it ends with the system
+	}
+}
+
+// await waits until a control process lists all nodes and backends, and each reader has the
+// configuration.
+func (s *System) await() error {
+	var status control.Status
+	for end := time.Now().Add(startPatience); time.Now().Before(end); pause(s.ctx, lookEvery) {
+		body, err := s.operator.Status()
+		if err != nil || json.Unmarshal(body, &status) != nil {
+			continue
+		}
+		if len(status.Nodes) == s.cfg.Proxies && len(status.Backends) == s.cfg.Backends && s.missing(s.version) == 0 {
+			return nil
+		}
+	}
+	return eris.Errorf("after %v: %d of %d proxies and %d of %d backends are known, %d readers lack the configuration",
+		startPatience, len(status.Nodes), s.cfg.Proxies, len(status.Backends), s.cfg.Backends, s.missing(s.version))
+}
+
+func (s *System) missing(version uint64) int {
+	count := 0
+	for _, r := range s.readers {
+		if _, known := r.at(version); !known {
+			count++
+		}
+	}
+	return count
+}
+
+// Change puts another version of the configuration in force, and says when it was
+// acknowledged.
+func (s *System) Change() (acknowledged time.Time, err error) {
+	next := s.version + 1
+	if err := s.operator.Replace(s.version, document(s.cfg, next)); err != nil {
+		return time.Time{}, err
+	}
+	s.version = next
+	return time.Now(), nil
+}
+
+// Lags gives, for each hollow proxy that has a version, how long after its acknowledgement it
+// had it.
+func (s *System) Lags(version uint64, acknowledged time.Time) []time.Duration {
+	var lags []time.Duration
+	for _, r := range s.readers {
+		if at, known := r.at(version); known {
+			lags = append(lags, max(0, at.Sub(acknowledged)))
+		}
+	}
+	return lags
+}
+
+// Stop ends everything and removes what it has left on disk.
+func (s *System) Stop() {
+	s.cancel()
+	for _, processes := range s.processes {
+		for _, p := range processes {
+			p.stop()
+		}
+	}
+	s.hollow.Wait()
+	_ = os.RemoveAll(s.folder) // a folder of the system's for what is temporary
+}
+
+// pause waits for a span, or until ctx ends.
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
