Tell news of backends at most ten times a second on each way

Change: an answer with news of backends alone comes at the earliest 100 ms after its question; what comes in between is told together. News of the state, and the first after a rest, does not wait.

Tests of the feed.

--- a/internal/system/feed/exchange.go
+++ b/internal/system/feed/exchange.go
@@ -25,28 +25,67 @@
 // NewCursor is that of a reader of some topics which knows nothing.
 func NewCursor(topics Topics) *Cursor { return &Cursor{topics: topics} }
 
+// newsGap is the least time between two answers with news of backends alone: what comes in
+// between is told together. News of the replicated state does not wait.
+const newsGap = 100 * time.Millisecond
+
 // Wait serves a reader what it lacks, once there is something, or nothing new after wait.
 func (s *Store) Wait(ctx context.Context, request *api.WatchRequest, wait time.Duration) *api.Feed {
+	asked := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		s.mu.Lock()
-		known := request.Source == s.source && request.Revision >= s.newest(request.Topics)
-		feed, changed := s.since(request), s.changed
-		s.mu.Unlock()
-		if !known {
+		waited := time.Since(asked)
+		feed, changed, gathers := s.serve(request, waited >= newsGap, waited >= wait || ctx.Err() != nil)
+		if feed != nil {
 			return feed
 		}
+		if gathers {
+			timer.Reset(min(newsGap, wait) - waited)
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return feed
 		case <-ctx.Done():
-			return feed
 		}
 	}
 }
 
+// serve makes the feed of a reader where it is due. Otherwise it gives what tells of the
+// next change, and whether there is news that waits for more.
+func (s *Store) serve(request *api.WatchRequest, gathered, late bool) (feed *api.Feed, changed <-chan struct{}, gathers bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := s.newsFor(request)
+	if late || news == urgentNews || news == plainNews && gathered {
+		return s.since(request), nil, false
+	}
+	return nil, s.changed, news == plainNews
+}
+
+// newsKind says whether a reader lacks something, and whether that can wait for more.
+type newsKind int
+
+const (
+	noNews newsKind = iota
+	plainNews
+	urgentNews
+)
+
+// newsFor is what there is for a reader.
+func (s *Store) newsFor(request *api.WatchRequest) newsKind {
+	topics := Topics(request.Topics)
+	switch {
+	case request.Source != s.source || request.Revision < s.standingRevision:
+		return urgentNews
+	case topics.State() && request.Revision < s.stateRevision:
+		return urgentNews
+	case request.Revision < s.newest(topics):
+		return plainNews
+	}
+	return noNews
+}
+
 // since makes the feed of a reader.
 func (s *Store) since(request *api.WatchRequest) *api.Feed {
 	topics := Topics(request.Topics)
--- /dev/null
+++ b/internal/system/feed/feed_test.go
@@ -0,0 +1,153 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/api"
+)
+
+// follower reads a source into a store of its own, by hand.
+type follower struct {
+	source *Store
+	store  *Store
+	cursor *Cursor
+}
+
+func newFollower(source *Store, topics ...Topic) *follower {
+	return &follower{source, New("follower", time.Now), NewCursor(topics)}
+}
+
+// read makes one call, and says how long it took and how many backends it told of.
+func (f *follower) read(wait time.Duration) (after time.Duration, backends int) {
+	began := time.Now()
+	feed := f.source.Wait(context.Background(), f.store.Request(f.cursor), wait)
+	f.store.Take(feed, f.cursor)
+	return time.Since(began), len(feed.Backends)
+}
+
+func backend(id, service string) *api.Backend {
+	return &api.Backend{Id: id, Service: service, Zone: "east", Slots: 4}
+}
+
+// later does something after a span, while a reader waits.
+func later(span time.Duration, do func()) {
+	go func() {
+		timer := time.NewTimer(span)
+		defer timer.Stop()
+		<-timer.C
+		do()
+	}()
+}
+
+func TestTheFirstNewsAfterARestIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := New("source", time.Now)
+		f := newFollower(source)
+		f.read(time.Second)
+		later(2*newsGap, func() { source.Put(backend("a", "llm")) })
+		after, told := f.read(time.Second)
+		is.Equal(after, 2*newsGap)
+		is.Equal(told, 1)
+	})
+}
+
+func TestNewsOfBackendsIsGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := New("source", time.Now)
+		f := newFollower(source)
+		f.read(time.Second)
+		for i, id := range []string{"a", "b", "c"} {
+			later(time.Duration(1+i)*newsGap/8, func() { source.Put(backend(id, "llm")) })
+		}
+		after, told := f.read(time.Second)
+		is.Equal(after, newsGap)
+		is.Equal(told, 3)
+	})
+}
+
+func TestNewsOfTheStateDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := New("source", time.Now)
+		f := newFollower(source)
+		f.read(time.Second)
+		later(newsGap/8, func() { source.Put(backend("a", "llm")) })
+		later(newsGap/4, func() { source.Reset(1, 7, &api.State{}) })
+		after, told := f.read(time.Second)
+		is.Equal(after, newsGap/4)
+		is.Equal(told, 1)
+		sequence, _ := f.store.Position()
+		is.Equal(sequence, uint64(1))
+	})
+}
+
+func TestAReaderIsToldOfItsTopicsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := New("source", time.Now)
+		source.Put(backend("a", "llm"))
+		source.Put(backend("b", "slips"))
+		f := newFollower(source, ServiceTopic("slips"))
+		_, told := f.read(time.Second)
+		is.Equal(told, 1)
+		later(newsGap, func() {
+			source.Put(backend("c", "llm"))
+			source.Reset(1, 7, &api.State{})
+		})
+		after, told := f.read(time.Second)
+		is.Equal(after, time.Second) // nothing of that is for it
+		is.Equal(told, 0)
+		sequence, _ := f.store.Position()
+		is.Equal(sequence, uint64(0))
+	})
+}
+
+// A backend that the source doesn't list goes only once the source is sure, and only
+// where the reader follows its service there.
+func TestWhoIsNotListedGoesOnceTheSourceIsSure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ids := func(s *Store) []string {
+			var ids []string
+			for _, b := range s.Backends() {
+				ids = append(ids, b.Id)
+			}
+			return ids
+		}
+		first := New("first", time.Now)
+		first.Put(backend("a", "llm"))
+		first.Put(backend("b", "slips"))
+		f := newFollower(first)
+		f.read(time.Second)
+		second := New("second", time.Now)
+		f.source, f.cursor = second, NewCursor(Topics{ServiceTopic("slips")})
+		f.read(time.Second)
+		is.Equal(ids(f.store), []string{"a", "b"}) // it may not have heard of them yet
+		second.SetStanding(Standing{Fresh: true, Established: true})
+		f.read(time.Second)
+		is.Equal(ids(f.store), []string{"a"})
+	})
+}
+
+// Of all topics together the word is as fresh as the state's, and established where each
+// part is.
+func TestStandingByTopics(t *testing.T) {
+	is := is.New(t)
+	s := standings{parts: map[Topic]Standing{}}
+	is.Equal(s.of(nil), Standing{})
+	s.set(Topics{TopicState}, Standing{Fresh: true, Established: true})
+	is.Equal(s.of(nil), Standing{Fresh: true, Established: true})
+	s.set(Topics{ServiceTopic("llm")}, Standing{})
+	is.Equal(s.of(nil), Standing{Fresh: true})
+	is.Equal(s.of(Topics{ServiceTopic("llm")}), Standing{})
+	is.Equal(s.of(Topics{ServiceTopic("unknown")}), Standing{})
+	s.keep(Topics{TopicState})
+	is.Equal(s.of(nil), Standing{Fresh: true, Established: true})
+}
