Pass demand on by homes, and wake up less often where there is little to do

Cause: the holder of a service's models took in one call from each proxy every 0.6 s, and looked each sender's zone up in a sorted copy of all nodes; idle agents woke up ten times a second for roles that they don't hold; a proxy went over all backends 33 times a second for each service.

Change: reports go to the home of their service in the zone, and from there together to the holder, at most ten times a second (around the home where that is in trouble); agents sleep until the feed names them as holders; a service looks at what time alone brings every 100 ms (Caps.SweepEvery; by the probe interval, as ever, where that is not set).

--- a/api.go
+++ b/api.go
@@ -95,6 +95,7 @@
 	Cancel, Peers, Probes, RetryAfter, SecondCopies bool
 
 	ConnIdle, ConnectTimeout, MaxRetryAfter time.Duration
+	SweepEvery                              time.Duration // between two looks at what time alone brings; 0: by the probe interval
 	MaxAttempts, StreamsPerConn             int
 }
 
--- a/balancer.go
+++ b/balancer.go
@@ -34,7 +34,7 @@
 	advice                              Advice
 	rng                                 *rand.Rand
 	now, lastLog, lastRequest           time.Duration
-	interval, gap, memory               time.Duration // between probes, requests; of estimates
+	interval, sweepEvery, gap, memory   time.Duration // between probes, sweeps, requests; of estimates
 	targets, ready, subset              []*target     // in hash order; targets: those gone too
 	byID                                map[BackendID]*target
 	requests                            map[RequestID]*request
@@ -138,7 +138,7 @@
 // Start begins the timers, and the calls for the list where it must be asked for.
 func (b *Balancer) Start(now time.Duration) {
 	b.now = now
-	b.host.After(b.interval/sweeps, timerSweep<<56)
+	b.host.After(b.sweepEvery, timerSweep<<56)
 	if b.cfg.OnRequest {
 		b.host.After(jitter(b.rng, b.interval/2), timerDiscover<<56)
 	}
@@ -158,7 +158,7 @@
 		b.dispatch()
 	case timerSweep:
 		b.sweep()
-		b.host.After(b.interval/sweeps, timerSweep<<56)
+		b.host.After(b.sweepEvery, timerSweep<<56)
 	}
 }
 
@@ -183,7 +183,7 @@
 		for _, a := range t.out {
 			b.crowd(a, Cancelled, 1-b.gray.Bad(&t.kinds[a.req.Class].Cell, a.req.Class, b.now))
 		}
-		t.limit = limit.Sink(t.limit, t.load, b.sharers(), memory*sweeps)
+		t.limit = limit.Sink(t.limit, t.load, b.sharers(), memory*float64(b.interval)/float64(b.sweepEvery))
 	}
-	b.ledger.Fade(math.Exp(-float64(b.interval/sweeps) / float64(b.cfg.Obligations.Cold+b.interval)))
+	b.ledger.Fade(math.Exp(-float64(b.sweepEvery) / float64(b.cfg.Obligations.Cold+b.interval)))
 }
--- a/checker.go
+++ b/checker.go
@@ -21,7 +21,7 @@
 	probeRun     = 2   // probes in a row that mark or restore a target: one may be chance
 	mostOut      = 0.5 // share of the ready ones that may be out when attempts eject one more
 	longestHold  = 8   // probe intervals that an ejection lasts at most; it starts with one and doubles
-	sweeps       = 10  // in a probe interval: how often time alone is looked at
+	sweeps       = 10  // in a probe interval: how often time alone is looked at, unless SweepEvery says so
 	subsetFan    = 7   // proxies that use each backend, about
 	subsetLeast  = 2   // backends that each proxy uses at least
 )
--- a/config.go
+++ b/config.go
@@ -81,7 +81,7 @@
 
 // pace sets the times that follow from the settings.
 func (b *Balancer) pace() {
-	b.interval = b.cfg.interval()
+	b.interval, b.sweepEvery = b.cfg.interval(), b.cfg.sweepEvery()
 	b.memory = max(b.memory, memory*b.interval)
 	b.gray.SetMemory(b.memory)
 	o, aim := b.cfg.Obligations, b.cfg.Classes[0].Aim
@@ -96,6 +96,14 @@
 	return max(suspectProbe*c.Caps.ConnectTimeout, 20*c.Tick, 100*time.Millisecond)
 }
 
+// sweepEvery is the time between two looks at what time alone brings about.
+func (c *Config) sweepEvery() time.Duration {
+	if c.Caps.SweepEvery > 0 {
+		return c.Caps.SweepEvery
+	}
+	return c.interval() / sweeps
+}
+
 // advice is the one that is set, or one that knows nothing.
 func (c *Config) advice() Advice {
 	if c.Advice == nil {
@@ -142,6 +150,7 @@
 		{"Obligations.StartCapacity", o.StartCapacity < 0},
 		{"Caps.ConnIdle", k.ConnIdle < 0},
 		{"Caps.ConnectTimeout", k.ConnectTimeout < 0},
+		{"Caps.SweepEvery", k.SweepEvery < 0},
 		{"Caps.MaxRetryAfter", k.MaxRetryAfter < 0},
 		{"Caps.MaxAttempts", k.MaxAttempts < 0},
 	} {
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -31,8 +31,6 @@
 const (
 	// longestWatch bounds how long a reader is kept waiting.
 	longestWatch = 10 * time.Second
-	// reportTimeout bounds passing a report on.
-	reportTimeout = 500 * time.Millisecond
 	// quitMargin is how long before the platform's patience ends an agent ends by itself.
 	quitMargin = 300 * time.Millisecond
 	// proxyLook is how often an agent that quits looks whether its proxy still asks, and
@@ -50,6 +48,7 @@
 	holder       string
 	leases       *leases
 	placers      *placers
+	demand       *demandRelay
 	backends     *backendClient
 	observations *observations
 	client       *transport.Client
@@ -66,54 +65,20 @@
 	return a.feed.Wait(ctx, request, wait), nil
 }
 
-// ReportDemand implements api.Agent: the report goes to the holders of the roles that it
-// concerns.
+// ReportDemand implements api.Agent: this agent's own proxy reports.
 func (a *Agent) ReportDemand(_ context.Context, report *api.DemandReport) (*api.Empty, error) {
-	a.placers.asked(report.Node, report.Demands)
-	if report.Node == a.settings.NodeName {
-		a.passOn(report)
-	}
+	report.Zone = a.settings.Zone
+	a.demand.take(report, true)
 	return &api.Empty{}, nil
 }
 
-// passOn sends a report of this agent's own proxy to the other holders.
-func (a *Agent) passOn(report *api.DemandReport) {
-	for address, demands := range a.byHolder(report.Demands) {
-		go func() {
-			call, cancel := context.WithTimeout(context.Background(), reportTimeout)
-			defer cancel()
-			// What is lost is told again with the next report.
-			_, _ = api.NewAgentProtobufClient("http://"+address, a.client).ReportDemand(call,
-				&api.DemandReport{Node: report.Node, Demands: demands})
-		}()
-	}
-}
-
-// zoneOf is the zone of a node; "" is not known.
-func (a *Agent) zoneOf(node string) string {
-	if node == a.settings.NodeName {
-		return a.settings.Zone
-	}
-	for _, n := range a.feed.Nodes() {
-		if n.Name == node {
-			return n.Zone
-		}
+// PassDemand implements api.Agent: other agents of the zone, or homes of other zones, pass
+// reports on.
+func (a *Agent) PassDemand(_ context.Context, batch *api.DemandBatch) (*api.Empty, error) {
+	for _, report := range batch.Reports {
+		a.demand.take(report, false)
 	}
-	return ""
-}
-
-// byHolder sorts demands by the address of the agent that places their service.
-func (a *Agent) byHolder(demands []*api.Demand) map[string][]*api.Demand {
-	sorted := map[string][]*api.Demand{}
-	a.feed.View(func(m *state.Machine) {
-		for _, d := range demands {
-			owner := m.Owner(ownership.PlacementKey(d.Service))
-			if owner != nil && owner.Address != a.settings.PeerAddress() {
-				sorted[owner.Address] = append(sorted[owner.Address], d)
-			}
-		}
-	})
-	return sorted
+	return &api.Empty{}, nil
 }
 
 // controls are the control processes, the one to ask first in front.
@@ -130,6 +95,20 @@
 	return holds
 }
 
+// awaitRole waits until the feed names this agent as the holder of a role, or ctx ends.
+func (a *Agent) awaitRole(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := a.feed.Changed()
+		if a.holdsAny() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Run is an agent until ctx ends.
 func Run(parent context.Context, machine *host.Host) error {
 	settings, log := machine.Settings, machine.Log
@@ -137,11 +116,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	incarnation := rand.Uint64()
+	node := &api.Node{Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation}
 	client := transport.NewClient(machine.Network.Dial)
 	a := &Agent{settings: settings, feed: feed.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now),
 		holder: ownership.Holder(settings.NodeName, incarnation), backends: newBackendClient(machine.Network.Dial), client: client, log: log}
-	a.leases = &leases{holder: a.holder, controls: a.controls, wanted: a.holdsAny, client: client, log: log}
+	a.leases = &leases{holder: a.holder, controls: a.controls, wanted: a.holdsAny, await: a.awaitRole, client: client, log: log}
 	a.observations = newObservations(a)
+	a.demand = newDemandRelay(a, node)
 	a.placers = &placers{agent: a, running: map[string]*runningPlacer{}}
 	server := transport.NewServer(nil, api.NewAgentServer(a))
 	failures := make(chan error, 2)
@@ -152,7 +133,6 @@
 		}
 		go func() { failures <- server.Serve(listener) }()
 	}
-	node := &api.Node{Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation}
 	var loops sync.WaitGroup
 	loops.Go(func() { newSubscriptions(a, node).run(ctx) })
 	loops.Go(func() {
--- a/internal/system/agent/lease.go
+++ b/internal/system/agent/lease.go
@@ -29,7 +29,8 @@
 type leases struct {
 	holder   string
 	controls func() []string
-	wanted   func() bool // whether the feed names this agent as a holder
+	wanted   func() bool               // whether the feed names this agent as a holder
+	await    func(ctx context.Context) // waits for a change of that
 	client   *transport.Client
 	log      logr.Logger
 
@@ -41,16 +42,16 @@
 func (l *leases) run(ctx context.Context) {
 	ticker := time.NewTicker(renewEvery)
 	defer ticker.Stop()
-	at := 0
-	for {
+	for at := 0; ctx.Err() == nil; {
+		if !l.wanted() {
+			l.await(ctx)
+			continue
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		if !l.wanted() {
-			continue
-		}
 		controls := l.controls()
 		if len(controls) == 0 || !l.renew(ctx, controls[at%len(controls)]) {
 			at++
--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -269,16 +269,27 @@
 func (s *placers) follow(ctx context.Context) {
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		s.adjust(ctx)
+		if !s.agent.holdsAny() && s.none() {
+			s.agent.awaitRole(ctx)
+			continue
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		s.adjust(ctx)
 	}
 }
 
+// none tells whether no placer runs.
+func (s *placers) none() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running) == 0
+}
+
 func (s *placers) adjust(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -311,8 +322,7 @@
 }
 
 // asked hands a report on to the placers that it concerns.
-func (s *placers) asked(node string, demands []*api.Demand) {
-	zone := s.agent.zoneOf(node)
+func (s *placers) asked(node, zone string, demands []*api.Demand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demands {
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -26,6 +26,9 @@
 const (
 	// connectTimeout bounds the making of a connection to a backend, and paces probes.
 	connectTimeout = 600 * time.Millisecond
+	// sweepEvery is how often a service looks at what time alone brings. Each look goes over
+	// all backends: it is much of what a proxy costs that has little to do.
+	sweepEvery = 100 * time.Millisecond
 	// connectionIdle is how long a connection to a backend may rest.
 	connectionIdle = 20 * time.Second
 	// longestWait bounds what a client may ask for.
@@ -133,7 +136,7 @@
 		Classes: s.classes, Goal: marlreel.Goal{Whole: 1}, Prices: marlreel.Prices{CrossZone: crossing},
 		Obligations: marlreel.Obligations{Cold: restartSpan, StartCapacity: 1, FallMultiple: 1, Fall: time.Second},
 		Caps: marlreel.Caps{Cancel: true, Probes: true, RetryAfter: true, ConnIdle: connectionIdle,
-			ConnectTimeout: connectTimeout, MaxRetryAfter: longestRetryAfter, MaxAttempts: mostTries},
+			ConnectTimeout: connectTimeout, SweepEvery: sweepEvery, MaxRetryAfter: longestRetryAfter, MaxAttempts: mostTries},
 		Advice: s.advisor}
 }
 
