List a service's backends at a proxy only when they have changed; more kinds of drawn faults for the chain

Need: every piece of news had every service's whole list reconciled; the chain's histories saved more than a disk would hold, and had no replacements, no loss of a disk with all power, no views that change while views change.

Change: listings go by the service's revision in the feed and the evacuated zones. The simulated disk keeps just what was said to be saved; 7 members; three more faults; histories play side by side. internal/tools/mutants takes single guards out.

Mutants not played yet.

--- a/internal/system/chain/chain_test.go
+++ b/internal/system/chain/chain_test.go
@@ -201,16 +201,28 @@
 		histories = more
 	}
 	for seed := range histories {
-		members := 3 + 2*(seed%2)
-		c := newCluster(t, uint64(seed)+100, members)
-		c.mustServe("founding")
-		c.drawn(12)
-		c.heal()
-		c.mustServe(fmt.Sprintf("seed %d: all is healed", seed))
-		for _, p := range c.processes {
-			if !p.node.InService() {
-				c.fail("seed %d: %s is not back in the chain", seed, p.address)
-			}
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			playHistory(t, seed)
+		})
+	}
+}
+
+// playHistory plays the history of a seed, with 3, 5 or 7 members.
+func playHistory(t *testing.T, seed int) {
+	t.Helper()
+	members := 3 + 2*(seed%3)
+	c := newCluster(t, uint64(seed)+100, members)
+	c.mustServe("founding")
+	c.drawn(12)
+	c.heal()
+	c.mustServe("all is healed")
+	for _, p := range c.processes {
+		if p.replaced {
+			continue
+		}
+		if !p.node.InService() {
+			c.fail("%s is not back in the chain", p.address)
 		}
 	}
 }
@@ -218,9 +230,9 @@
 // drawn lets so many faults happen.
 func (c *cluster) drawn(faults int) {
 	for range faults {
-		p := c.processes[c.rng.IntN(len(c.processes))]
+		p := c.anyone()
 		span := time.Duration(c.rng.Int64N(int64(1500 * time.Millisecond)))
-		switch c.rng.IntN(9) {
+		switch c.rng.IntN(12) {
 		case 0:
 			c.kill(p)
 			c.runFor(span)
@@ -245,7 +257,7 @@
 			c.runFor(span)
 			c.isolate(p, false)
 		case 5:
-			other := c.processes[c.rng.IntN(len(c.processes))]
+			other := c.anyone()
 			c.cut[p.address+">"+other.address] = true
 			c.runFor(span)
 			c.cut[p.address+">"+other.address] = false
@@ -254,35 +266,103 @@
 			c.runFor(span)
 			c.loss = 0
 		case 7:
-			for _, each := range c.processes {
-				c.kill(each)
-			}
-			c.runFor(span / 4)
-			for _, each := range c.processes {
-				c.start(each, false)
-			}
+			c.restartAll(span / 4)
 		case 8: // cut, and while it lasts another one is restarted
 			c.isolate(p, true)
 			c.runFor(span / 2)
-			other := c.processes[c.rng.IntN(len(c.processes))]
+			other := c.anyone()
 			if other != p {
 				c.kill(other)
 				c.start(other, false)
 			}
 			c.runFor(span / 2)
 			c.isolate(p, false)
+		case 9:
+			c.loseDiskAndPower(p)
+		case 10:
+			c.replace(p)
+		case 11: // views change while views change
+			for range 4 {
+				c.isolate(c.anyone(), true)
+				c.runFor(time.Duration(c.rng.Int64N(int64(700 * time.Millisecond))))
+				clear(c.cut)
+			}
 		}
 		c.audit()
 		c.runFor(time.Duration(c.rng.Int64N(int64(600 * time.Millisecond))))
 	}
 }
 
+// loseDiskAndPower takes a disk, and the power of all, some ms after something was sent or
+// right after it was acknowledged. Before that all were given time to catch up.
+func (c *cluster) loseDiskAndPower(p *process) {
+	c.heal()
+	c.runFor(settle)
+	if c.rng.IntN(2) == 0 {
+		before := len(c.acked)
+		for range 200 {
+			if len(c.acked) > before {
+				break
+			}
+			c.runFor(time.Millisecond)
+		}
+	} else {
+		c.runFor(time.Duration(c.rng.Int64N(int64(400 * time.Millisecond))))
+	}
+	c.wipe(p)
+	c.restartAll(200 * time.Millisecond)
+	c.runFor(settle)
+}
+
+// anyone is a process that has not been replaced.
+func (c *cluster) anyone() *process {
+	for {
+		if p := c.processes[c.rng.IntN(len(c.processes))]; !p.replaced {
+			return p
+		}
+	}
+}
+
+// restartAll ends all processes at once, and starts them after a while.
+func (c *cluster) restartAll(down time.Duration) {
+	for _, p := range c.processes {
+		c.kill(p)
+	}
+	c.runFor(down)
+	for _, p := range c.processes {
+		if !p.replaced {
+			c.start(p, false)
+		}
+	}
+}
+
+// replace puts another machine in the place of one, which has gone for good, or comes back
+// with its old disk when the other one has been taken in.
+func (c *cluster) replace(p *process) {
+	if p.replaced {
+		return
+	}
+	c.heal()
+	c.runFor(settle)
+	c.kill(p)
+	c.runFor(time.Duration(c.rng.Int64N(int64(time.Second))))
+	c.add(fmt.Sprintf("r%d", len(c.processes)), false)
+	c.runFor(settle)
+	p.replaced = true
+	if c.rng.IntN(2) == 0 { // its old self is alive
+		c.start(p, false)
+		c.runFor(time.Duration(c.rng.Int64N(int64(2 * time.Second))))
+		c.kill(p)
+	}
+	c.runFor(settle)
+}
+
 // heal ends all faults.
 func (c *cluster) heal() {
 	clear(c.cut)
 	c.loss = 0
 	for _, p := range c.processes {
-		if p.node == nil {
+		if p.node == nil && !p.replaced {
 			c.start(p, false)
 		}
 		c.thaw(p)
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -69,8 +69,10 @@
 	life    int
 	frozen  bool
 	stalled bool // its disk answers nothing
-	backlog []func()
-	waiting map[uint64]string // proposals by entry hash
+	// replaced: another machine has taken its place, and it does not come back.
+	replaced bool
+	backlog  []func()
+	waiting  map[uint64]string // proposals by entry hash
 }
 
 type cluster struct {
@@ -85,6 +87,7 @@
 	cfg       Config
 	acked     []string // in the order of their acknowledgements
 	founders  []string
+	contacts  []string // what processes that start are told
 	proposed  int
 	log       []string
 }
@@ -100,6 +103,7 @@
 	for i := range members {
 		c.founders = append(c.founders, fmt.Sprintf("c%d", i))
 	}
+	c.contacts = c.founders
 	for _, address := range c.founders {
 		c.add(address, true)
 	}
@@ -126,7 +130,7 @@
 		}
 	}
 	p.machine = &register{}
-	p.node = New(c.cfg, cloneDurable(p.disk), p.machine, c.founders, c.now)
+	p.node = New(c.cfg, cloneDurable(p.disk), p.machine, c.contacts, c.now)
 	life := p.life
 	var tick func()
 	tick = func() {
@@ -175,7 +179,7 @@
 
 func (c *cluster) carryOut(p *process, out Output) {
 	if out.Save.Any() {
-		saved := cloneDurable(p.node.Durable())
+		saved := save(p.disk, p.node.Durable(), out.Save)
 		saved = roundTrip(c.t, saved)
 		p.disk = &saved
 	}
@@ -193,6 +197,33 @@
 	}
 }
 
+// save gives what a disk holds once what has changed was written to it, and no more.
+func save(disk, now *Durable, changed Changed) Durable {
+	next := cloneDurable(disk)
+	if changed.Self {
+		next.Self = now.Self
+	}
+	if changed.View {
+		next.View = now.View
+	}
+	if changed.Vote {
+		next.Promised, next.AcceptedBallot, next.AcceptedView = now.Promised, now.AcceptedBallot, now.AcceptedView
+	}
+	if changed.Synced {
+		next.SyncedView = now.SyncedView
+	}
+	added := changed.Appended
+	if changed.Truncated {
+		next.Entries, added = nil, now.Entries
+	}
+	next.Entries = append(next.Entries, added...)
+	if changed.Snapshot {
+		next.Snapshot = now.Snapshot
+	}
+	next.Entries = slices.DeleteFunc(next.Entries, func(e *api.Entry) bool { return e.Sequence <= next.Snapshot.GetSequence() })
+	return next
+}
+
 // roundTrip makes sure that what is kept shares nothing with what goes on.
 func roundTrip(t *testing.T, d Durable) Durable {
 	t.Helper()
@@ -209,6 +240,9 @@
 	for i, entry := range d.Entries {
 		d.Entries[i] = proto.Clone(entry).(*api.Entry)
 	}
+	if !d.Intact() {
+		t.Fatalf("the log on disk does not fit together: snapshot at %d, %d entries", d.Snapshot.GetSequence(), len(d.Entries))
+	}
 	return d
 }
 
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -402,6 +402,13 @@
 	return s.nodesRevision > revision
 }
 
+// ServiceRevision is the revision at which a service's backends last changed.
+func (s *Store) ServiceRevision(service string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serviceRevision[service]
+}
+
 // ChangedSince gives the backends that have changed since a revision, and the revision now.
 func (s *Store) ChangedSince(revision uint64) ([]*api.Backend, uint64) {
 	s.mu.Lock()
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -5,6 +5,9 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -139,10 +142,18 @@
 		cfg := &document.Services[i]
 		g.keepService(old, next, cfg, proxies)
 	}
+	// The revisions are read first: what changes meanwhile is listed once more.
+	listed := map[*service]listing{}
+	for name, s := range next.services {
+		listed[s] = listing{made: true, revision: g.feed.ServiceRevision(name), evacuated: strings.Join(slices.Sorted(maps.Keys(evacuated)), " ")}
+	}
 	backends := g.feed.Backends()
 	next.held = holdings(backends, evacuated)
 	for _, s := range next.services {
-		s.list(backends, g.self, func(zone string) bool { return evacuated[zone] })
+		if s.listed != listed[s] {
+			s.listed = listed[s]
+			s.list(backends, g.self, func(zone string) bool { return evacuated[zone] })
+		}
 	}
 	g.plan.Store(next)
 	for name, s := range old.services {
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -60,6 +60,14 @@
 	proxies    int
 	classes    []marlreel.Class
 	rank, zone int
+	listed     listing
+}
+
+// listing is what a list of backends was made of.
+type listing struct {
+	made      bool
+	revision  uint64 // of the service's backends
+	evacuated string // the zones
 }
 
 // Bounds are the figures of the rules that a gateway keeps.
--- /dev/null
+++ b/internal/tools/mutants/main.go
@@ -0,0 +1,139 @@
+// Command mutants checks the checkers: it takes single guards out of the code, one at a
+// time, and runs the tests that should notice. It changes no file: the compiler is given
+// the changed text in place of the file's.
+//
+//	go run ./internal/tools/mutants internal/system/chain/testdata/mutants.toml
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+)
+
+// mutant is one change of the code, and the tests that have to fail with it.
+type mutant struct {
+	Name    string   `toml:"name"`
+	File    string   `toml:"file"`
+	Find    string   `toml:"find"`
+	Put     string   `toml:"put"`
+	Package string   `toml:"package"`
+	Run     string   `toml:"run"`
+	Env     []string `toml:"env"`
+}
+
+// list is the file of mutants.
+type list struct {
+	Mutants []mutant `toml:"mutant"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: mutants FILE")
+		os.Exit(2)
+	}
+	alive, err := playAll(ctx, os.Args[1], os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if alive > 0 {
+		os.Exit(1)
+	}
+}
+
+// playAll plays all mutants of a file and says how many no test has noticed.
+func playAll(ctx context.Context, path string, out io.Writer) (alive int, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return 0, eris.Wrap(err, "reading the mutants")
+	}
+	var mutants list
+	if err := toml.Unmarshal(data, &mutants); err != nil {
+		return 0, eris.Wrap(err, "reading the mutants")
+	}
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "mutant\tnoticed by")
+	for _, m := range mutants.Mutants {
+		by, err := play(ctx, m)
+		if err != nil {
+			return alive, eris.Wrap(err, m.Name)
+		}
+		if by == "" {
+			alive++
+			by = "NOBODY"
+		}
+		fmt.Fprintf(table, "%s\t%s\n", m.Name, by)
+	}
+	return alive, table.Flush()
+}
+
+// failed is a line of the test command on a test that failed.
+var failed = regexp.MustCompile(`(?m)^\s*--- FAIL: (\S+)`)
+
+// play runs the tests with a mutant, and gives the first ones that fail.
+func play(ctx context.Context, m mutant) (by string, err error) {
+	folder, err := os.MkdirTemp("", "mutant-")
+	if err != nil {
+		return "", eris.Wrap(err, "making a folder")
+	}
+	defer os.RemoveAll(folder)
+	overlay, err := writeOverlay(folder, m)
+	if err != nil {
+		return "", err
+	}
+	command := exec.CommandContext(ctx, "go", "test", "-count=1", "-overlay", overlay, "-run", m.Run, m.Package)
+	command.Env = append(os.Environ(), m.Env...)
+	output, err := command.CombinedOutput()
+	if err == nil {
+		return "", nil
+	}
+	var ended *exec.ExitError
+	if !errors.As(err, &ended) {
+		return "", eris.Wrap(err, "running the tests")
+	}
+	names := failed.FindAllStringSubmatch(string(output), -1)
+	if len(names) == 0 {
+		if strings.Contains(string(output), "panic:") {
+			return "a panic", nil
+		}
+		return "", eris.Errorf("the tests did not run: %s", output)
+	}
+	return fmt.Sprintf("%s (%d failed)", names[len(names)-1][1], len(names)), nil
+}
+
+// writeOverlay writes the changed file, and what tells the compiler of it.
+func writeOverlay(folder string, m mutant) (path string, err error) {
+	text, err := os.ReadFile(m.File)
+	if err != nil {
+		return "", eris.Wrap(err, "reading the code")
+	}
+	if strings.Count(string(text), m.Find) != 1 {
+		return "", eris.Errorf("%s holds %d times what is to be found", m.File, strings.Count(string(text), m.Find))
+	}
+	changed := filepath.Join(folder, "changed.go")
+	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), m.Find, m.Put, 1)), 0o600); err != nil {
+		return "", eris.Wrap(err, "writing the changed code")
+	}
+	original, err := filepath.Abs(m.File)
+	if err != nil {
+		return "", eris.Wrap(err, "naming the code")
+	}
+	data, _ := json.Marshal(map[string]map[string]string{"Replace": {original: changed}}) // plain strings always marshal
+	path = filepath.Join(folder, "overlay.json")
+	return path, eris.Wrap(os.WriteFile(path, data, 0o600), "writing the overlay")
+}
