Let a member whose disk was lost find the chain by who calls for its old self

Change: who calls for another life of a member is remembered (16 at most) and reported to while it is not connected.

--- a/internal/system/chain/chain_test.go
+++ b/internal/system/chain/chain_test.go
@@ -396,3 +396,23 @@
 	c.mustServe("it knows the new ones")
 	is.True(lonely.node.InService())
 }
+
+// A machine whose disk was lost, and whose seeds name nobody who is left, finds the chain by
+// those who call for its old self.
+func TestWipedMemberWhoseSeedsAreGoneFindsTheChain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 7, 3)
+	c.mustServe("founding")
+	for i, address := range []string{"d1", "d2"} {
+		c.kill(c.processes[1+i])
+		c.runFor(time.Second)
+		c.add(address, false)
+		c.mustServe("another one has come in its place")
+	}
+	wiped := c.processes[0]
+	c.wipe(wiped)
+	c.runFor(time.Second)
+	c.start(wiped, false) // it knows the founders alone
+	c.mustServe("it is back")
+	is.True(wiped.node.InService())
+}
--- a/internal/system/chain/heartbeat.go
+++ b/internal/system/chain/heartbeat.go
@@ -42,13 +42,27 @@
 		return
 	}
 	// All that this node knows of may have been replaced while it heard nothing.
-	for _, address := range n.contacts {
+	for _, address := range slices.Concat(n.contacts, n.met) {
 		if !told[address] && address != n.durable.Self.Address {
+			told[address] = true
 			n.send(&api.Member{Address: address}, n.heartbeat())
 		}
 	}
 }
 
+// mostMet bounds the addresses from which a call for another life of this one has come.
+const mostMet = 16
+
+// meet remembers an address at which a member of the chain may be found.
+func (n *Node) meet(address string) {
+	if slices.Contains(n.met, address) {
+		return
+	}
+	if n.met = append(n.met, address); len(n.met) > mostMet {
+		n.met = n.met[1:]
+	}
+}
+
 func (n *Node) heartbeat() *api.ChainMessage {
 	beat := &api.Heartbeat{Active: n.InService(), Committed: n.committed, Position: n.durable.last(), WantsIn: !n.inChain()}
 	for key, p := range n.peers {
--- a/internal/system/chain/node.go
+++ b/internal/system/chain/node.go
@@ -54,6 +54,7 @@
 	activeView  uint64 // the newest view known to be in service
 	peers       map[string]*peer
 	contacts    []string // addresses to report to while this node is not connected
+	met         []string // more of them: who has called for another life of this address
 	nextBeat    time.Duration
 	listening   time.Duration // since when this node has run without a gap
 	lastTick    time.Duration
--- a/internal/system/chain/replicate.go
+++ b/internal/system/chain/replicate.go
@@ -13,7 +13,10 @@
 		return n.take()
 	}
 	if to := message.To; to.GetIncarnation() != 0 && !sameMember(to, n.durable.Self) {
-		return n.take() // for the member that had this address before its disk was lost
+		// It is for the member that had this address before its disk was lost. Who sent it may
+		// be all that can lead this one to the chain.
+		n.meet(message.From.Address)
+		return n.take()
 	}
 	p := n.heard(message)
 	if message.View.GetNumber() > n.durable.View.Number {
