Change a configuration by touching only what the change names

Change: a document keeps its items as they were sent; a change reads and checks its own items, and only looks over how all of them fit together; the whole text is made when somebody asks for it; committed entries are not checked again; the head's trial copy shares the document; classes are told by their fields before they are named.

--- a/internal/system/configuration/document.go
+++ b/internal/system/configuration/document.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -118,13 +119,13 @@
 	Services []Service `json:"service_list"`
 	Limits   Limits    `json:"limits"`
 
-	raw      []byte
+	text     *text
 	services map[string]*Service
 	hosts    map[string][]*Route // the longest prefix first
 }
 
 // Raw is the document as JSON. It must not be changed.
-func (d *Document) Raw() []byte { return d.raw }
+func (d *Document) Raw() []byte { return d.text.whole(d.Version) }
 
 // Service is the service of a name, or nil.
 func (d *Document) Service(name string) *Service { return d.services[name] }
@@ -133,8 +134,16 @@
 // and all of them by their words.
 func Parse(data []byte) (*Document, *result.Error) {
 	d, faults := Check(data)
+	if err := errorOf(faults); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// errorOf makes one error of all faults; nil where there are none.
+func errorOf(faults []*result.Error) *result.Error {
 	if len(faults) == 0 {
-		return d, nil
+		return nil
 	}
 	words := make([]string, 0, len(faults))
 	for _, fault := range faults[:min(len(faults), mostFaults)] {
@@ -143,7 +152,7 @@
 	if more := len(faults) - mostFaults; more > 0 {
 		words = append(words, fmt.Sprintf("and %d more", more))
 	}
-	return nil, result.Errorf(faults[0].Code, "%s", strings.Join(words, "; "))
+	return result.Errorf(faults[0].Code, "%s", strings.Join(words, "; "))
 }
 
 // mostFaults is how many faults one error names.
@@ -151,12 +160,21 @@
 
 // Check reads a whole configuration and gives all that is wrong with it.
 func Check(data []byte) (*Document, []*result.Error) {
-	d := &Document{raw: data}
+	d, err := Load(data)
+	if err != nil {
+		return nil, []*result.Error{err}
+	}
+	return d, d.check(func(string) bool { return true })
+}
+
+// Load reads a whole configuration that was checked when it was taken.
+func Load(data []byte) (*Document, *result.Error) {
+	d := &Document{text: newText(data)}
 	if err := decode(data, d); err != nil {
-		return nil, []*result.Error{result.Errorf(result.Unreadable, "configuration: %v", err)}
+		return nil, result.Errorf(result.Unreadable, "configuration: %v", err)
 	}
 	d.index()
-	return d, d.check()
+	return d, nil
 }
 
 var errMore = errors.New("more follows after the document")
@@ -187,7 +205,9 @@
 	return *head.Version, nil
 }
 
-func (d *Document) check() (faults []*result.Error) {
+// check gives the faults of a document. The fields of items are looked at only where they
+// are new; what items have to do with one another, always.
+func (d *Document) check(isNew func(name string) bool) (faults []*result.Error) {
 	report := func(fault *result.Error) {
 		if fault != nil {
 			faults = append(faults, fault)
@@ -200,12 +220,18 @@
 		report(result.Errorf(result.SameName, "service_list: two services have the same name"))
 	}
 	for i := range d.Services {
-		report(d.Services[i].check())
+		if isNew(d.Services[i].Name) {
+			report(d.Services[i].check())
+		}
 	}
 	names, places := map[string]bool{}, map[string]string{}
 	for i := range d.Routes {
 		route := &d.Routes[i]
-		report(d.checkRoute(route))
+		fault := d.checkTargets(route)
+		if isNew(route.Name) {
+			fault = cmp.Or(route.check(), fault)
+		}
+		report(fault)
 		place := route.Host + route.PathPrefix
 		if other, taken := places[place]; taken {
 			report(result.Errorf(result.SamePlace, "route %s: route %s has %s too", route.Name, other, place))
@@ -232,7 +258,8 @@
 
 const longestName = 256
 
-func (d *Document) checkRoute(r *Route) *result.Error {
+// check gives a fault of the route's own fields.
+func (r *Route) check() *result.Error {
 	if r.TimeoutMS <= 0 {
 		return result.Errorf(result.NoTimeout, "route %s: timeout_ms is %v", r.Name, r.TimeoutMS)
 	}
@@ -245,6 +272,11 @@
 	if err != nil {
 		return result.Errorf(result.InvalidField, "route %s: %v", r.Name, err)
 	}
+	return nil
+}
+
+// checkTargets gives a fault of where a route leads.
+func (d *Document) checkTargets(r *Route) *result.Error {
 	sum, unknown, negative := 0.0, "", false
 	r.Services(func(service string, weight float64) {
 		if d.services[service] == nil {
--- a/internal/system/configuration/modify.go
+++ b/internal/system/configuration/modify.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 
 	"marlreel/internal/system/result"
 )
@@ -22,16 +21,12 @@
 	versionKey  = "config_version"
 )
 
-// Modify makes the document that a change leads to.
-func (d *Document) Modify(data []byte) (*Document, *result.Error) {
-	var c change
-	if err := decode(data, &c); err != nil {
+// readChange reads a change, and refuses lists that there are not.
+func readChange(data []byte) (*change, *result.Error) {
+	c := &change{}
+	if err := decode(data, c); err != nil {
 		return nil, result.Errorf(result.Unreadable, "change: %v", err)
 	}
-	whole := map[string]json.RawMessage{}
-	if err := decode(d.raw, &whole); err != nil {
-		return nil, result.Errorf(result.Unreadable, "configuration in place: %v", err)
-	}
 	for name := range c.Upsert {
 		if name != routeList && name != serviceList {
 			return nil, result.Errorf(result.InvalidField, "upsert: there is no list %s", name)
@@ -42,75 +37,74 @@
 			return nil, result.Errorf(result.InvalidField, "remove: there is no list %s", name)
 		}
 	}
-	for _, name := range []string{routeList, serviceList} {
-		changed, err := changeList(whole[name], c.Upsert[name], c.Remove[name])
-		if err != nil {
-			return nil, err
-		}
-		whole[name] = changed
+	return c, nil
+}
+
+// Modify makes the document that a change leads to. What the change does not name is
+// neither read nor checked anew.
+func (d *Document) Modify(data []byte) (*Document, *result.Error) {
+	c, err := readChange(data)
+	if err != nil {
+		return nil, err
 	}
-	whole[versionKey] = json.RawMessage(strconv.FormatUint(c.Version, 10))
-	raw, err := json.Marshal(whole)
+	old, err := d.text.apart()
 	if err != nil {
-		return nil, result.Errorf(result.Unreadable, "change: %v", err)
+		return nil, err
+	}
+	isNew := map[string]bool{}
+	now := &parts{rest: old.rest}
+	next := &Document{Version: c.Version, Limits: d.Limits, text: &text{parts: now}}
+	next.Routes, now.routes, err = changeList(d.Routes, old.routes, c.Upsert[routeList], c.Remove[routeList], isNew)
+	if err != nil {
+		return nil, err
+	}
+	next.Services, now.services, err = changeList(d.Services, old.services, c.Upsert[serviceList], c.Remove[serviceList], isNew)
+	if err != nil {
+		return nil, err
 	}
-	return Parse(raw)
+	next.index()
+	if err := errorOf(next.check(func(name string) bool { return isNew[name] })); err != nil {
+		return nil, err
+	}
+	return next, nil
 }
 
-// changeList removes items by name, replaces those that are there, and adds the others.
-func changeList(list json.RawMessage, upsert []json.RawMessage, remove []string) (json.RawMessage, *result.Error) {
-	var items []json.RawMessage
-	if len(list) > 0 {
-		if err := json.Unmarshal(list, &items); err != nil {
-			return nil, result.Errorf(result.Unreadable, "configuration in place: %v", err)
-		}
+// changeList removes items by name, replaces those that are there, and adds the others. It
+// notes the names of those that it has taken from the change.
+func changeList[T any](values []T, items []item, upsert []json.RawMessage, remove []string, isNew map[string]bool) ([]T, []item, *result.Error) {
+	added, err := itemsOf(upsert)
+	if err != nil {
+		return nil, nil, err
 	}
-	fresh, order := map[string]json.RawMessage{}, []string(nil)
-	for _, item := range upsert {
-		name, err := nameOf(item)
-		if err != nil {
-			return nil, err
+	fresh := map[string]int{} // by name: the place in added, until it has found its own
+	read := make([]T, len(added))
+	for i, a := range added {
+		if _, twice := fresh[a.name]; twice {
+			return nil, nil, result.Errorf(result.SameName, "upsert: %s comes twice", a.name)
 		}
-		if _, twice := fresh[name]; twice {
-			return nil, result.Errorf(result.SameName, "upsert: %s comes twice", name)
+		if err := json.Unmarshal(a.raw, &read[i]); err != nil {
+			return nil, nil, result.Errorf(result.Unreadable, "%s: %v", a.name, err)
 		}
-		fresh[name], order = item, append(order, name)
+		fresh[a.name] = i
+		isNew[a.name] = true
 	}
 	gone := map[string]bool{}
 	for _, name := range remove {
 		gone[name] = true
 	}
-	kept := make([]json.RawMessage, 0, len(items)+len(upsert))
-	for _, item := range items {
-		name, err := nameOf(item)
-		if err != nil {
-			return nil, err
-		}
-		if replacement, replaced := fresh[name]; replaced {
-			kept = append(kept, replacement)
-			delete(fresh, name)
-		} else if !gone[name] {
-			kept = append(kept, item)
+	keptValues, kept := make([]T, 0, len(items)+len(added)), make([]item, 0, len(items)+len(added))
+	for i, old := range items {
+		if at, replaced := fresh[old.name]; replaced {
+			keptValues, kept = append(keptValues, read[at]), append(kept, added[at])
+			delete(fresh, old.name)
+		} else if !gone[old.name] {
+			keptValues, kept = append(keptValues, values[i]), append(kept, old)
 		}
 	}
-	for _, name := range order {
-		if item, added := fresh[name]; added {
-			kept = append(kept, item)
+	for i, a := range added {
+		if _, left := fresh[a.name]; left {
+			keptValues, kept = append(keptValues, read[i]), append(kept, a)
 		}
 	}
-	data, err := json.Marshal(kept)
-	if err != nil {
-		return nil, result.Errorf(result.Unreadable, "change: %v", err)
-	}
-	return data, nil
-}
-
-func nameOf(item json.RawMessage) (string, *result.Error) {
-	var named struct {
-		Name string `json:"name"`
-	}
-	if err := json.Unmarshal(item, &named); err != nil || named.Name == "" {
-		return "", result.Errorf(result.InvalidField, "an item has no name")
-	}
-	return named.Name, nil
+	return keptValues, kept, nil
 }
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -101,9 +101,22 @@
 	return len(i.zones)
 }
 
-// className names the class of a route: what decisions on its requests go by.
+// classKey is what the class of a route is told by: what decisions on its requests go by.
+type classKey struct {
+	class              string
+	repeatable         bool
+	targetLatencyMS    float64
+	attempts, priority int
+}
+
+func keyOf(r *configuration.Route) classKey {
+	return classKey{r.Class, r.Repeatable(), r.TargetLatencyMS, r.Attempts(), r.Priority}
+}
+
+// className names the class of a route.
 func className(r *configuration.Route) string {
-	return fmt.Sprintf("%s %v %v %d %d", r.Class, r.Repeatable(), r.TargetLatencyMS, r.Attempts(), r.Priority)
+	k := keyOf(r)
+	return fmt.Sprintf("%s %v %v %d %d", k.class, k.repeatable, k.targetLatencyMS, k.attempts, k.priority)
 }
 
 func classOf(r *configuration.Route) marlreel.Class {
@@ -121,19 +134,18 @@
 
 // classesOf are the classes of all routes that may use a service, in order.
 func classesOf(document *configuration.Document, name string) []marlreel.Class {
-	found := map[string]marlreel.Class{}
+	found := map[classKey]*configuration.Route{}
 	for i := range document.Routes {
 		route := &document.Routes[i]
 		route.Services(func(service string, _ float64) {
 			if service == name {
-				class := classOf(route)
-				found[class.Name] = class
+				found[keyOf(route)] = route
 			}
 		})
 	}
 	classes := make([]marlreel.Class, 0, len(found))
-	for _, class := range found {
-		classes = append(classes, class)
+	for _, route := range found {
+		classes = append(classes, classOf(route))
 	}
 	slices.SortFunc(classes, func(a, b marlreel.Class) int { return cmp.Compare(a.Name, b.Name) })
 	return classes
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"marlreel/internal/system/api"
@@ -27,7 +28,7 @@
 
 // Machine is the state. One goroutine at a time may use it.
 type Machine struct {
-	state    *api.State
+	state    *api.State              // but for the document
 	document *configuration.Document // nil: none was taken
 	retired  map[string]bool
 }
@@ -41,17 +42,22 @@
 
 // Clone gives a copy on which operations can be tried.
 func (m *Machine) Clone() *Machine {
-	c := New()
-	c.Restore(m.State())
-	c.document = m.document
-	return c
+	return &Machine{state: copyOf(m.state), document: m.document, retired: maps.Clone(m.retired)}
+}
+
+// copyOf copies a state but for its document.
+func copyOf(s *api.State) *api.State {
+	return &api.State{Version: s.Version, Digests: slices.Clone(s.Digests), Evacuations: slices.Clone(s.Evacuations),
+		Retired: slices.Clone(s.Retired), Ownerships: slices.Clone(s.Ownerships), LastFence: s.LastFence}
 }
 
 // State gives a copy of the state as a message.
 func (m *Machine) State() *api.State {
-	return &api.State{Version: m.state.Version, Document: m.state.Document, Digests: slices.Clone(m.state.Digests),
-		Evacuations: slices.Clone(m.state.Evacuations), Retired: slices.Clone(m.state.Retired),
-		Ownerships: slices.Clone(m.state.Ownerships), LastFence: m.state.LastFence}
+	s := copyOf(m.state)
+	if m.document != nil {
+		s.Document = m.document.Raw()
+	}
+	return s
 }
 
 // Restore sets the state.
@@ -59,12 +65,10 @@
 	if s == nil {
 		s = &api.State{}
 	}
-	m.state = &api.State{Version: s.Version, Document: s.Document, Digests: slices.Clone(s.Digests),
-		Evacuations: slices.Clone(s.Evacuations), Retired: slices.Clone(s.Retired),
-		Ownerships: slices.Clone(s.Ownerships), LastFence: s.LastFence}
+	m.state = copyOf(s)
 	m.document, m.retired = nil, map[string]bool{}
 	if len(s.Document) > 0 {
-		m.document, _ = configuration.Parse(s.Document) // it was checked when it was taken
+		m.document, _ = configuration.Load(s.Document) // it was checked when it was taken
 	}
 	for _, r := range s.Retired {
 		m.retired[r.Id] = true
@@ -98,19 +102,27 @@
 // Ownerships are all roles that are held. They must not be changed.
 func (m *Machine) Ownerships() []*api.Ownership { return m.state.Ownerships }
 
-// Apply takes an entry's operations into the state.
+// Apply takes an entry's operations into the state. They were tried before they became an
+// entry: documents are not checked again.
 func (m *Machine) Apply(entry *api.Entry) {
 	for _, operation := range entry.Operations {
-		m.Do(operation)
+		m.do(operation, configuration.Load)
 	}
 }
 
 // Do tries one operation. changed tells whether the state is another one now; where it
 // is not, the error says why, or the operation had its effect before.
 func (m *Machine) Do(operation *api.Operation) (changed bool, failure *result.Error) {
+	return m.do(operation, configuration.Parse)
+}
+
+// reader reads a whole document.
+type reader func(data []byte) (*configuration.Document, *result.Error)
+
+func (m *Machine) do(operation *api.Operation, read reader) (changed bool, failure *result.Error) {
 	switch kind := operation.Kind.(type) {
 	case *api.Operation_Replace:
-		return m.replace(kind.Replace)
+		return m.replace(kind.Replace, read)
 	case *api.Operation_Modify:
 		return m.modify(kind.Modify)
 	case *api.Operation_Evacuation:
@@ -123,7 +135,7 @@
 	return false, result.Errorf(result.Unreadable, "an operation that is not known here")
 }
 
-func (m *Machine) replace(c *api.ReplaceConfiguration) (bool, *result.Error) {
+func (m *Machine) replace(c *api.ReplaceConfiguration, read reader) (bool, *result.Error) {
 	digest := digestOf('r', c.BaseVersion, c.Document)
 	if m.taken(digest) {
 		return false, nil
@@ -131,7 +143,7 @@
 	if c.BaseVersion != m.state.Version {
 		return false, conflict(c.BaseVersion, m.state.Version)
 	}
-	document, err := configuration.Parse(c.Document)
+	document, err := read(c.Document)
 	if err != nil {
 		return false, err
 	}
@@ -162,7 +174,7 @@
 	if document.Version <= m.state.Version {
 		return false, result.Errorf(result.VersionTooLow, "version %d is not above %d", document.Version, m.state.Version)
 	}
-	m.state.Version, m.state.Document, m.document = document.Version, document.Raw(), document
+	m.state.Version, m.document = document.Version, document
 	m.state.Digests = append(m.state.Digests, &api.Digest{Version: document.Version, Sum: digest})
 	if extra := len(m.state.Digests) - mostDigests; extra > 0 {
 		m.state.Digests = slices.Clone(m.state.Digests[extra:])
