--- /dev/null
+++ b/internal/system/state/machine_test.go
@@ -0,0 +1,165 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/result"
+)
+
+// document is a configuration of a version with a route at a place.
+func document(version uint64, place string) []byte {
+	return fmt.Appendf(nil, `{"config_version":%d,"route_list":[{"name":"r","host":"h.example","path_prefix":"/%s/","timeout_ms":9,"service":"s"}],`+
+		`"service_list":[{"name":"s"}],"limits":{}}`, version, place)
+}
+
+func replace(base uint64, body []byte) *api.Operation {
+	return &api.Operation{Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{BaseVersion: base, Document: body}}}
+}
+
+func modify(base uint64, body string) *api.Operation {
+	return &api.Operation{Kind: &api.Operation_Modify{Modify: &api.ModifyConfiguration{BaseVersion: base, Change: []byte(body)}}}
+}
+
+func evacuation(zone string, active bool) *api.Operation {
+	return &api.Operation{Kind: &api.Operation_Evacuation{Evacuation: &api.SetEvacuation{Zone: zone, Active: active}}}
+}
+
+func retire(id string) *api.Operation {
+	return &api.Operation{Kind: &api.Operation_Retire{Retire: &api.RetireBackend{Id: id}}}
+}
+
+func grant(key, holder string) *api.Operation {
+	return &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key, Holder: holder, Address: holder}}}
+}
+
+func code(failure *result.Error) result.Code {
+	if failure == nil {
+		return result.Accepted
+	}
+	return failure.Code
+}
+
+func TestOneOfTwoOnABaseIsTaken(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	changed, failure := m.Do(replace(0, document(3, "a")))
+	is.True(changed && failure == nil)
+	_, failure = m.Do(replace(0, document(3, "b")))
+	is.Equal(code(failure), result.VersionConflict)
+	is.Equal(m.Version(), uint64(3))
+}
+
+// The same order again has its effect once and is never refused, whatever came between.
+func TestTheSameOrderAgain(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	first, second := replace(0, document(3, "a")), modify(3, `{"config_version":5,"remove":{"route_list":["r"]}}`)
+	for _, operation := range []*api.Operation{first, second} {
+		changed, failure := m.Do(operation)
+		is.True(changed && failure == nil)
+	}
+	restored := New()
+	restored.Restore(m.State()) // as after a restart
+	for _, machine := range []*Machine{m, m.Clone(), restored} {
+		for _, operation := range []*api.Operation{first, second} {
+			changed, failure := machine.Do(operation)
+			is.True(!changed && failure == nil)
+		}
+		is.Equal(machine.Version(), uint64(5))
+	}
+}
+
+func TestAVersionThatIsNotHigher(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Do(replace(0, document(3, "a")))
+	_, failure := m.Do(replace(3, document(3, "b")))
+	is.Equal(code(failure), result.VersionTooLow)
+	_, failure = m.Do(modify(3, `{"config_version":2}`))
+	is.Equal(code(failure), result.VersionTooLow)
+}
+
+func TestTokensRiseWithEveryChangeOfHands(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	last := uint64(0)
+	for i := range 10 {
+		key := fmt.Sprint("placement/", i%3)
+		m.Do(grant(key, fmt.Sprint("node-", i)))
+		owned := m.Owner(key)
+		is.True(owned.Fence > last)
+		last = owned.Fence
+	}
+	is.Equal(len(m.Ownerships()), 3)
+}
+
+func TestWhatIsKeptHasABound(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	for i := range mostRetired + 5 {
+		m.Do(retire(fmt.Sprint("i-", i)))
+	}
+	is.Equal(len(m.State().Retired), mostRetired)
+	is.True(!m.Retired("i-0"))
+	is.True(m.Retired(fmt.Sprint("i-", mostRetired+4)))
+	for i := range mostEvacuations {
+		m.Do(evacuation(fmt.Sprint("zone-", i), true))
+	}
+	_, failure := m.Do(evacuation("one-more", true))
+	is.Equal(code(failure), result.TooLarge)
+}
+
+// Whatever is done in whatever order: a trial on a copy leaves the machine as it was, what is
+// committed without another check leads to the same state as what was tried, and a state is
+// the same after it was written and read.
+func TestCopiesAndReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		head, replica := New(), New()
+		small := rapid.IntRange(0, 4)
+		operations := []func() *api.Operation{
+			func() *api.Operation {
+				return replace(uint64(small.Draw(t, "base")), document(uint64(small.Draw(t, "version")), fmt.Sprint(small.Draw(t, "place"))))
+			},
+			func() *api.Operation {
+				return modify(head.Version(), fmt.Sprintf(`{"config_version":%d,"upsert":{"route_list":[{"name":"n%d","host":"h","path_prefix":"/n%d/","timeout_ms":%d,"service":"s"}]}}`,
+					head.Version()+1, small.Draw(t, "name"), small.Draw(t, "place"), small.Draw(t, "time-out")))
+			},
+			func() *api.Operation {
+				return evacuation(fmt.Sprint("zone-", small.Draw(t, "zone")), rapid.Bool().Draw(t, "active"))
+			},
+			func() *api.Operation { return retire(fmt.Sprint("i-", small.Draw(t, "backend"))) },
+			func() *api.Operation {
+				return grant(fmt.Sprint("role-", small.Draw(t, "role")), fmt.Sprint("node-", small.Draw(t, "node")))
+			},
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "operations") {
+			operation := rapid.SampledFrom(operations).Draw(t, "kind")()
+			before := head.State()
+			trial := head.Clone()
+			changed, _ := trial.Do(operation)
+			if !proto.Equal(head.State(), before) {
+				t.Fatalf("a trial of %v has changed the machine", operation)
+			}
+			if !changed {
+				continue
+			}
+			entry := &api.Entry{Operations: []*api.Operation{operation}}
+			head.Apply(entry)
+			replica.Apply(proto.Clone(entry).(*api.Entry))
+			if !proto.Equal(head.State(), trial.State()) || !proto.Equal(head.State(), replica.State()) {
+				t.Fatalf("%v: tried %v, applied %v, elsewhere %v", operation, trial.State(), head.State(), replica.State())
+			}
+			read := New()
+			read.Restore(head.State())
+			if !proto.Equal(read.State(), head.State()) {
+				t.Fatalf("read back as %v, written as %v", read.State(), head.State())
+			}
+		}
+	})
+}
