Hold the listed mutants equal to the code by a test

Need: a mutant whose guard has moved would be played never again. Change: a test that each one fits the code once; tests stop at their first failure while mutants are played.

--- a/internal/tools/mutants/main.go
+++ b/internal/tools/mutants/main.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return "", err
 	}
-	command := exec.CommandContext(ctx, "go", "test", "-count=1", "-overlay", overlay, "-run", m.Run, m.Package)
+	command := exec.CommandContext(ctx, "go", "test", "-count=1", "-failfast", "-overlay", overlay, "-run", m.Run, m.Package)
 	command.Env = append(os.Environ(), m.Env...)
 	output, err := command.CombinedOutput()
 	if err == nil {
--- /dev/null
+++ b/internal/tools/mutants/main_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Each mutant that is listed still fits the code: what it takes out is there, once.
+func TestListedMutantsFitTheCode(t *testing.T) {
+	is := is.New(t)
+	t.Chdir("../../..")
+	files, err := filepath.Glob("internal/system/*/testdata/mutants.toml")
+	is.NoErr(err)
+	is.True(len(files) > 0)
+	for _, path := range files {
+		data, err := os.ReadFile(path)
+		is.NoErr(err)
+		var mutants list
+		is.NoErr(toml.Unmarshal(data, &mutants))
+		for _, m := range mutants.Mutants {
+			if _, err := writeOverlay(t.TempDir(), m); err != nil {
+				t.Errorf("%s: %v", m.Name, err)
+			}
+		}
+	}
+}
+
+func TestOverlay(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	code := filepath.Join(folder, "code.go")
+	is.NoErr(os.WriteFile(code, []byte("a guard stands here"), 0o600))
+	path, err := writeOverlay(folder, mutant{File: code, Find: " guard", Put: ""})
+	is.NoErr(err)
+	data, err := os.ReadFile(path)
+	is.NoErr(err)
+	var overlay struct{ Replace map[string]string }
+	is.NoErr(json.Unmarshal(data, &overlay))
+	changed, err := os.ReadFile(overlay.Replace[code])
+	is.NoErr(err)
+	is.Equal(string(changed), "a stands here")
+	_, err = writeOverlay(folder, mutant{File: code, Find: "e"})
+	is.True(err != nil && strings.Contains(err.Error(), "holds 2 times"))
+}
