--- a/internal/tools/mutants/main.go
+++ b/internal/tools/mutants/main.go
@@ -17,7 +17,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
@@ -66,8 +65,6 @@
 	if err := toml.Unmarshal(data, &mutants); err != nil {
 		return 0, eris.Wrap(err, "reading the mutants")
 	}
-	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "mutant\tnoticed by")
 	for _, m := range mutants.Mutants {
 		by, err := play(ctx, m)
 		if err != nil {
@@ -77,9 +74,9 @@
 			alive++
 			by = "NOBODY"
 		}
-		fmt.Fprintf(table, "%s\t%s\n", m.Name, by)
+		fmt.Fprintf(out, "%-60s %s\n", m.Name, by)
 	}
-	return alive, table.Flush()
+	return alive, nil
 }
 
 // failed is a line of the test command on a test that failed.
