--- a/internal/system/chain/votes_test.go
+++ b/internal/system/chain/votes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -11,12 +12,7 @@
 // hand gives a process a message of a member, and gives its answers.
 func (c *cluster) hand(p *process, from *api.Member, body *api.ChainMessage) []*api.ChainMessage {
 	c.t.Helper()
-	body.From, body.To, body.ViewNumber = from, p.node.durable.Self, p.node.View().Number
-	out := p.node.Receive(c.now, body)
-	answers := out.Send
-	out.Send = nil // nobody else hears of it
-	c.carryOut(p, out)
-	return answers
+	return c.handInView(p, from, p.node.View().Number, body)
 }
 
 // prepare asks a process for its promise.
@@ -85,3 +81,164 @@
 	answers = c.hand(tail, before, &api.ChainMessage{Body: &api.ChainMessage_Confirm{Confirm: &api.Confirm{Token: 1}}})
 	is.Equal(len(answers), 0) // nor does it confirm
 }
+
+// handInView gives a process a message that was sent in a given view.
+func (c *cluster) handInView(p *process, from *api.Member, view uint64, body *api.ChainMessage) []*api.ChainMessage {
+	c.t.Helper()
+	body.From, body.To, body.ViewNumber = from, p.node.durable.Self, view
+	out := p.node.Receive(c.now, body)
+	answers := out.Send
+	out.Send = nil
+	c.carryOut(p, out)
+	return answers
+}
+
+// beginProposal has a process propose the next view, and nobody hears of it.
+func (c *cluster) beginProposal(p *process, members []*api.Member) *proposal {
+	c.t.Helper()
+	p.node.now = c.now
+	p.node.propose("a story", members, nil)
+	out := p.node.take()
+	out.Send = nil
+	c.carryOut(p, out)
+	return p.node.proposal
+}
+
+// promiseTo hands a proposer a promise with a position of its giver's log.
+func (c *cluster) promiseTo(p *process, from *api.Member, position *api.Position) []*api.ChainMessage {
+	c.t.Helper()
+	proposed := p.node.proposal
+	return c.hand(p, from, &api.ChainMessage{Body: &api.ChainMessage_Promise{Promise: &api.Promise{
+		Instance: proposed.instance, Ballot: proposed.ballot, Position: position}}})
+}
+
+// acceptedBy hands a proposer an acceptance of what it has proposed.
+func (c *cluster) acceptedBy(p *process, from *api.Member) {
+	c.t.Helper()
+	proposed := p.node.proposal
+	c.hand(p, from, &api.ChainMessage{Body: &api.ChainMessage_Accepted{Accepted: &api.Accepted{
+		Instance: proposed.instance, Ballot: proposed.ballot}}})
+}
+
+// A view that one member has accepted may have been agreed: whoever proposes next takes it over.
+func TestAnAcceptedViewIsTakenOver(t *testing.T) {
+	for _, acceptor := range []int{0, 1} {
+		is := is.New(t)
+		c := newCluster(t, 11, 3)
+		c.mustServe("founding")
+		chain := c.processes[0].node.View().Chain
+		dead := c.at(chain[2])
+		survivors := []*process{c.at(chain[0]), c.at(chain[1])}
+		next := c.processes[0].node.View().Number + 1
+		view := &api.View{Number: next, Members: dead.node.View().Members, Chain: []*api.Member{chain[2], chain[acceptor]}}
+		c.hand(survivors[acceptor], chain[2], &api.ChainMessage{Body: &api.ChainMessage_Accept{Accept: &api.Accept{
+			Ballot: &api.Ballot{Round: 1000, Proposer: Key(chain[2])}, View: view}}})
+		c.kill(dead)
+		for survivors[0].node.View().Number < next && c.now < 2*settle+time.Minute {
+			c.runFor(time.Millisecond)
+		}
+		is.Equal(survivors[0].node.View().Number, next)
+		is.Equal(describe(survivors[0].node.View()), describe(view))
+		c.mustServe("the accepted view names a dead head")
+	}
+}
+
+// A view is in force when a majority has accepted it, and not before.
+func TestAViewNeedsAMajority(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 12, 5)
+	c.mustServe("founding")
+	proposer := c.processes[0]
+	members := proposer.node.View().Members
+	others := without(members, proposer.node.durable.Self)
+	proposed := c.beginProposal(proposer, members)
+	for _, other := range others {
+		c.promiseTo(proposer, other, proposer.node.durable.last())
+	}
+	is.True(proposed.view != nil) // all have promised
+	c.acceptedBy(proposer, others[0])
+	c.acceptedBy(proposer, others[0]) // the same one twice is one
+	is.Equal(proposer.node.View().Number, proposed.instance-1)
+	c.acceptedBy(proposer, others[1])
+	is.Equal(proposer.node.View().Number, proposed.instance)
+}
+
+// A chain holds a majority of the members that its view will have, also where a promise came from
+// a member that leaves: a later majority must meet it.
+func TestAChainHoldsAMajorityOfItsMembers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 13, 3)
+	c.mustServe("founding")
+	proposer := c.processes[0]
+	members := proposer.node.View().Members
+	others := without(members, proposer.node.durable.Self)
+	stranger := &api.Member{Address: "d0", Incarnation: 1 << 63}
+	proposed := c.beginProposal(proposer, append(without(members, others[0]), stranger))
+	proposed.promises[Key(others[0])] = &api.Promise{Position: proposer.node.durable.last()} // it leaves
+	is.True(proposer.node.choose() == nil)
+	proposed.promises[Key(others[1])] = &api.Promise{Position: proposer.node.durable.last()}
+	is.Equal(len(proposer.node.choose().GetChain()), 2)
+}
+
+// The head is the one whose log was made equal in the latest view, and reaches furthest among these.
+func TestTheFurthestLogLeads(t *testing.T) {
+	for _, story := range []struct {
+		name      string
+		near, far *api.Position
+	}{
+		{name: "longer in the same view",
+			near: &api.Position{SyncedView: 7, Sequence: 40}, far: &api.Position{SyncedView: 7, Sequence: 41}},
+		{name: "shorter, and of a later view",
+			near: &api.Position{SyncedView: 7, Sequence: 90}, far: &api.Position{SyncedView: 8, Sequence: 41}},
+	} {
+		t.Run(story.name, func(t *testing.T) {
+			for furthest := range 3 {
+				is := is.New(t)
+				c := newCluster(t, 14, 3)
+				c.mustServe("founding")
+				proposer := c.processes[0]
+				members := proposer.node.View().Members
+				proposed := c.beginProposal(proposer, members)
+				for i, member := range members {
+					position := story.near
+					if i == furthest {
+						position = story.far
+					}
+					proposed.promises[Key(member)] = &api.Promise{Position: position}
+				}
+				is.Equal(Key(proposer.node.choose().Chain[0]), Key(members[furthest]))
+			}
+		})
+	}
+}
+
+// An entry that was sent in an earlier view is not taken: its head may have been left out since.
+func TestAnEntryOfAnEarlierViewIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 15, 3)
+	c.mustServe("founding")
+	view := c.processes[0].node.View()
+	tail := c.at(view.Chain[2])
+	end := tail.node.durable.last()
+	entry := &api.Entry{Sequence: end.Sequence + 1, PreviousHash: end.Hash}
+	entry.Hash = hashOf(end.Hash, entry.Sequence, nil)
+	replicate := func() *api.ChainMessage {
+		return &api.ChainMessage{Body: &api.ChainMessage_Replicate{Replicate: &api.Replicate{Entry: entry}}}
+	}
+	c.handInView(tail, view.Chain[1], view.Number-1, replicate())
+	is.Equal(tail.node.durable.last().Sequence, end.Sequence)
+	c.handInView(tail, view.Chain[1], view.Number, replicate())
+	is.Equal(tail.node.durable.last().Sequence, entry.Sequence) // in its own view it is
+}
+
+// at is the process of a member.
+func (c *cluster) at(member *api.Member) *process {
+	c.t.Helper()
+	for _, p := range c.processes {
+		if p.node != nil && sameMember(p.node.durable.Self, member) {
+			return p
+		}
+	}
+	c.fail("no process is %s", Key(member))
+	return nil
+}
