Bound the making of a connection to a peer at 250 ms, so that a dark machine holds nobody up

Agents had called control machines that answered nothing yet, and waited 0.7 s for the call to end. The simulated network kept a first packet at a cut and let it through as the cut ended, which hid this: it is now lost and sent again after a second, as TCP does.

--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -177,29 +177,38 @@
 	}
 }
 
-// travel waits for as long as a packet takes, and for a cut to end.
+// synRetry is after what time the first packet of a connection is sent again where it was lost; each
+// further one comes after twice the time.
+const synRetry = time.Second
+
+// travel waits for as long as a connection's first packet takes. What meets a cut is lost, and sent again.
 func (n *Network) travel(ctx context.Context, from, to string) error {
 	if from == to {
 		return nil
 	}
-	timer := time.NewTimer(n.delay())
+	if err := rest(ctx, n.delay()); err != nil {
+		return err
+	}
+	for retry := synRetry; ; retry *= 2 {
+		if open, _ := n.passes(from, to); open {
+			return nil
+		}
+		if err := rest(ctx, retry); err != nil {
+			return err
+		}
+	}
+}
+
+// rest waits for a span, or until ctx ends.
+func rest(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	for {
-		open, changed := n.passes(from, to)
-		if open {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
 }
 
 type listener struct {
--- a/internal/system/transport/transport.go
+++ b/internal/system/transport/transport.go
@@ -18,8 +18,12 @@
 const (
 	// longestCall bounds a call whose context has no deadline.
 	longestCall = 5 * time.Second
-	// dialTimeout bounds the making of a connection.
+	// dialTimeout bounds the making of a connection to another system.
 	dialTimeout = time.Second
+	// peerDialTimeout bounds the making of a connection to a process of the system: some round trips between
+	// regions. A machine without power answers nothing; a packet that was lost would be sent again after a
+	// second only, and another try, or another process, is sooner.
+	peerDialTimeout = 250 * time.Millisecond
 	// idleConnection is how long a connection without a call is kept.
 	idleConnection = 30 * time.Second
 	// largestMessage bounds a message either way.
@@ -30,9 +34,9 @@
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
 // dialFor is a Dial as fasthttp wants one.
-func dialFor(dial Dial) fasthttp.DialFunc {
+func dialFor(dial Dial, timeout time.Duration) fasthttp.DialFunc {
 	return func(address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		return dial(ctx, address)
 	}
@@ -45,13 +49,13 @@
 
 // NewHTTPClient makes a plain client, for calls to others than processes of the system.
 func NewHTTPClient(dial Dial) *fasthttp.Client {
-	return &fasthttp.Client{Dial: dialFor(dial), NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+	return &fasthttp.Client{Dial: dialFor(dial, dialTimeout), NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 		DisablePathNormalizing: true}
 }
 
 // NewClient makes a client.
 func NewClient(dial Dial) *Client {
-	return &Client{fasthttp.Client{Dial: dialFor(dial),
+	return &Client{fasthttp.Client{Dial: dialFor(dial, peerDialTimeout),
 		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: idleConnection, MaxResponseBodySize: largestMessage,
 		DisablePathNormalizing: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 64}}
 }
