Give roles to nodes that have reported lately, and let no killed process have a last word

Candidates are those that reported in the last 0.7 s; who is named renews at once. In the simulated cluster a killed machine still released its lease, which made such stories pass; its network is now gone with it.

--- a/internal/system/agent/lease.go
+++ b/internal/system/agent/lease.go
@@ -38,7 +38,7 @@
 	held map[string]held
 }
 
-// run renews while the feed names this agent, until ctx ends.
+// run renews while the feed names this agent, from when it is named on, until ctx ends.
 func (l *leases) run(ctx context.Context) {
 	ticker := time.NewTicker(renewEvery)
 	defer ticker.Stop()
@@ -47,15 +47,14 @@
 			l.await(ctx)
 			continue
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
 		controls := l.controls()
 		if len(controls) == 0 || !l.renew(ctx, controls[at%len(controls)]) {
 			at++
 		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/internal/system/control/owners.go
+++ b/internal/system/control/owners.go
@@ -166,26 +166,39 @@
 		}
 		passed[owned.Holder] = true
 	}
-	able := func(skip map[string]bool) []*api.Node {
-		return slices.DeleteFunc(slices.Clone(nodes), func(n *api.Node) bool {
-			return n.Leaving || skip[ownership.Holder(n.Name, n.Incarnation)]
-		})
-	}
-	from := able(passed)
-	if len(from) == 0 {
-		from, passed = able(nil), nil
-	}
-	if len(from) == 0 {
-		from = nodes
-	}
+	from, passed := candidates(nodes, passed)
 	node := ownership.Choose(key, from)
 	holder := ownership.Holder(node.Name, node.Incarnation)
 	o.roles[key] = &roleState{holder: holder, granted: time.Now(), passed: passed}
 	return &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key, Holder: holder, Address: node.Address}}}
 }
 
-// takeUp is how long a new holder may take to renew for the first time.
-const takeUp = 900 * time.Millisecond
+// reportedLately is how old a node's last report may be: it reports more often, and a role is vacant some time
+// after the fault that took its holder, and other nodes with it.
+const reportedLately = 700 * time.Millisecond
+
+// candidates are the nodes to choose a holder from: those that stay, have not passed the role by and have reported
+// lately. Where there are none, the last of these is waived first. still is nil where passed was waived.
+func candidates(nodes []*api.Node, passed map[string]bool) (from []*api.Node, still map[string]bool) {
+	staying := slices.DeleteFunc(slices.Clone(nodes), func(n *api.Node) bool { return n.Leaving })
+	willing := slices.DeleteFunc(slices.Clone(staying), func(n *api.Node) bool { return passed[ownership.Holder(n.Name, n.Incarnation)] })
+	heard := slices.DeleteFunc(slices.Clone(willing), func(n *api.Node) bool {
+		return time.Duration(n.AgeMs)*time.Millisecond > reportedLately
+	})
+	switch {
+	case len(heard) > 0:
+		return heard, passed
+	case len(willing) > 0:
+		return willing, passed
+	case len(staying) > 0:
+		return staying, nil
+	}
+	return nodes, nil
+}
+
+// takeUp is how long a new holder may take to renew for the first time: it hears of its role by way of its home,
+// and renews at once, or with the next renewal of those that it has.
+const takeUp = 700 * time.Millisecond
 
 // vacant tells whether a role may be given to another holder: its lease has run out or was
 // given up, or none was ever given under its token. Called with the lock.
--- a/internal/system/simcluster/cluster.go
+++ b/internal/system/simcluster/cluster.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// revive lets a machine use a simulated network again.
+func (c *Cluster) revive(ip string) {
+	if c.Net != nil {
+		c.Net.Machine(ip).Revive()
+	}
+}
+
 // Machines are all machines of the system.
 func (c *Cluster) Machines() []*Machine {
 	return append(append([]*Machine(nil), c.Controls...), c.Edges...)
@@ -175,6 +182,7 @@
 	defer m.mu.Unlock()
 	settings := m.cluster.settings(m)
 	m.first = false
+	m.cluster.revive(m.IP)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	disk := m.disk
--- a/internal/system/simcluster/roles_test.go
+++ b/internal/system/simcluster/roles_test.go
@@ -85,3 +85,29 @@
 		is.True(after.Fence > before.Fence)
 	})
 }
+
+// Where many nodes are lost at once, a role goes to one that still reports, not to one after the other of those
+// that are lost as well.
+func TestRolePassesToANodeThatReports(t *testing.T) {
+	playHomes(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		before := c.placer(t)
+		holder := c.holder(before)
+		survivors := 0
+		var ended sync.WaitGroup
+		for _, edge := range c.Edges {
+			if edge != holder && survivors < 2 {
+				survivors++
+				continue
+			}
+			ended.Go(edge.Kill)
+		}
+		ended.Wait()
+		c.Pass(2300 * time.Millisecond) // a lease, its margin, a look and a grant
+		after := c.placer(t)
+		is.Equal(after.Fence, before.Fence+1)
+		is.True(c.holder(after) != nil)
+		c.Pass(5 * time.Second)
+		is.Equal(c.placer(t), after) // who has it is alive
+	})
+}
--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -48,6 +48,7 @@
 	listeners map[string]*listener
 	sockets   map[string]*packetSocket
 	conns     map[*conn]bool
+	killed    bool // what still runs in the name of its processes reaches nobody
 }
 
 // Machine gives the machine of an address, and makes it where it is missing.
@@ -105,9 +106,11 @@
 	return n.cfg.Delay + time.Duration(n.rng.Int64N(int64(n.cfg.Jitter)))
 }
 
-// Kill ends all that a machine has open, as the end of its processes does: peers see resets.
+// Kill ends all that a machine has open, as the end of its processes does: peers see resets. Until it is revived
+// it opens nothing more: a process that is killed has no last word.
 func (m *Machine) Kill() {
 	m.network.mu.Lock()
+	m.killed = true
 	listeners, sockets, conns := m.listeners, m.sockets, m.conns
 	m.listeners, m.sockets, m.conns = map[string]*listener{}, map[string]*packetSocket{}, map[*conn]bool{}
 	m.network.mu.Unlock()
@@ -122,10 +125,27 @@
 	}
 }
 
+// Revive lets a machine's next processes use the network.
+func (m *Machine) Revive() {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	m.killed = false
+}
+
+// isKilled tells whether a machine's processes have been killed, and no others started.
+func (m *Machine) isKilled() bool {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	return m.killed
+}
+
 // Listen implements host.Network.
 func (m *Machine) Listen(address string) (net.Listener, error) {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
+	if m.killed {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.ENETDOWN}
+	}
 	if m.listeners[address] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
 	}
@@ -143,6 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.isKilled() {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ENETDOWN}
+	}
 	to := m.ip
 	if !loopback(address) {
 		to = host
@@ -154,6 +177,10 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 	}
 	m.network.mu.Lock()
+	if m.killed {
+		m.network.mu.Unlock()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ENETDOWN}
+	}
 	target := m.network.machines[to]
 	var l *listener
 	if target != nil {
