--- a/internal/system/chain/chain_test.go
+++ b/internal/system/chain/chain_test.go
@@ -349,6 +349,7 @@
 	c.add(fmt.Sprintf("r%d", len(c.processes)), false)
 	c.runFor(settle)
 	p.replaced = true
+	c.renewContacts()
 	if c.rng.IntN(2) == 0 { // its old self is alive
 		c.start(p, false)
 		c.runFor(time.Duration(c.rng.Int64N(int64(2 * time.Second))))
@@ -357,6 +358,17 @@
 	c.runFor(settle)
 }
 
+// renewContacts names those that are there to machines that start from now on. One that replaces another is told
+// who was there before: of a list where nobody is any more, no machine could find the chain.
+func (c *cluster) renewContacts() {
+	c.contacts = nil
+	for _, p := range c.processes {
+		if !p.replaced {
+			c.contacts = append(c.contacts, p.address)
+		}
+	}
+}
+
 // heal ends all faults.
 func (c *cluster) heal() {
 	clear(c.cut)
--- a/internal/system/chain/heartbeat.go
+++ b/internal/system/chain/heartbeat.go
@@ -127,9 +127,11 @@
 	}
 }
 
-// entersService notes that this node's view is in service and how far it has committed.
+// entersService notes that this node's view is in service and how far it has committed. A head that makes the
+// chain's logs equal is not in service by others' word, not even where it has only been restarted: what it proposed
+// meanwhile would count as committed at the end of that, with members that have been made equal before.
 func (n *Node) entersService(committed uint64) {
-	if n.durable.SyncedView != n.durable.View.Number {
+	if n.durable.SyncedView != n.durable.View.Number || n.syncing != nil {
 		return
 	}
 	n.activeView = n.durable.View.Number
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -195,6 +195,21 @@
 		if name, mine := p.waiting[entry.Hash]; mine {
 			delete(p.waiting, entry.Hash)
 			c.acked = append(c.acked, name)
+			c.auditAcknowledged(p, entry)
+		}
+	}
+}
+
+// auditAcknowledged checks that each disk of a head's chain holds what the head has just acknowledged: the tail had
+// it, and so had all before it.
+func (c *cluster) auditAcknowledged(head *process, entry *api.Entry) {
+	c.t.Helper()
+	for _, p := range c.processes {
+		if p.disk == nil || !contains(head.node.View().Chain, p.disk.Self) {
+			continue
+		}
+		if last := p.disk.last(); last.GetSequence() < entry.Sequence {
+			c.fail("%s has acknowledged %d, and the disk of %s reaches to %d", head.address, entry.Sequence, p.address, last.GetSequence())
 		}
 	}
 }
--- a/internal/system/chain/votes_test.go
+++ b/internal/system/chain/votes_test.go
@@ -242,3 +242,20 @@
 	c.fail("no process is %s", Key(member))
 	return nil
 }
+
+// A head that was restarted makes the logs equal before it is in service, whatever the others say of their view:
+// what it proposed before that would be committed without its tail.
+func TestARestartedHeadIsNotInServiceByOthersWord(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 16, 3)
+	c.mustServe("founding")
+	view := c.processes[0].node.View()
+	head, next := c.at(view.Chain[0]), c.at(view.Chain[1])
+	c.restart(head)
+	beat := next.node.heartbeat()
+	is.True(beat.GetHeartbeat().Active)
+	c.hand(head, view.Chain[1], beat)
+	is.Equal(head.node.MayPropose(), false)
+	is.Equal(head.node.InService(), false)
+	c.mustServe("its head was restarted")
+}
