--- a/internal/system/simcluster/cluster_test.go
+++ b/internal/system/simcluster/cluster_test.go
@@ -63,7 +63,7 @@
 	if err != nil || status != 200 {
 		t.Fatalf("the first configuration: %d %s %v", status, answer, err)
 	}
-	time.Sleep(3 * time.Second)
+	c.Pass(3 * time.Second)
 	return c
 }
 
--- a/internal/system/simcluster/roles_test.go
+++ b/internal/system/simcluster/roles_test.go
@@ -44,12 +44,12 @@
 		leaving := c.holder(before)
 		var ended sync.WaitGroup
 		ended.Go(leaving.Terminate)
-		time.Sleep(time.Second)
+		c.Pass(time.Second)
 		after := c.placer(t)
 		is.True(c.holder(after) != leaving)
 		is.True(after.Fence > before.Fence)
 		ended.Wait()
-		time.Sleep(5 * time.Second)
+		c.Pass(5 * time.Second)
 		is.Equal(c.placer(t), after) // and it stays there
 	})
 }
@@ -62,11 +62,11 @@
 		before := c.placer(t)
 		dead := c.holder(before)
 		dead.Kill()
-		time.Sleep(4 * time.Second)
+		c.Pass(4 * time.Second)
 		after := c.placer(t)
 		is.True(c.holder(after) != dead)
 		is.True(after.Fence <= before.Fence+2) // one that was dead too may have been tried
-		time.Sleep(10 * time.Second)
+		c.Pass(10 * time.Second)
 		is.Equal(c.placer(t), after)
 	})
 }
@@ -79,7 +79,7 @@
 		holder := c.holder(before)
 		holder.Kill()
 		holder.Start()
-		time.Sleep(1200 * time.Millisecond)
+		c.Pass(1200 * time.Millisecond)
 		after := c.placer(t)
 		is.True(after.Holder != before.Holder)
 		is.True(after.Fence > before.Fence)
--- a/internal/system/simcluster/rules_test.go
+++ b/internal/system/simcluster/rules_test.go
@@ -62,7 +62,7 @@
 		status, _, err := c.Configure(moved("/voucher/"), 4*time.Second)
 		is.NoErr(err)
 		is.Equal(status, 200)
-		time.Sleep(2 * time.Second) // config_apply_ms
+		c.Pass(2 * time.Second) // config_apply_ms
 		for _, edge := range c.Edges {
 			r := slip()
 			got, err := c.Ask(edge, r)
@@ -136,7 +136,7 @@
 					for at := i; ; at++ {
 						status, _, err := c.callOne(c.Controls[at%3], "POST", "/marlreel/config/replace", base, body)
 						if err != nil || status >= 500 {
-							time.Sleep(50 * time.Millisecond)
+							c.Pass(50 * time.Millisecond)
 							continue
 						}
 						mu.Lock()
@@ -162,16 +162,16 @@
 		"each process dies in turn": func(c *Cluster) {
 			for _, m := range c.Controls {
 				m.Kill()
-				time.Sleep(2 * time.Second)
+				c.Pass(2 * time.Second)
 				m.Start()
-				time.Sleep(2 * time.Second)
+				c.Pass(2 * time.Second)
 			}
 		},
 		"all die at once": func(c *Cluster) {
 			for _, m := range c.Controls {
 				m.Kill()
 			}
-			time.Sleep(500 * time.Millisecond)
+			c.Pass(500 * time.Millisecond)
 			for _, m := range c.Controls {
 				m.Start()
 			}
@@ -189,7 +189,7 @@
 			c.Controls[1].Kill()
 			c.Controls[1].Wipe()
 			c.Controls[1].Start()
-			time.Sleep(4 * time.Second)
+			c.Pass(4 * time.Second)
 			for _, m := range c.Controls {
 				m.Kill()
 			}
@@ -201,11 +201,11 @@
 		"one is cut off, the others die": func(c *Cluster) {
 			ips := []string{"10.1.0.1", "10.1.0.2", "10.1.0.3"}
 			c.Net.Isolate(ips[0], ips, true)
-			time.Sleep(2 * time.Second)
+			c.Pass(2 * time.Second)
 			c.Controls[1].Kill()
 			c.Controls[2].Kill()
 			c.Net.Isolate(ips[0], ips, false)
-			time.Sleep(500 * time.Millisecond)
+			c.Pass(500 * time.Millisecond)
 			c.Controls[1].Start()
 			c.Controls[2].Start()
 		},
@@ -224,7 +224,7 @@
 				status, _, err = c.Configure(moved("/after/"), 10*time.Second) // and changes go on
 				is.NoErr(err)
 				is.Equal(status, 200)
-				time.Sleep(2 * time.Second)
+				c.Pass(2 * time.Second)
 				r := slip()
 				r.Path = "/after/1"
 				got, err := c.Ask(c.Edges[0], r)
@@ -241,9 +241,9 @@
 		leaving := c.Backends[2] // one of two that take slips
 		leaving.Drain()
 		for !leaving.Acknowledged() {
-			time.Sleep(50 * time.Millisecond)
+			c.Pass(50 * time.Millisecond)
 		}
-		time.Sleep(2 * time.Second) // drain_ms
+		c.Pass(2 * time.Second) // drain_ms
 		before := len(leaving.Runs())
 		for range 10 {
 			for _, edge := range c.Edges {
@@ -262,7 +262,7 @@
 		status, _, err := c.Call("POST", "/marlreel/evacuation/west/begin", "", "", 4*time.Second)
 		is.NoErr(err)
 		is.Equal(status, 200)
-		time.Sleep(2 * time.Second)
+		c.Pass(2 * time.Second)
 		before := len(c.Backends[2].Runs())
 		for range 10 {
 			got, err := c.Ask(c.Edges[2], slip())
@@ -273,7 +273,7 @@
 		status, _, err = c.Call("POST", "/marlreel/evacuation/west/terminate", "", "", 4*time.Second)
 		is.NoErr(err)
 		is.Equal(status, 200)
-		time.Sleep(2 * time.Second)
+		c.Pass(2 * time.Second)
 		for range 10 {
 			_, err := c.Ask(c.Edges[2], slip())
 			is.NoErr(err)
@@ -292,7 +292,7 @@
 		var err error
 		var asked sync.WaitGroup
 		asked.Go(func() { got, err = c.Ask(c.Edges[0], r) })
-		time.Sleep(time.Second)
+		c.Pass(time.Second)
 		first := c.runsOf(r.ID)
 		is.Equal(len(first), 1)
 		c.backend(first[0].Backend).Kill()
@@ -316,7 +316,7 @@
 			var err error
 			var asked sync.WaitGroup
 			asked.Go(func() { got, err = c.Ask(c.Edges[i%3], r) })
-			time.Sleep(10 * time.Millisecond)
+			c.Pass(10 * time.Millisecond)
 			if runs := c.runsOf(r.ID); i == 7 && len(runs) == 1 {
 				c.backend(runs[0].Backend).Kill()
 			}
@@ -346,13 +346,13 @@
 			streamed, err = c.Ask(c.Edges[0], long)
 			is.NoErr(err)
 		})
-		time.Sleep(200 * time.Millisecond)
+		c.Pass(200 * time.Millisecond)
 		asked.Go(func() {
 			var err error
 			refused, err = c.Ask(c.Edges[0], waits)
 			is.NoErr(err)
 		})
-		time.Sleep(50 * time.Millisecond)
+		c.Pass(50 * time.Millisecond)
 		c.Edges[0].Terminate()
 		asked.Wait()
 		whole(t, long, streamed, 50)
@@ -370,14 +370,14 @@
 		is := is.New(t)
 		for victim := range c.Edges {
 			c.Edges[victim].Kill()
-			time.Sleep(4 * time.Second)
+			c.Pass(4 * time.Second)
 			r := chat("m2")
 			r.Wait = 14 * time.Second
 			got, err := c.Ask(c.Edges[(victim+1)%3], r)
 			is.NoErr(err)
 			is.Equal(got.Status, 200)
 			c.Edges[victim].Start()
-			time.Sleep(3 * time.Second)
+			c.Pass(3 * time.Second)
 		}
 	})
 }
@@ -389,7 +389,7 @@
 		for _, m := range c.Controls {
 			m.Kill()
 		}
-		time.Sleep(20 * time.Second)
+		c.Pass(20 * time.Second)
 		for _, edge := range c.Edges {
 			got, err := c.Ask(edge, slip())
 			is.NoErr(err)
@@ -398,7 +398,7 @@
 		for _, m := range c.Controls {
 			m.Start()
 		}
-		time.Sleep(5 * time.Second)
+		c.Pass(5 * time.Second)
 		status, _, err := c.Configure(moved("/back/"), 5*time.Second)
 		is.NoErr(err)
 		is.Equal(status, 200)
