--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -655,6 +655,8 @@
 		if err == nil {
 			s.Close()
 			t.Errorf("%s: it is opened", name)
+		} else if damaged := (*DamagedError)(nil); !errors.As(err, &damaged) {
+			t.Errorf("%s: %T", name, err)
 		} else if !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "left as it is") || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/experiment/inspect.go
+++ b/internal/experiment/inspect.go
@@ -30,10 +30,29 @@
 const (
 	storeLockTimeout = 300 * time.Millisecond
 	storeFileMode    = 0o644
-	damageAdvice     = "it is left as it is"
 )
 
-var errCutOff = errors.New("it is shorter than its first pages say")
+// DamagedError is a file of results that can't be trusted. It was not written to.
+type DamagedError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("the file is damaged, or no store (%v); it is left as it is", e.Cause)
+}
+
+// Unwrap implements errors.Unwrap.
+func (e *DamagedError) Unwrap() error { return e.Cause }
+
+// The causes that a DamagedError may wrap, beside the library's own.
+var (
+	ErrCutOff    = errors.New("it is shorter than its first pages say")
+	ErrStrayPage = errors.New("a page points nowhere")
+)
+
+// ErrNoFile says that something else stands at the path of a store.
+var ErrNoFile = errors.New("it is no file: a file's path is needed")
 
 // inspect reads a file that is there through, without a write.
 func inspect(path string) (err error) {
@@ -45,16 +64,16 @@
 		return err
 	}
 	if !info.Mode().IsRegular() {
-		return errors.New("it is no file: a file's path is needed")
+		return ErrNoFile
 	}
 	if err := inspectLength(path, info.Size()); err != nil {
-		return fmt.Errorf("the file is damaged (%w); %s", err, damageAdvice)
+		return &DamagedError{err}
 	}
 	// A page that points nowhere makes the library panic, or read outside its mapping.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if p := recover(); p != nil {
-			err = fmt.Errorf("the file is damaged (%v); %s", p, damageAdvice)
+			err = &DamagedError{fmt.Errorf("%w: %v", ErrStrayPage, p)}
 		}
 	}()
 	options := &bolt.Options{ReadOnly: true, Timeout: storeLockTimeout, PreLoadFreelist: true}
@@ -63,7 +82,7 @@
 		if err = storeError(err); errors.Is(err, ErrInUse) {
 			return err
 		}
-		return fmt.Errorf("the file is damaged, or no store (%w); %s", err, damageAdvice)
+		return &DamagedError{err}
 	}
 	defer db.Close()
 	return db.View(inspectPages)
@@ -80,7 +99,7 @@
 	for page := range int64(metaPages) {
 		needed, known := neededLength(file, page*int64(os.Getpagesize()))
 		if known && needed > size {
-			return errCutOff
+			return ErrCutOff
 		}
 	}
 	return nil
@@ -112,7 +131,7 @@
 		}
 	}
 	if err != nil {
-		return fmt.Errorf("the file is damaged (%w); %s", err, damageAdvice)
+		return &DamagedError{err}
 	}
 	return nil
 }
