--- a/internal/system/chain/chain_test.go
+++ b/internal/system/chain/chain_test.go
@@ -102,12 +102,7 @@
 	is := is.New(t)
 	c := newCluster(t, 6, 3)
 	c.mustServe("founding")
-	var head *process
-	for _, p := range c.processes {
-		if p.node.isHead() {
-			head = p
-		}
-	}
+	head := c.head()
 	c.isolate(head, true)
 	c.mustServe("the head is cut off")
 	is.Equal(head.node.MayPropose(), false)
@@ -121,12 +116,7 @@
 	for _, deaf := range []bool{true, false} {
 		c := newCluster(t, 9, 3)
 		c.mustServe("founding")
-		var head *process
-		for _, p := range c.processes {
-			if p.node.isHead() {
-				head = p
-			}
-		}
+		head := c.head()
 		for _, other := range c.processes {
 			if deaf {
 				c.cut[other.address+">"+head.address] = true
--- a/internal/system/chain/votes_test.go
+++ b/internal/system/chain/votes_test.go
@@ -231,6 +231,18 @@
 	is.Equal(tail.node.durable.last().Sequence, entry.Sequence) // in its own view it is
 }
 
+// head is the process that says of itself that it is its chain's head.
+func (c *cluster) head() *process {
+	c.t.Helper()
+	for _, p := range c.processes {
+		if p.node != nil && p.node.isHead() {
+			return p
+		}
+	}
+	c.fail("no process is a head")
+	return nil
+}
+
 // at is the process of a member.
 func (c *cluster) at(member *api.Member) *process {
 	c.t.Helper()
