--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -297,6 +297,9 @@
 func (m *Machine) ListenPacket(address string) (net.PacketConn, error) {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
+	if m.killed {
+		return nil, &net.OpError{Op: "listen", Net: "udp", Err: syscall.ENETDOWN}
+	}
 	if m.sockets[address] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "udp", Err: syscall.EADDRINUSE}
 	}
@@ -323,7 +326,7 @@
 	}
 	n, data := s.machine.network, append([]byte(nil), p...)
 	n.mu.Lock()
-	lost := n.rng.Float64() < n.cfg.Loss || n.cuts[[2]string{s.machine.ip, host}]
+	lost := s.machine.killed || n.rng.Float64() < n.cfg.Loss || n.cuts[[2]string{s.machine.ip, host}]
 	n.mu.Unlock()
 	if lost {
 		return len(p), nil
