--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -332,8 +332,7 @@
 		}
 		p := r.placer
 		p.post(func() {
-			p.planner.Asked(p.now(), placement.Key{Model: d.Model, Adapter: d.Adapter}, placement.DemandReport{Node: node, Zone: zone,
-				Arrived: int(d.Arrived), WorkMS: d.WorkMs, Worth: d.Worth, Waits: int(d.Waiting)})
+			p.planner.Asked(p.now(), node, zone, placement.Key{Model: d.Model, Adapter: d.Adapter}, int(d.Arrived), d.WorkMs, int(d.Waiting))
 		})
 	}
 }
--- a/internal/system/gateway/demand.go
+++ b/internal/system/gateway/demand.go
@@ -35,7 +35,7 @@
 }
 
 // asked counts a request.
-func (b *demandBook) asked(key demandKey, work time.Duration, worth float64) {
+func (b *demandBook) asked(key demandKey, work time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := b.counts[key]
@@ -48,7 +48,6 @@
 	}
 	d.Arrived++
 	d.WorkMs += float64(work) / float64(time.Millisecond)
-	d.Worth += worth
 }
 
 // waits counts a request that no backend can run now, until done is called.
--- a/internal/system/gateway/front.go
+++ b/internal/system/gateway/front.go
@@ -87,7 +87,7 @@
 	}
 	if needs != nil && s.engines {
 		key := demandKey{s.name, needs.Model, needs.Adapter}
-		g.demand.asked(key, work, valueOf(route.Priority))
+		g.demand.asked(key, work)
 		if !p.held[key] {
 			defer g.demand.waits(key)()
 		}
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -124,7 +124,7 @@
 	if aim <= 0 {
 		aim = r.Timeout()
 	}
-	class := marlreel.Class{Name: className(r), Aim: aim, GiveUp: longestWait, LateShare: lateShare, Value: valueOf(r.Priority),
+	class := marlreel.Class{Name: className(r), Aim: aim, GiveUp: longestWait, LateShare: lateShare, Value: 1,
 		Generates: r.Streaming(), MostRuns: r.Attempts()}
 	if r.Repeatable() {
 		class.Effect = marlreel.Safe
@@ -132,13 +132,6 @@
 	return class
 }
 
-// valueOf is what a request of a priority counts for, beside one of priority 1. The configuration says only that
-// lower numbers come first: each counts for more than the next, and the last for more than nothing.
-func valueOf(priority int) float64 {
-	const slope = 2 // the higher, the more alike they are
-	return (slope + 1) / float64(slope+min(max(priority, 0), lowestPriority))
-}
-
 // classesOf are the classes of all routes that may use a service, in order.
 func classesOf(document *configuration.Document, name string) []marlreel.Class {
 	found := map[classKey]*configuration.Route{}
--- a/internal/system/placement/demand.go
+++ b/internal/system/placement/demand.go
@@ -31,7 +31,6 @@
 type demand struct {
 	fast, slow    decayed // ms of backends' time
 	recent, usage decayed // requests
-	meanWorth     float64 // of a request, by its priority
 	lastAt        time.Duration
 	zones         map[string]*decayed // requests, by the zone that they come from
 	waiting       map[string]waiting  // by the node that reports
@@ -75,60 +74,35 @@
 	return total
 }
 
-// DemandReport is what a node tells of one model or adapter.
-type DemandReport struct {
-	Node, Zone string
-	Arrived    int     // requests since the report before
-	WorkMS     float64 // backends' time that they need
-	Worth      float64 // what they count for, by their priorities
-	Waits      int     // requests that no backend can run now
-}
-
-// worthOver is over how many requests their mean worth is averaged.
-const worthOver = 20
-
 // Asked takes in what a node reports of one model or adapter.
-func (p *Planner) Asked(now time.Duration, key Key, report DemandReport) {
+func (p *Planner) Asked(now time.Duration, node, zone string, key Key, arrived int, workMS float64, waits int) {
 	d := p.demands[key]
 	if d == nil {
 		if len(p.demands) >= mostDemands {
 			return
 		}
-		d = &demand{meanWorth: 1, waiting: map[string]waiting{}, zones: map[string]*decayed{}}
+		d = &demand{waiting: map[string]waiting{}, zones: map[string]*decayed{}}
 		p.demands[key] = d
 	}
-	if report.Arrived > 0 {
-		d.arrive(now, report)
+	if arrived > 0 {
+		d.fast.add(workMS, now, fastSpan)
+		d.slow.add(workMS, now, slowSpan)
+		d.recent.add(float64(arrived), now, recentSpan)
+		d.usage.add(float64(arrived), now, usageSpan)
+		if d.zones[zone] == nil && len(d.zones) < mostZones {
+			d.zones[zone] = &decayed{}
+		}
+		if z := d.zones[zone]; z != nil {
+			z.add(float64(arrived), now, recentSpan)
+		}
+		d.lastAt = now
 	}
-	if report.Waits > 0 {
-		d.waiting[report.Node] = waiting{report.Waits, now}
+	if waits > 0 {
+		d.waiting[node] = waiting{waits, now}
 		d.lastAt = now
 	} else {
-		delete(d.waiting, report.Node)
-	}
-}
-
-// arrive takes in the requests of a report.
-func (d *demand) arrive(now time.Duration, report DemandReport) {
-	arrived := float64(report.Arrived)
-	if report.Worth > 0 {
-		share := 1.0
-		if d.lastAt > 0 {
-			share = arrived / (arrived + worthOver)
-		}
-		d.meanWorth += share * (report.Worth/arrived - d.meanWorth)
-	}
-	d.fast.add(report.WorkMS, now, fastSpan)
-	d.slow.add(report.WorkMS, now, slowSpan)
-	d.recent.add(arrived, now, recentSpan)
-	d.usage.add(arrived, now, usageSpan)
-	if d.zones[report.Zone] == nil && len(d.zones) < mostZones {
-		d.zones[report.Zone] = &decayed{}
-	}
-	if z := d.zones[report.Zone]; z != nil {
-		z.add(arrived, now, recentSpan)
+		delete(d.waiting, node)
 	}
-	d.lastAt = now
 }
 
 // mostZones bounds the zones that are told apart.
@@ -161,8 +135,6 @@
 // figures are what is asked of one model with its adapters.
 type figures struct {
 	rate     float64            // requests a second
-	worth    float64            // what these count for, by their priorities
-	urgency  float64            // what those that wait count for
 	work     float64            // ms of backends' time a second, as foretold
 	waits    int                // requests that wait for it
 	adapters float64            // requests a second for adapters of it
@@ -180,8 +152,6 @@
 			all[key.Model] = f
 		}
 		f.rate += d.rate(now)
-		f.worth += d.rate(now) * d.meanWorth
-		f.urgency += float64(d.waits(now)) * d.meanWorth
 		if key.Adapter != "" {
 			f.adapters += d.rate(now)
 		}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -76,19 +76,19 @@
 // loss is what a model loses a second where so many backends hold it.
 func (f *figures) loss(holders int) float64 {
 	if holders <= 0 {
-		return missed * f.worth
+		return missed * f.rate
 	}
 	if f.work <= 0 {
 		return 0
 	}
-	return late * f.worth * max(0, 1-float64(holders)*easy*1000/f.work)
+	return late * f.rate * max(0, 1-float64(holders)*easy*1000/f.work)
 }
 
 // gain is what one more backend is worth, and keeping what one of them is.
 func (f *figures) gain(holders int) float64 {
 	gain := horizon * (f.loss(holders) - f.loss(holders+1))
 	if holders == 0 {
-		gain += missed * f.urgency
+		gain += missed * float64(f.waits)
 	}
 	return gain
 }
@@ -99,7 +99,7 @@
 	}
 	keeping := horizon*(f.loss(holders-1)-f.loss(holders)) + running*f.rate/float64(max(1, holders))
 	if holders <= 1 {
-		keeping += missed * f.urgency
+		keeping += missed * float64(f.waits)
 	}
 	return keeping
 }
