--- a/internal/process/handover/pass_test.go
+++ b/internal/process/handover/pass_test.go
@@ -29,9 +29,14 @@
 		r.Receive(ctx, take, tell, t.Logf)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
+	// The file is there a moment before anybody listens at it: only a connection tells.
 	testutil.Eventually(t, "the socket", func() bool {
-		_, err := os.Stat(r.socket(id))
-		return err == nil
+		probe, err := net.Dial("unix", r.socket(id))
+		if err != nil {
+			return false
+		}
+		probe.Close()
+		return true
 	})
 }
 
