Answer a failed RPC call by a whole message: half a one swallowed the next answers

Cause: a backend's $failed or $unprocessed reached the engine with an empty reply, which it kept for the final failure; the front wrote an array of four with two elements, and the caller read the next two answers as the rest. Change: a reply goes with OK and Declined alone. TestFailedCallIsAnsweredWhole, red without it.

--- a/internal/proxy/rpc_test.go
+++ b/internal/proxy/rpc_test.go
@@ -229,6 +229,37 @@
 	}
 }
 
+// A backend's failure is answered by a whole message of the proxy's own, after which the
+// caller can read the answers to its other calls.
+func TestFailedCallIsAnsweredWhole(t *testing.T) {
+	t.Parallel()
+	addr := rpcScript(t, func(c net.Conn, d *msgpack.Decoder) {
+		for {
+			q, ok := readCall(d)
+			if !ok {
+				return
+			}
+			if q.method == "post.bid" {
+				answerCall(c, q.id, map[string]any{"$failed": true, "message": "error"}, nil)
+				continue
+			}
+			answerCall(c, q.id, nil, "crate 7")
+		}
+	})
+	p := startWith(t, testConfig(t, closedAddr(t), ready("s-1", addr)), rpcSettings())
+	r := caller(t, p.rpc)
+	failing, _ := r.Call("post.bid", 7, meta())
+	if a := receive(t, failing, "the failure"); a.Code() != "failed" || a.Result != nil {
+		t.Errorf("the failing call was answered %+v", a)
+	}
+	for range 3 {
+		next, _ := r.Call("list", 7)
+		if a := receive(t, next, "an answer after the failure"); a.Error != nil || a.Result != "crate 7" {
+			t.Errorf("the call after it was answered %+v", a)
+		}
+	}
+}
+
 // Calls of each class are out on one connection when it breaks: safe ones are sent
 // again, keyed ones within their group, unsafe ones fail and reach nobody else.
 func TestBreakUnderOpenCalls(t *testing.T) {
--- a/internal/rpc/carrier.go
+++ b/internal/rpc/carrier.go
@@ -354,15 +354,21 @@
 	}
 	delete(l.open, m.id)
 	l.window = min(float64(l.of.cfg.Pipeline), l.window+1/l.window)
-	result, failed := marlreel.OK, reply{}
-	if !isNil(m.error) {
-		result = readError(m.error)
+	f.a.End(endOf(m))
+	l.rest()
+}
+
+// endOf is what a reply means to the engine. Only an answer that a caller may get goes
+// with it: of a failure or a refusal the proxy words its own.
+func endOf(m message) engine.End {
+	if isNil(m.error) {
+		return engine.End{Result: marlreel.OK, Reply: &reply{error: m.error, result: m.result}}
 	}
-	if result == marlreel.OK || result == marlreel.Declined {
-		failed = reply{error: m.error, result: m.result}
+	result := readError(m.error)
+	if result == marlreel.Declined {
+		return engine.End{Result: result, Reply: &reply{error: m.error, result: m.result}}
 	}
-	f.a.End(engine.End{Result: result, Reply: &failed})
-	l.rest()
+	return engine.End{Result: result}
 }
 
 // reply is a backend's answer, as it came.
