--- a/internal/system/simnet/conn.go
+++ b/internal/system/simnet/conn.go
@@ -16,6 +16,7 @@
 type stream struct {
 	network  *Network
 	from, to string
+	server   string // the address that is listened at, at one of its ends
 
 	mu      sync.Mutex
 	pieces  []piece
@@ -30,8 +31,8 @@
 	at   time.Time
 }
 
-func newStream(n *Network, from, to string) *stream {
-	return &stream{network: n, from: from, to: to, changed: make(chan struct{})}
+func newStream(n *Network, from, to, server string) *stream {
+	return &stream{network: n, from: from, to: to, server: server, changed: make(chan struct{})}
 }
 
 // touch tells those that wait. Called with the lock.
@@ -51,6 +52,7 @@
 	}
 	s.pieces = append(s.pieces, piece{data, at})
 	s.bytes += len(data)
+	s.network.traffic.add(Flow{From: s.from, To: s.to, Server: s.server, Kind: "tcp"}, len(data))
 	s.touch()
 }
 
@@ -135,7 +137,7 @@
 }
 
 func pair(a, b *Machine, local, remote string) (near, far *conn) {
-	there, back := newStream(a.network, a.ip, b.ip), newStream(a.network, b.ip, a.ip)
+	there, back := newStream(a.network, a.ip, b.ip, remote), newStream(a.network, b.ip, a.ip, remote)
 	near = &conn{machine: a, in: back, out: there, local: local, remote: remote, read: newDeadline(), write: newDeadline(),
 		closed: make(chan struct{})}
 	far = &conn{machine: b, in: there, out: back, local: remote, remote: local, read: newDeadline(), write: newDeadline(),
--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -33,6 +33,7 @@
 	cuts      map[[2]string]bool  // from, to: nothing passes
 	changed   chan struct{}       // closed when a cut begins or ends
 	nextPorts map[string]int
+	traffic   trafficCounter
 }
 
 // New makes a network without machines.
@@ -331,6 +332,7 @@
 	if lost {
 		return len(p), nil
 	}
+	n.traffic.add(Flow{From: s.machine.ip, To: host, Server: to.String(), Kind: "udp"}, len(p))
 	time.AfterFunc(n.delay(), func() {
 		n.mu.Lock()
 		var target *packetSocket
