Tell figures at a door of each process, with one cause for each late request

Change: internal/system/metrics (VictoriaMetrics/metrics in the text format, on the last of the internal ports), figures of proxy, agent, control; a request's cause is what took the most of its time; -v logs each late one with its spans. docs/METRICS.md, which a test holds to what is told.

--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -23,6 +23,7 @@
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
 	"marlreel/internal/system/host"
+	"marlreel/internal/system/metrics"
 	"marlreel/internal/system/ownership"
 	"marlreel/internal/system/state"
 	"marlreel/internal/system/transport"
@@ -141,6 +142,7 @@
 	loops.Go(func() { a.observations.run(ctx) })
 	loops.Go(func() { a.leases.run(parent) })
 	loops.Go(func() { a.placers.follow(parent) })
+	go metrics.Serve(ctx, machine.Network, settings.MetricsAddress(boot.AgentMetrics), a.newFigures(), log)
 	log.Info("agent serves", "event", "start", "peer", settings.PeerAddress())
 	var failed error
 	select {
--- a/internal/system/agent/lease.go
+++ b/internal/system/agent/lease.go
@@ -85,6 +85,19 @@
 	return h.fence, found && time.Now().Before(h.until)
 }
 
+// count is how many roles this agent holds at this moment.
+func (l *leases) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	running := 0
+	for _, h := range l.held {
+		if time.Now().Before(h.until) {
+			running++
+		}
+	}
+	return running
+}
+
 // drop gives all roles up.
 func (l *leases) drop() {
 	l.mu.Lock()
--- a/internal/system/boot/settings.go
+++ b/internal/system/boot/settings.go
@@ -95,6 +95,22 @@
 // the range that the platform leaves free.
 const peerPort = 0
 
+// MetricsDoor is a process of a machine, by the place of its metrics in the range of ports
+// that the platform leaves free, counted from its end.
+type MetricsDoor int
+
+// The doors.
+const (
+	ProxyMetrics MetricsDoor = iota
+	AgentMetrics
+	ControlMetrics
+)
+
+// MetricsAddress is where a process of this machine tells its figures.
+func (s *Settings) MetricsAddress(door MetricsDoor) string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[1]-int(door)))
+}
+
 // Error is a settings file that can't be used.
 type Error struct {
 	Path string
--- /dev/null
+++ b/internal/system/control/figures.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"context"
+	"io"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"marlreel/internal/system/metrics"
+	"marlreel/internal/system/state"
+)
+
+// newFigures makes the figures of a control process.
+func (s *Service) newFigures() *vm.Set {
+	set := vm.NewSet()
+	set.RegisterMetricsWriter(s.writeStanding)
+	set.NewGauge("marlreel_config_version", func() float64 {
+		version := uint64(0)
+		s.feed.View(func(m *state.Machine) { version = m.Version() })
+		return float64(version)
+	})
+	set.NewGauge("marlreel_backends", func() float64 { return float64(len(s.feed.Backends())) })
+	set.NewGauge("marlreel_nodes", func() float64 { return float64(len(s.feed.Nodes())) })
+	set.NewGauge("marlreel_feed_readers", func() float64 { return float64(len(s.registry.Readers())) })
+	return set
+}
+
+// writeStanding writes how the chain stands: nothing of it where that is not known in time.
+func (s *Service) writeStanding(w io.Writer) {
+	patience, cancel := context.WithTimeout(context.Background(), statusPatience)
+	defer cancel()
+	standing := s.standing(patience)
+	vm.WriteGaugeFloat64(w, "marlreel_chain_connected", metrics.Flag(standing.Connected))
+	vm.WriteGaugeUint64(w, "marlreel_chain_view", standing.View)
+	vm.WriteGaugeUint64(w, "marlreel_chain_members", uint64(len(standing.Members)))
+	vm.WriteGaugeUint64(w, "marlreel_chain_committed", standing.Committed)
+	vm.WriteGaugeFloat64(w, "marlreel_store_failed", metrics.Flag(standing.NoStore))
+}
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -12,8 +12,10 @@
 	"go.uber.org/multierr"
 
 	"marlreel/internal/system/api"
+	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
 	"marlreel/internal/system/host"
+	"marlreel/internal/system/metrics"
 	"marlreel/internal/system/transport"
 )
 
@@ -62,6 +64,7 @@
 	loops.Go(func() { registry.Run(ctx, members.get) })
 	loops.Go(func() { service.owners.run(ctx) })
 	loops.Go(func() { followStanding(ctx, keeper, registry, out, members) })
+	go metrics.Serve(ctx, machine.Network, settings.MetricsAddress(boot.ControlMetrics), service.newFigures(), log)
 	log.Info("control serves", "event", "start", "peer", settings.PeerAddress(), "control", settings.Listen.Control)
 
 	var failed error
--- a/internal/system/gateway/front.go
+++ b/internal/system/gateway/front.go
@@ -17,13 +17,15 @@
 const (
 	// unknownYet is when clients of a proxy that knows nothing should come again.
 	unknownYet = time.Second
-	// answerMargin is how long before its deadline a request is answered at the latest.
+	// pathReady is where the platform asks whether clients can be sent here.
 	pathReady = "/marlreel/ready"
 )
 
 // call is a request in hand.
 type call struct {
 	engine.Call
+	aim     time.Duration      // by when it is to be answered, from its arrival on
+	held    bool               // a backend held its model and adapter when it came
 	answers chan engine.Answer // has room for the one answer
 }
 
@@ -42,7 +44,7 @@
 	if !known {
 		return nil
 	}
-	c := &call{answers: make(chan engine.Answer, 1)}
+	c := &call{answers: make(chan engine.Answer, 1), aim: book.Settings.Classes[class].Aim, held: true}
 	c.Call = engine.Call{Request: marlreel.Request{Class: class, Cost: work, Needs: needs}, Carrier: s.carrier, Book: book,
 		Payload: message, Front: c}
 	return c
@@ -88,7 +90,7 @@
 	if needs != nil && s.engines {
 		key := demandKey{s.name, needs.Model, needs.Adapter}
 		g.demand.asked(key, work)
-		if !p.held[key] {
+		if c.held = p.held[key]; !c.held {
 			defer g.demand.waits(key)()
 		}
 	}
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"marlreel/internal/process/budget"
@@ -31,6 +32,7 @@
 	dial        transport.Dial
 	log         logr.Logger
 	demand      *demandBook
+	figures     *vm.Set
 
 	mu    sync.Mutex // one update at a time
 	ended bool       // no update any more
@@ -81,6 +83,7 @@
 	g := &Gateway{self: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, feed: source,
 		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, bounds: cfg.Bounds, dial: cfg.Dial, log: cfg.Log, demand: newDemandBook()}
 	g.plan.Store(&plan{services: map[string]*service{}})
+	g.figures = g.newFigures()
 	return g
 }
 
@@ -198,7 +201,7 @@
 		next.services[cfg.Name] = s
 		return
 	}
-	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.dial, g.log)
+	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.dial, g.figures, g.log)
 	if err != nil {
 		g.log.Error(err, "a service can't be started", "event", "configuration", "service", cfg.Name)
 		return
--- a/internal/system/gateway/role.go
+++ b/internal/system/gateway/role.go
@@ -15,6 +15,7 @@
 	"marlreel/internal/system/boot"
 	"marlreel/internal/system/feed"
 	"marlreel/internal/system/host"
+	"marlreel/internal/system/metrics"
 	"marlreel/internal/system/transport"
 )
 
@@ -85,6 +86,7 @@
 		_, _ = api.NewAgentProtobufClient("http://"+settings.AgentLoopback(), client).ReportDemand(call,
 			&api.DemandReport{Node: settings.NodeName, Demands: demands})
 	})
+	go metrics.Serve(following, machine.Network, settings.MetricsAddress(boot.ProxyMetrics), g.figures, log)
 	log.Info("proxy serves", "event", "start", "front", settings.Listen.Front)
 	select {
 	case <-ctx.Done():
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"marlreel"
@@ -162,7 +163,7 @@
 
 // newService starts a service. It needs at least one class.
 func newService(cfg *configuration.Service, classes []marlreel.Class, proxies int, self identity, bounds Bounds,
-	room *budget.Budget, connections int, dial transport.Dial, log logr.Logger) (*service, error) {
+	room *budget.Budget, connections int, dial transport.Dial, figures *vm.Set, log logr.Logger) (*service, error) {
 	s := &service{name: cfg.Name, engines: cfg.Engine != nil, classes: classes, proxies: proxies, rank: self.rank(),
 		zone: self.zoneIndex(self.zone), bounds: bounds}
 	s.advisor = newAdvisor(self.name, s.engines, bounds.coldOf(cfg), bounds.Repeats, engine.ClockStart)
@@ -179,9 +180,11 @@
 	s.carrier.Speak(newDialect(func() string { return *s.healthPath.Load() }))
 	s.engine.Carry(s.carrier)
 	s.engine.ProbeWith(s.carrier)
+	observers := []engine.Observer{newServiceFigures(figures, cfg.Name)}
 	if detail := log.V(1); detail.Enabled() {
-		s.engine.Observe(&tracer{detail})
+		observers = append(observers, &tracer{detail})
 	}
+	s.engine.Observe(engine.Join(observers...))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	go s.engine.Run(ctx)
--- a/internal/system/gateway/trace.go
+++ b/internal/system/gateway/trace.go
@@ -54,15 +54,29 @@
 
 // Answered implements engine.Observer.
 func (t *tracer) Answered(now time.Duration, c *engine.Call, a engine.Answer) {
+	j := journeyOf(now, c, a.Verdict, false)
 	if a.Verdict == engine.Served {
+		t.late(j, c)
 		return
 	}
 	id, model := requestOf(c)
-	t.log.Info("not served", "event", "answer", "request", id, "model", model, "verdict", verdictWords[a.Verdict],
+	t.log.Info("not served", "cause", causeWords[j.cause()], "event", "answer", "request", id, "model", model, "verdict", verdictWords[a.Verdict],
 		"attempts", len(c.Attempts()), "after", (now - c.Arrived()).Round(time.Millisecond).String(),
 		"again", a.RetryAfter.Round(time.Millisecond).String())
 }
 
+// late logs an answer that came after its aim, and where the time went.
+func (t *tracer) late(j journey, c *engine.Call) {
+	if j.cause() == causeNone {
+		return
+	}
+	id, model := requestOf(c)
+	t.log.Info("late", "event", "late", "cause", causeWords[j.cause()], "request", id, "model", model,
+		"aim", j.aim.String(), "waited", (j.first - j.arrived).Round(time.Millisecond).String(),
+		"retried", (j.last - j.first).Round(time.Millisecond).String(),
+		"ran", (j.answered - j.last).Round(time.Millisecond).String(), "attempts", j.attempts)
+}
+
 // Streamed implements engine.Observer.
 func (t *tracer) Streamed(time.Duration, *engine.Call, bool) {}
 
--- /dev/null
+++ b/internal/system/simcluster/metrics_test.go
@@ -0,0 +1,128 @@
+package simcluster
+
+import (
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"marlreel/internal/system/boot"
+)
+
+// figuresOf reads the metrics of a process of a machine.
+func (c *Cluster) figuresOf(m *Machine, door boot.MetricsDoor) (status int, text string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	address := net.JoinHostPort(m.IP, strconv.Itoa(peerPort+15-int(door)))
+	request.SetRequestURI("http://" + address + "/metrics")
+	if err := c.client.DoTimeout(request, response, time.Second); err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode(), string(response.Body())
+}
+
+// has checks that figures have each of some lines.
+func has(t *testing.T, figures string, lines ...string) {
+	t.Helper()
+	for _, line := range lines {
+		if !strings.Contains("\n"+figures, "\n"+line+"\n") {
+			t.Errorf("the line %q is missing in\n%s", line, figures)
+		}
+	}
+}
+
+func TestEachProcessTellsItsFigures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := start(t, 3, 2)
+		defer c.Stop()
+		edge := c.Edges[0]
+		got, err := c.Ask(edge, chat("m0"))
+		is.NoErr(err)
+		is.Equal(got.Status, 200)
+		unheld := chat("m2") // no backend holds it: it waits for a load
+		got, err = c.Ask(edge, unheld)
+		is.NoErr(err)
+		is.Equal(got.Status, 200)
+
+		status, figures := c.figuresOf(edge, boot.ProxyMetrics)
+		is.Equal(status, 200)
+		has(t, figures, `marlreel_ready 1`, `marlreel_feed_fresh 1`, `marlreel_backends 4`, `marlreel_nodes 2`, `marlreel_config_version 1`,
+			`marlreel_attempts_total{service="llm",result="ok"} 2`,
+			`marlreel_requests_total{service="llm",kind="streaming",repeatable="true",aim_ms="800",outcome="in_time"} 1`,
+			`marlreel_requests_total{service="llm",kind="streaming",repeatable="true",aim_ms="800",outcome="no_holder"} 1`,
+			`marlreel_first_byte_seconds_count{service="llm",kind="streaming",repeatable="true",aim_ms="800"} 2`)
+
+		status, figures = c.figuresOf(edge, boot.AgentMetrics)
+		is.Equal(status, 200)
+		has(t, figures, `marlreel_feed_fresh 1`, `marlreel_backends 4`, `marlreel_nodes 2`)
+
+		status, figures = c.figuresOf(c.Controls[1], boot.ControlMetrics)
+		is.Equal(status, 200)
+		has(t, figures, `marlreel_chain_connected 1`, `marlreel_chain_members 3`, `marlreel_store_failed 0`, `marlreel_config_version 1`)
+	})
+}
+
+// docs/METRICS.md has each figure and each outcome that a process tells, and no other.
+func TestThePageHasAllFigures(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := start(t, 3, 1)
+		defer c.Stop()
+		_, err := c.Ask(c.Edges[0], chat("m0"))
+		is.NoErr(err)
+		told := map[string]bool{}
+		name := regexp.MustCompile(`marlreel_[a-z_]+|outcome="[a-z_]+"`)
+		for door, m := range map[boot.MetricsDoor]*Machine{boot.ProxyMetrics: c.Edges[0], boot.AgentMetrics: c.Edges[0], boot.ControlMetrics: c.Controls[0]} {
+			_, figures := c.figuresOf(m, door)
+			for _, found := range name.FindAllString(figures, -1) {
+				for _, part := range []string{"_bucket", "_sum", "_count"} {
+					found = strings.TrimSuffix(found, part)
+				}
+				told[strings.Trim(strings.TrimPrefix(found, "outcome="), `"`)] = true
+			}
+		}
+		for found := range told {
+			if !strings.Contains(string(page), "`"+found+"`") {
+				t.Errorf("docs/METRICS.md has nothing on %s", found)
+			}
+		}
+		for _, written := range regexp.MustCompile("`(marlreel_[a-z_]+)`").FindAllStringSubmatch(string(page), -1) {
+			if !told[written[1]] {
+				t.Errorf("docs/METRICS.md has %s, which nobody tells", written[1])
+			}
+		}
+	})
+}
+
+// A machine whose metrics can't be read serves all the same.
+func TestServesWithoutADoorForFigures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := start(t, 3, 2)
+		defer c.Stop()
+		edge := c.Edges[0]
+		edge.Kill()
+		c.revive(edge.IP)
+		taken, err := c.network(edge.IP).Listen(net.JoinHostPort(edge.IP, strconv.Itoa(peerPort+15)))
+		is.NoErr(err)
+		edge.Start()
+		c.Pass(3 * time.Second)
+		got, err := c.Ask(edge, slip())
+		is.NoErr(err)
+		is.Equal(got.Status, 200)
+		is.NoErr(taken.Close())
+	})
+}
