--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -61,16 +61,19 @@
 // newOperatorCommands are the commands for whoever operates the system.
 func newOperatorCommands() []*cobra.Command {
 	flags := &operatorFlags{}
-	config := &cobra.Command{Use: "config", Short: "check, read and change the configuration"}
-	config.AddCommand(newConfigCheck(), newConfigRead(flags), newConfigApply(flags))
+	config := &cobra.Command{Use: "config", Short: "check, compare, read and change the configuration"}
+	config.AddCommand(newConfigCheck(), newConfigRead(flags), newConfigApply(flags), newConfigDiff(flags))
 	flags.add(config)
 	zone := &cobra.Command{Use: "zone", Short: "evacuate a zone, or take that back"}
 	zone.AddCommand(newZone(flags, "evacuate", "send nothing more to the backends of a zone", true),
 		newZone(flags, "restore", "end the evacuation of a zone", false))
 	flags.add(zone)
+	route := &cobra.Command{Use: "route", Short: "look at routes"}
+	route.AddCommand(newRouteExplain(flags))
+	flags.add(route)
 	status := newStatus(flags)
 	flags.add(status)
-	return []*cobra.Command{config, zone, status}
+	return []*cobra.Command{config, zone, route, status}
 }
 
 // readFile reads a file, or standard input for "-".
