Let a restarted tail answer by all that its log holds

Cause: what a tail had committed, and answered reads by, is not on disk; after a restart it went by what others knew to be committed, which can be one entry less while the acknowledgement is cut off. Change: a tail that enters service commits its whole log.

--- a/internal/system/chain/heartbeat.go
+++ b/internal/system/chain/heartbeat.go
@@ -135,6 +135,10 @@
 		return
 	}
 	n.activeView = n.durable.View.Number
+	if n.isTail() {
+		// All before it hold what it holds: it may have answered reads by it before it was restarted.
+		committed = n.durable.last().Sequence
+	}
 	n.commit(committed)
 }
 
--- a/internal/system/chain/node.go
+++ b/internal/system/chain/node.go
@@ -138,7 +138,7 @@
 // MayRead tells whether this node is the tail of a view that is in service. What it
 // reads is the newest only once a Confirm that began after the call has come through.
 func (n *Node) MayRead() bool {
-	return sameMember(n.Tail(), n.durable.Self) && n.inService()
+	return n.isTail() && n.inService()
 }
 
 // InService tells whether this node has a place in a chain that is in service.
@@ -164,6 +164,7 @@
 func (n *Node) isMember() bool { return contains(n.durable.View.Members, n.durable.Self) }
 func (n *Node) inChain() bool  { return contains(n.durable.View.Chain, n.durable.Self) }
 func (n *Node) isHead() bool   { return sameMember(n.Head(), n.durable.Self) }
+func (n *Node) isTail() bool   { return sameMember(n.Tail(), n.durable.Self) }
 
 // neighbour is the chain's member so many places behind this one, or nil.
 func (n *Node) neighbour(offset int) *api.Member {
--- a/internal/system/chain/votes_test.go
+++ b/internal/system/chain/votes_test.go
@@ -271,3 +271,28 @@
 	is.Equal(head.node.InService(), false)
 	c.mustServe("its head was restarted")
 }
+
+// A tail that was restarted answers by all that its log holds, whatever the others know yet: it may have answered by
+// it before.
+func TestARestartedTailReadsAllThatItHolds(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17, 3)
+	c.mustServe("founding")
+	view := c.processes[0].node.View()
+	before, tail := c.at(view.Chain[1]), c.at(view.Chain[2])
+	c.isolate(before, true) // the acknowledgement is lost
+	end := tail.node.durable.last()
+	entry := &api.Entry{Sequence: end.Sequence + 1, PreviousHash: end.Hash}
+	entry.Hash = hashOf(entry.PreviousHash, entry.Sequence, nil)
+	c.handInView(tail, view.Chain[1], view.Number,
+		&api.ChainMessage{Body: &api.ChainMessage_Replicate{Replicate: &api.Replicate{Entry: entry, Committed: end.Sequence}}})
+	is.Equal(tail.node.Committed(), entry.Sequence)
+
+	c.restart(tail)
+	is.Equal(tail.node.MayRead(), false)
+	beat := before.node.heartbeat()
+	is.Equal(beat.GetHeartbeat().Committed, end.Sequence)
+	c.hand(tail, view.Chain[1], beat)
+	is.True(tail.node.MayRead())
+	is.Equal(tail.node.Committed(), entry.Sequence)
+}
