Draw histories as data, shrink what fails, check reads against one register

Change: a history is a list of faults that can be written and read (testdata/histories); what fails is shrunk, and printed as such a file; tails are read, and porcupine checks writes and reads as one register.

--- /dev/null
+++ b/internal/system/chain/history_test.go
@@ -0,0 +1,496 @@
+package chain
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fault is one thing that happens to a cluster. Machines are named by their number among
+// those that have not been replaced, modulo how many there are: so a fault means something
+// whatever came before it.
+type fault struct {
+	kind    string
+	machine int
+	other   int
+	lasts   time.Duration
+	back    time.Duration // how long the old self of a replaced machine is back; 0: it stays away
+	rest    time.Duration // how long nothing happens afterwards
+}
+
+// history is what befalls a cluster, and the seed of its delays and losses.
+type history struct {
+	seed    uint64
+	members int
+	faults  []fault
+}
+
+// faultKinds are what can happen.
+var faultKinds = map[string]func(c *cluster, f fault){
+	"kill": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.kill(p)
+		c.runFor(f.lasts)
+		c.start(p, false)
+	},
+	// One disk is lost at a time, and its machine is given time to catch up.
+	"lose-disk": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.heal()
+		c.runFor(settle)
+		c.wipe(p)
+		c.runFor(f.lasts)
+		c.start(p, false)
+		c.runFor(settle)
+	},
+	"freeze": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		p.frozen = true
+		c.runFor(f.lasts)
+		c.thaw(p)
+	},
+	"stall-disk": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		p.stalled = true
+		c.runFor(f.lasts)
+		c.thaw(p)
+	},
+	"cut": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.isolate(p, true)
+		c.runFor(f.lasts)
+		c.isolate(p, false)
+	},
+	"cut-one-way": func(c *cluster, f fault) {
+		way := c.live(f.machine).address + ">" + c.live(f.other).address
+		c.cut[way] = true
+		c.runFor(f.lasts)
+		c.cut[way] = false
+	},
+	"lose-messages": func(c *cluster, f fault) {
+		c.loss = 0.2
+		c.runFor(f.lasts)
+		c.loss = 0
+	},
+	"lose-power": func(c *cluster, f fault) { c.restartAll(f.lasts) },
+	// While one machine is cut off, another one is restarted.
+	"cut-and-restart": func(c *cluster, f fault) {
+		p, other := c.live(f.machine), c.live(f.other)
+		c.isolate(p, true)
+		c.runFor(f.lasts / 2)
+		if other != p {
+			c.kill(other)
+			c.start(other, false)
+		}
+		c.runFor(f.lasts / 2)
+		c.isolate(p, false)
+	},
+	// A disk, and the power of all, some ms after something was sent.
+	"lose-disk-and-power": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.heal()
+		c.runFor(settle)
+		c.runFor(f.lasts)
+		c.loseDiskAndPower(p)
+	},
+	// The same, right after something was acknowledged.
+	"lose-disk-and-power-at-acknowledgement": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.heal()
+		c.runFor(settle)
+		c.awaitAcknowledgement()
+		c.loseDiskAndPower(p)
+	},
+	"replace": func(c *cluster, f fault) { c.replace(c.live(f.machine), f.lasts, f.back) },
+}
+
+// live is a process that has not been replaced.
+func (c *cluster) live(number int) *process {
+	var live []*process
+	for _, p := range c.processes {
+		if !p.replaced {
+			live = append(live, p)
+		}
+	}
+	return live[number%len(live)]
+}
+
+// awaitAcknowledgement passes time until something is acknowledged, or 200 ms.
+func (c *cluster) awaitAcknowledgement() {
+	before := len(c.acked)
+	for range 200 {
+		if len(c.acked) > before {
+			return
+		}
+		c.runFor(time.Millisecond)
+	}
+}
+
+// loseDiskAndPower takes a disk, and the power of all.
+func (c *cluster) loseDiskAndPower(p *process) {
+	c.wipe(p)
+	c.restartAll(200 * time.Millisecond)
+	c.runFor(settle)
+}
+
+// restartAll ends all processes at once, and starts them after a while.
+func (c *cluster) restartAll(down time.Duration) {
+	for _, p := range c.processes {
+		c.kill(p)
+	}
+	c.runFor(down)
+	for _, p := range c.processes {
+		if !p.replaced {
+			c.start(p, false)
+		}
+	}
+}
+
+// replace puts another machine in the place of one, which has gone for good, or comes back
+// with its old disk for a while when the other one has been taken in.
+func (c *cluster) replace(p *process, gone, back time.Duration) {
+	c.heal()
+	c.runFor(settle)
+	c.kill(p)
+	c.runFor(gone)
+	c.add(fmt.Sprintf("r%d", len(c.processes)), false)
+	c.runFor(settle)
+	p.replaced = true
+	c.renewContacts()
+	if back > 0 {
+		c.start(p, false)
+		c.runFor(back)
+		c.kill(p)
+	}
+	c.runFor(settle)
+}
+
+// renewContacts names those that are there to machines that start from now on. One that replaces another is told
+// who was there before: of a list where nobody is any more, no machine could find the chain.
+func (c *cluster) renewContacts() {
+	c.contacts = nil
+	for _, p := range c.processes {
+		if !p.replaced {
+			c.contacts = append(c.contacts, p.address)
+		}
+	}
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	clear(c.cut)
+	c.loss = 0
+	for _, p := range c.processes {
+		if p.node == nil && !p.replaced {
+			c.start(p, false)
+		}
+		c.thaw(p)
+	}
+}
+
+// ---- drawing ----
+
+const (
+	// drawnFaults is how many faults a drawn history has.
+	drawnFaults = 12
+	// longestFault and longestRest bound how long one lasts, and the calm behind it.
+	longestFault = 1500 * time.Millisecond
+	longestRest  = 600 * time.Millisecond
+)
+
+// drawHistory draws the history of a number, with 3, 5 or 7 members.
+func drawHistory(number int) history {
+	seed := uint64(number) + 100
+	rng := rand.New(rand.NewPCG(seed, 2))
+	h := history{seed: seed, members: 3 + 2*(number%3)}
+	for len(h.faults) < drawnFaults {
+		h.faults = append(h.faults, drawFaults(rng)...)
+	}
+	return h
+}
+
+// drawFaults draws one fault, or some that come in a row.
+func drawFaults(rng *rand.Rand) []fault {
+	span := func(most time.Duration) time.Duration {
+		return time.Duration(rng.Int64N(int64(most))).Truncate(time.Millisecond)
+	}
+	const machines = 64
+	f := fault{machine: rng.IntN(machines), other: rng.IntN(machines), lasts: span(longestFault), rest: span(longestRest)}
+	kinds := []string{"kill", "lose-disk", "freeze", "stall-disk", "cut", "cut-one-way", "lose-messages", "lose-power",
+		"cut-and-restart", "lose-disk-and-power", "replace", "views"}
+	f.kind = kinds[rng.IntN(len(kinds))]
+	switch f.kind {
+	case "lose-power":
+		f.lasts /= 4
+	case "lose-disk-and-power":
+		if f.lasts /= 4; rng.IntN(2) == 0 {
+			f.kind = "lose-disk-and-power-at-acknowledgement"
+		}
+	case "replace":
+		if rng.IntN(2) == 0 {
+			f.back = span(2 * time.Second)
+		}
+	case "views": // views change while views change
+		var row []fault
+		for range 4 {
+			row = append(row, fault{kind: "cut", machine: rng.IntN(machines), lasts: span(700 * time.Millisecond)})
+		}
+		row[len(row)-1].rest = f.rest
+		return row
+	}
+	return []fault{f}
+}
+
+// ---- playing ----
+
+// failure is what a history showed to be wrong.
+type failure struct{ what string }
+
+// play plays a history, and tells what was wrong; empty: nothing.
+func (h history) play(t *testing.T) (wrong string) {
+	t.Helper()
+	defer func() {
+		switch f := recover().(type) {
+		case nil:
+		case failure:
+			wrong = f.what
+		default:
+			panic(f)
+		}
+	}()
+	c := newCluster(t, h.seed, h.members)
+	c.trial = true
+	c.mustServe("founding")
+	for _, f := range h.faults {
+		faultKinds[f.kind](c, f)
+		c.audit()
+		c.runFor(f.rest)
+	}
+	c.heal()
+	c.mustServe("all is healed")
+	c.auditLinearizable()
+	for _, p := range c.processes {
+		if !p.replaced && !p.node.InService() {
+			c.fail("%s is not back in the chain", p.address)
+		}
+	}
+	return ""
+}
+
+// mostShrinkPlays bounds how often a history is played to make it short.
+const mostShrinkPlays = 400
+
+// shrink gives the shortest history found for which fails still says that something is wrong.
+func (h history) shrink(fails func(history) bool) history {
+	plays := 0
+	stillFails := func(shorter history) bool {
+		plays++
+		return plays <= mostShrinkPlays && fails(shorter)
+	}
+	for again := true; again; {
+		again = false
+		for i := len(h.faults) - 1; i >= 0; i-- {
+			shorter := h
+			shorter.faults = slices.Delete(slices.Clone(h.faults), i, i+1)
+			if stillFails(shorter) {
+				h, again = shorter, true
+			}
+		}
+	}
+	return h.shorten(stillFails)
+}
+
+// shorten takes away calm times and halves how long faults last, where it still fails.
+func (h history) shorten(stillFails func(history) bool) history {
+	for i := range h.faults {
+		for _, change := range []func(f *fault){
+			func(f *fault) { f.rest = 0 },
+			func(f *fault) { f.back = 0 },
+			func(f *fault) { f.lasts = (f.lasts / 2).Truncate(time.Millisecond) },
+		} {
+			shorter := h
+			shorter.faults = slices.Clone(h.faults)
+			if change(&shorter.faults[i]); shorter.faults[i] != h.faults[i] && stillFails(shorter) {
+				h = shorter
+			}
+		}
+	}
+	return h
+}
+
+// mustPass plays a history. Where something is wrong, it gives the shortest one found that
+// shows it, as the files in testdata/histories have it.
+func (h history) mustPass(t *testing.T) {
+	t.Helper()
+	wrong := h.play(t)
+	if wrong == "" {
+		return
+	}
+	short := h.shrink(func(shorter history) bool { return shorter.play(t) != "" })
+	t.Fatalf("%s\nthe shortest history found, in which %s:\n%s", wrong, short.play(t), short)
+}
+
+// ---- as text ----
+
+// String is a history as a file has it.
+func (h history) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seed %d\nmembers %d\n", h.seed, h.members)
+	for _, f := range h.faults {
+		fmt.Fprintf(&text, "%s machine=%d other=%d lasts=%s back=%s rest=%s\n", f.kind, f.machine, f.other, f.lasts, f.back, f.rest)
+	}
+	return text.String()
+}
+
+// parseHistory reads a file: comments, seed, members, and a line a fault with what it needs.
+func parseHistory(text string) (history, error) {
+	var h history
+	lines := bufio.NewScanner(strings.NewReader(text))
+	for lines.Scan() {
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		var err error
+		switch {
+		case words[0] == "seed" && len(words) == 2:
+			h.seed, err = strconv.ParseUint(words[1], 10, 64)
+		case words[0] == "members" && len(words) == 2:
+			h.members, err = strconv.Atoi(words[1])
+		default:
+			var f fault
+			f, err = parseFault(words)
+			h.faults = append(h.faults, f)
+		}
+		if err != nil {
+			return h, fmt.Errorf("%q: %w", lines.Text(), err)
+		}
+	}
+	if h.members < 1 {
+		return h, fmt.Errorf("members is missing")
+	}
+	return h, lines.Err()
+}
+
+func parseFault(words []string) (fault, error) {
+	f := fault{kind: words[0]}
+	if faultKinds[f.kind] == nil {
+		return f, fmt.Errorf("there is no such fault")
+	}
+	for _, word := range words[1:] {
+		key, value, _ := strings.Cut(word, "=")
+		var err error
+		switch key {
+		case "machine":
+			f.machine, err = strconv.Atoi(value)
+		case "other":
+			f.other, err = strconv.Atoi(value)
+		case "lasts":
+			f.lasts, err = time.ParseDuration(value)
+		case "back":
+			f.back, err = time.ParseDuration(value)
+		case "rest":
+			f.rest, err = time.ParseDuration(value)
+		default:
+			err = fmt.Errorf("%s is not known", key)
+		}
+		if err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// ---- the tests ----
+
+// Histories are drawn: kills, lost disks, freezes, stalls, cuts one way and both, losses
+// of messages, and total losses of power. What fault_tolerance allows is kept: one disk
+// at a time is lost, and its machine is given time to catch up.
+func TestDrawnHistories(t *testing.T) {
+	histories := 40
+	if more, err := strconv.Atoi(os.Getenv("CHAIN_HISTORIES")); err == nil {
+		histories = more
+	}
+	for number := range histories {
+		t.Run(strconv.Itoa(number), func(t *testing.T) {
+			t.Parallel()
+			drawHistory(number).mustPass(t)
+		})
+	}
+}
+
+// Each file of testdata/histories once showed a fault, of the chain or of a mutant of it.
+func TestRecordedHistories(t *testing.T) {
+	files, err := filepath.Glob("testdata/histories/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no history is there: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			text, err := os.ReadFile(file)
+			is.NoErr(err)
+			h, err := parseHistory(string(text))
+			is.NoErr(err)
+			is.Equal(h.play(t), "")
+		})
+	}
+}
+
+func TestHistoriesAreReadAsTheyAreWritten(t *testing.T) {
+	is := is.New(t)
+	for number := range 50 {
+		h := drawHistory(number)
+		again, err := parseHistory(h.String())
+		is.NoErr(err)
+		is.Equal(again, h)
+	}
+	for _, text := range []string{"", "members 3\nexplode machine=1", "members 3\nkill machine=x", "members 3\nkill for=1s", "members x"} {
+		_, err := parseHistory(text)
+		is.True(err != nil)
+	}
+}
+
+func TestAHistoryIsTheSameEachTime(t *testing.T) {
+	is := is.New(t)
+	trace := func() []string {
+		h := drawHistory(5)
+		c := newCluster(t, h.seed, h.members)
+		for _, f := range h.faults {
+			faultKinds[f.kind](c, f)
+		}
+		return append(c.acked, c.now.String())
+	}
+	is.Equal(trace(), trace())
+}
+
+// What shrinks a history leaves what the failure needs, and nothing else.
+func TestShrinking(t *testing.T) {
+	is := is.New(t)
+	h := drawHistory(3)
+	h.faults = append(h.faults, fault{kind: "kill", machine: 1, lasts: time.Second, rest: time.Second},
+		fault{kind: "freeze", machine: 2, lasts: 400 * time.Millisecond, rest: time.Second})
+	needed := func(h history) bool {
+		killed := false
+		for _, f := range h.faults {
+			killed = killed || f.kind == "kill" && f.machine == 1
+			if killed && f.kind == "freeze" && f.machine == 2 && f.lasts >= 300*time.Millisecond {
+				return true
+			}
+		}
+		return false
+	}
+	short := h.shrink(needed)
+	is.Equal(short.faults, []fault{{kind: "kill", machine: 1, lasts: 500 * time.Millisecond},
+		{kind: "freeze", machine: 2, lasts: 400 * time.Millisecond}})
+}
--- /dev/null
+++ b/internal/system/chain/linearizable_test.go
@@ -0,0 +1,144 @@
+package chain
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+)
+
+// readEvery is how often each process that may answer a read gets one.
+const readEvery = 70 * time.Millisecond
+
+// operation is a call at the chain's register as a client sees it.
+type operation struct {
+	read bool
+	name string // of what was written
+}
+
+// observed is what became of an operation: up to which entry the register reaches behind it.
+type observed struct{ entries int }
+
+// registerModel is a register of entries: each write adds one, and a read sees all that
+// came before it.
+var registerModel = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		entries, got := state.(int), output.(observed).entries
+		if input.(operation).read {
+			return got == entries, entries
+		}
+		return got == entries+1, entries + 1
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// clients keep what clients of a cluster called and were answered.
+type clients struct {
+	called map[string]time.Duration // writes, by name
+	acked  map[string]time.Duration
+	reads  []porcupine.Operation
+	tokens uint64
+}
+
+func newClients() *clients {
+	return &clients{called: map[string]time.Duration{}, acked: map[string]time.Duration{}}
+}
+
+// read asks each process that may answer.
+func (c *cluster) read() {
+	for _, p := range c.processes {
+		if p.node == nil || p.frozen || p.stalled || !p.node.MayRead() {
+			continue
+		}
+		c.clients.tokens++
+		p.reads[c.clients.tokens] = c.now
+		c.carryOut(p, p.node.Confirm(c.now, c.clients.tokens))
+	}
+}
+
+// answerRead answers a read that a majority has confirmed.
+func (c *cluster) answerRead(p *process, token uint64) {
+	called, waits := p.reads[token]
+	if !waits {
+		return
+	}
+	delete(p.reads, token)
+	c.clients.reads = append(c.clients.reads, porcupine.Operation{Input: operation{read: true}, Call: int64(called),
+		Output: observed{len(p.machine.applied)}, Return: int64(c.now)})
+}
+
+// operations are all that were called, the writes with their places in the order that the
+// cluster has agreed on. Those that came to nothing are left out: where a read saw one, its
+// place is missing.
+func (c *cluster) operations(agreed []string) []porcupine.Operation {
+	operations := append([]porcupine.Operation(nil), c.clients.reads...)
+	for at, name := range agreed {
+		answered, acknowledged := c.clients.acked[name]
+		if !acknowledged {
+			answered = math.MaxInt64
+		}
+		operations = append(operations, porcupine.Operation{Input: operation{name: name}, Call: int64(c.clients.called[name]),
+			Output: observed{at + 1}, Return: int64(answered)})
+	}
+	for i := range operations {
+		operations[i].ClientId = i // each call may overlap any other
+	}
+	return operations
+}
+
+// auditLinearizable checks that all answers are those of one register.
+func (c *cluster) auditLinearizable() {
+	c.t.Helper()
+	var agreed []string
+	for _, p := range c.processes {
+		if p.node != nil && len(p.machine.applied) > len(agreed) {
+			agreed = p.machine.applied
+		}
+	}
+	operations := c.operations(agreed)
+	if len(c.clients.reads) == 0 {
+		c.fail("nothing was read")
+	}
+	const patience = 20 * time.Second
+	switch porcupine.CheckOperationsTimeout(registerModel, operations, patience) {
+	case porcupine.Illegal:
+		c.fail("the answers to %d operations are not those of one register", len(operations))
+	case porcupine.Unknown:
+		c.fail("%d operations could not be checked in %s", len(operations), patience)
+	}
+}
+
+// The check finds each kind of wrong answer.
+func TestTheCheckOfAnswersFindsWrongOnes(t *testing.T) {
+	const ms = int64(time.Millisecond)
+	write := func(call, answered int64, place int) porcupine.Operation {
+		return porcupine.Operation{Input: operation{name: fmt.Sprint(place)}, Call: call * ms, Output: observed{place}, Return: answered * ms}
+	}
+	read := func(call, answered int64, entries int) porcupine.Operation {
+		return porcupine.Operation{Input: operation{read: true}, Call: call * ms, Output: observed{entries}, Return: answered * ms}
+	}
+	for name, of := range map[string]struct {
+		operations []porcupine.Operation
+		right      bool
+	}{
+		"in order":                     {[]porcupine.Operation{write(1, 2, 1), read(3, 4, 1), write(5, 6, 2), read(7, 8, 2)}, true},
+		"a read beside a write":        {[]porcupine.Operation{write(1, 2, 1), write(3, 9, 2), read(4, 5, 1), read(6, 7, 2)}, true},
+		"a stale read":                 {[]porcupine.Operation{write(1, 2, 1), write(3, 4, 2), read(5, 6, 1)}, false},
+		"a read that goes back":        {[]porcupine.Operation{write(1, 9, 1), read(2, 3, 1), read(4, 5, 0)}, false},
+		"a read of what is not agreed": {[]porcupine.Operation{write(1, 2, 1), read(3, 4, 2)}, false},
+		"agreed in another order":      {[]porcupine.Operation{write(1, 2, 2), write(3, 4, 1)}, false},
+		"a read before the write":      {[]porcupine.Operation{read(1, 2, 1), write(3, 4, 1)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range of.operations {
+				of.operations[i].ClientId = i
+			}
+			is.Equal(porcupine.CheckOperations(registerModel, of.operations), of.right)
+		})
+	}
+}
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -72,7 +72,8 @@
 	// replaced: another machine has taken its place, and it does not come back.
 	replaced bool
 	backlog  []func()
-	waiting  map[uint64]string // proposals by entry hash
+	waiting  map[uint64]string        // proposals by entry hash
+	reads    map[uint64]time.Duration // when reads were called, by token
 }
 
 type cluster struct {
@@ -90,6 +91,9 @@
 	contacts  []string // what processes that start are told
 	proposed  int
 	log       []string
+	trial     bool // what is wrong ends the history, not the test
+	clients   *clients
+	nextRead  time.Duration
 }
 
 const (
@@ -98,7 +102,8 @@
 )
 
 func newCluster(t *testing.T, seed uint64, members int) *cluster {
-	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, cfg: DefaultConfig(members)}
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, cfg: DefaultConfig(members),
+		clients: newClients()}
 	c.cfg.CompactAfter = 8
 	for i := range members {
 		c.founders = append(c.founders, fmt.Sprintf("c%d", i))
@@ -120,7 +125,8 @@
 
 func (c *cluster) start(p *process, first bool) {
 	p.life++
-	p.frozen, p.stalled, p.backlog, p.waiting = false, false, nil, map[uint64]string{}
+	p.frozen, p.stalled, p.backlog = false, false, nil
+	p.waiting, p.reads = map[uint64]string{}, map[uint64]time.Duration{}
 	if p.disk == nil {
 		p.disk = &Durable{Self: &api.Member{Address: p.address, Incarnation: FounderIncarnation}}
 		if first {
@@ -195,9 +201,13 @@
 		if name, mine := p.waiting[entry.Hash]; mine {
 			delete(p.waiting, entry.Hash)
 			c.acked = append(c.acked, name)
+			c.clients.acked[name] = c.now
 			c.auditAcknowledged(p, entry)
 		}
 	}
+	for _, token := range out.Confirmed {
+		c.answerRead(p, token)
+	}
 }
 
 // auditAcknowledged checks that each disk of a head's chain holds what the head has just acknowledged: the tail had
@@ -287,6 +297,7 @@
 		}
 		c.proposed++
 		name := fmt.Sprintf("o%d", c.proposed)
+		c.clients.called[name] = c.now
 		entry, out := p.node.Propose(c.now, []*api.Operation{{Kind: &api.Operation_Evacuation{
 			Evacuation: &api.SetEvacuation{Zone: name}}}})
 		p.waiting[entry.Hash] = name
@@ -295,7 +306,7 @@
 	}
 }
 
-// runFor lets time pass; every so often something is proposed.
+// runFor lets time pass; every so often something is proposed, and read.
 func (c *cluster) runFor(span time.Duration) {
 	end := c.now + span
 	next := c.now
@@ -303,6 +314,10 @@
 		if len(c.queue) == 0 || c.queue[0].at > next {
 			c.now = next
 			c.propose()
+			if c.now >= c.nextRead {
+				c.nextRead = c.now + readEvery
+				c.read()
+			}
 			next += proposeEvery
 			continue
 		}
@@ -394,6 +409,9 @@
 
 func (c *cluster) fail(format string, args ...any) {
 	c.t.Helper()
+	if c.trial {
+		panic(failure{fmt.Sprintf(format, args...)})
+	}
 	for _, line := range c.log {
 		c.t.Log(line)
 	}
