--- /dev/null
+++ b/internal/standin/node_work.go
@@ -0,0 +1,251 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"marlreel/internal/standin/machine"
+)
+
+// exchange is a request in hand.
+type exchange struct {
+	c     net.Conn
+	path  Path
+	gone  chan struct{} // the proxy has closed the connection
+	done  chan struct{} // the answer is written, or there will be none
+	fresh bool
+	full  bool // the connection is one too many
+	last  bool
+	began time.Duration
+	whole time.Duration
+	// when it was answered
+	rested time.Duration
+}
+
+// answer sees one request through, over HTTP.
+func (n *Node) answer(x *exchange, r *http.Request, good bool) {
+	defer close(x.done)
+	if x.path.Delay > 0 {
+		time.Sleep(x.path.Delay)
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	s := &Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: x.path.Proxy, ID: r.Header.Get("X-Correlation-Id"),
+		Key: r.Header.Get("Idempotency-Key"), Class: class, Began: x.began, Whole: x.whole, Fresh: x.fresh,
+		CrossesZone: x.path.Cross}
+	if class == "health" || class == "status" {
+		n.probe(x, s, class == "status")
+		return
+	}
+	if s.ID == "" {
+		n.reply(x, nil, http.StatusNotFound, nil, "no id")
+		return
+	}
+	left, err := timeLeft(r.Header.Get("X-Time-Left"))
+	if err != nil {
+		left = 0
+	}
+	switch end := n.process(s, left, x.full, good, x.gone); end {
+	case endUnknown:
+		n.reply(x, nil, http.StatusBadRequest, nil, "no client's request")
+	case endServed:
+		spoil := SpoilNothing
+		if s.Effect != Dropped && n.spoils(s) {
+			n.mu.Lock()
+			spoil = n.spoil
+			n.mu.Unlock()
+		}
+		n.spoilReply(x, s, spoil)
+	case endFailed:
+		n.reply(x, s, http.StatusInternalServerError, nil, "error")
+	case endFull:
+		x.last = x.full
+		n.reply(x, s, http.StatusServiceUnavailable, unprocessed, "full")
+	case endOver:
+		n.reply(x, s, http.StatusGatewayTimeout, unprocessed, "over")
+	case endExpired:
+		x.last = true
+		x.c.Close()
+	case endGone:
+	}
+}
+
+// ending is what became of a request at a node, in no protocol's words.
+type ending uint8
+
+const (
+	endServed  ending = iota
+	endFailed         // an error, after it had begun
+	endFull           // turned away unseen
+	endOver           // its time ran out unseen
+	endExpired        // its time ran out in work: nothing is answered
+	endGone           // nobody waits, or the node has died: nothing is answered
+	endUnknown        // no client's request
+)
+
+// process gives a request to the machine, sees it through and writes it down. gone is
+// closed when nobody waits for it any more.
+func (n *Node) process(s *Send, left time.Duration, full, good bool, gone <-chan struct{}) ending {
+	job, known := machine.Job{Work: time.Millisecond}, true
+	if n.cfg.Demand != nil {
+		job, known = n.cfg.Demand(s.ID, s.Class)
+	}
+	if !known || !good {
+		return endUnknown
+	}
+	if s.Fresh {
+		job.Work += n.cfg.Handshake
+	}
+	s.Work = job.Work
+	if left > 0 {
+		job.Until = s.Whole + left
+	}
+	n.mu.Lock()
+	if n.dead || n.silent {
+		n.mu.Unlock()
+		return endGone
+	}
+	failing := n.errors > 0 && chance(s.ID, n.cfg.ID, "error") < n.errors
+	if p, harmed := n.harm(s); harmed && !n.draining && !full {
+		switch p.Harm {
+		case HarmSilent:
+			n.mu.Unlock()
+			return n.stayAway(s, left, gone)
+		case HarmErrors:
+			failing = true
+		case HarmSlow:
+			job.Work, job.Wait = times(job.Work, p.Times), times(job.Wait, p.Times)
+			s.Work = job.Work
+		}
+	}
+	now := n.cfg.Clock.Now()
+	verdict, id := machine.QueueFull, uint64(0)
+	var ended chan machine.Ended
+	first := false
+	switch {
+	case n.draining || full:
+	case s.Key != "" && n.cfg.Group != nil && !n.cfg.Group.first(s.Key, now):
+		n.mu.Unlock()
+		s.Effect = Dropped
+		n.cfg.Journal.send(s)
+		return endServed
+	default:
+		first = s.Key != "" && n.cfg.Group != nil
+		n.lastJob++
+		id = n.lastJob
+		verdict = n.machine.Offer(now, id, job)
+		if verdict == machine.Taken {
+			ended = make(chan machine.Ended, 1)
+			n.open[id] = ended
+		}
+	}
+	s.Effect = TurnedAway
+	if verdict == machine.Taken || verdict == machine.Down {
+		s.Effect = Ran
+	}
+	if first && verdict != machine.Taken {
+		n.cfg.Group.forget(s.Key)
+	}
+	n.cfg.Journal.send(s)
+	n.pump()
+	n.mu.Unlock()
+	switch verdict {
+	case machine.QueueFull:
+		return endFull
+	case machine.TooLate:
+		return endOver
+	case machine.Down: // the reset of its connection is the answer
+		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+		return endGone
+	}
+	select {
+	case e := <-ended:
+		if !e.Ran && first {
+			n.cfg.Group.forget(s.Key)
+		}
+		switch {
+		case e.Why == machine.Expired && !e.Ran:
+			return endOver // nothing of it ran, and it won't
+		case e.Why == machine.Expired:
+			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+			return endExpired
+		case e.Why != machine.Done:
+			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+			return endGone
+		case failing:
+			return endFailed
+		}
+		return endServed
+	case <-gone:
+		n.mu.Lock()
+		ran := n.machine.Cancel(n.cfg.Clock.Now(), id)
+		delete(n.open, id)
+		n.pump()
+		n.mu.Unlock()
+		if !ran && first {
+			n.cfg.Group.forget(s.Key)
+		}
+		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+		return endGone
+	}
+}
+
+var unprocessed = []string{"X-Unprocessed: 1"}
+
+// probe answers beside the queue, at the price of a little work.
+func (n *Node) probe(x *exchange, s *Send, load bool) {
+	s.Probe = true
+	if !n.cfg.Probes {
+		n.reply(x, nil, http.StatusNotFound, nil, "no probes here")
+		return
+	}
+	n.mu.Lock()
+	s.Work, s.Effect = n.cfg.ProbeWork, Ran
+	if x.fresh {
+		s.Work += n.cfg.Handshake
+	}
+	if n.dead || n.silent {
+		n.mu.Unlock()
+		return
+	}
+	n.lastJob++
+	n.machine.Offer(n.cfg.Clock.Now(), n.lastJob, machine.Job{Work: s.Work})
+	n.pump()
+	draining := n.draining
+	n.mu.Unlock()
+	n.cfg.Journal.send(s)
+	status, text := http.StatusOK, "up"
+	if draining {
+		status, text = http.StatusServiceUnavailable, "draining"
+	}
+	if load && len(n.cfg.Report) > 0 {
+		text = n.load()
+	}
+	n.reply(x, s, status, nil, text)
+}
+
+// load is the load report's text.
+func (n *Node) load() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	values := map[string]float64{}
+	for _, f := range n.cfg.Report {
+		switch f {
+		case "inflight", "busy_reqs":
+			values[f] = float64(n.machine.InWork())
+		case "queue", "pending":
+			values[f] = float64(n.machine.Held() - n.machine.InWork())
+		case "util":
+			values[f] = min(1, float64(n.machine.InWork())/float64(n.cfg.Machine.Cores))
+		default:
+			values[f] = 0
+		}
+	}
+	text, err := json.Marshal(values)
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
--- a/internal/standin/rpc.go
+++ b/internal/standin/rpc.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +15,30 @@
 // The stand-ins' MessagePack-RPC goes through a library of its own, so that the
 // daemon's is not checked by itself.
 
+// rpcConn is a caller's connection to a node.
+type rpcConn struct {
+	node *Node
+	conn net.Conn
+	path Path
+	full bool          // it is one too many
+	gone chan struct{} // closed when the caller has left
+
+	writes  sync.Mutex // one answer at a time
+	mu      sync.Mutex
+	cancels map[uint32]chan struct{} // of open calls, closed when one is called off
+}
+
+// rpcCall is a call or a notification as it was read.
+type rpcCall struct {
+	notification bool
+	id           uint32
+	method       string
+	params       any
+}
+
+// cancelMethod is the notification that calls a call off.
+const cancelMethod = "$cancel"
+
 // serveRPC reads a connection's calls and answers each when it is done. A method's last
 // word after a dot is its class; the metadata are the last parameter.
 func (n *Node) serveRPC(c net.Conn, p Path, full bool) {
@@ -23,13 +48,10 @@
 		delete(n.conns, c)
 		n.mu.Unlock()
 	}()
-	gone := make(chan struct{})
-	var writes sync.Mutex
+	r := &rpcConn{node: n, conn: c, path: p, full: full, gone: make(chan struct{}), cancels: map[uint32]chan struct{}{}}
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	defer close(gone)
-	cancels := map[uint32]chan struct{}{}
-	var mu sync.Mutex // cancels
+	defer close(r.gone)
 	d := msgpack.NewDecoder(c)
 	fresh := true
 	for {
@@ -43,105 +65,164 @@
 			n.hold(c) // its bytes never arrived
 			return
 		}
-		kind, ok := number(at(v, 0))
-		if !ok || kind == 0 && len(v) != 4 || kind == 2 && len(v) != 3 {
+		q, ok := parseRPC(v)
+		if !ok {
 			return
 		}
-		var id uint32
-		method, params := at(v, 1), at(v, 2)
-		if kind == 0 {
-			k, _ := number(at(v, 1))
-			id, method, params = uint32(k), at(v, 2), at(v, 3)
-		}
-		name, _ := method.(string)
-		if name == "$cancel" {
-			if list, ok := params.([]any); ok {
-				if k, ok := number(at(list, 0)); ok {
-					mu.Lock()
-					if stop := cancels[uint32(k)]; stop != nil {
-						close(stop)
-						delete(cancels, uint32(k))
-					}
-					mu.Unlock()
-				}
-			}
+		if q.method == cancelMethod {
+			r.callOff(q)
 			continue
 		}
-		list, _ := params.([]any)
-		meta, _ := at(list, len(list)-1).(map[string]any)
-		word := func(key string) string { s, _ := meta[key].(string); return s }
-		left := 0.0
-		if f, ok := meta["$left_ms"].(float64); ok {
-			left = f
+		s, left := r.send(q, whole)
+		s.Fresh, fresh = fresh, false
+		stop := r.opened(q.id)
+		calls.Go(func() { r.answer(q, s, left, stop) })
+	}
+}
+
+// parseRPC tells what a message is; false is none that a caller may send.
+func parseRPC(v []any) (rpcCall, bool) {
+	kind, ok := number(at(v, 0))
+	switch {
+	case !ok || kind == 0 && len(v) != 4 || kind == 2 && len(v) != 3:
+		return rpcCall{}, false
+	case kind == 0:
+		id, _ := number(at(v, 1))
+		method, _ := at(v, 2).(string)
+		return rpcCall{id: uint32(id), method: method, params: at(v, 3)}, true
+	}
+	method, _ := at(v, 1).(string)
+	return rpcCall{notification: kind == 2, method: method, params: at(v, 2)}, true
+}
+
+// send is a call as the journal has it, and how much time it has.
+func (r *rpcConn) send(q rpcCall, whole time.Duration) (*Send, time.Duration) {
+	list, _ := q.params.([]any)
+	meta, _ := at(list, len(list)-1).(map[string]any)
+	word := func(key string) string { s, _ := meta[key].(string); return s }
+	leftMS, _ := meta["$left_ms"].(float64)
+	n := r.node
+	s := &Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: r.path.Proxy, ID: word("$id"), Key: word("$key"),
+		Class: q.method[strings.LastIndexByte(q.method, '.')+1:], Began: whole - r.path.Delay, Whole: whole, CrossesZone: r.path.Cross}
+	return s, time.Duration(leftMS * float64(time.Millisecond))
+}
+
+// opened notes an open call, and gives what is closed when it is called off.
+func (r *rpcConn) opened(id uint32) chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stop := make(chan struct{})
+	r.cancels[id] = stop
+	return stop
+}
+
+// ended forgets an open call.
+func (r *rpcConn) ended(id uint32, stop chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancels[id] == stop {
+		delete(r.cancels, id)
+	}
+}
+
+// callOff ends the call that a notification names.
+func (r *rpcConn) callOff(q rpcCall) {
+	list, _ := q.params.([]any)
+	id, ok := number(at(list, 0))
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if stop := r.cancels[uint32(id)]; stop != nil {
+		close(stop)
+		delete(r.cancels, uint32(id))
+	}
+}
+
+// answer sees a call through.
+func (r *rpcConn) answer(q rpcCall, s *Send, left time.Duration, stop chan struct{}) {
+	n := r.node
+	time.Sleep(r.path.Delay)
+	over := make(chan struct{})
+	end := n.process(s, left, r.full, s.ID != "", r.noLongerWanted(stop, over))
+	close(over)
+	r.ended(q.id, stop)
+	if q.notification {
+		if end == endServed || end == endFailed {
+			n.cfg.Journal.end(s, "", http.StatusOK, n.cfg.Clock.Now())
+		}
+		return
+	}
+	a, answered := n.rpcAnswer(s, end)
+	if !answered { // an expired one is not answered, as over HTTP
+		return
+	}
+	time.Sleep(r.path.Delay)
+	if n.Vanished() {
+		return
+	}
+	n.cfg.Journal.end(s, a.effect, a.status, n.cfg.Clock.Now())
+	data, err := msgpack.Marshal([]any{1, q.id, a.problem, a.result})
+	if err != nil {
+		return
+	}
+	if end == endServed && n.spoils(s) {
+		data = []byte{0xc1, 0xff, 0x00} // no MessagePack
+	}
+	r.write(data)
+}
+
+// noLongerWanted is closed when the caller has left or has called the call off, unless the
+// call is over before.
+func (r *rpcConn) noLongerWanted(stop, over chan struct{}) <-chan struct{} {
+	merged := make(chan struct{})
+	go func() {
+		select {
+		case <-r.gone:
+		case <-stop:
+		case <-over:
+			return
 		}
-		s := &Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: p.Proxy, ID: word("$id"), Key: word("$key"),
-			Class: name[strings.LastIndexByte(name, '.')+1:], Began: whole - p.Delay, Whole: whole, Fresh: fresh, CrossesZone: p.Cross}
-		fresh = false
-		stop := make(chan struct{})
-		mu.Lock()
-		cancels[id] = stop
-		mu.Unlock()
-		calls.Go(func() {
-			time.Sleep(p.Delay)
-			merged := make(chan struct{})
-			done := make(chan struct{})
-			go func() {
-				select {
-				case <-gone:
-				case <-stop:
-				case <-done:
-					return
-				}
-				close(merged)
-			}()
-			end := n.process(s, time.Duration(left*float64(time.Millisecond)), full, s.ID != "", merged)
-			close(done)
-			mu.Lock()
-			if cancels[id] == stop {
-				delete(cancels, id)
-			}
-			mu.Unlock()
-			if kind == 2 {
-				if end == endServed || end == endFailed {
-					n.cfg.Journal.end(s, "", 200, n.cfg.Clock.Now())
-				}
-				return
-			}
-			var problem, result any
-			status := 200
-			effect := ""
-			switch end {
-			case endServed:
-				result = n.body(s)
-			case endFailed:
-				problem, status, effect = map[string]any{"$failed": true, "message": "error"}, 500, Failed
-			case endFull, endOver:
-				problem, status, effect = map[string]any{"$unprocessed": true, "message": "full"}, 503, TurnedAway
-			case endUnknown:
-				problem, status = "no caller's call", 400
-			default: // an expired one is not answered, as over HTTP
-				return
-			}
-			time.Sleep(p.Delay)
-			if n.Vanished() {
-				return
-			}
-			n.cfg.Journal.end(s, effect, status, n.cfg.Clock.Now())
-			data, err := msgpack.Marshal([]any{1, id, problem, result})
-			if err != nil {
-				return
-			}
-			n.mu.Lock()
-			if n.spoilt > 0 && end == endServed && chance(s.ID, n.cfg.ID, "spoil") < n.spoilt {
-				data = []byte{0xc1, 0xff, 0x00} // no MessagePack
-			}
-			n.mu.Unlock()
-			writes.Lock()
-			defer writes.Unlock()
-			c.SetWriteDeadline(time.Now().Add(5 * time.Second))
-			c.Write(data)
-		})
+		close(merged)
+	}()
+	return merged
+}
+
+func (r *rpcConn) write(data []byte) {
+	r.writes.Lock()
+	defer r.writes.Unlock()
+	r.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	r.conn.Write(data)
+}
+
+// rpcAnswer is what goes back to a caller, and the journal's words for it.
+type rpcAnswer struct {
+	problem, result any
+	status          int
+	effect          string
+}
+
+// rpcAnswer words the end of a call; false is that there is no answer.
+func (n *Node) rpcAnswer(s *Send, end ending) (rpcAnswer, bool) {
+	switch end {
+	case endServed:
+		return rpcAnswer{result: n.body(s), status: http.StatusOK}, true
+	case endFailed:
+		return rpcAnswer{problem: map[string]any{"$failed": true, "message": "error"}, status: http.StatusInternalServerError, effect: Failed}, true
+	case endFull, endOver:
+		return rpcAnswer{problem: map[string]any{"$unprocessed": true, "message": "full"}, status: http.StatusServiceUnavailable, effect: TurnedAway}, true
+	case endUnknown:
+		return rpcAnswer{problem: "no caller's call", status: http.StatusBadRequest}, true
 	}
+	return rpcAnswer{}, false
+}
+
+// spoils tells whether the answer to a request is to be made unreadable.
+func (n *Node) spoils(s *Send) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.spoilt > 0 && chance(s.ID, n.cfg.ID, "spoil") < n.spoilt
 }
 
 // at is an element of a list, or nil.
