--- a/internal/system/standin/backend.go
+++ b/internal/system/standin/backend.go
@@ -62,6 +62,7 @@
 	cold     time.Time
 	runs     []Run
 	refused  int // requests turned away
+	seen     []OrderSeen
 	faults   []string
 	beatAt   string
 	cached   map[string]bool // parts of prompts, by model
@@ -112,6 +113,20 @@
 	return slices.Clone(b.faults)
 }
 
+// OrderSeen is an order that has arrived, whatever became of it.
+type OrderSeen struct {
+	At     time.Time
+	Holder string
+	Fence  uint64
+}
+
+// Orders are all orders that have arrived so far.
+func (b *Backend) Orders() []OrderSeen {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.seen)
+}
+
 // Holds are the models that the backend holds.
 func (b *Backend) Holds() []string {
 	b.mu.Lock()
@@ -365,5 +380,8 @@
 	return nil
 }
 
+// Service is the backend's service.
+func (b *Backend) Service() string { return b.cfg.Service }
+
 // ID is the backend's id.
 func (b *Backend) ID() string { return b.cfg.ID }
