Refuse settings without internal ports, and give metrics only ports that are free

Cause: internal_ports could be missing, and the process ended with an index out of range at its first use; with a narrow range a door for metrics could have taken the port of the machine's peers. Change: the field is required; a door is opened only beyond the peers' port. Typed errors in marlreeltry, names in Diff. Measured: tests of boot, configuration, marlreeld, marlreeltry pass; the new ones of boot fail without it.

--- a/cmd/marlreeld/configuration.go
+++ b/cmd/marlreeld/configuration.go
@@ -40,11 +40,11 @@
 			if err != nil {
 				return err
 			}
-			new, err := readFile(command, args[len(args)-1])
+			changed, err := readFile(command, args[len(args)-1])
 			if err != nil {
 				return err
 			}
-			differences, failed := configuration.Diff(old, new)
+			differences, failed := configuration.Diff(old, changed)
 			if failed != nil {
 				return failed
 			}
--- a/cmd/marlreeltry/main.go
+++ b/cmd/marlreeltry/main.go
@@ -61,6 +61,32 @@
 	firstBeats = 2 * time.Second
 )
 
+// notTakenError says that the first configuration was not taken.
+type notTakenError struct {
+	Status int
+	Answer string
+	Err    error
+}
+
+// Error implements error.
+func (e *notTakenError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("the first configuration got no answer: %v", e.Err)
+	}
+	return fmt.Sprintf("the first configuration was not taken: %d %s", e.Status, e.Answer)
+}
+
+// Unwrap gives the cause.
+func (e *notTakenError) Unwrap() error { return e.Err }
+
+// brokenStreamError says that a stream was not whole.
+type brokenStreamError struct{ Events int }
+
+// Error implements error.
+func (e *brokenStreamError) Error() string {
+	return fmt.Sprintf("the stream broke off after %d events", e.Events)
+}
+
 // try runs the system until ctx ends, or for one stream.
 func try(ctx context.Context, out io.Writer, log logr.Logger, once bool) error {
 	c := simcluster.New(simcluster.Config{Controls: 3, Edges: 2, Zones: []string{"east", "west"}, Loopback: true, Log: log})
@@ -74,7 +100,7 @@
 	}
 	status, answer, err := c.Configure(func(uint64) string { return document }, startPatience)
 	if err != nil || status != 200 {
-		return fmt.Errorf("the first configuration: %d %s: %w", status, answer, err)
+		return &notTakenError{Status: status, Answer: answer, Err: err}
 	}
 	select {
 	case <-time.After(firstBeats):
@@ -103,7 +129,7 @@
 		fmt.Fprintln(out, strings.ReplaceAll(event, "\n", " | "))
 	}
 	if !got.Whole || len(got.Events) != 4 {
-		return fmt.Errorf("the stream is not whole")
+		return &brokenStreamError{Events: len(got.Events)}
 	}
 	return nil
 }
--- a/internal/system/boot/settings.go
+++ b/internal/system/boot/settings.go
@@ -106,9 +106,14 @@
 	ControlMetrics
 )
 
-// MetricsAddress is where a process of this machine tells its figures.
+// MetricsAddress is where a process of this machine tells its figures; empty where the
+// platform leaves too few ports free.
 func (s *Settings) MetricsAddress(door MetricsDoor) string {
-	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[1]-int(door)))
+	port := s.InternalPorts[1] - int(door)
+	if port <= s.InternalPorts[0]+peerPort {
+		return ""
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(port))
 }
 
 // Error is a settings file that can't be used.
@@ -158,7 +163,7 @@
 		validation.Field(&s.NodeName, validation.Required),
 		validation.Field(&s.IP, validation.Required, validation.By(address)),
 		validation.Field(&s.Zone, validation.Required),
-		validation.Field(&s.InternalPorts, validation.Length(2, 2), validation.Each(validation.Min(1), validation.Max(65535))),
+		validation.Field(&s.InternalPorts, validation.Required, validation.Length(2, 2), validation.Each(validation.Min(1), validation.Max(65535))),
 		validation.Field(&s.SeedNodes, validation.Required, validation.Each(validation.By(hostPort))),
 	)
 }
--- a/internal/system/boot/settings_test.go
+++ b/internal/system/boot/settings_test.go
@@ -42,6 +42,25 @@
 	}
 }
 
+// A file without ports was taken once, and the process ended at the first use of one.
+func TestPortsAreNeeded(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(strings.Replace(file, "internal_ports = [7660,7675]", "", 1)))
+	is.True(err != nil && strings.Contains(err.Error(), "internal_ports"))
+}
+
+func TestMetricsHavePortsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(file))
+	is.NoErr(err)
+	is.Equal([]string{s.MetricsAddress(ProxyMetrics), s.MetricsAddress(AgentMetrics), s.MetricsAddress(ControlMetrics)},
+		[]string{"10.1.0.35:7675", "10.1.0.35:7674", "10.1.0.35:7673"})
+	s, err = Parse([]byte(strings.Replace(file, "7675", "7662", 1))) // two are left beside the peers'
+	is.NoErr(err)
+	is.Equal([]string{s.MetricsAddress(ProxyMetrics), s.MetricsAddress(AgentMetrics), s.MetricsAddress(ControlMetrics)},
+		[]string{"10.1.0.35:7662", "10.1.0.35:7661", ""})
+}
+
 func TestSeedsOfAFileThatChanges(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "boot.toml")
--- a/internal/system/configuration/diff.go
+++ b/internal/system/configuration/diff.go
@@ -31,12 +31,12 @@
 // Diff gives all in which two configurations differ, fields that are not known here among
 // it, by path. Items of lists are told apart by their names; where there are none, a list
 // counts as one value.
-func Diff(old, new []byte) ([]Difference, *result.Error) {
-	var before, after any
+func Diff(before, after []byte) ([]Difference, *result.Error) {
+	var old, changed any
 	for _, side := range []struct {
 		data []byte
 		into *any
-	}{{old, &before}, {new, &after}} {
+	}{{before, &old}, {after, &changed}} {
 		decoder := json.NewDecoder(bytes.NewReader(side.data))
 		decoder.UseNumber()
 		if err := decoder.Decode(side.into); err != nil {
@@ -44,7 +44,7 @@
 		}
 	}
 	c := &comparison{}
-	c.compare("", before, after)
+	c.compare("", old, changed)
 	return c.found, nil
 }
 
@@ -53,23 +53,23 @@
 	found []Difference
 }
 
-func (c *comparison) add(kind DifferenceKind, path string, old, new any) {
+func (c *comparison) add(kind DifferenceKind, path string, was, is any) {
 	d := Difference{Kind: kind, Path: path}
 	if kind != Added {
-		d.Old, _ = json.Marshal(old) // it was read from JSON
+		d.Old, _ = json.Marshal(was) // it was read from JSON
 	}
 	if kind != Removed {
-		d.New, _ = json.Marshal(new)
+		d.New, _ = json.Marshal(is)
 	}
 	c.found = append(c.found, d)
 }
 
 // compare finds where two values differ.
-func (c *comparison) compare(path string, old, new any) {
-	before, after := fieldsOf(old), fieldsOf(new)
+func (c *comparison) compare(path string, old, changed any) {
+	before, after := fieldsOf(old), fieldsOf(changed)
 	if before == nil || after == nil {
-		if !sameValue(old, new) {
-			c.add(Changed, path, old, new)
+		if !sameValue(old, changed) {
+			c.add(Changed, path, old, changed)
 		}
 		return
 	}
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -72,9 +72,12 @@
 	}
 }
 
-// Serve tells the figures of a set at an address until ctx ends. A process whose door can't
-// be opened goes on without it.
+// Serve tells the figures of a set at an address until ctx ends; nowhere where that is empty. A
+// process whose door can't be opened goes on without it.
 func Serve(ctx context.Context, network host.Network, address string, set *vm.Set, log logr.Logger) {
+	if address == "" {
+		return
+	}
 	listener, err := network.Listen(address)
 	if err != nil {
 		log.Error(err, "the metrics are not served", "event", "metrics", "address", address)
