--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -73,7 +73,9 @@
 	flags.add(route)
 	status := newStatus(flags)
 	flags.add(status)
-	return []*cobra.Command{config, zone, route, status}
+	bundle := newBundle(flags)
+	flags.add(bundle)
+	return []*cobra.Command{config, zone, route, status, bundle}
 }
 
 // readFile reads a file, or standard input for "-".
