Write no order once the lease it was allowed under has run out

Cause, found by reading: the lease was looked at before the call, which then could wait up to 0.7 s for a connection and dial for up to 1 s; a role passes on 0.25 s after its lease has run out. Change: the call's deadline, which bounds its write, is the end of the lease where that is sooner.

--- a/internal/system/agent/backends.go
+++ b/internal/system/agent/backends.go
@@ -100,8 +100,12 @@
 	orderUnclear                      // it may have been taken
 )
 
-// order gives a backend an order. allowed is asked at the instant before it is written.
-func (c *backendClient) order(address, id string, o order, allowed func() bool) orderOutcome {
+// permit tells whether an order may be given at this moment, and until when it may be written.
+type permit func() (until time.Time, allowed bool)
+
+// order gives a backend an order. permit is asked at the instant before; what then has to wait for a connection is
+// not written once the permit has run out.
+func (c *backendClient) order(address, id string, o order, permit permit) orderOutcome {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -111,10 +115,15 @@
 	request.Header.Set(headerExpected, id)
 	request.Header.SetContentType("application/json")
 	request.SetBodyRaw(body)
-	if !allowed() {
+	until, allowed := permit()
+	if !allowed {
 		return orderRefused
 	}
-	err := c.http.DoTimeout(request, response, backendTimeout)
+	deadline := time.Now().Add(backendTimeout)
+	if until.Before(deadline) {
+		deadline = until
+	}
+	err := c.http.DoDeadline(request, response, deadline)
 	switch {
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return orderRefused
--- a/internal/system/agent/lease.go
+++ b/internal/system/agent/lease.go
@@ -79,10 +79,16 @@
 
 // fence gives the token of a role, if this agent holds it at this moment.
 func (l *leases) fence(key string) (token uint64, holds bool) {
+	h, holds := l.lease(key)
+	return h.fence, holds
+}
+
+// lease gives the lease of a role, if it runs at this moment.
+func (l *leases) lease(key string) (lease held, runs bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h, found := l.held[key]
-	return h.fence, found && time.Now().Before(h.until)
+	return h, found && time.Now().Before(h.until)
 }
 
 // count is how many roles this agent holds at this moment.
--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -61,8 +61,14 @@
 
 // allowed tells whether this agent holds the role under this token at this moment.
 func (p *placer) allowed() bool {
-	fence, holds := p.agent.leases.fence(ownership.PlacementKey(p.service))
-	return holds && fence == p.fence
+	_, allowed := p.permit()
+	return allowed
+}
+
+// permit tells the same, and until when it holds by what is known now.
+func (p *placer) permit() (until time.Time, allowed bool) {
+	lease, runs := p.agent.leases.lease(ownership.PlacementKey(p.service))
+	return lease.until, runs && lease.fence == p.fence
 }
 
 // run works until ctx ends.
@@ -221,7 +227,7 @@
 	message := order{Operation: operationWords[o.Operation], Model: o.Model, Adapter: o.Adapter, Revision: o.Revision,
 		Holder: p.agent.holder, Fence: p.fence}
 	go func() {
-		outcome := p.agent.backends.order(b.Address, o.Backend, message, p.allowed)
+		outcome := p.agent.backends.order(b.Address, o.Backend, message, p.permit)
 		p.post(func() { p.ended(o, outcome) })
 	}()
 }
