Count an order as done only where the backend has acknowledged it

Cause: an unload of a rarely used model counted as done 60 ms after it was given, acknowledged or not, while the count of orders rises with the acknowledgement alone. Change: Assume and Underway go by acknowledged orders; one without an answer stays under way until that is known. Measured: TestNothingIsLoadedInRoomThatIsNotSure, red before; placement, agent, simcluster pass.

--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -204,3 +204,47 @@
 	}
 	is.Equal(found, 1)
 }
+
+// An order to unload that got no answer may not have reached its backend. Nothing is loaded in the room that it was to
+// make until the backend has said what it holds.
+func TestNothingIsLoadedInRoomThatIsNotSure(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	p := New(now)
+	p.Configure(Service{Models: map[string]Model{"m0": {Name: "m0", SizeMB: 60000, LoadTime: time.Second},
+		"m1": {Name: "m1", SizeMB: 60000, LoadTime: time.Second}}, CapacityMB: 100000, AdapterCapacity: 8, LoadPerSecond: 10})
+	full := map[string][]string{"m0": nil}
+	p.Listed(now, []Backend{{ID: "b0", Usable: true, Holds: full}})
+	p.Reported(now, "b0", Report{Revision: 3, Holds: full})
+	now += 2 * keptFor
+	p.Asked(now, "n", "east", Key{Model: "m1"}, 5, 1000, 5)
+	unload := p.Plan(now)
+	is.Equal(len(unload), 1)
+	is.Equal(unload[0].Operation, Unload)
+
+	look := func() []Order { // what the placer does ever again
+		now += 100 * time.Millisecond
+		p.Underway(now, func(o Order, since, _ time.Duration, quick bool) {
+			if quick && now-since >= 60*time.Millisecond {
+				p.Assume(now, o)
+			}
+		})
+		p.Asked(now, "n", "east", Key{Model: "m1"}, 5, 1000, 5)
+		return p.Plan(now)
+	}
+	for range 5 {
+		is.Equal(len(look()), 0) // its answer is not there
+	}
+	p.Failed(now, unload[0])
+	is.Equal(len(look()), 0)
+	p.Reported(now, "b0", Report{Revision: 3, Holds: full}) // it has not arrived
+	now += failureRest
+	again := look()
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Operation, Unload)
+	p.Taken(now, again[0])
+	loads := look()
+	is.Equal(len(loads), 1)
+	is.Equal(loads[0].Operation, Load)
+	is.Equal(loads[0].Revision, uint64(4))
+}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -68,7 +68,7 @@
 // give makes an order be under way.
 func (p *Planner) give(now time.Duration, b *backend, operation Operation, key Key) Order {
 	o := Order{Backend: b.id, Operation: operation, Key: key, Revision: b.revision}
-	p.recount(b, func() { b.order, b.orderAt = &o, now })
+	p.recount(b, func() { b.order, b.orderAt, b.taken = &o, now, false })
 	delete(p.rooms, b)
 	return o
 }
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -60,8 +60,9 @@
 	since      map[string]time.Duration // when each model was seen there first
 	had        map[string]bool          // models that it has held: they come from its own disk
 	order      *Order
-	orderAt    time.Duration
-	reserved   string // the model that room is being made for
+	orderAt    time.Duration // when it was given, and from when on it was acknowledged that
+	taken      bool          // it was acknowledged
+	reserved   string        // the model that room is being made for
 	reservedAt time.Duration
 	restUntil  time.Duration // after an order that failed
 }
@@ -172,7 +173,7 @@
 // Taken notes that a backend carries an order out.
 func (p *Planner) Taken(now time.Duration, o Order) {
 	if b := p.backends[o.Backend]; b != nil && b.order != nil && *b.order == o {
-		b.orderAt = now
+		b.orderAt, b.taken = now, true
 		b.revision = o.Revision + 1
 	}
 }
@@ -188,12 +189,21 @@
 // failureRest is how long a backend gets no order after one that failed.
 const failureRest = 300 * time.Millisecond
 
+// unansweredAfter is after what time the answer to an order counts as lost: calls to
+// backends are given up sooner.
+const unansweredAfter = 2 * time.Second
+
 // Underway are the orders that are being carried out, with the time since they were taken.
-// quick: they take next to no time, and can be assumed to be done after it.
+// quick: they take next to no time, and can be assumed to be done after it. Orders without an
+// answer are left out: whoever sent them will say how that ended.
 func (p *Planner) Underway(now time.Duration, each func(o Order, since, expected time.Duration, quick bool)) {
 	for _, b := range p.sorted() {
-		if b.order != nil {
+		switch {
+		case b.order == nil:
+		case b.taken:
 			each(*b.order, b.orderAt, p.expected(b, *b.order), p.quick(now, *b.order))
+		case now-b.orderAt > unansweredAfter:
+			each(*b.order, b.orderAt, 0, false)
 		}
 	}
 }
@@ -311,10 +321,12 @@
 	return holds
 }
 
-// Assume counts an order as done, and gives what the backend holds then.
+// Assume counts an order that was taken as done, and gives what the backend holds then. Danger: one that has no
+// answer may never have reached the backend; what it was to make room for would then be loaded beyond the room there,
+// as the count of orders would be right.
 func (p *Planner) Assume(now time.Duration, o Order) (holds map[string][]string, done bool) {
 	b := p.backends[o.Backend]
-	if b == nil || b.order == nil || *b.order != o {
+	if b == nil || b.order == nil || *b.order != o || !b.taken {
 		return nil, false
 	}
 	b.order = nil
