Count the room of models that the configuration names no more

Change: sizes are kept for as long as a backend holds the model; one never known takes all the room, and has to leave first. Nothing is reserved or loaded for models that are not configured. Measured: TestModelsThatAreConfiguredNoMoreTakeRoom; placement and agent pass.

--- a/internal/system/placement/choose.go
+++ b/internal/system/placement/choose.go
@@ -28,8 +28,7 @@
 	}
 	r := &room{}
 	for name, adapters := range b.holds {
-		m, f := p.service.Models[name], asked[name]
-		size := m.SizeMB + float64(len(adapters))*m.AdapterSizeMB
+		f, size := asked[name], p.heldMB(name, len(adapters))
 		r.used += size
 		if f != nil {
 			r.busyness += f.work / 1000 / float64(max(1, p.census.holders[name]))
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -248,3 +248,31 @@
 	is.Equal(loads[0].Operation, Load)
 	is.Equal(loads[0].Revision, uint64(4))
 }
+
+// A model that the configuration names no more takes its room until the backend has given it up.
+func TestModelsThatAreConfiguredNoMoreTakeRoom(t *testing.T) {
+	for name, knew := range map[string]bool{"known before": true, "never known here": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Second
+			p := New(now)
+			cfg := Service{CapacityMB: 100000, AdapterCapacity: 8, LoadPerSecond: 10,
+				Models: map[string]Model{"old": {Name: "old", SizeMB: 60000}, "m1": {Name: "m1", SizeMB: 60000, LoadTime: time.Second}}}
+			if knew {
+				p.Configure(cfg)
+			}
+			holds := map[string][]string{"old": {"a1"}}
+			p.Listed(now, []Backend{{ID: "b0", Usable: true, Holds: holds}})
+			p.Reported(now, "b0", Report{Revision: 1, Holds: holds})
+			cfg.Models = map[string]Model{"m1": cfg.Models["m1"]}
+			p.Configure(cfg)
+			p.Configure(cfg)
+			now += 2 * keptFor
+			p.Asked(now, "n", "east", Key{Model: "m1"}, 5, 1000, 5)
+			orders := p.Plan(now)
+			is.Equal(len(orders), 1)
+			is.Equal(orders[0].Operation, Unload)
+			is.Equal(orders[0].Model, "old")
+		})
+	}
+}
--- a/internal/system/placement/plan.go
+++ b/internal/system/placement/plan.go
@@ -177,7 +177,7 @@
 		if b.reserved == "" {
 			continue
 		}
-		if now-b.reservedAt > reserveFor || !b.usable {
+		if _, configured := p.service.Models[b.reserved]; !configured || now-b.reservedAt > reserveFor || !b.usable {
 			p.recount(b, func() { b.reserved = "" })
 			continue
 		}
@@ -212,7 +212,7 @@
 	}
 	var wants []adapterWant
 	for key, d := range p.demands {
-		if key.Adapter == "" {
+		if _, configured := p.service.Models[key.Model]; key.Adapter == "" || !configured {
 			continue
 		}
 		holders := p.census.adapters[key]
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -70,6 +71,7 @@
 // Planner decides on the backends of one service. Not safe for concurrent use.
 type Planner struct {
 	service  Service
+	known    map[string]Model // what is configured, and what was and is held still
 	backends map[string]*backend
 	demands  map[Key]*demand
 	loads    bucket
@@ -80,11 +82,36 @@
 
 // New makes a planner that knows nothing of what was done before it.
 func New(now time.Duration) *Planner {
-	return &Planner{backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}, rooms: map[*backend]*room{}}
+	return &Planner{known: map[string]Model{}, backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}, rooms: map[*backend]*room{}}
 }
 
 // Configure sets what is configured.
-func (p *Planner) Configure(s Service) { p.service = s }
+func (p *Planner) Configure(s Service) {
+	p.service = s
+	known := map[string]Model{}
+	maps.Copy(known, s.Models)
+	for _, b := range p.backends {
+		for name := range b.holds {
+			if _, configured := known[name]; configured {
+				continue
+			}
+			if m, before := p.known[name]; before {
+				known[name] = m
+			}
+		}
+	}
+	p.known = known
+}
+
+// heldMB is the room that a model takes where it is held, with so many adapters: by the last
+// configuration that named it. One that none has named may take all that there is.
+func (p *Planner) heldMB(model string, adapters int) float64 {
+	m, known := p.known[model]
+	if !known {
+		return p.service.CapacityMB
+	}
+	return m.SizeMB + float64(adapters)*m.AdapterSizeMB
+}
 
 // Unknown are the backends of which it has to be asked what they hold, before they get orders.
 func (p *Planner) Unknown() []string {
@@ -276,8 +303,7 @@
 func (p *Planner) usedMB(b *backend) float64 {
 	used := 0.0
 	for name, adapters := range b.holds {
-		m := p.service.Models[name]
-		used += m.SizeMB + float64(len(adapters))*m.AdapterSizeMB
+		used += p.heldMB(name, len(adapters))
 	}
 	return used
 }
