--- a/internal/system/gateway/figures.go
+++ b/internal/system/gateway/figures.go
@@ -15,6 +15,12 @@
 // for ever. Those beyond count as one.
 const mostClasses = 128
 
+// mostServices bounds the services that are counted apart, likewise.
+const mostServices = 256
+
+// otherLabel stands for all that is not counted apart.
+const otherLabel = "other"
+
 // firstByteBounds are the upper bounds of the times to the first byte, in seconds.
 var firstByteBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30}
 
@@ -65,7 +71,7 @@
 		{Key: "repeatable", Value: strconv.FormatBool(class.Effect == marlreel.Safe)},
 		{Key: "aim_ms", Value: strconv.FormatInt(class.Aim.Milliseconds(), 10)}}
 	if len(f.classes) >= mostClasses {
-		labels = []metrics.Label{{Key: "service", Value: f.service}, {Key: "kind", Value: "other"}}
+		labels = []metrics.Label{{Key: "service", Value: f.service}, {Key: "kind", Value: otherLabel}}
 	}
 	figures := &classFigures{causes: map[cause]*vm.Counter{},
 		firstByte: f.set.GetOrCreatePrometheusHistogramExt(metrics.Name("marlreel_first_byte_seconds", labels...), firstByteBounds)}
@@ -119,6 +125,15 @@
 // Probed implements engine.Observer.
 func (f *serviceFigures) Probed(time.Duration, *engine.Backend, marlreel.Result, time.Duration) {}
 
+// countedAs is the name under which a service is counted. Called with the lock.
+func (g *Gateway) countedAs(service string) string {
+	if !g.counted[service] && len(g.counted) >= mostServices {
+		return otherLabel
+	}
+	g.counted[service] = true
+	return service
+}
+
 // newFigures makes the figures of a gateway as a whole.
 func (g *Gateway) newFigures() *vm.Set {
 	set := vm.NewSet()
--- /dev/null
+++ b/internal/system/gateway/figures_test.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/feed"
+)
+
+// However many services configurations bring in time, figures have a bound.
+func TestServicesThatAreCountedApartAreBounded(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Name: "edge-1", BodyBytes: 1 << 20, Log: logr.Discard()}, feed.New("edge-1", nil))
+	for i := range mostServices {
+		name := fmt.Sprintf("s%d", i)
+		is.Equal(g.countedAs(name), name)
+	}
+	is.Equal(g.countedAs("one-more"), otherLabel)
+	is.Equal(g.countedAs("s7"), "s7") // those that were counted are counted on
+}
--- a/internal/system/gateway/gateway.go
+++ b/internal/system/gateway/gateway.go
@@ -34,12 +34,13 @@
 	demand      *demandBook
 	figures     *vm.Set
 
-	mu    sync.Mutex // one update at a time
-	ended bool       // no update any more
-	plan  atomic.Pointer[plan]
-	ready atomic.Bool
-	quits atomic.Bool // it ends soon: clients are to turn to others
-	shut  atomic.Bool // what comes now could not be finished
+	mu      sync.Mutex      // one update at a time
+	ended   bool            // no update any more
+	counted map[string]bool // services that have figures of their own
+	plan    atomic.Pointer[plan]
+	ready   atomic.Bool
+	quits   atomic.Bool // it ends soon: clients are to turn to others
+	shut    atomic.Bool // what comes now could not be finished
 }
 
 // plan is what requests are handled by. It is never changed.
@@ -81,7 +82,8 @@
 // New makes a gateway that knows nothing yet.
 func New(cfg Config, source *feed.Store) *Gateway {
 	g := &Gateway{self: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, feed: source,
-		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, bounds: cfg.Bounds, dial: cfg.Dial, log: cfg.Log, demand: newDemandBook()}
+		room: budget.New(cfg.BodyBytes), connections: cfg.Connections, bounds: cfg.Bounds, dial: cfg.Dial, log: cfg.Log, demand: newDemandBook(),
+		counted: map[string]bool{}}
 	g.plan.Store(&plan{services: map[string]*service{}})
 	g.figures = g.newFigures()
 	return g
@@ -201,7 +203,8 @@
 		next.services[cfg.Name] = s
 		return
 	}
-	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.dial, g.figures, g.log)
+	s, err := newService(cfg, classes, proxies, g.self, g.bounds, g.room, g.connections, g.dial,
+		newServiceFigures(g.figures, g.countedAs(cfg.Name)), g.log)
 	if err != nil {
 		g.log.Error(err, "a service can't be started", "event", "configuration", "service", cfg.Name)
 		return
--- a/internal/system/gateway/service.go
+++ b/internal/system/gateway/service.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"marlreel"
@@ -163,7 +162,7 @@
 
 // newService starts a service. It needs at least one class.
 func newService(cfg *configuration.Service, classes []marlreel.Class, proxies int, self identity, bounds Bounds,
-	room *budget.Budget, connections int, dial transport.Dial, figures *vm.Set, log logr.Logger) (*service, error) {
+	room *budget.Budget, connections int, dial transport.Dial, figures *serviceFigures, log logr.Logger) (*service, error) {
 	s := &service{name: cfg.Name, engines: cfg.Engine != nil, classes: classes, proxies: proxies, rank: self.rank(),
 		zone: self.zoneIndex(self.zone), bounds: bounds}
 	s.advisor = newAdvisor(self.name, s.engines, bounds.coldOf(cfg), bounds.Repeats, engine.ClockStart)
@@ -180,7 +179,7 @@
 	s.carrier.Speak(newDialect(func() string { return *s.healthPath.Load() }))
 	s.engine.Carry(s.carrier)
 	s.engine.ProbeWith(s.carrier)
-	observers := []engine.Observer{newServiceFigures(figures, cfg.Name)}
+	observers := []engine.Observer{figures}
 	if detail := log.V(1); detail.Enabled() {
 		observers = append(observers, &tracer{detail})
 	}
