--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -60,8 +61,9 @@
 	since      map[string]time.Duration // when each model was seen there first
 	had        map[string]bool          // models that it has held: they come from its own disk
 	order      *Order
-	orderAt    time.Duration
-	reserved   string // the model that room is being made for
+	orderAt    time.Duration // when it was given, and from when on it was acknowledged that
+	taken      bool          // it was acknowledged
+	reserved   string        // the model that room is being made for
 	reservedAt time.Duration
 	restUntil  time.Duration // after an order that failed
 }
@@ -69,6 +71,7 @@
 // Planner decides on the backends of one service. Not safe for concurrent use.
 type Planner struct {
 	service  Service
+	known    map[string]Model // what is configured, and what was and is held still
 	backends map[string]*backend
 	demands  map[Key]*demand
 	loads    bucket
@@ -79,11 +82,36 @@
 
 // New makes a planner that knows nothing of what was done before it.
 func New(now time.Duration) *Planner {
-	return &Planner{backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}, rooms: map[*backend]*room{}}
+	return &Planner{known: map[string]Model{}, backends: map[string]*backend{}, demands: map[Key]*demand{}, loads: bucket{at: now}, rooms: map[*backend]*room{}}
 }
 
 // Configure sets what is configured.
-func (p *Planner) Configure(s Service) { p.service = s }
+func (p *Planner) Configure(s Service) {
+	p.service = s
+	known := map[string]Model{}
+	maps.Copy(known, s.Models)
+	for _, b := range p.backends {
+		for name := range b.holds {
+			if _, configured := known[name]; configured {
+				continue
+			}
+			if m, before := p.known[name]; before {
+				known[name] = m
+			}
+		}
+	}
+	p.known = known
+}
+
+// heldMB is the room that a model takes where it is held, with so many adapters: by the last
+// configuration that named it. One that none has named may take all that there is.
+func (p *Planner) heldMB(model string, adapters int) float64 {
+	m, known := p.known[model]
+	if !known {
+		return p.service.CapacityMB
+	}
+	return m.SizeMB + float64(adapters)*m.AdapterSizeMB
+}
 
 // Unknown are the backends of which it has to be asked what they hold, before they get orders.
 func (p *Planner) Unknown() []string {
@@ -172,7 +200,7 @@
 // Taken notes that a backend carries an order out.
 func (p *Planner) Taken(now time.Duration, o Order) {
 	if b := p.backends[o.Backend]; b != nil && b.order != nil && *b.order == o {
-		b.orderAt = now
+		b.orderAt, b.taken = now, true
 		b.revision = o.Revision + 1
 	}
 }
@@ -188,12 +216,21 @@
 // failureRest is how long a backend gets no order after one that failed.
 const failureRest = 300 * time.Millisecond
 
+// unansweredAfter is after what time the answer to an order counts as lost: calls to
+// backends are given up sooner.
+const unansweredAfter = 2 * time.Second
+
 // Underway are the orders that are being carried out, with the time since they were taken.
-// quick: they take next to no time, and can be assumed to be done after it.
+// quick: they take next to no time, and can be assumed to be done after it. Orders without an
+// answer are left out: whoever sent them will say how that ended.
 func (p *Planner) Underway(now time.Duration, each func(o Order, since, expected time.Duration, quick bool)) {
 	for _, b := range p.sorted() {
-		if b.order != nil {
+		switch {
+		case b.order == nil:
+		case b.taken:
 			each(*b.order, b.orderAt, p.expected(b, *b.order), p.quick(now, *b.order))
+		case now-b.orderAt > unansweredAfter:
+			each(*b.order, b.orderAt, 0, false)
 		}
 	}
 }
@@ -266,8 +303,7 @@
 func (p *Planner) usedMB(b *backend) float64 {
 	used := 0.0
 	for name, adapters := range b.holds {
-		m := p.service.Models[name]
-		used += m.SizeMB + float64(len(adapters))*m.AdapterSizeMB
+		used += p.heldMB(name, len(adapters))
 	}
 	return used
 }
@@ -311,10 +347,12 @@
 	return holds
 }
 
-// Assume counts an order as done, and gives what the backend holds then.
+// Assume counts an order that was taken as done, and gives what the backend holds then. Danger: one that has no
+// answer may never have reached the backend; what it was to make room for would then be loaded beyond the room there,
+// as the count of orders would be right.
 func (p *Planner) Assume(now time.Duration, o Order) (holds map[string][]string, done bool) {
 	b := p.backends[o.Backend]
-	if b == nil || b.order == nil || *b.order != o {
+	if b == nil || b.order == nil || *b.order != o || !b.taken {
 		return nil, false
 	}
 	b.order = nil
