--- a/internal/standin/node_sockets.go
+++ b/internal/standin/node_sockets.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 )
 
@@ -49,83 +48,105 @@
 // serve reads a connection's requests one after another. While one is in hand it
 // goes on reading: the end of the connection cancels the request.
 func (n *Node) serve(c net.Conn, p Path, full bool) {
-	defer func() {
-		c.Close()
-		n.mu.Lock()
-		delete(n.conns, c)
-		n.mu.Unlock()
-	}()
+	defer n.forget(c)
 	in := bufio.NewReader(c)
-	fresh := true
 	n.idle(c)
 	rested := n.cfg.Clock.Now()
-	for {
+	for fresh := true; ; fresh = false {
 		if _, err := in.Peek(1); err != nil {
 			n.hold(c)
 			return
 		}
-		began := n.cfg.Clock.Now()
+		x := &exchange{c: c, path: p, gone: make(chan struct{}), done: make(chan struct{}), fresh: fresh, full: full,
+			began: n.cfg.Clock.Now(), rested: rested}
 		c.SetReadDeadline(time.Time{})
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		n.mu.Lock()
-		w := n.network
-		n.mu.Unlock()
-		id := r.Header.Get("X-Correlation-Id")
-		if r.ContentLength >= 16<<10 && w.BodyRate > 0 && chance(id, n.cfg.ID, "body") < w.BodyRate {
-			io.CopyN(io.Discard, r.Body, r.ContentLength/2)
-			reset(c)
-			return
-		}
-		text, size, err := ReadBody(r.Body, 0)
-		if err != nil && size <= LargeFrom {
+		r, good, ok := n.read(x, in)
+		if !ok || n.broken(x, in, r) {
 			return
 		}
-		// A large one has to be what its client made; of a small one all is well that came whole.
-		good := err == nil && checkUpload(id, text, size)
-		if n.Vanished() {
-			n.hold(c) // its bytes never arrived
-			return
-		}
-		if !fresh && w.DropAfter > 0 && began-rested >= w.DropAfter {
-			in.Peek(1) // until its sender gives it up
-			return
-		}
-		if fresh && chance(id, n.cfg.ID, "new") < w.NewRate ||
-			!fresh && w.StaleAfter > 0 && began-rested >= w.StaleAfter && chance(id, n.cfg.ID, "stale") < w.StaleRate {
-			if id != "" { // to its sender it may have run
-				class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-				n.cfg.Journal.send(&Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: p.Proxy, ID: id, Key: r.Header.Get("Idempotency-Key"), Class: class,
-					Began: began, Whole: n.cfg.Clock.Now(), Effect: Ran, Fresh: fresh, CrossesZone: p.Cross})
-			}
-			reset(c)
-			return
-		}
-		x := &exchange{c: c, path: p, gone: make(chan struct{}), done: make(chan struct{}), fresh: fresh, full: full,
-			began: began, whole: n.cfg.Clock.Now() + p.Delay}
-		fresh = false
+		x.whole = n.cfg.Clock.Now() + p.Delay
 		n.wg.Go(func() { n.answer(x, r, good) })
-		_, err = in.Peek(1)
-		if err != nil {
-			select {
-			case <-x.done: // it ended after the answer, or was idle for long
-			default:
-				close(x.gone)
-				<-x.done
-			}
+		if _, err := in.Peek(1); err != nil {
+			x.abandon()
 			n.hold(c)
 			return
 		}
 		<-x.done
-		rested = x.rested
-		if x.last {
+		if rested = x.rested; x.last {
 			return
 		}
 	}
 }
 
+// forget closes a connection for good.
+func (n *Node) forget(c net.Conn) {
+	c.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+// read reads a request whole. good: its body is what its client made, as far as that can be told; ok is false where
+// the connection has ended instead.
+func (n *Node) read(x *exchange, in *bufio.Reader) (r *http.Request, good, ok bool) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return nil, false, false
+	}
+	id := r.Header.Get("X-Correlation-Id")
+	if w := n.networkNow(); r.ContentLength >= 16<<10 && w.BodyRate > 0 && chance(id, n.cfg.ID, "body") < w.BodyRate {
+		io.CopyN(io.Discard, r.Body, r.ContentLength/2)
+		reset(x.c)
+		return nil, false, false
+	}
+	text, size, err := ReadBody(r.Body, 0)
+	if err != nil && size <= LargeFrom {
+		return nil, false, false
+	}
+	if n.Vanished() {
+		n.hold(x.c) // its bytes never arrived
+		return nil, false, false
+	}
+	// A large one has to be what its client made; of a small one all is well that came whole.
+	return r, err == nil && checkUpload(id, text, size), true
+}
+
+func (n *Node) networkNow() Network {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.network
+}
+
+// broken lets the network break a connection under a request, where it is to.
+func (n *Node) broken(x *exchange, in *bufio.Reader, r *http.Request) bool {
+	w, id, idle := n.networkNow(), r.Header.Get("X-Correlation-Id"), x.began-x.rested
+	if !x.fresh && w.DropAfter > 0 && idle >= w.DropAfter {
+		in.Peek(1) // until its sender gives it up
+		return true
+	}
+	stale := !x.fresh && w.StaleAfter > 0 && idle >= w.StaleAfter && chance(id, n.cfg.ID, "stale") < w.StaleRate
+	if !stale && !(x.fresh && chance(id, n.cfg.ID, "new") < w.NewRate) {
+		return false
+	}
+	if id != "" { // to its sender it may have run
+		s := n.sendOf(x, r)
+		s.Whole, s.Effect = n.cfg.Clock.Now(), Ran
+		n.cfg.Journal.send(s)
+	}
+	reset(x.c)
+	return true
+}
+
+// abandon tells that nobody waits for the answer any more, unless it is there, and waits for the end.
+func (x *exchange) abandon() {
+	select {
+	case <-x.done: // it ended after the answer, or was idle for long
+	default:
+		close(x.gone)
+		<-x.done
+	}
+}
+
 // hold keeps a connection open for as long as the node is cut off.
 func (n *Node) hold(c net.Conn) {
 	n.mu.Lock()
--- a/internal/standin/node_work.go
+++ b/internal/standin/node_work.go
@@ -12,17 +12,23 @@
 
 // exchange is a request in hand.
 type exchange struct {
-	c     net.Conn
-	path  Path
-	gone  chan struct{} // the proxy has closed the connection
-	done  chan struct{} // the answer is written, or there will be none
-	fresh bool
-	full  bool // the connection is one too many
-	last  bool
-	began time.Duration
-	whole time.Duration
-	// when it was answered
-	rested time.Duration
+	c      net.Conn
+	path   Path
+	gone   chan struct{} // the proxy has closed the connection
+	done   chan struct{} // the answer is written, or there will be none
+	fresh  bool
+	full   bool // the connection is one too many
+	last   bool
+	began  time.Duration
+	whole  time.Duration
+	rested time.Duration // since when the connection was idle before it, and once it is answered, behind it
+}
+
+// sendOf is a request as the journal has it.
+func (n *Node) sendOf(x *exchange, r *http.Request) *Send {
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return &Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: x.path.Proxy, ID: r.Header.Get("X-Correlation-Id"),
+		Key: r.Header.Get("Idempotency-Key"), Class: class, Began: x.began, Whole: x.whole, Fresh: x.fresh, CrossesZone: x.path.Cross}
 }
 
 // answer sees one request through, over HTTP.
@@ -31,12 +37,9 @@
 	if x.path.Delay > 0 {
 		time.Sleep(x.path.Delay)
 	}
-	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	s := &Send{Node: n.cfg.ID, Zone: n.cfg.Zone, Proxy: x.path.Proxy, ID: r.Header.Get("X-Correlation-Id"),
-		Key: r.Header.Get("Idempotency-Key"), Class: class, Began: x.began, Whole: x.whole, Fresh: x.fresh,
-		CrossesZone: x.path.Cross}
-	if class == "health" || class == "status" {
-		n.probe(x, s, class == "status")
+	s := n.sendOf(x, r)
+	if s.Class == "health" || s.Class == "status" {
+		n.probe(x, s, s.Class == "status")
 		return
 	}
 	if s.ID == "" {
@@ -85,6 +88,14 @@
 	endUnknown        // no client's request
 )
 
+// placed is a request that the machine has taken.
+type placed struct {
+	id      uint64
+	ended   chan machine.Ended
+	first   bool // it is the first of its key in the group
+	failing bool // it is to end with an error
+}
+
 // process gives a request to the machine, sees it through and writes it down. gone is
 // closed when nobody waits for it any more.
 func (n *Node) process(s *Send, left time.Duration, full, good bool, gone <-chan struct{}) ending {
@@ -102,67 +113,88 @@
 	if left > 0 {
 		job.Until = s.Whole + left
 	}
+	p, end, over := n.place(s, job, left, full, gone)
+	if over {
+		return end
+	}
+	return n.await(s, p, gone)
+}
+
+// place offers a request to the machine. over: it has ended already.
+func (n *Node) place(s *Send, job machine.Job, left time.Duration, full bool, gone <-chan struct{}) (p placed, end ending, over bool) {
 	n.mu.Lock()
 	if n.dead || n.silent {
 		n.mu.Unlock()
-		return endGone
+		return p, endGone, true
 	}
-	failing := n.errors > 0 && chance(s.ID, n.cfg.ID, "error") < n.errors
-	if p, harmed := n.harm(s); harmed && !n.draining && !full {
-		switch p.Harm {
+	p.failing = n.errors > 0 && chance(s.ID, n.cfg.ID, "error") < n.errors
+	if partial, harmed := n.harm(s); harmed && !n.draining && !full {
+		switch partial.Harm {
 		case HarmSilent:
 			n.mu.Unlock()
-			return n.stayAway(s, left, gone)
+			return p, n.stayAway(s, left, gone), true
 		case HarmErrors:
-			failing = true
+			p.failing = true
 		case HarmSlow:
-			job.Work, job.Wait = times(job.Work, p.Times), times(job.Wait, p.Times)
+			job.Work, job.Wait = times(job.Work, partial.Times), times(job.Wait, partial.Times)
 			s.Work = job.Work
 		}
 	}
-	now := n.cfg.Clock.Now()
-	verdict, id := machine.QueueFull, uint64(0)
-	var ended chan machine.Ended
-	first := false
+	verdict, repeated := n.offer(s, job, full, &p)
+	n.cfg.Journal.send(s)
+	if !repeated {
+		n.pump()
+	}
+	n.mu.Unlock()
 	switch {
-	case n.draining || full:
-	case s.Key != "" && n.cfg.Group != nil && !n.cfg.Group.first(s.Key, now):
-		n.mu.Unlock()
+	case repeated:
+		return p, endServed, true
+	case verdict == machine.QueueFull:
+		return p, endFull, true
+	case verdict == machine.TooLate:
+		return p, endOver, true
+	case verdict == machine.Down: // the reset of its connection is the answer
+		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
+		return p, endGone, true
+	}
+	return p, 0, false
+}
+
+// offer asks the machine to take a request, and notes what that did. repeated: its group has run it before, and it is
+// dropped. Called with the lock.
+func (n *Node) offer(s *Send, job machine.Job, full bool, p *placed) (verdict machine.Verdict, repeated bool) {
+	now, grouped := n.cfg.Clock.Now(), s.Key != "" && n.cfg.Group != nil
+	if n.draining || full {
+		s.Effect = TurnedAway
+		return machine.QueueFull, false
+	}
+	if grouped && !n.cfg.Group.first(s.Key, now) {
 		s.Effect = Dropped
-		n.cfg.Journal.send(s)
-		return endServed
-	default:
-		first = s.Key != "" && n.cfg.Group != nil
-		n.lastJob++
-		id = n.lastJob
-		verdict = n.machine.Offer(now, id, job)
-		if verdict == machine.Taken {
-			ended = make(chan machine.Ended, 1)
-			n.open[id] = ended
-		}
+		return machine.Taken, true
+	}
+	p.first = grouped
+	n.lastJob++
+	p.id = n.lastJob
+	verdict = n.machine.Offer(now, p.id, job)
+	if verdict == machine.Taken {
+		p.ended = make(chan machine.Ended, 1)
+		n.open[p.id] = p.ended
 	}
 	s.Effect = TurnedAway
 	if verdict == machine.Taken || verdict == machine.Down {
 		s.Effect = Ran
 	}
-	if first && verdict != machine.Taken {
+	if p.first && verdict != machine.Taken {
 		n.cfg.Group.forget(s.Key)
 	}
-	n.cfg.Journal.send(s)
-	n.pump()
-	n.mu.Unlock()
-	switch verdict {
-	case machine.QueueFull:
-		return endFull
-	case machine.TooLate:
-		return endOver
-	case machine.Down: // the reset of its connection is the answer
-		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
-		return endGone
-	}
+	return verdict, false
+}
+
+// await waits for the end of a request that the machine has taken, or until nobody waits for it.
+func (n *Node) await(s *Send, p placed, gone <-chan struct{}) ending {
 	select {
-	case e := <-ended:
-		if !e.Ran && first {
+	case e := <-p.ended:
+		if !e.Ran && p.first {
 			n.cfg.Group.forget(s.Key)
 		}
 		switch {
@@ -174,17 +206,17 @@
 		case e.Why != machine.Done:
 			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
 			return endGone
-		case failing:
+		case p.failing:
 			return endFailed
 		}
 		return endServed
 	case <-gone:
 		n.mu.Lock()
-		ran := n.machine.Cancel(n.cfg.Clock.Now(), id)
-		delete(n.open, id)
+		ran := n.machine.Cancel(n.cfg.Clock.Now(), p.id)
+		delete(n.open, p.id)
 		n.pump()
 		n.mu.Unlock()
-		if !ran && first {
+		if !ran && p.first {
 			n.cfg.Group.forget(s.Key)
 		}
 		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
--- a/internal/standin/rpc.go
+++ b/internal/standin/rpc.go
@@ -42,12 +42,7 @@
 // serveRPC reads a connection's calls and answers each when it is done. A method's last
 // word after a dot is its class; the metadata are the last parameter.
 func (n *Node) serveRPC(c net.Conn, p Path, full bool) {
-	defer func() {
-		c.Close()
-		n.mu.Lock()
-		delete(n.conns, c)
-		n.mu.Unlock()
-	}()
+	defer n.forget(c)
 	r := &rpcConn{node: n, conn: c, path: p, full: full, gone: make(chan struct{}), cancels: map[uint32]chan struct{}{}}
 	var calls sync.WaitGroup
 	defer calls.Wait()
