Let tests use the waiter and the answering backend that there are

Need: the fleet commands' test had a loop with a sleep of its own beside fleettest's Wait; three RPC tests wrote the same loop over calls. Change: f.Wait; rpcAnswers. Assertions as before.

--- a/cmd/marlreelctl/fleet_test.go
+++ b/cmd/marlreelctl/fleet_test.go
@@ -14,9 +14,6 @@
 	"marlreel/internal/fleettest"
 )
 
-// renewalsWithin is within what time each proxy has told the keepers what it goes by.
-const renewalsWithin = 4 * time.Second
-
 // An operator's morning with a fleet of three processes: each command does what it says, and a refusal names what is
 // wrong and what can be done.
 func TestFleetCommands(t *testing.T) {
@@ -61,12 +58,12 @@
 		return out.String()
 	}
 	// The keepers know what each goes by from its last renewal, which may be of before version 1.
-	for end := time.Now().Add(renewalsWithin); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	if err := f.Wait(f.Proxies[:1], "a renewal of each", func(*fleettest.Proxy, fleettest.Status) bool {
 		var out, errs bytes.Buffer
 		run(t.Context(), []string{"--config", filepath.Join(dir, "own-3"), "fleet", "members"}, &out, &errs)
-		if strings.Count(out.String(), "newest") == len(f.Proxies) {
-			break
-		}
+		return strings.Count(out.String(), "newest") == len(f.Proxies)
+	}); err != nil {
+		t.Fatal(err)
 	}
 	ask(0, "newest", "members")
 	ask(0, "it is good", "propose", "--dry-run", two)
--- a/internal/proxy/rpc_test.go
+++ b/internal/proxy/rpc_test.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// rpcAnswers is a backend that answers each call at once.
+func rpcAnswers(t *testing.T, answer func(q scripted) (problem, result any)) string {
+	t.Helper()
+	return rpcScript(t, func(c net.Conn, d *msgpack.Decoder) {
+		for {
+			q, ok := readCall(d)
+			if !ok {
+				return
+			}
+			problem, result := answer(q)
+			answerCall(c, q.id, problem, result)
+		}
+	})
+}
+
 func caller(t *testing.T, addr string) *standin.RPCClient {
 	t.Helper()
 	c, err := net.DialTimeout("tcp", addr, patience)
@@ -185,15 +200,7 @@
 // configuration's house, and its parameters go on as they are.
 func TestPlainCaller(t *testing.T) {
 	t.Parallel()
-	addr := rpcScript(t, func(c net.Conn, d *msgpack.Decoder) {
-		for {
-			q, ok := readCall(d)
-			if !ok {
-				return
-			}
-			answerCall(c, q.id, nil, append([]any{q.method}, q.params...))
-		}
-	})
+	addr := rpcAnswers(t, func(q scripted) (problem, result any) { return nil, append([]any{q.method}, q.params...) })
 	p := startWith(t, testConfig(t, closedAddr(t), ready("s-1", addr)), rpcSettings())
 	got, _ := caller(t, p.rpc).Call("list", 7, "crates", map[string]any{"own": true})
 	if a := receive(t, got, "an answer"); fmt.Sprint(a.Result) != "[list 7 crates map[own:true]]" {
@@ -206,15 +213,9 @@
 func TestMethodsOwnErrors(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	addr := rpcScript(t, func(c net.Conn, d *msgpack.Decoder) {
-		for {
-			q, ok := readCall(d)
-			if !ok {
-				return
-			}
-			n.Add(1)
-			answerCall(c, q.id, []any{"unknown crate", 7}, "half")
-		}
+	addr := rpcAnswers(t, func(scripted) (problem, result any) {
+		n.Add(1)
+		return []any{"unknown crate", 7}, "half"
 	})
 	p := startWith(t, testConfig(t, closedAddr(t), ready("s-1", addr)), rpcSettings())
 	r := caller(t, p.rpc)
@@ -233,18 +234,11 @@
 // caller can read the answers to its other calls.
 func TestFailedCallIsAnsweredWhole(t *testing.T) {
 	t.Parallel()
-	addr := rpcScript(t, func(c net.Conn, d *msgpack.Decoder) {
-		for {
-			q, ok := readCall(d)
-			if !ok {
-				return
-			}
-			if q.method == "post.bid" {
-				answerCall(c, q.id, map[string]any{"$failed": true, "message": "error"}, nil)
-				continue
-			}
-			answerCall(c, q.id, nil, "crate 7")
+	addr := rpcAnswers(t, func(q scripted) (problem, result any) {
+		if q.method == "post.bid" {
+			return map[string]any{"$failed": true, "message": "error"}, nil
 		}
+		return nil, "crate 7"
 	})
 	p := startWith(t, testConfig(t, closedAddr(t), ready("s-1", addr)), rpcSettings())
 	r := caller(t, p.rpc)
