--- a/internal/experiment/inspect.go
+++ b/internal/experiment/inspect.go
@@ -51,8 +51,14 @@
 	ErrStrayPage = errors.New("a page points nowhere")
 )
 
-// ErrNoFile says that something else stands at the path of a store.
-var ErrNoFile = errors.New("it is no file: a file's path is needed")
+// NoFileError says that something else than a file stands at the path of a store.
+type NoFileError struct{ Path string }
+
+// Error implements error.
+func (e *NoFileError) Error() string { return e.Path + " is no file" }
+
+// Advice is what can be done about it.
+func (e *NoFileError) Advice() string { return "name a file, or a path at which there is nothing yet" }
 
 // inspect reads a file that is there through, without a write.
 func inspect(path string) (err error) {
@@ -64,7 +70,7 @@
 		return err
 	}
 	if !info.Mode().IsRegular() {
-		return ErrNoFile
+		return &NoFileError{path}
 	}
 	if err := inspectLength(path, info.Size()); err != nil {
 		return &DamagedError{err}
--- a/internal/system/operator/bundle.go
+++ b/internal/system/operator/bundle.go
@@ -4,6 +4,7 @@
 	"archive/tar"
 	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"io"
 	"runtime/debug"
 	"strings"
@@ -90,6 +91,26 @@
 	return b.write("manifest.json", manifest)
 }
 
+// UnexpectedAnswerError says that a process's answer can't be part of a bundle.
+type UnexpectedAnswerError struct {
+	Address string
+	Status  int
+	Bytes   int // where it is too large
+}
+
+// Error implements error.
+func (e *UnexpectedAnswerError) Error() string {
+	if e.Bytes > 0 {
+		return fmt.Sprintf("%s answers with %d bytes, %d are the most", e.Address, e.Bytes, largestPart)
+	}
+	return fmt.Sprintf("%s answers with status %d", e.Address, e.Status)
+}
+
+// Advice is what can be done about it.
+func (e *UnexpectedAnswerError) Advice() string {
+	return "see whether " + e.Address + " is a control process's address, or a door for metrics"
+}
+
 // get asks once.
 func (c *Client) get(address, path string) ([]byte, error) {
 	status, body, err := c.callOne(address, fasthttp.MethodGet, path, "", nil)
@@ -97,9 +118,9 @@
 	case err != nil:
 		return nil, err
 	case status != fasthttp.StatusOK:
-		return nil, eris.Errorf("%s answers with status %d", address, status)
+		return nil, &UnexpectedAnswerError{Address: address, Status: status}
 	case len(body) > largestPart:
-		return nil, eris.Errorf("%s answers with %d bytes, %d are the most", address, len(body), largestPart)
+		return nil, &UnexpectedAnswerError{Address: address, Status: status, Bytes: len(body)}
 	}
 	return body, nil
 }
--- a/internal/tools/mutants/main.go
+++ b/internal/tools/mutants/main.go
@@ -79,6 +79,29 @@
 	return alive, nil
 }
 
+// NotRunError says that the tests of a mutant did not run.
+type NotRunError struct{ Output string }
+
+// Error implements error.
+func (e *NotRunError) Error() string { return "the tests did not run: " + e.Output }
+
+// Advice is what can be done about it.
+func (e *NotRunError) Advice() string { return "see that the mutant compiles" }
+
+// NotUniqueError says that the text that a mutant replaces is not there, or not alone.
+type NotUniqueError struct {
+	File  string
+	Times int
+}
+
+// Error implements error.
+func (e *NotUniqueError) Error() string {
+	return fmt.Sprintf("%s holds %d times what is to be found", e.File, e.Times)
+}
+
+// Advice is what can be done about it.
+func (e *NotUniqueError) Advice() string { return "let find name a text that is in the file once" }
+
 // failed is a line of the test command on a test that failed.
 var failed = regexp.MustCompile(`(?m)^\s*--- FAIL: (\S+)`)
 
@@ -108,7 +131,7 @@
 		if strings.Contains(string(output), "panic:") {
 			return "a panic", nil
 		}
-		return "", eris.Errorf("the tests did not run: %s", output)
+		return "", &NotRunError{Output: string(output)}
 	}
 	return fmt.Sprintf("%s (%d failed)", names[len(names)-1][1], len(names)), nil
 }
@@ -120,7 +143,7 @@
 		return "", eris.Wrap(err, "reading the code")
 	}
 	if strings.Count(string(text), m.Find) != 1 {
-		return "", eris.Errorf("%s holds %d times what is to be found", m.File, strings.Count(string(text), m.Find))
+		return "", &NotUniqueError{File: m.File, Times: strings.Count(string(text), m.Find)}
 	}
 	changed := filepath.Join(folder, "changed.go")
 	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), m.Find, m.Put, 1)), 0o600); err != nil {
