--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -64,7 +64,7 @@
 		"marlreel/internal/system/transport":     {},
 		"marlreel/internal/system/host":          {"marlreel/internal/system/boot", "marlreel/internal/system/store"},
 		"marlreel/internal/system/gateway":       {"marlreel", "marlreel/internal/engine", "marlreel/internal/httpproxy", "marlreel/internal/judge/residency", "marlreel/internal/judge/shares", "marlreel/internal/process/budget", "marlreel/internal/system/api", "marlreel/internal/system/boot", "marlreel/internal/system/configuration", "marlreel/internal/system/feed", "marlreel/internal/system/host", "marlreel/internal/system/metrics", "marlreel/internal/system/state", "marlreel/internal/system/transport"},
-		"marlreel/internal/system/metrics":       {"marlreel/internal/system/host"},
+		"marlreel/internal/system/metrics":       {"marlreel/internal/system/host", "marlreel/internal/system/transport"},
 		"marlreel/internal/lists/sources":        {"marlreel", "marlreel/internal/lists/discovery", "marlreel/internal/engine", "marlreel/internal/lists/members", "marlreel/internal/lists/registry"},
 	}
 	out, err := exec.Command("go", "list", "-f", "{{.ImportPath}} {{join .Imports \" \"}}", "marlreel/...").Output()
--- a/internal/system/gateway/figures.go
+++ b/internal/system/gateway/figures.go
@@ -52,7 +52,7 @@
 
 // of gives the figures of a call's class.
 func (f *serviceFigures) of(c *engine.Call) *classFigures {
-	class := c.Book.Settings.Classes[c.Class]
+	class := &c.Book.Settings.Classes[c.Class]
 	figures := f.classes[class.Name]
 	if figures == nil {
 		figures = f.newClass(class)
@@ -62,7 +62,7 @@
 }
 
 // newClass makes the figures of a class. Those of an earlier one with the same labels go on.
-func (f *serviceFigures) newClass(class marlreel.Class) *classFigures {
+func (f *serviceFigures) newClass(class *marlreel.Class) *classFigures {
 	kind := "plain"
 	if class.Generates {
 		kind = "streaming"
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"marlreel/internal/system/host"
+	"marlreel/internal/system/transport"
 )
 
 const (
@@ -83,8 +84,9 @@
 		log.Error(err, "the metrics are not served", "event", "metrics", "address", address)
 		return
 	}
-	server := &fasthttp.Server{Handler: handler(set), NoDefaultServerHeader: true, Concurrency: mostReaders,
-		ReadTimeout: readerPatience, IdleTimeout: readerPatience, GetOnly: true, CloseOnShutdown: true, Logger: silent{}}
+	server := transport.NewServer(handler(set))
+	server.Concurrency, server.GetOnly = mostReaders, true
+	server.ReadTimeout, server.IdleTimeout = readerPatience, readerPatience
 	stop := context.AfterFunc(ctx, func() {
 		patience, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -96,9 +98,3 @@
 		log.Error(err, "the metrics are served no more", "event", "metrics", "address", address)
 	}
 }
-
-// silent drops the server's lines on single connections: broken ones are usual.
-type silent struct{}
-
-// Printf implements fasthttp.Logger.
-func (silent) Printf(string, ...any) {}
--- a/internal/system/simcluster/bundle_test.go
+++ b/internal/system/simcluster/bundle_test.go
@@ -7,9 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -53,7 +51,7 @@
 		_, err := c.Ask(c.Edges[0], secret)
 		is.NoErr(err)
 		c.Controls[2].Kill()
-		door := net.JoinHostPort(c.Edges[0].IP, strconv.Itoa(peerPort+15-int(boot.ProxyMetrics)))
+		door := c.Edges[0].door(boot.ProxyMetrics)
 
 		var packed bytes.Buffer
 		client := operator.NewClient(c.ControlAddresses(), 3*time.Second, c.outside.Dial)
--- a/internal/system/simcluster/metrics_test.go
+++ b/internal/system/simcluster/metrics_test.go
@@ -11,22 +11,22 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/valyala/fasthttp"
 
 	"marlreel/internal/system/boot"
 )
 
+// door is where a process of a machine tells its figures.
+func (m *Machine) door(door boot.MetricsDoor) string {
+	return net.JoinHostPort(m.IP, strconv.Itoa(peerPort+15-int(door)))
+}
+
 // figuresOf reads the metrics of a process of a machine.
 func (c *Cluster) figuresOf(m *Machine, door boot.MetricsDoor) (status int, text string) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	address := net.JoinHostPort(m.IP, strconv.Itoa(peerPort+15-int(door)))
-	request.SetRequestURI("http://" + address + "/metrics")
-	if err := c.client.DoTimeout(request, response, time.Second); err != nil {
+	status, text, err := c.request(m.door(door), "GET", "/metrics", "", "")
+	if err != nil {
 		return 0, err.Error()
 	}
-	return response.StatusCode(), string(response.Body())
+	return status, text
 }
 
 // has checks that figures have each of some lines.
@@ -116,7 +116,7 @@
 		edge := c.Edges[0]
 		edge.Kill()
 		c.revive(edge.IP)
-		taken, err := c.network(edge.IP).Listen(net.JoinHostPort(edge.IP, strconv.Itoa(peerPort+15)))
+		taken, err := c.network(edge.IP).Listen(edge.door(boot.ProxyMetrics))
 		is.NoErr(err)
 		edge.Start()
 		c.Pass(3 * time.Second)
--- a/internal/system/simcluster/outside.go
+++ b/internal/system/simcluster/outside.go
@@ -47,11 +47,16 @@
 }
 
 func (c *Cluster) callOne(m *Machine, method, path, base, body string) (int, string, error) {
+	return c.request(m.ControlAddress(), method, path, base, body)
+}
+
+// request makes one call from outside to an address.
+func (c *Cluster) request(address, method, path, base, body string) (int, string, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + m.ControlAddress() + path)
+	request.SetRequestURI("http://" + address + path)
 	if base != "" {
 		request.Header.Set("Base-Version", base)
 	}
