Say again that a file's path is needed where a folder is named as a store

TestExperimentWrongUse failed on the clean clone: the typed error had lost the words that its command line prints.

--- a/internal/experiment/inspect.go
+++ b/internal/experiment/inspect.go
@@ -55,7 +55,7 @@
 type NoFileError struct{ Path string }
 
 // Error implements error.
-func (e *NoFileError) Error() string { return e.Path + " is no file" }
+func (e *NoFileError) Error() string { return "it is no file: a file's path is needed" }
 
 // Advice is what can be done about it.
 func (e *NoFileError) Advice() string { return "name a file, or a path at which there is nothing yet" }
