Bring members up to date before they join the chain, and let them leave before they end

A process that was told to end stayed in the chain until it was missed, and a replaced one counted for 2 s more: a disk lost in that time left two of four members, for good.

Change: the head sends what is committed to a process outside the chain (CatchUp) and proposes it once it lacks at most 64 KiB, or a round takes no longer than RejoinAfter; it keeps the entries since then, up to 4,096 or 8 MB, and the log is bounded in bytes too. A view is made without laggards that no majority needs. Leave/Left take a member out of the chain first, and out of the members where there are more than there should be; it goes once the new view is in service: in a simulated run it went when it alone knew the view, and a lost disk left a cluster that could not agree any more (TestALossRightAfterAPlannedReplacement).

--- /dev/null
+++ b/internal/system/chain/catchup.go
@@ -0,0 +1,105 @@
+package chain
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marlreel/internal/system/api"
+)
+
+// A process outside the chain is brought up to date before it is taken in: the chain goes on
+// serving meanwhile, and who counts holds all but a little. Only what is committed is sent, so
+// a log that was brought up to date reaches no further than that of any chain in service; its
+// SyncedView stays what it was.
+
+// catchUp is what a head has sent to a process outside the chain.
+type catchUp struct {
+	key    string
+	target *api.Position
+	began  time.Duration // when the last part was sent
+	until  time.Duration // how long that may be on its way
+	fast   bool          // the last part arrived soon: no more is to be gained by waiting
+}
+
+// bringsUp tells whether somebody is being brought up to date.
+func (n *Node) bringsUp() bool { return n.catchUp != nil }
+
+// dropCatchUp forgets a process that no longer can be brought up to date.
+func (n *Node) dropCatchUp() {
+	if n.catchUp == nil {
+		return
+	}
+	if p := n.peers[n.catchUp.key]; p == nil || !n.alive(p) || contains(n.durable.View.Chain, p.member) {
+		n.catchUp = nil
+	}
+}
+
+// bringUp sends a process what it lacks, one process at a time. It tells whether that is little
+// enough for the chain to be made equal with it.
+func (n *Node) bringUp(p *peer) (near bool) {
+	key := Key(p.member)
+	if n.catchUp != nil && n.catchUp.key != key {
+		return false // one after the other
+	}
+	data := n.lackedBy(p)
+	if data.Snapshot == nil && bytesOf(data.Entries) <= n.cfg.NearBytes {
+		return true
+	}
+	c := n.catchUp
+	if c != nil && data.Snapshot == nil && p.position.GetSequence() >= c.target.Sequence {
+		// The last part has arrived.
+		if c.fast = c.fast || n.now-c.began <= n.cfg.RejoinAfter; c.fast {
+			return true
+		}
+		c.until = 0
+	}
+	if c != nil && n.now < c.until {
+		return false
+	}
+	size := proto.Size(data)
+	if c == nil && size <= n.cfg.NearBytes {
+		return true // a snapshot, and a small one
+	}
+	n.catchUp = &catchUp{key: key, target: data.Target, began: n.now, until: n.now + n.resendAfter(size)}
+	n.send(p.member, &api.ChainMessage{Body: &api.ChainMessage_CatchUp{CatchUp: data}})
+	return false
+}
+
+// lackedBy is what is committed and a process does not have.
+func (n *Node) lackedBy(p *peer) *api.CatchUp {
+	data := &api.CatchUp{Target: n.durable.positionAt(n.committed)}
+	entries, holds := n.durable.entriesAfter(p.position.GetSequence(), p.position.GetHash())
+	if !holds {
+		data.Snapshot, entries = n.durable.Snapshot, n.durable.Entries
+	}
+	for _, entry := range entries {
+		if entry.Sequence <= n.committed {
+			data.Entries = append(data.Entries, entry)
+		}
+	}
+	return data
+}
+
+// onCatchUp takes in what is committed, on a process outside the chain.
+func (n *Node) onCatchUp(from *api.Member, data *api.CatchUp) {
+	if n.wedged() || n.inChain() || !sameMember(from, n.Head()) || data.Target.GetSequence() <= n.committed {
+		return
+	}
+	start := n.durable.last()
+	if data.Snapshot != nil {
+		start = &api.Position{Sequence: data.Snapshot.Sequence, Hash: data.Snapshot.Hash}
+	}
+	if !leadsTo(start, data.Entries, data.Target) {
+		return // this log has changed since it was looked at
+	}
+	if data.Snapshot != nil {
+		n.replaceLog(data.Snapshot, data.Entries)
+	} else {
+		for _, entry := range data.Entries {
+			n.append(entry)
+		}
+	}
+	n.commit(data.Target.Sequence)
+	n.send(from, n.heartbeat()) // which says how far the log reaches now
+}
--- /dev/null
+++ b/internal/system/chain/catchup_test.go
@@ -0,0 +1,246 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// slowLink is 10 Mbit/s, in bytes.
+	slowLink = 1_250_000
+	// largeState is a state of 2 MB.
+	largeState = 2 << 20
+	// calmGap is the longest time without an acknowledgement where nothing fails: a view
+	// changes, and what little a member lacks is sent.
+	calmGap = 300 * time.Millisecond
+)
+
+// newLargeCluster has a state of 2 MB on slow links.
+func newLargeCluster(t *testing.T, seed uint64, members int) *cluster {
+	c := newCluster(t, seed, members)
+	c.rate, c.ballast = slowLink, make([]byte, largeState)
+	for _, p := range c.processes {
+		p.machine.ballast = c.ballast
+	}
+	return c
+}
+
+// runUntil passes time until something is so, or fails.
+func (c *cluster) runUntil(what string, most time.Duration, is func() bool) (took time.Duration) {
+	c.t.Helper()
+	began := c.now
+	for !is() {
+		if c.now-began > most {
+			c.fail("%s: not within %v", what, most)
+		}
+		c.runFor(10 * time.Millisecond)
+	}
+	return c.now - began
+}
+
+func (c *cluster) inChain(p *process) func() bool {
+	return func() bool { return p.node != nil && p.node.InService() }
+}
+
+// pass runs until so many more entries are acknowledged.
+func (c *cluster) pass(entries int) {
+	c.t.Helper()
+	until := len(c.acked) + entries
+	c.runUntil(fmt.Sprintf("%d entries", entries), time.Hour, func() bool { return len(c.acked) >= until })
+}
+
+// A member that was away catches up while the chain serves on, however much it has missed.
+func TestAMemberThatWasAwayCatchesUp(t *testing.T) {
+	for _, away := range []int{1, 64, 65, 1000, 5000} {
+		t.Run(fmt.Sprint(away), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 21, 3)
+			c.cfg.CompactAfter = 64
+			c.pace = 5 * time.Millisecond
+			c.mustServe("founding")
+			p := c.at(c.head().node.View().Chain[1])
+			c.kill(p)
+			c.runFor(time.Second)
+			c.pass(away)
+			c.start(p, false)
+			c.longest, c.lastAck = 0, c.now
+			took := c.runUntil("it is back", 5*time.Second, c.inChain(p))
+			t.Logf("%d entries: back after %v, longest time without an acknowledgement %v", away, took, c.longest)
+			is.True(c.longest < calmGap)
+			c.mustServe("it is back")
+		})
+	}
+}
+
+// A state of 2 MB reaches a member over 10 Mbit/s while changes go on, and the chain serves on.
+func TestALargeStateReachesAMemberWhileChangesGoOn(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, p *process){
+		"an old log": func(c *cluster, p *process) { c.kill(p) },
+		"no log":     func(c *cluster, p *process) { c.wipe(p) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newLargeCluster(t, 22, 3)
+			c.padding = make([]byte, 2000)
+			c.mustServe("founding")
+			p := c.at(c.head().node.View().Chain[2])
+			lose(c, p)
+			c.runFor(time.Second)
+			c.pass(50) // more than the log keeps
+			c.start(p, false)
+			c.longest, c.lastAck = 0, c.now
+			took := c.runUntil("it is back", 8*time.Second, c.inChain(p))
+			t.Logf("back after %v, longest time without an acknowledgement %v", took, c.longest)
+			is.True(took > time.Second) // it did take a snapshot
+			is.True(c.longest < calmGap)
+			c.mustServe("it is back")
+		})
+	}
+}
+
+// What interrupts a member that takes the state in: it begins anew, and gets there.
+func TestATransferThatIsInterruptedEnds(t *testing.T) {
+	for name, interrupt := range map[string]func(c *cluster, learner, head, other *process){
+		"the member is restarted": func(c *cluster, learner, _, _ *process) { c.restart(learner) },
+		"its link is cut": func(c *cluster, learner, _, _ *process) {
+			c.isolate(learner, true)
+			c.runFor(2 * time.Second)
+			c.isolate(learner, false)
+		},
+		"the head is killed": func(c *cluster, _, head, _ *process) {
+			c.kill(head)
+			c.runFor(2 * time.Second)
+			c.start(head, false)
+		},
+		"the other one is killed": func(c *cluster, _, _, other *process) {
+			c.kill(other)
+			c.runFor(2 * time.Second)
+			c.start(other, false)
+		},
+		"all lose power": func(c *cluster, _, _, _ *process) { c.restartAll(200 * time.Millisecond) },
+		"its disk is lost once more": func(c *cluster, learner, _, _ *process) {
+			c.wipe(learner)
+			c.runFor(100 * time.Millisecond)
+			c.start(learner, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newLargeCluster(t, 23, 3)
+			c.mustServe("founding")
+			head := c.head()
+			chain := head.node.View().Chain
+			other, learner := c.at(chain[1]), c.at(chain[2])
+			c.wipe(learner)
+			c.runFor(time.Second)
+			c.start(learner, false)
+			c.runUntil("it is being brought up to date", time.Second, func() bool { return head.node.bringsUp() })
+			c.runFor(800 * time.Millisecond) // half of the state has come
+			is.True(head.node.bringsUp() && !learner.node.inChain())
+			interrupt(c, learner, head, other)
+			c.runUntil("all are in the chain", 15*time.Second, func() bool {
+				return c.inChain(learner)() && c.inChain(head)() && c.inChain(other)()
+			})
+			c.mustServe("all is well")
+			c.auditLinearizable()
+		})
+	}
+}
+
+// Where the chain needs a member that is being brought up to date, it rests until that one has all,
+// and nothing is lost.
+func TestAChainThatNeedsAMemberThatLagsWaitsForIt(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCluster(t, 24, 3)
+	c.mustServe("founding")
+	head := c.head()
+	chain := head.node.View().Chain
+	other, lagging := c.at(chain[1]), c.at(chain[2])
+	c.kill(lagging)
+	c.runFor(time.Second)
+	c.pass(50)
+	c.start(lagging, false)
+	c.runUntil("it is being brought up to date", time.Second, func() bool { return head.node.bringsUp() })
+	c.kill(head) // for good, as far as this goes
+	took := c.runUntil("the two that are left serve", 10*time.Second, func() bool {
+		return c.inChain(other)() && c.inChain(lagging)()
+	})
+	t.Logf("the two that are left serve after %v", took)
+	is.True(sameMember(other.node.Head(), other.node.durable.Self)) // who has all leads
+	c.mustServe("two are left")
+}
+
+// A member that lags far behind is not taken into a chain that can do without it: the chain would be
+// out of service until it has all.
+func TestAMemberThatLagsIsNotTakenInWithoutNeed(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCluster(t, 25, 5)
+	c.mustServe("founding")
+	chain := c.head().node.View().Chain
+	lagging, dying := c.at(chain[4]), c.at(chain[1])
+	c.kill(lagging)
+	c.runFor(time.Second)
+	c.pass(50)
+	c.start(lagging, false)
+	c.runUntil("it is being brought up to date", time.Second, func() bool { return c.head().node.bringsUp() })
+	c.longest, c.lastAck = 0, c.now
+	c.kill(dying)
+	c.runUntil("the dead one is left out", 2*time.Second, func() bool { return len(c.head().node.View().Chain) == 3 })
+	c.runFor(200 * time.Millisecond)
+	t.Logf("longest time without an acknowledgement %v", c.longest)
+	is.True(c.longest < time.Second)
+	c.runUntil("the lagging one is in", 10*time.Second, c.inChain(lagging))
+	c.mustServe("the lagging one is in")
+}
+
+// The log stays within its bounds while somebody is brought up to date who never gets there.
+func TestTheLogIsBoundedWhileSomebodyIsBroughtUp(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCluster(t, 26, 3)
+	c.cfg.DeferAfter = 60
+	for _, p := range c.processes {
+		p.node.cfg = c.cfg
+	}
+	c.mustServe("founding")
+	head := c.head()
+	learner := c.at(head.node.View().Chain[2])
+	c.wipe(learner)
+	c.runFor(time.Second)
+	c.start(learner, false)
+	c.runUntil("it is being brought up to date", time.Second, func() bool { return head.node.bringsUp() })
+	// Its link lets heartbeats pass and is too slow for the state.
+	c.rate = 1000
+	longest := 0
+	c.runUntil("many entries", time.Minute, func() bool {
+		longest = max(longest, len(head.node.durable.Entries))
+		return len(c.acked) > 800
+	})
+	t.Logf("longest log %d entries", longest)
+	is.True(longest > 2*c.cfg.CompactAfter) // it was deferred
+	is.True(longest <= c.cfg.DeferAfter+1)
+}
+
+// Entries of many bytes are compacted sooner.
+func TestTheLogIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 27, 3)
+	c.cfg.CompactAfter = 64
+	for _, p := range c.processes {
+		p.node.cfg = c.cfg
+	}
+	c.padding = make([]byte, 300<<10)
+	c.mustServe("founding")
+	for range 20 {
+		c.pass(1)
+		for _, p := range c.processes {
+			is.Equal(p.node.logBytes, bytesOf(p.node.durable.Entries))
+			is.True(p.node.logBytes < c.cfg.CompactBytes+2*len(c.padding))
+		}
+	}
+}
--- a/internal/system/chain/config.go
+++ b/internal/system/chain/config.go
@@ -28,8 +28,24 @@
 	// TargetMembers is how many members there should be: two more than twice the
 	// failures to be borne, less one.
 	TargetMembers int
-	// CompactAfter is how many entries are kept beyond the snapshot.
+	// CompactAfter is how many entries are kept beyond the snapshot, and CompactBytes how
+	// many bytes of them. More lets members that were away for longer do without a snapshot.
 	CompactAfter int
+	CompactBytes int
+	// DeferAfter and DeferBytes are the same while a process is brought up to date: it needs
+	// what was committed since its snapshot was sent. Less bounds memory more tightly; too
+	// little, and who is slow to take a snapshot in never gets there.
+	DeferAfter int
+	DeferBytes int
+	// NearBytes is how much a process may lack when it is taken into the chain, which is out of
+	// service until it has that.
+	NearBytes int
+	// NearEntries is how far behind the furthest log a member outside the chain may be that is
+	// taken into a new one without need.
+	NearEntries uint64
+	// SlowestLink is the rate, in bytes a second, at which large messages are taken to arrive.
+	// What is larger is sent again later. Too much repeats what is still on its way.
+	SlowestLink int
 }
 
 // DefaultConfig fits machines of one region.
@@ -45,5 +61,11 @@
 		RemoveAfter:     2 * time.Second,
 		TargetMembers:   targetMembers,
 		CompactAfter:    64,
+		CompactBytes:    1 << 20,
+		DeferAfter:      4096,
+		DeferBytes:      8 << 20,
+		NearBytes:       64 << 10,
+		NearEntries:     16,
+		SlowestLink:     1 << 20,
 	}
 }
--- a/internal/system/chain/heartbeat.go
+++ b/internal/system/chain/heartbeat.go
@@ -30,14 +30,8 @@
 	told := map[string]bool{}
 	for _, member := range n.others() {
 		told[member.Address] = true
-		n.send(member, n.heartbeat())
-	}
-	// Those that wait to be taken in have to hear the chain, as each of its members must.
-	for _, key := range n.sortedPeers() {
-		if p := n.peers[key]; p.wantsIn && n.alive(p) && !contains(n.durable.View.Members, p.member) {
-			n.send(p.member, n.heartbeat())
-		}
 	}
+	n.tellAll()
 	if n.isMember() && n.inChain() && n.Connected() {
 		return
 	}
@@ -50,6 +44,20 @@
 	}
 }
 
+// tellAll sends a heartbeat to all members, and to those that wait to be taken in or to be let go
+// of: they have to hear the chain, as each of its members must.
+func (n *Node) tellAll() {
+	for _, member := range n.others() {
+		n.send(member, n.heartbeat())
+	}
+	for _, key := range n.sortedPeers() {
+		p := n.peers[key]
+		if (p.wantsIn || p.leaving) && n.alive(p) && !contains(n.durable.View.Members, p.member) {
+			n.send(p.member, n.heartbeat())
+		}
+	}
+}
+
 // mostMet bounds the addresses from which a call for another life of this one has come.
 const mostMet = 16
 
@@ -64,7 +72,8 @@
 }
 
 func (n *Node) heartbeat() *api.ChainMessage {
-	beat := &api.Heartbeat{Active: n.InService(), Committed: n.committed, Position: n.durable.last(), WantsIn: !n.inChain()}
+	beat := &api.Heartbeat{Active: n.InService(), Committed: n.committed, Position: n.durable.last(),
+		WantsIn: !n.inChain() && !n.leaving, Leaving: n.leaving}
 	for key, p := range n.peers {
 		if n.now-p.heardAt < n.cfg.SuspectAfter {
 			beat.Hears = append(beat.Hears, key)
@@ -114,7 +123,7 @@
 
 // onHeartbeat takes in what a peer says of itself.
 func (n *Node) onHeartbeat(p *peer, message *api.ChainMessage, beat *api.Heartbeat) {
-	p.wantsIn, p.hears = beat.WantsIn, beat.Hears
+	p.wantsIn, p.leaving, p.hears, p.position = beat.WantsIn, beat.Leaving, beat.Hears, beat.Position
 	if slices.Contains(beat.Hears, Key(n.durable.Self)) {
 		p.hearsUs = n.now
 	}
@@ -123,6 +132,7 @@
 		return
 	}
 	if message.ViewNumber == n.durable.View.Number && beat.Active {
+		n.servedView = message.ViewNumber
 		n.entersService(beat.Committed)
 	}
 }
@@ -162,7 +172,7 @@
 		n.troubled = n.now
 	}
 	if n.now-n.troubled >= time.Duration(n.rank())*n.cfg.Stagger {
-		n.propose(reason, n.durable.View.Members, nil)
+		n.propose(reason, n.durable.View.Members, change{})
 	}
 }
 
@@ -212,30 +222,37 @@
 	if !n.isHead() || !n.inService() {
 		return
 	}
+	if n.letLeave() {
+		return
+	}
+	n.dropCatchUp()
 	view := n.durable.View
 	for _, key := range n.sortedPeers() {
 		p := n.peers[key]
-		if contains(view.Chain, p.member) || !n.alive(p) || !p.wantsIn || p.behind || n.now-p.steadySince < n.cfg.RejoinAfter || !n.hearsChain(p) {
+		if !n.mayJoin(p) || !n.bringUp(p) {
 			continue
 		}
 		if contains(view.Members, p.member) {
-			n.propose(p.member.Address+" is back", view.Members, p.member)
+			n.propose(p.member.Address+" is back", view.Members, change{joining: p.member})
 			return
 		}
-		if p.member.Incarnation == 0 {
-			continue
-		}
-		n.propose(p.member.Address+" joins", n.membersWith(p.member), p.member)
+		n.propose(p.member.Address+" joins", n.membersWith(p.member), change{joining: p.member})
 		return
 	}
 	if len(view.Members) <= n.cfg.TargetMembers {
 		return
 	}
 	if lost := n.longestSilent(n.cfg.RemoveAfter); lost != nil {
-		n.propose(lost.Address+" has left", without(view.Members, lost), nil)
+		n.propose(lost.Address+" has left", without(view.Members, lost), change{})
 	}
 }
 
+// mayJoin tells whether a peer outside the chain can be heard well enough to be one of it.
+func (n *Node) mayJoin(p *peer) bool {
+	return !contains(n.durable.View.Chain, p.member) && p.member.Incarnation != 0 && n.alive(p) && p.wantsIn && !p.behind &&
+		n.now-p.steadySince >= n.cfg.RejoinAfter && n.hearsChain(p)
+}
+
 func (n *Node) sortedPeers() []string {
 	keys := make([]string, 0, len(n.peers))
 	for key := range n.peers {
--- /dev/null
+++ b/internal/system/chain/leave_test.go
@@ -0,0 +1,112 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// leave lets a process ask to be left out, and gives the time until it is. The process is not ended.
+func (c *cluster) leave(p *process, most time.Duration) (took time.Duration) {
+	c.t.Helper()
+	c.carryOut(p, p.node.Leave(c.now))
+	return c.runUntil(p.address+" has left", most, p.node.Left)
+}
+
+// A member that is about to end is out of the chain before it does, and hardly a write waits for that.
+func TestAMemberLeavesBeforeItEnds(t *testing.T) {
+	for place := range 3 {
+		t.Run(fmt.Sprint(place), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 31, 3)
+			c.mustServe("founding")
+			p := c.at(c.head().node.View().Chain[place])
+			c.longest, c.lastAck = 0, c.now
+			took := c.leave(p, time.Second)
+			c.kill(p)
+			c.runFor(time.Second)
+			t.Logf("out after %v, longest time without an acknowledgement %v", took, c.longest)
+			is.True(c.longest < calmGap)
+			is.Equal(len(c.head().node.View().Chain), 2)
+			is.Equal(len(c.head().node.View().Members), 3) // it still counts: it may come back
+			c.start(p, false)
+			c.mustServe("it is back")
+			is.True(p.node.InService())
+		})
+	}
+}
+
+// A member that leaves while the chain needs it stays until another one has all.
+func TestAMemberThatIsNeededStays(t *testing.T) {
+	is := is.New(t)
+	c := newLargeCluster(t, 32, 3)
+	c.mustServe("founding")
+	head := c.head()
+	chain := head.node.View().Chain
+	leaving, learner := c.at(chain[1]), c.at(chain[2])
+	c.wipe(learner)
+	c.runFor(time.Second)
+	c.start(learner, false)
+	c.runUntil("it is being brought up to date", time.Second, func() bool { return head.node.bringsUp() })
+	c.carryOut(leaving, leaving.node.Leave(c.now))
+	c.runFor(500 * time.Millisecond)
+	is.True(!leaving.node.Left()) // with it goes the only other copy
+	c.runUntil("it has left", 8*time.Second, leaving.node.Left)
+	is.True(learner.node.InService() && len(learner.node.View().Chain) == 2)
+	c.kill(leaving)
+	c.mustServe("it has left")
+}
+
+// A planned replacement: the new one first, then the old one leaves. A second loss may follow at once.
+func TestALossRightAfterAPlannedReplacement(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, p *process){
+		"a disk":               func(c *cluster, p *process) { c.wipe(p) },
+		"a disk and all power": func(c *cluster, p *process) { c.wipe(p); c.restartAll(200 * time.Millisecond) },
+	} {
+		for place := range 3 {
+			t.Run(fmt.Sprintf("%s, %d", name, place), func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 33, 3)
+				c.mustServe("founding")
+				old := c.at(c.head().node.View().Chain[place])
+				c.add("d0", false)
+				c.mustServe("the new one is there")
+				is.Equal(len(c.head().node.View().Members), 4)
+				c.leave(old, time.Second)
+				is.Equal(len(c.head().node.View().Members), 3) // it no longer counts
+				c.kill(old)
+				old.replaced = true
+				lost := c.head()
+				lose(c, lost)
+				if lost.node == nil {
+					c.runFor(500 * time.Millisecond)
+					c.start(lost, false)
+				}
+				c.mustServe("a disk was lost right after")
+				is.True(lost.node.InService())
+			})
+		}
+	}
+}
+
+// Where all leave, the chain stays what it must be.
+func TestAllLeave(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 34, 3)
+	c.mustServe("founding")
+	for _, p := range c.processes {
+		c.carryOut(p, p.node.Leave(c.now))
+	}
+	c.runFor(2 * time.Second)
+	left := 0
+	for _, p := range c.processes {
+		if p.node.Left() {
+			left++
+		}
+	}
+	is.Equal(left, 1)
+	c.restartAll(300 * time.Millisecond)
+	c.mustServe("all are back")
+}
--- a/internal/system/chain/log.go
+++ b/internal/system/chain/log.go
@@ -31,11 +31,7 @@
 
 // last is the position of the log's end.
 func (d *Durable) last() *api.Position {
-	p := &api.Position{SyncedView: d.SyncedView, Sequence: d.Snapshot.GetSequence(), Hash: d.Snapshot.GetHash()}
-	if n := len(d.Entries); n > 0 {
-		p.Sequence, p.Hash = d.Entries[n-1].Sequence, d.Entries[n-1].Hash
-	}
-	return p
+	return d.positionAt(d.Snapshot.GetSequence() + uint64(len(d.Entries)))
 }
 
 // entriesAfter gives the entries that follow a position, if the log holds it.
@@ -50,6 +46,24 @@
 	return d.Entries[at:], d.Entries[at-1].Hash == hash
 }
 
+// bytesOf is how many bytes entries take in a message.
+func bytesOf(entries []*api.Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += proto.Size(entry)
+	}
+	return size
+}
+
+// positionAt is the position of an entry that the log holds, or of its snapshot.
+func (d *Durable) positionAt(sequence uint64) *api.Position {
+	p := &api.Position{SyncedView: d.SyncedView, Sequence: d.Snapshot.GetSequence(), Hash: d.Snapshot.GetHash()}
+	if sequence > p.Sequence {
+		p.Sequence, p.Hash = sequence, d.Entries[sequence-p.Sequence-1].Hash
+	}
+	return p
+}
+
 // hashOf chains an entry to the one before it.
 func hashOf(previous, sequence uint64, operations []*api.Operation) uint64 {
 	hash := sha256.New()
--- a/internal/system/chain/node.go
+++ b/internal/system/chain/node.go
@@ -39,6 +39,8 @@
 	wantsIn     bool
 	hears       []string
 	behind      bool // it knows an older view than this node
+	leaving     bool // it is about to end
+	position    *api.Position
 }
 
 // Node is one member of a chain, or a process that waits to become one. One
@@ -51,7 +53,8 @@
 	out     Output
 
 	committed   uint64
-	activeView  uint64 // the newest view known to be in service
+	activeView  uint64 // the newest view known to be in service, with this node in it
+	servedView  uint64 // the newest view of which another member has said that it is in service
 	peers       map[string]*peer
 	contacts    []string // addresses to report to while this node is not connected
 	met         []string // more of them: who has called for another life of this address
@@ -63,6 +66,9 @@
 	proposal    *proposal
 	highest     uint64 // round of any ballot seen
 	syncing     map[string]*syncState
+	catchUp     *catchUp // nil: nobody is being brought up to date
+	leaving     bool     // this process is about to end
+	logBytes    int      // of the entries in the log
 	resendAt    time.Duration
 	confirms    map[uint64]*confirmation
 }
@@ -90,6 +96,7 @@
 		listening: now, lastTick: now, peers: map[string]*peer{}, confirms: map[uint64]*confirmation{}}
 	n.machine.Restore(durable.Snapshot.GetState())
 	n.committed = durable.Snapshot.GetSequence()
+	n.logBytes = bytesOf(durable.Entries)
 	// Each entry is proposed after the one before it was committed.
 	if end := durable.last().Sequence; end > 0 {
 		n.commit(end - 1)
@@ -256,11 +263,30 @@
 // compact replaces old entries by a snapshot.
 func (n *Node) compact() {
 	done := n.committed - n.durable.Snapshot.GetSequence()
-	if done < uint64(n.cfg.CompactAfter) {
+	if done == 0 || !n.exceeds(done, n.cfg.CompactAfter, n.cfg.CompactBytes) {
+		return
+	}
+	if n.bringsUp() && !n.exceeds(done, n.cfg.DeferAfter, n.cfg.DeferBytes) {
 		return
 	}
 	last := n.durable.Entries[done-1]
 	n.durable.Snapshot = &api.Snapshot{Sequence: last.Sequence, Hash: last.Hash, State: n.machine.State()}
 	n.durable.Entries = slices.Clone(n.durable.Entries[done:])
+	n.logBytes = bytesOf(n.durable.Entries)
 	n.out.Save.Snapshot = true
 }
+
+// exceeds tells whether so many committed entries, or the bytes of the log, reach a bound.
+func (n *Node) exceeds(entries uint64, mostEntries, mostBytes int) bool {
+	return entries >= uint64(mostEntries) || n.logBytes >= mostBytes
+}
+
+// resendAfter is how long a message of so many bytes may be on its way.
+func (n *Node) resendAfter(size int) time.Duration {
+	return n.cfg.ResendEvery + n.travelTime(size)
+}
+
+// travelTime is how long so many bytes take on the slowest link.
+func (n *Node) travelTime(size int) time.Duration {
+	return time.Duration(float64(size) / float64(n.cfg.SlowestLink) * float64(time.Second))
+}
--- a/internal/system/chain/replicate.go
+++ b/internal/system/chain/replicate.go
@@ -1,8 +1,11 @@
 package chain
 
 import (
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"marlreel/internal/system/api"
 )
 
@@ -54,6 +57,8 @@
 		n.onSyncData(from, body.SyncData)
 	case *api.ChainMessage_SyncDone:
 		n.onSyncDone(from, body.SyncDone)
+	case *api.ChainMessage_CatchUp:
+		n.onCatchUp(from, body.CatchUp)
 	case *api.ChainMessage_Replicate:
 		n.onReplicate(from, body.Replicate)
 	case *api.ChainMessage_Acknowledge:
@@ -111,9 +116,7 @@
 func (n *Node) beginService() {
 	n.syncing = nil
 	n.entersService(n.durable.last().Sequence)
-	for _, member := range n.others() {
-		n.send(member, n.heartbeat())
-	}
+	n.tellAll()
 }
 
 func (n *Node) onSyncQuery(from *api.Member) {
@@ -125,16 +128,17 @@
 
 func (n *Node) onSyncPosition(from *api.Member, reply *api.SyncPosition) {
 	state := n.syncing[Key(from)]
-	if state == nil || state.done || n.wedged() {
+	if state == nil || state.done || n.wedged() || n.now < state.askedAt {
 		return
 	}
-	state.askedAt = n.now
 	data := &api.SyncData{Target: n.durable.last()}
 	entries, holds := n.durable.entriesAfter(reply.Position.GetSequence(), reply.Position.GetHash())
 	if !holds {
 		data.Snapshot, entries = n.durable.Snapshot, n.durable.Entries
 	}
 	data.Entries = entries
+	// It is not asked again for as long as that may be on its way.
+	state.askedAt = n.now + n.travelTime(proto.Size(data))
 	n.send(from, &api.ChainMessage{Body: &api.ChainMessage_SyncData{SyncData: data}})
 }
 
@@ -184,7 +188,8 @@
 
 // replaceLog takes the head's log in place of this one, which parts from it or is too old.
 func (n *Node) replaceLog(snapshot *api.Snapshot, entries []*api.Entry) {
-	n.durable.Snapshot, n.durable.Entries = snapshot, entries
+	n.durable.Snapshot, n.durable.Entries = snapshot, slices.Clone(entries)
+	n.logBytes = bytesOf(entries)
 	n.out.Save.Truncated, n.out.Save.Snapshot = true, true
 	n.out.Save.Appended = nil
 	if n.committed < snapshot.Sequence {
@@ -207,9 +212,11 @@
 // ---- Entries ----
 
 func (n *Node) append(entry *api.Entry) {
+	size := proto.Size(entry)
 	n.durable.Entries = append(n.durable.Entries, entry)
 	n.out.Save.Appended = append(n.out.Save.Appended, entry)
-	n.resendAt = n.now + n.cfg.ResendEvery
+	n.logBytes += size
+	n.resendAt = n.now + n.resendAfter(size)
 }
 
 // passOn hands an entry down the chain. At its end the entry is committed.
@@ -277,6 +284,7 @@
 	if !n.inService() || n.committed >= end.Sequence || n.now < n.resendAt || n.neighbour(1) == nil {
 		return
 	}
-	n.resendAt = n.now + n.cfg.ResendEvery
-	n.passOn(n.durable.Entries[len(n.durable.Entries)-1])
+	last := n.durable.Entries[len(n.durable.Entries)-1]
+	n.resendAt = n.now + n.resendAfter(proto.Size(last))
+	n.passOn(last)
 }
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -16,17 +16,23 @@
 // A cluster of nodes on a simulated network, clock and disks. Everything that happens
 // comes from one seed. Faults are methods; audit looks at all that was ever committed.
 
-// register is the machine of the tests: the list of operations that were applied.
-type register struct{ applied []string }
+// register is the machine of the tests: the list of operations that were applied. Its state
+// is larger by so much ballast.
+type register struct {
+	applied []string
+	ballast []byte
+}
 
 func (r *register) Apply(entry *api.Entry) {
 	for _, operation := range entry.Operations {
-		r.applied = append(r.applied, operation.GetEvacuation().GetZone())
+		if e := operation.GetEvacuation(); e != nil {
+			r.applied = append(r.applied, e.Zone)
+		}
 	}
 }
 
 func (r *register) State() *api.State {
-	state := &api.State{}
+	state := &api.State{Document: r.ballast}
 	for _, name := range r.applied {
 		state.Evacuations = append(state.Evacuations, &api.Evacuation{Zone: name})
 	}
@@ -94,16 +100,26 @@
 	trial     bool // what is wrong ends the history, not the test
 	clients   *clients
 	nextRead  time.Duration
+	// rate is how many bytes a second a link carries of large messages; 0: any number.
+	rate     int
+	linkFree map[string]time.Duration // when a link has carried what it was given
+	ballast  []byte                   // of the state
+	padding  []byte                   // of each entry
+	pace     time.Duration            // between two proposals
+	lastAck  time.Duration
+	longest  time.Duration // between two acknowledgements, since it was set to 0
 }
 
 const (
+	// largeMessage is what goes in parts, between which small messages pass.
+	largeMessage  = 32 << 10
 	simulatedTick = 20 * time.Millisecond
 	proposeEvery  = 40 * time.Millisecond
 )
 
 func newCluster(t *testing.T, seed uint64, members int) *cluster {
 	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, cfg: DefaultConfig(members),
-		clients: newClients()}
+		clients: newClients(), linkFree: map[string]time.Duration{}, pace: proposeEvery}
 	c.cfg.CompactAfter = 8
 	for i := range members {
 		c.founders = append(c.founders, fmt.Sprintf("c%d", i))
@@ -135,7 +151,7 @@
 			p.disk.Self.Incarnation = c.rng.Uint64() | 1<<63
 		}
 	}
-	p.machine = &register{}
+	p.machine = &register{ballast: c.ballast}
 	p.node = New(c.cfg, load(p.disk), p.machine, c.contacts, c.now)
 	life := p.life
 	var tick func()
@@ -201,6 +217,8 @@
 		if name, mine := p.waiting[entry.Hash]; mine {
 			delete(p.waiting, entry.Hash)
 			c.acked = append(c.acked, name)
+			c.longest = max(c.longest, c.now-c.lastAck)
+			c.lastAck = c.now
 			c.clients.acked[name] = c.now
 			c.auditAcknowledged(p, entry)
 		}
@@ -275,6 +293,11 @@
 		return
 	}
 	delay := time.Millisecond + time.Duration(c.rng.Int64N(int64(2*time.Millisecond)))
+	if size := proto.Size(message); c.rate > 0 && size > largeMessage {
+		free := max(c.linkFree[from+">"+to], c.now) + time.Duration(float64(size)/float64(c.rate)*float64(time.Second))
+		c.linkFree[from+">"+to] = free
+		delay += free - c.now
+	}
 	for _, p := range c.processes {
 		if p.address != to {
 			continue
@@ -298,8 +321,11 @@
 		c.proposed++
 		name := fmt.Sprintf("o%d", c.proposed)
 		c.clients.called[name] = c.now
-		entry, out := p.node.Propose(c.now, []*api.Operation{{Kind: &api.Operation_Evacuation{
-			Evacuation: &api.SetEvacuation{Zone: name}}}})
+		operations := []*api.Operation{{Kind: &api.Operation_Evacuation{Evacuation: &api.SetEvacuation{Zone: name}}}}
+		if len(c.padding) > 0 {
+			operations = append(operations, &api.Operation{Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{Document: c.padding}}})
+		}
+		entry, out := p.node.Propose(c.now, operations)
 		p.waiting[entry.Hash] = name
 		c.carryOut(p, out)
 		return
@@ -318,7 +344,7 @@
 				c.nextRead = c.now + readEvery
 				c.read()
 			}
-			next += proposeEvery
+			next += c.pace
 			continue
 		}
 		e := heap.Pop(&c.queue).(event)
--- a/internal/system/chain/views.go
+++ b/internal/system/chain/views.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -14,7 +15,7 @@
 	instance uint64
 	ballot   *api.Ballot
 	members  []*api.Member // of the view that is proposed, unless another was accepted
-	joining  *api.Member   // who is taken into the chain; nil: nobody
+	change   change        // of the chain
 	since    time.Duration
 	promises map[string]*api.Promise
 	enough   time.Duration // when a majority had promised; 0: not yet
@@ -22,10 +23,15 @@
 	accepted map[string]bool
 }
 
+// change is who is taken into the chain and who is let go of; nil: nobody.
+type change struct {
+	joining, leaving *api.Member
+}
+
 // propose begins to have another view agreed.
-func (n *Node) propose(reason string, members []*api.Member, joining *api.Member) {
+func (n *Node) propose(reason string, members []*api.Member, wanted change) {
 	n.highest++
-	n.proposal = &proposal{instance: n.durable.View.Number + 1, members: members, joining: joining, since: n.now,
+	n.proposal = &proposal{instance: n.durable.View.Number + 1, members: members, change: wanted, since: n.now,
 		ballot:   &api.Ballot{Round: n.highest, Proposer: Key(n.durable.Self)},
 		promises: map[string]*api.Promise{}, accepted: map[string]bool{}}
 	n.note(fmt.Sprintf("proposes view %d: %s", n.proposal.instance, reason))
@@ -128,39 +134,108 @@
 }
 
 // choose gives the view to propose: one that may have been agreed already, or else a
-// chain of those that have promised, the furthest log first.
+// chain of those that have promised, the furthest log first. nil: there is none.
 func (n *Node) choose() *api.View {
-	p := n.proposal
-	var accepted *api.Promise
+	if agreed := n.proposal.highestAccepted(); agreed != nil {
+		return agreed
+	}
+	candidates := n.candidates()
+	if len(candidates) == 0 {
+		return nil
+	}
+	head := n.furthest(candidates)
+	if head == nil {
+		return nil // only who leaves has all that may have been acknowledged
+	}
+	chain := n.chainBehind(head, candidates)
+	if len(chain) < majority(len(n.proposal.members)) {
+		return nil
+	}
+	return &api.View{Number: n.proposal.instance, Members: n.proposal.members, Chain: chain}
+}
+
+// highestAccepted is the view accepted under the highest ballot that promises name, or nil.
+func (p *proposal) highestAccepted() *api.View {
+	var highest *api.Promise
 	for _, promise := range p.promises {
-		if promise.AcceptedView != nil && (accepted == nil || ballotLess(accepted.AcceptedBallot, promise.AcceptedBallot)) {
-			accepted = promise
+		if promise.AcceptedView != nil && (highest == nil || ballotLess(highest.AcceptedBallot, promise.AcceptedBallot)) {
+			highest = promise
 		}
 	}
-	if accepted != nil {
-		return accepted.AcceptedView
-	}
-	var chain []*api.Member
+	return highest.GetAcceptedView()
+}
+
+// candidates are the members to be that have promised: those of the chain first, in its order.
+func (n *Node) candidates() []*api.Member {
+	var found []*api.Member
 	for _, member := range slices.Concat(n.durable.View.Chain, n.durable.View.Members) {
-		if p.promises[Key(member)] != nil && contains(p.members, member) && !contains(chain, member) {
-			chain = append(chain, member)
+		promised := n.proposal.promises[Key(member)] != nil
+		if promised && contains(n.proposal.members, member) && !contains(found, member) {
+			found = append(found, member)
 		}
 	}
-	if p.joining != nil && !contains(chain, p.joining) && contains(p.members, p.joining) && n.hears(p.joining) {
-		chain = append(chain, p.joining)
+	leaving := n.proposal.change.leaving
+	if leaving != nil && !contains(found, leaving) && n.proposal.promises[Key(leaving)] != nil {
+		found = append(found, leaving) // what its log holds counts, also where it is no member to be
 	}
-	if len(chain) < majority(len(p.members)) {
+	return found
+}
+
+// furthest is the candidate whose log reaches furthest, but for who leaves; nil where that one
+// alone reaches so far.
+func (n *Node) furthest(candidates []*api.Member) *api.Member {
+	position := func(member *api.Member) *api.Position { return n.proposal.promises[Key(member)].Position }
+	var head, leaving *api.Member
+	for _, member := range candidates {
+		switch {
+		case n.proposal.change.leaving != nil && sameMember(member, n.proposal.change.leaving):
+			leaving = member
+		case head == nil || positionLess(position(head), position(member)):
+			head = member
+		}
+	}
+	if head != nil && leaving != nil && positionLess(position(head), position(leaving)) {
 		return nil
 	}
-	furthest := 0
-	for i, member := range chain {
-		promise, best := p.promises[Key(member)], p.promises[Key(chain[furthest])]
-		if promise != nil && positionLess(best.Position, promise.Position) {
-			furthest = i
+	return head
+}
+
+// chainBehind makes a chain of candidates. Members from outside the old chain whose logs are far
+// behind are taken only where a majority needs them: the chain is out of service until they have all.
+func (n *Node) chainBehind(head *api.Member, candidates []*api.Member) []*api.Member {
+	chain := []*api.Member{head}
+	var far []*api.Member
+	for _, member := range candidates {
+		switch {
+		case sameMember(member, head) || n.proposal.change.leaving != nil && sameMember(member, n.proposal.change.leaving):
+		case contains(n.durable.View.Chain, member) || n.isNear(member, head):
+			chain = append(chain, member)
+		default:
+			far = append(far, member)
 		}
 	}
-	head := chain[furthest]
-	return &api.View{Number: p.instance, Members: p.members, Chain: append([]*api.Member{head}, without(chain, head)...)}
+	joining := n.proposal.change.joining
+	if joining != nil && !contains(chain, joining) && contains(n.proposal.members, joining) && n.hears(joining) {
+		chain = append(chain, joining)
+		far = without(far, joining)
+	}
+	slices.SortStableFunc(far, func(a, b *api.Member) int {
+		return cmp.Compare(n.promisedSequence(b), n.promisedSequence(a))
+	})
+	for len(far) > 0 && len(chain) < majority(len(n.proposal.members)) {
+		chain, far = append(chain, far[0]), far[1:]
+	}
+	return chain
+}
+
+// promisedSequence is how long a member's log was when it promised.
+func (n *Node) promisedSequence(member *api.Member) uint64 {
+	return n.proposal.promises[Key(member)].GetPosition().GetSequence()
+}
+
+// isNear tells whether a member lacks little of a head's log.
+func (n *Node) isNear(member, head *api.Member) bool {
+	return n.promisedSequence(member)+n.cfg.NearEntries >= n.promisedSequence(head)
 }
 
 // accept votes for a view.
@@ -217,7 +292,7 @@
 	n.durable.View = view
 	n.durable.Promised, n.durable.AcceptedBallot, n.durable.AcceptedView = nil, nil, nil
 	n.out.Save.View, n.out.Save.Vote = true, true
-	n.proposal, n.troubled, n.syncing = nil, 0, nil
+	n.proposal, n.troubled, n.syncing, n.catchUp = nil, 0, nil, nil
 	clear(n.confirms)
 	for _, p := range n.peers {
 		p.behind = true // until they say otherwise
--- a/internal/system/chain/votes_test.go
+++ b/internal/system/chain/votes_test.go
@@ -97,7 +97,7 @@
 func (c *cluster) beginProposal(p *process, members []*api.Member) *proposal {
 	c.t.Helper()
 	p.node.now = c.now
-	p.node.propose("a story", members, nil)
+	p.node.propose("a story", members, change{})
 	out := p.node.take()
 	out.Send = nil
 	c.carryOut(p, out)
