Carry large messages between control processes in parts, and bound what waits in bytes

Logs, feeds and mailboxes were bounded in number alone.

Change: messages above 32 KiB go in parts that are sent again one by one; small ones pass between them. A reader's feed keeps 256 entries and 1 MiB at most. The simulated network has a rate and a window that holds writers up.

--- /dev/null
+++ b/internal/system/control/fragments_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"marlreel/internal/system/api"
+)
+
+// largeMessage is a message of so many bytes and a few more.
+func largeMessage(size int, fill byte) *api.ChainMessage {
+	return &api.ChainMessage{ViewNumber: uint64(fill), Body: &api.ChainMessage_CatchUp{CatchUp: &api.CatchUp{
+		Snapshot: &api.Snapshot{State: &api.State{Document: bytes.Repeat([]byte{fill}, size)}}}}}
+}
+
+// carry sends a message in parts until it is over; lost tells which calls get no answer, and whether the part
+// has arrived all the same.
+func carry(t *testing.T, out *outgoing, in *incoming, lost func(call int) (noAnswer, arrives bool)) (got *api.ChainMessage, calls int) {
+	t.Helper()
+	for ; calls < 1000; calls++ {
+		noAnswer, arrives := lost(calls)
+		var err error
+		if !noAnswer || arrives {
+			var message *api.ChainMessage
+			if message, err = in.take(out.next()); message != nil {
+				got = message
+			}
+		}
+		if noAnswer {
+			err = errNoAnswer
+		}
+		if out.done(err) {
+			return got, calls + 1
+		}
+	}
+	t.Fatal("it does not end")
+	return nil, 0
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func TestAMessageComesInParts(t *testing.T) {
+	peers := &Peers{life: 7}
+	for name, lost := range map[string]func(call int) (bool, bool){
+		"nothing is lost":                 func(int) (bool, bool) { return false, false },
+		"every second part is lost":       func(call int) (bool, bool) { return call%2 == 0, false },
+		"every second answer is lost":     func(call int) (bool, bool) { return call%2 == 0, true },
+		"the first answer is lost thrice": func(call int) (bool, bool) { return call < 3, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, size := range []int{fragmentSize, 3*fragmentSize - 100, 10 * fragmentSize} {
+				message := largeMessage(size, 3)
+				got, calls := carry(t, peers.divide(message), newIncoming(), lost)
+				is.True(proto.Equal(got, message))
+				is.True(calls >= size/fragmentSize)
+			}
+		})
+	}
+}
+
+// A receiver that was restarted in between refuses the rest, and the sender gives that message up.
+func TestARestartedReceiverRefusesTheRest(t *testing.T) {
+	is := is.New(t)
+	out := (&Peers{life: 7}).divide(largeMessage(4*fragmentSize, 1))
+	before := newIncoming()
+	_, err := before.take(out.next())
+	is.NoErr(err)
+	is.Equal(out.done(err), false)
+	_, err = newIncoming().take(out.next())
+	is.True(err != nil)
+	is.True(out.done(err))
+}
+
+// Parts of another message, of another sender or out of order never mix.
+func TestPartsDoNotMix(t *testing.T) {
+	is := is.New(t)
+	in := newIncoming()
+	first, second := &Peers{life: 1}, &Peers{life: 2}
+	a, b := first.divide(largeMessage(2*fragmentSize, 1)), second.divide(largeMessage(2*fragmentSize, 2))
+	for _, out := range []*outgoing{a, b, b, a, a, b} { // three parts each
+		message, err := in.take(out.next())
+		is.NoErr(err)
+		if out.done(err) {
+			is.Equal(message.ViewNumber, uint64(message.GetCatchUp().Snapshot.State.Document[0]))
+		}
+	}
+	is.Equal(len(in.partial), 0)
+
+	// A newer message of the same sender takes the place of the older one.
+	old, newer := first.divide(largeMessage(2*fragmentSize, 1)), first.divide(largeMessage(2*fragmentSize, 4))
+	_, err := in.take(old.next())
+	is.NoErr(err)
+	is.Equal(old.done(err), false)
+	got, _ := carry(t, newer, in, func(int) (bool, bool) { return false, false })
+	is.Equal(got.ViewNumber, uint64(4))
+	_, err = in.take(old.next())
+	is.True(err != nil)
+}
+
+func TestFragmentsAreBounded(t *testing.T) {
+	is := is.New(t)
+	in := newIncoming()
+	for _, wrong := range []*api.Fragment{
+		{Sender: 1, Message: 1, Total: largestFragmented + 1, Data: []byte{1}},
+		{Sender: 1, Message: 1, Total: 1, Data: []byte{1, 2}},
+		{Sender: 1, Message: 1, Total: 4},
+		{Sender: 1, Message: 1, Total: 1, Data: []byte{0xff}}, // no message
+	} {
+		_, err := in.take(wrong)
+		var refused twirp.Error
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Code(), twirp.InvalidArgument)
+	}
+	for sender := range uint64(3 * mostSenders) {
+		_, err := in.take(&api.Fragment{Sender: sender, Message: 1, Total: 2, Data: []byte{1}})
+		is.NoErr(err)
+	}
+	is.Equal(len(in.partial), mostSenders)
+}
+
+// Small messages pass large ones, and both are bounded.
+func TestSmallMessagesPassLargeOnes(t *testing.T) {
+	is := is.New(t)
+	box := &mailbox{wake: make(chan struct{}, 1)}
+	for number := range uint64(2 * mostWaiting) {
+		box.put(&api.ChainMessage{ViewNumber: number})
+		box.put(largeMessage(fragmentSize, byte(number)))
+	}
+	is.Equal(len(box.small), mostWaiting)
+	is.Equal(len(box.large), mostLargeWaiting)
+	is.Equal(box.takeSmall()[0].ViewNumber, uint64(mostWaiting)) // the oldest have gone
+	is.True(box.takeLarge() != nil)
+	for range 40 {
+		box.put(largeMessage(fragmentSize/2, 1))
+	}
+	size := 0
+	for _, message := range box.takeSmall() {
+		size += proto.Size(message)
+	}
+	is.True(size > 0 && size <= largestCall)
+}
--- a/internal/system/control/peers.go
+++ b/internal/system/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,31 +16,40 @@
 )
 
 const (
-	// mostWaiting is how many messages wait for one peer; beyond it the oldest go.
+	// mostWaiting is how many small messages wait for one peer; beyond it the oldest go.
 	mostWaiting = 256
-	// deliverTimeout is how long a delivery to a peer may take.
+	// mostLargeWaiting is the same for large ones, which are sent again by the chain.
+	mostLargeWaiting = 4
+	// largestCall bounds the messages of one call, in bytes.
+	largestCall = 128 << 10
+	// deliverTimeout is how long a delivery to a peer may take. A call of the largest size needs a
+	// link of 2.6 Mbit/s for that.
 	deliverTimeout = 400 * time.Millisecond
 )
 
 // Peers sends messages to other members: heartbeats as datagrams, which may be lost, and
-// all else over a goroutine for each member.
+// all else over a goroutine for each member. Large messages go in parts, between which
+// small ones pass: votes and acknowledgements don't wait for a snapshot.
 type Peers struct {
 	client *transport.Client
 	socket net.PacketConn // nil: heartbeats go like the rest
+	life   uint64
 	mu     sync.Mutex
 	boxes  map[string]*mailbox
 	ctx    context.Context
 }
 
+// mailbox is what waits for a peer.
 type mailbox struct {
-	mu       sync.Mutex
-	messages []*api.ChainMessage
-	wake     chan struct{}
+	mu    sync.Mutex
+	small []*api.ChainMessage
+	large []*api.ChainMessage
+	wake  chan struct{}
 }
 
 // NewPeers makes a sender that ends with ctx.
 func NewPeers(ctx context.Context, client *transport.Client, socket net.PacketConn) *Peers {
-	return &Peers{client: client, socket: socket, boxes: map[string]*mailbox{}, ctx: ctx}
+	return &Peers{client: client, socket: socket, life: rand.Uint64(), boxes: map[string]*mailbox{}, ctx: ctx}
 }
 
 // largestDatagram fits into a packet.
@@ -51,18 +61,52 @@
 		return
 	}
 	box := p.box(message.To.GetAddress())
-	box.mu.Lock()
-	if len(box.messages) >= mostWaiting {
-		box.messages = box.messages[1:]
-	}
-	box.messages = append(box.messages, message)
-	box.mu.Unlock()
+	box.put(message)
 	select {
 	case box.wake <- struct{}{}:
 	default:
 	}
 }
 
+// put adds a message behind those that wait.
+func (b *mailbox) put(message *api.ChainMessage) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if proto.Size(message) > fragmentSize {
+		b.large = append(b.large, message)
+		b.large = b.large[max(0, len(b.large)-mostLargeWaiting):]
+		return
+	}
+	b.small = append(b.small, message)
+	b.small = b.small[max(0, len(b.small)-mostWaiting):]
+}
+
+// takeSmall takes the small messages that go in one call.
+func (b *mailbox) takeSmall() []*api.ChainMessage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size, taken := 0, 0
+	for taken < len(b.small) && (taken == 0 || size+proto.Size(b.small[taken]) <= largestCall) {
+		size += proto.Size(b.small[taken])
+		taken++
+	}
+	messages := b.small[:taken:taken]
+	b.small = b.small[taken:]
+	return messages
+}
+
+// takeLarge takes a large message, or nil.
+func (b *mailbox) takeLarge() *api.ChainMessage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.large) == 0 {
+		return nil
+	}
+	message := b.large[0]
+	b.large = b.large[1:]
+	return message
+}
+
 // sendDatagram tells whether a message went out in one packet.
 func (p *Peers) sendDatagram(message *api.ChainMessage) bool {
 	if p.socket == nil {
@@ -108,25 +152,40 @@
 	return box
 }
 
-// deliver hands a peer its messages, as many at a time as wait.
+// deliver hands a peer its messages: the small ones that wait, then a part of a large one, and so on.
 func (p *Peers) deliver(address string, box *mailbox) {
 	peer := api.NewChainPeerProtobufClient("http://"+address, p.client)
-	for {
-		select {
-		case <-box.wake:
-		case <-p.ctx.Done():
-			return
+	var parts *outgoing
+	for p.ctx.Err() == nil {
+		if messages := box.takeSmall(); len(messages) > 0 {
+			// What is lost is sent again by the chain.
+			_ = p.call(peer, &api.ChainBatch{Messages: messages})
+			continue
+		}
+		if parts == nil {
+			parts = p.divide(box.takeLarge())
 		}
-		box.mu.Lock()
-		messages := box.messages
-		box.messages = nil
-		box.mu.Unlock()
-		if len(messages) == 0 {
+		if parts == nil {
+			select {
+			case <-box.wake:
+			case <-p.ctx.Done():
+			}
 			continue
 		}
-		ctx, cancel := context.WithTimeout(p.ctx, deliverTimeout)
-		// What is lost is sent again by the chain.
-		_, _ = peer.Deliver(ctx, &api.ChainBatch{Messages: messages})
-		cancel()
+		if parts.done(p.call(peer, &api.ChainBatch{Fragment: parts.next()})) {
+			parts = nil
+			continue
+		}
+		if !parts.failing.IsZero() {
+			pause(p.ctx, fragmentPause)
+		}
 	}
 }
+
+// call makes one call.
+func (p *Peers) call(peer api.ChainPeer, batch *api.ChainBatch) error {
+	ctx, cancel := context.WithTimeout(p.ctx, deliverTimeout)
+	defer cancel()
+	_, err := peer.Deliver(ctx, batch)
+	return err
+}
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -42,7 +42,8 @@
 	go receiveDatagrams(socket, keeper.Deliver)
 	self := &api.ControlNode{Address: settings.PeerAddress(), Zone: settings.Zone, PublicAddress: settings.Listen.Control}
 	registry := NewRegistry(self, out, settings.BeatInterval(), client)
-	service := &Service{keeper: keeper, registry: registry, feed: out, self: settings.PeerAddress(), client: client}
+	service := &Service{keeper: keeper, registry: registry, feed: out, self: settings.PeerAddress(), client: client,
+		incoming: newIncoming()}
 	members := &memberList{seeds: settings.SeedPeers}
 	service.owners = newOwners(settings.Bounds, out, func() bool { return members.isHead(settings.PeerAddress()) },
 		func(operation *api.Operation) bool { return service.Order(operation).Code.Done() }, log)
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -32,11 +32,23 @@
 	feed     *feed.Store
 	self     string
 	client   *transport.Client
+	incoming *incoming // messages of other members that come in parts
 }
 
 // Deliver implements api.ChainPeer.
 func (s *Service) Deliver(_ context.Context, batch *api.ChainBatch) (*api.Empty, error) {
-	s.keeper.Deliver(batch.Messages)
+	if len(batch.Messages) > 0 {
+		s.keeper.Deliver(batch.Messages)
+	}
+	if batch.Fragment != nil {
+		message, err := s.incoming.take(batch.Fragment)
+		if err != nil {
+			return nil, err
+		}
+		if message != nil {
+			s.keeper.Deliver([]*api.ChainMessage{message})
+		}
+	}
 	return &api.Empty{}, nil
 }
 
--- a/internal/system/feed/feed_test.go
+++ b/internal/system/feed/feed_test.go
@@ -151,3 +151,25 @@
 	s.keep(Topics{TopicState})
 	is.Equal(s.of(nil), Standing{Fresh: true, Established: true})
 }
+
+// What is kept for readers that lag is bounded in bytes too; who lags further gets the whole state.
+func TestEntriesForReadersThatLagAreBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	source := New("source", time.Now)
+	const size = mostEntryBytes / 8
+	add := func(sequence uint64, size int) {
+		change := &api.Operation{Kind: &api.Operation_Modify{Modify: &api.ModifyConfiguration{Change: make([]byte, size)}}}
+		source.Append([]*api.Entry{{Sequence: sequence, PreviousHash: sequence, Hash: sequence + 1, Operations: []*api.Operation{change}}})
+	}
+	for sequence := uint64(1); sequence <= 20; sequence++ {
+		add(sequence, size)
+		is.True(len(source.entries) <= 8)
+	}
+	near := source.since(&api.WatchRequest{Sequence: 18, Hash: 19})
+	is.Equal(len(near.Entries), 2)
+	is.True(near.State == nil)
+	far := source.since(&api.WatchRequest{Sequence: 2, Hash: 3})
+	is.True(far.State != nil)
+	add(21, 2*mostEntryBytes)
+	is.Equal(len(source.entries), 1) // the last one is kept whatever its size
+}
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -9,12 +9,18 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"marlreel/internal/system/api"
 	"marlreel/internal/system/state"
 )
 
-// mostEntries is how many of the last entries are kept for readers that lag.
-const mostEntries = 256
+const (
+	// mostEntries is how many of the last entries are kept for readers that lag.
+	mostEntries = 256
+	// mostEntryBytes bounds these entries; the last one is kept whatever its size.
+	mostEntryBytes = 1 << 20
+)
 
 // Store is the newest that is known. All methods may be called by any goroutine.
 type Store struct {
@@ -145,15 +151,28 @@
 		s.entries = append(s.entries, entry)
 		grown = true
 	}
-	if extra := len(s.entries) - mostEntries; extra > 0 {
-		s.entries = slices.Clone(s.entries[extra:])
-	}
+	s.dropOldEntries()
 	if grown {
 		s.dropRetired()
 		s.touchState()
 	}
 }
 
+// dropOldEntries keeps what is kept for readers that lag within its bounds.
+func (s *Store) dropOldEntries() {
+	kept, size := 0, 0
+	for kept < min(len(s.entries), mostEntries) {
+		size += proto.Size(s.entries[len(s.entries)-1-kept])
+		if kept > 0 && size > mostEntryBytes {
+			break
+		}
+		kept++
+	}
+	if extra := len(s.entries) - kept; extra > 0 {
+		s.entries = slices.Clone(s.entries[extra:])
+	}
+}
+
 // Reset sets the replicated state, unless what is known is newer.
 func (s *Store) Reset(sequence, hash uint64, from *api.State) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/system/simcluster/catchup_test.go
@@ -0,0 +1,103 @@
+package simcluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/testr"
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/control"
+	"marlreel/internal/system/simnet"
+)
+
+const (
+	// slowLink is 10 Mbit/s, in bytes a second.
+	slowLink = 1_250_000
+	// largeDocument is a configuration of 2 MB.
+	largeDocument = 2 << 20
+)
+
+// startControls makes a cluster of control processes alone.
+func startControls(t *testing.T, controls int) *Cluster {
+	t.Helper()
+	log := logr.Discard()
+	if testing.Verbose() {
+		log = testr.New(t)
+	}
+	return New(Config{Controls: controls, Zones: zones, Log: log,
+		Net: simnet.Config{Delay: time.Millisecond, Jitter: time.Millisecond, Seed: 1}})
+}
+
+// padded is the configuration with a field that makes it so many bytes longer.
+func padded(size int) func(version uint64) string {
+	return func(version uint64) string {
+		return strings.Replace(document(version), `{"config_version"`, `{"remark":"`+strings.Repeat("x", size)+`","config_version"`, 1)
+	}
+}
+
+// standing is a control process's word on itself, or nil.
+func (c *Cluster) standing(m *Machine) *control.Status {
+	var status control.Status
+	code, answer, err := c.callOne(m, "GET", "/marlreel/status", "", "")
+	if err != nil || code != 200 || json.Unmarshal([]byte(answer), &status) != nil {
+		return nil
+	}
+	return &status
+}
+
+// change has a small change made on top of the newest version, and gives how long that took.
+func (c *Cluster) change(t *testing.T, patience time.Duration) time.Duration {
+	t.Helper()
+	began := time.Now()
+	body := fmt.Sprintf(`{"config_version":%d,"upsert":{"route_list":[{"name":"r","host":"r.example","path_prefix":"/r%d/",`+
+		`"route_class":"unsafe","timeout_ms":900,"service":"slips","max_attempts":1}]}}`, c.versions+1, c.versions)
+	status, answer, err := c.Call("POST", "/marlreel/config/modify", fmt.Sprint(c.versions), body, patience)
+	if err != nil || status != 200 {
+		t.Fatalf("a change after %v: %d %s %v", time.Since(began), status, answer, err)
+	}
+	c.versions++
+	return time.Since(began)
+}
+
+// A control process whose disk was lost takes in a state of 2 MB over 10 Mbit/s while changes go on.
+func TestALargeStateComesOverASlowLink(t *testing.T) {
+	for place := range 3 {
+		t.Run(fmt.Sprint(place), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startControls(t, 3)
+				defer c.Stop()
+				status, _, err := c.Configure(padded(largeDocument), 10*time.Second)
+				is.NoErr(err)
+				is.Equal(status, 200)
+				c.Pass(time.Second)
+				c.Net.SetRate(slowLink)
+				m := c.Controls[place]
+				m.Kill()
+				m.Wipe()
+				c.Pass(time.Second)
+				m.Start()
+				began, longest := time.Now(), time.Duration(0)
+				for {
+					longest = max(longest, c.change(t, 10*time.Second))
+					if s := c.standing(m); s != nil && s.Connected {
+						break
+					}
+					if time.Since(began) > 15*time.Second {
+						t.Fatal("it is not back after 15 s")
+					}
+					c.Pass(100 * time.Millisecond)
+				}
+				t.Logf("back after %v, the longest change took %v", time.Since(began), longest)
+				is.True(time.Since(began) > time.Second) // the state does take that long
+				is.True(longest < time.Second)
+			})
+		})
+	}
+}
--- a/internal/system/simnet/conn.go
+++ b/internal/system/simnet/conn.go
@@ -10,7 +10,7 @@
 )
 
 // window is how many bytes may be under way in one direction.
-const window = 1 << 20
+const window = 256 << 10
 
 // stream is one direction of a connection.
 type stream struct {
@@ -45,7 +45,7 @@
 func (s *stream) put(data []byte) {
 	at := time.Now()
 	if s.from != s.to {
-		at = at.Add(s.network.delay())
+		at = at.Add(s.network.occupy(s.from, len(data)) + s.network.delay())
 	}
 	if n := len(s.pieces); n > 0 && s.pieces[n-1].at.After(at) {
 		at = s.pieces[n-1].at
@@ -186,6 +186,18 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.writeSome(p[written:])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// writeSome writes what there is room for, once there is some.
+func (c *conn) writeSome(p []byte) (int, error) {
 	for {
 		left, limited, moved := c.write.left()
 		if limited && left <= 0 {
@@ -201,7 +213,8 @@
 			c.out.mu.Unlock()
 			return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.EPIPE}
 		}
-		if c.out.bytes < window {
+		if room := window - c.out.bytes; room > 0 {
+			p = p[:min(room, len(p))]
 			c.out.put(append([]byte(nil), p...))
 			c.out.mu.Unlock()
 			return len(p), nil
--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -22,6 +22,9 @@
 	Jitter time.Duration // more, drawn for each
 	Loss   float64       // of datagrams
 	Seed   uint64
+	// Rate is how many bytes a second a machine sends; 0: any number. Datagrams that would wait
+	// for longer than fullLink are lost.
+	Rate int
 }
 
 // Network is a network. Any goroutine may use it.
@@ -33,13 +36,42 @@
 	cuts      map[[2]string]bool  // from, to: nothing passes
 	changed   chan struct{}       // closed when a cut begins or ends
 	nextPorts map[string]int
+	linkFree  map[string]time.Time // when a machine has sent what it was given
 	traffic   trafficCounter
 }
 
 // New makes a network without machines.
 func New(cfg Config) *Network {
 	return &Network{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 3)), machines: map[string]*Machine{},
-		cuts: map[[2]string]bool{}, changed: make(chan struct{}), nextPorts: map[string]int{}}
+		cuts: map[[2]string]bool{}, changed: make(chan struct{}), nextPorts: map[string]int{},
+		linkFree: map[string]time.Time{}}
+}
+
+// fullLink is how long a datagram waits at most for a link that is in use.
+const fullLink = 100 * time.Millisecond
+
+// occupy uses a machine's link for so many bytes, and gives how long it takes until they are sent.
+func (n *Network) occupy(ip string, size int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cfg.Rate <= 0 {
+		return 0
+	}
+	now := time.Now()
+	free := n.linkFree[ip]
+	if free.Before(now) {
+		free = now
+	}
+	free = free.Add(time.Duration(float64(size) / float64(n.cfg.Rate) * float64(time.Second)))
+	n.linkFree[ip] = free
+	return free.Sub(now)
+}
+
+// busyFor is how long a machine's link is in use by what it was given.
+func (n *Network) busyFor(ip string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Until(n.linkFree[ip])
 }
 
 // Machine is one address of a network. It implements host.Network.
@@ -91,6 +123,13 @@
 	n.cfg.Loss = part
 }
 
+// SetRate sets how many bytes a second a machine sends; 0: any number.
+func (n *Network) SetRate(rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cfg.Rate = rate
+}
+
 // passes tells whether a cut is in the way, and what is closed when cuts change.
 func (n *Network) passes(from, to string) (bool, <-chan struct{}) {
 	n.mu.Lock()
@@ -329,11 +368,12 @@
 	n.mu.Lock()
 	lost := s.machine.killed || n.rng.Float64() < n.cfg.Loss || n.cuts[[2]string{s.machine.ip, host}]
 	n.mu.Unlock()
-	if lost {
+	if lost || n.busyFor(s.machine.ip) > fullLink {
 		return len(p), nil
 	}
+	queued := n.occupy(s.machine.ip, len(p))
 	n.traffic.add(Flow{From: s.machine.ip, To: host, Server: to.String(), Kind: "udp"}, len(p))
-	time.AfterFunc(n.delay(), func() {
+	time.AfterFunc(queued+n.delay(), func() {
 		n.mu.Lock()
 		var target *packetSocket
 		if m := n.machines[host]; m != nil && !n.cuts[[2]string{s.machine.ip, host}] {
