Make late grants of roles harmless, and never refuse a change that may be forgotten

Cause (by reading): a grant that arrives late, or twice, took the role from whoever was given it since, while that one's lease ran. A change that was taken 4,097 changes ago was refused with 412 when it was sent again: its digest was dropped.

Change: a grant names the token that it replaces and has no effect under another one. The state keeps the version up to which changes are forgotten; what was built before it is answered as unclear. A head waits from when it finds a holder that it did not know, and not from its own beginning alone: two views in a row within one look hid the head in between.

--- a/internal/system/control/owners.go
+++ b/internal/system/control/owners.go
@@ -45,6 +45,7 @@
 // roleState is what the head knows of a role that it has looked after.
 type roleState struct {
 	holder   string
+	seen     time.Time // when this head found the holder; another one may have granted it until then
 	granted  time.Time // by this head; zero: it was held before
 	renewed  time.Time // the last renewal that was answered; zero: none
 	released bool
@@ -77,7 +78,7 @@
 	defer o.mu.Unlock()
 	var held []*api.Ownership
 	for _, owned := range machine.Ownerships() {
-		if owned.Holder != holder || o.passes(owned.Key, holder) {
+		if owned.Holder != holder || o.passes(owned.Key, owned) {
 			continue
 		}
 		role := o.role(owned)
@@ -94,7 +95,7 @@
 func (o *owners) role(owned *api.Ownership) *roleState {
 	role := o.roles[owned.Key]
 	if role == nil || role.holder != owned.Holder {
-		role = &roleState{holder: owned.Holder}
+		role = &roleState{holder: owned.Holder, seen: time.Now()}
 		o.roles[owned.Key] = role
 	}
 	if role.ordered != nil { // it has come through
@@ -103,10 +104,12 @@
 	return role
 }
 
-// passes tells whether a grant to another holder is under way. Called with the lock.
-func (o *owners) passes(key, holder string) bool {
+// passes tells whether a grant is under way that takes a role from its holder, or from nobody.
+// Called with the lock.
+func (o *owners) passes(key string, owned *api.Ownership) bool {
 	role := o.roles[key]
-	return role != nil && role.ordered != nil && role.holder != holder
+	return role != nil && role.ordered != nil && role.holder != owned.GetHolder() &&
+		role.ordered.GetGrant().GetReplaces() == owned.GetFence()
 }
 
 // run looks after the roles until ctx ends.
@@ -162,7 +165,7 @@
 	var grants []*api.Operation
 	for _, key := range keys {
 		switch {
-		case o.passes(key, owned[key].GetHolder()):
+		case o.passes(key, owned[key]):
 			grants = append(grants, o.roles[key].ordered)
 		case o.vacant(owned[key], nodes):
 			grants = append(grants, o.grant(key, owned[key], nodes))
@@ -184,7 +187,9 @@
 	from, passed := candidates(nodes, passed)
 	node := ownership.Choose(key, from)
 	holder := ownership.Holder(node.Name, node.Incarnation)
-	operation := &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key, Holder: holder, Address: node.Address}}}
+	replaces := owned.GetFence()
+	operation := &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key, Holder: holder, Address: node.Address,
+		Replaces: &replaces}}}
 	o.roles[key] = &roleState{holder: holder, granted: time.Now(), passed: passed, ordered: operation}
 	return operation
 }
@@ -224,8 +229,8 @@
 	}
 	role := o.role(owned)
 	last := role.renewed
-	if role.granted.IsZero() && last.Before(o.since) {
-		last = o.since // whoever was head before may have answered until then
+	if role.granted.IsZero() && last.Before(role.seen) {
+		last = role.seen // whoever was head before may have answered until then
 	}
 	switch {
 	case !role.granted.IsZero() && role.renewed.IsZero():
--- a/internal/system/control/owners_test.go
+++ b/internal/system/control/owners_test.go
@@ -135,3 +135,26 @@
 		is.Equal(o.machine.Owner(llmKey).Fence, uint64(2))
 	})
 }
+
+// A grant that was ordered while somebody else gave the role away is not ordered any more, and holds up nobody's renewals.
+func TestAGrantThatWasOvertakenIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOwnersTrial(t)
+		o.look("a")
+		is.True(o.holds("a"))
+		time.Sleep(o.wait + time.Millisecond)
+		o.commits = false // the chain has trouble
+		o.look("a", "b")
+		overtaken := o.ordered[1]
+		is.Equal(overtaken.GetGrant().GetReplaces(), uint64(1))
+		other, replaces := ownership.Holder("c", 1), uint64(1)
+		o.commit(&api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: llmKey, Holder: other, Address: "c:1", Replaces: &replaces}}})
+		o.look("a", "b", "c")
+		is.Equal(len(o.ordered), 2)
+		is.True(o.holds("c"))
+		o.commit(overtaken) // it comes through in the end
+		is.Equal(o.holder(), other)
+		is.True(o.holds("c"))
+	})
+}
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -48,7 +48,7 @@
 // copyOf copies a state but for its document.
 func copyOf(s *api.State) *api.State {
 	return &api.State{Version: s.Version, Digests: slices.Clone(s.Digests), Evacuations: slices.Clone(s.Evacuations),
-		Retired: slices.Clone(s.Retired), Ownerships: slices.Clone(s.Ownerships), LastFence: s.LastFence}
+		Retired: slices.Clone(s.Retired), Ownerships: slices.Clone(s.Ownerships), LastFence: s.LastFence, ForgottenVersion: s.ForgottenVersion}
 }
 
 // State gives a copy of the state as a message.
@@ -141,7 +141,7 @@
 		return false, nil
 	}
 	if c.BaseVersion != m.state.Version {
-		return false, conflict(c.BaseVersion, m.state.Version)
+		return false, m.conflict(c.BaseVersion)
 	}
 	document, err := read(c.Document)
 	if err != nil {
@@ -156,7 +156,7 @@
 		return false, nil
 	}
 	if c.BaseVersion != m.state.Version || m.document == nil {
-		return false, conflict(c.BaseVersion, m.state.Version)
+		return false, m.conflict(c.BaseVersion)
 	}
 	document, err := m.document.Modify(c.Change)
 	if err != nil {
@@ -165,8 +165,14 @@
 	return m.put(document, digest)
 }
 
-func conflict(base, current uint64) *result.Error {
-	return result.Errorf(result.VersionConflict, "built on version %d, and %d is current", base, current)
+// conflict is the answer to a change on top of a version that is not current. What was built on a
+// version before the last one that is forgotten may have been taken: that is never refused.
+func (m *Machine) conflict(base uint64) *result.Error {
+	if base < m.state.ForgottenVersion {
+		return result.Errorf(result.Unclear, "built on version %d; which changes were taken up to version %d is not known any more",
+			base, m.state.ForgottenVersion)
+	}
+	return result.Errorf(result.VersionConflict, "built on version %d, and %d is current", base, m.state.Version)
 }
 
 // put takes a document in force.
@@ -177,6 +183,7 @@
 	m.state.Version, m.document = document.Version, document
 	m.state.Digests = append(m.state.Digests, &api.Digest{Version: document.Version, Sum: digest})
 	if extra := len(m.state.Digests) - mostDigests; extra > 0 {
+		m.state.ForgottenVersion = m.state.Digests[extra-1].Version
 		m.state.Digests = slices.Clone(m.state.Digests[extra:])
 	}
 	return true, nil
@@ -240,6 +247,13 @@
 	if g.Key == "" || g.Holder == "" {
 		return false, result.Errorf(result.InvalidField, "a key and a holder are needed")
 	}
+	// A grant that was decided on an earlier holder comes late, or a second time.
+	if held := m.Owner(g.Key); g.Replaces != nil && held.GetFence() != g.GetReplaces() {
+		if held.GetHolder() == g.Holder {
+			return false, nil
+		}
+		return false, result.Errorf(result.VersionConflict, "the role %s was under token %d, and is under %d", g.Key, g.GetReplaces(), held.GetFence())
+	}
 	m.state.LastFence++
 	owned := &api.Ownership{Key: g.Key, Holder: g.Holder, Address: g.Address, Fence: m.state.LastFence}
 	for i, o := range m.state.Ownerships {
--- a/internal/system/state/machine_test.go
+++ b/internal/system/state/machine_test.go
@@ -163,3 +163,68 @@
 		}
 	})
 }
+
+// A change that was taken is never refused, also once its digest is forgotten: then it is unclear.
+func TestAForgottenChangeIsNeverRefused(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	changes := make([]*api.Operation, 0, mostDigests+2)
+	for version := range uint64(mostDigests + 2) {
+		change := replace(version, document(version+1, "a"))
+		if version%2 == 1 {
+			change = modify(version, fmt.Sprintf(`{"config_version":%d}`, version+1))
+		}
+		changes = append(changes, change)
+		changed, failure := m.Do(change)
+		is.True(changed && failure == nil)
+	}
+	is.Equal(len(m.State().Digests), mostDigests)
+	check := func(m *Machine) {
+		t.Helper()
+		for number, change := range changes {
+			changed, failure := m.Do(change)
+			is.Equal(changed, false)
+			if number < 2 {
+				is.Equal(code(failure), result.Unclear) // forgotten
+				continue
+			}
+			is.Equal(failure, nil) // acknowledged again
+		}
+		// What is built on a version whose successor is remembered, and is not it, was not taken.
+		_, failure := m.Do(replace(2, document(99999, "b")))
+		is.Equal(code(failure), result.VersionConflict)
+		_, failure = m.Do(replace(1, document(99999, "b")))
+		is.Equal(code(failure), result.Unclear)
+	}
+	check(m)
+	restored := New()
+	restored.Restore(m.State()) // a snapshot carries what is forgotten
+	check(restored)
+}
+
+// conditional is a grant that replaces a token.
+func conditional(key, holder string, replaces uint64) *api.Operation {
+	operation := grant(key, holder)
+	operation.GetGrant().Replaces = &replaces
+	return operation
+}
+
+// A grant that comes late, or twice, takes a role from nobody who was given it since.
+func TestALateGrantHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	first := conditional("llm", "a", 0)
+	changed, failure := m.Do(first)
+	is.True(changed && failure == nil)
+	changed, failure = m.Do(first) // once more
+	is.True(!changed && failure == nil)
+	is.Equal(m.Owner("llm").Fence, uint64(1))
+	changed, failure = m.Do(conditional("llm", "b", 1))
+	is.True(changed && failure == nil)
+	changed, failure = m.Do(first) // after another one has the role
+	is.True(!changed)
+	is.Equal(code(failure), result.VersionConflict)
+	is.Equal(m.Owner("llm").Holder, "b")
+	changed, _ = m.Do(grant("llm", "c")) // of an earlier version's log
+	is.True(changed)
+}
