Take no order after its caller was answered, and pass a question for the head on once

Two processes that take each other for the head would have passed a renewal back and forth until their connections were used up.

Change: operations that are passed on carry a deadline by the head's own clock, which its answers tell; those that wait at the head have it too. Questions for the head are marked once they were passed on. Status names the chain.

--- /dev/null
+++ b/internal/system/control/clocks.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"marlreel/internal/system/api"
+)
+
+// clocks are the steady clocks of other processes, as they have told them. A deadline that is
+// said by the receiver's own clock holds however long the call is held up on its way.
+type clocks struct {
+	mu    sync.Mutex
+	known map[string]reading // by address
+}
+
+// reading is what a process has told of its clock.
+type reading struct {
+	instant *api.Instant
+	taken   time.Time // when the answer was here: the clock showed more by then
+}
+
+// mostClocks bounds the processes whose clocks are kept.
+const mostClocks = 64
+
+// note takes in what a process says of its clock.
+func (c *clocks) note(address string, instant *api.Instant) {
+	if instant == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known == nil || len(c.known) >= mostClocks {
+		c.known = map[string]reading{}
+	}
+	c.known[address] = reading{instant, time.Now()}
+}
+
+// at is a time by a process's clock, or a little before it; nil: its clock is not known.
+func (c *clocks) at(address string, at time.Time) *api.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, known := c.known[address]
+	if !known {
+		return nil
+	}
+	return &api.Instant{Life: r.instant.Life, Ns: r.instant.Ns + uint64(max(0, at.Sub(r.taken)))}
+}
--- a/internal/system/control/keeper.go
+++ b/internal/system/control/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -38,20 +39,35 @@
 	log      logr.Logger
 	events   chan func()
 	began    time.Time
+	life     uint64 // of this process
 	store    *store.Store
 	replica  *Replica // nil: there is no store
 	openAt   time.Time
+	leaving  bool // the process is about to end
 }
 
 // NewKeeper makes a keeper.
 func NewKeeper(machine *host.Host, sender Sender, out *feed.Store) *Keeper {
 	settings := machine.Settings
 	return &Keeper{machine: machine, settings: settings, config: chain.DefaultConfig(settings.TargetMembers()), sender: sender, feed: out,
-		log: machine.Log, events: make(chan func(), mostEvents), began: time.Now()}
+		life: mathrand.Uint64(), log: machine.Log, events: make(chan func(), mostEvents), began: time.Now()}
 }
 
 // now is the steady clock. It starts above 0.
-func (k *Keeper) now() time.Duration { return time.Since(k.began) + time.Second }
+func (k *Keeper) now() time.Duration { return k.clock(time.Now()) }
+
+// clock is a time on the steady clock.
+func (k *Keeper) clock(at time.Time) time.Duration { return at.Sub(k.began) + time.Second }
+
+// Instant is now, for other processes.
+func (k *Keeper) Instant() *api.Instant {
+	return &api.Instant{Life: k.life, Ns: uint64(k.now())}
+}
+
+// until reads what another process says of this one's clock; ok is false where it is of another life.
+func (k *Keeper) until(instant *api.Instant) (until time.Duration, ok bool) {
+	return time.Duration(instant.GetNs()), instant.GetLife() == k.life
+}
 
 // Run keeps the chain until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
@@ -120,9 +136,37 @@
 		}
 	}
 	k.replica = NewReplica(k.config, durable, k.settings.SeedPeers(), opened, k.sender, k.feed, k.log, k.now())
+	if k.leaving {
+		k.replica.Leave(k.now())
+	}
 	return nil
 }
 
+// leaveLook is how often it is looked whether the chain can do without this process.
+const leaveLook = 20 * time.Millisecond
+
+// Leave takes this process out of the chain, and waits until that can do without it or ctx ends.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.post(func() {
+		k.leaving = true
+		if k.replica != nil {
+			k.replica.Leave(k.now())
+		}
+	})
+	for ctx.Err() == nil {
+		left := make(chan bool, 1)
+		k.post(func() { left <- k.replica == nil || k.replica.Node().Left() })
+		select {
+		case over := <-left:
+			if over {
+				return
+			}
+		case <-ctx.Done():
+		}
+		pause(ctx, leaveLook)
+	}
+}
+
 // found gives an empty disk an identity: a founder's at the very first start of the
 // system, or else that of one who waits to be taken in.
 func (k *Keeper) found() (chain.Durable, error) {
@@ -162,14 +206,14 @@
 	})
 }
 
-// Submit has an operation done here, if this is the head.
-func (k *Keeper) Submit(operation *api.Operation, reply Reply) {
+// Submit has an operation done here, if this is the head and it comes before until.
+func (k *Keeper) Submit(operation *api.Operation, until time.Duration, reply Reply) {
 	posted := k.post(func() {
 		if k.replica == nil {
 			reply(result.Unavailable, "this process has no store")
 			return
 		}
-		k.replica.Submit(k.now(), operation, reply)
+		k.replica.Submit(k.now(), operation, until, reply)
 	})
 	if !posted {
 		reply(result.Unavailable, "too much waits")
@@ -197,6 +241,8 @@
 type Standing struct {
 	Head, Tail string   // addresses; "" is not known
 	Members    []string // addresses of all members
+	Chain      []string // addresses of those in the chain, the head first
+	Leaving    bool     // this process is about to end, and asks to be left out
 	Connected  bool     // in service, and a majority is heard
 	View       uint64
 	Committed  uint64
@@ -206,7 +252,7 @@
 // Standing asks the keeper's goroutine.
 func (k *Keeper) Standing(take func(Standing)) {
 	posted := k.post(func() {
-		s := Standing{NoStore: k.replica == nil}
+		s := Standing{NoStore: k.replica == nil, Leaving: k.leaving}
 		if k.replica != nil {
 			node := k.replica.Node()
 			s.Head, s.Tail = node.Head().GetAddress(), node.Tail().GetAddress()
@@ -215,6 +261,9 @@
 			for _, member := range node.View().Members {
 				s.Members = append(s.Members, member.Address)
 			}
+			for _, member := range node.View().Chain {
+				s.Chain = append(s.Chain, member.Address)
+			}
 		}
 		take(s)
 	})
--- a/internal/system/control/replica.go
+++ b/internal/system/control/replica.go
@@ -116,16 +116,28 @@
 	r.pump(now)
 }
 
-// Submit has an operation done. Only the head takes it.
-func (r *Replica) Submit(now time.Duration, operation *api.Operation, reply Reply) {
+// Submit has an operation done, unless that can't begin before until: its caller is answered by
+// then, and may have turned to another process. Only the head takes it.
+func (r *Replica) Submit(now time.Duration, operation *api.Operation, until time.Duration, reply Reply) {
+	if now >= until {
+		reply(result.Unavailable, "it has come too late")
+		return
+	}
 	if r.failure != nil || !r.node.InService() || !r.isHead() || len(r.queue) >= mostQueued {
 		reply(result.Unavailable, "this process is not the head of a chain in service")
 		return
 	}
-	r.queue = append(r.queue, &submission{operation: operation, reply: reply, until: now + submissionTimeout})
+	r.queue = append(r.queue, &submission{operation: operation, reply: reply, until: min(until, now+submissionTimeout)})
 	r.pump(now)
 }
 
+// Leave begins to take this process out of the chain.
+func (r *Replica) Leave(now time.Duration) {
+	if r.failure == nil {
+		r.carryOut(now, r.node.Leave(now))
+	}
+}
+
 // Read gives the newest state. Only the tail can.
 func (r *Replica) Read(now time.Duration, reply ReadReply) {
 	if r.failure != nil || !r.node.MayRead() {
@@ -154,7 +166,11 @@
 
 // pump takes what waits into the chain.
 func (r *Replica) pump(now time.Duration) {
-	if r.failure != nil || len(r.queue) == 0 || r.inFlight != nil || !r.node.MayPropose() {
+	if r.failure != nil || r.inFlight != nil || !r.node.MayPropose() {
+		return
+	}
+	r.refuseLate(now)
+	if len(r.queue) == 0 {
 		return
 	}
 	taken := r.queue[:min(len(r.queue), mostBatched)]
@@ -312,6 +328,11 @@
 			read.reply(result.Unavailable, nil)
 		}
 	}
+	r.refuseLate(now)
+}
+
+// refuseLate answers for operations whose time is over.
+func (r *Replica) refuseLate(now time.Duration) {
 	kept := r.queue[:0]
 	for _, s := range r.queue {
 		if now >= s.until {
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -26,10 +26,11 @@
 	shutdownPatience = time.Second
 )
 
-// Run is a control process until ctx ends.
-func Run(ctx context.Context, machine *host.Host) error {
+// Run is a control process until parent ends and the chain can do without it.
+func Run(parent context.Context, machine *host.Host) error {
 	settings, log := machine.Settings, machine.Log
-	ctx, cancel := context.WithCancel(ctx)
+	// The process serves on until the chain can do without it.
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	client := transport.NewClient(machine.Network.Dial)
 	out := feed.New(fmt.Sprintf("%s/%x", settings.NodeName, rand.Uint64()), time.Now)
@@ -70,7 +71,11 @@
 
 	var failed error
 	select {
-	case <-ctx.Done():
+	case <-parent.Done():
+		log.Info("leaves the chain", "event", "end")
+		leaving, over := context.WithTimeout(machine.Alive(), leavePatience(settings))
+		keeper.Leave(leaving)
+		over()
 	case failed = <-failures:
 	}
 	patience, stop := context.WithTimeout(context.Background(), shutdownPatience)
@@ -81,6 +86,13 @@
 	return multierr.Append(failed, peers.ShutdownWithContext(patience))
 }
 
+// leavePatience is how long a process that is told to end waits until the chain can do without it:
+// long enough for another member to take a state of some MB in, and within the platform's patience.
+func leavePatience(settings *boot.Settings) time.Duration {
+	const share, most = 2, 4 * time.Second
+	return min(boot.Seconds(settings.Bounds.GraceS)/share, most)
+}
+
 // memberList are the addresses of the control processes, as last known.
 type memberList struct {
 	mu      sync.Mutex
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -19,6 +19,8 @@
 	orderPatience = 850 * time.Millisecond
 	// attemptPause is the pause between two tries.
 	attemptPause = 40 * time.Millisecond
+	// forwardTimeout bounds a call that is passed on: its caller waits for no longer.
+	forwardTimeout = 600 * time.Millisecond
 	// longestWatch bounds how long a reader of the feed is kept waiting.
 	longestWatch = 10 * time.Second
 )
@@ -33,6 +35,7 @@
 	self     string
 	client   *transport.Client
 	incoming *incoming // messages of other members that come in parts
+	clocks   clocks    // of other control processes
 }
 
 // Deliver implements api.ChainPeer.
@@ -52,14 +55,21 @@
 	return &api.Empty{}, nil
 }
 
-// Submit implements api.Control: only the head answers otherwise than unavailable.
+// Submit implements api.Control: only the head answers otherwise than unavailable. What was held
+// up on its way is not taken: it has to say until when it may be, by the clock of this process.
 func (s *Service) Submit(ctx context.Context, request *api.SubmitRequest) (*api.SubmitReply, error) {
-	return s.submitHere(ctx, request.Operation), nil
+	until, ok := s.keeper.until(request.Until)
+	reply := &api.SubmitReply{Code: uint32(result.Unavailable), Detail: "until when it may be taken is not said by this process's clock"}
+	if ok && request.Operation != nil {
+		reply = s.submitHere(ctx, request.Operation, until)
+	}
+	reply.Clock = s.keeper.Instant()
+	return reply, nil
 }
 
-func (s *Service) submitHere(ctx context.Context, operation *api.Operation) *api.SubmitReply {
+func (s *Service) submitHere(ctx context.Context, operation *api.Operation, until time.Duration) *api.SubmitReply {
 	answers := make(chan *api.SubmitReply, 1)
-	s.keeper.Submit(operation, func(code result.Code, detail string) {
+	s.keeper.Submit(operation, until, func(code result.Code, detail string) {
 		answers <- &api.SubmitReply{Code: uint32(code), Detail: detail}
 	})
 	select {
@@ -119,7 +129,7 @@
 func (s *Service) Lease(ctx context.Context, request *api.LeaseRequest) (*api.LeaseReply, error) {
 	head := s.standing(ctx).Head
 	if head != "" && head != s.self {
-		return api.NewControlProtobufClient("http://"+head, s.client).Lease(ctx, request)
+		return s.forwardLease(ctx, head, request)
 	}
 	answers := make(chan *api.LeaseReply, 1)
 	s.keeper.Read(true, func(code result.Code, machine *state.Machine) {
@@ -138,6 +148,17 @@
 	}
 }
 
+// forwardLease passes the question on, once: two processes may each take the other one for the head.
+func (s *Service) forwardLease(ctx context.Context, head string, request *api.LeaseRequest) (*api.LeaseReply, error) {
+	if request.Forwarded {
+		return &api.LeaseReply{Code: uint32(result.Unavailable)}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	passed := &api.LeaseRequest{Holder: request.Holder, Release: request.Release, Forwarded: true}
+	return api.NewControlProtobufClient("http://"+head, s.client).Lease(ctx, passed)
+}
+
 // Observe implements api.Control. What an agent tells is passed on to the other control
 // processes.
 func (s *Service) Observe(_ context.Context, seen *api.Observations) (*api.Empty, error) {
@@ -181,17 +202,44 @@
 	return last
 }
 
+// submitAt has an operation done by the head, if it gets there before ctx ends.
 func (s *Service) submitAt(ctx context.Context, head string, operation *api.Operation) *api.SubmitReply {
+	deadline, _ := ctx.Deadline()
 	if head == s.self {
-		return s.submitHere(ctx, operation)
+		return s.submitHere(ctx, operation, s.keeper.clock(deadline))
+	}
+	until := s.clocks.at(head, deadline)
+	if until == nil {
+		until = s.askClock(ctx, head, deadline)
+	}
+	if until == nil {
+		return &api.SubmitReply{Code: uint32(result.Unavailable), Detail: "the head can't be reached"}
 	}
-	reply, err := api.NewControlProtobufClient("http://"+head, s.client).Submit(ctx, &api.SubmitRequest{Operation: operation})
+	reply, err := s.submitTo(ctx, head, &api.SubmitRequest{Operation: operation, Until: until})
 	if err != nil {
 		return &api.SubmitReply{Code: uint32(result.Unclear), Detail: "the head can't be reached"}
 	}
 	return reply
 }
 
+// askClock asks the head for its clock, and gives a deadline by it; nil: it does not answer.
+func (s *Service) askClock(ctx context.Context, head string, deadline time.Time) *api.Instant {
+	if _, err := s.submitTo(ctx, head, &api.SubmitRequest{}); err != nil {
+		return nil
+	}
+	return s.clocks.at(head, deadline)
+}
+
+// submitTo makes one call to the head, and notes its clock.
+func (s *Service) submitTo(ctx context.Context, head string, request *api.SubmitRequest) (*api.SubmitReply, error) {
+	reply, err := api.NewControlProtobufClient("http://"+head, s.client).Submit(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	s.clocks.note(head, reply.Clock)
+	return reply, nil
+}
+
 // Configuration reads the newest configuration, wherever the tail is.
 func (s *Service) Configuration() (*api.ReadReply, *result.Error) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderPatience)
--- a/internal/system/control/status.go
+++ b/internal/system/control/status.go
@@ -20,6 +20,8 @@
 	Head        string          `json:"head"`
 	Tail        string          `json:"tail"`
 	Members     []string        `json:"members"`
+	Chain       []string        `json:"chain"`   // the members that hold all, the head first
+	Leaving     bool            `json:"leaving"` // this process is about to end
 	Committed   uint64          `json:"committed"`
 	Version     uint64          `json:"config_version"`
 	Evacuated   []string        `json:"evacuated_zones"`
@@ -64,7 +66,7 @@
 	defer cancel()
 	standing := s.standing(patience)
 	out := Status{Node: s.self, Connected: standing.Connected, View: standing.View, Head: standing.Head, Tail: standing.Tail,
-		Members: standing.Members, Committed: standing.Committed, StoreFailed: standing.NoStore}
+		Members: standing.Members, Chain: standing.Chain, Leaving: standing.Leaving, Committed: standing.Committed, StoreFailed: standing.NoStore}
 	s.feed.View(func(m *state.Machine) {
 		out.Version, out.Evacuated = m.Version(), m.EvacuatedZones()
 		for _, o := range m.Ownerships() {
