--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -148,7 +148,9 @@
 	select {
 	case <-parent.Done():
 		a.leases.release()
-		a.outlive(boot.Seconds(settings.Bounds.GraceS) - quitMargin)
+		patience, over := context.WithTimeout(machine.Alive(), boot.Seconds(settings.Bounds.GraceS)-quitMargin)
+		a.outlive(patience)
+		over()
 	case failed = <-failures:
 	}
 	cancel()
@@ -158,12 +160,14 @@
 	return multierr.Append(failed, server.ShutdownWithContext(patience))
 }
 
-// outlive waits until the proxy asks no more, for so long at most.
-func (a *Agent) outlive(most time.Duration) {
+// outlive waits until the proxy asks no more, or ctx ends.
+func (a *Agent) outlive(ctx context.Context) {
 	looks := time.NewTicker(proxyLook)
 	defer looks.Stop()
-	for end := time.Now().Add(most); time.Now().Before(end); <-looks.C {
-		if time.Since(time.Unix(0, a.asked.Load())) > proxySilence {
+	for time.Since(time.Unix(0, a.asked.Load())) <= proxySilence {
+		select {
+		case <-looks.C:
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/internal/system/host/host.go
+++ b/internal/system/host/host.go
@@ -36,6 +36,17 @@
 	// Forget removes a store that can't be trusted any more.
 	Forget func() error
 	Log    logr.Logger
+	// Life ends when a simulated machine ends its processes at once; nil: a real one does that
+	// itself.
+	Life context.Context
+}
+
+// Alive ends with the process's life: nothing is waited for beyond it.
+func (h *Host) Alive() context.Context {
+	if h.Life == nil {
+		return context.Background()
+	}
+	return h.Life
 }
 
 // Machine is the host of a real machine.
--- a/internal/system/simcluster/cluster.go
+++ b/internal/system/simcluster/cluster.go
@@ -73,6 +73,7 @@
 	mu      sync.Mutex
 	running sync.WaitGroup
 	cancel  context.CancelFunc
+	end     context.CancelFunc // of the processes' life
 }
 
 // New starts a cluster.
@@ -184,13 +185,14 @@
 	m.first = false
 	m.cluster.revive(m.IP)
 	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel = cancel
+	life, end := context.WithCancel(context.Background())
+	m.cancel, m.end = cancel, end
 	disk := m.disk
 	for _, role := range m.roles {
 		machine := &host.Host{Settings: settings, Network: m.cluster.network(m.IP),
 			Log:    m.cluster.cfg.Log.WithValues("node", m.Name),
 			Open:   func() (*store.Store, error) { return store.OpenStorage(disk) },
-			Forget: func() error { return nil }}
+			Forget: func() error { return nil }, Life: life}
 		m.running.Go(func() {
 			if err := role(ctx, machine); err != nil {
 				machine.Log.V(1).Info("a role has ended", "error", err.Error())
@@ -207,6 +209,7 @@
 		return
 	}
 	m.cluster.cutOff(m.IP)
+	m.end()
 	m.cancel()
 	m.running.Wait()
 	m.cluster.cutOff(m.IP)
@@ -222,6 +225,7 @@
 	}
 	m.cancel()
 	m.running.Wait()
+	m.end()
 	m.cancel = nil
 }
 
--- /dev/null
+++ b/internal/system/simcluster/late_test.go
@@ -0,0 +1,126 @@
+package simcluster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/result"
+	"marlreel/internal/system/transport"
+)
+
+// playControls runs a test on control processes alone, with a configuration.
+func playControls(t *testing.T, controls int, story func(t *testing.T, c *Cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := startControls(t, controls)
+		defer c.Stop()
+		if status, answer, err := c.Configure(document, 10*time.Second); err != nil || status != 200 {
+			t.Fatalf("the first configuration: %d %s %v", status, answer, err)
+		}
+		c.Pass(time.Second)
+		story(t, c)
+	})
+}
+
+// ends are the machines of the chain's head and of two others.
+func (c *Cluster) ends(t *testing.T) (head *Machine, others []*Machine) {
+	t.Helper()
+	status := c.standing(c.Controls[0])
+	if status == nil || status.Head == "" {
+		t.Fatal("no head is known")
+	}
+	for _, m := range c.Controls {
+		if m.peerAddress() == status.Head {
+			head = m
+			continue
+		}
+		others = append(others, m)
+	}
+	return head, others
+}
+
+func (m *Machine) peerAddress() string { return fmt.Sprintf("%s:%d", m.IP, peerPort) }
+
+func evacuation(verb string) string { return "/marlreel/evacuation/north/" + verb }
+
+// An order that a cut holds up on its way to the head is not taken once its caller was answered: the operator has
+// turned to another process, and gone on.
+func TestAnOrderThatWasHeldUpIsNotTakenLate(t *testing.T) {
+	playControls(t, 3, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		head, others := c.ends(t)
+		by := others[0]
+		status, _, err := c.callOne(by, http.MethodPost, "/marlreel/evacuation/west/begin", "", "") // a connection is made
+		is.NoErr(err)
+		is.Equal(status, 200)
+		c.Net.Cut(by.IP, head.IP, true)
+		status, _, err = c.callOne(by, http.MethodPost, evacuation("begin"), "", "")
+		is.True(err != nil || status >= 500) // no clear answer
+		for _, verb := range []string{"begin", "terminate"} {
+			status, _, err = c.Call(http.MethodPost, evacuation(verb), "", "", 4*time.Second)
+			is.NoErr(err)
+			is.Equal(status, 200)
+		}
+		c.Net.Cut(by.IP, head.IP, false)
+		c.Pass(2 * time.Second)
+		for _, m := range c.Controls {
+			is.True(!slices.Contains(c.standing(m).Evacuated, "north")) // it was taken back, and stays so
+		}
+	})
+}
+
+// A question for the head is passed on once: two processes that take each other for the head don't play it back
+// and forth.
+func TestAQuestionIsPassedOnOnce(t *testing.T) {
+	playControls(t, 3, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		head, others := c.ends(t)
+		client := transport.NewClient(c.outside.Dial)
+		ask := func(m *Machine, forwarded bool) result.Code {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			reply, err := api.NewControlProtobufClient("http://"+m.peerAddress(), client).Lease(ctx, &api.LeaseRequest{Holder: "x/1", Forwarded: forwarded})
+			is.NoErr(err)
+			return result.Code(reply.Code)
+		}
+		is.Equal(ask(others[0], false), result.Accepted)
+		is.Equal(ask(head, true), result.Accepted)
+		is.Equal(ask(others[0], true), result.Unavailable)
+	})
+}
+
+// A control process that gets SIGTERM is out of the chain before it ends: hardly a change waits for that.
+func TestAControlProcessLeavesBeforeItEnds(t *testing.T) {
+	for place := range 3 {
+		t.Run(fmt.Sprint(place), func(t *testing.T) {
+			playControls(t, 3, func(t *testing.T, c *Cluster) {
+				is := is.New(t)
+				var ended sync.WaitGroup
+				m := c.Controls[place]
+				ended.Go(m.Terminate)
+				longest := time.Duration(0)
+				for range 40 {
+					longest = max(longest, c.change(t, 4*time.Second))
+					c.Pass(20 * time.Millisecond)
+				}
+				ended.Wait()
+				t.Logf("the longest change took %v", longest)
+				is.True(longest < 300*time.Millisecond)
+				others := slices.DeleteFunc(slices.Clone(c.Controls), func(o *Machine) bool { return o == m })
+				is.Equal(len(c.standing(others[0]).Chain), 2)
+				m.Start()
+				c.Pass(2 * time.Second)
+				is.Equal(len(c.standing(m).Chain), 3)
+			})
+		})
+	}
+}
