Interrupt proposals and handovers in drawn histories, and keep slow members in planned changes

Cause: six guards of the chain no drawn history noticed: faults came at any time, and hardly ever within the few ms in which a guard counts. The new ones found at once that a planned change of view (somebody joins or leaves) left out a member that took longer than 30 ms to promise, as one with a slow disk does; it was taken back in, and another one left out.

Change: histories wait for a proposal, or for a head that makes logs equal, and then cut it off from some or kill it; hold messages up and deliver them later; let members leave; lose a second member behind a first one; draw how eager members are.

--- /dev/null
+++ b/internal/system/chain/faults_test.go
@@ -0,0 +1,355 @@
+package chain
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// faultKinds are what can happen.
+var faultKinds = map[string]func(c *cluster, f fault){
+	"kill": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.kill(p)
+		c.runFor(f.lasts)
+		c.start(p, false)
+	},
+	// One disk is lost at a time, and its machine is given time to catch up.
+	"lose-disk": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.heal()
+		c.runFor(settle)
+		c.wipe(p)
+		c.runFor(f.lasts)
+		c.start(p, false)
+		c.runFor(settle)
+	},
+	"freeze": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		p.frozen = true
+		c.runFor(f.lasts)
+		c.thaw(p)
+	},
+	"stall-disk": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		p.stalled = true
+		c.runFor(f.lasts)
+		c.thaw(p)
+	},
+	"cut": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.isolate(p, true)
+		c.runFor(f.lasts)
+		c.isolate(p, false)
+	},
+	"cut-one-way": func(c *cluster, f fault) {
+		way := c.live(f.machine).address + ">" + c.live(f.other).address
+		c.cut[way] = true
+		c.runFor(f.lasts)
+		c.cut[way] = false
+	},
+	"lose-messages": func(c *cluster, f fault) {
+		c.loss = 0.2
+		c.runFor(f.lasts)
+		c.loss = 0
+	},
+	"lose-power": func(c *cluster, f fault) { c.restartAll(f.lasts) },
+	// While one machine is cut off, another one is restarted.
+	"cut-and-restart": func(c *cluster, f fault) {
+		p, other := c.live(f.machine), c.live(f.other)
+		c.isolate(p, true)
+		c.runFor(f.lasts / 2)
+		if other != p {
+			c.kill(other)
+			c.start(other, false)
+		}
+		c.runFor(f.lasts / 2)
+		c.isolate(p, false)
+	},
+	// A disk, and the power of all, some ms after something was sent.
+	"lose-disk-and-power": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.heal()
+		c.runFor(settle)
+		c.runFor(f.lasts)
+		c.loseDiskAndPower(p)
+	},
+	// The same, right after something was acknowledged.
+	"lose-disk-and-power-at-acknowledgement": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		c.heal()
+		c.runFor(settle)
+		c.awaitAcknowledgement()
+		c.loseDiskAndPower(p)
+	},
+	"replace": func(c *cluster, f fault) { c.replace(c.live(f.machine), f.lasts, f.back) },
+	// What a machine sends is held up, as connections hold it up, and arrives at the end.
+	"hold": func(c *cluster, f fault) {
+		p := c.live(f.machine)
+		for _, other := range c.processes {
+			if f.other%3 == 0 || other == c.live(f.other) {
+				c.held[p.address+">"+other.address] = true
+			}
+		}
+		c.runFor(f.lasts)
+		c.release()
+	},
+	// A machine leaves, as it is told to, and comes back; meanwhile another one is cut off.
+	"leave": func(c *cluster, f fault) {
+		p, other := c.live(f.machine), c.live(f.other)
+		c.carryOut(p, p.node.Leave(c.now))
+		if other != p {
+			c.runFor(f.lasts / 200)
+			c.isolate(other, true)
+		}
+		c.runFor(f.lasts)
+		c.isolate(other, false)
+		c.kill(p)
+		c.runFor(f.back)
+		c.start(p, false)
+	},
+	"interrupt-proposal": func(c *cluster, f fault) { c.interruptProposal(f) },
+	"interrupt-handover": func(c *cluster, f fault) { c.interruptHandover(f) },
+	// A second loss right behind a first one, before the chain has its length again.
+	"lose-two": func(c *cluster, f fault) {
+		p, other := c.live(f.machine), c.live(f.other)
+		c.heal()
+		c.runFor(settle)
+		c.wipe(p)
+		c.runFor(f.lasts / 4)
+		if other != p {
+			c.kill(other)
+		}
+		c.start(p, false)
+		c.runFor(f.lasts / 2)
+		c.restartAll(f.back)
+		c.runFor(settle)
+	},
+}
+
+// await passes time until something is so, or for most.
+func (c *cluster) await(most time.Duration, is func() bool) bool {
+	for end := c.now + most; c.now < end; c.runFor(time.Millisecond) {
+		if is() {
+			return true
+		}
+	}
+	return is()
+}
+
+// minority draws some of the machines, less than half of them.
+func (c *cluster) minority(rng *rand.Rand) []*process {
+	var live []*process
+	for _, p := range c.processes {
+		if !p.replaced {
+			live = append(live, p)
+		}
+	}
+	rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:1+rng.IntN(max(1, (len(live)-1)/2))]
+}
+
+// interruptProposal makes a view necessary, and interrupts whoever proposes it: at some step it reaches some of
+// the others alone, and then it is cut off, killed, or goes on.
+func (c *cluster) interruptProposal(f fault) {
+	rng := rand.New(rand.NewPCG(uint64(f.machine), uint64(f.other)))
+	c.heal()
+	c.runFor(settle)
+	trigger := c.live(f.machine)
+	if rng.IntN(2) == 0 {
+		c.carryOut(trigger, trigger.node.Leave(c.now))
+	} else {
+		c.isolate(trigger, true)
+	}
+	var proposer *process
+	step := rng.IntN(3)
+	c.await(2*time.Second, func() bool {
+		proposer = nil
+		for _, p := range c.processes {
+			if p.node == nil || p.node.proposal == nil {
+				continue
+			}
+			proposal := p.node.proposal
+			if step == 0 || step == 1 && proposal.enough > 0 || step == 2 && proposal.view != nil {
+				proposer = p
+			}
+		}
+		return proposer != nil
+	})
+	defer func() {
+		c.heal()
+		if trigger.node.leaving {
+			c.restart(trigger) // it leaves, to come back
+		}
+	}()
+	if proposer == nil {
+		return
+	}
+	c.interrupted++
+	for _, other := range c.processes {
+		if rng.IntN(2) == 0 {
+			c.cut[proposer.address+">"+other.address] = true
+		}
+		if rng.IntN(3) == 0 {
+			c.cut[other.address+">"+proposer.address] = true
+		}
+	}
+	c.runFor(time.Duration(rng.IntN(60)) * time.Millisecond)
+	switch rng.IntN(3) {
+	case 0:
+		c.isolate(proposer, true)
+		c.runFor(f.lasts)
+	case 1:
+		c.kill(proposer)
+		clear(c.cut)
+		c.runFor(f.lasts)
+	default:
+		c.runFor(f.lasts / 4)
+	}
+}
+
+// interruptHandover lets some members miss entries, and kills others in the moment in which they are back: the new
+// chain needs them. Whoever makes that chain's logs equal reaches some of it alone, and is killed in turn; those
+// that were killed first come back.
+func (c *cluster) interruptHandover(f fault) {
+	rng := rand.New(rand.NewPCG(uint64(f.machine), uint64(f.other)+1))
+	c.heal()
+	c.runFor(settle)
+	for range 1 + rng.IntN(2) {
+		lagging := c.minority(rng)
+		for _, p := range lagging {
+			c.isolate(p, true)
+		}
+		c.runFor(time.Second + f.lasts/2)
+		var killed []*process
+		for _, p := range c.minority(rng) {
+			c.kill(p)
+			killed = append(killed, p)
+		}
+		clear(c.cut)
+		var head *process
+		if c.await(2*time.Second, func() bool { head = c.syncingHead(); return head != nil }) {
+			c.interrupted++
+			for _, other := range c.processes {
+				if rng.IntN(2) == 0 {
+					c.cut[head.address+">"+other.address] = true
+				}
+			}
+			c.runFor(time.Duration(rng.IntN(12)) * time.Millisecond)
+			c.kill(head)
+			clear(c.cut)
+		}
+		for _, p := range killed {
+			if rng.IntN(4) > 0 && p.node == nil {
+				c.start(p, false)
+			}
+		}
+		c.runFor(f.lasts)
+	}
+	c.heal()
+}
+
+// syncingHead is a head that makes its chain's logs equal, or nil.
+func (c *cluster) syncingHead() *process {
+	for _, p := range c.processes {
+		if p.node != nil && p.node.syncing != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// release lets what was held up arrive.
+func (c *cluster) release() {
+	clear(c.held)
+	late := c.late
+	c.late = nil
+	for _, message := range late {
+		c.deliver(message.from, message.message)
+	}
+}
+
+// live is a process that has not been replaced.
+func (c *cluster) live(number int) *process {
+	var live []*process
+	for _, p := range c.processes {
+		if !p.replaced {
+			live = append(live, p)
+		}
+	}
+	return live[number%len(live)]
+}
+
+// awaitAcknowledgement passes time until something is acknowledged, or 200 ms.
+func (c *cluster) awaitAcknowledgement() {
+	before := len(c.acked)
+	for range 200 {
+		if len(c.acked) > before {
+			return
+		}
+		c.runFor(time.Millisecond)
+	}
+}
+
+// loseDiskAndPower takes a disk, and the power of all.
+func (c *cluster) loseDiskAndPower(p *process) {
+	c.wipe(p)
+	c.restartAll(200 * time.Millisecond)
+	c.runFor(settle)
+}
+
+// restartAll ends all processes at once, and starts them after a while.
+func (c *cluster) restartAll(down time.Duration) {
+	for _, p := range c.processes {
+		c.kill(p)
+	}
+	c.runFor(down)
+	for _, p := range c.processes {
+		if !p.replaced {
+			c.start(p, false)
+		}
+	}
+}
+
+// replace puts another machine in the place of one, which has gone for good, or comes back
+// with its old disk for a while when the other one has been taken in.
+func (c *cluster) replace(p *process, gone, back time.Duration) {
+	c.heal()
+	c.runFor(settle)
+	c.kill(p)
+	c.runFor(gone)
+	c.add(fmt.Sprintf("r%d", len(c.processes)), false)
+	c.runFor(settle)
+	p.replaced = true
+	c.renewContacts()
+	if back > 0 {
+		c.start(p, false)
+		c.runFor(back)
+		c.kill(p)
+	}
+	c.runFor(settle)
+}
+
+// renewContacts names those that are there to machines that start from now on. One that replaces another is told
+// who was there before: of a list where nobody is any more, no machine could find the chain.
+func (c *cluster) renewContacts() {
+	c.contacts = nil
+	for _, p := range c.processes {
+		if !p.replaced {
+			c.contacts = append(c.contacts, p.address)
+		}
+	}
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	c.release()
+	clear(c.cut)
+	c.loss = 0
+	for _, p := range c.processes {
+		if p.node == nil && !p.replaced {
+			c.start(p, false)
+		}
+		c.thaw(p)
+	}
+}
--- a/internal/system/chain/history_test.go
+++ b/internal/system/chain/history_test.go
@@ -34,169 +34,6 @@
 	faults  []fault
 }
 
-// faultKinds are what can happen.
-var faultKinds = map[string]func(c *cluster, f fault){
-	"kill": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		c.kill(p)
-		c.runFor(f.lasts)
-		c.start(p, false)
-	},
-	// One disk is lost at a time, and its machine is given time to catch up.
-	"lose-disk": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		c.heal()
-		c.runFor(settle)
-		c.wipe(p)
-		c.runFor(f.lasts)
-		c.start(p, false)
-		c.runFor(settle)
-	},
-	"freeze": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		p.frozen = true
-		c.runFor(f.lasts)
-		c.thaw(p)
-	},
-	"stall-disk": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		p.stalled = true
-		c.runFor(f.lasts)
-		c.thaw(p)
-	},
-	"cut": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		c.isolate(p, true)
-		c.runFor(f.lasts)
-		c.isolate(p, false)
-	},
-	"cut-one-way": func(c *cluster, f fault) {
-		way := c.live(f.machine).address + ">" + c.live(f.other).address
-		c.cut[way] = true
-		c.runFor(f.lasts)
-		c.cut[way] = false
-	},
-	"lose-messages": func(c *cluster, f fault) {
-		c.loss = 0.2
-		c.runFor(f.lasts)
-		c.loss = 0
-	},
-	"lose-power": func(c *cluster, f fault) { c.restartAll(f.lasts) },
-	// While one machine is cut off, another one is restarted.
-	"cut-and-restart": func(c *cluster, f fault) {
-		p, other := c.live(f.machine), c.live(f.other)
-		c.isolate(p, true)
-		c.runFor(f.lasts / 2)
-		if other != p {
-			c.kill(other)
-			c.start(other, false)
-		}
-		c.runFor(f.lasts / 2)
-		c.isolate(p, false)
-	},
-	// A disk, and the power of all, some ms after something was sent.
-	"lose-disk-and-power": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		c.heal()
-		c.runFor(settle)
-		c.runFor(f.lasts)
-		c.loseDiskAndPower(p)
-	},
-	// The same, right after something was acknowledged.
-	"lose-disk-and-power-at-acknowledgement": func(c *cluster, f fault) {
-		p := c.live(f.machine)
-		c.heal()
-		c.runFor(settle)
-		c.awaitAcknowledgement()
-		c.loseDiskAndPower(p)
-	},
-	"replace": func(c *cluster, f fault) { c.replace(c.live(f.machine), f.lasts, f.back) },
-}
-
-// live is a process that has not been replaced.
-func (c *cluster) live(number int) *process {
-	var live []*process
-	for _, p := range c.processes {
-		if !p.replaced {
-			live = append(live, p)
-		}
-	}
-	return live[number%len(live)]
-}
-
-// awaitAcknowledgement passes time until something is acknowledged, or 200 ms.
-func (c *cluster) awaitAcknowledgement() {
-	before := len(c.acked)
-	for range 200 {
-		if len(c.acked) > before {
-			return
-		}
-		c.runFor(time.Millisecond)
-	}
-}
-
-// loseDiskAndPower takes a disk, and the power of all.
-func (c *cluster) loseDiskAndPower(p *process) {
-	c.wipe(p)
-	c.restartAll(200 * time.Millisecond)
-	c.runFor(settle)
-}
-
-// restartAll ends all processes at once, and starts them after a while.
-func (c *cluster) restartAll(down time.Duration) {
-	for _, p := range c.processes {
-		c.kill(p)
-	}
-	c.runFor(down)
-	for _, p := range c.processes {
-		if !p.replaced {
-			c.start(p, false)
-		}
-	}
-}
-
-// replace puts another machine in the place of one, which has gone for good, or comes back
-// with its old disk for a while when the other one has been taken in.
-func (c *cluster) replace(p *process, gone, back time.Duration) {
-	c.heal()
-	c.runFor(settle)
-	c.kill(p)
-	c.runFor(gone)
-	c.add(fmt.Sprintf("r%d", len(c.processes)), false)
-	c.runFor(settle)
-	p.replaced = true
-	c.renewContacts()
-	if back > 0 {
-		c.start(p, false)
-		c.runFor(back)
-		c.kill(p)
-	}
-	c.runFor(settle)
-}
-
-// renewContacts names those that are there to machines that start from now on. One that replaces another is told
-// who was there before: of a list where nobody is any more, no machine could find the chain.
-func (c *cluster) renewContacts() {
-	c.contacts = nil
-	for _, p := range c.processes {
-		if !p.replaced {
-			c.contacts = append(c.contacts, p.address)
-		}
-	}
-}
-
-// heal ends all faults.
-func (c *cluster) heal() {
-	clear(c.cut)
-	c.loss = 0
-	for _, p := range c.processes {
-		if p.node == nil && !p.replaced {
-			c.start(p, false)
-		}
-		c.thaw(p)
-	}
-}
-
 // ---- drawing ----
 
 const (
@@ -226,7 +63,8 @@
 	const machines = 64
 	f := fault{machine: rng.IntN(machines), other: rng.IntN(machines), lasts: span(longestFault), rest: span(longestRest)}
 	kinds := []string{"kill", "lose-disk", "freeze", "stall-disk", "cut", "cut-one-way", "lose-messages", "lose-power",
-		"cut-and-restart", "lose-disk-and-power", "replace", "views"}
+		"cut-and-restart", "lose-disk-and-power", "replace", "views", "hold", "leave", "lose-two",
+		"interrupt-proposal", "interrupt-proposal", "interrupt-handover", "interrupt-handover"}
 	f.kind = kinds[rng.IntN(len(kinds))]
 	switch f.kind {
 	case "lose-power":
@@ -235,6 +73,8 @@
 		if f.lasts /= 4; rng.IntN(2) == 0 {
 			f.kind = "lose-disk-and-power-at-acknowledgement"
 		}
+	case "leave", "lose-two":
+		f.back = span(500 * time.Millisecond)
 	case "replace":
 		if rng.IntN(2) == 0 {
 			f.back = span(2 * time.Second)
@@ -250,6 +90,23 @@
 	return []fault{f}
 }
 
+// drawSpans draws how eager the members are: where they propose at once, they outbid each other.
+func (c *cluster) drawSpans() {
+	rng := rand.New(rand.NewPCG(uint64(c.rng.Uint32()), 7))
+	if rng.IntN(2) == 0 {
+		c.cfg.Stagger = time.Duration(rng.IntN(30)) * time.Millisecond
+	}
+	if rng.IntN(2) == 0 {
+		c.cfg.PromiseWait = time.Duration(rng.IntN(10)) * time.Millisecond
+	}
+	if rng.IntN(3) == 0 {
+		c.cfg.NearEntries = 0
+	}
+	for _, p := range c.processes {
+		p.node.cfg = c.cfg
+	}
+}
+
 // ---- playing ----
 
 // failure is what a history showed to be wrong.
@@ -269,6 +126,7 @@
 	}()
 	c := newCluster(t, h.seed, h.members)
 	c.trial = true
+	c.drawSpans()
 	c.mustServe("founding")
 	for _, f := range h.faults {
 		faultKinds[f.kind](c, f)
@@ -335,6 +193,9 @@
 	if wrong == "" {
 		return
 	}
+	if os.Getenv("CHAIN_SHRINK") == "0" {
+		t.Fatal(wrong)
+	}
 	short := h.shrink(func(shorter history) bool { return shorter.play(t) != "" })
 	t.Fatalf("%s\nthe shortest history found, in which %s:\n%s", wrong, short.play(t), short)
 }
--- a/internal/system/chain/leave_test.go
+++ b/internal/system/chain/leave_test.go
@@ -110,3 +110,20 @@
 	c.restartAll(300 * time.Millisecond)
 	c.mustServe("all are back")
 }
+
+// A planned change waits for a member that is slow to promise, as one with a slow disk is: the chain keeps its length.
+func TestAPlannedChangeLeavesNoSlowMemberOut(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 35, 5)
+	c.mustServe("founding")
+	view := c.head().node.View()
+	is.Equal(len(view.Chain), 5)
+	slow, leaving := c.at(view.Chain[2]), c.at(view.Chain[4])
+	slow.stalled = true
+	c.carryOut(leaving, leaving.node.Leave(c.now))
+	c.runFor(2 * c.cfg.PromiseWait)
+	c.thaw(slow)
+	c.runUntil("it has left", time.Second, leaving.node.Left)
+	is.Equal(c.head().node.View().Number, view.Number+1)
+	is.Equal(len(c.head().node.View().Chain), 4)
+}
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -82,6 +82,12 @@
 	reads    map[uint64]time.Duration // when reads were called, by token
 }
 
+// heldMessage is a message that has not arrived yet, and will.
+type heldMessage struct {
+	from    string
+	message *api.ChainMessage
+}
+
 type cluster struct {
 	t         *testing.T
 	rng       *rand.Rand
@@ -90,6 +96,8 @@
 	order     int
 	processes []*process
 	cut       map[string]bool // "a>b": nothing passes
+	held      map[string]bool // "a>b": what is sent waits
+	late      []heldMessage
 	loss      float64
 	cfg       Config
 	acked     []string // in the order of their acknowledgements
@@ -97,9 +105,11 @@
 	contacts  []string // what processes that start are told
 	proposed  int
 	log       []string
-	trial     bool // what is wrong ends the history, not the test
-	clients   *clients
-	nextRead  time.Duration
+	// interrupted counts how often a fault met the step of the protocol that it is about.
+	interrupted int
+	trial       bool // what is wrong ends the history, not the test
+	clients     *clients
+	nextRead    time.Duration
 	// rate is how many bytes a second a link carries of large messages; 0: any number.
 	rate     int
 	linkFree map[string]time.Duration // when a link has carried what it was given
@@ -111,6 +121,8 @@
 }
 
 const (
+	// mostHeld bounds the messages that are held up.
+	mostHeld = 2000
 	// largeMessage is what goes in parts, between which small messages pass.
 	largeMessage  = 32 << 10
 	simulatedTick = 20 * time.Millisecond
@@ -118,7 +130,7 @@
 )
 
 func newCluster(t *testing.T, seed uint64, members int) *cluster {
-	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, cfg: DefaultConfig(members),
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, held: map[string]bool{}, cfg: DefaultConfig(members),
 		clients: newClients(), linkFree: map[string]time.Duration{}, pace: proposeEvery}
 	c.cfg.CompactAfter = 8
 	for i := range members {
@@ -289,6 +301,10 @@
 
 func (c *cluster) deliver(from string, message *api.ChainMessage) {
 	to := message.To.Address
+	if c.held[from+">"+to] && len(c.late) < mostHeld {
+		c.late = append(c.late, heldMessage{from, message})
+		return
+	}
 	if c.cut[from+">"+to] || c.rng.Float64() < c.loss {
 		return
 	}
--- a/internal/system/chain/views.go
+++ b/internal/system/chain/views.go
@@ -18,9 +18,9 @@
 	change   change        // of the chain
 	since    time.Duration
 	promises map[string]*api.Promise
-	enough   time.Duration // when a majority had promised; 0: not yet
-	view     *api.View     // what is proposed, once there are promises
-	accepted map[string]bool
+	enough   time.Duration   // when a majority had promised; 0: not yet
+	view     *api.View       // what is proposed, once there are promises
+	accepted map[string]bool // by members of the view before
 }
 
 // change is who is taken into the chain and who is let go of; nil: nobody.
@@ -109,7 +109,7 @@
 	if p.view != nil || p.enough == 0 {
 		return
 	}
-	if !n.allPromised() && n.now-p.enough < n.cfg.PromiseWait {
+	if !n.allPromised() && n.now-p.enough < n.promiseWait() {
 		return
 	}
 	if p.view = n.choose(); p.view == nil {
@@ -123,6 +123,15 @@
 	n.onAccepted(n.durable.Self, n.accept(accept))
 }
 
+// promiseWait is how long a proposer that has a majority waits for the rest. Where nothing has
+// failed it is longer: a member whose disk is slow is not left out for that.
+func (n *Node) promiseWait() time.Duration {
+	if n.proposal.change == (change{}) && len(n.proposal.members) == len(n.durable.View.Members) {
+		return n.cfg.PromiseWait
+	}
+	return n.cfg.ProposalTimeout / 2
+}
+
 // allPromised tells whether everybody who can be heard has promised.
 func (n *Node) allPromised() bool {
 	for _, member := range n.durable.View.Members {
--- a/internal/tools/mutants/main.go
+++ b/internal/tools/mutants/main.go
@@ -3,12 +3,15 @@
 // the changed text in place of the file's.
 //
 //	go run ./internal/tools/mutants internal/system/chain/testdata/mutants.toml
+//
+// With -run and -env it runs other tests than the file names, as drawn histories alone.
 package main
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -38,14 +41,28 @@
 	Mutants []mutant `toml:"mutant"`
 }
 
+// override is what is run in place of what the file says.
+type override struct {
+	Run, Only string
+	Env       []string
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: mutants FILE")
+	var instead override
+	flag.StringVar(&instead.Run, "run", "", "the tests to run, in place of those that the file names")
+	flag.StringVar(&instead.Only, "only", "", "a regular expression for the names of the mutants to be played")
+	flag.Func("env", "a variable for the tests, NAME=VALUE; may be given more than once", func(value string) error {
+		instead.Env = append(instead.Env, value)
+		return nil
+	})
+	flag.Parse()
+	if flag.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: mutants [-run TESTS] [-env NAME=VALUE] [-only MUTANTS] FILE")
 		os.Exit(2)
 	}
-	alive, err := playAll(ctx, os.Args[1], os.Stdout)
+	alive, err := playAll(ctx, flag.Arg(0), instead, os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -56,7 +73,7 @@
 }
 
 // playAll plays all mutants of a file and says how many no test has noticed.
-func playAll(ctx context.Context, path string, out io.Writer) (alive int, err error) {
+func playAll(ctx context.Context, path string, instead override, out io.Writer) (alive int, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return 0, eris.Wrap(err, "reading the mutants")
@@ -65,7 +82,18 @@
 	if err := toml.Unmarshal(data, &mutants); err != nil {
 		return 0, eris.Wrap(err, "reading the mutants")
 	}
+	only, err := regexp.Compile(instead.Only)
+	if err != nil {
+		return 0, eris.Wrap(err, "reading -only")
+	}
 	for _, m := range mutants.Mutants {
+		if !only.MatchString(m.Name) {
+			continue
+		}
+		if instead.Run != "" {
+			m.Run = instead.Run
+		}
+		m.Env = append(m.Env, instead.Env...)
 		by, err := play(ctx, m)
 		if err != nil {
 			return alive, eris.Wrap(err, m.Name)
