--- a/internal/system/control/clocks.go
+++ b/internal/system/control/clocks.go
@@ -23,8 +23,8 @@
 // mostClocks bounds the processes whose clocks are kept.
 const mostClocks = 64
 
-// note takes in what a process says of its clock.
-func (c *clocks) note(address string, instant *api.Instant) {
+// note takes in what a process says of its clock, in an answer that was here at a time.
+func (c *clocks) note(address string, instant *api.Instant, taken time.Time) {
 	if instant == nil {
 		return
 	}
@@ -33,7 +33,7 @@
 	if c.known == nil || len(c.known) >= mostClocks {
 		c.known = map[string]reading{}
 	}
-	c.known[address] = reading{instant, time.Now()}
+	c.known[address] = reading{instant, taken}
 }
 
 // at is a time by a process's clock, or a little before it; nil: its clock is not known.
--- a/internal/system/control/owners.go
+++ b/internal/system/control/owners.go
@@ -36,6 +36,7 @@
 	feed   *feed.Store
 	order  func(operation *api.Operation) bool
 	isHead func() bool
+	now    func() time.Time // on the steady clock
 	log    logr.Logger
 	mu     sync.Mutex
 	since  time.Time             // this process is the head; zero: it is not
@@ -60,7 +61,7 @@
 	if lease <= 0 {
 		lease = usualLease
 	}
-	o := &owners{valid: lease / leaseShare, feed: out, isHead: isHead, order: order, log: log, roles: map[string]*roleState{}}
+	o := &owners{valid: lease / leaseShare, feed: out, isHead: isHead, order: order, now: time.Now, log: log, roles: map[string]*roleState{}}
 	o.wait = o.valid + leaseMargin
 	if !bounds.Fencing {
 		// Backends don't tell an old holder from a new one: their orders must be far apart.
@@ -82,7 +83,7 @@
 			continue
 		}
 		role := o.role(owned)
-		role.renewed, role.released = time.Now(), release
+		role.renewed, role.released = o.now(), release
 		role.passed = nil
 		if !release {
 			held = append(held, owned)
@@ -95,11 +96,11 @@
 func (o *owners) role(owned *api.Ownership) *roleState {
 	role := o.roles[owned.Key]
 	if role == nil || role.holder != owned.Holder {
-		role = &roleState{holder: owned.Holder, seen: time.Now()}
+		role = &roleState{holder: owned.Holder, seen: o.now()}
 		o.roles[owned.Key] = role
 	}
 	if role.ordered != nil { // it has come through
-		role.ordered, role.granted = nil, time.Now()
+		role.ordered, role.granted = nil, o.now()
 	}
 	return role
 }
@@ -122,24 +123,30 @@
 		case <-ctx.Done():
 			return
 		}
-		if !o.isHead() {
-			o.mu.Lock()
-			o.since = time.Time{}
-			o.mu.Unlock()
-			continue
-		}
-		o.mu.Lock()
-		if o.since.IsZero() {
-			o.since = time.Now()
-			clear(o.roles)
-		}
-		o.mu.Unlock()
-		for _, operation := range o.due() {
+		for _, operation := range o.look() {
 			o.order(operation)
 		}
 	}
 }
 
+// look gives the grants to be made at this moment, where this process is the head.
+func (o *owners) look() []*api.Operation {
+	isHead := o.isHead()
+	o.mu.Lock()
+	switch {
+	case !isHead:
+		o.since = time.Time{}
+	case o.since.IsZero():
+		o.since = o.now()
+		clear(o.roles)
+	}
+	o.mu.Unlock()
+	if !isHead {
+		return nil
+	}
+	return o.due()
+}
+
 // due are the grants to be made.
 func (o *owners) due() []*api.Operation {
 	nodes := o.feed.Nodes()
@@ -190,7 +197,7 @@
 	replaces := owned.GetFence()
 	operation := &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: key, Holder: holder, Address: node.Address,
 		Replaces: &replaces}}}
-	o.roles[key] = &roleState{holder: holder, granted: time.Now(), passed: passed, ordered: operation}
+	o.roles[key] = &roleState{holder: holder, granted: o.now(), passed: passed, ordered: operation}
 	return operation
 }
 
@@ -234,11 +241,11 @@
 	}
 	switch {
 	case !role.granted.IsZero() && role.renewed.IsZero():
-		return time.Since(role.granted) > takeUp
+		return o.now().Sub(role.granted) > takeUp
 	case role.released, restarted(owned, nodes):
-		return time.Since(last) > o.apart
+		return o.now().Sub(last) > o.apart
 	}
-	return time.Since(last) > o.wait+o.apart
+	return o.now().Sub(last) > o.wait+o.apart
 }
 
 // restarted tells whether a holder's node has come back as another life.
--- a/internal/system/control/replica.go
+++ b/internal/system/control/replica.go
@@ -4,6 +4,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -285,14 +287,7 @@
 		giveUp(r.inFlight, result.Unclear, "the view has changed")
 		r.inFlight = nil
 	}
-	for token, b := range r.confirms {
-		delete(r.confirms, token)
-		giveUp(b, result.Unavailable, "the view has changed")
-	}
-	for token, read := range r.reads {
-		delete(r.reads, token)
-		read.reply(result.Unavailable, nil)
-	}
+	r.giveUpConfirmations(always, "the view has changed")
 	if r.isHead() {
 		return
 	}
@@ -302,6 +297,27 @@
 	r.queue = nil
 }
 
+// always is so of anything that waits, however long it may.
+func always(time.Duration) bool { return true }
+
+// giveUpConfirmations answers for what waits for a majority's word, in the order in which it came.
+func (r *Replica) giveUpConfirmations(over func(until time.Duration) bool, why string) {
+	for _, token := range slices.Sorted(maps.Keys(r.confirms)) {
+		if b := r.confirms[token]; over(b.until) {
+			delete(r.confirms, token)
+			r.node.Abandon(token)
+			giveUp(b, result.Unavailable, why)
+		}
+	}
+	for _, token := range slices.Sorted(maps.Keys(r.reads)) {
+		if read := r.reads[token]; over(read.until) {
+			delete(r.reads, token)
+			r.node.Abandon(token)
+			read.reply(result.Unavailable, nil)
+		}
+	}
+}
+
 func giveUp(b *batch, code result.Code, detail string) {
 	for _, s := range b.submissions {
 		s.reply(code, detail)
@@ -314,20 +330,7 @@
 		giveUp(r.inFlight, result.Unclear, "the chain has not acknowledged it in time")
 		r.inFlight.submissions = nil
 	}
-	for token, b := range r.confirms {
-		if now >= b.until {
-			delete(r.confirms, token)
-			r.node.Abandon(token)
-			giveUp(b, result.Unavailable, "no majority answers")
-		}
-	}
-	for token, read := range r.reads {
-		if now >= read.until {
-			delete(r.reads, token)
-			r.node.Abandon(token)
-			read.reply(result.Unavailable, nil)
-		}
-	}
+	r.giveUpConfirmations(func(until time.Duration) bool { return now >= until }, "no majority answers")
 	r.refuseLate(now)
 }
 
@@ -352,14 +355,7 @@
 		giveUp(r.inFlight, result.Unclear, "the disk has failed")
 		r.inFlight = nil
 	}
-	for token, b := range r.confirms {
-		delete(r.confirms, token)
-		giveUp(b, result.Unavailable, "the disk has failed")
-	}
-	for token, read := range r.reads {
-		delete(r.reads, token)
-		read.reply(result.Unavailable, nil)
-	}
+	r.giveUpConfirmations(always, "the disk has failed")
 	for _, s := range r.queue {
 		s.reply(result.Unavailable, "the disk has failed")
 	}
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -183,23 +183,35 @@
 func (s *Service) Order(operation *api.Operation) *result.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), orderPatience)
 	defer cancel()
-	last := result.Errorf(result.Unavailable, "no head is known")
+	tries := newOrderTries()
 	for ctx.Err() == nil {
 		head := s.standing(ctx).Head
-		if head != "" {
-			reply := s.submitAt(ctx, head, operation)
-			code := result.Code(reply.Code)
-			if code != result.Unavailable && code != result.Unclear {
-				return &result.Error{Code: code, Detail: reply.Detail}
-			}
-			// What may have been taken stays unclear, whatever later tries say.
-			if last.Code != result.Unclear || code == result.Unclear {
-				last = &result.Error{Code: code, Detail: reply.Detail}
-			}
+		if head != "" && tries.take(s.submitAt(ctx, head, operation)) {
+			break
 		}
 		pause(ctx, attemptPause)
 	}
-	return last
+	return tries.outcome
+}
+
+// orderTries follows the tries of one order.
+type orderTries struct {
+	outcome *result.Error // as far as it is known
+}
+
+func newOrderTries() *orderTries {
+	return &orderTries{result.Errorf(result.Unavailable, "no head is known")}
+}
+
+// take takes in the answer to a try. It tells whether that is the order's outcome.
+func (t *orderTries) take(reply *api.SubmitReply) (final bool) {
+	code := result.Code(reply.Code)
+	final = code != result.Unavailable && code != result.Unclear
+	// What may have been taken stays unclear, whatever later tries say.
+	if final || code == result.Unclear || t.outcome.Code != result.Unclear {
+		t.outcome = &result.Error{Code: code, Detail: reply.Detail}
+	}
+	return final
 }
 
 // submitAt has an operation done by the head, if it gets there before ctx ends.
@@ -236,7 +248,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.clocks.note(head, reply.Clock)
+	s.clocks.note(head, reply.Clock, time.Now())
 	return reply, nil
 }
 
--- a/internal/system/simcluster/register_test.go
+++ b/internal/system/simcluster/register_test.go
@@ -9,62 +9,23 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
-)
-
-// registerCall is an operator's call: a read, or a configuration on top of a version.
-type registerCall struct {
-	read bool
-	base uint64
-	text string
-}
-
-// registerAnswer is what came of a call.
-type registerAnswer struct {
-	known   bool // there was a clear answer
-	taken   bool
-	version uint64 // of a read
-	text    string // of a read
-}
 
-// registerState is the configuration.
-type registerState struct {
-	version uint64
-	text    string
-}
-
-// configurationModel says what a register with one order of changes may answer.
-func configurationModel(first registerState) porcupine.Model {
-	return porcupine.Model{
-		Init: func() any { return first },
-		Step: func(state, input, output any) (bool, any) {
-			s, call, answer := state.(registerState), input.(registerCall), output.(registerAnswer)
-			switch {
-			case call.read:
-				return answer.version == s.version && answer.text == s.text, s
-			case answer.known && !answer.taken:
-				return call.base != s.version, s
-			case call.base == s.version:
-				return true, registerState{s.version + 1, call.text}
-			}
-			return !answer.known, s // what came to nothing is taken to come after all others
-		},
-		Equal: func(a, b any) bool { return a == b },
-	}
-}
+	"marlreel/internal/system/linear"
+)
 
 // registerLog is what operators called and were answered.
 type registerLog struct {
-	first      registerState
+	first      linear.Configuration
 	operations []porcupine.Operation
 	writes     int
 }
 
-func (l *registerLog) begin(text string) { l.first = registerState{1, text} }
+func (l *registerLog) begin(text string) { l.first = linear.Configuration{Version: 1, Text: text} }
 
 // note writes a call down.
-func (w *witness) note(began time.Time, call registerCall, answer registerAnswer) {
+func (w *witness) note(began time.Time, call linear.ConfigurationCall, answer linear.ConfigurationAnswer) {
 	ended := time.Now().UnixNano()
-	if !call.read && !answer.known {
+	if !call.Read && !answer.Known {
 		ended = math.MaxInt64 // it may still come true
 	}
 	w.mu.Lock()
@@ -76,7 +37,7 @@
 var versionField = regexp.MustCompile(`"config_version":(\d+)`)
 
 // newest reads the configuration, from whichever control process answers.
-func (w *witness) newest() (registerState, bool) {
+func (w *witness) newest() (linear.Configuration, bool) {
 	for _, m := range w.cluster.Controls {
 		status, body, err := w.cluster.callOne(m, http.MethodGet, "/marlreel/config/read", "", "")
 		if err != nil || status != http.StatusOK {
@@ -85,12 +46,12 @@
 		found := versionField.FindStringSubmatch(body)
 		if found == nil {
 			w.fault("a read gave %q", body)
-			return registerState{}, false
+			return linear.Configuration{}, false
 		}
 		version, _ := strconv.ParseUint(found[1], 10, 64)
-		return registerState{version, body}, true
+		return linear.Configuration{Version: version, Text: body}, true
 	}
-	return registerState{}, false
+	return linear.Configuration{}, false
 }
 
 // isCalm tells whether operators are to make no more changes.
@@ -107,7 +68,7 @@
 func (w *witness) read() {
 	began := time.Now()
 	if state, answered := w.newest(); answered {
-		w.note(began, registerCall{read: true}, registerAnswer{known: true, version: state.version, text: state.text})
+		w.note(began, linear.ConfigurationCall{Read: true}, linear.ConfigurationAnswer{Known: true, Version: state.Version, Text: state.Text})
 	}
 }
 
@@ -130,29 +91,29 @@
 		prefix = fmt.Sprintf("/w%d/", w.register.writes)
 	}
 	w.mu.Unlock()
-	text := historyDocument(prefix)(state.version + 1)
-	call, answer := registerCall{base: state.version, text: text}, registerAnswer{}
+	text := historyDocument(prefix)(state.Version + 1)
+	call, answer := linear.ConfigurationCall{Base: state.Version, Text: text}, linear.ConfigurationAnswer{}
 	began := time.Now()
-	for send := 0; send < mostSends && !answer.known; send++ {
+	for send := 0; send < mostSends && !answer.Known; send++ {
 		m := w.cluster.control(operator + send)
-		status, _, err := w.cluster.callOne(m, http.MethodPost, "/marlreel/config/replace", strconv.FormatUint(call.base, 10), text)
+		status, _, err := w.cluster.callOne(m, http.MethodPost, "/marlreel/config/replace", strconv.FormatUint(call.Base, 10), text)
 		switch {
 		case err == nil && status == http.StatusOK:
-			answer = registerAnswer{known: true, taken: true}
+			answer = linear.ConfigurationAnswer{Known: true, Taken: true}
 		case err == nil && status == http.StatusPreconditionFailed:
-			answer = registerAnswer{known: true}
+			answer = linear.ConfigurationAnswer{Known: true}
 		default:
 			w.cluster.Pass(100 * time.Millisecond)
 		}
 	}
 	w.note(began, call, answer)
-	return answer.taken
+	return answer.Taken
 }
 
 // auditRegister checks that all answers are those of one register.
 func (w *witness) auditRegister() {
 	const patience = 20 * time.Second
-	if porcupine.CheckOperationsTimeout(configurationModel(w.register.first), w.register.operations, patience) != porcupine.Ok {
+	if porcupine.CheckOperationsTimeout(linear.ConfigurationModel(w.register.first), w.register.operations, patience) != porcupine.Ok {
 		w.fault("the answers to %d calls are not those of one register", len(w.register.operations))
 	}
 }
