Play drawn histories of the whole control side that repeat to the byte, and mend what they found

Need: whole clusters of goroutines take turns by chance.

A grant is now done in the view in which it was decided, by its head alone; roles are forgotten where another head may have been between. And half of a history's time went into measuring the feed's entries anew at each change: sizes are kept.

--- a/internal/system/control/keeper.go
+++ b/internal/system/control/keeper.go
@@ -220,6 +220,15 @@
 	}
 }
 
+// SubmitInView has an operation done here, if this is the head of a view and it comes before until.
+func (k *Keeper) SubmitInView(operation *api.Operation, view uint64, until time.Duration, reply Reply) {
+	k.post(func() {
+		if k.replica != nil {
+			k.replica.SubmitInView(k.now(), operation, view, until, reply)
+		}
+	})
+}
+
 // Read reads the newest state here, if this is the tail; atHead: if it is the head.
 func (k *Keeper) Read(atHead bool, reply ReadReply) {
 	posted := k.post(func() {
@@ -252,22 +261,28 @@
 // Standing asks the keeper's goroutine.
 func (k *Keeper) Standing(take func(Standing)) {
 	posted := k.post(func() {
-		s := Standing{NoStore: k.replica == nil, Leaving: k.leaving}
-		if k.replica != nil {
-			node := k.replica.Node()
-			s.Head, s.Tail = node.Head().GetAddress(), node.Tail().GetAddress()
-			s.Connected = node.Connected()
-			s.View, s.Committed = node.View().GetNumber(), node.Committed()
-			for _, member := range node.View().Members {
-				s.Members = append(s.Members, member.Address)
-			}
-			for _, member := range node.View().Chain {
-				s.Chain = append(s.Chain, member.Address)
-			}
-		}
+		s := standingOf(k.replica)
+		s.Leaving = k.leaving
 		take(s)
 	})
 	if !posted {
 		take(Standing{})
 	}
 }
+
+// standingOf is where a replica stands; nil: there is no store.
+func standingOf(r *Replica) Standing {
+	if r == nil {
+		return Standing{NoStore: true}
+	}
+	node := r.Node()
+	s := Standing{Head: node.Head().GetAddress(), Tail: node.Tail().GetAddress(), Connected: node.Connected(),
+		View: node.View().GetNumber(), Committed: node.Committed()}
+	for _, member := range node.View().Members {
+		s.Members = append(s.Members, member.Address)
+	}
+	for _, member := range node.View().Chain {
+		s.Chain = append(s.Chain, member.Address)
+	}
+	return s
+}
--- a/internal/system/control/owners.go
+++ b/internal/system/control/owners.go
@@ -34,12 +34,12 @@
 	wait   time.Duration // since the last renewal, before a role may change hands
 	apart  time.Duration // how far apart the orders of two holders have to be
 	feed   *feed.Store
-	order  func(operation *api.Operation) bool
-	isHead func() bool
+	order  func(operation *api.Operation, view uint64) // has a grant done here, in that view and no other
+	headOf func() (view uint64, isHead bool)
 	now    func() time.Time // on the steady clock
 	log    logr.Logger
 	mu     sync.Mutex
-	since  time.Time             // this process is the head; zero: it is not
+	view   uint64                // of which this process was found to be the head; 0: it is not
 	roles  map[string]*roleState // by key
 }
 
@@ -56,12 +56,13 @@
 	ordered *api.Operation
 }
 
-func newOwners(bounds boot.Bounds, out *feed.Store, isHead func() bool, order func(*api.Operation) bool, log logr.Logger) *owners {
+func newOwners(bounds boot.Bounds, out *feed.Store, headOf func() (uint64, bool), order func(*api.Operation, uint64),
+	log logr.Logger) *owners {
 	lease := boot.Milliseconds(bounds.LeaseMS)
 	if lease <= 0 {
 		lease = usualLease
 	}
-	o := &owners{valid: lease / leaseShare, feed: out, isHead: isHead, order: order, now: time.Now, log: log, roles: map[string]*roleState{}}
+	o := &owners{valid: lease / leaseShare, feed: out, headOf: headOf, order: order, now: time.Now, log: log, roles: map[string]*roleState{}}
 	o.wait = o.valid + leaseMargin
 	if !bounds.Fencing {
 		// Backends don't tell an old holder from a new one: their orders must be far apart.
@@ -123,28 +124,36 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, operation := range o.look() {
-			o.order(operation)
-		}
+		o.look()
+	}
+}
+
+// look orders the grants that are due at this moment, where this process is the head. They hold in the view
+// that it is the head of: in a later one another head may have answered renewals that this one knows nothing of.
+func (o *owners) look() {
+	view, isHead := o.headOf()
+	o.lead(view, isHead)
+	if !isHead {
+		return
+	}
+	for _, operation := range o.due() {
+		o.order(operation, view)
 	}
 }
 
-// look gives the grants to be made at this moment, where this process is the head.
-func (o *owners) look() []*api.Operation {
-	isHead := o.isHead()
+// lead forgets what is known of the roles where another process may have been the head since.
+func (o *owners) lead(view uint64, isHead bool) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	switch {
 	case !isHead:
-		o.since = time.Time{}
-	case o.since.IsZero():
-		o.since = o.now()
+		o.view = 0
+	case o.view == 0 || view > o.view+1:
 		clear(o.roles)
+		o.view = view
+	default:
+		o.view = view
 	}
-	o.mu.Unlock()
-	if !isHead {
-		return nil
-	}
-	return o.due()
 }
 
 // due are the grants to be made.
--- a/internal/system/control/owners_test.go
+++ b/internal/system/control/owners_test.go
@@ -36,8 +36,8 @@
 func newOwnersTrial(t *testing.T) *ownersTrial {
 	t.Helper()
 	o := &ownersTrial{machine: state.New(), out: feed.New("head", time.Now), commits: true}
-	o.owners = newOwners(boot.Bounds{Fencing: true, LeaseMS: 3000}, o.out, func() bool { return true }, o.take, logr.Discard())
-	o.since = time.Now()
+	o.owners = newOwners(boot.Bounds{Fencing: true, LeaseMS: 3000}, o.out, func() (uint64, bool) { return 1, true }, o.take, logr.Discard())
+	o.lead(1, true)
 	o.commit(&api.Operation{Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{Document: []byte(ownedDocument)}}})
 	if o.machine.Document() == nil {
 		t.Fatal("the configuration was not taken")
@@ -46,12 +46,11 @@
 }
 
 // take is what orders go to.
-func (o *ownersTrial) take(operation *api.Operation) bool {
+func (o *ownersTrial) take(operation *api.Operation, _ uint64) {
 	o.ordered = append(o.ordered, operation)
 	if o.commits {
 		o.commit(operation)
 	}
-	return o.commits
 }
 
 func (o *ownersTrial) commit(operation *api.Operation) {
@@ -65,9 +64,7 @@
 	for _, name := range nodes {
 		o.out.PutNode(&api.Node{Name: name, Address: name + ":1", Incarnation: 1})
 	}
-	for _, operation := range o.due() {
-		o.order(operation)
-	}
+	o.owners.look()
 }
 
 // holds tells whether a node's renewal is answered with the role.
--- a/internal/system/control/replica.go
+++ b/internal/system/control/replica.go
@@ -47,6 +47,7 @@
 	operation *api.Operation
 	reply     Reply
 	until     time.Duration
+	view      uint64      // in which alone it may be proposed; 0: in any
 	code      result.Code // where it has no effect of its own: what to say once that is sure
 	detail    string
 }
@@ -121,7 +122,17 @@
 // Submit has an operation done, unless that can't begin before until: its caller is answered by
 // then, and may have turned to another process. Only the head takes it.
 func (r *Replica) Submit(now time.Duration, operation *api.Operation, until time.Duration, reply Reply) {
-	if now >= until {
+	r.submit(now, &submission{operation: operation, reply: reply, until: until})
+}
+
+// SubmitInView does the same for what was decided by the head of a view, on what it alone knows.
+func (r *Replica) SubmitInView(now time.Duration, operation *api.Operation, view uint64, until time.Duration, reply Reply) {
+	r.submit(now, &submission{operation: operation, reply: reply, until: until, view: view})
+}
+
+func (r *Replica) submit(now time.Duration, s *submission) {
+	reply := s.reply
+	if now >= s.until {
 		reply(result.Unavailable, "it has come too late")
 		return
 	}
@@ -129,7 +140,8 @@
 		reply(result.Unavailable, "this process is not the head of a chain in service")
 		return
 	}
-	r.queue = append(r.queue, &submission{operation: operation, reply: reply, until: min(until, now+submissionTimeout)})
+	s.until = min(s.until, now+submissionTimeout)
+	r.queue = append(r.queue, s)
 	r.pump(now)
 }
 
@@ -334,15 +346,18 @@
 	r.refuseLate(now)
 }
 
-// refuseLate answers for operations whose time is over.
+// refuseLate answers for operations whose time, or view, is over.
 func (r *Replica) refuseLate(now time.Duration) {
 	kept := r.queue[:0]
 	for _, s := range r.queue {
-		if now >= s.until {
+		switch {
+		case now >= s.until:
 			s.reply(result.Unavailable, "it has waited too long")
-			continue
+		case s.view != 0 && s.view != r.node.View().GetNumber():
+			s.reply(result.Unavailable, "it was decided in another view")
+		default:
+			kept = append(kept, s)
 		}
-		kept = append(kept, s)
 	}
 	r.queue = kept
 }
--- a/internal/system/control/role.go
+++ b/internal/system/control/role.go
@@ -46,8 +46,8 @@
 	service := &Service{keeper: keeper, registry: registry, feed: out, self: settings.PeerAddress(), client: client,
 		incoming: newIncoming()}
 	members := &memberList{seeds: settings.SeedPeers}
-	service.owners = newOwners(settings.Bounds, out, func() bool { return members.isHead(settings.PeerAddress()) },
-		func(operation *api.Operation) bool { return service.Order(operation).Code.Done() }, log)
+	service.owners = newOwners(settings.Bounds, out, func() (uint64, bool) { return members.headOf(settings.PeerAddress()) },
+		service.grant, log)
 
 	peers := transport.NewServer(nil, api.NewChainPeerServer(service), api.NewControlServer(service))
 	operators := transport.NewServer(service.Handle)
@@ -99,13 +99,14 @@
 	seeds   func() []string
 	members []string
 	head    string // "": this process is not connected
+	view    uint64
 }
 
-// isHead tells whether a process is the head of a chain to which this one is connected.
-func (l *memberList) isHead(self string) bool {
+// headOf tells whether a process is the head of a chain to which this one is connected, and of which view.
+func (l *memberList) headOf(self string) (view uint64, isHead bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.head == self
+	return l.view, l.head == self
 }
 
 func (l *memberList) get() []string {
@@ -120,7 +121,7 @@
 func (l *memberList) set(s Standing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members, l.head = s.Members, ""
+	l.members, l.head, l.view = s.Members, "", s.View
 	if s.Connected {
 		l.head = s.Head
 	}
@@ -130,7 +131,7 @@
 func followStanding(ctx context.Context, keeper *Keeper, registry *Registry, out *feed.Store, members *memberList) {
 	ticker := time.NewTicker(standingEvery)
 	defer ticker.Stop()
-	var connectedSince time.Time
+	word := standingWord{establishedAfter: registry.Silence()}
 	for {
 		select {
 		case <-ticker.C:
@@ -140,13 +141,24 @@
 		keeper.Standing(func(s Standing) {
 			members.set(s)
 			out.SetControls(registry.Places(s.Members))
-			if !s.Connected {
-				connectedSince = time.Time{}
-			} else if connectedSince.IsZero() {
-				connectedSince = time.Now()
-			}
-			out.SetStanding(feed.Standing{Fresh: s.Connected,
-				Established: s.Connected && time.Since(connectedSince) > registry.Silence()})
+			out.SetStanding(word.of(s, time.Now()))
 		})
 	}
 }
+
+// standingWord is what a control process's word is worth to those that read its feed.
+type standingWord struct {
+	establishedAfter time.Duration
+	connectedSince   time.Time // zero: it is not connected
+}
+
+// of takes in where the process stands at a time.
+func (w *standingWord) of(s Standing, now time.Time) feed.Standing {
+	switch {
+	case !s.Connected:
+		w.connectedSince = time.Time{}
+	case w.connectedSince.IsZero():
+		w.connectedSince = now
+	}
+	return feed.Standing{Fresh: s.Connected, Established: s.Connected && now.Sub(w.connectedSince) > w.establishedAfter}
+}
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -178,6 +178,16 @@
 	}
 }
 
+// grant has a role granted, if this process is the head of the view in which that was decided. Nobody else may: a
+// later head may have renewed the lease of the holder before.
+func (s *Service) grant(operation *api.Operation, view uint64) {
+	s.keeper.SubmitInView(operation, view, s.keeper.clock(time.Now().Add(orderPatience)), func(code result.Code, detail string) {
+		if !code.Done() {
+			s.owners.log.V(1).Info("a grant came to nothing", "event", "role", "code", code.String(), "detail", detail)
+		}
+	})
+}
+
 // Order has an operation done, wherever the head is, and tries again while there is time:
 // the same operation has its effect only once.
 func (s *Service) Order(operation *api.Operation) *result.Error {
--- /dev/null
+++ b/internal/system/control/world_clients_test.go
@@ -0,0 +1,458 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/feed"
+	"marlreel/internal/system/linear"
+	"marlreel/internal/system/ownership"
+	"marlreel/internal/system/result"
+	"marlreel/internal/system/state"
+)
+
+const (
+	// evacuatedZone is the zone that operators evacuate and take back.
+	evacuatedZone = "north"
+	// callerPatience is how long a caller waits for one control process.
+	callerPatience = time.Second
+	// mostSends is how often a caller sends the same again.
+	mostSends = 12
+	// applyTime is within what time a change is in force at every agent in touch.
+	applyTime = 2 * time.Second
+	// freshAge is how old what a process counts as fresh may be.
+	freshAge = 2 * time.Second
+)
+
+// worldClients are the operators and what they were answered.
+type worldClients struct {
+	world     *world
+	configs   []porcupine.Operation
+	switches  []porcupine.Operation
+	writes    int
+	taken     int
+	refused   int
+	newest    acknowledged // the newest configuration that was acknowledged
+	retiring  int
+	retired   map[string]time.Duration // ends of backends that were acknowledged, and when
+	darkUntil time.Duration            // power is lost
+}
+
+// acknowledged is a version and when it was acknowledged.
+type acknowledged struct {
+	version uint64
+	at      time.Duration
+}
+
+// worldDocument is a configuration with one model, and a mark by which it is known.
+func worldDocument(version uint64, mark string) string {
+	return strings.NewReplacer(`"config_version":1`, fmt.Sprintf(`"config_version":%d`, version), `"path_prefix":"/"`,
+		fmt.Sprintf(`"path_prefix":"/%s/"`, mark)).Replace(ownedDocument)
+}
+
+func newWorldClients(w *world) *worldClients {
+	cl := &worldClients{world: w, retired: map[string]time.Duration{}}
+	for operator := range 2 {
+		cl.loop(350*time.Millisecond, func(done func()) { cl.change(operator, done) })
+	}
+	on := false
+	cl.loop(500*time.Millisecond, func(done func()) {
+		cl.evacuate(!on, func(known bool) {
+			if known {
+				on = !on
+			}
+			done()
+		})
+	})
+	cl.loop(400*time.Millisecond, cl.retire)
+	cl.loop(150*time.Millisecond, func(done func()) { cl.read(func(*newestState) { done() }) })
+	return cl
+}
+
+// loop does something ever again, some time after it was done, while operators make changes.
+func (cl *worldClients) loop(pause time.Duration, do func(done func())) {
+	var again func()
+	again = func() {
+		if cl.world.calm {
+			return
+		}
+		do(func() { cl.world.after(pause, again) })
+	}
+	cl.world.after(time.Duration(cl.world.rng.Int64N(int64(pause))), again)
+}
+
+// send makes a call of an operator to one control process after the other, until one gives a clear answer.
+// done is given nil where none did.
+func send[A any](cl *worldClients, serve func(c *core, answer func(A)), clear func(A) bool, done func(*A)) {
+	w, sends := cl.world, 0
+	first := w.rng.IntN(len(w.cores))
+	var again func()
+	again = func() {
+		if sends >= mostSends {
+			done(nil)
+			return
+		}
+		c := w.cores[(first+sends)%len(w.cores)]
+		sends++
+		gone := false
+		call(w, "operator", c.address, callerPatience, func(answer func(A)) {
+			c.run(func() {
+				if gone { // the end of the connection stands right behind the call
+					w.crossed["a caller had gone"]++
+					return
+				}
+				serve(c, answer)
+			})
+		}, func(answer *A) {
+			gone = true
+			if answer != nil && clear(*answer) && w.rng.Float64() >= w.ackLoss {
+				done(answer)
+				return
+			}
+			w.after(time.Duration(50+50*sends)*time.Millisecond, again)
+		})
+	}
+	again()
+}
+
+// isClear tells whether an order's outcome is one that callers don't send again for.
+func isClear(outcome *result.Error) bool {
+	return outcome.Code != result.Unavailable && outcome.Code != result.Unclear
+}
+
+// operate has an operation done.
+func (cl *worldClients) operate(operation *api.Operation, done func(outcome *result.Error)) {
+	send(cl, func(c *core, answer func(*result.Error)) { c.order(operation, answer) }, isClear, func(outcome **result.Error) {
+		if outcome == nil {
+			done(nil)
+			return
+		}
+		done(*outcome)
+	})
+}
+
+// ids are the backends whose ends were acknowledged.
+func (cl *worldClients) ids() []string {
+	ids := make([]string, 0, len(cl.retired))
+	for id := range cl.retired {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// read reads the newest state. Whoever is not sure of it gives none.
+func (cl *worldClients) read(done func(*newestState)) {
+	w, began, ids := cl.world, cl.world.now, cl.ids()
+	send(cl, func(c *core, answer func(*newestState)) { c.read(ids, answer) }, func(s *newestState) bool { return s != nil },
+		func(answer **newestState) {
+			if answer == nil {
+				done(nil)
+				return
+			}
+			s := *answer
+			w.note("read %d", s.version)
+			cl.addConfig(began, linear.ConfigurationCall{Read: true}, linear.ConfigurationAnswer{Known: true, Version: s.version, Text: s.text})
+			cl.addSwitch(began, linear.SwitchCall{Read: true}, linear.SwitchAnswer{Known: true, On: s.evacuated})
+			for _, id := range ids {
+				if !s.retired[id] {
+					w.fault("the end of %s was acknowledged at %v, and a read that began at %v knows nothing of it", id, cl.retired[id], began)
+				}
+			}
+			done(s)
+		})
+}
+
+// returned is when a call was answered; one without a clear answer may still come true.
+func (cl *worldClients) returned(known bool) int64 {
+	if known {
+		return int64(cl.world.now)
+	}
+	return math.MaxInt64
+}
+
+func (cl *worldClients) addConfig(began time.Duration, input linear.ConfigurationCall, answer linear.ConfigurationAnswer) {
+	cl.configs = append(cl.configs, porcupine.Operation{ClientId: len(cl.configs), Input: input, Call: int64(began), Output: answer,
+		Return: cl.returned(answer.Known)})
+}
+
+func (cl *worldClients) addSwitch(began time.Duration, input linear.SwitchCall, answer linear.SwitchAnswer) {
+	cl.switches = append(cl.switches, porcupine.Operation{ClientId: len(cl.switches), Input: input, Call: int64(began), Output: answer,
+		Return: cl.returned(answer.Known)})
+}
+
+// change has a configuration taken on top of the newest one; two operators do so at once.
+func (cl *worldClients) change(operator int, done func()) {
+	w := cl.world
+	cl.read(func(s *newestState) {
+		if s == nil {
+			done()
+			return
+		}
+		cl.writes++
+		text := worldDocument(s.version+1, fmt.Sprintf("w%d", cl.writes))
+		began, base := w.now, s.version
+		operation := &api.Operation{Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{BaseVersion: base, Document: []byte(text)}}}
+		cl.operate(operation, func(outcome *result.Error) {
+			answer := linear.ConfigurationAnswer{Known: outcome != nil, Taken: outcome != nil && outcome.Code.Done()}
+			if answer.Known && !answer.Taken && outcome.Code != result.VersionConflict {
+				w.fault("operator %d: a change on %d was answered with %v", operator, base, outcome)
+			}
+			w.note("change %d by %d: %v", base, operator, answer)
+			if answer.Taken {
+				cl.taken++
+				if base+1 > cl.newest.version {
+					cl.newest = acknowledged{base + 1, w.now}
+				}
+			} else if answer.Known {
+				cl.refused++
+			}
+			cl.addConfig(began, linear.ConfigurationCall{Base: base, Text: text}, answer)
+			done()
+		})
+	})
+}
+
+// evacuate begins or ends an evacuation.
+func (cl *worldClients) evacuate(on bool, done func(known bool)) {
+	w, began := cl.world, cl.world.now
+	operation := &api.Operation{Kind: &api.Operation_Evacuation{Evacuation: &api.SetEvacuation{Zone: evacuatedZone, Active: on}}}
+	cl.operate(operation, func(outcome *result.Error) {
+		if outcome != nil && !outcome.Code.Done() {
+			w.fault("an evacuation was refused: %v", outcome)
+		}
+		w.note("evacuation %v: %v", on, outcome)
+		cl.addSwitch(began, linear.SwitchCall{On: on}, linear.SwitchAnswer{Known: outcome != nil})
+		done(outcome != nil)
+	})
+}
+
+// retire announces a backend's end.
+func (cl *worldClients) retire(done func()) {
+	w := cl.world
+	cl.retiring++
+	id := fmt.Sprintf("b%d", cl.retiring)
+	cl.operate(&api.Operation{Kind: &api.Operation_Retire{Retire: &api.RetireBackend{Id: id}}}, func(outcome *result.Error) {
+		if outcome != nil && !outcome.Code.Done() {
+			w.fault("the end of a backend was refused: %v", outcome)
+		}
+		if outcome != nil {
+			cl.retired[id] = w.now
+		}
+		w.note("end of %s: %v", id, outcome)
+		done()
+	})
+}
+
+// auditFresh checks that a process whose word counts as fresh has what was acknowledged some time ago.
+func (cl *worldClients) auditFresh(c *core) {
+	if c.replica.Machine().Version() < cl.newest.version && cl.world.now-cl.newest.at > freshAge {
+		cl.world.fault("%s counts as fresh with version %d; %d was acknowledged at %v", c.address, c.replica.Machine().Version(),
+			cl.newest.version, cl.newest.at)
+	}
+}
+
+// powerIsLost ends all control processes at once, and starts them again after a while.
+func (cl *worldClients) powerIsLost() {
+	w := cl.world
+	if cl.darkUntil > w.now {
+		return
+	}
+	const dark = 400 * time.Millisecond
+	cl.darkUntil = w.now + dark
+	for _, c := range w.cores {
+		c.dieAt = 0
+		c.kill()
+	}
+	w.after(dark, func() {
+		for _, c := range w.cores {
+			if !c.replaced && !c.up {
+				c.start()
+			}
+		}
+	})
+}
+
+// auditAnswers checks that all answers are those of one register, and of one switch.
+func (cl *worldClients) auditAnswers() {
+	const patience = 30 * time.Second
+	w := cl.world
+	if porcupine.CheckOperationsTimeout(linear.ConfigurationModel(linear.Configuration{}), cl.configs, patience) != porcupine.Ok {
+		w.fault("the answers to %d calls are not those of one register", len(cl.configs))
+	}
+	if porcupine.CheckOperationsTimeout(linear.SwitchModel(), cl.switches, patience) != porcupine.Ok {
+		w.fault("the answers to %d calls are not those of one switch", len(cl.switches))
+	}
+}
+
+// ---- agents ----
+
+// simAgent follows control, and gives orders while it holds the role.
+type simAgent struct {
+	world    *world
+	node     *api.Node
+	holder   string
+	feed     *feed.Store
+	cursor   *feed.Cursor
+	at       int // which control process it follows
+	asking   bool
+	stale    time.Duration // since when its source's word is not fresh; 0: it is
+	sequence uint64
+	frozen   bool
+	fence    uint64
+	until    time.Duration // of its lease
+	orders   int
+}
+
+const (
+	agentLook    = 50 * time.Millisecond
+	agentRenew   = 400 * time.Millisecond
+	agentReport  = 600 * time.Millisecond
+	agentOrder   = 70 * time.Millisecond
+	agentTimeout = 600 * time.Millisecond
+	agentStale   = 300 * time.Millisecond
+)
+
+var placementKey = ownership.PlacementKey("llm")
+
+func (w *world) addAgent(number int) {
+	name := fmt.Sprintf("a%d", number)
+	a := &simAgent{world: w, node: &api.Node{Name: name, Address: name + ":1", Incarnation: 1}, holder: ownership.Holder(name, 1),
+		feed: feed.New(name, w.clock), cursor: feed.NewCursor(nil), at: number}
+	w.agents = append(w.agents, a)
+	regularly := func(span time.Duration, do func()) {
+		w.every(span, func() bool {
+			if !a.frozen {
+				do()
+			}
+			return true
+		})
+	}
+	regularly(agentLook, a.follow)
+	regularly(agentReport, a.report)
+	regularly(agentRenew, a.renew)
+	regularly(agentOrder, a.giveOrder)
+}
+
+// source is the control process that the agent follows.
+func (a *simAgent) source() *core { return a.world.cores[a.at%len(a.world.cores)] }
+
+// follow asks for what is new.
+func (a *simAgent) follow() {
+	if a.asking {
+		return
+	}
+	a.asking = true
+	w, c := a.world, a.source()
+	request := a.feed.Request(a.cursor)
+	call(w, a.node.Name, c.address, agentTimeout, func(answer func(*api.Feed)) {
+		c.run(func() { answer(c.feed.Wait(w.t.Context(), request, 0)) })
+	}, func(answer **api.Feed) {
+		a.asking = false
+		if answer == nil {
+			a.at++
+			return
+		}
+		if !a.frozen {
+			a.take(*answer)
+		}
+	})
+}
+
+func (a *simAgent) take(answer *api.Feed) {
+	w := a.world
+	a.feed.Take(answer, a.cursor)
+	sequence, _ := a.feed.Position()
+	if sequence < a.sequence {
+		w.fault("%s went back from entry %d to %d", a.node.Name, a.sequence, sequence)
+	}
+	a.sequence = sequence
+	switch {
+	case answer.Fresh:
+		a.stale = 0
+	case a.stale == 0:
+		a.stale = w.now
+	case w.now-a.stale > agentStale:
+		a.at++
+		a.stale = 0
+	}
+}
+
+// report tells control processes that the agent lives.
+func (a *simAgent) report() {
+	for _, c := range a.world.cores {
+		node := &api.Node{Name: a.node.Name, Address: a.node.Address, Incarnation: a.node.Incarnation}
+		a.world.datagram(a.node.Name, c.address, func() { c.run(func() { c.feed.PutNode(node) }) })
+	}
+}
+
+// renew asks for its lease.
+func (a *simAgent) renew() {
+	w, asked := a.world, a.world.now
+	c := w.cores[w.rng.IntN(len(w.cores))]
+	call(w, a.node.Name, c.address, agentTimeout, func(answer func(*api.LeaseReply)) {
+		c.run(func() { c.lease(a.holder, false, answer) })
+	}, func(answer **api.LeaseReply) {
+		if answer == nil || result.Code((*answer).Code) != result.Accepted {
+			return
+		}
+		a.until = 0
+		for _, held := range (*answer).Held {
+			if held.Key == placementKey {
+				a.fence, a.until = held.Fence, asked+time.Duration((*answer).ValidMs)*time.Millisecond
+			}
+		}
+	})
+}
+
+// holds tells whether the agent's lease runs.
+func (a *simAgent) holds() bool { return a.world.now < a.until }
+
+// giveOrder gives the backend an order, if the agent may. Nobody else may at that moment.
+func (a *simAgent) giveOrder() {
+	w := a.world
+	if !a.holds() {
+		return
+	}
+	for _, other := range w.agents {
+		if other != a && other.holds() {
+			w.fault("%s gives an order under token %d, and %s holds the role under %d", a.node.Name, a.fence, other.node.Name, other.fence)
+		}
+	}
+	a.orders++
+	fence := a.fence
+	w.datagram(a.node.Name, "backend", func() { w.backend.take(a.holder, fence) })
+}
+
+// simBackend takes orders.
+type simBackend struct {
+	world  *world
+	holder string
+	fence  uint64
+	tokens int // under which orders came
+}
+
+// take takes an order. Tokens never go back, and none is two holders'.
+func (b *simBackend) take(holder string, fence uint64) {
+	switch {
+	case fence < b.fence:
+		b.world.fault("an order under token %d after one under %d", fence, b.fence)
+	case fence == b.fence && holder != b.holder:
+		b.world.fault("%s and %s give orders under token %d", holder, b.holder, fence)
+	case fence > b.fence:
+		b.tokens++
+		b.fence, b.holder = fence, holder
+	}
+}
+
+// agentVersion is the version of the configuration that an agent goes by.
+func agentVersion(a *simAgent) (version uint64) {
+	a.feed.View(func(m *state.Machine) { version = m.Version() })
+	return version
+}
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -32,6 +32,8 @@
 	sequence      uint64
 	hash          uint64
 	entries       []*api.Entry // the last ones, up to sequence
+	entrySizes    []int        // their bytes in a message, and the sum of them
+	entryBytes    int
 	backends      map[string]*backendRecord
 	departed      []departure
 	forgottenUpTo uint64 // readers that know less need all
@@ -148,7 +150,8 @@
 		}
 		s.machine.Apply(entry)
 		s.sequence, s.hash = entry.Sequence, entry.Hash
-		s.entries = append(s.entries, entry)
+		size := proto.Size(entry)
+		s.entries, s.entrySizes, s.entryBytes = append(s.entries, entry), append(s.entrySizes, size), s.entryBytes+size
 		grown = true
 	}
 	s.dropOldEntries()
@@ -160,16 +163,13 @@
 
 // dropOldEntries keeps what is kept for readers that lag within its bounds.
 func (s *Store) dropOldEntries() {
-	kept, size := 0, 0
-	for kept < min(len(s.entries), mostEntries) {
-		size += proto.Size(s.entries[len(s.entries)-1-kept])
-		if kept > 0 && size > mostEntryBytes {
-			break
-		}
-		kept++
+	extra := 0
+	for extra < len(s.entries)-1 && (len(s.entries)-extra > mostEntries || s.entryBytes > mostEntryBytes) {
+		s.entryBytes -= s.entrySizes[extra]
+		extra++
 	}
-	if extra := len(s.entries) - kept; extra > 0 {
-		s.entries = slices.Clone(s.entries[extra:])
+	if extra > 0 {
+		s.entries, s.entrySizes = slices.Clone(s.entries[extra:]), slices.Clone(s.entrySizes[extra:])
 	}
 }
 
@@ -185,7 +185,8 @@
 		return
 	}
 	s.machine.Restore(from)
-	s.sequence, s.hash, s.entries = sequence, hash, nil
+	s.sequence, s.hash = sequence, hash
+	s.entries, s.entrySizes, s.entryBytes = nil, nil, 0
 	s.dropRetired()
 	s.touchState()
 }
