--- a/internal/system/chain/faults_test.go
+++ b/internal/system/chain/faults_test.go
@@ -110,6 +110,7 @@
 	},
 	"interrupt-proposal": func(c *cluster, f fault) { c.interruptProposal(f) },
 	"interrupt-handover": func(c *cluster, f fault) { c.interruptHandover(f) },
+	"interrupt-vote":     func(c *cluster, f fault) { c.interruptVote(f) },
 	// A second loss right behind a first one, before the chain has its length again.
 	"lose-two": func(c *cluster, f fault) {
 		p, other := c.live(f.machine), c.live(f.other)
@@ -249,6 +250,65 @@
 	c.heal()
 }
 
+// interruptVote cuts two members off from each other, so that one of them proposes a view that the other one knows
+// nothing of. In the moment in which a third has voted, the proposer's words are held up, and voters are restarted.
+func (c *cluster) interruptVote(f fault) {
+	rng := rand.New(rand.NewPCG(uint64(f.machine), uint64(f.other)+2))
+	c.heal()
+	c.runFor(settle)
+	a, b := c.live(f.machine), c.live(f.other)
+	if a == b {
+		b = c.live(f.other + 1)
+	}
+	c.cut[a.address+">"+b.address], c.cut[b.address+">"+a.address] = true, true
+	for range 1 + rng.IntN(2) {
+		accepted := rng.IntN(2) == 0
+		var proposer *process
+		if !c.await(3*time.Second, func() bool { proposer = c.proposerWithVote(accepted); return proposer != nil }) {
+			break
+		}
+		c.interrupted++
+		c.runFor(time.Duration(rng.IntN(4)) * time.Millisecond)
+		for _, other := range c.processes {
+			c.held[proposer.address+">"+other.address] = true
+		}
+		for _, voter := range c.processes {
+			if voter != proposer && voter.node != nil && voter.node.wedged() && rng.IntN(3) > 0 {
+				c.restart(voter)
+			}
+		}
+		c.runFor(time.Duration(50+rng.IntN(800)) * time.Millisecond)
+		c.release()
+		c.runFor(f.lasts / 2)
+	}
+	c.heal()
+}
+
+// proposerWithVote is a process whose proposal another one has voted for; nil: there is none. accepted asks for an
+// acceptance, or else a promise.
+func (c *cluster) proposerWithVote(accepted bool) *process {
+	for _, p := range c.processes {
+		if p.node == nil || p.node.proposal == nil {
+			continue
+		}
+		proposal := p.node.proposal
+		for _, voter := range c.processes {
+			if voter == p || voter.node == nil || voter.node.durable.View.Number+1 != proposal.instance {
+				continue
+			}
+			d := &voter.node.durable
+			voted := d.Promised
+			if accepted {
+				voted = d.AcceptedBallot
+			}
+			if voted != nil && ballotEqual(voted, proposal.ballot) {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
 // syncingHead is a head that makes its chain's logs equal, or nil.
 func (c *cluster) syncingHead() *process {
 	for _, p := range c.processes {
--- a/internal/system/chain/history_test.go
+++ b/internal/system/chain/history_test.go
@@ -64,7 +64,8 @@
 	f := fault{machine: rng.IntN(machines), other: rng.IntN(machines), lasts: span(longestFault), rest: span(longestRest)}
 	kinds := []string{"kill", "lose-disk", "freeze", "stall-disk", "cut", "cut-one-way", "lose-messages", "lose-power",
 		"cut-and-restart", "lose-disk-and-power", "replace", "views", "hold", "leave", "lose-two",
-		"interrupt-proposal", "interrupt-proposal", "interrupt-handover", "interrupt-handover"}
+		"interrupt-proposal", "interrupt-proposal", "interrupt-handover", "interrupt-handover", "interrupt-vote", "interrupt-vote",
+		"interrupt-vote"}
 	f.kind = kinds[rng.IntN(len(kinds))]
 	switch f.kind {
 	case "lose-power":
