--- a/internal/system/chain/faults_test.go
+++ b/internal/system/chain/faults_test.go
@@ -264,31 +264,57 @@
 	for range 1 + rng.IntN(2) {
 		accepted := rng.IntN(2) == 0
 		var proposer *process
-		if !c.await(3*time.Second, func() bool { proposer = c.proposerWithVote(accepted); return proposer != nil }) {
+		if !c.await(3*time.Second, func() bool { proposer = c.proposerWithVote(accepted, nil); return proposer != nil }) {
 			break
 		}
 		c.interrupted++
 		c.runFor(time.Duration(rng.IntN(4)) * time.Millisecond)
-		for _, other := range c.processes {
-			c.held[proposer.address+">"+other.address] = true
+		c.holdFrom(proposer)
+		// Another one may be voted for meanwhile, whose words are held up as well.
+		var rival *process
+		if rng.IntN(2) == 0 && c.await(time.Second, func() bool { rival = c.proposerWithVote(false, proposer); return rival != nil }) {
+			c.holdFrom(rival)
 		}
 		for _, voter := range c.processes {
-			if voter != proposer && voter.node != nil && voter.node.wedged() && rng.IntN(3) > 0 {
+			if voter != proposer && voter != rival && voter.node != nil && voter.node.wedged() && rng.IntN(3) > 0 {
 				c.restart(voter)
 			}
 		}
-		c.runFor(time.Duration(50+rng.IntN(800)) * time.Millisecond)
+		if rival == nil {
+			c.runFor(time.Duration(50+rng.IntN(800)) * time.Millisecond)
+		}
+		c.releaseFrom(proposer)
+		c.runFor(time.Duration(rng.IntN(8)) * time.Millisecond)
 		c.release()
 		c.runFor(f.lasts / 2)
 	}
 	c.heal()
 }
 
-// proposerWithVote is a process whose proposal another one has voted for; nil: there is none. accepted asks for an
-// acceptance, or else a promise.
-func (c *cluster) proposerWithVote(accepted bool) *process {
+// holdFrom holds up what a process sends.
+func (c *cluster) holdFrom(p *process) {
+	for _, other := range c.processes {
+		c.held[p.address+">"+other.address] = true
+	}
+}
+
+// releaseFrom lets what a process sent arrive.
+func (c *cluster) releaseFrom(p *process) {
+	for _, other := range c.processes {
+		delete(c.held, p.address+">"+other.address)
+	}
+	late := c.late
+	c.late = nil
+	for _, message := range late {
+		c.deliver(message.from, message.message) // what others sent is held up again
+	}
+}
+
+// proposerWithVote is a process, but for one, whose proposal another one has voted for; nil: there is none. accepted
+// asks for an acceptance, or else a promise.
+func (c *cluster) proposerWithVote(accepted bool, except *process) *process {
 	for _, p := range c.processes {
-		if p.node == nil || p.node.proposal == nil {
+		if p == except || p.node == nil || p.node.proposal == nil {
 			continue
 		}
 		proposal := p.node.proposal
--- /dev/null
+++ b/internal/system/chain/repair_test.go
@@ -0,0 +1,137 @@
+package chain
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// repairSeeds is how often each kind of loss is played, each place in the chain in turn.
+	repairSeeds = 30
+	// backAfter is after what time a machine that was lost is there again, or another one in its place.
+	backAfter = time.Second
+	// catchUpTime is within what time of its start a machine holds all (catch_up_s of the deployments).
+	catchUpTime = 4 * time.Second
+)
+
+// losses are the kinds of losses. Each gives the time from which a full chain can be expected: when the machine is
+// there again, or the one in its place.
+var losses = map[string]func(c *cluster, p *process) (from time.Duration){
+	"killed": func(c *cluster, p *process) time.Duration {
+		c.kill(p)
+		c.runFor(backAfter)
+		c.start(p, false)
+		return c.now
+	},
+	"its disk lost": func(c *cluster, p *process) time.Duration {
+		c.wipe(p)
+		c.runFor(backAfter)
+		c.start(p, false)
+		return c.now
+	},
+	"its disk lost, and all power": func(c *cluster, p *process) time.Duration {
+		c.wipe(p)
+		c.restartAll(200 * time.Millisecond)
+		return c.now
+	},
+	"gone, another one at another address": func(c *cluster, p *process) time.Duration {
+		c.kill(p)
+		p.replaced = true
+		c.runFor(backAfter)
+		c.renewContacts()
+		c.add("d0", false)
+		return c.now
+	},
+	"replaced as planned": func(c *cluster, p *process) time.Duration {
+		c.add("d0", false)
+		c.runFor(settle)
+		from := c.now
+		c.carryOut(p, p.node.Leave(c.now))
+		c.runUntil("it has left", time.Second, p.node.Left)
+		c.kill(p)
+		p.replaced = true
+		return from
+	},
+	"cut off for 20 s": func(c *cluster, p *process) time.Duration {
+		c.isolate(p, true)
+		c.runFor(20 * time.Second)
+		c.isolate(p, false)
+		return c.now
+	},
+}
+
+// fullLength tells whether a chain in service has all members that there should be, and nobody else counts.
+func (c *cluster) fullLength() bool {
+	for _, p := range c.processes {
+		if p.node != nil && p.node.isHead() && p.node.Connected() {
+			view := p.node.View()
+			return len(view.Chain) == c.cfg.TargetMembers && len(view.Members) == c.cfg.TargetMembers
+		}
+	}
+	return false
+}
+
+// After each kind of loss the chain has its length again within the time that a machine has to catch up; and writes
+// do not rest for longer than it takes to miss a member.
+func TestTimesOfRepair(t *testing.T) {
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var repairs, rests []time.Duration
+			for seed := range uint64(repairSeeds) {
+				c := newCluster(t, 400+seed, 3)
+				c.mustServe("founding")
+				p := c.at(c.head().node.View().Chain[seed%3])
+				c.longest, c.lastAck = 0, c.now
+				from := lose(c, p)
+				c.runUntil("the chain has its length again", 20*time.Second, c.fullLength)
+				repairs = append(repairs, c.now-from)
+				c.runFor(time.Second)
+				rests = append(rests, c.longest)
+				c.audit()
+			}
+			slices.Sort(repairs)
+			slices.Sort(rests)
+			half, last := len(repairs)/2, len(repairs)-1
+			t.Logf("| %s | %v | %v | %v | %v |", name, repairs[half].Round(time.Millisecond), repairs[last].Round(time.Millisecond),
+				rests[half].Round(time.Millisecond), rests[last].Round(time.Millisecond))
+			is.True(repairs[last] < catchUpTime)
+		})
+	}
+}
+
+// How long a member takes to catch up, by entries missed and by the size of the state, over 10 Mbit/s and while
+// changes go on: a line, and no step where entries are no longer kept.
+func TestTimesToCatchUp(t *testing.T) {
+	for _, of := range []struct{ entries, state int }{
+		{1, 0}, {64, 0}, {65, 0}, {1000, 0}, {5000, 0}, {100, 256 << 10}, {100, 1 << 20}, {100, 2 << 20}, {100, 4 << 20},
+	} {
+		t.Run(fmt.Sprintf("%d entries, %d KB", of.entries, of.state>>10), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 500, 3)
+			c.cfg.CompactAfter = 64
+			c.rate, c.ballast = slowLink, make([]byte, of.state)
+			for _, p := range c.processes {
+				p.node.cfg, p.machine.ballast = c.cfg, c.ballast
+			}
+			c.mustServe("founding")
+			p := c.at(c.head().node.View().Chain[1])
+			c.kill(p)
+			c.runFor(time.Second)
+			c.pace = 10 * time.Millisecond
+			c.pass(of.entries)
+			c.pace = proposeEvery
+			c.start(p, false)
+			took := c.runUntil("it is back", 20*time.Second, c.inChain(p))
+			t.Logf("| %d | %d KB | %v |", of.entries, of.state>>10, took)
+			transfer := time.Duration(float64(of.state) / slowLink * float64(time.Second))
+			is.True(took < time.Second+transfer+transfer/4)
+		})
+	}
+}
--- a/internal/system/control/fragments.go
+++ b/internal/system/control/fragments.go
@@ -21,9 +21,9 @@
 	// fragmentPause is between two tries.
 	fragmentPause = 50 * time.Millisecond
 	// largestFragmented bounds a message that comes in parts.
-	largestFragmented = 64 << 20
+	largestFragmented = 32 << 20
 	// mostSenders bounds the processes from which parts are kept.
-	mostSenders = 8
+	mostSenders = 4
 )
 
 // outgoing is a message that goes in parts.
