--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -200,6 +200,13 @@
 	fmt.Fprintf(table, "as seen by\t%s\tconnected %v\n", s.Node, s.Connected)
 	fmt.Fprintf(table, "chain\tview %d\thead %s\ttail %s\t%d entries\n", s.View, s.Head, s.Tail, s.Committed)
 	fmt.Fprintf(table, "members\t%s\n", strings.Join(s.Members, " "))
+	fmt.Fprintf(table, "hold all\t%s\n", strings.Join(s.Chain, " "))
+	if s.CatchingUp != "" {
+		fmt.Fprintf(table, "catching up\t%s\n", s.CatchingUp)
+	}
+	if s.Leaving {
+		fmt.Fprintln(table, "leaving\tthis process is about to end")
+	}
 	fmt.Fprintf(table, "configuration\tversion %d\tevacuated: %s\n", s.Version, strings.Join(s.Evacuated, " "))
 	for _, role := range s.Roles {
 		fmt.Fprintf(table, "role\t%s\t%s\tfence %d\n", role.Key, role.Holder, role.Fence)
--- a/internal/system/chain/catchup.go
+++ b/internal/system/chain/catchup.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,6 +26,15 @@
 // bringsUp tells whether somebody is being brought up to date.
 func (n *Node) bringsUp() bool { return n.catchUp != nil }
 
+// CatchingUp is the address of the process that this head brings up to date; "" is none.
+func (n *Node) CatchingUp() string {
+	if n.catchUp == nil || !n.isHead() {
+		return ""
+	}
+	address, _, _ := strings.Cut(n.catchUp.key, "/")
+	return address
+}
+
 // dropCatchUp forgets a process that no longer can be brought up to date.
 func (n *Node) dropCatchUp() {
 	if n.catchUp == nil {
--- a/internal/system/control/figures.go
+++ b/internal/system/control/figures.go
@@ -7,6 +7,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"marlreel/internal/system/metrics"
+	"marlreel/internal/system/result"
 	"marlreel/internal/system/state"
 )
 
@@ -22,9 +23,17 @@
 	set.NewGauge("marlreel_backends", func() float64 { return float64(len(s.feed.Backends())) })
 	set.NewGauge("marlreel_nodes", func() float64 { return float64(len(s.feed.Nodes())) })
 	set.NewGauge("marlreel_feed_readers", func() float64 { return float64(len(s.registry.Readers())) })
+	s.counters.Store(set)
 	return set
 }
 
+// countOrder counts an order that was answered, by its result.
+func (s *Service) countOrder(outcome *result.Error) {
+	if set := s.counters.Load(); set != nil {
+		set.GetOrCreateCounter(metrics.Name("marlreel_orders_total", metrics.Label{Key: "result", Value: outcome.Code.String()})).Inc()
+	}
+}
+
 // writeStanding writes how the chain stands: nothing of it where that is not known in time.
 func (s *Service) writeStanding(w io.Writer) {
 	patience, cancel := context.WithTimeout(context.Background(), statusPatience)
@@ -33,6 +42,9 @@
 	vm.WriteGaugeFloat64(w, "marlreel_chain_connected", metrics.Flag(standing.Connected))
 	vm.WriteGaugeUint64(w, "marlreel_chain_view", standing.View)
 	vm.WriteGaugeUint64(w, "marlreel_chain_members", uint64(len(standing.Members)))
+	vm.WriteGaugeUint64(w, "marlreel_chain_length", uint64(len(standing.Chain)))
+	vm.WriteGaugeFloat64(w, "marlreel_chain_leaving", metrics.Flag(standing.Leaving))
+	vm.WriteGaugeFloat64(w, "marlreel_chain_catching_up", metrics.Flag(standing.CatchingUp != ""))
 	vm.WriteGaugeUint64(w, "marlreel_chain_committed", standing.Committed)
 	vm.WriteGaugeFloat64(w, "marlreel_store_failed", metrics.Flag(standing.NoStore))
 }
--- a/internal/system/control/keeper.go
+++ b/internal/system/control/keeper.go
@@ -252,6 +252,7 @@
 	Members    []string // addresses of all members
 	Chain      []string // addresses of those in the chain, the head first
 	Leaving    bool     // this process is about to end, and asks to be left out
+	CatchingUp string   // whom this head brings up to date; "" is nobody
 	Connected  bool     // in service, and a majority is heard
 	View       uint64
 	Committed  uint64
@@ -277,7 +278,7 @@
 	}
 	node := r.Node()
 	s := Standing{Head: node.Head().GetAddress(), Tail: node.Tail().GetAddress(), Connected: node.Connected(),
-		View: node.View().GetNumber(), Committed: node.Committed()}
+		View: node.View().GetNumber(), Committed: node.Committed(), CatchingUp: node.CatchingUp()}
 	for _, member := range node.View().Members {
 		s.Members = append(s.Members, member.Address)
 	}
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/twitchtv/twirp"
 
 	"marlreel/internal/system/api"
@@ -36,6 +38,7 @@
 	client   *transport.Client
 	incoming *incoming // messages of other members that come in parts
 	clocks   clocks    // of other control processes
+	counters atomic.Pointer[vm.Set]
 }
 
 // Deliver implements api.ChainPeer.
@@ -201,6 +204,7 @@
 		}
 		pause(ctx, attemptPause)
 	}
+	s.countOrder(tries.outcome)
 	return tries.outcome
 }
 
--- a/internal/system/control/status.go
+++ b/internal/system/control/status.go
@@ -20,8 +20,9 @@
 	Head        string          `json:"head"`
 	Tail        string          `json:"tail"`
 	Members     []string        `json:"members"`
-	Chain       []string        `json:"chain"`   // the members that hold all, the head first
-	Leaving     bool            `json:"leaving"` // this process is about to end
+	Chain       []string        `json:"chain"`       // the members that hold all, the head first
+	Leaving     bool            `json:"leaving"`     // this process is about to end
+	CatchingUp  string          `json:"catching_up"` // whom this process, the head, brings up to date
 	Committed   uint64          `json:"committed"`
 	Version     uint64          `json:"config_version"`
 	Evacuated   []string        `json:"evacuated_zones"`
@@ -66,7 +67,7 @@
 	defer cancel()
 	standing := s.standing(patience)
 	out := Status{Node: s.self, Connected: standing.Connected, View: standing.View, Head: standing.Head, Tail: standing.Tail,
-		Members: standing.Members, Chain: standing.Chain, Leaving: standing.Leaving, Committed: standing.Committed, StoreFailed: standing.NoStore}
+		Members: standing.Members, Chain: standing.Chain, Leaving: standing.Leaving, CatchingUp: standing.CatchingUp, Committed: standing.Committed, StoreFailed: standing.NoStore}
 	s.feed.View(func(m *state.Machine) {
 		out.Version, out.Evacuated = m.Version(), m.EvacuatedZones()
 		for _, o := range m.Ownerships() {
