Draw handovers in quiet times, late entries, and rivals in votes

Need: two guards of the chain were noticed by no drawn history yet: a chain below a majority, and logs compared by their length alone. Both need that only one entry is acknowledged between two losses; a third, entries of an old view, needs an entry that arrives after two views. Change: histories fall quiet at such moments, and hold an entry up.

--- a/internal/system/chain/faults_test.go
+++ b/internal/system/chain/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -104,6 +105,15 @@
 		}
 		c.runFor(f.lasts)
 		c.isolate(other, false)
+		if f.machine%2 == 0 && len(c.processes) == 3 { // whoever is left is cut off in turn; the one that leaves still votes
+			for _, left := range c.processes {
+				if left != p && left != other {
+					c.isolate(left, true)
+					c.runFor(time.Second + f.lasts/2)
+					c.isolate(left, false)
+				}
+			}
+		}
 		c.kill(p)
 		c.runFor(f.back)
 		c.start(p, false)
@@ -111,6 +121,7 @@
 	"interrupt-proposal": func(c *cluster, f fault) { c.interruptProposal(f) },
 	"interrupt-handover": func(c *cluster, f fault) { c.interruptHandover(f) },
 	"interrupt-vote":     func(c *cluster, f fault) { c.interruptVote(f) },
+	"late-entry":         func(c *cluster, f fault) { c.lateEntry(f) },
 	// A second loss right behind a first one, before the chain has its length again.
 	"lose-two": func(c *cluster, f fault) {
 		p, other := c.live(f.machine), c.live(f.other)
@@ -218,10 +229,20 @@
 	c.runFor(settle)
 	for range 1 + rng.IntN(2) {
 		lagging := c.minority(rng)
+		if head := c.servingHead(); head != nil && rng.IntN(2) == 0 {
+			lagging[0] = head // which keeps an entry that nobody else has
+		}
 		for _, p := range lagging {
 			c.isolate(p, true)
 		}
-		c.runFor(time.Second + f.lasts/2)
+		if rng.IntN(2) == 0 {
+			c.runFor(time.Second + f.lasts/2)
+		} else { // one entry is acknowledged without them, and then all is quiet
+			c.runFor(100 * time.Millisecond)
+			before := len(c.acked)
+			c.await(2*time.Second, func() bool { return len(c.acked) > before })
+			c.quiet = true
+		}
 		var killed []*process
 		for _, p := range c.minority(rng) {
 			c.kill(p)
@@ -238,6 +259,14 @@
 			}
 			c.runFor(time.Duration(rng.IntN(12)) * time.Millisecond)
 			c.kill(head)
+			if rng.IntN(2) == 0 && len(c.processes) > 3 { // and one that is equal with it
+				for _, p := range c.processes {
+					if p.node != nil && !slices.Contains(lagging, p) {
+						c.kill(p)
+						break
+					}
+				}
+			}
 			clear(c.cut)
 		}
 		for _, p := range killed {
@@ -245,9 +274,21 @@
 				c.start(p, false)
 			}
 		}
+		c.quiet = false
 		c.runFor(f.lasts)
+		c.heal()
+		c.runFor(settle)
 	}
-	c.heal()
+}
+
+// servingHead is the head of a chain that acknowledges, or nil.
+func (c *cluster) servingHead() *process {
+	for _, p := range c.processes {
+		if p.node != nil && p.node.MayPropose() && p.node.Connected() {
+			return p
+		}
+	}
+	return nil
 }
 
 // interruptVote cuts two members off from each other, so that one of them proposes a view that the other one knows
@@ -291,6 +332,48 @@
 	c.heal()
 }
 
+// lateEntry holds up an entry that a head sends, lets views pass in which that head and others go and come back, and
+// then lets the entry arrive, where nothing else has come since.
+func (c *cluster) lateEntry(f fault) {
+	rng := rand.New(rand.NewPCG(uint64(f.machine), uint64(f.other)+3))
+	c.heal()
+	c.runFor(settle)
+	head := c.servingHead()
+	if head == nil {
+		return
+	}
+	defer func() {
+		c.quiet = false
+		c.heal()
+	}()
+	c.holdFrom(head)
+	if !c.await(time.Second, func() bool { return head.node.committed < head.node.durable.last().GetSequence() }) {
+		return
+	}
+	c.quiet = true
+	c.runFor(time.Millisecond)
+	clear(c.held) // what comes after it passes
+	back := func(p *process) func() bool { return func() bool { return p.node.InService() } }
+	c.isolate(head, true)
+	c.runFor(time.Second)
+	c.isolate(head, false)
+	if !c.await(3*time.Second, back(head)) {
+		return
+	}
+	for _, p := range c.minority(rng) {
+		if p == head {
+			continue
+		}
+		c.isolate(p, true)
+		c.runFor(time.Second)
+		c.isolate(p, false)
+		c.await(3*time.Second, back(p))
+	}
+	c.interrupted++
+	c.release()
+	c.runFor(f.lasts / 4)
+}
+
 // holdFrom holds up what a process sends.
 func (c *cluster) holdFrom(p *process) {
 	for _, other := range c.processes {
--- a/internal/system/chain/history_test.go
+++ b/internal/system/chain/history_test.go
@@ -65,7 +65,7 @@
 	kinds := []string{"kill", "lose-disk", "freeze", "stall-disk", "cut", "cut-one-way", "lose-messages", "lose-power",
 		"cut-and-restart", "lose-disk-and-power", "replace", "views", "hold", "leave", "lose-two",
 		"interrupt-proposal", "interrupt-proposal", "interrupt-handover", "interrupt-handover", "interrupt-vote", "interrupt-vote",
-		"interrupt-vote"}
+		"interrupt-vote", "late-entry"}
 	f.kind = kinds[rng.IntN(len(kinds))]
 	switch f.kind {
 	case "lose-power":
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -116,6 +116,7 @@
 	ballast  []byte                   // of the state
 	padding  []byte                   // of each entry
 	pace     time.Duration            // between two proposals
+	quiet    bool                     // nothing is proposed
 	lastAck  time.Duration
 	longest  time.Duration // between two acknowledgements, since it was set to 0
 }
@@ -330,6 +331,9 @@
 
 // propose has one more operation done, at any process that may.
 func (c *cluster) propose() {
+	if c.quiet {
+		return
+	}
 	for _, p := range c.processes {
 		if p.node == nil || p.frozen || p.stalled || !p.node.MayPropose() {
 			continue
--- a/internal/system/simcluster/catchup_test.go
+++ b/internal/system/simcluster/catchup_test.go
@@ -101,3 +101,28 @@
 		})
 	}
 }
+
+// A proxy that is restarted gets a configuration of 2 MB over 10 Mbit/s, from control or from its home, and serves.
+func TestAProxyGetsALargeStateOverASlowLink(t *testing.T) {
+	for place := range 3 {
+		t.Run(fmt.Sprint(place), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := start(t, 3, 6)
+				defer c.Stop()
+				status, _, err := c.Configure(padded(largeDocument), 10*time.Second)
+				is.NoErr(err)
+				is.Equal(status, 200)
+				c.Pass(3 * time.Second)
+				c.Net.SetRate(slowLink)
+				edge := c.Edges[place]
+				edge.Kill()
+				c.Pass(time.Second)
+				edge.Start()
+				took, served := c.served(edge, 15*time.Second)
+				t.Logf("serves after %v", took)
+				is.True(served)
+			})
+		})
+	}
+}
