Serve a large state to readers in parts, each an answer of its own

Change: a state above 64 KiB goes in parts, encoded once for all readers; entries go up to 64 KiB an answer. Nobody becomes fresh before the state is whole. A node that receives one does not fetch it elsewhere as well.

--- a/internal/system/agent/membership.go
+++ b/internal/system/agent/membership.go
@@ -72,7 +72,7 @@
 	}
 	if m.lags(reply.Sequence) {
 		rest(ctx, lagPatience)
-		if m.lags(reply.Sequence) {
+		if m.lags(reply.Sequence) && !m.feed.Receiving() {
 			m.fetch(ctx, control)
 		}
 	}
--- a/internal/system/feed/exchange.go
+++ b/internal/system/feed/exchange.go
@@ -11,7 +11,8 @@
 func (s *Store) Request(known *Cursor) *api.WatchRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &api.WatchRequest{Source: known.source, Revision: known.revision, Sequence: s.sequence, Hash: s.hash, Topics: known.topics}
+	return &api.WatchRequest{Source: known.source, Revision: known.revision, Sequence: s.sequence, Hash: s.hash, Topics: known.topics,
+		StatePart: s.wantedPart(known)}
 }
 
 // Cursor is how far a reader has followed one source.
@@ -78,7 +79,7 @@
 	switch {
 	case request.Source != s.source || request.Revision < s.standingRevision:
 		return urgentNews
-	case topics.State() && request.Revision < s.stateRevision:
+	case topics.State() && (request.Revision < s.stateRevision || request.Sequence < s.sequence):
 		return urgentNews
 	case request.Revision < s.newest(topics):
 		return plainNews
@@ -120,13 +121,13 @@
 		return
 	}
 	if have := s.sequence - uint64(len(s.entries)); request.Sequence >= have && request.Sequence > 0 {
-		missing := s.entries[request.Sequence-have:]
-		if missing[0].PreviousHash == request.Hash {
+		missing := s.fitting(s.entries[request.Sequence-have:])
+		if len(missing) > 0 && missing[0].PreviousHash == request.Hash {
 			feed.Entries = missing
 			return
 		}
 	}
-	feed.State = s.machine.State()
+	s.serveState(feed, request)
 }
 
 // Take takes in what another store has served. It tells whether anything is new.
@@ -136,6 +137,8 @@
 	before := s.revision
 	if feed.State != nil {
 		s.reset(feed.Sequence, feed.Hash, feed.State)
+	} else if feed.StatePart != nil {
+		s.takePart(feed.Source, feed.StatePart)
 	} else if len(feed.Entries) > 0 && feed.Entries[0].PreviousHash == s.hash {
 		s.append(feed.Entries)
 	}
@@ -158,7 +161,11 @@
 		s.stateRevision = s.revision + 1
 		changed = true
 	}
-	if s.setStanding(cursor.topics, Standing{Fresh: feed.Fresh, Established: feed.Established}) {
+	// What takes a large state in does not become fresh before that is whole. It may have been fresh before: then it is
+	// behind by no more than the time that the parts take.
+	takesIn := cursor.topics.State() && s.partial != nil
+	fresh := feed.Fresh && (!takesIn || s.standings.of(cursor.topics).Fresh)
+	if s.setStanding(cursor.topics, Standing{Fresh: fresh, Established: feed.Established}) {
 		changed = true
 	}
 	if changed {
--- a/internal/system/feed/feed_test.go
+++ b/internal/system/feed/feed_test.go
@@ -156,20 +156,23 @@
 func TestEntriesForReadersThatLagAreBoundedInBytes(t *testing.T) {
 	is := is.New(t)
 	source := New("source", time.Now)
-	const size = mostEntryBytes / 8
+	const size, most = largestAnswer / 4, 4 * mostEntryBytes / largestAnswer
 	add := func(sequence uint64, size int) {
 		change := &api.Operation{Kind: &api.Operation_Modify{Modify: &api.ModifyConfiguration{Change: make([]byte, size)}}}
 		source.Append([]*api.Entry{{Sequence: sequence, PreviousHash: sequence, Hash: sequence + 1, Operations: []*api.Operation{change}}})
 	}
-	for sequence := uint64(1); sequence <= 20; sequence++ {
+	for sequence := uint64(1); sequence <= 100; sequence++ {
 		add(sequence, size)
-		is.True(len(source.entries) <= 8)
+		is.True(len(source.entries) <= most)
 	}
-	near := source.since(&api.WatchRequest{Sequence: 18, Hash: 19})
+	near := source.since(&api.WatchRequest{Sequence: 98, Hash: 99})
 	is.Equal(len(near.Entries), 2)
 	is.True(near.State == nil)
+	further := source.since(&api.WatchRequest{Sequence: 80, Hash: 81})
+	is.Equal(len(further.Entries), 3) // as many as fit into an answer
 	far := source.since(&api.WatchRequest{Sequence: 2, Hash: 3})
 	is.True(far.State != nil)
-	add(21, 2*mostEntryBytes)
+	add(101, 2*mostEntryBytes)
 	is.Equal(len(source.entries), 1) // the last one is kept whatever its size
+	is.True(source.since(&api.WatchRequest{Sequence: 100, Hash: 101}).State != nil)
 }
--- /dev/null
+++ b/internal/system/feed/parts_test.go
@@ -0,0 +1,117 @@
+package feed
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/state"
+)
+
+// largeDocument is a configuration of a version that takes several answers.
+func largeDocument(version uint64) []byte {
+	return fmt.Appendf(nil, `{"config_version":%d,"remark":"%s","route_list":[],"service_list":[],"limits":{}}`, version,
+		strings.Repeat("x", 3*largestAnswer))
+}
+
+// set has a source hold a large configuration, by one more entry.
+func (f *follower) set(sequence, version uint64) {
+	f.source.Append([]*api.Entry{{Sequence: sequence, PreviousHash: sequence, Hash: sequence + 1, Operations: []*api.Operation{{
+		Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{BaseVersion: version - 1, Document: largeDocument(version)}}}}}})
+}
+
+// version is that of the configuration that a store holds.
+func version(s *Store) (version uint64) {
+	s.View(func(m *state.Machine) { version = m.Version() })
+	return version
+}
+
+// step asks once, and gives the answer's size.
+func (f *follower) step() int {
+	answer := f.source.since(f.store.Request(f.cursor))
+	f.store.Take(answer, f.cursor)
+	return len(answer.StatePart.GetData())
+}
+
+func newLargeFollower() *follower {
+	source := New("source", time.Now)
+	source.SetStanding(Standing{Fresh: true, Established: true})
+	return newFollower(source)
+}
+
+// A state that is too large for one answer comes in parts, and nothing counts as fresh before it is whole.
+func TestALargeStateComesInParts(t *testing.T) {
+	is := is.New(t)
+	f := newLargeFollower()
+	f.set(1, 1)
+	answers := 0
+	for ; version(f.store) == 0; answers++ {
+		is.True(answers < 10)
+		is.True(!f.store.Fresh(nil))
+		is.True(f.step() <= largestAnswer)
+	}
+	is.Equal(answers, 4)
+	is.True(f.store.Fresh(nil))
+	sequence, hash := f.store.Position()
+	is.True(sequence == 1 && hash == 2)
+	is.True(!f.store.Receiving())
+}
+
+// Changes that come meanwhile neither spoil nor prolong it, also where one of them is too large for an answer.
+func TestALargeStateComesWhileItChanges(t *testing.T) {
+	is := is.New(t)
+	f := newLargeFollower()
+	f.set(1, 1)
+	for next := uint64(2); next < 8; next++ {
+		f.step()
+		f.set(next, next)
+	}
+	for answers := 0; version(f.store) < 7; answers++ {
+		is.True(answers < 20)
+		f.step()
+	}
+	is.True(f.store.Fresh(nil))
+}
+
+// Who is fresh stays so while a large change comes in parts; who was not, as after a cut, is not before it is whole.
+func TestFreshnessWhileALargeStateComes(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		is := is.New(t)
+		f := newLargeFollower()
+		f.set(1, 1)
+		for version(f.store) == 0 {
+			f.step()
+		}
+		if !fresh {
+			f.store.Unheard(nil)
+		}
+		f.set(2, 2)
+		for answers := 0; version(f.store) < 2; answers++ {
+			is.True(answers < 10)
+			is.Equal(f.store.Fresh(nil), fresh)
+			f.step()
+		}
+		is.True(f.store.Fresh(nil))
+	}
+}
+
+// Parts of two sources never make one state.
+func TestPartsOfAnotherSourceBeginAnew(t *testing.T) {
+	is := is.New(t)
+	f := newLargeFollower()
+	f.set(1, 1)
+	f.step()
+	f.step()
+	f.source = New("another", time.Now)
+	f.source.SetStanding(Standing{Fresh: true, Established: true})
+	f.set(1, 1)
+	for answers := 0; version(f.store) == 0; answers++ {
+		is.True(answers < 6)
+		f.step()
+	}
+	is.Equal(len(f.store.machine.Document().Raw()), len(largeDocument(1)))
+}
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -34,6 +34,8 @@
 	entries       []*api.Entry // the last ones, up to sequence
 	entrySizes    []int        // their bytes in a message, and the sum of them
 	entryBytes    int
+	encoded       *encodedState // as it was served in parts last; nil: it was not
+	partial       *partialState // what comes in parts; nil: nothing does
 	backends      map[string]*backendRecord
 	departed      []departure
 	forgottenUpTo uint64 // readers that know less need all
