--- a/internal/system/chain/catchup.go
+++ b/internal/system/chain/catchup.go
@@ -96,19 +96,8 @@
 	if n.wedged() || n.inChain() || !sameMember(from, n.Head()) || data.Target.GetSequence() <= n.committed {
 		return
 	}
-	start := n.durable.last()
-	if data.Snapshot != nil {
-		start = &api.Position{Sequence: data.Snapshot.Sequence, Hash: data.Snapshot.Hash}
-	}
-	if !leadsTo(start, data.Entries, data.Target) {
-		return // this log has changed since it was looked at
-	}
-	if data.Snapshot != nil {
-		n.replaceLog(data.Snapshot, data.Entries)
-	} else {
-		for _, entry := range data.Entries {
-			n.append(entry)
-		}
+	if !n.takeLog(data.Snapshot, data.Entries, data.Target) {
+		return
 	}
 	n.commit(data.Target.Sequence)
 	n.send(from, n.heartbeat()) // which says how far the log reaches now
--- a/internal/system/chain/replicate.go
+++ b/internal/system/chain/replicate.go
@@ -151,19 +151,8 @@
 		n.tellSynced(from) // it came twice
 		return
 	}
-	start := n.durable.last()
-	if data.Snapshot != nil {
-		start = &api.Position{Sequence: data.Snapshot.Sequence, Hash: data.Snapshot.Hash}
-	}
-	if !leadsTo(start, data.Entries, data.Target) {
-		return // this log has changed since it was asked for
-	}
-	if data.Snapshot != nil {
-		n.replaceLog(data.Snapshot, data.Entries)
-	} else {
-		for _, entry := range data.Entries {
-			n.append(entry)
-		}
+	if !n.takeLog(data.Snapshot, data.Entries, data.Target) {
+		return
 	}
 	n.durable.SyncedView = n.durable.View.Number
 	n.out.Save.Synced = true
@@ -174,6 +163,26 @@
 	n.send(head, &api.ChainMessage{Body: &api.ChainMessage_SyncDone{SyncDone: &api.SyncDone{Position: n.durable.last()}}})
 }
 
+// takeLog takes entries behind this log, or a snapshot and the entries behind it in place of it. It tells whether they
+// lead to the target: this log may have changed since it was looked at.
+func (n *Node) takeLog(snapshot *api.Snapshot, entries []*api.Entry, target *api.Position) bool {
+	start := n.durable.last()
+	if snapshot != nil {
+		start = &api.Position{Sequence: snapshot.Sequence, Hash: snapshot.Hash}
+	}
+	if !leadsTo(start, entries, target) {
+		return false
+	}
+	if snapshot != nil {
+		n.replaceLog(snapshot, entries)
+		return true
+	}
+	for _, entry := range entries {
+		n.append(entry)
+	}
+	return true
+}
+
 // leadsTo tells whether entries follow one another from a position to a target.
 func leadsTo(start *api.Position, entries []*api.Entry, target *api.Position) bool {
 	sequence, hash := start.Sequence, start.Hash
