Check in drawn histories that a change is in force at agents in time

Need: the check looked 8 s after the last fault alone. Change: after it each agent knows, within 2 s, what was acknowledged before.

--- a/internal/system/control/world_history_test.go
+++ b/internal/system/control/world_history_test.go
@@ -448,6 +448,13 @@
 		return
 	}
 	w.pass(worldSettle)
+	newest := w.clients.newest.version
+	w.pass(applyTime)
+	for _, a := range w.agents {
+		if agentVersion(a) < newest {
+			w.fault("%s knows version %d %v after %d was acknowledged", a.node.Name, agentVersion(a), applyTime, newest)
+		}
+	}
 	w.calm = true
 	w.pass(worldSettle)
 	for _, c := range w.live() {
@@ -456,10 +463,7 @@
 		}
 	}
 	for _, a := range w.agents {
-		var version uint64
-		if document := agentVersion(a); document > 0 {
-			version = document
-		}
+		version := agentVersion(a)
 		if version < w.clients.newest.version || !a.feed.Fresh(nil) {
 			w.fault("%s knows version %d, fresh %v; %d was acknowledged", a.node.Name, version, a.feed.Fresh(nil), w.clients.newest.version)
 		}
