Hold up a proposal until a rival is voted for, in drawn histories

Change: what one of two members that are cut off from each other sends is held up from before it proposes until others have voted.

--- a/internal/system/chain/faults_test.go
+++ b/internal/system/chain/faults_test.go
@@ -302,6 +302,10 @@
 		b = c.live(f.other + 1)
 	}
 	c.cut[a.address+">"+b.address], c.cut[b.address+">"+a.address] = true, true
+	if rng.IntN(3) == 0 {
+		c.delayProposal(a, rng, f.lasts/2)
+		return
+	}
 	for range 1 + rng.IntN(2) {
 		accepted := rng.IntN(2) == 0
 		var proposer *process
@@ -374,6 +378,21 @@
 	c.runFor(f.lasts / 4)
 }
 
+// delayProposal holds up what a process sends, and so the ballot with which it proposes a view, until others have
+// voted for another one's.
+func (c *cluster) delayProposal(p *process, rng *rand.Rand, rest time.Duration) {
+	accepted := rng.IntN(2) == 0
+	c.runFor(time.Duration(rng.IntN(400)) * time.Millisecond)
+	c.holdFrom(p)
+	if c.await(3*time.Second, func() bool { return p.node.proposal != nil && c.proposerWithVote(accepted, p) != nil }) {
+		c.interrupted++
+		c.runFor(time.Duration(rng.IntN(4)) * time.Millisecond)
+	}
+	c.release()
+	c.runFor(rest)
+	c.heal()
+}
+
 // holdFrom holds up what a process sends.
 func (c *cluster) holdFrom(p *process) {
 	for _, other := range c.processes {
