--- a/internal/system/chain/faults_test.go
+++ b/internal/system/chain/faults_test.go
@@ -197,7 +197,7 @@
 	if proposer == nil {
 		return
 	}
-	c.interrupted++
+	c.met["a proposal"]++
 	for _, other := range c.processes {
 		if rng.IntN(2) == 0 {
 			c.cut[proposer.address+">"+other.address] = true
@@ -251,7 +251,7 @@
 		clear(c.cut)
 		var head *process
 		if c.await(2*time.Second, func() bool { head = c.syncingHead(); return head != nil }) {
-			c.interrupted++
+			c.met["a head that makes logs equal"]++
 			for _, other := range c.processes {
 				if rng.IntN(2) == 0 {
 					c.cut[head.address+">"+other.address] = true
@@ -312,7 +312,7 @@
 		if !c.await(3*time.Second, func() bool { proposer = c.proposerWithVote(accepted, nil); return proposer != nil }) {
 			break
 		}
-		c.interrupted++
+		c.met["a vote"]++
 		c.runFor(time.Duration(rng.IntN(4)) * time.Millisecond)
 		c.holdFrom(proposer)
 		// Another one may be voted for meanwhile, whose words are held up as well.
@@ -373,7 +373,7 @@
 		c.isolate(p, false)
 		c.await(3*time.Second, back(p))
 	}
-	c.interrupted++
+	c.met["an entry of an earlier view"]++
 	c.release()
 	c.runFor(f.lasts / 4)
 }
@@ -385,7 +385,7 @@
 	c.runFor(time.Duration(rng.IntN(400)) * time.Millisecond)
 	c.holdFrom(p)
 	if c.await(3*time.Second, func() bool { return p.node.proposal != nil && c.proposerWithVote(accepted, p) != nil }) {
-		c.interrupted++
+		c.met["a vote for a rival"]++
 		c.runFor(time.Duration(rng.IntN(4)) * time.Millisecond)
 	}
 	c.release()
--- a/internal/system/chain/history_test.go
+++ b/internal/system/chain/history_test.go
@@ -115,6 +115,13 @@
 
 // play plays a history, and tells what was wrong; empty: nothing.
 func (h history) play(t *testing.T) (wrong string) {
+	t.Helper()
+	wrong, _ = h.playCounted(t)
+	return wrong
+}
+
+// playCounted tells too how often faults came upon what they are about.
+func (h history) playCounted(t *testing.T) (wrong string, met map[string]int) {
 	t.Helper()
 	defer func() {
 		switch f := recover().(type) {
@@ -126,6 +133,7 @@
 		}
 	}()
 	c := newCluster(t, h.seed, h.members)
+	met = c.met
 	c.trial = true
 	c.drawSpans()
 	c.mustServe("founding")
@@ -142,7 +150,7 @@
 			c.fail("%s is not back in the chain", p.address)
 		}
 	}
-	return ""
+	return "", met
 }
 
 // mostShrinkPlays bounds how often a history is played to make it short.
@@ -188,17 +196,18 @@
 
 // mustPass plays a history. Where something is wrong, it gives the shortest one found that
 // shows it, as the files in testdata/histories have it.
-func (h history) mustPass(t *testing.T) {
+func (h history) mustPass(t *testing.T) (met map[string]int) {
 	t.Helper()
-	wrong := h.play(t)
+	wrong, met := h.playCounted(t)
 	if wrong == "" {
-		return
+		return met
 	}
 	if os.Getenv("CHAIN_SHRINK") == "0" {
 		t.Fatal(wrong)
 	}
 	short := h.shrink(func(shorter history) bool { return shorter.play(t) != "" })
 	t.Fatalf("%s\nthe shortest history found, in which %s:\n%s", wrong, short.play(t), short)
+	return nil
 }
 
 // ---- as text ----
@@ -282,11 +291,27 @@
 	if more, err := strconv.Atoi(os.Getenv("CHAIN_HISTORIES")); err == nil {
 		histories = more
 	}
-	for number := range histories {
-		t.Run(strconv.Itoa(number), func(t *testing.T) {
-			t.Parallel()
-			drawHistory(number).mustPass(t)
-		})
+	met := make(chan map[string]int, histories)
+	t.Run("all", func(t *testing.T) {
+		for number := range histories {
+			t.Run(strconv.Itoa(number), func(t *testing.T) {
+				t.Parallel()
+				met <- drawHistory(number).mustPass(t)
+			})
+		}
+	})
+	close(met)
+	total := map[string]int{}
+	for counts := range met {
+		for what, count := range counts {
+			total[what] += count
+		}
+	}
+	t.Logf("faults came upon %v", total)
+	for _, what := range []string{"a proposal", "a head that makes logs equal", "a vote", "a vote for a rival", "an entry of an earlier view"} {
+		if total[what] == 0 {
+			t.Errorf("in %d histories no fault came upon %s", histories, what)
+		}
 	}
 }
 
--- a/internal/system/chain/sim_test.go
+++ b/internal/system/chain/sim_test.go
@@ -105,11 +105,11 @@
 	contacts  []string // what processes that start are told
 	proposed  int
 	log       []string
-	// interrupted counts how often a fault met the step of the protocol that it is about.
-	interrupted int
-	trial       bool // what is wrong ends the history, not the test
-	clients     *clients
-	nextRead    time.Duration
+	// met counts how often a fault came upon the step of the protocol that it is about.
+	met      map[string]int
+	trial    bool // what is wrong ends the history, not the test
+	clients  *clients
+	nextRead time.Duration
 	// rate is how many bytes a second a link carries of large messages; 0: any number.
 	rate     int
 	linkFree map[string]time.Duration // when a link has carried what it was given
@@ -131,7 +131,7 @@
 )
 
 func newCluster(t *testing.T, seed uint64, members int) *cluster {
-	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, held: map[string]bool{}, cfg: DefaultConfig(members),
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, cut: map[string]bool{}, held: map[string]bool{}, met: map[string]int{}, cfg: DefaultConfig(members),
 		clients: newClients(), linkFree: map[string]time.Duration{}, pace: proposeEvery}
 	c.cfg.CompactAfter = 8
 	for i := range members {
