--- /dev/null
+++ b/internal/system/control/grants_test.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/system/api"
+	"marlreel/internal/system/result"
+)
+
+// What a head decides on what it alone knows is done in the view in which it decided, and in no other: neither at once,
+// nor from the queue after the view has changed.
+func TestADecisionOfAnotherViewIsNotDone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 3)
+	w.pass(3 * time.Second)
+	head := w.coreAt(standingOf(w.cores[0].replica).Head)
+	view := head.replica.Node().View().GetNumber()
+	grant := func(view uint64) *result.Code {
+		answer := new(result.Code)
+		token := head.replica.Machine().Owner("a role").GetFence()
+		operation := &api.Operation{Kind: &api.Operation_Grant{Grant: &api.GrantOwnership{Key: "a role", Holder: "x/1", Replaces: &token}}}
+		head.replica.SubmitInView(head.clock(w.now), operation, view, head.clock(w.now+orderPatience),
+			func(code result.Code, _ string) { *answer = code })
+		return answer
+	}
+	early, late := grant(view-1), grant(view+1)
+	w.pass(time.Second)
+	is.Equal(*early, result.Unavailable)
+	is.Equal(*late, result.Unavailable)
+	is.True(head.replica.Machine().Owner("a role") == nil)
+
+	inView := grant(view)
+	w.pass(time.Second)
+	is.Equal(*inView, result.Accepted)
+	is.Equal(head.replica.Machine().Owner("a role").GetHolder(), "x/1")
+	for _, c := range w.cores {
+		c.kill()
+	}
+}
