Test that a decision of another view is not done

Need: the guard was noticed by none of 600 drawn histories: another one, that roles are forgotten where a view was missed, stands before it.

--- a/internal/system/control/grants_test.go
+++ b/internal/system/control/grants_test.go
@@ -26,10 +26,10 @@
 			func(code result.Code, _ string) { *answer = code })
 		return answer
 	}
-	early, late := grant(view-1), grant(view+1)
+	next, other := grant(view+1), grant(view+7)
 	w.pass(time.Second)
-	is.Equal(*early, result.Unavailable)
-	is.Equal(*late, result.Unavailable)
+	is.Equal(*next, result.Unavailable)
+	is.Equal(*other, result.Unavailable)
 	is.True(head.replica.Machine().Owner("a role") == nil)
 
 	inView := grant(view)
