Check that what agents are told is fresh is, and that missed views are heeded

Need: two mutants of the control side were noticed by nobody: a process that hears nobody and counts as fresh, and roles that are remembered over a view that was missed. Change: histories check each answer that counts as fresh; a story of its own for the other.

--- a/internal/system/control/owners_test.go
+++ b/internal/system/control/owners_test.go
@@ -155,3 +155,28 @@
 		is.True(o.holds("c"))
 	})
 }
+
+// Where a view was missed, another head may have renewed the holder's lease: it is waited out from then on.
+func TestRolesAreForgottenWhereAViewWasMissed(t *testing.T) {
+	for _, of := range []struct {
+		view   uint64 // in which this process is the head again
+		orders int
+	}{
+		{view: 2, orders: 2}, // nobody else can have been the head
+		{view: 3, orders: 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwnersTrial(t)
+			o.look("a")
+			is.True(o.holds("a"))
+			time.Sleep(o.wait + time.Millisecond)
+			o.headOf = func() (uint64, bool) { return of.view, true }
+			o.look("a", "b")
+			is.Equal(len(o.ordered), of.orders)
+			time.Sleep(o.wait + time.Millisecond)
+			o.look("a", "b")
+			is.Equal(len(o.ordered), 2) // in time the role passes on
+		})
+	}
+}
--- a/internal/system/control/world_clients_test.go
+++ b/internal/system/control/world_clients_test.go
@@ -373,6 +373,9 @@
 		w.fault("%s went back from entry %d to %d", a.node.Name, a.sequence, sequence)
 	}
 	a.sequence = sequence
+	if newest := w.clients.newest; answer.Fresh && agentVersion(a) < newest.version && w.now-newest.at > freshAge+agentTimeout {
+		w.fault("%s was told that version %d is fresh; %d was acknowledged at %v", a.node.Name, agentVersion(a), newest.version, newest.at)
+	}
 	switch {
 	case answer.Fresh:
 		a.stale = 0
