Test that parts of two messages or states are never put together

Need: two mutants were noticed by nobody. Change: a part that would fit behind another message's beginning, and one of another source.

--- a/internal/system/control/fragments_test.go
+++ b/internal/system/control/fragments_test.go
@@ -97,6 +97,11 @@
 	_, err := in.take(old.next())
 	is.NoErr(err)
 	is.Equal(old.done(err), false)
+	_, err = in.take(newer.next())
+	is.NoErr(err)
+	is.Equal(newer.done(err), false)
+	_, err = in.take(old.next()) // it would fit behind the newer one's beginning
+	is.True(err != nil)
 	got, _ := carry(t, newer, in, func(int) (bool, bool) { return false, false })
 	is.Equal(got.ViewNumber, uint64(4))
 	_, err = in.take(old.next())
--- a/internal/system/feed/parts_test.go
+++ b/internal/system/feed/parts_test.go
@@ -115,3 +115,21 @@
 	}
 	is.Equal(len(f.store.machine.Document().Raw()), len(largeDocument(1)))
 }
+
+// A part that would fit, and comes from another source, is not put behind those that are here.
+func TestAPartOfAnotherSourceIsNotPutBehind(t *testing.T) {
+	is := is.New(t)
+	f := newLargeFollower()
+	f.set(1, 1)
+	f.step()
+	is.True(f.store.Receiving())
+	fitting := f.source.since(f.store.Request(f.cursor))
+	is.Equal(fitting.StatePart.Offset, uint64(largestAnswer))
+	fitting.Source = "another"
+	f.store.Take(fitting, f.cursor)
+	is.True(!f.store.Receiving())
+	for answers := 0; version(f.store) == 0; answers++ {
+		is.True(answers < 6)
+		f.step()
+	}
+}
