Let entries go whole up to 512 KiB, and a lagging node fetch parts beside its source

Since states came in parts, entries above 64 KiB were not sent as such: each reader got the whole state, by its home, whose link has 10 Mbit/s and some eighteen subscribers; and a node that received parts so slowly no longer fetched the state from control itself.

Change: entries go up to 512 KiB an answer, as they did; parts belong to a reader's cursor, so that the fetch from control goes on beside them, part by part.

--- a/internal/system/agent/membership.go
+++ b/internal/system/agent/membership.go
@@ -19,8 +19,9 @@
 	// lagPatience is how long the usual way may take longer than a report to bring the
 	// replicated state.
 	lagPatience = 150 * time.Millisecond
-	// fetchTimeout bounds fetching it from control.
-	fetchTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds one call that fetches it from control, and fetchPatience all of them, where it comes in parts.
+	fetchTimeout  = 500 * time.Millisecond
+	fetchPatience = 2 * time.Second
 )
 
 // membership keeps this node listed at the core, and sees by the answers whether the state
@@ -72,7 +73,7 @@
 	}
 	if m.lags(reply.Sequence) {
 		rest(ctx, lagPatience)
-		if m.lags(reply.Sequence) && !m.feed.Receiving() {
+		if m.lags(reply.Sequence) {
 			m.fetch(ctx, control)
 		}
 	}
@@ -88,12 +89,24 @@
 // fetch reads the replicated state from control itself.
 func (m *membership) fetch(ctx context.Context, control string) {
 	cursor := feed.NewCursor(feed.Topics{feed.TopicState})
+	patience, cancel := context.WithTimeout(ctx, fetchPatience)
+	defer cancel()
+	for again := true; again; again = cursor.Receiving() {
+		if !m.fetchOnce(patience, control, cursor) {
+			return // the next report finds that it still lags
+		}
+	}
+	m.log.V(1).Info("fetched the state that the source did not bring", "event", "feed", "source", control)
+}
+
+// fetchOnce makes one call for the state, or for a part of it.
+func (m *membership) fetchOnce(ctx context.Context, control string, cursor *feed.Cursor) bool {
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	answer, err := api.NewControlProtobufClient("http://"+control, m.client).Watch(call, m.feed.Request(cursor))
 	if err != nil {
-		return // the next report finds that it still lags
+		return false
 	}
 	m.feed.Take(answer, cursor)
-	m.log.V(1).Info("fetched the state that the source did not bring", "event", "feed", "source", control)
+	return true
 }
--- a/internal/system/feed/exchange.go
+++ b/internal/system/feed/exchange.go
@@ -12,7 +12,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &api.WatchRequest{Source: known.source, Revision: known.revision, Sequence: s.sequence, Hash: s.hash, Topics: known.topics,
-		StatePart: s.wantedPart(known)}
+		StatePart: known.wantedPart()}
 }
 
 // Cursor is how far a reader has followed one source.
@@ -21,6 +21,7 @@
 	source      string
 	revision    uint64
 	unconfirmed map[string]bool // backends that the source has not listed
+	partial     *partialState   // a state that comes in parts; nil: none does
 }
 
 // NewCursor is that of a reader of some topics which knows nothing.
@@ -138,7 +139,7 @@
 	if feed.State != nil {
 		s.reset(feed.Sequence, feed.Hash, feed.State)
 	} else if feed.StatePart != nil {
-		s.takePart(feed.Source, feed.StatePart)
+		s.takePart(feed.Source, feed.StatePart, cursor)
 	} else if len(feed.Entries) > 0 && feed.Entries[0].PreviousHash == s.hash {
 		s.append(feed.Entries)
 	}
@@ -163,8 +164,7 @@
 	}
 	// What takes a large state in does not become fresh before that is whole. It may have been fresh before: then it is
 	// behind by no more than the time that the parts take.
-	takesIn := cursor.topics.State() && s.partial != nil
-	fresh := feed.Fresh && (!takesIn || s.standings.of(cursor.topics).Fresh)
+	fresh := feed.Fresh && (!cursor.Receiving() || s.standings.of(cursor.topics).Fresh)
 	if s.setStanding(cursor.topics, Standing{Fresh: fresh, Established: feed.Established}) {
 		changed = true
 	}
--- a/internal/system/feed/parts.go
+++ b/internal/system/feed/parts.go
@@ -1,19 +1,18 @@
 package feed
 
 import (
-	"time"
-
 	"google.golang.org/protobuf/proto"
 
 	"marlreel/internal/system/api"
 )
 
 const (
-	// largestAnswer bounds the replicated state, or the entries, in one answer, in bytes: on 10 Mbit/s it takes 52 ms,
+	// largestAnswer bounds the replicated state, or a part of it, in one answer, in bytes: on 10 Mbit/s it takes 52 ms,
 	// for which whatever else the source sends waits.
 	largestAnswer = 64 << 10
-	// partStale is after what time without a part a state that comes in parts counts as given up.
-	partStale = time.Second
+	// largestEntries bounds the entries in one answer, in bytes. They are less than the state, mostly, so more of them
+	// goes at once: a reader waits for 0.7 s at least, in which 10 Mbit/s carries 875 KB.
+	largestEntries = 512 << 10
 )
 
 // encodedState is a state as it is served in parts.
@@ -28,7 +27,6 @@
 	sequence, hash uint64
 	total          uint64
 	data           []byte
-	at             time.Time // of the last part
 }
 
 // serveState gives a reader the whole state, or the part that it asks for of one that is large.
@@ -61,22 +59,22 @@
 	s.encoded = &encodedState{s.sequence, s.hash, data}
 }
 
-// takePart takes a part of a state in, and the state once it is whole.
-func (s *Store) takePart(source string, part *api.StatePart) {
+// takePart takes a part of a state in for a reader, and the state once it is whole.
+func (s *Store) takePart(source string, part *api.StatePart, cursor *Cursor) {
 	if part.Offset == 0 {
-		s.partial = &partialState{source: source, sequence: part.Sequence, hash: part.Hash, total: part.Total}
+		cursor.partial = &partialState{source: source, sequence: part.Sequence, hash: part.Hash, total: part.Total}
 	}
-	p := s.partial
+	p := cursor.partial
 	if p == nil || p.source != source || p.sequence != part.Sequence || p.hash != part.Hash || p.total != part.Total ||
 		part.Offset != uint64(len(p.data)) {
-		s.partial = nil // it begins anew
+		cursor.partial = nil // it begins anew
 		return
 	}
-	p.data, p.at = append(p.data, part.Data...), s.now()
+	p.data = append(p.data, part.Data...)
 	if uint64(len(p.data)) < p.total {
 		return
 	}
-	s.partial = nil
+	cursor.partial = nil
 	state := new(api.State)
 	if proto.Unmarshal(p.data, state) == nil {
 		s.reset(p.sequence, p.hash, state)
@@ -84,25 +82,21 @@
 }
 
 // wantedPart is the part that a reader asks for next; nil: none.
-func (s *Store) wantedPart(cursor *Cursor) *api.StatePart {
-	if s.partial == nil || !cursor.topics.State() || s.partial.source != cursor.source {
+func (c *Cursor) wantedPart() *api.StatePart {
+	if c.partial == nil || c.partial.source != c.source {
 		return nil
 	}
-	return &api.StatePart{Sequence: s.partial.sequence, Hash: s.partial.hash, Offset: uint64(len(s.partial.data))}
+	return &api.StatePart{Sequence: c.partial.sequence, Hash: c.partial.hash, Offset: uint64(len(c.partial.data))}
 }
 
-// Receiving tells whether a state is coming in parts.
-func (s *Store) Receiving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.partial != nil && s.now().Sub(s.partial.at) < partStale
-}
+// Receiving tells whether this reader has some parts of a state, and asks for the others.
+func (c *Cursor) Receiving() bool { return c.partial != nil }
 
 // fitting are the first entries that fit into one answer.
 func (s *Store) fitting(entries []*api.Entry) []*api.Entry {
 	size, first := 0, len(s.entrySizes)-len(entries)
 	for i := range entries {
-		if size += s.entrySizes[first+i]; size > largestAnswer {
+		if size += s.entrySizes[first+i]; size > largestEntries {
 			return entries[:i]
 		}
 	}
--- a/internal/system/feed/store.go
+++ b/internal/system/feed/store.go
@@ -35,7 +35,6 @@
 	entrySizes    []int        // their bytes in a message, and the sum of them
 	entryBytes    int
 	encoded       *encodedState // as it was served in parts last; nil: it was not
-	partial       *partialState // what comes in parts; nil: nothing does
 	backends      map[string]*backendRecord
 	departed      []departure
 	forgottenUpTo uint64 // readers that know less need all
