Play a change of a thousand routes with many proxies on slow links

Change: the simulated network has a rate for each machine; 36 proxies on 10 Mbit/s have a change of 250 KB in force within 2 s.

--- a/internal/system/simcluster/catchup_test.go
+++ b/internal/system/simcluster/catchup_test.go
@@ -126,3 +126,45 @@
 		})
 	}
 }
+
+const (
+	// manyEdges share one home a zone, on links of 10 Mbit/s.
+	manyEdges = 36
+	// manyRoutes are added by one change, of some 250 KB.
+	manyRoutes = 1000
+	// coreLink is 170 Mbit/s, in bytes a second.
+	coreLink = 21_250_000
+)
+
+// A change of a thousand routes is in force everywhere in time where many proxies on slow links share a home.
+func TestAThousandRoutesAreInForceInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := start(t, 3, manyEdges)
+		defer c.Stop()
+		for _, edge := range c.Edges {
+			c.Net.SetRateOf(edge.IP, slowLink)
+		}
+		for _, m := range c.Controls {
+			c.Net.SetRateOf(m.IP, coreLink)
+		}
+		var routes []string
+		for i := range manyRoutes {
+			routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"r.example","path_prefix":"/r%d/","route_class":"unsafe","timeout_ms":900,`+
+				`"target_latency_ms":150,"priority":2,"service":"slips","max_attempts":1,"remark":"%s"}`, i, i, strings.Repeat("x", 100)))
+		}
+		body := fmt.Sprintf(`{"config_version":%d,"upsert":{"route_list":[%s]}}`, c.versions+1, strings.Join(routes, ","))
+		status, answer, err := c.Call("POST", "/marlreel/config/modify", fmt.Sprint(c.versions), body, 4*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		is.True(answer != "")
+		c.Pass(applyTime)
+		for _, edge := range c.Edges {
+			r := slip()
+			r.Host, r.Path = "r.example", fmt.Sprintf("/r%d/1", manyRoutes-1)
+			got, err := c.Ask(edge, r)
+			is.NoErr(err)
+			is.Equal(got.Status, 200)
+		}
+	})
+}
--- a/internal/system/simnet/network.go
+++ b/internal/system/simnet/network.go
@@ -37,6 +37,7 @@
 	changed   chan struct{}       // closed when a cut begins or ends
 	nextPorts map[string]int
 	linkFree  map[string]time.Time // when a machine has sent what it was given
+	rates     map[string]int       // of machines whose rate is not that of all
 	traffic   trafficCounter
 }
 
@@ -44,7 +45,7 @@
 func New(cfg Config) *Network {
 	return &Network{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 3)), machines: map[string]*Machine{},
 		cuts: map[[2]string]bool{}, changed: make(chan struct{}), nextPorts: map[string]int{},
-		linkFree: map[string]time.Time{}}
+		linkFree: map[string]time.Time{}, rates: map[string]int{}}
 }
 
 // fullLink is how long a datagram waits at most for a link that is in use.
@@ -54,7 +55,8 @@
 func (n *Network) occupy(ip string, size int) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cfg.Rate <= 0 {
+	rate := n.rateOf(ip)
+	if rate <= 0 {
 		return 0
 	}
 	now := time.Now()
@@ -62,7 +64,7 @@
 	if free.Before(now) {
 		free = now
 	}
-	free = free.Add(time.Duration(float64(size) / float64(n.cfg.Rate) * float64(time.Second)))
+	free = free.Add(time.Duration(float64(size) / float64(rate) * float64(time.Second)))
 	n.linkFree[ip] = free
 	return free.Sub(now)
 }
@@ -123,13 +125,28 @@
 	n.cfg.Loss = part
 }
 
-// SetRate sets how many bytes a second a machine sends; 0: any number.
+// SetRate sets how many bytes a second each machine sends; 0: any number.
 func (n *Network) SetRate(rate int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cfg.Rate = rate
 }
 
+// SetRateOf sets the same for one machine.
+func (n *Network) SetRateOf(ip string, rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rates[ip] = rate
+}
+
+// rateOf is how many bytes a second a machine sends. Called with the lock.
+func (n *Network) rateOf(ip string) int {
+	if rate, set := n.rates[ip]; set {
+		return rate
+	}
+	return n.cfg.Rate
+}
+
 // passes tells whether a cut is in the way, and what is closed when cuts change.
 func (n *Network) passes(from, to string) (bool, <-chan struct{}) {
 	n.mu.Lock()
