Test what copies, leaving and changes of members must not do

Need: five of the 15 new mutants of the chain were noticed by nobody. Change: stories of late copies of the log, of one that leaves with an entry of its own, of members changed before a chain is in service; the story of a slow member waited for an entry in place of the vote, and is mended.

--- a/internal/system/chain/catchup_test.go
+++ b/internal/system/chain/catchup_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"marlreel/internal/system/api"
 )
 
 const (
@@ -244,3 +247,58 @@
 		}
 	}
 }
+
+// copyOf is what a head would send to a process that has nothing.
+func copyOf(head *process) *api.ChainMessage {
+	data := head.node.lackedBy(&peer{position: &api.Position{Sequence: 1 << 40}})
+	return &api.ChainMessage{Body: &api.ChainMessage_CatchUp{CatchUp: proto.CloneOf(data)}}
+}
+
+// A copy of the log that comes late, or to a member of the chain, takes nothing back.
+func TestALateCopyTakesNothingBack(t *testing.T) {
+	for name, leaves := range map[string]bool{"at a member of the chain": false, "at one that is outside": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 28, 3)
+			c.mustServe("founding")
+			head := c.head()
+			p := c.at(head.node.View().Chain[2])
+			if leaves {
+				c.leave(p, time.Second)
+			}
+			view := p.node.View()
+			early := copyOf(head)
+			c.pass(20)
+			if leaves { // it is brought up to date, and knows more than the early copy
+				c.hand(p, view.Chain[0], copyOf(head))
+			}
+			end, committed := p.node.durable.last(), p.node.Committed()
+			is.True(committed > early.GetCatchUp().Target.Sequence)
+			c.hand(p, view.Chain[0], early)
+			is.Equal(p.node.durable.last().Sequence, end.Sequence)
+			is.Equal(p.node.Committed(), committed)
+			is.True(p.disk.last().Sequence >= end.Sequence)
+			c.mustServe("a copy came late")
+		})
+	}
+}
+
+// A copy that is newer than a member's log changes nothing there either: what is in the chain gets entries by the chain.
+func TestACopyChangesNothingInTheChain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 29, 3)
+	c.mustServe("founding")
+	head := c.head()
+	view := head.node.View()
+	p := c.at(view.Chain[1])
+	before := p.node.durable.last()
+	data := copyOf(head)
+	end := data.GetCatchUp().Target
+	entry := &api.Entry{Sequence: end.Sequence + 1, PreviousHash: end.Hash}
+	entry.Hash = hashOf(entry.PreviousHash, entry.Sequence, nil)
+	data.GetCatchUp().Entries = append(data.GetCatchUp().Entries, entry)
+	data.GetCatchUp().Target = &api.Position{Sequence: entry.Sequence, Hash: entry.Hash}
+	c.hand(p, view.Chain[0], data)
+	is.Equal(p.node.durable.last().Sequence, before.Sequence)
+	c.mustServe("a copy came to a member of the chain")
+}
--- a/internal/system/chain/leave_test.go
+++ b/internal/system/chain/leave_test.go
@@ -119,6 +119,8 @@
 	view := c.head().node.View()
 	is.Equal(len(view.Chain), 5)
 	slow, leaving := c.at(view.Chain[2]), c.at(view.Chain[4])
+	c.quiet = true // an entry under way would wait for the slow one, and the proposal for the entry
+	c.runFor(c.cfg.HeartbeatEvery)
 	slow.stalled = true
 	c.carryOut(leaving, leaving.node.Leave(c.now))
 	c.runFor(2 * c.cfg.PromiseWait)
@@ -127,3 +129,34 @@
 	is.Equal(c.head().node.View().Number, view.Number+1)
 	is.Equal(len(c.head().node.View().Chain), 4)
 }
+
+// Who counts is changed from a chain in service alone: of several changes in a row, none of them completed, a majority
+// could know nothing.
+func TestMembersChangeOnlyFromAChainInService(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 36, 3)
+	c.mustServe("founding")
+	c.quiet = true
+	head := c.head().node
+	c.add("d0", false)
+	c.runUntil("the new one may join", time.Second, func() bool {
+		for _, p := range head.peers {
+			if p.member.Address == "d0" && p.wantsIn && !p.behind && head.now-p.steadySince > c.cfg.RejoinAfter/2 {
+				return true
+			}
+		}
+		return false
+	})
+	head.now += c.cfg.RejoinAfter
+	for _, p := range head.peers {
+		p.heardAt, p.hearsUs = head.now, head.now
+	}
+	active := head.activeView
+	head.activeView = 0 // as after a change of view, before logs are equal
+	head.lookForChange()
+	is.True(head.proposal == nil)
+	head.activeView = active
+	head.lookForChange()
+	is.True(head.proposal != nil)
+	is.Equal(len(head.proposal.members), 4)
+}
--- a/internal/system/chain/votes_test.go
+++ b/internal/system/chain/votes_test.go
@@ -296,3 +296,32 @@
 	is.True(tail.node.MayRead())
 	is.Equal(tail.node.Committed(), entry.Sequence)
 }
+
+// Who leaves is kept where it alone has an entry: in the chain that follows nobody would have it.
+func TestWhoLeavesIsKeptWhereItAloneHasAnEntry(t *testing.T) {
+	for name, story := range map[string]struct {
+		alone bool
+		chain int
+	}{"it alone has one": {alone: true}, "the others have it too": {chain: 2}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 18, 3)
+			c.mustServe("founding")
+			proposer := c.processes[0]
+			members := proposer.node.View().Members
+			leaving := c.processes[2].node.durable.Self
+			proposed := c.beginProposal(proposer, members)
+			proposed.change.leaving = leaving
+			for _, member := range members {
+				position := &api.Position{SyncedView: 7, Sequence: 40}
+				if story.alone && sameMember(member, leaving) {
+					position = &api.Position{SyncedView: 7, Sequence: 41}
+				}
+				proposed.promises[Key(member)] = &api.Promise{Position: position}
+			}
+			view := proposer.node.choose()
+			is.Equal(len(view.GetChain()), story.chain)
+			is.True(!contains(view.GetChain(), leaving))
+		})
+	}
+}
