--- a/internal/system/chain/doc.go
+++ b/internal/system/chain/doc.go
@@ -21,6 +21,12 @@
 // several changes in a row, none of them completed, could end with a majority of
 // members that know nothing.
 //
+// # Joining and leaving
+//
+// A process outside the chain is sent what is committed until it lacks little, and is
+// taken in then: the chain goes on serving meanwhile. A member that is about to end asks
+// to be left out, and ends when the view without it is in service.
+//
 // # Replication
 //
 // The head of a new view sends the others what they lack, or a snapshot where
