--- /dev/null
+++ b/internal/system/routing/advisor.go
@@ -0,0 +1,105 @@
+// Package routing is what a proxy knows of a service's backends beyond what their answers teach: what they
+// hold, how much of common budgets is this proxy's, and what other proxies have sent them. The decision
+// module asks it in the course of its events. It is pure, and not safe for concurrent use.
+package routing
+
+import (
+	"time"
+
+	"marlreel"
+	"marlreel/internal/judge/residency"
+	"marlreel/internal/judge/shares"
+	"marlreel/internal/system/backlog"
+)
+
+// Advisor is the decision module's Advice for one service.
+type Advisor struct {
+	table   *residency.Table
+	sharers *shares.Sharers
+	cold    *shares.Cold
+	repeats *shares.Repeats
+	names   map[marlreel.BackendID]string
+	others  others
+}
+
+// Config is what an Advisor is told at its start.
+type Config struct {
+	// Self is this proxy's name among those that share budgets.
+	Self string
+	// Engines says that the backends hold models.
+	Engines bool
+	Cold    shares.ColdConfig
+	Repeats shares.RepeatsConfig
+}
+
+// New makes the advice of a process that starts now.
+func New(cfg Config, now time.Duration) *Advisor {
+	sharers := shares.NewSharers(cfg.Self, now)
+	return &Advisor{table: residency.New(cfg.Engines), sharers: sharers, cold: shares.NewCold(cfg.Cold, sharers),
+		repeats: shares.NewRepeats(cfg.Repeats, sharers, now), names: map[marlreel.BackendID]string{}, others: newOthers()}
+}
+
+var _ marlreel.Advice = (*Advisor)(nil)
+
+// Holds implements marlreel.Advice.
+func (a *Advisor) Holds(q *marlreel.Request, to marlreel.BackendID) bool {
+	return a.table.Holds(q.Needs, to)
+}
+
+// Admits implements marlreel.Advice.
+func (a *Advisor) Admits(now time.Duration, to marlreel.BackendID) bool {
+	return a.cold.Admits(now, a.names[to])
+}
+
+// Sent implements marlreel.Advice.
+func (a *Advisor) Sent(now time.Duration, _ *marlreel.Request, to marlreel.BackendID) {
+	a.cold.Sent(now, a.names[to])
+	a.repeats.Came(now)
+}
+
+// Slots implements marlreel.Advice.
+func (a *Advisor) Slots(to marlreel.BackendID) int { return a.table.Slots(to) }
+
+// Extra implements marlreel.Advice: what other proxies have sent there has to be begun first.
+func (a *Advisor) Extra(now time.Duration, _ *marlreel.Request, to marlreel.BackendID) float64 {
+	return a.others.at(now, to)
+}
+
+// Repeats implements marlreel.Advice.
+func (a *Advisor) Repeats(now time.Duration) bool { return a.repeats.Take(now) }
+
+// ConfigureCold sets what backends that have just started bear.
+func (a *Advisor) ConfigureCold(cfg shares.ColdConfig) { a.cold.Configure(cfg) }
+
+// SharedWith tells the budgets who shares them, by a word that is fresh or not.
+func (a *Advisor) SharedWith(now time.Duration, names []string, fresh bool) {
+	a.sharers.Listed(now, names, fresh)
+}
+
+// Heard takes in what other proxies have sent to the backends.
+func (a *Advisor) Heard(now time.Duration, work backlog.Work) { a.others.heard(now, work) }
+
+// Backend is what the advice is told of a backend of the list.
+type Backend struct {
+	residency.Backend
+	// Name is the backend's id on the wire.
+	Name     string
+	ColdLeft time.Duration
+}
+
+// Listed takes in the backends that there are.
+func (a *Advisor) Listed(now time.Duration, list []Backend) {
+	clear(a.names)
+	clear(a.others.keys)
+	held := make([]residency.Backend, 0, len(list))
+	kept := map[string]bool{}
+	for _, b := range list {
+		held = append(held, b.Backend)
+		a.names[b.ID] = b.Name
+		a.others.keys[b.ID] = backlog.Key(b.Name)
+		kept[b.Name] = true
+		a.cold.Set(now, b.Name, now+b.ColdLeft)
+	}
+	a.table.Set(held)
+	a.cold.Forget(func(name string) bool { return kept[name] })
+}
