--- a/choice.go
+++ b/choice.go
@@ -3,7 +3,6 @@
 // The choice of a backend for an attempt: the pick of two by expected delay.
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
