--- a/stats.go
+++ b/stats.go
@@ -264,7 +264,9 @@
 }
 
 // extra is what the advice says that a request waits there beyond its usual delay, ms.
-func (b *Balancer) extra(r *request, t *target) float64 { return b.advice.Extra(b.now, &r.Request, t.ID) }
+func (b *Balancer) extra(r *request, t *target) float64 {
+	return b.advice.Extra(b.now, &r.Request, t.ID)
+}
 
 // nearer is the order of backends by zone, and by whether a connection rests there.
 func (b *Balancer) nearer(x, y *target) int {
