--- a/cmd/marlreelsim/main.go
+++ b/cmd/marlreelsim/main.go
@@ -32,13 +32,13 @@
 
 func command() *cobra.Command {
 	var seeds, first, jobs int
-	var brief bool
+	var brief, vary bool
 	cmd := &cobra.Command{Use: "marlreelsim", Short: "Play routing and placement in simulated time", Args: cobra.NoArgs, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
 			fmt.Fprintln(out, "knowledge\tseed\tserved\tworst 2 s\tin time\tlate\tpaused\tlost\trefused\tloads\tconnections\tcrossings\tmedian late\tby kind")
 			for _, k := range knowledges[:map[bool]int{true: 1, false: len(knowledges)}[brief]] {
-				if err := playSeeds(out, k.name, k.what, first, seeds, jobs); err != nil {
+				if err := playSeeds(out, k.name, days{k.what, first, seeds, jobs, vary}); err != nil {
 					return err
 				}
 			}
@@ -47,6 +47,7 @@
 	cmd.Flags().IntVar(&seeds, "seeds", 4, "days to be played, one for each seed")
 	cmd.Flags().IntVar(&first, "first", 1, "the first seed")
 	cmd.Flags().IntVar(&jobs, "jobs", 2, "days that are played at once")
+	cmd.Flags().BoolVar(&vary, "vary", false, "draw another deployment with each seed")
 	cmd.Flags().BoolVar(&brief, "brief", false, "without the days that are played for comparison")
 	return cmd
 }
@@ -60,19 +61,35 @@
 	return strings.Join(words, ", ")
 }
 
+// days are what is to be played.
+type days struct {
+	knowledge          emulator.Knowledge
+	first, seeds, jobs int
+	vary               bool
+}
+
+// config is that of one seed.
+func (d days) config(i int) emulator.Config {
+	seed := uint64(d.first + i)
+	cfg := emulator.Default(seed)
+	if d.vary {
+		cfg = emulator.Vary(cfg, seed)
+	}
+	cfg.Knowledge = d.knowledge
+	return cfg
+}
+
 // playSeeds plays one kind of knowledge on several seeds and prints a line for each, and the mean.
-func playSeeds(out *tabwriter.Writer, name string, what emulator.Knowledge, first, seeds, jobs int) error {
-	results := make([]*emulator.Result, seeds)
-	errs := make([]error, seeds)
+func playSeeds(out *tabwriter.Writer, name string, d days) error {
+	results := make([]*emulator.Result, d.seeds)
+	errs := make([]error, d.seeds)
 	var group sync.WaitGroup
-	room := make(chan struct{}, max(1, jobs))
-	for i := range seeds {
+	room := make(chan struct{}, max(1, d.jobs))
+	for i := range d.seeds {
 		room <- struct{}{}
 		group.Go(func() {
 			defer func() { <-room }()
-			cfg := emulator.Default(uint64(first + i))
-			cfg.Knowledge = what
-			results[i], errs[i] = emulator.Play(cfg)
+			results[i], errs[i] = emulator.Play(d.config(i))
 		})
 	}
 	group.Wait()
@@ -81,8 +98,8 @@
 		if errs[i] != nil {
 			return errs[i]
 		}
-		mean += r.Share / float64(seeds)
-		fmt.Fprintf(out, "%s\t%d\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d+%d\t%d\t%d\t%d\t%v\t%s\n", name, first+i, r.Share, r.WorstWindow, r.InTime, r.Late, r.Paused,
+		mean += r.Share / float64(d.seeds)
+		fmt.Fprintf(out, "%s\t%d\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d+%d\t%d\t%d\t%d\t%v\t%s\n", name, d.first+i, r.Share, r.WorstWindow, r.InTime, r.Late, r.Paused,
 			r.Lost, r.Refusals, r.RefusedLast, r.Loads, r.Connections, r.Crossings, r.LateMedian.Round(1e7), byKind(r))
 	}
 	fmt.Fprintf(out, "%s\tmean\t%.3f\n", name, mean)
--- a/internal/system/agent/placer.go
+++ b/internal/system/agent/placer.go
@@ -216,17 +216,22 @@
 	}()
 }
 
-// give sends an order.
+// give sends an order, and before it word of what it takes away, where requests come for that.
 func (p *placer) give(o placement.Order) {
 	b := p.backends[o.Backend]
 	if b == nil {
 		return
 	}
+	notice := p.planner.Notice(p.now(), o)
+	if notice > 0 {
+		p.agent.observations.add(o.Backend, p.planner.Without(o))
+	}
 	p.log.V(1).Info("order", "event", "order", "backend", o.Backend, "operation", operationWords[o.Operation],
 		"model", o.Model, "adapter", o.Adapter)
 	message := order{Operation: operationWords[o.Operation], Model: o.Model, Adapter: o.Adapter, Revision: o.Revision,
 		Holder: p.agent.holder, Fence: p.fence}
 	go func() {
+		rest(context.Background(), notice)
 		outcome := p.agent.backends.order(b.Address, o.Backend, message, p.permit)
 		p.post(func() { p.ended(o, outcome) })
 	}()
--- a/internal/system/emulator/emulator_test.go
+++ b/internal/system/emulator/emulator_test.go
@@ -81,3 +81,15 @@
 		is.True(err != nil)
 	}
 }
+
+// Every deployment that is drawn can be played, and another seed draws another one.
+func TestDrawnDeploymentsCanBePlayed(t *testing.T) {
+	is := is.New(t)
+	loads := map[time.Duration]bool{}
+	for seed := range uint64(50) {
+		c := Vary(Default(1), seed)
+		is.NoErr(c.Check())
+		loads[c.Engine.LoadTime] = true
+	}
+	is.Equal(len(loads), 50)
+}
--- a/internal/system/emulator/placer.go
+++ b/internal/system/emulator/placer.go
@@ -67,7 +67,11 @@
 		}
 	})
 	for _, o := range p.planner.Plan(now) {
-		p.world.clock.after(orderWay, func() { p.give(o) })
+		notice := p.planner.Notice(now, o)
+		if notice > 0 {
+			p.world.observe(o.Backend, p.planner.Without(o))
+		}
+		p.world.clock.after(orderWay+notice, func() { p.give(o) })
 	}
 }
 
--- a/internal/system/emulator/result.go
+++ b/internal/system/emulator/result.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"marlreel"
@@ -83,7 +85,8 @@
 	r := s.Result
 	earned, owed := 0.0, 0.0
 	r.ByKind = map[string]float64{}
-	for kind, due := range s.owed {
+	for _, kind := range slices.Sorted(maps.Keys(s.owed)) {
+		due := s.owed[kind]
 		earned += s.earned[kind]
 		owed += due
 		r.ByKind[kind] = s.earned[kind] / due
--- a/internal/system/emulator/world.go
+++ b/internal/system/emulator/world.go
@@ -1,9 +1,12 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"marlreel"
@@ -223,7 +226,8 @@
 func (w *world) report(p *proxy) {
 	now := w.clock.now
 	waits := p.waiting()
-	for key, count := range p.asked {
+	for _, key := range sortedKeys(p.asked) {
+		count := p.asked[key]
 		arrived, work := count.arrived, count.workMS
 		if w.cfg.Knowledge == DemandAhead || w.cfg.Knowledge == AllAtOnce {
 			arrived, work = 0, 0
@@ -232,8 +236,8 @@
 		w.placer.planner.Asked(now, p.name, zoneName(p.zone), key, arrived, work, waits[key])
 		delete(waits, key)
 	}
-	for key, n := range waits {
-		w.placer.planner.Asked(now, p.name, zoneName(p.zone), key, 0, 0, n)
+	for _, key := range sortedKeys(waits) {
+		w.placer.planner.Asked(now, p.name, zoneName(p.zone), key, 0, 0, waits[key])
 	}
 	clear(p.asked)
 	if w.cfg.Knowledge == Alone || w.cfg.Knowledge == AllAtOnce {
@@ -247,6 +251,13 @@
 	w.clock.after(2*w.cfg.InZone, func() { p.advisor.Heard(p.now(), others) })
 }
 
+// sortedKeys are the keys of a map in order: a day is played the same again.
+func sortedKeys[V any](of map[placement.Key]V) []placement.Key {
+	return slices.SortedFunc(maps.Keys(of), func(x, y placement.Key) int {
+		return cmp.Or(cmp.Compare(x.Model, y.Model), cmp.Compare(x.Adapter, y.Adapter))
+	})
+}
+
 // askHolder brings a home what other zones have sent.
 func (w *world) askHolder(zone int) {
 	elsewhere := w.holder.Sum(w.clock.now, serviceName, func(s backlog.Speaker) bool { return s.Zone != zoneName(zone) })
--- a/internal/system/placement/choose.go
+++ b/internal/system/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -27,7 +28,8 @@
 		return r
 	}
 	r := &room{}
-	for name, adapters := range b.holds {
+	for _, name := range slices.Sorted(maps.Keys(b.holds)) {
+		adapters := b.holds[name]
 		f, size := asked[name], p.heldMB(name, len(adapters))
 		r.used += size
 		if f != nil {
--- a/internal/system/placement/demand.go
+++ b/internal/system/placement/demand.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -91,7 +94,7 @@
 			return
 		}
 		d = &demand{waiting: map[string]waiting{}, zones: map[string]*decayed{}}
-		p.demands[key] = d
+		p.demands[key], p.keys = d, nil
 	}
 	if arrived > 0 {
 		d.fast.add(workMS, now, fastSpan)
@@ -135,6 +138,7 @@
 	for key, d := range p.demands {
 		if now-d.lastAt > forgetAfter {
 			delete(p.demands, key)
+			p.keys = nil
 			if key.Adapter == "" {
 				delete(p.trends, key.Model)
 				delete(p.works, key.Model)
@@ -156,6 +160,17 @@
 	return min(d.usage.perSecond(now, usageSpan, since), d.recent.perSecond(now, recentSpan, since)+seldom)
 }
 
+// sortedKeys are the keys of all demands in order: sums that are taken over them are the same again. They must not be
+// changed.
+func (p *Planner) sortedKeys() []Key {
+	if p.keys == nil {
+		p.keys = slices.SortedFunc(maps.Keys(p.demands), func(x, y Key) int {
+			return cmp.Or(cmp.Compare(x.Model, y.Model), cmp.Compare(x.Adapter, y.Adapter))
+		})
+	}
+	return p.keys
+}
+
 // figures are what is asked of one model with its adapters.
 type figures struct {
 	rate     float64            // requests a second
@@ -172,8 +187,8 @@
 // figuresOf gives the figures of all models that anything is asked of.
 func (p *Planner) figuresOf(now time.Duration) map[string]*figures {
 	all := map[string]*figures{}
-	for key, d := range p.demands {
-		f := all[key.Model]
+	for _, key := range p.sortedKeys() {
+		d, f := p.demands[key], all[key.Model]
 		if f == nil {
 			f = &figures{zones: map[string]float64{}}
 			all[key.Model] = f
@@ -220,13 +235,14 @@
 // some loads.
 func (p *Planner) findSlopes(all map[string]*figures) float64 {
 	sum, squares := 0.0, 0.0
-	for _, f := range all {
-		sum += f.recent
-		squares += f.recent * f.recent
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		recent := all[name].recent
+		sum += recent
+		squares += recent * recent
 	}
 	loadTimes, count := 0.0, 0.0
-	for _, m := range p.service.Models {
-		loadTimes += m.LoadTime.Seconds()
+	for _, name := range slices.Sorted(maps.Keys(p.service.Models)) {
+		loadTimes += p.service.Models[name].LoadTime.Seconds()
 		count++
 	}
 	if sum <= 0 || loadTimes <= 0 {
--- a/internal/system/placement/planner.go
+++ b/internal/system/placement/planner.go
@@ -74,6 +74,7 @@
 	known    map[string]Model // what is configured, and what was and is held still
 	backends map[string]*backend
 	demands  map[Key]*demand
+	keys     []Key                // of all demands, in order; nil: to be found anew
 	trends   map[string]*trend    // by model
 	works    map[string]*meanWork // likewise
 	began    time.Duration
@@ -248,16 +249,31 @@
 	if o.Adapter != "" {
 		return true
 	}
-	if o.Operation == Load {
-		return false
-	}
+	return o.Operation == Unload && p.modelRate(now, o.Model) <= idleRate
+}
+
+// modelRate is how many requests a second are asked of a model with its adapters.
+func (p *Planner) modelRate(now time.Duration, model string) float64 {
 	rate := 0.0
-	for key, d := range p.demands {
-		if key.Model == o.Model {
-			rate += d.rate(now, p.began)
+	for _, key := range p.sortedKeys() {
+		if key.Model == model {
+			rate += p.demands[key].rate(now, p.began)
 		}
 	}
-	return rate <= idleRate
+	return rate
+}
+
+// unloadNotice is how long before an order to unload a model that is asked for the proxies are told: news of what a
+// backend holds takes about so long to reach them. Danger: a backend that unloads turns away what comes for the model,
+// and each request that has to go elsewhere takes from the budget of repeats.
+const unloadNotice = 300 * time.Millisecond
+
+// Notice is how long an order has to wait once proxies are told what the backend will hold after it; 0: it needs none.
+func (p *Planner) Notice(now time.Duration, o Order) time.Duration {
+	if o.Operation != Unload || o.Adapter != "" || p.modelRate(now, o.Model) <= idleRate {
+		return 0
+	}
+	return unloadNotice
 }
 
 // Refused notes that a backend has not taken an order, being busy still. Room that is being
