--- /dev/null
+++ b/holders_test.go
@@ -0,0 +1,83 @@
+package marlreel
+
+import (
+	"testing"
+	"time"
+)
+
+// told is an Advice by which all backends hold everything, and others have sent work to some.
+type told struct {
+	NoAdvice
+	ahead map[BackendID]float64
+}
+
+func (a *told) Extra(_ time.Duration, _ *Request, to BackendID) float64 { return a.ahead[to] }
+
+// playNeeds has a proxy serve requests for what few backends hold, one after the other, and tells where they went.
+func playNeeds(t *testing.T, advice *told, requests int) map[BackendID]int {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Instances, cfg.Advice = 90, advice
+	cfg.Caps.ConnIdle = 20 * second
+	b, h := newBalancer(t, cfg, 40)
+	went := map[BackendID]int{}
+	now := second
+	for i := range requests {
+		now += 100 * milli
+		id := RequestID(100 + i)
+		b.Request(now, Request{ID: id, Class: unsafe, Deadline: now + 4*second, Needs: &Needs{Model: "m"}})
+		sends := h.take("send")
+		if len(sends) != 1 {
+			t.Fatalf("%d sends for one request", len(sends))
+		}
+		went[sends[0].to]++
+		b.Outcome(now+20*milli, Outcome{ID: id, Backend: sends[0].to, Result: OK, Took: 20 * milli, Final: true})
+		h.take("send")
+	}
+	return went
+}
+
+// Of many holders a proxy turns to a few, of its own zone where there are any, so that connections last.
+func TestRequestsGoToFewHoldersNearby(t *testing.T) {
+	went := playNeeds(t, &told{}, 100)
+	if len(went) > holdersEach+2 { // the first one of all has nothing to be compared by
+		t.Errorf("they went to %d holders: %v", len(went), went)
+	}
+	for id, count := range went {
+		if zone := list(40)[id-1].Zone; zone != testConfig().Zone && count > 10 {
+			t.Errorf("%d went to %d, which is in another zone", count, id)
+		}
+	}
+}
+
+// Holders to which others have sent far more than they can begin soon are passed by, though connections rest there.
+func TestHoldersThatOthersKeepBusyArePassedBy(t *testing.T) {
+	advice := &told{ahead: map[BackendID]float64{}}
+	usual := playNeeds(t, advice, 100)
+	for id := range usual {
+		advice.ahead[id] = 20000
+	}
+	busy := 0
+	for id, count := range playNeeds(t, advice, 100) {
+		if advice.ahead[id] > 0 {
+			busy += count
+		}
+	}
+	if busy > 10 {
+		t.Errorf("%d of 100 went to holders with 20 s of work", busy)
+	}
+}
+
+// A proxy's subset of backends, made for probes and for requests that any backend can run, does not narrow the holders
+// of what few hold: of forty backends and ninety proxies it would be three.
+func TestTheSubsetDoesNotNarrowHolders(t *testing.T) {
+	advice := &told{ahead: map[BackendID]float64{}}
+	for id := BackendID(1); id <= 40; id++ {
+		advice.ahead[id] = 20000
+	}
+	advice.ahead[17] = 0
+	went := playNeeds(t, advice, 200)
+	if went[17] < 20 {
+		t.Errorf("%d of 200 went to the one holder that is idle: %v", went[17], went)
+	}
+}
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -280,3 +280,39 @@
 		})
 	}
 }
+
+// A rare model that a request waits for takes the place of one that is as rare and that nobody waits for, where an aim
+// outlasts a load: whoever asks for that one next can wait for it as well.
+func TestARareModelThatIsWaitedForDisplacesAnIdleOne(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 12) // with room for three models each
+	for i := range 12 {
+		w.planner.Awaited(fmt.Sprintf("m%d", i), 6*time.Second, 1)
+	}
+	rates := map[string]float64{}
+	for i := range 6 {
+		rates[fmt.Sprintf("m%d", i)] = 0.15
+	}
+	w.ask(40*time.Second, rates, 120)
+	for i := range 6 {
+		is.Equal(w.holders(fmt.Sprintf("m%d", i)), 1)
+	}
+	for range 60 {
+		w.planner.Awaited("m9", 6*time.Second, 0)
+		w.planner.Asked(w.now, "node", "z0", Key{Model: "m9"}, 0, 0, 1)
+		w.step()
+	}
+	is.Equal(w.holders("m9"), 1)
+}
+
+// Proxies are told before a model leaves that they still send requests for, and not where nobody asks.
+func TestAnUnloadOfWhatIsAskedForIsToldBefore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 4)
+	w.ask(20*time.Second, map[string]float64{"m0": 5, "m1": 0.1}, 100)
+	unload := func(model string) Order { return Order{Backend: "b0", Operation: Unload, Key: Key{Model: model}} }
+	is.Equal(w.planner.Notice(w.now, unload("m0")), unloadNotice)
+	is.Equal(w.planner.Notice(w.now, unload("m1")), time.Duration(0))
+	is.Equal(w.planner.Notice(w.now, Order{Backend: "b0", Operation: Load, Key: Key{Model: "m0"}}), time.Duration(0))
+	is.Equal(w.planner.Notice(w.now, Order{Backend: "b0", Operation: Unload, Key: Key{Model: "m0", Adapter: "a1"}}), time.Duration(0))
+}
