--- a/cmd/marlreelsim/main.go
+++ b/cmd/marlreelsim/main.go
@@ -35,10 +35,13 @@
 	var brief, vary bool
 	cmd := &cobra.Command{Use: "marlreelsim", Short: "Play routing and placement in simulated time", Args: cobra.NoArgs, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds < 1 || first < 0 || jobs < 1 {
+				return &usageError{seeds, first, jobs}
+			}
 			out := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
 			fmt.Fprintln(out, "knowledge\tseed\tserved\tworst 2 s\tin time\tlate\tpaused\tlost\trefused\tloads\tconnections\tcrossings\tmedian late\tby kind")
 			for _, k := range knowledges[:map[bool]int{true: 1, false: len(knowledges)}[brief]] {
-				if err := playSeeds(out, k.name, days{k.what, first, seeds, jobs, vary}); err != nil {
+				if err := playSeeds(out, k.name, days{knowledge: k.what, first: first, seeds: seeds, jobs: jobs, vary: vary}); err != nil {
 					return err
 				}
 			}
@@ -61,11 +64,20 @@
 	return strings.Join(words, ", ")
 }
 
+// usageError says which numbers can't be used.
+type usageError struct{ seeds, first, jobs int }
+
+// Error implements error.
+func (e *usageError) Error() string {
+	return fmt.Sprintf("--seeds %d, --first %d, --jobs %d: at least one day and one at once are needed, and seeds from 0 on", e.seeds, e.first, e.jobs)
+}
+
 // days are what is to be played.
 type days struct {
 	knowledge          emulator.Knowledge
 	first, seeds, jobs int
 	vary               bool
+	change             func(emulator.Config) emulator.Config // of each; nil: none
 }
 
 // config is that of one seed.
@@ -75,6 +87,9 @@
 	if d.vary {
 		cfg = emulator.Vary(cfg, seed)
 	}
+	if d.change != nil {
+		cfg = d.change(cfg)
+	}
 	cfg.Knowledge = d.knowledge
 	return cfg
 }
