Keep reports on their way without their holder twice

Cause: the address where a report goes next stood beside each report too, and nobody read it. Change: the queues hold the reports themselves. Nothing else changes. Result: the tests of demand and backlogs on the simulated network pass.

--- a/internal/system/agent/demand.go
+++ b/internal/system/agent/demand.go
@@ -35,18 +35,12 @@
 	began time.Time
 
 	mu       sync.Mutex
-	waiting  map[string][]*passedReport // by the address where they go next
+	waiting  map[string][]*api.DemandReport // for holders, by their addresses
 	backlogs *backlog.Table
 }
 
-// passedReport is a report on its way, about one service.
-type passedReport struct {
-	report *api.DemandReport
-	holder string // the address of the agent that places the service's models
-}
-
 func newDemandRelay(a *Agent, self *api.Node) *demandRelay {
-	return &demandRelay{agent: a, self: self, began: time.Now(), waiting: map[string][]*passedReport{}, backlogs: backlog.New()}
+	return &demandRelay{agent: a, self: self, began: time.Now(), waiting: map[string][]*api.DemandReport{}, backlogs: backlog.New()}
 }
 
 // own takes in a report of this agent's own proxy, and answers what others have sent to the
@@ -65,7 +59,7 @@
 			continue
 		}
 		if holder != "" && holder != r.self.Address {
-			r.enqueue(holder, &passedReport{part, holder})
+			r.enqueue(holder, part)
 		}
 		reply.Others = append(reply.Others, r.othersOf(service, func(s backlog.Speaker) bool { return s.Node != r.self.Name }))
 	}
@@ -77,12 +71,12 @@
 func (r *demandRelay) askHome(ctx context.Context, home, holder string, part *api.DemandReport) []*api.Backlog {
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := r.call(call, home, []*passedReport{{part, holder}})
+	reply, err := r.call(call, home, []*api.DemandReport{part})
 	if err == nil {
 		return reply.Others
 	}
 	if holder != "" && holder != r.self.Address {
-		r.enqueue(holder, &passedReport{part, holder})
+		r.enqueue(holder, part)
 	}
 	return nil
 }
@@ -99,7 +93,7 @@
 			holder := r.holderOf(service)
 			// What is final goes no further: processes that take different ones for the holder don't send it to and fro.
 			if !report.Final && holder != "" && holder != r.self.Address {
-				r.enqueue(holder, &passedReport{part, holder})
+				r.enqueue(holder, part)
 			}
 		}
 	}
@@ -166,7 +160,7 @@
 }
 
 // enqueue has a report sent: at once, or with others once passGap is over.
-func (r *demandRelay) enqueue(next string, report *passedReport) {
+func (r *demandRelay) enqueue(next string, report *api.DemandReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	queue, sending := r.waiting[next]
@@ -180,7 +174,7 @@
 }
 
 // dequeue gives what waits for an agent. Where nothing does, its sender ends.
-func (r *demandRelay) dequeue(next string) []*passedReport {
+func (r *demandRelay) dequeue(next string) []*api.DemandReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	queue := r.waiting[next]
@@ -202,11 +196,11 @@
 }
 
 // sendTo hands reports to a holder, and takes in what it says of other zones.
-func (r *demandRelay) sendTo(holder string, reports []*passedReport) {
+func (r *demandRelay) sendTo(holder string, reports []*api.DemandReport) {
 	call, cancel := context.WithTimeout(context.Background(), passTimeout)
 	defer cancel()
-	for _, passed := range reports {
-		passed.report.Final = true
+	for _, report := range reports {
+		report.Final = true
 	}
 	reply, err := r.call(call, holder, reports)
 	if err != nil {
@@ -219,10 +213,7 @@
 	}
 }
 
-func (r *demandRelay) call(ctx context.Context, next string, reports []*passedReport) (*api.DemandReply, error) {
-	batch := &api.DemandBatch{Node: r.self.Name, Zone: r.self.Zone}
-	for _, passed := range reports {
-		batch.Reports = append(batch.Reports, passed.report)
-	}
+func (r *demandRelay) call(ctx context.Context, next string, reports []*api.DemandReport) (*api.DemandReply, error) {
+	batch := &api.DemandBatch{Reports: reports, Node: r.self.Name, Zone: r.self.Zone}
 	return api.NewAgentProtobufClient("http://"+next, r.agent.client).PassDemand(ctx, batch)
 }
