Wait for the results store's lock, and say so, in place of giving up after 0.3 s

Cause of TestKilled's failures: a killed process's lock lasts until its last mapping of the file is gone, and whoever reads its memory keeps that mapping until the read is over. Change: Open takes an OpenConfig: 5 s for the inspection and the opening together, told after 0.3 s; rehearse prints it.

--- a/cmd/rehearse/experiment.go
+++ b/cmd/rehearse/experiment.go
@@ -67,7 +67,7 @@
 	if c.DryRun {
 		return describe(o.out, plan)
 	}
-	store, err := open(c.Store)
+	store, err := openStore(c.Store, o)
 	if err != nil {
 		return err
 	}
@@ -187,14 +187,17 @@
 	return nil
 }
 
-func open(path string) (*experiment.Store, error) {
+// openStore opens the store at a path, or the default one, and tells whoever waits why they wait.
+func openStore(path string, o *output) (*experiment.Store, error) {
 	if path == "" {
 		var err error
 		if path, err = experiment.DefaultStore(); err != nil {
 			return nil, err
 		}
 	}
-	return experiment.Open(path)
+	return experiment.Open(path, experiment.OpenConfig{OnLockWait: func(remaining time.Duration) {
+		fmt.Fprintf(o.err, "store %s: another process has it open; waiting for it for %v at most\n", path, remaining.Round(100*time.Millisecond))
+	}})
 }
 
 func analysis(s *experiment.Store, name string) (*experiment.Analysis, error) {
@@ -255,7 +258,7 @@
 type resultsList struct{}
 
 func (resultsList) Run(r *resultsCmd, o *output) error {
-	s, err := open(r.Store)
+	s, err := openStore(r.Store, o)
 	if err != nil {
 		return err
 	}
@@ -281,7 +284,7 @@
 }
 
 func (c resultsShow) Run(r *resultsCmd, o *output) error {
-	s, err := open(r.Store)
+	s, err := openStore(r.Store, o)
 	if err != nil {
 		return err
 	}
@@ -300,7 +303,7 @@
 }
 
 func (c resultsExport) Run(r *resultsCmd, o *output) error {
-	s, err := open(r.Store)
+	s, err := openStore(r.Store, o)
 	if err != nil {
 		return err
 	}
@@ -328,7 +331,7 @@
 }
 
 func (c resultsForget) Run(r *resultsCmd, o *output) error {
-	s, err := open(r.Store)
+	s, err := openStore(r.Store, o)
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/compatibility_test.go
+++ b/internal/experiment/compatibility_test.go
@@ -271,7 +271,7 @@
 
 func openCopy(t *testing.T) *Store {
 	t.Helper()
-	s, err := Open(copyOfFile(t))
+	s, err := Open(copyOfFile(t), OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -282,7 +282,7 @@
 // writeStore writes the content of the stored file with this version's code.
 func writeStore(t *testing.T, path string) {
 	t.Helper()
-	s, err := Open(path)
+	s, err := Open(path, OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -40,6 +40,13 @@
 		}
 		fallthrough
 	default:
+		if what == "large" {
+			ballast := make([]byte, largeChildBytes)
+			for i := range ballast {
+				ballast[i] = byte(i)
+			}
+			defer runtime.KeepAlive(ballast)
+		}
 		f, err := Parse("child.toml", []byte(os.Getenv("EXPERIMENT_TEST_FILE")))
 		if err == nil {
 			err = carryOut(f, os.Getenv("EXPERIMENT_TEST_STORE"), &fake{fill: 200, play: func(Day, uint64) Result {
@@ -96,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := Open(path)
+	s, err := Open(path, OpenConfig{})
 	if err != nil {
 		return err
 	}
@@ -137,7 +144,7 @@
 
 func read(t testing.TB, path, name string) *Analysis {
 	t.Helper()
-	s, err := Open(path)
+	s, err := Open(path, OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -520,7 +527,7 @@
 	if err := carryOut(parse(t, fmt.Sprintf(two, 3)), path, more); err != nil || len(more.played) != 2 {
 		t.Errorf("one seed more: %v, %v", more.played, err)
 	}
-	s, err := Open(path)
+	s, err := Open(path, OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -656,7 +663,7 @@
 	}
 	held := copies(t, path)
 	for until := time.Now().Add(time.Minute); held.Load() < 3; {
-		s, err := Open(path)
+		s, err := Open(path, OpenConfig{})
 		if err != nil {
 			t.Fatalf("%d copies of descriptors that read it are held: %v", held.Load(), err)
 		}
@@ -665,7 +672,7 @@
 			t.Fatalf("only %d copies were had in time", held.Load())
 		}
 	}
-	s, err := Open(path)
+	s, err := Open(path, OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -701,11 +708,11 @@
 		}
 		return at(name)
 	}
-	s, err := Open(made("two.db"))
+	s, err := Open(made("two.db"), OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(at("two.db")); !errors.Is(err, ErrInUse) {
+	if _, err := Open(at("two.db"), OpenConfig{LockTimeout: lockQuietTime}); !errors.Is(err, ErrInUse) {
 		t.Errorf("two at once: %v", err)
 	}
 	if err := s.Put("nobody", "key", &Result{}); err == nil {
@@ -715,7 +722,7 @@
 		return tx.Bucket(bucketMeta).Put(keyVersion, binary.BigEndian.AppendUint64(nil, 99))
 	})
 	s.Close()
-	if _, err := Open(at("two.db")); err == nil || !strings.Contains(err.Error(), "version 99") {
+	if _, err := Open(at("two.db"), OpenConfig{LockTimeout: lockQuietTime}); err == nil || !strings.Contains(err.Error(), "version 99") {
 		t.Errorf("a newer version: %v", err)
 	}
 
@@ -742,7 +749,7 @@
 		if err := os.WriteFile(path, bytes, 0o644); err != nil {
 			t.Fatal(err)
 		}
-		s, err := Open(path)
+		s, err := Open(path, OpenConfig{})
 		if err == nil {
 			s.Close()
 			t.Errorf("%s: it is opened", name)
@@ -770,7 +777,7 @@
 		t.Fatal(err)
 	}
 	db.Close() // a store without a word in it is version 0
-	s, err := Open(path)
+	s, err := Open(path, OpenConfig{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/experiment/inspect.go
+++ b/internal/experiment/inspect.go
@@ -9,7 +9,6 @@
 	"os"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	bolt "go.etcd.io/bbolt"
 )
@@ -28,10 +27,7 @@
 	largestPageCount = 1 << 40
 )
 
-const (
-	storeLockTimeout = 300 * time.Millisecond
-	storeFileMode    = 0o644
-)
+const storeFileMode = 0o644
 
 // DamagedError is a file of results that can't be trusted. It was not written to.
 type DamagedError struct {
@@ -62,7 +58,7 @@
 func (e *NoFileError) Advice() string { return "name a file, or a path at which there is nothing yet" }
 
 // inspect reads a file that is there through, without a write.
-func inspect(path string) (err error) {
+func inspect(path string, lock *lockWait) (err error) {
 	info, err := os.Stat(path)
 	if errors.Is(err, os.ErrNotExist) || err == nil && info.Size() == 0 {
 		return nil
@@ -89,12 +85,11 @@
 		file, err = os.OpenFile(path, flag, mode)
 		return file, err
 	}
-	options := &bolt.Options{ReadOnly: true, Timeout: storeLockTimeout, PreLoadFreelist: true, OpenFile: open}
-	db, err := bolt.Open(path, storeFileMode, options)
+	db, err := lock.open(path, bolt.Options{ReadOnly: true, PreLoadFreelist: true, OpenFile: open})
+	if errors.Is(err, ErrInUse) {
+		return err
+	}
 	if err != nil {
-		if err = storeError(err); errors.Is(err, ErrInUse) {
-			return err
-		}
 		return &DamagedError{err}
 	}
 	defer db.Close()
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -9,9 +9,9 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"time"
 
 	bolt "go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // Store keeps experiments and the results of their runs in one file. A run is written in one transaction:
@@ -43,17 +43,16 @@
 	},
 }
 
-// ErrInUse says that another process has the store open.
-var ErrInUse = errors.New("another process has it open: one at a time")
-
-// Open opens a store, or makes one. A file that is damaged is named, and never written to.
-func Open(path string) (*Store, error) {
-	if err := inspect(path); err != nil {
+// Open opens a store, or makes one, once no other process has it open; ErrInUse if that takes longer than the
+// configuration allows. A file that is damaged is named, and never written to.
+func Open(path string, config OpenConfig) (*Store, error) {
+	lock := config.begin(time.Now())
+	if err := inspect(path, lock); err != nil {
 		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
-	db, err := bolt.Open(path, storeFileMode, &bolt.Options{Timeout: storeLockTimeout})
+	db, err := lock.open(path, bolt.Options{})
 	if err != nil {
-		return nil, fmt.Errorf("store %s: %w", path, storeError(err))
+		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
 	s := &Store{db, path}
 	if err := s.migrate(); err != nil {
@@ -63,13 +62,6 @@
 	return s, nil
 }
 
-func storeError(err error) error {
-	if errors.Is(err, bolterrors.ErrTimeout) {
-		return ErrInUse
-	}
-	return err
-}
-
 func (s *Store) migrate() error {
 	return s.db.Update(func(tx *bolt.Tx) error {
 		version := 0
