--- a/internal/tools/cleanbuild/main.go
+++ b/internal/tools/cleanbuild/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -168,7 +169,7 @@
 	begin := time.Now()
 	text, err := machine.command(ctx, file.Build, c.source, home).CombinedOutput()
 	if err != nil {
-		return eris.Wrapf(err, "%s: %s: %s", file.name(), file.Build, text)
+		return eris.Wrapf(err, "%s: %s: %s", file.name(), file.Build, bytes.TrimSpace(text))
 	}
 	fmt.Fprintf(c.out, "%s built with %q in %.1f s\n", file.name(), file.Packages, time.Since(begin).Seconds())
 	return nil
