HTTP proxy: a backend that answers out of turn gets connections for one request each

Change: surplus is noticed on idle connections, behind answers and in place of one; then reuse is suspended for a while (pure, connections.KeepAlive), and connections rest after answers that came unusually soon. Log event, figure, metric. The gateway drops by id as before, and a health check, which has no id, takes no answer that has one.

--- a/internal/dataplane/gateway/compatibility_test.go
+++ b/internal/dataplane/gateway/compatibility_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// A health check bears no id: an answer with one is another request's, however good it looks.
+func TestHealthCheckTakesNoOtherAnswer(t *testing.T) {
+	dialect := newDialect(func() string { return "/health" })
+	check := dialect.HealthCheck(&engine.Backend{Name: "i-7f3a91c2", Addr: "10.3.0.1:9000"})
+	for id, mine := range map[string]bool{"": true, "9c41d07be2a35f68": false} {
+		response := &http.Response{Header: http.Header{}}
+		if id != "" {
+			response.Header.Set(headerRequestID, id)
+		}
+		if got := dialect.Matches(check, response); got != mine {
+			t.Errorf("an answer with the id %q counts as the health check's: %t", id, got)
+		}
+	}
+}
+
 // Labels have the words that they had.
 func TestCompatibilityOfLabels(t *testing.T) {
 	var out strings.Builder
--- a/internal/dataplane/gateway/metrics.go
+++ b/internal/dataplane/gateway/metrics.go
@@ -38,11 +38,13 @@
 	classes       map[string]*classMetrics // by the class's name
 	attempts      map[balancer.Result]*vm.Counter
 	brokenStreams *vm.Counter
+	surplus       *vm.Counter
 }
 
 func newServiceMetrics(set *vm.Set, service string) *serviceMetrics {
 	m := &serviceMetrics{set: set, service: service, classes: map[string]*classMetrics{}, attempts: map[balancer.Result]*vm.Counter{}}
 	m.brokenStreams = set.GetOrCreateCounter(metricserver.SeriesName("marlreel_streams_broken_off_total", metricserver.Label{Key: "service", Value: service}))
+	m.surplus = set.GetOrCreateCounter(metricserver.SeriesName("marlreel_surplus_answers_total", metricserver.Label{Key: "service", Value: service}))
 	for result, name := range resultNames {
 		m.attempts[result] = set.GetOrCreateCounter(metricserver.SeriesName("marlreel_attempts_total",
 			metricserver.Label{Key: "service", Value: service}, metricserver.Label{Key: "result", Value: name}))
--- a/internal/dataplane/gateway/protocol.go
+++ b/internal/dataplane/gateway/protocol.go
@@ -36,11 +36,8 @@
 			head = strconv.AppendInt(head, max(1, wait.Milliseconds()), 10)
 			return append(head, "\r\n"...)
 		},
-		Judge: classifyAnswer,
-		Matches: func(m *httpproxy.Message, resp *http.Response) bool {
-			id := resp.Header.Get(headerRequestID)
-			return m.ID == "" || id == "" || id == m.ID
-		},
+		Judge:   classifyAnswer,
+		Matches: answersRequest,
 		HealthCheck: func(to *engine.Backend) *httpproxy.Message {
 			return &httpproxy.Message{
 				Method: http.MethodGet, HealthCheck: true,
@@ -51,6 +48,14 @@
 	}
 }
 
+// answersRequest tells whether an answer can be the one to a request. Backends echo its id; an answer without one may be
+// anybody's, as servers write that have not read the request. A health check has no id, and an answer with one is another
+// request's.
+func answersRequest(m *httpproxy.Message, resp *http.Response) bool {
+	id := resp.Header.Get(headerRequestID)
+	return id == "" || id == m.ID
+}
+
 // classifyAnswer tells how an attempt ended by the head of its answer. Only Not-Executed and 421 say that nothing was
 // executed. An answer without the backend's seal is none of the backend's, whatever it says.
 func classifyAnswer(to *engine.Backend, m *httpproxy.Message, resp *http.Response) balancer.Result {
--- a/internal/dataplane/gateway/service.go
+++ b/internal/dataplane/gateway/service.go
@@ -67,7 +67,8 @@
 	}, engine.ClockStart)
 	s.healthPath.Store(&cfg.HealthPath)
 	log := g.log.WithValues(logevent.KeyService, cfg.Name)
-	observers := []engine.Observer{newServiceMetrics(g.metrics, g.metricsLabel(cfg.Name))}
+	metrics := newServiceMetrics(g.metrics, g.metricsLabel(cfg.Name))
+	observers := []engine.Observer{metrics}
 	var err error
 	s.engine, err = engine.New(engine.Config{
 		Settings: s.balancerConfig(), Seed: uint64(s.rank), OnFirstMembership: func() {},
@@ -81,6 +82,7 @@
 	s.carrier = httpproxy.NewCarrier(s.engine, g.maxConnections, nil, g.memory)
 	s.carrier.SetDialer(g.dial)
 	s.carrier.SetDialect(newDialect(func() string { return *s.healthPath.Load() }))
+	s.carrier.OnSurplus(func(*engine.Backend, time.Duration) { metrics.surplus.Inc() })
 	s.engine.AddCarrier(s.carrier)
 	s.engine.SetHealthChecker(s.carrier)
 	if detail := log.V(1); detail.Enabled() {
--- a/internal/dataplane/httpproxy/backendconn.go
+++ b/internal/dataplane/httpproxy/backendconn.go
@@ -21,7 +21,13 @@
 	readLimit *io.LimitedReader // under reader: bounds one answer, head and body
 	idleSince time.Duration
 
-	lastRejected bool // its last answer was that nothing ran
+	lastRejected bool          // its last answer was that nothing ran
+	restUntil    time.Duration // not before then, on the engine's clock, is it used where another can be had
+
+	writtenAt  time.Time     // when the request's last byte was written
+	answerTime time.Duration // from then until the answer's first byte; 0: there was none
+	used       bool          // it has carried a request before the one that it carries now
+	surplus    bool          // something came on it that no request had asked for
 }
 
 // newBackendConn reads a connection's answers from source, which is the connection itself where nothing was read of it
@@ -34,12 +40,27 @@
 
 // reusable tells, without waiting, whether an idle connection can carry a request.
 // A backend that died or closed has left an end or a reset to read; anything
-// else unread belongs to no request.
+// else unread belongs to no request, and is noted as surplus.
 func (c *backendConn) reusable() bool {
+	if c.reader.Buffered() == 0 && sockets.Idle(c.Conn) {
+		return true
+	}
+	c.surplus = c.surplus || c.hasSurplus()
+	return false
+}
+
+// timeoutNotice is how an answer begins that some servers send as they close an idle connection: it announces the end,
+// and is no answer too many.
+const timeoutNotice = "HTTP/1.1 408"
+
+// hasSurplus tells whether something unread has come on a connection that carries no request.
+func (c *backendConn) hasSurplus() bool {
 	if c.reader.Buffered() > 0 {
-		return false
+		return true
 	}
-	return sockets.Idle(c.Conn)
+	var start [len(timeoutNotice)]byte
+	n := sockets.Unread(c.Conn, start[:])
+	return n > 0 && string(start[:n]) != timeoutNotice
 }
 
 // maxSingleWrite is how much is written together with its last byte: that much finds room in any connection's buffer. What
@@ -59,8 +80,11 @@
 		if err == nil && hold > 0 {
 			err = c.awaitEarlyAnswer(time.Now().Add(hold), until)
 		}
-		if errors.Is(err, errEarlyAnswer) && c.earlyRejection(x) {
-			return Reply{result: balancer.Rejected}
+		if errors.Is(err, errEarlyAnswer) {
+			if c.earlyRejection(x) {
+				return Reply{result: balancer.Rejected}
+			}
+			c.surplus = c.surplus || c.used
 		}
 		if err != nil || n < len(data)-1 {
 			return Reply{result: balancer.NotSent, brokeEarly: true}
@@ -81,10 +105,16 @@
 	if err != nil {
 		return failedAfterWrite(err)
 	}
+	c.markWritten(x)
+	return c.readAnswer(x, report)
+}
+
+// markWritten notes that a request's last byte is written.
+func (c *backendConn) markWritten(x *exchange) {
+	c.writtenAt, c.answerTime = time.Now(), 0
 	if x.attempt != nil {
 		x.attempt.MarkWritten()
 	}
-	return c.readAnswer(x, report)
 }
 
 // readAnswer reads the answer to what has been written.
@@ -105,7 +135,9 @@
 			return r
 		}
 		r.stream = nil // what else it says at length is of no use: the connection is closed
-	} else if !resp.Close && c.reader.Buffered() == 0 {
+	} else if c.reader.Buffered() > 0 {
+		c.surplus = true
+	} else if !resp.Close {
 		// The deadline was this exchange's. Left in place, it would end the next.
 		_ = c.SetDeadline(time.Time{})
 		r.conn = c
@@ -157,6 +189,7 @@
 		if err != nil || x.dialect.Matches == nil || x.dialect.Matches(x.message, resp) {
 			return resp, err
 		}
+		c.surplus = true
 		other, err := c.readBody(resp, x)
 		if err != nil {
 			return nil, err
@@ -182,8 +215,10 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
+		c.answerTime = time.Since(c.writtenAt)
 		first, _ := c.reader.Peek(min(len(start), c.reader.Buffered()))
 		if !strings.HasPrefix(start, string(first)) {
+			c.surplus = c.surplus || c.used // such as the rest of an answer that was longer than it said
 			return nil, errMalformedAnswer
 		}
 		//nolint:bodyclose // readBody reads it from the connection, which carries more than this answer
--- a/internal/dataplane/httpproxy/carrier.go
+++ b/internal/dataplane/httpproxy/carrier.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"marlreel/internal/balancer"
@@ -24,6 +25,9 @@
 	lastOK      map[*engine.Backend]time.Duration // a backend's last good answer
 	ctx         context.Context                   // of all exchanges
 	cancel      context.CancelFunc
+
+	surplusAnswers atomic.Uint64
+	onSurplus      func(from *engine.Backend, suspension time.Duration)
 }
 
 var (
@@ -37,18 +41,57 @@
 	caps := e.Settings().Caps
 	worth := meanUtility(e.Settings())
 	c := &Carrier{
-		engine: e, dialect: platformDialect(), memory: memory, loadMetrics: report, lastOK: map[*engine.Backend]time.Duration{},
+		engine: e, memory: memory, loadMetrics: report, lastOK: map[*engine.Backend]time.Duration{},
 		pool: pool{
 			maxOpen: maxConnections, maxIdle: caps.ConnIdle - caps.ConnIdle/4, idle: map[*engine.Backend][]*backendConn{}, meanUtility: worth,
 			model: connections.New(connections.DefaultConfig(worth, e.Settings().Prices.Handshake)),
 		},
 	}
+	c.pool.onSurplus = c.recordSurplus
+	c.onSurplus = func(*engine.Backend, time.Duration) {}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.SetDialect(platformDialect())
 	return c
 }
 
 // SetDialect has the carrier use another dialect. Only before its first attempt.
-func (c *Carrier) SetDialect(d *Dialect) { c.dialect = d }
+func (c *Carrier) SetDialect(d *Dialect) {
+	c.dialect = d
+	c.pool.keepAlive = nil
+	if d.Matches == nil {
+		c.pool.keepAlive = connections.NewKeepAlive(connections.DefaultKeepAliveConfig())
+	}
+}
+
+// OnSurplus has the carrier tell whenever something came from a backend that no request had asked for, and how long each
+// connection to it is used for one request alone where that begins with this; else 0. Only before its first attempt; it
+// is called on the engine's goroutine.
+func (c *Carrier) OnSurplus(notify func(from *engine.Backend, suspension time.Duration)) {
+	c.onSurplus = notify
+}
+
+// SurplusAnswers is how often something came from a backend that no request had asked for, such as a second answer. Any
+// goroutine may call it.
+func (c *Carrier) SurplusAnswers() uint64 { return c.surplusAnswers.Load() }
+
+// recordSurplus takes in that something came from a backend that no request had asked for. On the engine's goroutine.
+func (c *Carrier) recordSurplus(from *engine.Backend) {
+	c.surplusAnswers.Add(1)
+	c.onSurplus(from, c.suspendReuse(from))
+}
+
+// suspendReuse suspends the reuse of connections to a backend, and tells for how long if that begins now. There is no
+// need where answers carry ids; of a backend that has left the list, what was kept is forgotten.
+func (c *Carrier) suspendReuse(from *engine.Backend) time.Duration {
+	if c.pool.keepAlive == nil || !from.Ready() {
+		return 0
+	}
+	length, began := c.pool.keepAlive.RecordSurplus(c.engine.Now(), uint32(from.ID))
+	if !began {
+		return 0
+	}
+	return length
+}
 
 // SetDialer has the carrier make connections otherwise. Only before its first attempt.
 func (c *Carrier) SetDialer(dial func(ctx context.Context, address string) (net.Conn, error)) {
@@ -97,6 +140,9 @@
 	c.pool.closeIdle(b)
 	delete(c.lastOK, b)
 	c.pool.model.Forget(uint32(b.ID))
+	if c.pool.keepAlive != nil {
+		c.pool.keepAlive.Forget(uint32(b.ID))
+	}
 }
 
 // CloseExpired implements engine.Carrier.
@@ -159,6 +205,13 @@
 func (c *Carrier) finishExchange(x *exchange, r *Reply, end func(engine.AttemptEnd)) {
 	if r.conn != nil {
 		r.conn.lastRejected = r.result == balancer.Rejected
+		c.restAfterQuickAnswer(x.backend, r)
+	}
+	if r.surplus {
+		c.recordSurplus(x.backend)
+		if r.conn != nil {
+			r.conn.surplus = false // it is counted
+		}
 	}
 	e := engine.AttemptEnd{Result: r.result, Load: r.load, ClientGone: r.clientGone}
 	failed := r.result == balancer.Error || r.result == balancer.Unprocessable
@@ -167,8 +220,13 @@
 	}
 	if r.stream != nil {
 		e.Streaming = true
-		r.stream.returnConn = func(left *backendConn) {
-			c.engine.Post(func() { c.pool.put(x.backend, left, c.engine.Now()) })
+		r.stream.returnConn = func(left *backendConn, surplus bool) {
+			c.engine.Post(func() {
+				if surplus {
+					c.recordSurplus(x.backend)
+				}
+				c.pool.put(x.backend, left, c.engine.Now())
+			})
 		}
 	} else {
 		c.pool.put(x.backend, r.conn, c.engine.Now())
@@ -179,6 +237,16 @@
 	}
 }
 
+// restAfterQuickAnswer has a connection rest whose answer came so soon that it may not have been the request's.
+func (c *Carrier) restAfterQuickAnswer(from *engine.Backend, r *Reply) {
+	if c.pool.keepAlive == nil || r.result != balancer.OK || !from.Ready() {
+		return
+	}
+	if rest := c.pool.keepAlive.RecordAnswer(uint32(from.ID), r.conn.answerTime); rest > 0 {
+		r.conn.restUntil = c.engine.Now() + rest
+	}
+}
+
 // minSilentDropIdle is from which idle time on an answer that doesn't come may mean that
 // something between has dropped the connection without a word.
 const minSilentDropIdle = 500 * time.Millisecond
--- a/internal/dataplane/httpproxy/exchange.go
+++ b/internal/dataplane/httpproxy/exchange.go
@@ -51,20 +51,24 @@
 	load        []float32
 	brokeEarly  bool                // it broke before its last byte was written
 	clientGone  bool                // the client was found to have disconnected: nothing was written
+	surplus     bool                // something came on the connection that no request had asked for
 	connOutcome connections.Outcome // for the model of connections
 }
 
 // run carries the exchange out. It follows the table of outcomes in the package comment: until the last byte is written
 // the request never ran; from then on it may have.
-func (x *exchange) run(ctx context.Context, connectTimeout time.Duration, loadMetrics []string) Reply {
+func (x *exchange) run(ctx context.Context, connectTimeout time.Duration, loadMetrics []string) (r Reply) {
 	c := x.conn
 	// An answer's surplus, or the end of the connection, may have come since it was taken from the pool. Surplus would be
 	// read as the answer to this request.
 	if c != nil && !c.reusable() {
+		defer func(discarded *backendConn) { r.surplus = r.surplus || discarded.surplus }(c)
 		c.Close()
 		c = nil
 	}
-	if c == nil {
+	if c != nil {
+		c.used = true
+	} else {
 		x.dialled = true
 		nc, err := x.connect(ctx, connectTimeout)
 		if err != nil {
@@ -79,7 +83,6 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
 	data := x.message.encode(x.dialect, x.backend, x.deadline.Sub(began)) // less what the dial has taken
-	var r Reply
 	if x.message.upload != nil {
 		r = c.sendUpload(ctx, x, data, loadMetrics)
 		x.message.upload.endRead()
@@ -95,6 +98,7 @@
 	if r.conn == nil {
 		c.Close()
 	}
+	r.surplus = c.surplus
 	return r
 }
 
--- a/internal/dataplane/httpproxy/pool.go
+++ b/internal/dataplane/httpproxy/pool.go
@@ -17,8 +17,22 @@
 	model         *connections.Model
 	meanUtility   float64         // of a mean request
 	idleTimes     []time.Duration // for use within choose
+
+	keepAlive *connections.KeepAlive // nil: answers carry ids, and every connection may be reused
+	watched   []watchedConn          // used once, and not to be used again; the one that came first is first
+	onSurplus func(*engine.Backend)  // something came on an idle connection that no request had asked for
+}
+
+// watchedConn is a connection that will carry no further request. It stays open for surplusWatch: an answer too many
+// that comes in this time shows that the backend still sends such answers.
+type watchedConn struct {
+	*backendConn
+	backend *engine.Backend
 }
 
+// surplusWatch is how long a connection that is not reused is watched for surplus before it is closed.
+const surplusWatch = 20 * time.Millisecond
+
 // restTime is how long a connection rests after an answer, where another can be had.
 // A backend that closes right behind its answer has done so by then.
 const restTime = time.Millisecond
@@ -32,14 +46,21 @@
 // stake, and nil where a new one is worth its handshake or none is idle. One that has not had its rest time is given only
 // where there is no other.
 func (p *pool) take(to *engine.Backend, now time.Duration, stake connections.Request) *backendConn {
+	p.closeWatched(now)
 	idle := p.idle[to]
 	if len(idle) == 0 {
 		return nil
 	}
 	idle = p.withoutExpired(idle, now)
+	idle = p.withoutUnreusable(to, idle, now)
+	p.setIdle(to, idle)
+	if !p.mayReuse(to, now) { // perhaps only since the last line but one
+		p.closeIdle(to)
+		return nil
+	}
 	var avoided []*backendConn
-	if stake.Effect == connections.Lost && p.open < p.maxOpen {
-		idle, avoided = withoutRejected(idle, now)
+	if p.open < p.maxOpen {
+		idle, avoided = withoutAvoided(idle, now, stake)
 	}
 	taken, idle := p.takeReusable(to, idle, now, stake)
 	if len(avoided) > 0 {
@@ -62,10 +83,31 @@
 	})
 }
 
-// withoutRejected sets the connections apart whose last answer was a rejection, for rejectedRestTime.
-func withoutRejected(idle []*backendConn, now time.Duration) (kept, avoided []*backendConn) {
+// withoutUnreusable looks at the connections that rest after a quick answer, and once more when they have rested, so that
+// what shows on one of them counts for all at once; it closes those that can't be used again.
+func (p *pool) withoutUnreusable(of *engine.Backend, idle []*backendConn, now time.Duration) []*backendConn {
+	return slices.DeleteFunc(idle, func(c *backendConn) bool {
+		if c.restUntil == 0 {
+			return false
+		}
+		if now >= c.restUntil {
+			c.restUntil = 0
+		}
+		unreusable := !p.checkReusable(of, c)
+		if unreusable {
+			p.close(c)
+		}
+		return unreusable
+	})
+}
+
+// withoutAvoided sets the connections apart that a request should not have while a new one can be had: those that rest
+// after a quick answer, and for a request that must not be lost also those whose last answer was a rejection, for
+// rejectedRestTime.
+func withoutAvoided(idle []*backendConn, now time.Duration, stake connections.Request) (kept, avoided []*backendConn) {
 	kept = slices.DeleteFunc(idle, func(c *backendConn) bool {
-		avoid := c.lastRejected && now-c.idleSince < rejectedRestTime
+		rejected := stake.Effect == connections.Lost && c.lastRejected && now-c.idleSince < rejectedRestTime
+		avoid := rejected || now < c.restUntil
 		if avoid {
 			avoided = append(avoided, c)
 		}
@@ -76,14 +118,14 @@
 
 // takeReusable takes the chosen one of the idle connections, and closes those that are chosen and turn out closed.
 func (p *pool) takeReusable(to *engine.Backend, idle []*backendConn, now time.Duration, stake connections.Request) (taken *backendConn, left []*backendConn) {
-	for len(idle) > 0 {
+	for len(idle) > 0 && p.mayReuse(to, now) {
 		choice := p.choose(to, idle, now, stake)
 		if choice == connections.Dial {
 			break
 		}
 		c := idle[choice]
 		idle = slices.Delete(idle, choice, choice+1)
-		if c.reusable() {
+		if p.checkReusable(to, c) {
 			return c, idle
 		}
 		p.close(c)
@@ -91,6 +133,35 @@
 	return nil, idle
 }
 
+// checkReusable tells whether an idle connection can carry a request, and reports what has come on it out of turn.
+func (p *pool) checkReusable(of *engine.Backend, c *backendConn) bool {
+	reusable := c.reusable()
+	if !reusable && c.surplus && p.onSurplus != nil {
+		p.onSurplus(of)
+	}
+	return reusable
+}
+
+// mayReuse tells whether connections to a backend may carry more than one request.
+func (p *pool) mayReuse(to *engine.Backend, now time.Duration) bool {
+	return p.keepAlive == nil || p.keepAlive.Reusable(now, uint32(to.ID))
+}
+
+// closeWatched closes the connections that have been watched for surplus for long enough.
+func (p *pool) closeWatched(now time.Duration) {
+	for len(p.watched) > 0 && now-p.watched[0].idleSince >= surplusWatch {
+		p.closeFirstWatched()
+	}
+}
+
+func (p *pool) closeFirstWatched() {
+	first := p.watched[0]
+	p.watched[0] = watchedConn{}
+	p.watched = p.watched[1:]
+	p.checkReusable(first.backend, first.backendConn)
+	p.close(first.backendConn)
+}
+
 // choose gives the index of the connection to use, or connections.Dial. The latest used is last.
 func (p *pool) choose(to *engine.Backend, idle []*backendConn, now time.Duration, stake connections.Request) int {
 	rested := idle
@@ -127,8 +198,12 @@
 	}
 }
 
-// closeOldest closes the connection that has been idle for the longest, if any is.
+// closeOldest closes the connection that has been idle for the longest, if any is; those that nobody will use go first.
 func (p *pool) closeOldest() bool {
+	if len(p.watched) > 0 {
+		p.closeFirstWatched()
+		return true
+	}
 	var oldest *engine.Backend
 	for b, idle := range p.idle {
 		if oldest == nil || idle[0].idleSince < p.idle[oldest][0].idleSince {
@@ -155,6 +230,11 @@
 		return
 	}
 	c.idleSince = now
+	if !p.mayReuse(to, now) {
+		p.watched = append(p.watched, watchedConn{c, to})
+		p.closeWatched(now)
+		return
+	}
 	p.idle[to] = append(p.idle[to], c)
 	if p.open > p.maxOpen { // the bound has been lowered meanwhile
 		p.closeOldest()
@@ -189,9 +269,10 @@
 
 // closeExpired closes what has been idle for long, or was closed by the backend.
 func (p *pool) closeExpired(now time.Duration) {
+	p.closeWatched(now)
 	for b, idle := range p.idle {
 		p.setIdle(b, slices.DeleteFunc(idle, func(c *backendConn) bool {
-			expired := p.idleExpired(c, now) || !c.reusable() || p.model.ShouldClose(now, uint32(b.ID), b.Zone, now-c.idleSince, p.meanUtility)
+			expired := p.idleExpired(c, now) || !p.checkReusable(b, c) || p.model.ShouldClose(now, uint32(b.ID), b.Zone, now-c.idleSince, p.meanUtility)
 			if expired {
 				p.close(c)
 			}
--- a/internal/dataplane/httpproxy/pool_test.go
+++ b/internal/dataplane/httpproxy/pool_test.go
@@ -140,3 +140,77 @@
 		t.Error("a place was given beyond the bound")
 	}
 }
+
+// suspendedPool is a pool of n idle connections to a backend whose connections must not be reused, by answers too many.
+func suspendedPool(t *testing.T, n int) (p *pool, b *engine.Backend, far []net.Conn, surplus *int) {
+	t.Helper()
+	p, b, far = poolOf(t, n)
+	p.keepAlive = connections.NewKeepAlive(connections.DefaultKeepAliveConfig())
+	surplus = new(int)
+	p.onSurplus = func(from *engine.Backend) {
+		*surplus++
+		p.keepAlive.RecordSurplus(10*time.Second, uint32(from.ID))
+	}
+	return p, b, far, surplus
+}
+
+// What has come on an idle connection is found when the connection is chosen; from then on none is used again, and
+// those that come back are watched for a moment, counted for what comes, and closed.
+func TestPoolWatchesConnectionsThatAreNotReused(t *testing.T) {
+	t.Parallel()
+	const now = 10 * time.Second
+	p, b, far, surplus := suspendedPool(t, 2)
+	kept := p.idle[b][0]
+	send(t, far[1], okAnswer)
+	eventually(t, "the surplus", func() bool { return !p.idle[b][1].reusable() })
+	if c := p.take(b, now, healthCheckStake); c != nil {
+		t.Error("a connection is used again after an answer too many")
+	}
+	if *surplus != 1 || p.open != 1 {
+		t.Fatalf("%d found, %d connections are open", *surplus, p.open)
+	}
+	delete(p.idle, b) // as if it had been in use meanwhile
+	p.put(b, kept, now)
+	if len(p.idle[b]) != 0 || len(p.watched) != 1 {
+		t.Fatal("the connection is not watched")
+	}
+	send(t, far[0], okAnswer)
+	eventually(t, "the surplus", func() bool { return !kept.reusable() })
+	p.closeExpired(now + surplusWatch - 1)
+	if len(p.watched) != 1 {
+		t.Error("it is not watched for as long as it should be")
+	}
+	p.closeExpired(now + surplusWatch)
+	if len(p.watched) != 0 || *surplus != 2 {
+		t.Errorf("%d connections are still watched, %d found", len(p.watched), *surplus)
+	}
+}
+
+// Watched connections are the first to go where a new one needs their place.
+func TestPoolEvictsWatchedConnectionsFirst(t *testing.T) {
+	t.Parallel()
+	p, b, _, _ := suspendedPool(t, 2)
+	first, second := p.idle[b][0], p.idle[b][1]
+	p.idle[b] = p.idle[b][:1]
+	p.keepAlive.RecordSurplus(time.Second, uint32(b.ID))
+	p.put(b, second, time.Second)
+	if !p.reserveDial() || len(p.watched) != 0 || len(p.idle[b]) != 1 || p.idle[b][0] != first {
+		t.Errorf("watched: %d, idle: %d", len(p.watched), len(p.idle[b]))
+	}
+}
+
+// A server that announces the end of an idle connection has not answered out of turn.
+func TestTimeoutNoticeIsNoSurplus(t *testing.T) {
+	t.Parallel()
+	for text, surplus := range map[string]bool{
+		"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n": false, okAnswer: true, "x": true,
+	} {
+		p, b, far := poolOf(t, 1)
+		send(t, far[0], text)
+		c := p.idle[b][0]
+		eventually(t, "the bytes", func() bool { return !c.reusable() })
+		if c.surplus != surplus {
+			t.Errorf("%q counts as surplus: %t", text, c.surplus)
+		}
+	}
+}
--- a/internal/dataplane/httpproxy/sendupload.go
+++ b/internal/dataplane/httpproxy/sendupload.go
@@ -54,9 +54,7 @@
 			return c.readEarlyAnswer(x, unsent)
 		}
 	}
-	if x.attempt != nil {
-		x.attempt.MarkWritten()
-	}
+	c.markWritten(x)
 	if !x.receiving {
 		_ = c.SetReadDeadline(x.deadline) // else the engine ends it
 	}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -123,6 +123,11 @@
 	return appendLine(b, "sighup_rejected", "", int64(m.settingsRejected.Load()), counter)
 }
 
+// AppendCounter appends a counter of the whole process that is kept elsewhere.
+func AppendCounter(b []byte, name string, value uint64) []byte {
+	return appendLine(b, name, "", int64(value), counter)
+}
+
 // appendLine appends a line; class "" is of the whole process.
 func appendLine(b []byte, name, class string, value int64, kind string) []byte {
 	b = append(append(b, "proxy."...), name...)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -189,6 +189,11 @@
 	}
 	p.room = budget.New(cfg.MaxBodyBytes())
 	p.carrier = httpproxy.NewCarrier(p.engine, cfg.MaxBackendConnections(), cfg.ReportNames, p.room)
+	p.carrier.OnSurplus(func(from *engine.Backend, suspension time.Duration) {
+		if suspension > 0 {
+			logger.Info(fmt.Sprintf("backend %s sent what no request had asked for: its connections carry one request each for %v", from.Name, suspension), "event", "surplus-answer")
+		}
+	})
 	p.front = httpproxy.NewFront(p.engine, p.carrier, p.room, logger)
 	p.setShare(cfg, handover.Whole)
 	p.engine.AddCarrier(p.carrier)
@@ -416,6 +421,7 @@
 // figures are what the door tells.
 func (p *parts) figures(b []byte) []byte {
 	b = p.counts.Append(b)
+	b = metrics.AppendCounter(b, "surplus_answers", p.carrier.SurplusAnswers())
 	if p.member != nil {
 		b = p.member.fleet.Figures(b)
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -24,6 +24,23 @@
 	})
 }
 
+// Unread copies the first bytes that have arrived and that nobody has read, without waiting or consuming them, and
+// returns their number: 0 where there are none, where the peer has disconnected, and for what is no socket.
+func Unread(conn net.Conn, buffer []byte) int {
+	count := 0
+	if _, ok := conn.(syscall.Conn); !ok {
+		return 0
+	}
+	inspect(conn, func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err == nil {
+			count = n
+		}
+		return err == nil
+	})
+	return count
+}
+
 // PeerConnected tells whether the peer has not disconnected, whatever is still to be read of it. A peer that has shut
 // down its writing counts as disconnected.
 func PeerConnected(conn net.Conn) bool {
