--- a/internal/controlplane/run.go
+++ b/internal/controlplane/run.go
@@ -117,7 +117,9 @@
 	p.loops.Go(func() { p.membership.Run(ctx, p.view.addresses) })
 	p.loops.Go(func() { p.service.leases.run(ctx) })
 	p.loops.Go(func() { publishChainStatus(ctx, p.runner, p.membership, feed, p.view) })
-	go metricserver.Serve(ctx, p.host.Network, settings.MetricsAddress(bootstrap.ControlMetrics), p.service.newMetrics(), p.host.Log)
+	p.loops.Go(func() {
+		metricserver.Serve(ctx, p.host.Network, settings.MetricsAddress(bootstrap.ControlMetrics), p.service.newMetrics(), p.host.Log)
+	})
 }
 
 // waitForEnd waits until parent ends and the chain can do without this process, or a server fails, which is the error.
--- a/internal/dataplane/gateway/process.go
+++ b/internal/dataplane/gateway/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,8 +47,9 @@
 	}
 	// The state is watched, and demand is reported, while the proxy drains.
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	metrics := g.startBackground(background, machine)
+	defer metrics.Wait()
 	defer stopBackground()
-	g.startBackground(background, machine)
 	log.Info(logevent.ProxyStarted, logevent.KeyAddress, settings.Listen.Front)
 	select {
 	case <-ctx.Done():
@@ -68,8 +70,8 @@
 }
 
 // startBackground starts what a proxy does beside serving requests, until ctx ends: it watches the agent's state,
-// reports demand, and serves metrics.
-func (g *Gateway) startBackground(ctx context.Context, machine *host.Host) {
+// reports demand, and serves metrics. It returns what waits for the metrics' server, whose port the next process needs.
+func (g *Gateway) startBackground(ctx context.Context, machine *host.Host) *sync.WaitGroup {
 	settings := machine.Settings
 	client := transport.NewClient(machine.Network.Dial)
 	go watch.RunSubscriber(ctx, g.state, watch.SubscriberConfig{
@@ -84,7 +86,11 @@
 		MaxWait: agentMaxWait, Log: machine.Log,
 	})
 	go g.reportDemand(ctx, api.NewAgentProtobufClient("http://"+settings.AgentLoopback(), client))
-	go metricserver.Serve(ctx, machine.Network, settings.MetricsAddress(bootstrap.ProxyMetrics), g.metrics, machine.Log)
+	metrics := new(sync.WaitGroup)
+	metrics.Go(func() {
+		metricserver.Serve(ctx, machine.Network, settings.MetricsAddress(bootstrap.ProxyMetrics), g.metrics, machine.Log)
+	})
+	return metrics
 }
 
 // configOf is the configuration of a gateway on a machine.
--- a/internal/dataplane/httpproxy/pool_test.go
+++ b/internal/dataplane/httpproxy/pool_test.go
@@ -214,3 +214,28 @@
 		}
 	}
 }
+
+// A connection rests after a quick answer where another can be had, and is used where none can.
+func TestPoolRestAfterAQuickAnswer(t *testing.T) {
+	t.Parallel()
+	const now = 3 * time.Second
+	p, b, _ := poolOf(t, 2)
+	p.maxOpen = 3 // one more can be had
+	quick, other := p.idle[b][1], p.idle[b][0]
+	quick.restUntil = now + time.Second
+	if c := p.take(b, now, healthCheckStake); c != other {
+		t.Fatal("the connection that rests is used")
+	}
+	if c := p.take(b, now, healthCheckStake); c != nil {
+		t.Error("the connection that rests is used where a new one can be had")
+	}
+	p.maxOpen = p.open
+	if c := p.take(b, now, healthCheckStake); c != quick {
+		t.Error("the connection that rests is not used where no other can be had")
+	}
+	p.put(b, quick, now)
+	p.maxOpen = 3
+	if c := p.take(b, now+2*time.Second, healthCheckStake); c != quick || quick.restUntil != 0 {
+		t.Error("the connection rests for longer than it should")
+	}
+}
--- a/internal/dataplane/httpproxy/sendupload.go
+++ b/internal/dataplane/httpproxy/sendupload.go
@@ -68,6 +68,10 @@
 	if err != nil {
 		return unsent
 	}
+	if x.dialect.Matches != nil && !x.dialect.Matches(x.message, resp) {
+		c.surplus = true
+		return unsent // another request's answer says nothing of this one, of which no backend has had the last byte
+	}
 	if code := resp.StatusCode; code >= 400 && code < 500 {
 		return Reply{result: balancer.Unprocessable}
 	}
--- a/internal/dataplane/httpproxy/streamrelay.go
+++ b/internal/dataplane/httpproxy/streamrelay.go
@@ -46,6 +46,9 @@
 	Pending      []byte     `json:"Pending"`
 	Undecoded    []byte     `json:"Ahead"` // read from the backend, and not decoded yet
 	Passed       int64      `json:"Total"`
+	// Done says that the body has been read to its end, and its end is in Pending. A version that doesn't know it reads on,
+	// and ends the body a second time.
+	Done bool `json:"Done,omitempty"`
 }
 
 const streamRelayVersion = 1
@@ -199,7 +202,7 @@
 // state is all that another process needs. Of the backend's bytes those that wait in the
 // buffer go along.
 func (r *streamRelay) state() streamRelayState {
-	s := streamRelayState{Version: streamRelayVersion, Chunked: r.chunked, Pending: r.pending, Passed: r.passed}
+	s := streamRelayState{Version: streamRelayVersion, Chunked: r.chunked, Pending: r.pending, Passed: r.passed, Done: r.done}
 	s.Undecoded, _ = r.backend.reader.Peek(r.backend.reader.Buffered())
 	switch body := r.body.(type) {
 	case *sizedReader:
@@ -223,7 +226,7 @@
 	}
 	c := newBackendConn(backend, io.MultiReader(bytes.NewReader(s.Undecoded), backend))
 	c.readLimit.N = math.MaxInt64
-	r := &streamRelay{client: client, backend: c, chunked: s.Chunked, pending: s.Pending, passed: s.Passed}
+	r := &streamRelay{client: client, backend: c, chunked: s.Chunked, pending: s.Pending, passed: s.Passed, done: s.Done}
 	switch s.Form {
 	case "sized":
 		r.body = &sizedReader{c.reader, s.Remaining}
--- a/internal/dataplane/httpproxy/streamrelay_test.go
+++ b/internal/dataplane/httpproxy/streamrelay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"marlreel/internal/process/budget"
+	"marlreel/internal/testing/recorded"
 	"marlreel/internal/testutil"
 )
 
@@ -209,3 +211,49 @@
 		}
 	}
 }
+
+// A relay is handed over while the end of a body in chunks is partly written: the rest of that end goes out, and no
+// second one behind it.
+func TestEndOfChunksIsHandedOverOnce(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	const end = "0\r\n\r\n"
+	for written := range len(end) {
+		client, farClient := pair(t, ln)
+		backend, farBackend := pair(t, ln)
+		farBackend.Close()
+		r := begun("chunks", client, backend, 0)
+		r.body.(*chunkReader).state = chunkDone
+		r.done, r.pending = true, []byte(end[written:])
+		state, err := json.Marshal(r.state())
+		if err != nil {
+			t.Fatal(err)
+		}
+		next, err := decodeRelay(state, client, backend)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := next.run(budget.New(1<<20), make(chan struct{}), func() TransferFunc { return nil }); err != nil {
+			t.Error(err)
+		}
+		client.Close()
+		backend.Close()
+		if got, err := io.ReadAll(farClient); err != nil || string(got) != end[written:] {
+			t.Errorf("after %q the client gets %q (%v)", end[:written], got, err)
+		}
+		farClient.Close()
+	}
+}
+
+// A state with the end already read is a new form beside the recorded ones, which have no word of it.
+func TestCompatibilityDoneRelayState(t *testing.T) {
+	text, err := json.Marshal(streamRelayState{Version: streamRelayVersion, Form: "chunks", Chunked: true, Pending: []byte("\r\n"), Done: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorded.Check(t, "relay-done.txt", string(text)+"\n")
+}
--- a/internal/discovery/sources/registrywatch.go
+++ b/internal/discovery/sources/registrywatch.go
@@ -34,8 +34,7 @@
 	return config.CheckFiles()
 }
 
-// SetRegistry puts a registry in force, another one, or none. After an error what was in force stays, except where
-// the new one's files changed between the check and their use.
+// SetRegistry puts a registry in force, another one, or none. After an error what was in force stays.
 func (s *Source) SetRegistry(config registry.Config) error {
 	if reflect.DeepEqual(config, s.config) || !config.Enabled() && !s.config.Enabled() {
 		return nil
@@ -43,21 +42,18 @@
 	if err := CheckRegistry(config); err != nil {
 		return err
 	}
-	if s.registryWatch != nil {
-		s.registryWatch.cancel() // it ends by itself
-		s.registryWatch = nil
-	}
-	previous := s.config
-	s.config = config
 	if !config.Enabled() {
+		s.cancelRegistryWatch()
+		s.config = config
 		s.stopModel()
 		return nil
 	}
-	client, err := registry.New(config)
+	client, err := registry.New(config) // its files may have changed since the check
 	if err != nil {
-		s.config = previous
 		return err
 	}
+	s.cancelRegistryWatch()
+	s.config = config
 	if s.model == nil {
 		s.startModel()
 	}
@@ -65,6 +61,13 @@
 	return nil
 }
 
+func (s *Source) cancelRegistryWatch() {
+	if s.registryWatch != nil {
+		s.registryWatch.cancel() // it ends by itself
+		s.registryWatch = nil
+	}
+}
+
 // follow begins a registry watch.
 func (s *Source) follow(client registry.Client) {
 	ctx, cancel := context.WithCancel(context.Background()) // until SetRegistry or Close cancels it
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"marlreel/internal/process/handover"
@@ -21,34 +23,51 @@
 	kept   *learnedstate.State // of an earlier life of this proxy
 }
 
-// recall asks another process that serves for what it has learnt, if there is one. It is asked
-// once and has a part of a second: a process that is stuck must not hold up a start. Before the
-// engine runs.
+// recallTimeout bounds how long other processes are asked, one after the other: no further one is asked after it.
+const recallTimeout = time.Second
+
+// recall asks the other processes that serve, or have served, for what they have learnt, one after the other until one
+// tells. Each has a part of a second, and all together recallTimeout: processes that are stuck must not hold up a start.
+// Before the engine runs.
 func (p *parts) recall(meeting *handover.Rendezvous, name string, logger *slog.Logger) {
 	others, err := meeting.Others()
 	if err != nil {
 		logger.Info(err.Error(), "event", "rendezvous")
 	}
+	others = slices.DeleteFunc(others, func(other handover.Peer) bool { return other.Stage == handover.Starting })
+	if len(others) == 0 {
+		return
+	}
+	// One that serves knows more than one that leaves.
+	slices.SortStableFunc(others, func(x, y handover.Peer) int { return cmp.Compare(x.Stage, y.Stage) })
+	p.memory.asking = true
+	go func() {
+		state, from := askOthers(meeting, others, name, logger)
+		p.engine.Post(func() {
+			p.memory.asking, p.memory.state, p.memory.from = false, state, from
+			p.open(logger)
+		})
+	}()
+}
+
+// askOthers returns what the first process that tells has learnt, and its id; nil where none does.
+func askOthers(meeting *handover.Rendezvous, others []handover.Peer, name string, logger *slog.Logger) (*learnedstate.State, int) {
+	until := time.Now().Add(recallTimeout)
 	for _, other := range others {
-		if other.Stage == handover.Starting {
-			continue
+		if !time.Now().Before(until) {
+			break
+		}
+		state, err := ask(meeting, other.ID)
+		switch {
+		case err != nil:
+			logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: %v", other.ID, err), "event", "learnt-refused")
+		case state.ProxyName != name:
+			logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: it is of %q, and this is %q", other.ID, state.ProxyName, name), "event", "learnt-refused")
+		default:
+			return state, other.ID
 		}
-		p.memory.asking, p.memory.from = true, other.ID
-		go func() {
-			s, err := ask(meeting, other.ID)
-			if err != nil {
-				logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: %v", other.ID, err), "event", "learnt-refused")
-			} else if s.ProxyName != name {
-				logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: it is of %q, and this is %q", other.ID, s.ProxyName, name), "event", "learnt-refused")
-				s = nil
-			}
-			p.engine.Post(func() {
-				p.memory.asking, p.memory.state = false, s
-				p.open(logger)
-			})
-		}()
-		return
 	}
+	return nil, 0
 }
 
 func ask(meeting *handover.Rendezvous, id int) (*learnedstate.State, error) {
--- /dev/null
+++ b/internal/proxy/recall_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+
+	"marlreel/internal/process/handover"
+	"marlreel/internal/process/learnedstate"
+	"marlreel/internal/process/learnedstate/codec"
+	"marlreel/internal/process/logs"
+)
+
+// otherProcess stands for another process of the proxy that serves: its file, and its socket.
+func otherProcess(t *testing.T, folder string, id int) net.Listener {
+	t.Helper()
+	file, err := os.Create(filepath.Join(folder, "marlreel-process-"+strconv.Itoa(id)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { file.Close() })
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := file.WriteString("1"); err != nil { // it serves
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("unix", filepath.Join(folder, "marlreel-socket-"+strconv.Itoa(id)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// The first process that is asked for what it has learnt is stuck, and another one tells.
+func TestRecallAsksTheNextProcess(t *testing.T) {
+	t.Parallel()
+	folder, err := os.MkdirTemp("", "recall") // a socket's path is short
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(folder)
+	otherProcess(t, folder, 1000001) // accepts by its queue, and never answers
+	telling := otherProcess(t, folder, 1000002)
+	learnt, err := codec.Encode(&learnedstate.State{ProxyName: "n0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		c, err := telling.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := c.Read(make([]byte, 4)); err == nil {
+			_, _ = c.Write(append([]byte{byte(len(learnt) >> 24), byte(len(learnt) >> 16), byte(len(learnt) >> 8), byte(len(learnt))}, learnt...))
+		}
+	}()
+	meeting, err := handover.Meet(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer meeting.Close()
+	others, err := meeting.Others()
+	if err != nil || len(others) != 2 {
+		t.Fatalf("%v, %v: two processes serve", others, err)
+	}
+	state, from := askOthers(meeting, []handover.Peer{{ID: 1000001}, {ID: 1000002}}, "n0", logs.Discard())
+	if state == nil || from != 1000002 {
+		t.Errorf("told by process %d: %v", from, state)
+	}
+	// Where nobody tells, the start goes on without.
+	telling.Close()
+	if state, _ := askOthers(meeting, others, "n0", logs.Discard()); state != nil {
+		t.Errorf("%v is told by nobody", state)
+	}
+}
