An event when a proxy puts a later configuration in force

Change: 'configuration applied' with both versions, the state's revision, how long the other one had been in force, and whether the state is known to be the newest.

--- a/internal/dataplane/gateway/routingtable.go
+++ b/internal/dataplane/gateway/routingtable.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"marlreel/internal/api"
 	"marlreel/internal/balancer"
@@ -16,6 +17,7 @@
 // routingTable is what requests are routed by. It never changes: another one takes its place.
 type routingTable struct {
 	document *configuration.Document // nil: none has come yet
+	since    time.Time               // when its version came into force here
 	services map[string]*service     // by name
 	loaded   map[modelKey]bool       // models and adapters that some available backend has loaded
 }
@@ -53,9 +55,10 @@
 		return
 	}
 	old := g.table.Load()
-	next := &routingTable{document: document, services: g.updateServices(ctx, old, document)}
+	next := &routingTable{document: document, since: g.inForceSince(old, document), services: g.updateServices(ctx, old, document)}
 	backends := g.updateBackends(next, evacuated)
 	g.table.Store(next)
+	g.logApplied(old, next)
 	for name, s := range old.services {
 		if next.services[name] != s {
 			g.replaced.Go(s.stop)
@@ -67,6 +70,24 @@
 	}
 }
 
+// inForceSince is when a configuration's version came into force: with the table before, or now.
+func (g *Gateway) inForceSince(old *routingTable, document *configuration.Document) time.Time {
+	if old.document != nil && old.document.Version == document.Version {
+		return old.since
+	}
+	return time.Now()
+}
+
+// logApplied logs that a later configuration has come into force. The first one is told of with readiness.
+func (g *Gateway) logApplied(old, next *routingTable) {
+	if old.document == nil || old.document.Version == next.document.Version {
+		return
+	}
+	revision, _ := g.state.Position()
+	g.log.Info(logevent.ConfigurationApplied, logevent.KeyVersion, next.document.Version, logevent.KeyPreviousVersion, old.document.Version,
+		logevent.KeyRevision, revision, logevent.KeyAge, next.since.Sub(old.since), logevent.KeyFresh, g.state.Fresh(nil))
+}
+
 // readState gives the configuration in force, nil where there is none, and the zones that are evacuated.
 func (g *Gateway) readState() (*configuration.Document, map[string]bool) {
 	var document *configuration.Document
--- a/internal/process/logevent/logevent.go
+++ b/internal/process/logevent/logevent.go
@@ -31,6 +31,14 @@
 	KeyView = "view"
 	// KeyVersion is a version of the configuration.
 	KeyVersion = "config_version"
+	// KeyPreviousVersion is the version of the configuration that was in force before.
+	KeyPreviousVersion = "previous_version"
+	// KeyRevision is the revision of the replicated state: the number of its last entry.
+	KeyRevision = "revision"
+	// KeyAge is how long what is replaced had been in force.
+	KeyAge = "age"
+	// KeyFresh is whether the state is known to be the newest.
+	KeyFresh = "fresh"
 	// KeyAddress is an address that the process listens at, or that it called.
 	KeyAddress = "address"
 	// KeyControlAddress is the address of control's interface for operators and backends.
@@ -135,6 +143,8 @@
 	ProxyStarted = "proxy started"
 	// ProxyReady: the process has a state that is fresh and answers readiness.
 	ProxyReady = "proxy ready"
+	// ConfigurationApplied: the process routes by a later configuration from now on.
+	ConfigurationApplied = "configuration applied"
 	// ProxyStopping: the process shuts down gracefully.
 	ProxyStopping = "proxy stopping"
 	// ServiceStartFailed: a service of the configuration can't be started.
