--- a/cmd/marlreeld/process_test.go
+++ b/cmd/marlreeld/process_test.go
@@ -69,6 +69,7 @@
 	commands io.WriteCloser
 	answers  *bufio.Reader
 	output   *lockedBuffer
+	program  func() string // what is started next: this test's program, or another version's
 }
 
 // lockedBuffer keeps what a process writes.
@@ -101,11 +102,7 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		p.t.Fatal(err)
 	}
-	program, err := os.Executable()
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.command = exec.Command(program)
+	p.command = exec.Command(p.program())
 	p.command.Env = append(os.Environ(), bootstrap.SettingsVariable+"="+path, roleVariable+"="+p.role, "GOMAXPROCS=2")
 	p.command.Stderr = p.output
 	in, err := p.command.StdinPipe()
--- a/cmd/marlreeld/system_test.go
+++ b/cmd/marlreeld/system_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	edges    []*process // each machine's proxy and agent, one behind the other
 	backends []*fakesystem.Backend
 	client   *fasthttp.Client
+	versions *versions
+	number   int // of this system in this test process
 
 	mu         sync.Mutex
 	operations []porcupine.Operation
@@ -53,8 +56,13 @@
 
 var zoneNames = []string{"east", "north", "west"}
 
-func loopbackIP(kind, number int) string {
-	return fmt.Sprintf("127.%d.%d.%d", loopbackNetwork(), kind, number+1)
+// systems counts the systems of this test process: each has addresses of its own.
+var systems atomic.Int64
+
+// loopbackIP is the address of a machine of a kind: 1 for control, 2 for proxies, 3 for backends.
+func (s *testSystem) loopbackIP(kind, number int) string {
+	const kinds = 10
+	return fmt.Sprintf("127.%d.%d.%d", loopbackNetwork(), kinds*s.number+kind, number+1)
 }
 
 // loopbackNetwork is the second byte of the addresses of this test process: two of them, as from two checkouts, must
@@ -73,13 +81,19 @@
 // startSystem starts all processes and backends. They end with the test; what the processes have written is logged
 // where it has failed.
 func startSystem(t *testing.T) *testSystem {
+	t.Helper()
+	return startSystemFrom(t, readVersions(t))
+}
+
+// startSystemFrom is startSystem with processes of these versions.
+func startSystemFrom(t *testing.T, programs *versions) *testSystem {
 	t.Helper()
 	s := &testSystem{
 		t: t, folder: t.TempDir(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}, statuses: map[string]int{},
-		began: time.Now(),
+		began: time.Now(), versions: programs, number: int(systems.Add(1)),
 	}
 	for i := range controlCount {
-		settings := testSettings(fmt.Sprintf("core-%d", i), loopbackIP(1, i), i)
+		settings := s.testSettings(fmt.Sprintf("core-%d", i), s.loopbackIP(1, i), i)
 		settings.DataDir = filepath.Join(s.folder, settings.NodeName)
 		if err := os.MkdirAll(settings.DataDir, 0o755); err != nil {
 			t.Fatal(err)
@@ -87,16 +101,16 @@
 		s.controls = append(s.controls, s.startProcess("control", settings))
 	}
 	for i := range edgeCount {
-		name, ip := fmt.Sprintf("edge-%d", i), loopbackIP(2, i)
-		s.edges = append(s.edges, s.startProcess("agent", testSettings(name, ip, i)), s.startProcess("proxy", testSettings(name, ip, i)))
+		name, ip := fmt.Sprintf("edge-%d", i), s.loopbackIP(2, i)
+		s.edges = append(s.edges, s.startProcess("agent", s.testSettings(name, ip, i)), s.startProcess("proxy", s.testSettings(name, ip, i)))
 	}
 	s.startBackends()
 	return s
 }
 
 // testSettings are those of a machine.
-func testSettings(name, ip string, number int) *bootstrap.Settings {
-	s := &bootstrap.Settings{
+func (s *testSystem) testSettings(name, ip string, number int) *bootstrap.Settings {
+	settings := &bootstrap.Settings{
 		NodeName: name, IP: ip, Zone: zoneNames[number%len(zoneNames)], InternalPorts: []int{27660, 27675},
 		FirstStart: true, HeartbeatIntervalMS: 600, Zones: map[string]string{}, LoopbackIP: machineIP(ip),
 		Limits: bootstrap.Limits{MemoryMB: 256, MaxOpenFiles: 4096}, Tolerance: bootstrap.FaultTolerance{Machines: (controlCount - 1) / 2},
@@ -104,16 +118,16 @@
 		Listen: bootstrap.ListenAddresses{Front: ip + ":28080", Readiness: ip + ":28081", Control: ip + ":28082"},
 	}
 	for _, zone := range zoneNames {
-		s.Zones[zone] = "region"
+		settings.Zones[zone] = "region"
 	}
 	for seed := range 3 {
-		s.SeedNodes = append(s.SeedNodes, loopbackIP(1, seed)+":28082")
+		settings.SeedNodes = append(settings.SeedNodes, s.loopbackIP(1, seed)+":28082")
 	}
-	return s
+	return settings
 }
 
 func (s *testSystem) startProcess(role string, settings *bootstrap.Settings) *process {
-	p := &process{t: s.t, role: role, settings: settings, folder: s.folder, output: &lockedBuffer{}}
+	p := &process{t: s.t, role: role, settings: settings, folder: s.folder, output: &lockedBuffer{}, program: s.versions.next}
 	s.t.Cleanup(func() {
 		p.kill()
 		if s.t.Failed() {
@@ -133,7 +147,7 @@
 	})
 	for i := range 3 {
 		b := fakesystem.NewBackend(fakesystem.BackendConfig{
-			ID: fmt.Sprintf("s-%d", i), Service: "slips", Address: loopbackIP(3, i) + ":29000",
+			ID: fmt.Sprintf("s-%d", i), Service: "slips", Address: s.loopbackIP(3, i) + ":29000",
 			Zone: zoneNames[i], Slots: 6, RequestTime: 20 * time.Millisecond, HeartbeatInterval: 600 * time.Millisecond,
 			Controls: s.addresses,
 		}, host.OSNetwork{})
