--- a/cmd/marlreel/main.go
+++ b/cmd/marlreel/main.go
@@ -66,7 +66,7 @@
 	err := set.Parse(args)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
-		io.WriteString(out, usage)
+		_, _ = io.WriteString(out, usage)
 		return f, err
 	case err != nil:
 		return f, err
--- a/internal/process/handover/compatibility_sent_test.go
+++ b/internal/process/handover/compatibility_sent_test.go
@@ -18,27 +18,41 @@
 // The files by which two processes of a proxy, perhaps of two versions, find each other, and the stages in them.
 func TestCompatibilityFiles(t *testing.T) {
 	dir := t.TempDir()
-	r, err := Meet(dir)
+	r, err := Join(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer r.Close()
 	var got strings.Builder
 	for _, s := range []Stage{Starting, Serving, Leaving} {
-		if err := r.Tell(s); err != nil {
+		if err := r.SetStage(s); err != nil {
 			t.Fatal(err)
 		}
 		text, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf("marlreel-process-%d", os.Getpid())))
 		if err != nil {
 			t.Fatal(err)
 		}
-		stage, alive := look(r.path(r.id))
+		stage, alive := inspect(r.path(r.id))
 		fmt.Fprintf(&got, "%s: %q, read as %s, alive %v\n", s, text, stage, alive)
 	}
 	fmt.Fprintln(&got, "socket:", filepath.Base(r.socket(7)))
 	recorded.Check(t, "files.txt", got.String())
 }
 
+// answerOnce reads so many bytes of the next call, answers it, and returns the bytes.
+func answerOnce(ln net.Listener, size int, text []byte) []byte {
+	c, err := ln.Accept()
+	if err != nil {
+		return nil
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second)) // a read that waits for ever shows
+	data := make([]byte, size)
+	n, _ := io.ReadFull(c, data) // what is short is seen in the record
+	_, _ = c.Write(text)         // likewise
+	return data[:n]
+}
+
 // What goes over the socket: a state that is passed, the question for what was learnt, and their answers.
 func TestCompatibilityCalls(t *testing.T) {
 	dir, err := os.MkdirTemp("", "call") // a socket's path is short
@@ -52,29 +66,17 @@
 	}
 	defer ln.Close()
 	sent := make(chan []byte, 1)
-	answer := func(size int, text []byte) {
-		c, err := ln.Accept()
-		if err != nil {
-			sent <- nil
-			return
-		}
-		defer c.Close()
-		c.SetDeadline(time.Now().Add(20 * time.Second))
-		data := make([]byte, size)
-		n, _ := io.ReadFull(c, data)
-		c.Write(text)
-		sent <- data[:n]
-	}
+	answer := func(size int, text []byte) { sent <- answerOnce(ln, size, text) }
 	r := &Rendezvous{dir: dir, id: 1}
 	var got strings.Builder
 	go answer(9, []byte{1})
-	err = r.Pass(2, []byte("state"))
+	err = r.Transfer(2, []byte("state"))
 	fmt.Fprintf(&got, "pass: %x, answered 01: taken %v\n", <-sent, err == nil)
 	go answer(9, []byte{0})
-	err = r.Pass(2, []byte("state"))
+	err = r.Transfer(2, []byte("state"))
 	fmt.Fprintf(&got, "pass: %x, answered 00: taken %v\n", <-sent, err == nil)
 	go answer(4, []byte{0, 0, 0, 6, 'l', 'e', 'a', 'r', 'n', 't'})
-	told, err := r.Ask(2)
+	told, err := r.FetchLearnedState(2)
 	fmt.Fprintf(&got, "ask: %x, answered 000000066c6561726e74: told %q, good %v\n", <-sent, told, err == nil)
 
 	// And the other side.
@@ -89,8 +91,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.SetDeadline(time.Now().Add(20 * time.Second))
-		io.WriteString(c, text)
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		_, _ = io.WriteString(c, text)
 		said, err := io.ReadAll(c)
 		c.Close()
 		if err != nil {
--- a/internal/process/handover/compatibility_test.go
+++ b/internal/process/handover/compatibility_test.go
@@ -60,7 +60,7 @@
 		}
 	}
 	r := &Rendezvous{dir: folder, id: 1}
-	peers, err := r.Others()
+	peers, err := r.Peers()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +130,7 @@
 				if _, err := io.ReadFull(conn, data[4:]); err != nil {
 					t.Error(err)
 				}
-				conns, err := opened(rights[:n])
+				conns, err := connsOf(rights[:n])
 				if err != nil {
 					t.Error(err)
 				}
@@ -139,11 +139,11 @@
 				}
 				sent <- string(data)
 				descriptors <- len(conns)
-				conn.Write([]byte{1})
+				_, _ = conn.Write([]byte{1})
 			})
 			_, first := connection(t)
 			_, second := connection(t)
-			if err := r.Pass(2, []byte(c.state), first, second); err != nil {
+			if err := r.Transfer(2, []byte(c.state), first, second); err != nil {
 				t.Fatal(err)
 			}
 			if got := testutil.Receive(t, sent, "what is passed"); got != c.sent {
@@ -220,9 +220,9 @@
 			t.Error(err)
 		}
 		question <- string(data)
-		io.WriteString(conn, "\x00\x00\x00\x07learned")
+		_, _ = io.WriteString(conn, "\x00\x00\x00\x07learned")
 	})
-	told, err := r.Ask(2)
+	told, err := r.FetchLearnedState(2)
 	if err != nil || string(told) != "learned" {
 		t.Errorf("%q is told, %v", told, err)
 	}
@@ -251,7 +251,7 @@
 		t.Fatal(err)
 	}
 	r.file = f
-	if err := r.Tell(stage); err != nil {
+	if err := r.SetStage(stage); err != nil {
 		t.Fatal(err)
 	}
 	return r
--- a/internal/process/handover/errors.go
+++ b/internal/process/handover/errors.go
@@ -16,27 +16,27 @@
 	return "let the platform hand on the listening socket of the configuration's address, and name its descriptor in NODE_SOCKET_FD"
 }
 
-// MeetError is that other processes of this proxy can't be found.
-type MeetError struct{ Err error }
+// JoinError is that other processes of this proxy can't be found.
+type JoinError struct{ Err error }
 
-func (e *MeetError) Error() string { return "rendezvous: " + e.Err.Error() }
-func (e *MeetError) Unwrap() error { return e.Err }
+func (e *JoinError) Error() string { return "rendezvous: " + e.Err.Error() }
+func (e *JoinError) Unwrap() error { return e.Err }
 
 // Advice says what an operator can do.
-func (e *MeetError) Advice() string {
+func (e *JoinError) Advice() string {
 	return "give all processes of this proxy one TMPDIR in which they may write; until then this one takes the whole of its room"
 }
 
-// PassError is something that could not be given to another process, or taken from one.
-type PassError struct {
+// TransferError is something that could not be given to another process, or taken from one.
+type TransferError struct {
 	What string // pass, ask, passed, asked
 	Err  error
 }
 
-func (e *PassError) Error() string { return e.What + ": " + e.Err.Error() }
-func (e *PassError) Unwrap() error { return e.Err }
+func (e *TransferError) Error() string { return e.What + ": " + e.Err.Error() }
+func (e *TransferError) Unwrap() error { return e.Err }
 
 // Advice says what an operator can do.
-func (e *PassError) Advice() string {
+func (e *TransferError) Advice() string {
 	return "nothing: what could not be handed on ends with its own process; if it happens at each upgrade, compare the two releases"
 }
--- a/internal/process/handover/handover_test.go
+++ b/internal/process/handover/handover_test.go
@@ -21,42 +21,42 @@
 // Another process is made room for at once, and its room is taken back late.
 func TestShares(t *testing.T) {
 	t.Parallel()
-	var m Machine
+	var tracker ShareTracker
 	two := []Peer{{ID: 2}}
 	at := time.Duration(0)
 	look := func(after time.Duration, peers []Peer, of int) {
 		t.Helper()
 		at += after
-		if s := m.Look(at, peers); s != (Share{1, of}) {
+		if s := tracker.Update(at, peers); s != (Share{1, of}) {
 			t.Fatalf("at %v with %d others: %v, want a share of %d", at, len(peers), s, of)
 		}
 	}
 	look(0, nil, 1)
-	look(lookEvery, two, 2)
-	look(lookEvery, nil, 2) // it may only just have died
-	look(aloneFor-1, nil, 2)
+	look(pollInterval, two, 2)
+	look(pollInterval, nil, 2) // it may only just have died
+	look(reclaimDelay-1, nil, 2)
 	look(1, nil, 1)
-	look(lookEvery, two, 2)
-	look(lookEvery, nil, 2)
-	look(lookEvery, two, 2) // it is back: the wait starts anew
-	look(aloneFor, nil, 2)
-	look(aloneFor, nil, 1)
-	look(0, make([]Peer, 20), mostShares)
+	look(pollInterval, two, 2)
+	look(pollInterval, nil, 2)
+	look(pollInterval, two, 2) // it is back: the wait starts anew
+	look(reclaimDelay, nil, 2)
+	look(reclaimDelay, nil, 1)
+	look(0, make([]Peer, 20), maxShares)
 }
 
 // Whatever each of several processes sees and when, as long as all see each other within a
 // look, their shares never come to more than the whole.
-func TestSharesNeverExceedTheWhole(t *testing.T) {
+func TestSharesNeverExceedTheFullShare(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		const most = 3
-		alive := map[int]*Machine{}
+		alive := map[int]*ShareTracker{}
 		now := time.Duration(0)
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now += lookEvery
+			now += pollInterval
 			if id := rapid.IntRange(0, most-1).Draw(t, "who"); rapid.Bool().Draw(t, "changes") {
 				if alive[id] == nil {
-					alive[id] = &Machine{}
+					alive[id] = &ShareTracker{}
 				} else {
 					delete(alive, id)
 				}
@@ -69,8 +69,8 @@
 						peers = append(peers, Peer{ID: other})
 					}
 				}
-				s := m.Look(now, peers)
-				sum += float64(s.Part) / float64(s.Of)
+				s := m.Update(now, peers)
+				sum += float64(s.Numerator) / float64(s.Denominator)
 			}
 			if sum > 1+1e-9 {
 				t.Fatalf("step %d: %d processes have %v of the room", step, len(alive), sum)
@@ -85,51 +85,61 @@
 	if dir == "" {
 		t.Skip("it is for another test")
 	}
-	r, err := Meet(dir)
+	r, err := Join(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Tell(Serving)
+	_ = r.SetStage(Serving)
 	fmt.Println("met")
 	select {}
 }
 
+// startOther starts another process that announces itself in a folder. It ends with the test, or when it is killed.
+func startOther(t *testing.T, folder string) (other *exec.Cmd, kill func()) {
+	t.Helper()
+	other = exec.Command(os.Args[0], "-test.run=^TestHelperProcess$")
+	other.Env = append(os.Environ(), "MARLREEL_TEST_MEET="+folder)
+	if err := other.Start(); err != nil {
+		t.Fatal(err)
+	}
+	kill = sync.OnceFunc(func() {
+		_ = other.Process.Kill() // it may have ended by itself
+		_ = other.Wait()         // the signal is its error
+	})
+	t.Cleanup(kill)
+	return other, kill
+}
+
 // A process that is killed is gone, whatever its file says; a file that nobody holds, or
 // that says nothing, is nobody.
 func TestRendezvous(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	stale := filepath.Join(dir, prefix+"999999")
+	stale := filepath.Join(dir, processFilePrefix+"999999")
 	if err := os.WriteFile(stale, []byte("1"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	long := time.Now().Add(-time.Minute)
-	os.Chtimes(stale, long, long)
-	os.WriteFile(filepath.Join(dir, prefix+"x"), nil, 0o600)
-	os.WriteFile(filepath.Join(dir, "other"), []byte("1"), 0o600)
-	me, err := Meet(dir)
+	if err := os.Chtimes(stale, long, long); err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{processFilePrefix + "x": "", "other": "1"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	me, err := Join(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer me.Close()
-	if peers, err := me.Others(); err != nil || len(peers) != 0 {
+	if peers, err := me.Peers(); err != nil || len(peers) != 0 {
 		t.Fatalf("%v %v", peers, err)
 	}
 	if _, err := os.Stat(stale); err == nil {
 		t.Error("the file of one that has gone is still there")
 	}
-	other := exec.Command(os.Args[0], "-test.run=^TestHelperProcess$")
-	other.Env = append(os.Environ(), "MARLREEL_TEST_MEET="+dir)
-	if err := other.Start(); err != nil {
-		t.Fatal(err)
-	}
-	killed := false
-	defer func() {
-		if !killed {
-			other.Process.Kill()
-			other.Wait()
-		}
-	}()
+	other, kill := startOther(t, dir)
 	shares := make(chan Share, 8)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -141,13 +151,11 @@
 		t.Fatal(s)
 	}
 	testutil.Eventually(t, "the other to serve", func() bool {
-		peers, _ := me.Others()
+		peers, _ := me.Peers()
 		return len(peers) == 1 && peers[0].Stage == Serving && peers[0].ID == other.Process.Pid
 	})
-	other.Process.Kill()
-	other.Wait()
-	killed = true
-	if s := testutil.Receive(t, shares, "the room back"); s != Whole {
+	kill()
+	if s := testutil.Receive(t, shares, "the room back"); s != FullShare {
 		t.Fatal(s)
 	}
 	cancel()
@@ -160,7 +168,7 @@
 	t.Parallel()
 	dir := t.TempDir()
 	// Young, so that it is left there, and such as one that serves has.
-	path := filepath.Join(dir, prefix+"1")
+	path := filepath.Join(dir, processFilePrefix+"1")
 	if err := os.WriteFile(path, []byte{'0' + byte(Serving)}, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -173,7 +181,7 @@
 		looks.Go(func() {
 			r := &Rendezvous{dir: dir, id: 10 + id}
 			for range 5000 {
-				if peers, err := r.Others(); err != nil || len(peers) > 0 {
+				if peers, err := r.Peers(); err != nil || len(peers) > 0 {
 					t.Errorf("%v, %v: nobody is alive", peers, err)
 					return
 				}
@@ -198,7 +206,7 @@
 				case <-stop:
 					return
 				default:
-					r.Others()
+					_, _ = r.Peers()
 				}
 			}
 		})
@@ -206,20 +214,20 @@
 	defer looks.Wait()
 	defer close(stop)
 	other := &Rendezvous{dir: dir, id: 2}
-	left := filepath.Join(dir, prefix+strconv.Itoa(os.Getpid()))
+	left := filepath.Join(dir, processFilePrefix+strconv.Itoa(os.Getpid()))
 	long := time.Now().Add(-time.Minute)
 	for n := range 2000 {
 		if n%2 == 0 {
 			if err := os.WriteFile(left, []byte("2"), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			os.Chtimes(left, long, long)
+			_ = os.Chtimes(left, long, long)
 		}
-		me, err := Meet(dir)
+		me, err := Join(dir)
 		if err != nil {
 			t.Fatalf("%d: %v", n, err)
 		}
-		if peers, err := other.Others(); err != nil || len(peers) != 1 || peers[0].ID != os.Getpid() || peers[0].Stage != Starting {
+		if peers, err := other.Peers(); err != nil || len(peers) != 1 || peers[0].ID != os.Getpid() || peers[0].Stage != Starting {
 			t.Fatalf("%d: %v, %v: one that starts is there", n, peers, err)
 		}
 		me.Close()
@@ -230,13 +238,13 @@
 func TestAFileThatIsHeld(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	held, err := hold(filepath.Join(dir, prefix+strconv.Itoa(os.Getpid())))
+	held, err := lockOwnFile(filepath.Join(dir, processFilePrefix+strconv.Itoa(os.Getpid())))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer held.Close()
-	var e *MeetError
-	if _, err := Meet(dir); !errors.As(err, &e) || !errors.Is(err, syscall.EWOULDBLOCK) {
-		t.Errorf("%v, and a MeetError is wanted", err)
+	var e *JoinError
+	if _, err := Join(dir); !errors.As(err, &e) || !errors.Is(err, syscall.EWOULDBLOCK) {
+		t.Errorf("%v, and a JoinError is wanted", err)
 	}
 }
--- a/internal/process/handover/inherit_test.go
+++ b/internal/process/handover/inherit_test.go
@@ -39,7 +39,7 @@
 		c, err := net.Dial("tcp", ln.Addr().String())
 		if err == nil {
 			defer c.Close()
-			c.Write([]byte("x"))
+			_, _ = c.Write([]byte("x"))
 		}
 	}()
 	c, err := got.Accept()
--- a/internal/process/handover/share.go
+++ b/internal/process/handover/share.go
@@ -5,72 +5,71 @@
 // Stage is where a process is in its life.
 type Stage uint8
 
-// The stages.
+// The stages. Their numbers are stored.
 const (
 	Starting Stage = iota // it can't serve yet
 	Serving
-	Leaving // it takes nothing new, and ends when what it has is answered
-	stages
+	Leaving // it takes nothing new, and ends when its pending requests are answered
+	stageCount
 )
 
+// String implements fmt.Stringer.
 func (s Stage) String() string {
-	return [...]string{"starting", "serving", "leaving"}[min(s, stages-1)]
+	return [...]string{"starting", "serving", "leaving"}[min(s, stageCount-1)]
 }
 
 // Peer is another process of the same proxy that is alive.
 type Peer struct {
-	ID    int
+	ID    int // of the process, as the system numbers them
 	Stage Stage
 }
 
-// Share is the part of the machine's room that a process may take.
-type Share struct{ Part, Of int }
+// Share is the part of the machine's capacity that a process may use: Numerator in Denominator.
+type Share struct{ Numerator, Denominator int }
 
-// Whole is all of it.
-var Whole = Share{1, 1}
+// FullShare is all of the capacity.
+var FullShare = Share{1, 1}
 
-// Take gives the part of an amount.
-func (s Share) Take(n int) int { return n / max(1, s.Of) * s.Part }
+// Of returns the part of an amount.
+func (s Share) Of(amount int) int { return amount / max(1, s.Denominator) * s.Numerator }
 
 const (
-	// lookEvery is how often a process looks for others. A new one is seen long before it
-	// serves.
-	lookEvery = 100 * time.Millisecond
-	// aloneFor is how long no other has to be seen before the room is taken back. Danger:
-	// one that has just died has its memory and its sockets taken from it a little later.
-	aloneFor = 500 * time.Millisecond
-	// mostShares bounds how thin the room is cut: files that nobody cleans up must not
-	// leave a process with nothing.
-	mostShares = 4
+	// pollInterval is how often a process looks for others. Raising it lets a new process and this one use more than the
+	// capacity for longer; a new one is seen long before it serves.
+	pollInterval = 100 * time.Millisecond
+	// reclaimDelay is how long no other process has to be seen before its share is taken back. Danger: lowered, a process
+	// that has just died may still have its memory and its sockets.
+	reclaimDelay = 500 * time.Millisecond
+	// maxShares bounds into how many shares the capacity is divided: files that nobody cleans up must not leave a process
+	// with nothing.
+	maxShares = 4
 )
 
-// Machine decides what share a process takes. It is pure: it is told what was seen and
-// when, and says what holds from then on. The zero value is a process that is alone.
+// ShareTracker decides what share of the capacity a process has. It is pure: it is given which others were seen and
+// when, and returns what holds from then on. The zero value is a process that is alone.
 //
-// With so many alive, each takes an equal part. A part is given up as soon as another
-// process is seen, and taken back only when it has not been seen for a while. No message
-// is needed for that, and none is believed: a process counts while it holds its lock,
-// whatever its file says.
-type Machine struct {
-	among    int           // processes that the room is cut for now; 0 is 1
-	fewer    time.Duration // since when fewer have been seen
-	fewerNow int
-	falling  bool
+// With n processes alive, each has an equal share. A larger share is given up as soon as another process is seen, and
+// taken back only when that has not been seen for reclaimDelay. No message is needed for that, and none is believed: a
+// process counts while it holds its lock, whatever its file says.
+type ShareTracker struct {
+	processes   int           // that the capacity is divided among now; 0 is 1
+	shrinking   bool          // fewer were seen of late
+	shrinkingAt time.Duration // since when
+	mostRecent  int           // the most that were seen since then
 }
 
-// Look takes in which others are alive, and gives the share.
-func (m *Machine) Look(now time.Duration, peers []Peer) Share {
-	n := min(1+len(peers), mostShares)
-	have := max(1, m.among)
+// Update takes in which other processes are alive, and returns the share.
+func (t *ShareTracker) Update(now time.Duration, peers []Peer) Share {
+	seen := min(1+len(peers), maxShares)
 	switch {
-	case n >= have:
-		m.among, m.falling = n, false
-	case !m.falling:
-		m.falling, m.fewer, m.fewerNow = true, now, n
-	case n > m.fewerNow:
-		m.fewer, m.fewerNow = now, n
-	case now-m.fewer >= aloneFor:
-		m.among, m.falling = m.fewerNow, false
+	case seen >= max(1, t.processes):
+		t.processes, t.shrinking = seen, false
+	case !t.shrinking:
+		t.shrinking, t.shrinkingAt, t.mostRecent = true, now, seen
+	case seen > t.mostRecent:
+		t.shrinkingAt, t.mostRecent = now, seen
+	case now-t.shrinkingAt >= reclaimDelay:
+		t.processes, t.shrinking = t.mostRecent, false
 	}
-	return Share{1, max(1, m.among)}
+	return Share{1, max(1, t.processes)}
 }
--- a/internal/process/handover/transfer_test.go
+++ b/internal/process/handover/transfer_test.go
@@ -18,6 +18,22 @@
 	"marlreel/internal/testutil"
 )
 
+// receiverFuncs are a Receiver of two functions.
+type receiverFuncs struct {
+	accept func(state []byte, conns []net.Conn) error
+	state  func(context.Context) ([]byte, error)
+}
+
+var _ Receiver = receiverFuncs{}
+
+// AcceptTransfer implements Receiver.
+func (f receiverFuncs) AcceptTransfer(state []byte, conns []net.Conn) error {
+	return f.accept(state, conns)
+}
+
+// LearnedState implements Receiver.
+func (f receiverFuncs) LearnedState(ctx context.Context) ([]byte, error) { return f.state(ctx) }
+
 // receiver is a rendezvous that takes what is passed, under a number of its own.
 func receiver(t *testing.T, dir string, id int, take func([]byte, []net.Conn) error, tell func(context.Context) ([]byte, error)) {
 	t.Helper()
@@ -26,7 +42,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.Receive(ctx, take, tell, t.Logf)
+		r.Serve(ctx, receiverFuncs{take, tell}, t.Logf)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	// The file is there a moment before anybody listens at it: only a connection tells.
@@ -40,7 +56,7 @@
 	})
 }
 
-func TestPass(t *testing.T) {
+func TestTransfer(t *testing.T) {
 	t.Parallel()
 	dir, err := os.MkdirTemp("", "pass") // a socket's path is short
 	if err != nil {
@@ -62,11 +78,11 @@
 		t.Fatal(err)
 	}
 	r := &Rendezvous{dir: dir, id: 1}
-	if err := r.Pass(7, []byte("x"), near); err == nil {
+	if err := r.Transfer(7, []byte("x"), near); err == nil {
 		t.Error("passed to nobody")
 	}
 	receiver(t, dir, 2, func([]byte, []net.Conn) error { return errors.New("not today") }, nil)
-	if err := r.Pass(2, []byte("x"), near); err == nil {
+	if err := r.Transfer(2, []byte("x"), near); err == nil {
 		t.Error("passed to one that does not take it")
 	}
 	type got struct {
@@ -77,7 +93,7 @@
 	receiver(t, dir, 3, func(s []byte, c []net.Conn) error { took <- got{string(s), c}; return nil }, nil)
 	state := make([]byte, 300<<10)
 	copy(state, "state")
-	if err := r.Pass(3, state, near); err != nil {
+	if err := r.Transfer(3, state, near); err != nil {
 		t.Fatal(err)
 	}
 	near.Close() // which ends nothing: the other has it
@@ -86,7 +102,7 @@
 		t.Fatalf("%d bytes and %d connections", len(g.state), len(g.conns))
 	}
 	go func() {
-		io.WriteString(g.conns[0], "from the other")
+		_, _ = io.WriteString(g.conns[0], "from the other")
 		g.conns[0].Close()
 	}()
 	if text, err := io.ReadAll(far); err != nil || string(text) != "from the other" {
@@ -96,7 +112,7 @@
 
 // Who asks is told, or told soon that there is nothing: by who has nothing to tell, by who is
 // stuck, by a version that knows of no such question, and by nobody.
-func TestAsk(t *testing.T) {
+func TestFetchLearnedState(t *testing.T) {
 	t.Parallel()
 	dir, err := os.MkdirTemp("", "ask")
 	if err != nil {
@@ -108,22 +124,22 @@
 	copy(state, "state")
 	receiver(t, dir, 2, nil, func(context.Context) ([]byte, error) { return state, nil })
 	for range 3 {
-		if told, err := r.Ask(2); err != nil || !bytes.Equal(told, state) {
+		if told, err := r.FetchLearnedState(2); err != nil || !bytes.Equal(told, state) {
 			t.Fatalf("%d bytes, %v", len(told), err)
 		}
 	}
 	receiver(t, dir, 3, nil, func(context.Context) ([]byte, error) { return nil, errors.New("nothing") })
 	receiver(t, dir, 4, nil, func(ctx context.Context) ([]byte, error) { <-ctx.Done(); return nil, ctx.Err() })
 	answers(t, r, 5, func(c *net.UnixConn) { // takes it for the length of a state that is too long
-		c.Read(make([]byte, 4))
-		c.Write([]byte{notTaken})
+		_, _ = c.Read(make([]byte, 4))
+		_, _ = c.Write([]byte{rejected})
 	})
 	answers(t, r, 6, func(c *net.UnixConn) {
-		c.Write([]byte{0x7f, 0xff, 0xff, 0xff})
-		c.Read(make([]byte, 8))
+		_, _ = c.Write([]byte{0x7f, 0xff, 0xff, 0xff})
+		_, _ = c.Read(make([]byte, 8))
 	})
 	for id, who := range map[int]string{3: "one with nothing to tell", 4: "one that is stuck", 5: "an old one", 6: "one that tells too much", 7: "nobody"} {
-		if told, err := r.Ask(id); err == nil {
+		if told, err := r.FetchLearnedState(id); err == nil {
 			t.Errorf("%s has told %d bytes", who, len(told))
 		}
 	}
@@ -136,7 +152,7 @@
 
 // Where there is nothing to say of a connection, the one that takes it may have ended the call before
 // nothing is written: that is no failure, or both would go on with it.
-func TestPassWithNothingToSay(t *testing.T) {
+func TestTransferWithNothingToSay(t *testing.T) {
 	t.Parallel()
 	if err := sendState(ended{}, nil); err != nil {
 		t.Errorf("nothing to say: %v", err)
@@ -172,45 +188,71 @@
 	return far, near
 }
 
-// Whoever takes a connection dies at each of its steps: where it may have taken it, nobody goes on with it, and the
-// client sees its end at once; where it has said that it does not, the connection stays where it was.
-func TestPassToOneThatDies(t *testing.T) {
-	t.Parallel()
-	head := func(c *net.UnixConn) {
-		rights := make([]byte, syscall.CmsgSpace(4*mostPassed))
-		_, n, _, _, err := c.ReadMsgUnix(make([]byte, 4), rights)
-		if err != nil {
-			t.Error(err)
-		}
-		conns, err := opened(rights[:n])
-		if err != nil || len(conns) != 1 {
-			t.Errorf("%d connections, %v", len(conns), err)
-		}
-		for _, c := range conns {
-			c.Close() // as a process that dies does
-		}
+// readHead reads a state's length and the descriptors behind it, and closes these, as a process that dies does.
+func readHead(t *testing.T, c *net.UnixConn) {
+	rights := make([]byte, syscall.CmsgSpace(lengthBytes*maxConnsPerTransfer))
+	_, n, _, _, err := c.ReadMsgUnix(make([]byte, lengthBytes), rights)
+	if err != nil {
+		t.Error(err)
 	}
-	// So many bytes have to have come: who dies sooner refuses the write, and the connection stays.
-	there := func(c *net.UnixConn, n int) {
-		raw, err := c.SyscallConn()
-		if err != nil {
+	conns, err := connsOf(rights[:n])
+	if err != nil || len(conns) != 1 {
+		t.Errorf("%d connections, %v", len(conns), err)
+	}
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+// awaitUnread waits until so many bytes have come: a process that dies sooner refuses the write, and the connection stays.
+func awaitUnread(t *testing.T, c *net.UnixConn, n int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for come, end := 0, time.Now().Add(testutil.Patience); come < n && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if err := raw.Control(func(fd uintptr) { come, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
 			t.Error(err)
 			return
 		}
-		for come, end := 0, time.Now().Add(testutil.Patience); come < n && time.Now().Before(end); time.Sleep(time.Millisecond) {
-			raw.Control(func(fd uintptr) { come, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-		}
 	}
-	state := func(c *net.UnixConn) { head(c); io.ReadFull(c, make([]byte, 5)) }
+}
+
+// sendPartly sends the beginning of a transfer, with a connection's descriptor behind its first bytes.
+func sendPartly(t *testing.T, c *net.UnixConn, conn net.Conn, text string) {
+	t.Helper()
+	if text == "" {
+		return
+	}
+	raw, err := rawConnOf(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := min(lengthBytes, len(text))
+	controlErr := raw.Control(func(fd uintptr) { _, _, err = c.WriteMsgUnix([]byte(text[:first]), syscall.UnixRights(int(fd)), nil) })
+	if err := errors.Join(controlErr, err); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, text[first:]); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Whoever takes a connection dies at each of its steps: where it may have taken it, nobody goes on with it, and the
+// client sees its end at once; where it has said that it does not, the connection stays where it was.
+func TestTransferToOneThatDies(t *testing.T) {
+	t.Parallel()
+	state := func(c *net.UnixConn) { readHead(t, c); _, _ = io.ReadFull(c, make([]byte, 5)) }
 	for name, step := range map[string]struct {
 		until func(c *net.UnixConn)
 		stays bool
 	}{
-		"before it reads":       {func(c *net.UnixConn) { there(c, 9) }, false},
-		"behind the descriptor": {func(c *net.UnixConn) { head(c); there(c, 5) }, false},
+		"before it reads":       {func(c *net.UnixConn) { awaitUnread(t, c, 9) }, false},
+		"behind the descriptor": {func(c *net.UnixConn) { readHead(t, c); awaitUnread(t, c, 5) }, false},
 		"behind the state":      {state, false},
-		"behind its yes":        {func(c *net.UnixConn) { state(c); c.Write([]byte{taken}) }, false},
-		"behind its no":         {func(c *net.UnixConn) { state(c); c.Write([]byte{notTaken}) }, true},
+		"behind its yes":        {func(c *net.UnixConn) { state(c); _, _ = c.Write([]byte{accepted}) }, false},
+		"behind its no":         {func(c *net.UnixConn) { state(c); _, _ = c.Write([]byte{rejected}) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			dir, err := os.MkdirTemp("", "dies")
@@ -221,11 +263,11 @@
 			r := &Rendezvous{dir: dir, id: 1}
 			answers(t, r, 2, step.until)
 			far, near := connection(t)
-			if err := r.Pass(2, []byte("state"), near); (err != nil) != step.stays {
+			if err := r.Transfer(2, []byte("state"), near); (err != nil) != step.stays {
 				t.Fatalf("%v", err)
 			}
 			if step.stays {
-				io.WriteString(near, "it goes on here")
+				_, _ = io.WriteString(near, "it goes on here")
 			}
 			near.Close()
 			if text, err := io.ReadAll(far); err != nil || (string(text) == "it goes on here") != step.stays {
@@ -237,7 +279,7 @@
 
 // Whoever passes a connection dies at each of its steps: what came in part is not taken, and its connection ends; what
 // came whole is.
-func TestPassByOneThatDies(t *testing.T) {
+func TestTransferByOneThatDies(t *testing.T) {
 	t.Parallel()
 	for name, step := range map[string]struct {
 		write string
@@ -268,25 +310,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if step.write != "" {
-				raw, err := rawOf(near)
-				if err != nil {
-					t.Fatal(err)
-				}
-				first := min(4, len(step.write))
-				raw.Control(func(fd uintptr) {
-					_, _, err = c.(*net.UnixConn).WriteMsgUnix([]byte(step.write[:first]), syscall.UnixRights(int(fd)), nil)
-				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				io.WriteString(c, step.write[first:])
-			}
+			sendPartly(t, c.(*net.UnixConn), near, step.write)
 			c.Close()
 			near.Close()
 			if step.whole {
 				conn := testutil.Receive(t, took, "the connection")
-				io.WriteString(conn, "taken")
+				_, _ = io.WriteString(conn, "taken")
 				conn.Close()
 			}
 			if text, err := io.ReadAll(far); err != nil || (string(text) == "taken") != step.whole {
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -265,7 +265,7 @@
 	for name, e := range o.own {
 		if e.State == balancer.Ready {
 			f := fnv.New64a()
-			io.WriteString(f, name)
+			_, _ = io.WriteString(f, name)
 			l.Hash ^= f.Sum64() >> 11 // JSON's numbers are exact up to 53 bits
 		}
 	}
@@ -312,7 +312,7 @@
 // line writes a line at once: a process that is killed has said what it did.
 func (t *trace) line(v any) {
 	if text, err := json.Marshal(v); err == nil {
-		t.file.Write(append(text, '\n'))
+		_, _ = t.file.Write(append(text, '\n'))
 	}
 }
 
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -29,8 +29,8 @@
 // recall asks the other processes that serve, or have served, for what they have learnt, one after the other until one
 // tells. Each has a part of a second, and all together recallTimeout: processes that are stuck must not hold up a start.
 // Before the engine runs.
-func (p *parts) recall(meeting *handover.Rendezvous, name string, logger *slog.Logger) {
-	others, err := meeting.Others()
+func (p *parts) recall(rendezvous *handover.Rendezvous, name string, logger *slog.Logger) {
+	others, err := rendezvous.Peers()
 	if err != nil {
 		logger.Info(err.Error(), "event", "rendezvous")
 	}
@@ -42,7 +42,7 @@
 	slices.SortStableFunc(others, func(x, y handover.Peer) int { return cmp.Compare(x.Stage, y.Stage) })
 	p.memory.asking = true
 	go func() {
-		state, from := askOthers(meeting, others, name, logger)
+		state, from := askOthers(rendezvous, others, name, logger)
 		p.engine.Post(func() {
 			p.memory.asking, p.memory.state, p.memory.from = false, state, from
 			p.open(logger)
@@ -51,13 +51,13 @@
 }
 
 // askOthers returns what the first process that tells has learnt, and its id; nil where none does.
-func askOthers(meeting *handover.Rendezvous, others []handover.Peer, name string, logger *slog.Logger) (*learnedstate.State, int) {
+func askOthers(rendezvous *handover.Rendezvous, others []handover.Peer, name string, logger *slog.Logger) (*learnedstate.State, int) {
 	until := time.Now().Add(recallTimeout)
 	for _, other := range others {
 		if !time.Now().Before(until) {
 			break
 		}
-		state, err := ask(meeting, other.ID)
+		state, err := ask(rendezvous, other.ID)
 		switch {
 		case err != nil:
 			logger.Info(fmt.Sprintf("nothing is taken over of what process %d has learnt: %v", other.ID, err), "event", "learnt-refused")
@@ -70,32 +70,30 @@
 	return nil, 0
 }
 
-func ask(meeting *handover.Rendezvous, id int) (*learnedstate.State, error) {
-	told, err := meeting.Ask(id)
+func ask(rendezvous *handover.Rendezvous, id int) (*learnedstate.State, error) {
+	told, err := rendezvous.FetchLearnedState(id)
 	if err != nil {
 		return nil, err
 	}
 	return codec.Decode(told)
 }
 
-// tell gives what this process has learnt.
-func (p *parts) tell(name string) func(context.Context) ([]byte, error) {
-	return func(ctx context.Context) ([]byte, error) {
-		taken := make(chan *learnedstate.State, 1)
-		p.engine.Post(func() {
-			p.engine.CollectLearnedState(func(s *learnedstate.State) {
-				s.ProxyName, s.Connections = name, p.carrier.LearnedState()
-				taken <- s
-			})
+// encodeLearnedState returns what this process has learned, for a proxy of that name.
+func (p *parts) encodeLearnedState(ctx context.Context, name string) ([]byte, error) {
+	collected := make(chan *learnedstate.State, 1)
+	p.engine.Post(func() {
+		p.engine.CollectLearnedState(func(s *learnedstate.State) {
+			s.ProxyName, s.Connections = name, p.carrier.LearnedState()
+			collected <- s
 		})
-		select {
-		case s := <-taken:
-			return codec.Encode(s)
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-p.engine.Done():
-			return nil, context.Canceled
-		}
+	})
+	select {
+	case s := <-collected:
+		return codec.Encode(s)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.engine.Done():
+		return nil, context.Canceled
 	}
 }
 
@@ -128,7 +126,7 @@
 			m.from, n, len(s.Classes), s.Age(began).Round(time.Millisecond)), "event", "learnt-taken")
 	}
 	p.front.SetReady(true)
-	if p.meeting != nil {
-		p.meeting.Tell(handover.Serving)
+	if p.rendezvous != nil {
+		p.setStage(handover.Serving, logger)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,13 +112,13 @@
 
 // parts is a proxy put together.
 type parts struct {
-	engine  *engine.Engine
-	source  *sources.Source
-	carrier *httpproxy.Carrier
-	front   *httpproxy.Front
-	room    *budget.Budget
-	meeting *handover.Rendezvous // with other processes of this proxy; nil: there are none
-	memory  memory
+	engine     *engine.Engine
+	source     *sources.Source
+	carrier    *httpproxy.Carrier
+	front      *httpproxy.Front
+	room       *budget.Budget
+	rendezvous *handover.Rendezvous // with other processes of this proxy; nil: there are none
+	memory     memory
 
 	rpcCarrier *msgpackrpc.Carrier // nil where RPC is off
 	rpcFront   *msgpackrpc.Server
@@ -195,7 +194,7 @@
 		}
 	})
 	p.front = httpproxy.NewFront(p.engine, p.carrier, p.room, logger)
-	p.setShare(cfg, handover.Whole)
+	p.setShare(cfg, handover.FullShare)
 	p.engine.AddCarrier(p.carrier)
 	p.engine.SetHealthChecker(p.carrier)
 	p.engine.SetSource(p.source)
@@ -224,12 +223,12 @@
 		return err
 	}
 	if cfg.ListenFD >= 0 {
-		if p.meeting = p.meet(cfg, logger); p.meeting != nil {
+		if p.rendezvous = p.joinRendezvous(cfg, logger); p.rendezvous != nil {
 			p.front.EnableHandover()
-			p.recall(p.meeting, cfg.Name, logger)
+			p.recall(p.rendezvous, cfg.Name, logger)
 		}
 	}
-	meeting := p.meeting
+	rendezvous := p.rendezvous
 	var keeps *saver
 	if own.LearnedState.Enabled() {
 		keeps = p.keep(cfg.Name, own.LearnedState, logger)
@@ -243,17 +242,12 @@
 			}
 		})
 	}
-	if meeting != nil {
-		// To the very end: a file that goes sooner would give this one's room away.
-		defer meeting.Close()
+	if rendezvous != nil {
+		// To the very end: a file that goes sooner would give this process's capacity away.
+		defer rendezvous.Close()
 		watching, stopWatching := context.WithCancel(context.Background())
 		defer stopWatching()
-		go meeting.Receive(watching, p.adopt, p.tell(cfg.Name), logs.ForEvent(logger, "rendezvous"))
-		limits := cfg // those of the start: what a reload brings of them counts at the next one
-		go meeting.Watch(watching, func(s handover.Share, others []handover.Peer) {
-			logger.Info(fmt.Sprintf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Part, s.Of), "event", "processes")
-			p.engine.Post(func() { p.setShare(limits, s) })
-		}, logs.ForEvent(logger, "rendezvous"))
+		p.watchRendezvous(watching, cfg, logger)
 	}
 	if p.door != nil && in.control != nil {
 		p.engine.Post(p.publish)
@@ -320,11 +314,11 @@
 		case <-ctx.Done():
 		}
 	}
-	if meeting != nil {
+	if rendezvous != nil {
 		// The next process wants the fleet's port and disk; the lease that runs goes on to its end.
 		go stopFleet()
-		meeting.Tell(handover.Leaving)
-		time.AfterFunc(handOnAfter, func() { p.handOn(meeting, logger) })
+		p.setStage(handover.Leaving, logger)
+		time.AfterFunc(handOnAfter, func() { p.handOn(rendezvous, logger) })
 	}
 	last := cfg
 	if p.member != nil {
@@ -339,85 +333,11 @@
 // keep readies the file of what is learnt, and takes over what an earlier life has left in it, unless another
 // process of this proxy tells more. Before the engine runs.
 func (p *parts) keep(name string, cfg config.LearnedState, logger *slog.Logger) *saver {
-	k := &saver{store: statefile.Open(cfg.Dir, name), every: cfg.SaveInterval.D(), state: p.tell(name), now: statefile.CurrentTimestamp, logf: logs.ForEvent(logger, "memory")}
+	k := &saver{store: statefile.Open(cfg.Dir, name), every: cfg.SaveInterval.D(), state: func(ctx context.Context) ([]byte, error) { return p.encodeLearnedState(ctx, name) }, now: statefile.CurrentTimestamp, logf: logs.ForEvent(logger, "memory")}
 	p.memory.kept = remember(cfg, k.store, name, k.now(), logger)
 	return k
 }
 
-// handOnAfter is how long after the signal to stop a large answer that is still on its way
-// is given to the next process: most have ended by then.
-const handOnAfter = 250 * time.Millisecond
-
-// handOn gives large answers that are on their way to the next process: the platform does
-// not wait for their end.
-func (p *parts) handOn(meeting *handover.Rendezvous, logger *slog.Logger) {
-	others, err := meeting.Others()
-	if err != nil {
-		logger.Info(err.Error(), "event", "rendezvous")
-	}
-	others = slices.DeleteFunc(others, func(other handover.Peer) bool { return other.Stage != handover.Serving })
-	if len(others) == 0 {
-		return
-	}
-	p.front.HandOver(func(state []byte, client, backend net.Conn) bool {
-		conns := []net.Conn{client, backend}
-		if backend == nil {
-			conns = conns[:1]
-		}
-		// One that takes nothing, or has gone since, is not the only one that can.
-		for _, other := range others {
-			err := meeting.Pass(other.ID, state, conns...)
-			if err == nil {
-				return true
-			}
-			logger.Info(err.Error(), "event", "rendezvous")
-		}
-		return false
-	})
-}
-
-// adopt goes on with what another process gave: a large answer that is on its way with both its
-// connections, or a client's connection with what has come there.
-func (p *parts) adopt(state []byte, conns []net.Conn) error {
-	switch len(conns) {
-	case 1:
-		return p.front.AdoptClient(state, conns[0])
-	case 2:
-		return p.front.AdoptStream(state, conns[0], conns[1])
-	}
-	return fmt.Errorf("%d connections were passed, 1 or 2 are needed", len(conns))
-}
-
-// meet finds the other processes of this proxy, and takes a share beside them from the
-// first moment on. Where that can't be, the process goes on as if it were alone: nothing
-// here may stop a start.
-func (p *parts) meet(cfg *config.Platform, logger *slog.Logger) *handover.Rendezvous {
-	if cfg.TempDir == "" {
-		logger.Info("TMPDIR is not set: other processes of this proxy can't be found", "event", "processes")
-		return nil
-	}
-	meeting, err := handover.Meet(cfg.TempDir)
-	if err != nil {
-		logger.Info(err.Error(), "event", "rendezvous")
-		return nil
-	}
-	if others, err := meeting.Others(); err == nil {
-		var m handover.Machine
-		p.setShare(cfg, m.Look(0, others))
-	}
-	return meeting
-}
-
-// setShare bounds what this process holds. On the engine's goroutine, or before it runs.
-func (p *parts) setShare(cfg *config.Platform, s handover.Share) {
-	p.room.SetLimit(s.Take(cfg.MaxBodyBytes()))
-	p.carrier.SetMaxConnections(s.Take(cfg.MaxBackendConnections()))
-	p.front.SetMaxConnections(s.Take(cfg.MaxClientConnections()))
-	if cfg.MemoryMB > 0 && p.limitMemory != nil {
-		p.limitMemory(int64(s.Take(cfg.MemoryMB << 20 / 4 * 3)))
-	}
-}
-
 // figures are what the door tells.
 func (p *parts) figures(b []byte) []byte {
 	b = p.counts.Append(b)
--- a/internal/proxy/recall_test.go
+++ b/internal/proxy/recall_test.go
@@ -60,22 +60,22 @@
 			_, _ = c.Write(append([]byte{byte(len(learnt) >> 24), byte(len(learnt) >> 16), byte(len(learnt) >> 8), byte(len(learnt))}, learnt...))
 		}
 	}()
-	meeting, err := handover.Meet(folder)
+	rendezvous, err := handover.Join(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer meeting.Close()
-	others, err := meeting.Others()
+	defer rendezvous.Close()
+	others, err := rendezvous.Peers()
 	if err != nil || len(others) != 2 {
 		t.Fatalf("%v, %v: two processes serve", others, err)
 	}
-	state, from := askOthers(meeting, []handover.Peer{{ID: 1000001}, {ID: 1000002}}, "n0", logs.Discard())
+	state, from := askOthers(rendezvous, []handover.Peer{{ID: 1000001}, {ID: 1000002}}, "n0", logs.Discard())
 	if state == nil || from != 1000002 {
 		t.Errorf("told by process %d: %v", from, state)
 	}
 	// Where nobody tells, the start goes on without.
 	telling.Close()
-	if state, _ := askOthers(meeting, others, "n0", logs.Discard()); state != nil {
+	if state, _ := askOthers(rendezvous, others, "n0", logs.Discard()); state != nil {
 		t.Errorf("%v is told by nobody", state)
 	}
 }
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -160,7 +161,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(Patience))
+	_ = c.SetDeadline(time.Now().Add(Patience))
 	return c
 }
 
@@ -174,8 +175,8 @@
 
 // IsTimeout tells whether an error is a deadline's.
 func IsTimeout(err error) bool {
-	ne, ok := err.(net.Error)
-	return ok && ne.Timeout()
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // Counting is a backend that answers with its name and counts its connections.
