Proxy in service: its start and its end a step each

Change: startEngine, startRendezvous, startAdminServer, startFleet and startSaving each return their stop; serve says the order; serveClients is the time between. Nothing else changed.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -216,6 +216,7 @@
 	return p, nil
 }
 
+// serve runs a proxy until ctx ends or a front fails, and ends it in the reverse order of its start.
 func serve(ctx context.Context, cfg *config.Platform, own *config.Operator, logger *slog.Logger, in listeners, reloads <-chan Reload) error {
 	defer in.close()
 	p, err := assemble(cfg, own, in.limitMemory, logger)
@@ -228,78 +229,42 @@
 			p.recall(p.rendezvous, cfg.Name, logger)
 		}
 	}
-	rendezvous := p.rendezvous
 	var keeps *saver
 	if own.LearnedState.Enabled() {
 		keeps = p.keep(cfg.Name, own.LearnedState, logger)
 	}
-	engineCtx, stopEngine := context.WithCancel(context.Background())
-	go p.engine.Run(engineCtx)
-	if own.Registry.Enabled() {
-		p.engine.Post(func() {
-			if err := p.source.SetRegistry(own.Registry); err != nil { // its files may have changed since they were checked
-				logger.Info(fmt.Sprintf("registry: %v: the platform's list alone counts", err), "event", "registry-off")
-			}
-		})
-	}
-	if rendezvous != nil {
-		// To the very end: a file that goes sooner would give this process's capacity away.
-		defer rendezvous.Close()
-		watching, stopWatching := context.WithCancel(context.Background())
-		defer stopWatching()
-		p.watchRendezvous(watching, cfg, logger)
-	}
-	if p.door != nil && in.control != nil {
-		p.engine.Post(p.publish)
-		go p.door.Serve(in.control)
-		defer p.door.Close()
-	}
-	stopFleet := func() {}
-	if p.member != nil {
-		operators, stop := context.WithCancel(context.Background())
-		stopFleet = sync.OnceFunc(func() {
-			stop()
-			p.member.fleet.Close()
-		})
-		go func() {
-			if err := p.member.fleet.Serve(operators); err != nil {
-				logger.Warn(err.Error(), "event", "fleet-socket", "do", actionable.AdviceFor(err))
-			}
-		}()
-	}
+	stopEngine := p.startEngine(own, logger)
+	defer p.startRendezvous(cfg, logger)()
+	defer p.startAdminServer(in)()
+	stopFleet := p.startFleet(logger)
 	defer func() {
 		stopFleet()
 		stopEngine()
-		p.carrier.Close()
-		if p.rpcCarrier != nil {
-			p.rpcFront.Close()
-			p.rpcCarrier.Close()
-		}
-		<-p.engine.Done()
-		p.source.Close()
 	}()
 	if keeps != nil {
-		keeping, stopKeeping := context.WithCancel(context.Background())
-		kept := make(chan struct{})
-		work := p.background(own.Background, keeps, logger)
-		go func() { defer close(kept); work.Run(keeping, lastSave/3) }()
-		defer func() {
-			stopKeeping()
-			<-kept
-			// The engine still runs. A disk that hangs may not hold up the end.
-			last, done := context.WithTimeout(context.Background(), lastSave)
-			defer done()
-			saved := make(chan struct{})
-			go func() { defer close(saved); keeps.save(last, true) }()
-			select {
-			case <-saved:
-			case <-last.Done():
-			}
-		}()
+		defer p.startSaving(own.Background, keeps, logger)()
 	}
 	if cfg.InitialList != nil && len(cfg.InitialList.Instances) > 0 {
 		time.AfterFunc(oldListAfter, func() { p.engine.Post(func() { p.becomeReady(logger) }) })
 	}
+	cfg, err = p.serveClients(ctx, cfg, own, logger, in, reloads)
+	if err != nil {
+		return err
+	}
+	if p.rendezvous != nil {
+		// The next process wants the fleet's port and disk; the lease that runs goes on to its end.
+		go stopFleet()
+		p.setStage(handover.Leaving, logger)
+		time.AfterFunc(handOnAfter, func() { p.handOn(p.rendezvous, logger) })
+	}
+	if p.member != nil {
+		cfg = p.member.longest(cfg)
+	}
+	return p.drain(cfg, in)
+}
+
+// serveClients serves until ctx ends, and puts new configurations in force on the way. It returns the one in force.
+func (p *parts) serveClients(ctx context.Context, cfg *config.Platform, own *config.Operator, logger *slog.Logger, in listeners, reloads <-chan Reload) (*config.Platform, error) {
 	failed := make(chan error, 2)
 	go func() { failed <- p.front.Serve(in.http) }()
 	if in.rpc != nil {
@@ -308,23 +273,91 @@
 	for ctx.Err() == nil {
 		select {
 		case err := <-failed:
-			return fmt.Errorf("serve: %w", err)
+			return nil, fmt.Errorf("serve: %w", err)
 		case next := <-reloads:
 			cfg, own = p.reload(cfg, own, next, logger)
 		case <-ctx.Done():
 		}
 	}
-	if rendezvous != nil {
-		// The next process wants the fleet's port and disk; the lease that runs goes on to its end.
-		go stopFleet()
-		p.setStage(handover.Leaving, logger)
-		time.AfterFunc(handOnAfter, func() { p.handOn(rendezvous, logger) })
+	return cfg, nil
+}
+
+// startEngine runs the engine, and follows a registry where one is set. stop breaks off what goes on, and waits for the
+// engine's end.
+func (p *parts) startEngine(own *config.Operator, logger *slog.Logger) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go p.engine.Run(ctx)
+	if own.Registry.Enabled() {
+		p.engine.Post(func() {
+			if err := p.source.SetRegistry(own.Registry); err != nil { // its files may have changed since they were checked
+				logger.Info(fmt.Sprintf("registry: %v: the platform's list alone counts", err), "event", "registry-off")
+			}
+		})
 	}
-	last := cfg
-	if p.member != nil {
-		last = p.member.longest(cfg)
+	return func() {
+		cancel()
+		p.carrier.Close()
+		if p.rpcCarrier != nil {
+			p.rpcFront.Close()
+			p.rpcCarrier.Close()
+		}
+		<-p.engine.Done()
+		p.source.Close()
+	}
+}
+
+// startAdminServer answers the platform at its address, where there is one.
+func (p *parts) startAdminServer(in listeners) (stop func()) {
+	if p.door == nil || in.control == nil {
+		return func() {}
+	}
+	p.engine.Post(p.publish)
+	go func() { _ = p.door.Serve(in.control) }() // it ends when it is closed
+	return p.door.Close
+}
+
+// startFleet lets operators of the fleet in, where there is one. stop may be called more than once.
+func (p *parts) startFleet(logger *slog.Logger) (stop func()) {
+	if p.member == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		if err := p.member.fleet.Serve(ctx); err != nil {
+			logger.Warn(err.Error(), "event", "fleet-socket", "do", actionable.AdviceFor(err))
+		}
+	}()
+	return sync.OnceFunc(func() {
+		cancel()
+		p.member.fleet.Close()
+	})
+}
+
+// startSaving writes what is learned to its file from time to time. stop writes it a last time, while the engine still
+// runs; a disk that hangs doesn't hold up the end.
+func (p *parts) startSaving(cfg config.Background, keeps *saver, logger *slog.Logger) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	work := p.background(cfg, keeps, logger)
+	go func() {
+		defer close(ended)
+		work.Run(ctx, lastSave/3)
+	}()
+	return func() {
+		cancel()
+		<-ended
+		timeout, done := context.WithTimeout(context.Background(), lastSave)
+		defer done()
+		saved := make(chan struct{})
+		go func() {
+			defer close(saved)
+			keeps.save(timeout, true)
+		}()
+		select {
+		case <-saved:
+		case <-timeout.Done():
+		}
 	}
-	return p.drain(last, in)
 }
 
 // lastSave is how long the last writing of what was learnt may take, at a stop.
--- a/internal/proxy/upgrade.go
+++ b/internal/proxy/upgrade.go
@@ -32,15 +32,24 @@
 	return rendezvous
 }
 
-// watchRendezvous accepts what other processes hand over, and follows how many there are, until ctx ends. The limits are
-// those of the start: what a reload brings of them counts at the next one.
-func (p *parts) watchRendezvous(ctx context.Context, limits *config.Platform, logger *slog.Logger) {
+// startRendezvous accepts what other processes hand over, and follows how many there are. The limits are those of the
+// start: what a reload brings of them counts at the next one. stop has to be last: a file that goes sooner would give this
+// process's capacity away.
+func (p *parts) startRendezvous(limits *config.Platform, logger *slog.Logger) (stop func()) {
+	if p.rendezvous == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
 	logf := logs.ForEvent(logger, "rendezvous")
 	go p.rendezvous.Serve(ctx, handoverReceiver{p, limits.Name}, logf)
 	go p.rendezvous.Watch(ctx, func(s handover.Share, others []handover.Peer) {
 		logger.Info(fmt.Sprintf("%d other processes of this proxy are alive: a share of %d in %d", len(others), s.Numerator, s.Denominator), "event", "processes")
 		p.engine.Post(func() { p.setShare(limits, s) })
 	}, logf)
+	return func() {
+		cancel()
+		p.rendezvous.Close()
+	}
 }
 
 // setStage announces this process's stage to the others.
