HTTP proxy: only answers out of turn suspend the reuse of connections

Change: what comes together with an answer is there before the connection is idle, and bytes that form no answer are taken for none: both close the connection, as before, and suspend nothing.

--- a/internal/balancer/connections/keepalive.go
+++ b/internal/balancer/connections/keepalive.go
@@ -55,7 +55,8 @@
 	return &KeepAlive{cfg: cfg, suspended: map[uint32]*suspension{}, answers: map[uint32]*answerTimes{}}
 }
 
-// RecordSurplus takes in that a backend sent something that no request had asked for. It returns how long its
+// RecordSurplus takes in that a backend sent an answer out of turn: later than the one before it, or in the place of
+// another. It returns how long its
 // connections are not reused, and whether that begins only now.
 func (k *KeepAlive) RecordSurplus(now time.Duration, backend uint32) (length time.Duration, began bool) {
 	s := k.suspended[backend]
--- a/internal/dataplane/httpproxy/answerstream.go
+++ b/internal/dataplane/httpproxy/answerstream.go
@@ -32,9 +32,8 @@
 	length   int64 // of all of it; -1 is not known
 	reusable bool  // the connection can be used again after the last byte
 
-	// returnConn takes the connection back, on any goroutine; nil says that it is closed. surplus says that more came than
-	// the answer.
-	returnConn func(c *backendConn, surplus bool)
+	// returnConn takes the connection back, on any goroutine; nil says that it is closed.
+	returnConn func(*backendConn)
 }
 
 // release gives back the memory that a reply has taken, and ends its stream.
@@ -52,15 +51,14 @@
 // finish gives the connection back; complete says that all of the body has been read.
 func (d *answerStream) finish(complete bool) {
 	c := d.conn
-	c.surplus = complete && c.reader.Buffered() > 0
-	if complete && d.reusable && !c.surplus {
+	if complete && d.reusable && c.reader.Buffered() == 0 {
 		_ = c.SetDeadline(time.Time{})
 	} else {
 		c.Close()
 		c = nil
 	}
 	if d.returnConn != nil {
-		d.returnConn(c, d.conn.surplus)
+		d.returnConn(c)
 	}
 }
 
--- a/internal/dataplane/httpproxy/backendconn.go
+++ b/internal/dataplane/httpproxy/backendconn.go
@@ -27,7 +27,7 @@
 	writtenAt  time.Time     // when the request's last byte was written
 	answerTime time.Duration // from then until the answer's first byte; 0: there was none
 	used       bool          // it has carried a request before the one that it carries now
-	surplus    bool          // something came on it that no request had asked for
+	surplus    bool          // an answer came on it out of turn: while it was idle, or in the place of another
 }
 
 // newBackendConn reads a connection's answers from source, which is the connection itself where nothing was read of it
@@ -40,7 +40,8 @@
 
 // reusable tells, without waiting, whether an idle connection can carry a request.
 // A backend that died or closed has left an end or a reset to read; anything
-// else unread belongs to no request, and is noted as surplus.
+// else unread belongs to no request, and an answer among it is noted as surplus. What came together with the answer before
+// is no sign of that: it is always there before the connection is idle.
 func (c *backendConn) reusable() bool {
 	if c.reader.Buffered() == 0 && sockets.Idle(c.Conn) {
 		return true
@@ -49,18 +50,24 @@
 	return false
 }
 
-// timeoutNotice is how an answer begins that some servers send as they close an idle connection: it announces the end,
-// and is no answer too many.
-const timeoutNotice = "HTTP/1.1 408"
+const (
+	// answerStart is how every answer begins.
+	answerStart = "HTTP/1."
+	// timeoutNotice is how an answer begins that some servers send as they close an idle connection: it announces the end,
+	// and is no answer too many.
+	timeoutNotice = "HTTP/1.1 408"
+)
 
-// hasSurplus tells whether something unread has come on a connection that carries no request.
+// hasSurplus tells whether an answer that no request had asked for, or its beginning, is unread. Other bytes are none: a
+// connection with them is closed as well, but nobody would take them for an answer.
 func (c *backendConn) hasSurplus() bool {
-	if c.reader.Buffered() > 0 {
-		return true
+	var buffer [len(timeoutNotice)]byte
+	start := buffer[:sockets.Unread(c.Conn, buffer[:])]
+	if buffered := c.reader.Buffered(); buffered > 0 {
+		start, _ = c.reader.Peek(min(buffered, len(timeoutNotice)))
 	}
-	var start [len(timeoutNotice)]byte
-	n := sockets.Unread(c.Conn, start[:])
-	return n > 0 && string(start[:n]) != timeoutNotice
+	n := min(len(start), len(answerStart))
+	return n > 0 && string(start[:n]) == answerStart[:n] && string(start) != timeoutNotice
 }
 
 // maxSingleWrite is how much is written together with its last byte: that much finds room in any connection's buffer. What
@@ -84,7 +91,7 @@
 			if c.earlyRejection(x) {
 				return Reply{result: balancer.Rejected}
 			}
-			c.surplus = c.surplus || c.used
+			c.surplus = c.surplus || c.used && c.hasSurplus()
 		}
 		if err != nil || n < len(data)-1 {
 			return Reply{result: balancer.NotSent, brokeEarly: true}
@@ -135,9 +142,7 @@
 			return r
 		}
 		r.stream = nil // what else it says at length is of no use: the connection is closed
-	} else if c.reader.Buffered() > 0 {
-		c.surplus = true
-	} else if !resp.Close {
+	} else if !resp.Close && c.reader.Buffered() == 0 {
 		// The deadline was this exchange's. Left in place, it would end the next.
 		_ = c.SetDeadline(time.Time{})
 		r.conn = c
@@ -209,16 +214,14 @@
 // once, not when the attempt's time is up: the connection stays open behind noise,
 // and three gigabytes go on coming.
 func (c *backendConn) readHead(method string) (*http.Response, error) {
-	const start = "HTTP/1."
 	for range maxInterimResponses {
 		c.readLimit.N = maxHead
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
 		c.answerTime = time.Since(c.writtenAt)
-		first, _ := c.reader.Peek(min(len(start), c.reader.Buffered()))
-		if !strings.HasPrefix(start, string(first)) {
-			c.surplus = c.surplus || c.used // such as the rest of an answer that was longer than it said
+		first, _ := c.reader.Peek(min(len(answerStart), c.reader.Buffered()))
+		if !strings.HasPrefix(answerStart, string(first)) {
 			return nil, errMalformedAnswer
 		}
 		//nolint:bodyclose // readBody reads it from the connection, which carries more than this answer
--- a/internal/dataplane/httpproxy/carrier.go
+++ b/internal/dataplane/httpproxy/carrier.go
@@ -63,18 +63,18 @@
 	}
 }
 
-// OnSurplus has the carrier tell whenever something came from a backend that no request had asked for, and how long each
-// connection to it is used for one request alone where that begins with this; else 0. Only before its first attempt; it
+// OnSurplus has the carrier tell whenever an answer came from a backend out of turn, and how long each connection to it is
+// used for one request alone where that begins with this; else 0. Only before its first attempt; it
 // is called on the engine's goroutine.
 func (c *Carrier) OnSurplus(notify func(from *engine.Backend, suspension time.Duration)) {
 	c.onSurplus = notify
 }
 
-// SurplusAnswers is how often something came from a backend that no request had asked for, such as a second answer. Any
-// goroutine may call it.
+// SurplusAnswers is how often an answer came from a backend out of turn: on an idle connection, or in the place of another.
+// Any goroutine may call it.
 func (c *Carrier) SurplusAnswers() uint64 { return c.surplusAnswers.Load() }
 
-// recordSurplus takes in that something came from a backend that no request had asked for. On the engine's goroutine.
+// recordSurplus takes in that an answer came from a backend out of turn. On the engine's goroutine.
 func (c *Carrier) recordSurplus(from *engine.Backend) {
 	c.surplusAnswers.Add(1)
 	c.onSurplus(from, c.suspendReuse(from))
@@ -220,13 +220,8 @@
 	}
 	if r.stream != nil {
 		e.Streaming = true
-		r.stream.returnConn = func(left *backendConn, surplus bool) {
-			c.engine.Post(func() {
-				if surplus {
-					c.recordSurplus(x.backend)
-				}
-				c.pool.put(x.backend, left, c.engine.Now())
-			})
+		r.stream.returnConn = func(left *backendConn) {
+			c.engine.Post(func() { c.pool.put(x.backend, left, c.engine.Now()) })
 		}
 	} else {
 		c.pool.put(x.backend, r.conn, c.engine.Now())
--- a/internal/dataplane/httpproxy/exchange.go
+++ b/internal/dataplane/httpproxy/exchange.go
@@ -51,7 +51,7 @@
 	load        []float32
 	brokeEarly  bool                // it broke before its last byte was written
 	clientGone  bool                // the client was found to have disconnected: nothing was written
-	surplus     bool                // something came on the connection that no request had asked for
+	surplus     bool                // an answer came on the connection out of turn
 	connOutcome connections.Outcome // for the model of connections
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -190,7 +190,7 @@
 	p.carrier = httpproxy.NewCarrier(p.engine, cfg.MaxBackendConnections(), cfg.ReportNames, p.room)
 	p.carrier.OnSurplus(func(from *engine.Backend, suspension time.Duration) {
 		if suspension > 0 {
-			logger.Info(fmt.Sprintf("backend %s sent what no request had asked for: its connections carry one request each for %v", from.Name, suspension), "event", "surplus-answer")
+			logger.Info(fmt.Sprintf("backend %s answered out of turn: its connections carry one request each for %v", from.Name, suspension), "event", "surplus-answer")
 		}
 	})
 	p.front = httpproxy.NewFront(p.engine, p.carrier, p.room, logger)
