--- a/internal/tools/cleanbuild/machine.go
+++ b/internal/tools/cleanbuild/machine.go
@@ -127,6 +127,20 @@
 	return cmd
 }
 
+// publicTempDir is a folder for temporary files that another user can reach: the usual one, unless it is private.
+func publicTempDir() string {
+	const searchableByAll, fallback = 0o001, "/tmp"
+	for at := os.TempDir(); ; at = filepath.Dir(at) {
+		info, err := os.Stat(at)
+		if err != nil || info.Mode()&searchableByAll == 0 {
+			return fallback
+		}
+		if at == filepath.Dir(at) {
+			return os.TempDir()
+		}
+	}
+}
+
 // makeHome makes a home with nothing in it, for whoever the commands run as.
 func makeHome(path string) error {
 	if err := os.MkdirAll(path, publicFolder); err != nil {
--- a/internal/tools/cleanbuild/main.go
+++ b/internal/tools/cleanbuild/main.go
@@ -49,7 +49,7 @@
 // check builds by each deploy file twice, and once without each entry of its list.
 func check(ctx context.Context, root string, out io.Writer) (err error) {
 	c := &checker{out: out}
-	if c.work, err = os.MkdirTemp("", "cleanbuild"); err != nil {
+	if c.work, err = os.MkdirTemp(publicTempDir(), "cleanbuild"); err != nil {
 		return eris.Wrap(err, "making a folder")
 	}
 	defer func() { err = errors.Join(err, removeAll(c.work)) }()
--- a/internal/tools/cleanbuild/main_test.go
+++ b/internal/tools/cleanbuild/main_test.go
@@ -5,7 +5,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strings"
 	"testing"
 )
 
@@ -43,11 +42,13 @@
 	if _, err := exec.LookPath("dpkg-query"); err != nil {
 		t.Skip("this machine has no dpkg-query")
 	}
-	folder := t.TempDir()
-	for at := folder; at != filepath.Dir(at) && strings.HasPrefix(at, os.TempDir()+"/"); at = filepath.Dir(at) {
-		if err := os.Chmod(at, publicFolder); err != nil { // the commands may run as another user
-			t.Fatal(err)
-		}
+	folder, err := os.MkdirTemp(publicTempDir(), "cleanbuild") // the commands may run as another user
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	if err := os.Chmod(folder, publicFolder); err != nil {
+		t.Fatal(err)
 	}
 	m, err := makeMachine(t.Context(), folder, installed{}, nil)
 	if err != nil {
