--- a/internal/controlplane/configuration/document.go
+++ b/internal/controlplane/configuration/document.go
@@ -48,6 +48,8 @@
 	EventGapTargetMS float64 `json:"gap_aim_ms"`
 	// PermittedRegions are the regions in which the route's requests may run; empty: all.
 	PermittedRegions []string `json:"permitted_regions"`
+	// Keyless: requests need no key where the configuration lists subscribers.
+	Keyless bool `json:"keyless,omitempty"`
 }
 
 // Streaming reports whether answers are streams of events.
@@ -139,10 +141,14 @@
 	Routes   []Route   `json:"route_list"`
 	Services []Service `json:"service_list"`
 	Limits   Limits    `json:"limits"`
-
-	raw          *rawDocument
-	services     map[string]*Service
-	routesByHost map[string][]*Route // the longest prefix first
+	// Subscribers are the tenants; nil where the configuration has no such list, and requests need no key.
+	Subscribers []Subscriber `json:"subscribers,omitempty"`
+
+	raw              *rawDocument
+	services         map[string]*Service
+	routesByHost     map[string][]*Route // the longest prefix first
+	subscribers      map[string]*Subscriber
+	subscribersByKey map[keyDigest]*Subscriber
 }
 
 // Raw is the document as JSON, as it was sent. The caller must not change it.
--- a/internal/controlplane/configuration/match.go
+++ b/internal/controlplane/configuration/match.go
@@ -7,8 +7,9 @@
 	"strings"
 )
 
-// buildIndex makes the tables by which services are found and requests are matched.
+// buildIndex makes the tables by which services and subscribers are found and requests are matched.
 func (d *Document) buildIndex() {
+	d.indexSubscribers()
 	d.services = map[string]*Service{}
 	for i := range d.Services {
 		service := &d.Services[i]
--- a/internal/controlplane/configuration/modify.go
+++ b/internal/controlplane/configuration/modify.go
@@ -56,7 +56,7 @@
 	}
 	fields := &rawFields{routes: routes.items, services: services.items, others: old.others}
 	next := &Document{
-		Version: c.Version, Routes: routes.values, Services: services.values, Limits: d.Limits,
+		Version: c.Version, Routes: routes.values, Services: services.values, Limits: d.Limits, Subscribers: d.Subscribers,
 		raw: &rawDocument{fields: fields},
 	}
 	next.buildIndex()
--- /dev/null
+++ b/internal/controlplane/configuration/subscriber.go
@@ -0,0 +1,71 @@
+package configuration
+
+import "crypto/sha256"
+
+// UnitTokens: a subscriber's limits count tokens. Without a unit they count requests.
+const UnitTokens = "token_metering"
+
+// Subscriber is a tenant: who sends requests under some keys, and how many it may send.
+type Subscriber struct {
+	// Name is what backends are told of the tenant.
+	Name string `json:"name"`
+	// AccessKeys are the keys of its requests. They must not be logged, nor passed to a backend.
+	AccessKeys []string `json:"access_keys"`
+	// Priority takes the place of the routes' priority, from 0 (first) to 9 (last); nil: the route's counts.
+	Priority *int `json:"priority"`
+	// Unit is UnitTokens, or empty for requests.
+	Unit string `json:"unit"`
+	// RawTokens is what a request counts that doesn't say its tokens, where the unit is UnitTokens.
+	RawTokens float64 `json:"raw_tokens"`
+	// RatePerS is how many requests or tokens the tenant may send in a second, over all proxies; 0: not limited.
+	RatePerS float64 `json:"rate_per_s"`
+	// BurstSize is what it may send at once beside the rate.
+	BurstSize float64 `json:"burst_size"`
+}
+
+// Limited reports whether the tenant has a quota.
+func (s *Subscriber) Limited() bool { return s.RatePerS > 0 }
+
+// Cost is what a request counts towards the tenant's quota: 1, or its tokens. tokens is negative where the request
+// doesn't say them.
+func (s *Subscriber) Cost(tokens float64) float64 {
+	switch {
+	case s.Unit != UnitTokens:
+		return 1
+	case tokens < 0:
+		return s.RawTokens
+	}
+	return tokens
+}
+
+// keyDigest is the SHA-256 of a key: by it a key is looked up in a time that does not tell how much of it is right.
+type keyDigest [sha256.Size]byte
+
+func digestOfKey(key string) keyDigest { return sha256.Sum256([]byte(key)) }
+
+// RequiresKeys reports whether requests need a key on routes that are not keyless: subscribers are listed, be it none.
+func (d *Document) RequiresKeys() bool { return d.Subscribers != nil }
+
+// SubscriberByKey returns the tenant that has a key, or nil.
+func (d *Document) SubscriberByKey(key string) *Subscriber {
+	if len(d.subscribersByKey) == 0 {
+		return nil
+	}
+	return d.subscribersByKey[digestOfKey(key)]
+}
+
+// Subscriber returns the tenant of a name, or nil.
+func (d *Document) Subscriber(name string) *Subscriber { return d.subscribers[name] }
+
+// indexSubscribers makes the tables by which subscribers are found.
+func (d *Document) indexSubscribers() {
+	d.subscribers = map[string]*Subscriber{}
+	d.subscribersByKey = map[keyDigest]*Subscriber{}
+	for i := range d.Subscribers {
+		subscriber := &d.Subscribers[i]
+		d.subscribers[subscriber.Name] = subscriber
+		for _, key := range subscriber.AccessKeys {
+			d.subscribersByKey[digestOfKey(key)] = subscriber
+		}
+	}
+}
