Fleet's file: opening in steps, checksums, view and errors in files of their own

A torn file that can't be set aside says so now in place of claiming that it was. The test of damaged files is divided, its assertions are the same. Measured: go test ./internal/fleet/... passes.

--- a/internal/fleet/disk/disk.go
+++ b/internal/fleet/disk/disk.go
@@ -1,14 +1,11 @@
 // Package disk is the file of a proxy's part in a fleet: a keeper's log and identity, and the view that a member
-// had last. What Save returns from is synced. It owns the file, its checks and who it belongs to; it never decides
-// whether what stands in it may still be believed (package agree).
+// had last. What Save returns from is synced. It owns the file, its checksums and whose it is; it never decides
+// whether its contents may still be believed (package agree).
 package disk
 
 import (
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -16,13 +13,21 @@
 
 	bolt "go.etcd.io/bbolt"
 	bolterrors "go.etcd.io/bbolt/errors"
-
-	"marlreel/internal/fleet/agree"
 )
 
-// File is the name of the file in its folder.
-const File = "fleet.db"
+const (
+	// File is the name of the file in its folder.
+	File = "fleet.db"
+	// tornSuffix ends the name of a file that was set aside.
+	tornSuffix = ".torn"
+	// lockTimeout is how long opening waits for the lock: who holds it holds it for a process's life.
+	lockTimeout = time.Millisecond
+
+	folderMode = 0o700
+	fileMode   = 0o600
+)
 
+// The buckets and keys of the file. They are stored.
 var (
 	bucketMeta  = []byte("meta")
 	bucketLog   = []byte("log")
@@ -33,30 +38,6 @@
 	keyHard     = []byte("hard")
 	keySnap     = []byte("snapshot")
 	keyView     = []byte("view")
-	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
-)
-
-// Error is a file that can't be used.
-type Error struct {
-	Path string
-	Err  error
-	Does string // what an operator can do
-}
-
-// Error implements error.
-func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Path, e.Err) }
-
-// Unwrap implements errors.Unwrap.
-func (e *Error) Unwrap() error { return e.Err }
-
-// Advice says what an operator can do.
-func (e *Error) Advice() string { return e.Does }
-
-// The causes that an Error may wrap.
-var (
-	ErrTorn  = errors.New("the file is torn or spoilt")
-	ErrOwner = errors.New("the file is another proxy's")
-	ErrHeld  = errors.New("another process has the file")
 )
 
 // Disk is an open file.
@@ -66,132 +47,110 @@
 }
 
 // Open opens or makes the file of a proxy of a fleet. A file that is torn is set aside, under a name that ends
-// with .torn, and the error says so; the next Open makes a new one.
-func Open(dir, fleet, name string) (d *Disk, err error) {
+// with .torn, and the error says so; the next Open makes a new one. It fails with an *Error.
+func Open(dir, fleet, name string) (*Disk, error) {
 	path := filepath.Join(dir, File)
-	fail := func(err error, does string) (*Disk, error) { return nil, &Error{path, err, does} }
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return fail(err, "make the folder of [fleet] dir one that this proxy may write to")
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, &Error{path, err, "make the folder of [fleet] dir one that this proxy may write to"}
 	}
-	// What is mapped from a file that was cut short faults where it is read: that must not end the process.
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	torn := func(why any) (*Disk, error) {
-		os.Rename(path, path+".torn")
-		return fail(fmt.Errorf("%w: %v: set aside as %s.torn", ErrTorn, why, File), "nothing at once: the keeper begins with a new disk; take it in with 'marlreelctl fleet keepers add "+name+"'")
+	d, err := openChecked(path, fleet+"/"+name)
+	switch {
+	case err == nil:
+		return d, nil
+	case errors.Is(err, ErrTorn):
+		return nil, setAside(path, name, err)
+	case errors.Is(err, ErrHeld):
+		return nil, &Error{path, err, "end the other process of this proxy, or give this one a folder of its own"}
+	case errors.Is(err, ErrOwner):
+		return nil, &Error{path, err, "put this proxy's own folder back, or an empty one"}
 	}
+	return nil, &Error{path, err, "make room on the disk, and let this proxy read and write the file"}
+}
+
+// openChecked opens a file and checks all of it and whose it is. A file that was cut short faults where its mapping is
+// read: that is ErrTorn, too.
+func openChecked(path, owner string) (d *Disk, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
-		if p := recover(); p != nil {
-			d, err = torn(p)
+		if fault := recover(); fault != nil {
+			d, err = nil, fmt.Errorf("%w: %v", ErrTorn, fault)
 		}
 	}()
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Millisecond, FreelistType: bolt.FreelistMapType})
+	db, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout, FreelistType: bolt.FreelistMapType})
+	if err != nil {
+		return nil, openFailure(err)
+	}
+	d = &Disk{path, db}
+	if err := d.check(owner); err != nil {
+		_ = db.Close() // the error of the check is the one that counts
+		return nil, err
+	}
+	return d, nil
+}
+
+// check checks the whole file and whose it is.
+func (d *Disk) check(owner string) error {
+	if err := d.checkLength(); err != nil {
+		return err
+	}
+	return d.checkOwner(owner)
+}
+
+// openFailure returns an error of bolt by its cause.
+func openFailure(err error) error {
 	switch {
 	case errors.Is(err, bolterrors.ErrTimeout):
-		return fail(ErrHeld, "end the other process of this proxy, or give this one a folder of its own")
+		return ErrHeld
 	case errors.Is(err, bolterrors.ErrInvalid), errors.Is(err, bolterrors.ErrChecksum), errors.Is(err, bolterrors.ErrVersionMismatch):
-		return torn(err)
-	case err != nil:
-		return fail(err, "make room on the disk, and let this proxy read and write the file")
+		return fmt.Errorf("%w: %w", ErrTorn, err)
 	}
-	d = &Disk{path, db}
-	if err := d.check(fleet, name); err != nil {
-		db.Close()
-		if errors.Is(err, ErrTorn) {
-			return torn(err)
-		}
-		if errors.Is(err, ErrOwner) {
-			return fail(err, "put this proxy's own folder back, or an empty one")
-		}
-		return fail(err, "make room on the disk")
+	return err
+}
+
+// setAside renames a torn file and returns the error that says so.
+func setAside(path, name string, cause error) error {
+	if err := os.Rename(path, path+tornSuffix); err != nil {
+		return &Error{path, errors.Join(cause, err), "move the file away by hand and start the proxy again"}
+	}
+	return &Error{
+		path, fmt.Errorf("%w: set aside as %s", cause, File+tornSuffix),
+		"nothing at once: the keeper begins with a new disk; take it in with 'marlreelctl fleet keepers add " + name + "'",
 	}
-	return d, nil
 }
 
-// check reads the whole file once, and notes or checks whose it is.
-func (d *Disk) check(fleet, name string) error {
+// checkLength fails with ErrTorn where the file is shorter than its own records say.
+func (d *Disk) checkLength() error {
 	info, err := os.Stat(d.path)
 	if err != nil {
 		return err
 	}
-	short := false
-	err = d.db.View(func(tx *bolt.Tx) error {
-		short = info.Size() < tx.Size()
+	return d.db.View(func(tx *bolt.Tx) error {
+		if info.Size() < tx.Size() {
+			return fmt.Errorf("%w: it is shorter than it was", ErrTorn)
+		}
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	if short {
-		return fmt.Errorf("%w: it is shorter than it was", ErrTorn)
-	}
-	owner := fleet + "/" + name
+}
+
+// checkOwner makes the buckets, and stores or checks whose the file is.
+func (d *Disk) checkOwner(owner string) error {
 	return d.db.Update(func(tx *bolt.Tx) error {
-		for _, b := range [][]byte{bucketMeta, bucketLog, bucketLives} {
-			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+		for _, bucket := range [][]byte{bucketMeta, bucketLog, bucketLives} {
+			if _, err := tx.CreateBucketIfNotExists(bucket); err != nil {
 				return err
 			}
 		}
 		meta := tx.Bucket(bucketMeta)
-		if was := meta.Get(keyOwner); was != nil {
-			text, err := unseal(was)
-			if err != nil {
-				return err
-			}
-			if string(text) != owner {
-				return fmt.Errorf("%w: of %s, and this is %s", ErrOwner, text, owner)
-			}
-			return nil
+		if meta.Get(keyOwner) == nil {
+			return meta.Put(keyOwner, seal([]byte(owner)))
 		}
-		return meta.Put(keyOwner, seal([]byte(owner)))
-	})
-}
-
-// seal puts a checksum before a value, and unseal looks at it.
-func seal(v []byte) []byte {
-	return append(binary.BigEndian.AppendUint32(nil, crc32.Checksum(v, castagnoli)), v...)
-}
-
-func unseal(v []byte) ([]byte, error) {
-	if len(v) < 4 || binary.BigEndian.Uint32(v) != crc32.Checksum(v[4:], castagnoli) {
-		return nil, fmt.Errorf("%w: a checksum is wrong", ErrTorn)
-	}
-	return v[4:], nil
-}
-
-func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
-
-// View is the view that a member had last; nil is none.
-func (d *Disk) View() (s *agree.State, err error) {
-	err = d.db.View(func(tx *bolt.Tx) error {
-		v := tx.Bucket(bucketMeta).Get(keyView)
-		if v == nil {
+		return loadSealed(meta, keyOwner, func(stored []byte) error {
+			if string(stored) != owner {
+				return fmt.Errorf("%w: of %s, and this is %s", ErrOwner, stored, owner)
+			}
 			return nil
-		}
-		if v, err = unseal(v); err != nil {
-			return err
-		}
-		s = &agree.State{}
-		return json.Unmarshal(v, s)
+		})
 	})
-	if err != nil {
-		return nil, &Error{d.path, err, "nothing: the proxy goes by its own file until it hears from the keepers"}
-	}
-	if s != nil && s.Floors == nil {
-		s.Floors = map[string]agree.Floor{}
-	}
-	return s, nil
-}
-
-// SaveView keeps a member's view.
-func (d *Disk) SaveView(s *agree.State) error {
-	v, err := json.Marshal(s)
-	if err == nil {
-		err = d.db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyView, seal(v)) })
-	}
-	if err != nil {
-		return &Error{d.path, err, "make room on the disk"}
-	}
-	return nil
 }
 
 // Close closes the file.
--- a/internal/fleet/disk/disk_test.go
+++ b/internal/fleet/disk/disk_test.go
@@ -80,6 +80,28 @@
 func TestTornAnywhere(t *testing.T) {
 	t.Parallel()
 	rng := rand.New(rand.NewPCG(1, 2))
+	whole := fileWithEntries(t, 60, 700)
+	refused, read := 0, 0
+	for i := range 150 {
+		at := t.TempDir()
+		if err := os.WriteFile(filepath.Join(at, File), damaged(rng, whole, i%2 == 0), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if readsDamaged(t, i, at) {
+			read++
+		} else {
+			refused++
+		}
+	}
+	t.Logf("%d refused, %d read", refused, read)
+	if refused == 0 || read == 0 {
+		t.Error("nothing is shown")
+	}
+}
+
+// fileWithEntries is the file of the keeper with identity 77, with so many entries of so many bytes.
+func fileWithEntries(t *testing.T, entries, size int) []byte {
+	t.Helper()
 	dir := t.TempDir()
 	d, err := Open(dir, "pier", "n1")
 	if err != nil {
@@ -90,8 +112,8 @@
 		t.Fatal(err)
 	}
 	term := uint64(1)
-	for i := range uint64(60) {
-		if err := d.Save(agree.Save{Entries: []*pb.Entry{entry(i+1, 1, string(make([]byte, 700)))}, Hard: &pb.HardState{Term: &term}, ID: first.ID, Life: first.Life}); err != nil {
+	for i := range uint64(entries) {
+		if err := d.Save(agree.Save{Entries: []*pb.Entry{entry(i+1, 1, string(make([]byte, size)))}, Hard: &pb.HardState{Term: &term}, ID: first.ID, Life: first.Life}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -100,49 +122,52 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	refused, read := 0, 0
-	for i := range 150 {
-		data := append([]byte(nil), whole...)
-		if i%2 == 0 {
-			data = data[:rng.IntN(len(data))]
-		} else {
-			for range 1 + rng.IntN(40) {
-				data[rng.IntN(len(data))] ^= byte(1 + rng.IntN(255))
-			}
-		}
-		at := t.TempDir()
-		if err := os.WriteFile(filepath.Join(at, File), data, 0o600); err != nil {
-			t.Fatal(err)
+	return whole
+}
+
+// damaged is a file that was cut short, or of which some bytes are others.
+func damaged(rng *rand.Rand, whole []byte, cut bool) []byte {
+	data := append([]byte(nil), whole...)
+	if cut {
+		return data[:rng.IntN(len(data))]
+	}
+	for range 1 + rng.IntN(40) {
+		data[rng.IntN(len(data))] ^= byte(1 + rng.IntN(255))
+	}
+	return data
+}
+
+// readsDamaged opens and reads a damaged file. It tells whether it was read, and fails the test where what is read is
+// neither what was written nor a new keeper's, or where a torn file was not set aside.
+func readsDamaged(t *testing.T, i int, at string) bool {
+	t.Helper()
+	d, err := Open(at, "pier", "n1")
+	if err != nil {
+		if !errors.Is(err, ErrTorn) {
+			return false
 		}
-		d, err := Open(at, "pier", "n1")
+		again, err := Open(at, "pier", "n1") // it was set aside
 		if err != nil {
-			if refused++; errors.Is(err, ErrTorn) {
-				if again, err := Open(at, "pier", "n1"); err != nil { // it was set aside
-					t.Errorf("case %d: after it was set aside: %v", i, err)
-				} else {
-					again.Close()
-				}
-			}
-			continue
-		}
-		s, err := d.Load(1)
-		d.Close()
-		switch {
-		case err != nil:
-			refused++
-		case s.ID == 1 && len(s.Entries) == 0 || s.ID == 77 && len(s.Entries) <= 60:
-			for k, e := range s.Entries {
-				if e.GetIndex() != uint64(k+1) || len(e.Data) != 700 {
-					t.Errorf("case %d: entry %d is another", i, k)
-				}
-			}
-			read++
-		default:
-			t.Errorf("case %d: %d entries of identity %d", i, len(s.Entries), s.ID)
+			t.Errorf("case %d: after it was set aside: %v", i, err)
+			return false
 		}
+		again.Close()
+		return false
 	}
-	t.Logf("%d refused, %d read", refused, read)
-	if refused == 0 || read == 0 {
-		t.Error("nothing is shown")
+	s, err := d.Load(1)
+	d.Close()
+	if err != nil {
+		return false
+	}
+	isNew, isWritten := s.ID == 1 && len(s.Entries) == 0, s.ID == 77 && len(s.Entries) <= 60
+	if !isNew && !isWritten {
+		t.Errorf("case %d: %d entries of identity %d", i, len(s.Entries), s.ID)
+		return false
+	}
+	for k, e := range s.Entries {
+		if e.GetIndex() != uint64(k+1) || len(e.Data) != 700 {
+			t.Errorf("case %d: entry %d is another", i, k)
+		}
 	}
+	return true
 }
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -43,7 +43,7 @@
 		"marlreel/internal/process/logs":                   {},
 		"marlreel/internal/fleet/rules":                    {"marlreel/internal/balancer"},
 		"marlreel/internal/fleet/agree":                    {},
-		"marlreel/internal/fleet/disk":                     {"marlreel/internal/fleet/agree"},
+		"marlreel/internal/fleet/disk":                     {"marlreel/internal/actionable", "marlreel/internal/fleet/agree"},
 		"marlreel/internal/fleet/peers":                    {},
 		"marlreel/internal/fleet":                          {"marlreel/internal/balancer", "marlreel/internal/fleet/agree", "marlreel/internal/fleet/disk", "marlreel/internal/fleet/peers", "marlreel/internal/fleet/rules", "marlreel/internal/stricttoml"},
 		"marlreel/internal/experiment":                     {"marlreel/internal/stricttoml"},
