Configuration: changes of subscribers, their validation, errors that quote nothing

Need: POST /marlreel/config/modify refused the list "subscribers", which the shared sites change by it, and nothing checked the list. JSON errors quote the byte or the number at which they fail, which may be part of a key.

Change: upsert and remove take subscribers. The list is kept as it was sent; a document without it stays without it unless a change adds a tenant, and one whose last tenant is removed keeps an empty list, so keys stay required. Tables of a list that a change doesn't touch are shared with the document before, and that list isn't validated again. Tenants need a name that is theirs alone and fits a header, keys of their own (210, HTTP 400), no empty key, and limits that are 0 or more. Texts of JSON errors are made of the place alone. A subscriber that is formatted shows its name alone.

--- a/internal/controlplane/configuration/decode.go
+++ b/internal/controlplane/configuration/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 
 	"marlreel/internal/controlplane/result"
@@ -23,7 +24,7 @@
 func Decode(data []byte) (*Document, *result.Error) {
 	document := &Document{raw: newRawDocument(data)}
 	if err := decodeJSON(data, document); err != nil {
-		return nil, result.Errorf(result.Malformed, "configuration: %v", err)
+		return nil, result.Errorf(result.Malformed, "configuration: %s", describeJSONError(err))
 	}
 	document.buildIndex()
 	return document, nil
@@ -36,7 +37,7 @@
 		Version *uint64 `json:"config_version"`
 	}
 	if err := decodeJSON(data, &head); err != nil {
-		return 0, result.Errorf(result.Malformed, "configuration: %v", err)
+		return 0, result.Errorf(result.Malformed, "configuration: %s", describeJSONError(err))
 	}
 	if head.Version == nil {
 		return 0, result.Errorf(result.InvalidField, "config_version is missing")
@@ -57,3 +58,19 @@
 	}
 	return nil
 }
+
+// describeJSONError says what is wrong with JSON. The text has nothing of the JSON in it, unlike that of the error: it
+// may hold keys.
+func describeJSONError(err error) string {
+	var syntax *json.SyntaxError
+	var mismatch *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return fmt.Sprintf("no valid JSON at byte %d", syntax.Offset)
+	case errors.As(err, &mismatch):
+		return fmt.Sprintf("a value of another type in %q at byte %d", mismatch.Field, mismatch.Offset)
+	case errors.Is(err, errTrailingData), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return err.Error()
+	}
+	return "no valid JSON"
+}
--- a/internal/controlplane/configuration/diff.go
+++ b/internal/controlplane/configuration/diff.go
@@ -52,7 +52,7 @@
 	decoder.UseNumber()
 	var value any
 	if err := decoder.Decode(&value); err != nil {
-		return nil, result.Errorf(result.Malformed, "configuration: %v", err)
+		return nil, result.Errorf(result.Malformed, "configuration: %s", describeJSONError(err))
 	}
 	return value, nil
 }
--- a/internal/controlplane/configuration/document.go
+++ b/internal/controlplane/configuration/document.go
@@ -144,11 +144,10 @@
 	// Subscribers are the tenants; nil where the configuration has no such list, and requests need no key.
 	Subscribers []Subscriber `json:"subscribers,omitempty"`
 
-	raw              *rawDocument
-	services         map[string]*Service
-	routesByHost     map[string][]*Route // the longest prefix first
-	subscribers      map[string]*Subscriber
-	subscribersByKey map[keyDigest]*Subscriber
+	raw          *rawDocument
+	services     map[string]*Service
+	routesByHost map[string][]*Route // the longest prefix first
+	subscribers  *subscriberIndex
 }
 
 // Raw is the document as JSON, as it was sent. The caller must not change it.
--- a/internal/controlplane/configuration/match.go
+++ b/internal/controlplane/configuration/match.go
@@ -9,12 +9,22 @@
 
 // buildIndex makes the tables by which services and subscribers are found and requests are matched.
 func (d *Document) buildIndex() {
+	d.indexRoutes()
+	d.indexServices()
 	d.indexSubscribers()
-	d.services = map[string]*Service{}
+}
+
+func (d *Document) indexSubscribers() { d.subscribers = newSubscriberIndex(d.Subscribers) }
+
+func (d *Document) indexServices() {
+	d.services = make(map[string]*Service, len(d.Services))
 	for i := range d.Services {
 		service := &d.Services[i]
 		d.services[service.Name] = service
 	}
+}
+
+func (d *Document) indexRoutes() {
 	d.routesByHost = map[string][]*Route{}
 	for i := range d.Routes {
 		route := &d.Routes[i]
--- a/internal/controlplane/configuration/modify.go
+++ b/internal/controlplane/configuration/modify.go
@@ -17,7 +17,7 @@
 func decodeChange(data []byte) (*change, *result.Error) {
 	c := &change{}
 	if err := decodeJSON(data, c); err != nil {
-		return nil, result.Errorf(result.Malformed, "change: %v", err)
+		return nil, result.Errorf(result.Malformed, "change: %s", describeJSONError(err))
 	}
 	for name := range c.Upsert {
 		if !isList(name) {
@@ -32,10 +32,16 @@
 	return c, nil
 }
 
-func isList(name string) bool { return name == routesKey || name == servicesKey }
+func isList(name string) bool {
+	return name == routesKey || name == servicesKey || name == subscribersKey
+}
+
+// touches reports whether the change names items of a list.
+func (c *change) touches(key string) bool { return len(c.Upsert[key]) > 0 || len(c.Remove[key]) > 0 }
 
 // Modify returns the document that a change leads to; this document stays as it is. Items that the change does not
-// name are neither decoded nor validated again, but for how they relate to the changed ones.
+// name are neither decoded nor validated again, but for how they relate to the changed ones, and what was made of a
+// list that it does not touch is shared by both documents.
 func (d *Document) Modify(data []byte) (*Document, *result.Error) {
 	c, err := decodeChange(data)
 	if err != nil {
@@ -54,17 +60,34 @@
 	if err != nil {
 		return nil, err
 	}
-	fields := &rawFields{routes: routes.items, services: services.items, others: old.others}
-	next := &Document{
-		Version: c.Version, Routes: routes.values, Services: services.values, Limits: d.Limits, Subscribers: d.Subscribers,
-		raw: &rawDocument{fields: fields},
+	subscribers, err := applyChange(list[Subscriber]{d.Subscribers, old.subscribers}, c, subscribersKey, newNames)
+	if err != nil {
+		return nil, err
 	}
-	next.buildIndex()
+	next := *d
+	next.Version, next.Routes, next.Services, next.Subscribers = c.Version, routes.values, services.values, subscribers.values
+	next.raw = &rawDocument{fields: &rawFields{
+		routes: routes.items, services: services.items, subscribers: subscribers.items, others: old.others,
+	}}
+	next.indexTouched(c)
 	isNew := func(name string) bool { return newNames[name] }
-	if err := combine(next.validate(isNew)); err != nil {
+	if err := combine(next.validate(scope{touches: c.touches, isNew: isNew})); err != nil {
 		return nil, err
 	}
-	return next, nil
+	return &next, nil
+}
+
+// indexTouched makes the tables of those lists anew that a change touches.
+func (d *Document) indexTouched(c *change) {
+	if c.touches(routesKey) {
+		d.indexRoutes()
+	}
+	if c.touches(servicesKey) {
+		d.indexServices()
+	}
+	if c.touches(subscribersKey) {
+		d.indexSubscribers()
+	}
 }
 
 // list is a list of a document: its items decoded, and as they were sent, in the same order.
@@ -79,8 +102,12 @@
 }
 
 // applyChange applies what a change says of the list under a key. It adds the names of the items that come with
-// the change to newNames.
+// the change to newNames. A list that the change does not touch is returned as it is, and so is an absent one from
+// which items are removed.
 func applyChange[T any](old list[T], c *change, key string, newNames map[string]bool) (list[T], *result.Error) {
+	if len(c.Upsert[key]) == 0 && (len(c.Remove[key]) == 0 || old.items == nil) {
+		return old, nil
+	}
 	upserts, err := decodeUpserts[T](c.Upsert[key])
 	if err != nil {
 		return list[T]{}, err
@@ -104,7 +131,7 @@
 			return list[T]{}, result.Errorf(result.DuplicateName, "upsert: %s comes twice", item.name)
 		}
 		if err := json.Unmarshal(item.json, &values[i]); err != nil {
-			return list[T]{}, result.Errorf(result.Malformed, "%s: %v", item.name, err)
+			return list[T]{}, result.Errorf(result.Malformed, "%s: %s", item.name, describeJSONError(err))
 		}
 		names[item.name] = true
 	}
--- a/internal/controlplane/configuration/rawdocument.go
+++ b/internal/controlplane/configuration/rawdocument.go
@@ -10,9 +10,10 @@
 
 // The keys of a document that a change can name.
 const (
-	routesKey   = "route_list"
-	servicesKey = "service_list"
-	versionKey  = "config_version"
+	routesKey      = "route_list"
+	servicesKey    = "service_list"
+	subscribersKey = "subscribers"
+	versionKey     = "config_version"
 )
 
 // rawItem is an entry of a list as the operator sent it.
@@ -25,7 +26,9 @@
 type rawFields struct {
 	routes   []rawItem
 	services []rawItem
-	others   map[string]json.RawMessage // all fields but the lists and the version
+	// subscribers is nil where the document has no such list, and empty where the list has no items.
+	subscribers []rawItem
+	others      map[string]json.RawMessage // all fields but the lists and the version
 }
 
 // rawDocument is a document's JSON as it was sent: the bytes, the fields, or both. Each is made of the other when
@@ -66,7 +69,7 @@
 func decodeFields(data []byte) (*rawFields, *result.Error) {
 	all := map[string]json.RawMessage{}
 	if err := decodeJSON(data, &all); err != nil {
-		return nil, result.Errorf(result.Malformed, "configuration in place: %v", err)
+		return nil, result.Errorf(result.Malformed, "configuration in place: %s", describeJSONError(err))
 	}
 	routes, err := decodeList(all[routesKey])
 	if err != nil {
@@ -76,10 +79,26 @@
 	if err != nil {
 		return nil, err
 	}
-	delete(all, routesKey)
-	delete(all, servicesKey)
-	delete(all, versionKey)
-	return &rawFields{routes: routes, services: services, others: all}, nil
+	subscribers, err := decodeOptionalList(all[subscribersKey])
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range []string{routesKey, servicesKey, versionKey} {
+		delete(all, key)
+	}
+	if subscribers != nil {
+		delete(all, subscribersKey)
+	}
+	return &rawFields{routes: routes, services: services, subscribers: subscribers, others: all}, nil
+}
+
+// decodeOptionalList decodes a list whose absence means something else than that it has no items: it returns nil
+// where the list is absent or null.
+func decodeOptionalList(data json.RawMessage) ([]rawItem, *result.Error) {
+	if len(data) == 0 || string(data) == "null" {
+		return nil, nil
+	}
+	return decodeList(data)
 }
 
 // decodeList decodes a list of a document; a list that is absent is empty.
@@ -87,7 +106,7 @@
 	var list []json.RawMessage
 	if len(data) > 0 {
 		if err := json.Unmarshal(data, &list); err != nil {
-			return nil, result.Errorf(result.Malformed, "configuration in place: %v", err)
+			return nil, result.Errorf(result.Malformed, "configuration in place: %s", describeJSONError(err))
 		}
 	}
 	return namedItems(list)
@@ -110,14 +129,16 @@
 
 // encode makes the JSON of a document.
 func (f *rawFields) encode(version uint64) []byte {
-	document := map[string]any{
-		routesKey:   rawMessages(f.routes),
-		servicesKey: rawMessages(f.services),
-		versionKey:  json.RawMessage(strconv.FormatUint(version, 10)),
-	}
+	document := map[string]any{}
 	for name, value := range f.others {
 		document[name] = value
 	}
+	document[routesKey] = rawMessages(f.routes)
+	document[servicesKey] = rawMessages(f.services)
+	document[versionKey] = json.RawMessage(strconv.FormatUint(version, 10))
+	if f.subscribers != nil {
+		document[subscribersKey] = rawMessages(f.subscribers)
+	}
 	data, _ := json.Marshal(document) // fields of valid JSON always marshal
 	return data
 }
--- a/internal/controlplane/configuration/subscriber.go
+++ b/internal/controlplane/configuration/subscriber.go
@@ -1,8 +1,6 @@
 package configuration
 
-import "crypto/sha256"
-
-// UnitTokens: a subscriber's limits count tokens. Without a unit they count requests.
+// UnitTokens says that a subscriber's limits count tokens. Without a unit they count requests.
 const UnitTokens = "token_metering"
 
 // Subscriber is a tenant: who sends requests under some keys, and how many it may send.
@@ -23,6 +21,12 @@
 	BurstSize float64 `json:"burst_size"`
 }
 
+// String returns the tenant's name: a subscriber that is printed must not give its keys away.
+func (s Subscriber) String() string { return "subscriber " + s.Name }
+
+// GoString is String, for %#v.
+func (s Subscriber) GoString() string { return s.String() }
+
 // Limited reports whether the tenant has a quota.
 func (s *Subscriber) Limited() bool { return s.RatePerS > 0 }
 
@@ -38,34 +42,21 @@
 	return tokens
 }
 
-// keyDigest is the SHA-256 of a key: by it a key is looked up in a time that does not tell how much of it is right.
-type keyDigest [sha256.Size]byte
-
-func digestOfKey(key string) keyDigest { return sha256.Sum256([]byte(key)) }
-
 // RequiresKeys reports whether requests need a key on routes that are not keyless: subscribers are listed, be it none.
 func (d *Document) RequiresKeys() bool { return d.Subscribers != nil }
 
 // SubscriberByKey returns the tenant that has a key, or nil.
 func (d *Document) SubscriberByKey(key string) *Subscriber {
-	if len(d.subscribersByKey) == 0 {
+	if d.subscribers == nil || len(d.subscribers.byKey) == 0 {
 		return nil
 	}
-	return d.subscribersByKey[digestOfKey(key)]
+	return d.subscribers.byKey[digestOfKey(key)]
 }
 
 // Subscriber returns the tenant of a name, or nil.
-func (d *Document) Subscriber(name string) *Subscriber { return d.subscribers[name] }
-
-// indexSubscribers makes the tables by which subscribers are found.
-func (d *Document) indexSubscribers() {
-	d.subscribers = map[string]*Subscriber{}
-	d.subscribersByKey = map[keyDigest]*Subscriber{}
-	for i := range d.Subscribers {
-		subscriber := &d.Subscribers[i]
-		d.subscribers[subscriber.Name] = subscriber
-		for _, key := range subscriber.AccessKeys {
-			d.subscribersByKey[digestOfKey(key)] = subscriber
-		}
+func (d *Document) Subscriber(name string) *Subscriber {
+	if d.subscribers == nil {
+		return nil
 	}
+	return d.subscribers.byName[name]
 }
--- /dev/null
+++ b/internal/controlplane/configuration/subscriber_test.go
@@ -0,0 +1,215 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"marlreel/internal/controlplane/result"
+)
+
+// secretMark is part of every key of these tests, so that a key which is given away is noticed.
+const secretMark = "SECRET"
+
+// tenantList has two tenants, the first with a field that is not known here.
+const tenantList = `[{"name":"north","access_keys":["SECRET1","SECRET2"],"priority":2,"unit":"token_metering","raw_tokens":200,` +
+	`"rate_per_s":10,"burst_size":5,"later":[1,2.50]},{"name":"south","access_keys":["SECRET3"]}]`
+
+// withTenants is baseDocument with a list of subscribers.
+func withTenants(list string) string {
+	return strings.Replace(baseDocument, `"limits":{}`, `"limits":{},"subscribers":`+list, 1)
+}
+
+func parsed(t testing.TB, text string) *Document {
+	t.Helper()
+	d, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func modified(t testing.TB, d *Document, change string) *Document {
+	t.Helper()
+	next, err := d.Modify([]byte(change))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// tenantOf is the name of the tenant that has a key; empty: none has.
+func tenantOf(d *Document, key string) string {
+	if subscriber := d.SubscriberByKey(key); subscriber != nil {
+		return subscriber.Name
+	}
+	return ""
+}
+
+// Guards against changes of subscribers that are refused, or lose what they don't name.
+func TestModifyChangesSubscribers(t *testing.T) {
+	is := is.New(t)
+	d := parsed(t, withTenants(tenantList))
+	next := modified(t, d, `{"config_version":4,"upsert":{"subscribers":[{"name":"south","access_keys":["SECRET4"]},{"name":"east","access_keys":["SECRET3"]}]}}`)
+	is.Equal(tenantOf(next, "SECRET1"), "north")
+	is.Equal(tenantOf(next, "SECRET3"), "east") // a key that one tenant gives up may become another's
+	is.Equal(tenantOf(next, "SECRET4"), "south")
+	is.Equal(tenantOf(d, "SECRET3"), "south") // the one before is as it was
+	is.True(strings.Contains(string(next.Raw()), `"later":[1,2.50]`))
+
+	last := modified(t, next, `{"config_version":5,"remove":{"subscribers":["north","south","none"]}}`)
+	is.Equal(tenantOf(last, "SECRET1"), "")
+	is.Equal(last.Subscriber("north"), nil)
+	is.Equal(tenantOf(last, "SECRET3"), "east")
+}
+
+// Guards against requests without a key being let in once the last tenant is removed, and being refused where the
+// operator lists no subscribers.
+func TestModifyKeepsWhetherKeysAreRequired(t *testing.T) {
+	for _, c := range []struct {
+		name, document, change string
+		required               bool
+	}{
+		{"no list, a route changes", baseDocument, `{"config_version":4,"remove":{"route_list":["a"]}}`, false},
+		{"no list, a tenant is removed", baseDocument, `{"config_version":4,"remove":{"subscribers":["north"]}}`, false},
+		{"no list, a tenant is added", baseDocument, `{"config_version":4,"upsert":{"subscribers":[{"name":"a"}]}}`, true},
+		{"null, a route changes", withTenants("null"), `{"config_version":4,"remove":{"route_list":["a"]}}`, false},
+		{"an empty list, a route changes", withTenants("[]"), `{"config_version":4,"remove":{"route_list":["a"]}}`, true},
+		{"the last tenants are removed", withTenants(tenantList), `{"config_version":4,"remove":{"subscribers":["north","south"]}}`, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			next := modified(t, parsed(t, c.document), c.change)
+			is.Equal(next.RequiresKeys(), c.required)
+			is.Equal(parsed(t, string(next.Raw())).RequiresKeys(), c.required) // also as it is read back
+		})
+	}
+}
+
+// Guards against a change of one route that hashes the keys of thousands of tenants again.
+func TestModifySharesTheTablesOfUntouchedLists(t *testing.T) {
+	is := is.New(t)
+	d := parsed(t, withTenants(tenantList))
+	routeChanged := modified(t, d, `{"config_version":4,"remove":{"route_list":["a"]}}`)
+	is.True(routeChanged.subscribers == d.subscribers)
+	is.True(routeChanged.Match("h.example", "/a/1") == nil)
+	is.True(routeChanged.Service("t") == d.Service("t"))
+	tenantChanged := modified(t, d, `{"config_version":4,"remove":{"subscribers":["north"]}}`)
+	is.True(tenantChanged.subscribers != d.subscribers)
+	is.True(tenantChanged.Match("h.example", "/a/1") == d.Match("h.example", "/a/1"))
+}
+
+// Guards against invalid tenants being accepted, by a whole configuration or by a change.
+func TestSubscribersAreValidated(t *testing.T) {
+	for _, c := range []struct {
+		name, list string
+		code       result.Code // 0: valid
+	}{
+		{"two of a name", `[{"name":"a"},{"name":"a"}]`, result.DuplicateName},
+		{"no name", `[{"access_keys":["SECRET1"]}]`, result.InvalidField},
+		{"a name that ends a header", `[{"name":"a\r\nSubscriber: b"}]`, result.InvalidField},
+		{"a key of two tenants", `[{"name":"a","access_keys":["SECRET1"]},{"name":"b","access_keys":["SECRET2","SECRET1"]}]`, result.SharedKey},
+		{"a key twice in one tenant", `[{"name":"a","access_keys":["SECRET1","SECRET1"]}]`, 0},
+		{"an empty key", `[{"name":"a","access_keys":["SECRET1",""]}]`, result.InvalidField},
+		{"no keys", `[{"name":"a","access_keys":[]},{"name":"b"}]`, 0},
+		{"negative rate", `[{"name":"a","rate_per_s":-1}]`, result.InvalidField},
+		{"negative burst", `[{"name":"a","burst_size":-0.5}]`, result.InvalidField},
+		{"negative tokens", `[{"name":"a","raw_tokens":-1}]`, result.InvalidField},
+		{"a rate beyond all numbers", `[{"name":"a","rate_per_s":1e999}]`, result.Malformed},
+		{"a unit that nobody knows", `[{"name":"a","unit":"other"}]`, 0},
+		{"keys of another type", `[{"name":"a","access_keys":"SECRET1"}]`, result.Malformed},
+		{"keys in an object", `[{"name":"a","access_keys":{"SECRET1":true}}]`, result.Malformed},
+		{"a key in place of a rate", `[{"name":"a","rate_per_s":"SECRET1"}]`, result.Malformed},
+		{"cut short in a key", `[{"name":"a","access_keys":["SECRET`, result.Malformed},
+		{"a key without quotes", `[{"name":"a","access_keys":[SECRET1]}]`, result.Malformed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, whole := Parse([]byte(withTenants(c.list)))
+			_, change := parsed(t, withTenants("[]")).Modify([]byte(`{"config_version":4,"upsert":{"subscribers":` + c.list + `}}`))
+			for _, err := range []*result.Error{whole, change} {
+				is.Equal(err != nil, c.code != 0)
+				is.True(err == nil || !strings.Contains(err.Error(), secretMark)) // an error must not print a key
+			}
+			is.True(whole == nil || whole.Code == c.code)
+		})
+	}
+}
+
+// Guards against a change that gives a tenant the key of one which the change does not name.
+func TestModifyRejectsAKeyOfAnotherTenant(t *testing.T) {
+	is := is.New(t)
+	_, err := parsed(t, withTenants(tenantList)).Modify([]byte(`{"config_version":4,"upsert":{"subscribers":[{"name":"x","access_keys":["SECRET3"]}]}}`))
+	is.True(err != nil)
+	is.Equal(err.Code, result.SharedKey)
+	is.Equal(err.Code.Status(), 400)
+	is.True(strings.Contains(err.Detail, `"south" and "x"`) && !strings.Contains(err.Detail, secretMark))
+}
+
+// Guards against JSON errors, which quote the byte or the number that they stumble over, giving a key away.
+func TestJSONErrorsQuoteNothing(t *testing.T) {
+	is := is.New(t)
+	const key = "8675309"
+	for _, list := range []string{
+		`[{"name":"a","priority":` + key + `.5}]`, `[{"name":"a","access_keys":[` + key + `]}]`, `[{"name":` + key + `}]`, `[` + key + `]`, key,
+	} {
+		_, err := Parse([]byte(withTenants(list)))
+		is.True(err != nil)
+		is.True(!strings.Contains(err.Detail, key))
+		_, err = parsed(t, baseDocument).Modify([]byte(`{"config_version":4,"upsert":{"subscribers":` + list + `}}`))
+		is.True(err != nil)
+		is.True(!strings.Contains(err.Detail, key))
+	}
+}
+
+// Guards against logs: a subscriber, or a document with some, that is formatted shows no key.
+func TestFormattedSubscribersShowNoKey(t *testing.T) {
+	is := is.New(t)
+	d := parsed(t, withTenants(tenantList))
+	for _, format := range []string{"%v", "%+v", "%#v", "%s"} {
+		text := fmt.Sprintf(format, d.Subscribers) + fmt.Sprintf(format, &d.Subscribers[0]) + fmt.Sprintf(format, *d)
+		is.True(strings.Contains(text, "north"))
+		is.True(!strings.Contains(text, secretMark))
+	}
+}
+
+// Guards against a change that leads to other tenants or keys than reading its result does, whatever changes follow one
+// another.
+func TestModifyOfSubscribersEqualsParsingItsResult(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		keys := rapid.SliceOfN(rapid.SampledFrom([]string{"k1", "k2", "k3", "k4", "k5", "k6"}), 0, 2)
+		d, err := Parse([]byte(rapid.SampledFrom([]string{baseDocument, withTenants("[]"), withTenants(tenantList)}).Draw(t, "first")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"modify": func(t *rapid.T) {
+				drawn, _ := json.Marshal(keys.Draw(t, "keys"))
+				change := fmt.Sprintf(`{"config_version":%d,"upsert":{"subscribers":[{"name":%q,"access_keys":%s,"more":1}]},"remove":{"subscribers":[%q],"route_list":[%q]}}`,
+					d.Version+1, name.Draw(t, "name"), drawn, name.Draw(t, "removed"), name.Draw(t, "removed route"))
+				next, err := d.Modify([]byte(change))
+				if err != nil {
+					return
+				}
+				read, err := Parse(next.Raw())
+				if err != nil {
+					t.Fatalf("%s was accepted, and leads to %v", change, err)
+				}
+				if got, want := asJSON(next), asJSON(read); got != want || next.RequiresKeys() != read.RequiresKeys() {
+					t.Fatalf("%s leads to %s, and is read back as %s", change, got, want)
+				}
+				for _, key := range []string{"k1", "k2", "k3", "k4", "k5", "k6", "SECRET1"} {
+					if got, want := tenantOf(next, key), tenantOf(read, key); got != want {
+						t.Fatalf("%s makes %s a key of %q, and it is read back as one of %q", change, key, got, want)
+					}
+				}
+				d = next
+			},
+		})
+	})
+}
--- a/internal/controlplane/configuration/validate.go
+++ b/internal/controlplane/configuration/validate.go
@@ -24,8 +24,8 @@
 	if err != nil {
 		return nil, []*result.Error{err}
 	}
-	everyName := func(string) bool { return true }
-	return document, document.validate(everyName)
+	always := func(string) bool { return true }
+	return document, document.validate(scope{touches: always, isNew: always})
 }
 
 // combine makes one error of all violations; nil where there are none.
@@ -43,15 +43,31 @@
 	return result.Errorf(violations[0].Code, "%s", strings.Join(texts, "; "))
 }
 
-// validate returns the violations of a document. The own fields of routes and services are checked only where
-// isNew says so of their names; how items relate to one another is always checked.
-func (d *Document) validate(isNew func(name string) bool) []*result.Error {
+// scope says what of a document has to be validated.
+type scope struct {
+	// touches reports whether a list is another one than in the document before.
+	touches func(key string) bool
+	// isNew reports whether an item's own fields have to be checked.
+	isNew func(name string) bool
+}
+
+// validate returns the violations of a document within a scope. How items of a list relate to one another and to
+// another list is checked where one of both was touched.
+func (d *Document) validate(s scope) []*result.Error {
 	var violations []*result.Error
 	if d.Version == 0 {
 		violations = append(violations, result.Errorf(result.InvalidField, "config_version: must be 1 or more"))
 	}
-	violations = append(violations, d.validateServices(isNew)...)
-	return append(violations, d.validateRoutes(isNew)...)
+	if s.touches(servicesKey) {
+		violations = append(violations, d.validateServices(s.isNew)...)
+	}
+	if s.touches(servicesKey) || s.touches(routesKey) {
+		violations = append(violations, d.validateRoutes(s.isNew)...)
+	}
+	if s.touches(subscribersKey) {
+		violations = append(violations, d.validateSubscribers(s.isNew)...)
+	}
+	return violations
 }
 
 func (d *Document) validateServices(isNew func(name string) bool) []*result.Error {
--- a/internal/controlplane/result/result.go
+++ b/internal/controlplane/result/result.go
@@ -23,6 +23,7 @@
 	DuplicateName  Code = 207 // two items of a list have the same name
 	TooLarge       Code = 208 // the body is larger than what is accepted
 	UnknownPath    Code = 209 // there is no such call
+	SharedKey      Code = 210 // two subscribers have the same key
 
 	VersionConflict Code = 300 // another version is current
 
@@ -52,6 +53,7 @@
 	{DuplicateName, http.StatusBadRequest, "same name", "give each item of a list its own name"},
 	{TooLarge, http.StatusRequestEntityTooLarge, "too large", "send less at once"},
 	{UnknownPath, http.StatusNotFound, "unknown path", "see the pages for the calls that there are"},
+	{SharedKey, http.StatusBadRequest, "shared key", "give each subscriber keys of its own"},
 	{VersionConflict, http.StatusPreconditionFailed, "version conflict", "read the configuration and build on it"},
 	{Unavailable, http.StatusServiceUnavailable, "unavailable", "send the same again, to any control process"},
 	{OutcomeUnknown, http.StatusGatewayTimeout, "unclear", "send the same again, to any control process"},
