Gateway: a gate for tenants' quotas before the engine

Need: quotas are counted over all proxies by a package of its own; the gateway asks it once for each request. Change: QuotaGate with its decisions, Config.Quota (nil: nothing is counted), the call before the engine's. Refusals are 429 and 503 with Retry-After. What a request took goes back where its answer is Rejected or Overloaded, which promise that it never ran, and where it ended without an attempt. For the latter a request whose client disconnects waits until the engine has ended its call.

--- a/internal/dataplane/gateway/clientrequest.go
+++ b/internal/dataplane/gateway/clientrequest.go
@@ -15,6 +15,7 @@
 	engine.Call
 	latencyTarget time.Duration      // from its arrival on
 	modelLoaded   bool               // a backend had its model and adapter loaded when it came
+	unsent        bool               // it is over, and no attempt was made; to be read after the answer
 	answers       chan engine.Answer // has room for the one answer
 }
 
@@ -25,6 +26,7 @@
 	if reply, is := a.Reply.(*httpproxy.Reply); is {
 		reply.Claim()
 	}
+	c.unsent = len(c.Attempts()) == 0
 	c.answers <- a
 }
 
@@ -49,6 +51,8 @@
 	gateway    *Gateway
 	service    *service
 	route      *configuration.Route
+	tenant     tenancy
+	quotaTaken *QuotaDecision // nil: nothing was taken
 	message    *httpproxy.Message
 	needs      *balancer.Needs
 	work       time.Duration
@@ -83,18 +87,31 @@
 	case <-s.engine.Done():
 		return engine.Answer{Verdict: engine.Stopped}
 	case <-r.disconnect.disconnected:
-		s.engine.Post(func() {
-			s.engine.HandleClientGone(&c.Call)
-			select {
-			case answer := <-c.answers:
-				r.discardAnswer(answer)
-			default:
-			}
-		})
+		r.abandon(c)
 		return engine.Answer{Verdict: engine.ClientGone}
 	}
 }
 
+// abandon ends a call whose client has disconnected, and returns once the engine has done so.
+func (r *clientRequest) abandon(c *call) {
+	s := r.service
+	ended := make(chan struct{})
+	s.engine.Post(func() {
+		defer close(ended)
+		s.engine.HandleClientGone(&c.Call)
+		c.unsent = len(c.Attempts()) == 0
+		select {
+		case answer := <-c.answers:
+			r.discardAnswer(answer)
+		default:
+		}
+	})
+	select {
+	case <-ended:
+	case <-s.engine.Done():
+	}
+}
+
 // discardAnswer releases an answer whose client has disconnected. Only on the engine's goroutine.
 func (r *clientRequest) discardAnswer(a engine.Answer) {
 	reply, is := a.Reply.(*httpproxy.Reply)
--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -20,6 +20,7 @@
 	memory         *budget.Budget // for bodies
 	maxConnections int            // to backends, of each service
 	budgets        SharedBudgets
+	quota          QuotaGate // nil: none are counted
 	dial           transport.DialFunc
 	log            logr.Logger
 	demand         *demandRecorder
@@ -44,6 +45,7 @@
 	BodyBytes      int      // memory for bodies
 	MaxConnections int      // to backends, of each service
 	Budgets        SharedBudgets
+	Quota          QuotaGate // of tenants; nil: none are counted
 	Log            logr.Logger
 }
 
@@ -60,7 +62,7 @@
 func New(cfg Config, state *watch.Store) *Gateway {
 	g := &Gateway{
 		identity: identity{name: cfg.Name, zones: cfg.Zones, zone: cfg.Zone}, state: state,
-		memory: budget.New(cfg.BodyBytes), maxConnections: cfg.MaxConnections, budgets: cfg.Budgets, dial: cfg.Dial,
+		memory: budget.New(cfg.BodyBytes), maxConnections: cfg.MaxConnections, budgets: cfg.Budgets, quota: cfg.Quota, dial: cfg.Dial,
 		log: cfg.Log, demand: newDemandRecorder(), metered: map[string]bool{},
 	}
 	g.table.Store(&routingTable{services: map[string]*service{}})
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -8,7 +8,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"marlreel/internal/controlplane/configuration"
 	"marlreel/internal/dataplane/engine"
 	"marlreel/internal/dataplane/httpproxy"
 )
@@ -52,32 +51,34 @@
 		reject(ctx, noStateRetryAfter)
 		return
 	}
-	g.proxyRequest(ctx, arrived, table, s, route)
+	g.proxyRequest(ctx, table, &clientRequest{
+		gateway: g, service: s, route: route, deadline: arrived.Add(timeout(header, route)), client: ctx.Conn(),
+	})
 }
 
-// proxyRequest sends a request to a backend of a service, and its answer to the client.
-func (g *Gateway) proxyRequest(ctx *fasthttp.RequestCtx, arrived time.Time, table *routingTable, s *service, route *configuration.Route) {
-	header := &ctx.Request.Header
-	needs, work := parseNeeds(header)
-	message := newMessage(ctx, route)
-	c := newCall(s, route, message, needs, work)
+// proxyRequest sends a request to a backend of its service, and its answer to the client.
+func (g *Gateway) proxyRequest(ctx *fasthttp.RequestCtx, table *routingTable, r *clientRequest) {
+	r.needs, r.work = parseNeeds(&ctx.Request.Header)
+	r.message = newMessage(ctx, r.route)
+	c := newCall(r.service, r.route, r.message, r.needs, r.work)
 	if c == nil { // the service's engine has the table's classes in a moment
 		reject(ctx, updateRetryAfter)
 		return
 	}
-	if needs != nil && s.servesModels {
-		key := modelKey{s.name, needs.Model, needs.Adapter}
-		g.demand.recordRequest(key, work, c.latencyTarget)
+	if !r.acquireQuota(ctx) {
+		return
+	}
+	if r.needs != nil && r.service.servesModels {
+		key := modelKey{r.service.name, r.needs.Model, r.needs.Adapter}
+		g.demand.recordRequest(key, r.work, c.latencyTarget)
 		c.modelLoaded = table.loaded[key]
 		if !c.modelLoaded {
 			defer g.demand.recordWaiting(key)()
 		}
 	}
-	r := &clientRequest{
-		gateway: g, service: s, route: route, message: message, needs: needs, work: work,
-		deadline: arrived.Add(timeout(header, route)), client: ctx.Conn(),
-	}
-	g.writeAnswer(ctx, r, r.execute(c))
+	answer := r.execute(c)
+	r.refundQuota(answer)
+	g.writeAnswer(ctx, r, answer)
 }
 
 // writeAnswer writes the engine's answer to the client.
@@ -102,7 +103,12 @@
 
 // reject tells the client that nothing was executed, and when to come again.
 func reject(ctx *fasthttp.RequestCtx, after time.Duration) {
-	ctx.Error("refused", fasthttp.StatusServiceUnavailable)
+	refuse(ctx, fasthttp.StatusServiceUnavailable, after)
+}
+
+// refuse does the same by a status that promises so: 429 or 503.
+func refuse(ctx *fasthttp.RequestCtx, status int, after time.Duration) {
+	ctx.Error("refused", status)
 	if after > 0 {
 		ctx.Response.Header.Set(headerRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
--- /dev/null
+++ b/internal/dataplane/gateway/quota.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"marlreel/internal/dataplane/engine"
+)
+
+// unknownTokens stands for the tokens of a request that doesn't say them.
+const unknownTokens = -1
+
+// parseTokens is how many tokens a request counts by the value of its Token-Count: those of the prompt and those that
+// may be generated.
+func parseTokens(value string) float64 {
+	prompt, output, found := strings.Cut(value, ",")
+	in, badPrompt := strconv.ParseUint(strings.TrimSpace(prompt), 10, 32)
+	out, badOutput := strconv.ParseUint(strings.TrimSpace(output), 10, 32)
+	if !found || badPrompt != nil || badOutput != nil {
+		return unknownTokens
+	}
+	return float64(in) + float64(out)
+}
+
+// acquireQuota takes what the request costs from its tenant's quota. Where that isn't allowed, it answers the request.
+func (r *clientRequest) acquireQuota(ctx *fasthttp.RequestCtx) (allowed bool) {
+	subscriber := r.tenant.subscriber
+	if r.gateway.quota == nil || subscriber == nil || !subscriber.Limited() {
+		return true
+	}
+	cost := subscriber.Cost(parseTokens(string(ctx.Request.Header.Peek(headerTokens))))
+	decision := r.gateway.quota.Acquire(subscriber, cost, r.deadline)
+	switch decision.Verdict {
+	case QuotaAllowed:
+		r.quotaTaken = &decision
+		return true
+	case QuotaExceeded:
+		refuse(ctx, fasthttp.StatusTooManyRequests, decision.RetryAfter)
+	default:
+		refuse(ctx, fasthttp.StatusServiceUnavailable, decision.RetryAfter)
+	}
+	return false
+}
+
+// refundQuota gives back what a request took whose answer says that it never ran, or that was never sent.
+func (r *clientRequest) refundQuota(a engine.Answer) {
+	if r.quotaTaken == nil {
+		return
+	}
+	rejected := a.Verdict == engine.Rejected || a.Verdict == engine.Overloaded
+	if rejected || r.current.unsent {
+		r.gateway.quota.Refund(r.tenant.subscriber, *r.quotaTaken)
+	}
+}
