Gateway: requests carry a known key, backends get the tenant instead

Cause: the proxy looked no key up, and passed Authorization and Subscriber on like any header. Change: authentication.go finds the tenant of the one Authorization header (scheme Bearer in any case) in the document that the route is from, so that route and key are of one version. 404 stays first: without a route nobody knows whether it needs a key. Then 401 with WWW-Authenticate. Without a configuration it is 503 as before, so that 401 and 404 never speak of what isn't known. Several Authorization headers, another scheme or an empty key name nobody. A known key on a keyless route names its tenant; no other does. Where subscribers are listed, the client's Authorization and Subscriber are dropped at every attempt and resumption (both are made from one head), and the tenant's name is set. A name that can't be a header value (control characters, spaces at an end) is not rewritten: its keys count as unknown. The tenant's priority takes the place of the route's and the client's; balancer classes stay by route. A request that waits in a queue keeps its tenant: rules count from when it was sent.

fakesystem's executions have the headers that came, and simcluster's client can send several requests over a connection.

--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -42,6 +42,12 @@
 		ctx.Error("no such route", fasthttp.StatusNotFound)
 		return
 	}
+	tenant, authorized := authenticate(table.document, route, header.PeekAll(headerAuthorization))
+	if !authorized {
+		ctx.Error("a known key is needed", fasthttp.StatusUnauthorized)
+		ctx.Response.Header.Set(headerAuthenticate, bearerScheme)
+		return
+	}
 	if len(header.Peek(headerRequestID)) == 0 {
 		ctx.Error(headerRequestID+" is needed", fasthttp.StatusBadRequest)
 		return
@@ -52,14 +58,14 @@
 		return
 	}
 	g.proxyRequest(ctx, table, &clientRequest{
-		gateway: g, service: s, route: route, deadline: arrived.Add(timeout(header, route)), client: ctx.Conn(),
+		gateway: g, service: s, route: route, tenant: tenant, deadline: arrived.Add(timeout(header, route)), client: ctx.Conn(),
 	})
 }
 
 // proxyRequest sends a request to a backend of its service, and its answer to the client.
 func (g *Gateway) proxyRequest(ctx *fasthttp.RequestCtx, table *routingTable, r *clientRequest) {
 	r.needs, r.work = parseNeeds(&ctx.Request.Header)
-	r.message = newMessage(ctx, r.route)
+	r.message = newMessage(ctx, r.route, r.tenant)
 	c := newCall(r.service, r.route, r.message, r.needs, r.work)
 	if c == nil { // the service's engine has the table's classes in a moment
 		reject(ctx, updateRetryAfter)
--- a/internal/dataplane/gateway/protocol.go
+++ b/internal/dataplane/gateway/protocol.go
@@ -12,18 +12,21 @@
 
 // The headers of the protocol between clients, proxies and backends (docs/design/system.md).
 const (
-	headerRequestID   = "Request-Id"
-	headerRemaining   = "Time-Remaining"
-	headerExpected    = "Expected-Backend"
-	headerBackendID   = "Backend-Id"
-	headerNotExecuted = "Not-Executed"
-	headerSeal        = "Server-Seal"
-	headerModel       = "Model"
-	headerTokens      = "Token-Count"
-	headerPrompt      = "Prompt-Prefix"
-	headerLastEvent   = "Last-Event-Id"
-	headerPriority    = "Priority"
-	headerRetryAfter  = "Retry-After"
+	headerRequestID     = "Request-Id"
+	headerRemaining     = "Time-Remaining"
+	headerExpected      = "Expected-Backend"
+	headerBackendID     = "Backend-Id"
+	headerNotExecuted   = "Not-Executed"
+	headerSeal          = "Server-Seal"
+	headerModel         = "Model"
+	headerTokens        = "Token-Count"
+	headerPrompt        = "Prompt-Prefix"
+	headerLastEvent     = "Last-Event-Id"
+	headerPriority      = "Priority"
+	headerRetryAfter    = "Retry-After"
+	headerAuthorization = "Authorization"
+	headerAuthenticate  = "WWW-Authenticate"
+	headerSubscriber    = "Subscriber"
 )
 
 // newDialect is how requests are sent to the system's backends, and what their answers mean. healthPath gives the
--- a/internal/dataplane/gateway/request.go
+++ b/internal/dataplane/gateway/request.go
@@ -29,7 +29,7 @@
 }
 
 // newMessage encodes a request as backends get it.
-func newMessage(ctx *fasthttp.RequestCtx, route *configuration.Route) *httpproxy.Message {
+func newMessage(ctx *fasthttp.RequestCtx, route *configuration.Route, tenant tenancy) *httpproxy.Message {
 	header := &ctx.Request.Header
 	head := make([]byte, 0, 640)
 	head = append(append(append(head, header.Method()...), ' '), header.RequestURI()...)
@@ -37,14 +37,17 @@
 	head = append(append(head, header.Host()...), "\r\n"...)
 	named := connectionTokens(header.Peek("Connection"))
 	for key, value := range header.All() {
-		if hopByHop[string(key)] || named[string(key)] {
+		if hopByHop[string(key)] || named[string(key)] || tenant.withholds(string(key)) {
 			continue
 		}
 		head = append(append(append(append(head, key...), ": "...), value...), "\r\n"...)
 	}
-	if len(header.Peek(headerPriority)) == 0 && route.Affinity {
+	if tenant.subscriber != nil {
+		head = append(append(append(head, headerSubscriber+": "...), tenant.subscriber.Name...), "\r\n"...)
+	}
+	if route.Affinity && (tenant.hasPriority() || len(header.Peek(headerPriority)) == 0) {
 		head = append(head, headerPriority+": "...)
-		head = append(strconv.AppendInt(head, int64(routing.BackendPriority(route.TargetLatency(), route.Priority, 0)), 10), "\r\n"...)
+		head = append(strconv.AppendInt(head, int64(routing.BackendPriority(route.TargetLatency(), tenant.priority(route), 0)), 10), "\r\n"...)
 	}
 	body := bytes.Clone(ctx.PostBody())
 	if len(body) > 0 || !header.IsGet() && !header.IsHead() {
--- a/internal/testing/fakesystem/backend.go
+++ b/internal/testing/fakesystem/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,8 @@
 	Request, Backend string
 	// LastEventID is the event after which it began; 0: from the start.
 	LastEventID int
+	// Header is what the request came with.
+	Header http.Header
 }
 
 // Backend is a fake backend.
--- a/internal/testing/fakesystem/request.go
+++ b/internal/testing/fakesystem/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -59,10 +60,14 @@
 	lastEventID    int
 	prompt         string // PART:TOKENS, with commas
 	outputTokens   int
+	header         http.Header
 }
 
 func readModelRequest(header *fasthttp.RequestHeader) modelRequest {
-	r := modelRequest{id: string(header.Peek("Request-Id")), prompt: string(header.Peek("Prompt-Prefix"))}
+	r := modelRequest{id: string(header.Peek("Request-Id")), prompt: string(header.Peek("Prompt-Prefix")), header: http.Header{}}
+	for name, value := range header.All() {
+		r.header.Add(string(name), string(value))
+	}
 	r.model, r.adapter, _ = strings.Cut(string(header.Peek("Model")), "/")
 	r.lastEventID, _ = strconv.Atoi(string(header.Peek("Last-Event-Id"))) // 0 where there is none
 	_, output, _ := strings.Cut(string(header.Peek("Token-Count")), ",")
@@ -108,7 +113,7 @@
 		return 0, fasthttp.StatusServiceUnavailable
 	}
 	b.running++
-	b.executions = append(b.executions, Execution{Request: r.id, Backend: b.cfg.ID, LastEventID: r.lastEventID})
+	b.executions = append(b.executions, Execution{Request: r.id, Backend: b.cfg.ID, LastEventID: r.lastEventID, Header: r.header})
 	return b.prefillTime(r.model, r.prompt), fasthttp.StatusOK
 }
 
--- a/internal/testing/simcluster/client.go
+++ b/internal/testing/simcluster/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +15,8 @@
 // Request is a client's request. Fields other than the first three and the timeout may be empty.
 type Request struct {
 	ID, Host, Path, Model, Tokens, Prompt, LastEventID, Body string
+	Key                                                      string // sent as the credentials of the scheme Bearer
+	OtherHeaders                                             string // lines, each with its end
 	Timeout                                                  time.Duration
 }
 
@@ -31,13 +34,23 @@
 // Send sends a request to an edge machine over a connection of its own, and reads the response to its end. A response
 // that breaks off is no error: it is not Complete.
 func (c *Cluster) Send(edge *Machine, r Request) (Response, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
-	defer cancel()
-	conn, err := c.outside.Dial(ctx, edge.Front())
+	conn, err := c.DialFront(edge, r.Timeout)
 	if err != nil {
 		return Response{}, err
 	}
 	defer conn.Close()
+	return SendOver(conn, r)
+}
+
+// DialFront opens a client's connection to an edge machine. The caller closes it.
+func (c *Cluster) DialFront(edge *Machine, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return c.outside.Dial(ctx, edge.Front())
+}
+
+// SendOver does what Send does over a connection that is there. Others may follow over it while responses are Complete.
+func SendOver(conn net.Conn, r Request) (Response, error) {
 	began := time.Now()
 	if err := conn.SetDeadline(began.Add(r.Timeout)); err != nil {
 		return Response{}, err
@@ -68,11 +81,19 @@
 		r.Host, r.ID, r.Timeout.Milliseconds(), len(r.Body))
 	for name, value := range map[string]string{
 		"Model": r.Model, "Token-Count": r.Tokens, "Prompt-Prefix": r.Prompt,
-		"Last-Event-Id": r.LastEventID,
+		"Last-Event-Id": r.LastEventID, "Authorization": r.credentials(),
 	} {
 		if value != "" {
 			fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 		}
 	}
-	return head.String() + "\r\n"
+	return head.String() + r.OtherHeaders + "\r\n"
+}
+
+// credentials are those of the request's key, if it has one.
+func (r *Request) credentials() string {
+	if r.Key == "" {
+		return ""
+	}
+	return "Bearer " + r.Key
 }
