Simulated cluster: recorded bytes of requests with keys

Need: answers to clients with and without a key, and the heads that backends get, are forms that others rely on. Change: two new recorded files, written by this code; the files of probes and reports stay as they were and are checked for a configuration with subscribers too.

--- a/internal/testing/simcluster/compatibility_test.go
+++ b/internal/testing/simcluster/compatibility_test.go
@@ -327,7 +327,7 @@
 }
 
 // startCapture starts a backend that records requests, with its heartbeats and a configuration that has it.
-func startCapture(t *testing.T, c *Cluster) *capture {
+func startCapture(t *testing.T, c *Cluster, document func(version uint64) string) *capture {
 	t.Helper()
 	listener, err := c.network(capturedIP).Listen(capturedAddress)
 	if err != nil {
@@ -340,7 +340,7 @@
 		c.disconnect(capturedIP)
 	})
 	go backend.serve(listener) // until the machine is disconnected
-	c.replaceConfiguration(t, documentOf2, 5*time.Second)
+	c.replaceConfiguration(t, document, 5*time.Second)
 	c.backendsEnded.Go(func() {
 		for sequence := 1; ctx.Err() == nil; sequence++ {
 			_, _, _ = c.callControl(c.Controls[0], http.MethodPost, "/marlreel/backends/i-7f3a91c2/heartbeat", "", fmt.Sprintf(heartbeatBody, sequence))
@@ -356,7 +356,7 @@
 func TestCompatibilityOfProxy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := startCluster(t, controls, 1)
-		backend := startCapture(t, c)
+		backend := startCapture(t, c, documentOf2)
 		client := "Content-Type: text/plain\nX-Other: kept\nConnection: X-Dropped\nX-Dropped: gone\nTime-Remaining: 5000"
 		got := replayAll(t, c, c.Edges[0].Front(), []rawExchange{
 			{"a request with a prompt", "POST /chat/2f?x=1 HTTP/1.1\nHost: a.example\nRequest-Id: 9c41d07be2a35f68\nLast-Event-Id: 12\nModel: m0/a1\n" +
@@ -392,6 +392,39 @@
 
 func documentOf2(version uint64) string { return documentOf(fmt.Sprint(version)) }
 
+// documentWithKeys is the same with subscribers, and with a route that needs no key.
+func documentWithKeys(version uint64) string {
+	return strings.NewReplacer(`"route_list":[`, `"subscribers":[`+tenants+`],"route_list":[`, `"name":"once",`, `"name":"once","keyless":true,`).
+		Replace(documentOf2(version))
+}
+
+// Clients with and without a key get these answers, and backends these heads: the tenant's name, and never a key. The
+// files were written by the code that looked keys up first.
+func TestCompatibilityOfKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, controls, 1)
+		backend := startCapture(t, c, documentWithKeys)
+		client := "Subscriber: spoofed\nX-Other: kept\nTime-Remaining: 5000"
+		model := "POST /chat/2f HTTP/1.1\nHost: a.example\nModel: m0/a1\nToken-Count: 1460,80\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410\n" + client
+		plain := "POST /once/1 HTTP/1.1\nHost: a.example\n" + client
+		got := replayAll(t, c, c.Edges[0].Front(), []rawExchange{
+			{"a key", model + "\nRequest-Id: 9c41d07be2a35f68\nAuthorization: Bearer " + quayKey, "hello"},
+			{"a key of a tenant with a priority", model + "\nRequest-Id: 9c41d07be2a35f69\nPriority: 0\nAuthorization: Bearer " + harborKey, "hello"},
+			{"no key", model + "\nRequest-Id: 9c41d07be2a35f6a", "hello"},
+			{"an unknown key", model + "\nRequest-Id: 9c41d07be2a35f6b\nAuthorization: Bearer someone", "hello"},
+			{"no key on a route without", plain + "\nRequest-Id: 9c41d07be2a35f6c", "hello"},
+			{"an unknown key on a route without", plain + "\nRequest-Id: 9c41d07be2a35f6d\nAuthorization: Bearer someone", "hello"},
+			{"a key on a route without", plain + "\nRequest-Id: 9c41d07be2a35f6e\nAuthorization: Bearer " + quayKey, "hello"},
+			{"no route", "POST /nowhere HTTP/1.1\nHost: c.example\nRequest-Id: 9c41d07be2a35f6f\nAuthorization: Bearer " + quayKey, ""},
+		})
+		c.Sleep(10 * time.Second)
+		recorded.Check(t, "proxy-keys.txt", got)
+		recorded.Check(t, "backend-requests-keys.txt", backend.of("POST /chat/")+"----\n"+backend.of("POST /once/"))
+		recorded.Check(t, "backend-probe.txt", backend.of("GET /health")) // as without subscribers
+		recorded.Check(t, "backend-report.txt", backend.of("GET /marlreel/report"))
+	})
+}
+
 // wire is a protobuf message that is made by numbers of fields alone.
 type wire []byte
 
