Quotas: token buckets at one owner a shard of tenants

Nothing counted what a tenant sends. Tenants are hashed onto 16 shards; each shard is a lease, granted where a subscriber has a limit, and its holder's agent counts the shard's quotas in token buckets (AcquireQuota, ReadQuotas). No proxy asks yet.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,7 @@
 	reconcilers  *reconciler.Manager
 	demand       *demandForwarder
 	observations *observationSender
+	quotas       *quotaOwner
 
 	lastProxyPoll atomic.Int64 // ns since 1970
 }
@@ -52,6 +53,7 @@
 	}
 	holder := lease.HolderID(settings.NodeName, incarnation)
 	a.leases = &leases{holder: holder, controls: a.controls, store: a.store, client: a.client}
+	a.quotas = newQuotaOwner(quotaRule(settings.Bounds), a.store, a.leases)
 	a.observations = newObservationSender(a.store, a.controls, a.client)
 	a.reconcilers = reconciler.NewManager(reconciler.Config{
 		Holder: holder, Store: a.store, Leases: a.leases, Dial: machine.Network.Dial, Observe: a.observations.add, Log: a.log,
--- a/internal/agent/leases.go
+++ b/internal/agent/leases.go
@@ -91,14 +91,23 @@
 	if err != nil || result.Code(reply.Code) != result.Committed {
 		return false
 	}
-	expiry := asked.Add(time.Duration(reply.ValidMs) * time.Millisecond)
+	l.record(reply.Renewed, time.Now(), asked.Add(time.Duration(reply.ValidMs)*time.Millisecond))
+	return true
+}
+
+// record takes in the leases that control has renewed until expiry.
+func (l *leases) record(renewed []*api.Ownership, now, expiry time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held = map[string]reconciler.Lease{}
-	for _, o := range reply.Renewed {
-		l.held[o.Key] = reconciler.Lease{FencingToken: o.FencingToken, Expiry: expiry}
+	held := make(map[string]reconciler.Lease, len(renewed))
+	for _, o := range renewed {
+		since := now
+		if before, known := l.held[o.Key]; known && before.FencingToken == o.FencingToken {
+			since = before.Since
+		}
+		held[o.Key] = reconciler.Lease{FencingToken: o.FencingToken, Expiry: expiry, Since: since}
 	}
-	return true
+	l.held = held
 }
 
 // Lease implements reconciler.Leases.
--- a/internal/controlplane/lease_granter.go
+++ b/internal/controlplane/lease_granter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"marlreel/internal/api"
@@ -10,6 +11,7 @@
 	"marlreel/internal/controlplane/state"
 	"marlreel/internal/distribution/watch"
 	"marlreel/internal/process/bootstrap"
+	"marlreel/internal/quota/shard"
 )
 
 // grantInterval is how often the head looks whether leases need another holder. Raising it leaves the duties of lost
@@ -63,7 +65,8 @@
 	}
 }
 
-// leaseRecords returns the leases that the configuration calls for: one for each service whose models are placed.
+// leaseRecords returns the leases that the configuration calls for: one for each service whose models are placed, and one
+// for each shard of tenants where a tenant has a quota.
 func (g *leaseGranter) leaseRecords() []lease.Record {
 	var records []lease.Record
 	g.feed.ReadState(func(machine *state.Machine) {
@@ -75,10 +78,22 @@
 				records = append(records, lease.Record{Key: key, Ownership: machine.Lease(key)})
 			}
 		}
+		if !limitsSubscribers(machine.Document()) {
+			return
+		}
+		for number := range shard.Count {
+			key := shard.LeaseKey(number)
+			records = append(records, lease.Record{Key: key, Ownership: machine.Lease(key)})
+		}
 	})
 	return records
 }
 
+// limitsSubscribers reports whether a configuration has a tenant with a quota.
+func limitsSubscribers(document *configuration.Document) bool {
+	return slices.ContainsFunc(document.Subscribers, func(s configuration.Subscriber) bool { return s.Limited() })
+}
+
 // placementLease is the key of the lease to place a service's models; "" where it has none to place.
 func placementLease(service *configuration.Service) string {
 	if service.Engine == nil {
--- a/internal/placement/reconciler/manager.go
+++ b/internal/placement/reconciler/manager.go
@@ -21,6 +21,7 @@
 type Lease struct {
 	FencingToken uint64
 	Expiry       time.Time // by this node's monotonic clock; control counts it as held for a margin longer
+	Since        time.Time // by the same clock: nobody else has held it since
 }
 
 // Leases are the leases that this node holds. All methods may be called by any goroutine.
--- a/internal/process/bootstrap/settings.go
+++ b/internal/process/bootstrap/settings.go
@@ -65,6 +65,12 @@
 	RetryWindowS float64 `toml:"retry_window_s" json:"retry_window_s"`
 	// RetrySlack is how many retries in a window are allowed beside the ratio.
 	RetrySlack float64 `toml:"retry_slack" json:"retry_slack"`
+	// QuotaWindowS is the window over which a tenant's quota counts.
+	QuotaWindowS float64 `toml:"quota_window_s" json:"quota_window_s,omitzero"`
+	// QuotaExcess is by what part a tenant may exceed its quota.
+	QuotaExcess float64 `toml:"quota_excess" json:"quota_excess,omitzero"`
+	// QuotaSlack is how many requests or tokens are allowed beside that.
+	QuotaSlack float64 `toml:"quota_slack" json:"quota_slack,omitzero"`
 	// WarmupExcess is by what factor a warming-up backend may get more than its requests a second.
 	WarmupExcess float64 `toml:"cold_excess" json:"cold_excess"`
 	// WarmupSlack is how many requests in a second are allowed beside WarmupExcess.
--- /dev/null
+++ b/internal/quota/tokenbucket/rule.go
@@ -0,0 +1,58 @@
+package tokenbucket
+
+import "time"
+
+const (
+	// DelayAllowance is how long a request may have been under way when it is granted. What a client has sent in a window
+	// is granted within the window and that time, so the bound has to hold for both together.
+	DelayAllowance = 500 * time.Millisecond
+	// excessShare divides the excess that the users' rule allows: a bucket's rate and capacity have one part in so
+	// many, and the rest bears what is outstanding and the delay allowance.
+	excessShare = 4
+	// slackShare divides the slack in the same way: the capacity has one part in so many.
+	slackShare = 2
+	// minExposure is the least exposure, as time in which the rate fills it: where the rule leaves less, the rate yields.
+	minExposure = 50 * time.Millisecond
+)
+
+// Rule is the users' bound: in any Window a tenant may send (rate x window + burst) x (1 + Excess) + Slack.
+type Rule struct {
+	Window time.Duration
+	Excess float64
+	Slack  float64
+}
+
+// Limit is what the configuration says of a tenant. Its figures are requests or tokens, by the unit.
+type Limit struct {
+	RatePerS  float64 // 0: not limited
+	BurstSize float64
+	Unit      string
+}
+
+// Limited reports whether there is a limit.
+func (l Limit) Limited() bool { return l.RatePerS > 0 }
+
+// Bound is the most that the rule allows in one window.
+func (r Rule) Bound(limit Limit) float64 {
+	return (limit.RatePerS*r.Window.Seconds()+limit.BurstSize)*(1+r.Excess) + r.Slack
+}
+
+// Parameters are those of a bucket.
+type Parameters struct {
+	RatePerS float64
+	// Capacity is the highest level.
+	Capacity float64
+	// Exposure bounds the level and what is outstanding together; it is not below Capacity.
+	Exposure float64
+}
+
+// Parameters returns those of a tenant's bucket: the rate times window and delay allowance, and the exposure, are the
+// rule's bound. The rate is a little above the limit's, so that a tenant that sends by its limit is never refused for
+// the unevenness of its requests.
+func (r Rule) Parameters(limit Limit) Parameters {
+	bound, span := r.Bound(limit), (r.Window + DelayAllowance).Seconds()
+	rate := min(limit.RatePerS*(1+r.Excess/excessShare), (bound-limit.RatePerS*minExposure.Seconds())/span)
+	exposure := bound - rate*span
+	capacity := min(exposure, limit.BurstSize*(1+r.Excess/excessShare)+r.Slack/slackShare)
+	return Parameters{RatePerS: rate, Capacity: capacity, Exposure: exposure}
+}
