Proxies ask the owners of quotas for each request

Need: the gate before the engine had no implementation. quotaclient asks the agent that the watched state names for the tenant's shard, once more where another owner is known by then, and refuses by 503 otherwise. Grants for what never reached a backend go back with the next call. After a refusal a proxy refuses further requests of that tenant by itself for 100 ms at most.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,7 +38,10 @@
 	lastProxyPoll atomic.Int64 // ns since 1970
 }
 
-var _ api.Agent = (*Agent)(nil)
+var (
+	_ api.Agent      = (*Agent)(nil)
+	_ api.QuotaOwner = (*Agent)(nil)
+)
 
 // newAgent wires an agent that does nothing yet.
 func newAgent(machine *host.Host) *Agent {
--- a/internal/agent/quota.go
+++ b/internal/agent/quota.go
@@ -43,12 +43,12 @@
 	return tokenbucket.Rule{Window: bootstrap.Seconds(bounds.QuotaWindowS), Excess: bounds.QuotaExcess, Slack: bounds.QuotaSlack}
 }
 
-// AcquireQuota implements api.Agent: proxies ask the owner of a tenant's shard.
+// AcquireQuota implements api.QuotaOwner: proxies ask the owner of a tenant's shard.
 func (a *Agent) AcquireQuota(_ context.Context, request *api.AcquireQuotaRequest) (*api.AcquireQuotaReply, error) {
 	return a.quotas.acquire(request), nil
 }
 
-// ReadQuotas implements api.Agent: the operator looks at the quotas that are counted here.
+// ReadQuotas implements api.QuotaOwner: the operator looks at the quotas that are counted here.
 func (a *Agent) ReadQuotas(_ context.Context, request *api.QuotaStatusRequest) (*api.QuotaStatusReply, error) {
 	return &api.QuotaStatusReply{Node: a.settings.NodeName, Quotas: a.quotas.statuses(request.Subscriber)}, nil
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	server := transport.NewServer(nil, api.NewAgentServer(a))
+	server := transport.NewServer(nil, api.NewAgentServer(a), api.NewQuotaOwnerServer(a))
 	failures := make(chan error, len(listeners))
 	var serving sync.WaitGroup
 	for _, listener := range listeners {
--- a/internal/dataplane/gateway/process.go
+++ b/internal/dataplane/gateway/process.go
@@ -34,7 +34,12 @@
 // are pending when it returns are not waited for: they end with the process.
 func Run(ctx context.Context, machine *host.Host) error {
 	settings, log := machine.Settings, machine.Log
-	g := New(configOf(machine), watch.New(settings.NodeName, time.Now))
+	state := watch.New(settings.NodeName, time.Now)
+	quota := newOwnerGate(machine, state) //nolint:contextcheck // fasthttp dials without a context; each call has a deadline instead
+	cfg := configOf(machine)
+	cfg.Quota = quota
+	g := New(cfg, state)
+	quota.client.AddMetrics(g.metrics)
 	defer g.stopServices()
 	front := g.newFrontServer(connectionLimit(settings.Limits))
 	readiness := g.newServer(g.HandleReadiness)
--- a/internal/dataplane/gateway/quotagate.go
+++ b/internal/dataplane/gateway/quotagate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marlreel/internal/api"
 	"marlreel/internal/controlplane/configuration"
 )
 
@@ -24,6 +25,8 @@
 	// Cost is what was taken from the quota, At when.
 	Cost float64
 	At   time.Time
+	// Grant is what the quota's owner knows it by; nil: it can't be given back.
+	Grant *api.QuotaGrant
 }
 
 // QuotaGate decides whether a tenant may send one more request. Its methods may be called by any goroutine.
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -65,7 +65,11 @@
 		"marlreel/internal/process/logevent":               {},
 		"marlreel/internal/process/transport":              {"marlreel/internal/sockets"},
 		"marlreel/internal/process/host":                   {"marlreel/internal/process/bootstrap", "marlreel/internal/controlplane/store"},
-		"marlreel/internal/dataplane/gateway":              {"marlreel/internal/balancer", "marlreel/internal/dataplane/engine", "marlreel/internal/dataplane/httpproxy", "marlreel/internal/balancer/prefixcache", "marlreel/internal/balancer/budgetshare", "marlreel/internal/process/budget", "marlreel/internal/api", "marlreel/internal/dataplane/backlog", "marlreel/internal/process/bootstrap", "marlreel/internal/controlplane/configuration", "marlreel/internal/distribution/watch", "marlreel/internal/process/host", "marlreel/internal/process/metricserver", "marlreel/internal/dataplane/routing", "marlreel/internal/controlplane/state", "marlreel/internal/process/transport", "marlreel/internal/process/logevent"},
+		"marlreel/internal/dataplane/gateway":              {"marlreel/internal/balancer", "marlreel/internal/dataplane/engine", "marlreel/internal/dataplane/httpproxy", "marlreel/internal/balancer/prefixcache", "marlreel/internal/balancer/budgetshare", "marlreel/internal/process/budget", "marlreel/internal/api", "marlreel/internal/dataplane/backlog", "marlreel/internal/process/bootstrap", "marlreel/internal/controlplane/configuration", "marlreel/internal/distribution/watch", "marlreel/internal/process/host", "marlreel/internal/process/metricserver", "marlreel/internal/dataplane/routing", "marlreel/internal/controlplane/state", "marlreel/internal/process/transport", "marlreel/internal/process/logevent", "marlreel/internal/dataplane/quotaclient"},
+		"marlreel/internal/dataplane/quotaclient":          {"marlreel/internal/api", "marlreel/internal/controlplane/state", "marlreel/internal/distribution/watch", "marlreel/internal/process/transport", "marlreel/internal/quota/ledger", "marlreel/internal/quota/shard"},
+		"marlreel/internal/quota/shard":                    {},
+		"marlreel/internal/quota/tokenbucket":              {},
+		"marlreel/internal/quota/ledger":                   {"marlreel/internal/quota/shard", "marlreel/internal/quota/tokenbucket"},
 		"marlreel/internal/dataplane/backlog":              {"marlreel/internal/api"},
 		"marlreel/internal/dataplane/routing":              {"marlreel/internal/balancer", "marlreel/internal/balancer/prefixcache", "marlreel/internal/balancer/budgetshare", "marlreel/internal/dataplane/backlog"},
 		"marlreel/internal/process/metricserver":           {"marlreel/internal/process/host", "marlreel/internal/process/logevent", "marlreel/internal/process/transport"},
@@ -81,6 +85,7 @@
 		"marlreel/internal/controlplane/chain": true, "marlreel/internal/controlplane/state": true,
 		"marlreel/internal/placement": true, "marlreel/internal/balancer/budgetshare": true, "marlreel/internal/balancer/prefixcache": true,
 		"marlreel/internal/dataplane/backlog": true, "marlreel/internal/dataplane/routing": true,
+		"marlreel/internal/quota/shard": true, "marlreel/internal/quota/tokenbucket": true, "marlreel/internal/quota/ledger": true,
 	}
 	seen := 0
 	for line := range strings.Lines(string(out)) {
