--- a/internal/agent/quota.go
+++ b/internal/agent/quota.go
@@ -32,14 +32,26 @@
 	mu         sync.Mutex
 	ledger     *ledger.Ledger
 	configured *configuration.Document // the one whose limits the ledger has
+	verdicts   map[ledger.Verdict]uint64
 }
 
 func newQuotaOwner(rule tokenbucket.Rule, store *watch.Store, leases leaseHolder) *quotaOwner {
-	return &quotaOwner{store: store, leases: leases, began: time.Now(), ledger: ledger.New(rule)}
+	return &quotaOwner{
+		store: store, leases: leases, began: time.Now(), ledger: ledger.New(rule), verdicts: map[ledger.Verdict]uint64{},
+	}
 }
 
+// Where the platform names no window, tenants are held to their limits as closely as on the sites that do.
+const (
+	defaultQuotaWindow = 8 * time.Second
+	defaultQuotaExcess = 0.1
+)
+
 // quotaRule is the users' rule on quotas.
 func quotaRule(bounds bootstrap.Bounds) tokenbucket.Rule {
+	if bounds.QuotaWindowS <= 0 {
+		return tokenbucket.Rule{Window: defaultQuotaWindow, Excess: defaultQuotaExcess}
+	}
 	return tokenbucket.Rule{Window: bootstrap.Seconds(bounds.QuotaWindowS), Excess: bounds.QuotaExcess, Slack: bounds.QuotaSlack}
 }
 
@@ -65,12 +77,13 @@
 		}
 	}
 	lease, runs := o.lease(request.Subscriber)
-	if !runs {
-		return &api.AcquireQuotaReply{Verdict: api.QuotaVerdict_QUOTA_NOT_OWNER}
+	answer := ledger.Answer{Verdict: ledger.NotOwner}
+	if runs {
+		answer = o.ledger.Acquire(now, lease, ledger.Request{
+			Subscriber: request.Subscriber, Cost: request.Cost, ConfigurationVersion: request.ConfigurationVersion,
+		})
 	}
-	answer := o.ledger.Acquire(now, lease, ledger.Request{
-		Subscriber: request.Subscriber, Cost: request.Cost, ConfigurationVersion: request.ConfigurationVersion,
-	})
+	o.verdicts[answer.Verdict]++
 	return quotaReply(request.Subscriber, lease, answer)
 }
 
@@ -91,12 +104,15 @@
 	o.ledger.Configure(now, document.Version, limitsOf(document))
 }
 
+// unsaid stands for the tokens of a request that doesn't say them.
+const unsaid = -1
+
 // limitsOf returns the limits of all tenants of a configuration.
 func limitsOf(document *configuration.Document) map[string]tokenbucket.Limit {
 	limits := make(map[string]tokenbucket.Limit, len(document.Subscribers))
 	for i := range document.Subscribers {
 		s := &document.Subscribers[i]
-		limits[s.Name] = tokenbucket.Limit{RatePerS: s.RatePerS, BurstSize: s.BurstSize, Unit: s.Unit}
+		limits[s.Name] = tokenbucket.Limit{RatePerS: s.RatePerS, BurstSize: s.BurstSize, Unit: s.Unit, RequestCost: s.Cost(unsaid)}
 	}
 	return limits
 }
@@ -142,6 +158,13 @@
 	return statuses
 }
 
+// count returns how many requests had a verdict.
+func (o *quotaOwner) count(verdict ledger.Verdict) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return float64(o.verdicts[verdict])
+}
+
 // owns reports whether this agent holds the lease of a shard.
 func (o *quotaOwner) owns(number int) bool {
 	_, runs := o.leases.Lease(shard.LeaseKey(number))
--- a/internal/dataplane/gateway/process.go
+++ b/internal/dataplane/gateway/process.go
@@ -35,11 +35,8 @@
 func Run(ctx context.Context, machine *host.Host) error {
 	settings, log := machine.Settings, machine.Log
 	state := watch.New(settings.NodeName, time.Now)
-	quota := newOwnerGate(machine, state) //nolint:contextcheck // fasthttp dials without a context; each call has a deadline instead
-	cfg := configOf(machine)
-	cfg.Quota = quota
-	g := New(cfg, state)
-	quota.client.AddMetrics(g.metrics)
+	g := New(configOf(machine), state)
+	g.quota = newOwnerGate(machine, state, g.metrics) //nolint:contextcheck // fasthttp dials without a context; each call has a deadline instead
 	defer g.stopServices()
 	front := g.newFrontServer(connectionLimit(settings.Limits))
 	readiness := g.newServer(g.HandleReadiness)
--- a/internal/dataplane/gateway/quotaowners.go
+++ b/internal/dataplane/gateway/quotaowners.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
+
 	"marlreel/internal/controlplane/configuration"
 	"marlreel/internal/dataplane/quotaclient"
 	"marlreel/internal/distribution/watch"
@@ -15,10 +17,10 @@
 var _ QuotaGate = ownerGate{}
 
 // newOwnerGate makes the gate of the proxy on a machine. The owners are those that the state names.
-func newOwnerGate(machine *host.Host, state *watch.Store) ownerGate {
+func newOwnerGate(machine *host.Host, state *watch.Store, metrics *vm.Set) ownerGate {
 	return ownerGate{quotaclient.New(quotaclient.Config{
 		Store: state, Dial: machine.Network.Dial,
-		OwnAgent: machine.Settings.PeerAddress(), OwnAgentLoopback: machine.Settings.AgentLoopback(),
+		OwnAgent: machine.Settings.PeerAddress(), OwnAgentLoopback: machine.Settings.AgentLoopback(), Metrics: metrics,
 	})}
 }
 
--- a/internal/dataplane/quotaclient/client.go
+++ b/internal/dataplane/quotaclient/client.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
+
 	"marlreel/internal/api"
 	"marlreel/internal/controlplane/state"
 	"marlreel/internal/distribution/watch"
@@ -56,6 +58,8 @@
 	Dial  transport.DialFunc
 	// OwnAgent is the address of the agent on the proxy's machine, and OwnAgentLoopback the one to call it by.
 	OwnAgent, OwnAgentLoopback string
+	// Metrics is where the client's metrics are added.
+	Metrics *vm.Set
 }
 
 // Client asks owners for quota. Its methods may be called by any goroutine.
@@ -69,7 +73,10 @@
 
 // New returns a client.
 func New(config Config) *Client {
-	return &Client{config: config, client: transport.NewClient(config.Dial), refunds: newRefundQueue(), refusals: newRefusalCache()}
+	return &Client{
+		config: config, client: transport.NewClient(config.Dial), refunds: newRefundQueue(), refusals: newRefusalCache(),
+		results: newResults(config.Metrics),
+	}
 }
 
 // Acquire takes a cost from a tenant's quota. It returns within the timeouts of maxAttempts calls, and by the deadline.
--- a/internal/dataplane/quotaclient/metrics.go
+++ b/internal/dataplane/quotaclient/metrics.go
@@ -1,36 +1,29 @@
 package quotaclient
 
-import (
-	"sync/atomic"
+import vm "github.com/VictoriaMetrics/metrics"
 
-	vm "github.com/VictoriaMetrics/metrics"
-)
-
-// results counts the decisions.
+// results counts the decisions; docs/METRICS.md lists the metrics.
 type results struct {
-	granted, exceeded, exceededLocally, unknown atomic.Uint64
+	granted, exceeded, exceededLocally, unknown *vm.Counter
+}
+
+func newResults(set *vm.Set) results {
+	counter := func(result string) *vm.Counter {
+		return set.NewCounter(`marlreel_quota_decisions_total{result="` + result + `"}`)
+	}
+	return results{counter("granted"), counter("exceeded"), counter("exceeded_locally"), counter("unknown")}
 }
 
 // count counts a decision for which an owner was asked, or was not.
 func (r *results) count(verdict Verdict, asked bool) {
 	switch {
 	case verdict == Granted:
-		r.granted.Add(1)
+		r.granted.Inc()
 	case verdict == Unknown:
-		r.unknown.Add(1)
+		r.unknown.Inc()
 	case asked:
-		r.exceeded.Add(1)
+		r.exceeded.Inc()
 	default:
-		r.exceededLocally.Add(1)
-	}
-}
-
-// AddMetrics adds the client's metrics to a set; docs/METRICS.md lists them.
-func (c *Client) AddMetrics(set *vm.Set) {
-	for result, count := range map[string]*atomic.Uint64{
-		"granted": &c.results.granted, "exceeded": &c.results.exceeded,
-		"exceeded_locally": &c.results.exceededLocally, "unknown": &c.results.unknown,
-	} {
-		set.NewGauge(`marlreel_quota_decisions_total{result="`+result+`"}`, func() float64 { return float64(count.Load()) })
+		r.exceededLocally.Inc()
 	}
 }
--- a/internal/quota/tokenbucket/rule.go
+++ b/internal/quota/tokenbucket/rule.go
@@ -11,7 +11,8 @@
 	excessShare = 4
 	// slackShare divides the slack in the same way: the capacity has one part in so many.
 	slackShare = 2
-	// minExposure is the least exposure, as time in which the rate fills it: where the rule leaves less, the rate yields.
+	// minExposure is the least exposure, as time in which the rate fills it, and that of one request is too: where the
+	// rule leaves less, the rate yields.
 	minExposure = 50 * time.Millisecond
 )
 
@@ -27,6 +28,8 @@
 	RatePerS  float64 // 0: not limited
 	BurstSize float64
 	Unit      string
+	// RequestCost is what a request counts that doesn't say otherwise: the capacity has room for it.
+	RequestCost float64
 }
 
 // Limited reports whether there is a limit.
@@ -51,8 +54,10 @@
 // the unevenness of its requests.
 func (r Rule) Parameters(limit Limit) Parameters {
 	bound, span := r.Bound(limit), (r.Window + DelayAllowance).Seconds()
-	rate := min(limit.RatePerS*(1+r.Excess/excessShare), (bound-limit.RatePerS*minExposure.Seconds())/span)
+	share := 1 + r.Excess/excessShare
+	reserved := max(limit.RatePerS*minExposure.Seconds(), limit.RequestCost)
+	rate := max(0, min(limit.RatePerS*share, (bound-reserved)/span))
 	exposure := bound - rate*span
-	capacity := min(exposure, limit.BurstSize*(1+r.Excess/excessShare)+r.Slack/slackShare)
+	capacity := min(exposure, max(limit.BurstSize*share+r.Slack/slackShare, limit.RequestCost))
 	return Parameters{RatePerS: rate, Capacity: capacity, Exposure: exposure}
 }
--- /dev/null
+++ b/internal/testing/simcluster/quota_test.go
@@ -0,0 +1,176 @@
+package simcluster
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marlreel/internal/quota/shard"
+	"marlreel/internal/testing/fakesystem"
+)
+
+// The quota of the tests' tenant, in tokens, and what each of its requests costs.
+const (
+	quotaRate, quotaBurst = 4200.0, 8400.0
+	quotaCost             = 1020.0
+)
+
+// quotaTenant is a tenant with a quota.
+const quotaTenant = `{"name":"harbor","access_keys":["` + harborKey + `"],"unit":"token_metering","raw_tokens":2400,"rate_per_s":4200,"burst_size":8400}`
+
+// quotaTraffic records which requests of a tenant reached a backend, by when they were sent.
+type quotaTraffic struct {
+	mu      sync.Mutex
+	sent    []time.Time // those that ran
+	refused map[int]int // by status
+	first   time.Time   // a request that ran was sent after the mark
+	mark    time.Time
+}
+
+// sendFrom sends requests of the tenant through an edge at an interval, until a time.
+func (q *quotaTraffic) sendFrom(c *Cluster, edge *Machine, interval time.Duration, until time.Time) {
+	var pending sync.WaitGroup
+	for time.Now().Before(until) {
+		pending.Go(func() {
+			r := chatRequest("m0")
+			r.Key = harborKey
+			began := time.Now()
+			got, err := c.Send(edge, r)
+			q.record(c, r.ID, began, got.Status, err)
+		})
+		c.Sleep(interval)
+	}
+	pending.Wait()
+}
+
+// record takes in what became of a request. Only what the backends say counts as having run.
+func (q *quotaTraffic) record(c *Cluster, id string, began time.Time, status int, err error) {
+	ran := len(c.executionsOf(id)) > 0
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !ran {
+		if err == nil {
+			q.refused[status]++
+		}
+		return
+	}
+	q.sent = append(q.sent, began)
+	if !q.mark.IsZero() && began.After(q.mark) && (q.first.IsZero() || began.Before(q.first)) {
+		q.first = began
+	}
+}
+
+// markNow begins the wait for the next request that runs.
+func (q *quotaTraffic) markNow() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.mark, q.first = time.Now(), time.Time{}
+}
+
+// worstWindow returns the most tokens of requests that were sent in one window and ran.
+func (q *quotaTraffic) worstWindow(window time.Duration) float64 {
+	slices.SortFunc(q.sent, time.Time.Compare)
+	worst, from := 0, 0
+	for to, sent := range q.sent {
+		for sent.Sub(q.sent[from]) > window {
+			from++
+		}
+		worst = max(worst, to-from+1)
+	}
+	return float64(worst) * quotaCost
+}
+
+// quotaOwner returns the machine that owns the quota of a tenant.
+func (c *Cluster) quotaOwner(t *testing.T, subscriber string) *Machine {
+	t.Helper()
+	key := shard.LeaseKey(shard.Of(subscriber))
+	for _, lease := range c.status(t, c.Controls[0]).Leases {
+		if lease.Key == key {
+			return c.holderOf(lease)
+		}
+	}
+	t.Fatalf("nobody holds %s", key)
+	return nil
+}
+
+// quotaBound is what the users' rule allows in one window.
+func quotaBound() float64 {
+	bounds := fakesystem.Bounds()
+	return (quotaRate*bounds.QuotaWindowS+quotaBurst)*(1+bounds.QuotaExcess) + bounds.QuotaSlack
+}
+
+// Guards against a tenant that gets its quota from each proxy, or once more from each new owner: it floods through all
+// proxies while one owner after another is killed.
+func TestFloodThroughAllProxiesStaysWithinTheQuota(t *testing.T) {
+	runWithRelays(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		c.putSubscribers(t, quotaTenant)
+		c.Sleep(5 * time.Second) // leases are granted and buckets fill
+		traffic := &quotaTraffic{refused: map[int]int{}}
+		until := time.Now().Add(30 * time.Second)
+		var senders sync.WaitGroup
+		for _, edge := range c.Edges {
+			senders.Go(func() { traffic.sendFrom(c, edge, 400*time.Millisecond, until) })
+		}
+		for range 3 {
+			c.Sleep(6 * time.Second)
+			owner := c.quotaOwner(t, "harbor")
+			traffic.markNow()
+			killed := time.Now()
+			owner.Kill()
+			c.Sleep(4 * time.Second)
+			owner.Start()
+			traffic.mu.Lock()
+			t.Logf("after the owner was killed the next request was served after %v", traffic.first.Sub(killed))
+			traffic.mu.Unlock()
+		}
+		senders.Wait()
+		window := time.Duration(fakesystem.Bounds().QuotaWindowS * float64(time.Second))
+		worst, ran := traffic.worstWindow(window), float64(len(traffic.sent))*quotaCost
+		t.Logf("%.0f tokens ran in the worst window, of %.0f; %.0f a second over all; refused: %v", worst, quotaBound(), ran/30, traffic.refused)
+		is.True(worst <= quotaBound())
+		is.True(traffic.refused[429] > 0)
+		is.True(ran/30 > quotaRate/2) // it is served by its quota all the same
+	})
+}
+
+// Guards against refusals of a tenant that keeps within its quota, whichever proxies it comes through.
+func TestTenantWithinItsQuotaIsNotRefused(t *testing.T) {
+	runWithRelays(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		c.putSubscribers(t, quotaTenant)
+		c.Sleep(5 * time.Second)
+		traffic := &quotaTraffic{refused: map[int]int{}}
+		until := time.Now().Add(20 * time.Second)
+		var senders sync.WaitGroup
+		for _, edge := range c.Edges {
+			senders.Go(func() { traffic.sendFrom(c, edge, 3*time.Second, until) }) // 4 requests a second in all
+		}
+		senders.Wait()
+		is.Equal(len(traffic.refused), 0)
+		is.True(len(traffic.sent) > 70)
+	})
+}
+
+// Guards against a second count for one tenant: its name alone leads to the shard.
+func TestQuotaShardsAreLeased(t *testing.T) {
+	runWithCluster(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		c.putSubscribers(t, quotaTenant)
+		held := 0
+		for _, lease := range c.status(t, c.Controls[0]).Leases {
+			if number, found := strings.CutPrefix(lease.Key, "quota/"); found {
+				_, err := strconv.Atoi(number)
+				is.NoErr(err)
+				is.True(c.holderOf(lease) != nil)
+				held++
+			}
+		}
+		is.Equal(held, shard.Count)
+	})
+}
