--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,11 +33,15 @@
 	reconcilers  *reconciler.Manager
 	demand       *demandForwarder
 	observations *observationSender
+	quotas       *quotaOwner
 
 	lastProxyPoll atomic.Int64 // ns since 1970
 }
 
-var _ api.Agent = (*Agent)(nil)
+var (
+	_ api.Agent      = (*Agent)(nil)
+	_ api.QuotaOwner = (*Agent)(nil)
+)
 
 // newAgent wires an agent that does nothing yet.
 func newAgent(machine *host.Host) *Agent {
@@ -52,6 +56,7 @@
 	}
 	holder := lease.HolderID(settings.NodeName, incarnation)
 	a.leases = &leases{holder: holder, controls: a.controls, store: a.store, client: a.client}
+	a.quotas = newQuotaOwner(quotaRule(settings.Bounds), a.store, a.leases)
 	a.observations = newObservationSender(a.store, a.controls, a.client)
 	a.reconcilers = reconciler.NewManager(reconciler.Config{
 		Holder: holder, Store: a.store, Leases: a.leases, Dial: machine.Network.Dial, Observe: a.observations.add, Log: a.log,
