Transport: large replies between machines are compressed, once for all who get them

Cause: an entry of 1,480 routes has 373 KB. The zone's relay sent it whole to each of 41 agents on 10 Mbit/s (9 s), and agents that saw that they lag fetched it from control meanwhile, each call of which timed out and began anew. Change: agents accept replies compressed by zstd (Accept-Encoding), which servers of an older version ignore; a server keeps the last bodies compressed, so a change costs it one compression. Proxies on loopback still get it plain.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,7 +44,7 @@
 	settings := machine.Settings
 	incarnation := rand.Uint64()
 	a := &Agent{
-		settings: settings, client: transport.NewClient(machine.Network.Dial), log: machine.Log,
+		settings: settings, client: transport.NewCompressedClient(machine.Network.Dial), log: machine.Log,
 		node: &api.Node{
 			Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation,
 		},
--- a/internal/process/transport/client.go
+++ b/internal/process/transport/client.go
@@ -35,18 +35,28 @@
 
 // Client makes calls to processes of the system: it is an HTTP client as twirp wants one.
 type Client struct {
-	http fasthttp.Client
+	http         fasthttp.Client
+	compressed   bool // replies may come compressed
+	decompressor decompressor
 }
 
 // NewClient makes a client.
 func NewClient(dial DialFunc) *Client {
-	return &Client{fasthttp.Client{
+	return &Client{http: fasthttp.Client{
 		Dial:                     dialer{dial, peerDialTimeout}.connect,
 		NoDefaultUserAgentHeader: true, MaxIdleConnDuration: idleConnTimeout, MaxResponseBodySize: maxMessageBytes,
 		DisablePathNormalizing: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: maxConnsPerPeer,
 	}}
 }
 
+// NewCompressedClient makes a client for calls between machines: it accepts large replies compressed, and servers that
+// don't compress are understood all the same.
+func NewCompressedClient(dial DialFunc) *Client {
+	c := NewClient(dial)
+	c.compressed = true
+	return c
+}
+
 // Do implements twirp's HTTPClient. Of the request's context only the deadline counts, where its error is
 // context.DeadlineExceeded: a call that is under way isn't cancelled before.
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
@@ -56,6 +66,9 @@
 	if err := copyRequest(out, request); err != nil {
 		return nil, err
 	}
+	if c.compressed {
+		out.Header.Set(fasthttp.HeaderAcceptEncoding, encodingZstd)
+	}
 	err := c.http.DoDeadline(out, in, deadlineOf(request.Context()))
 	if errors.Is(err, fasthttp.ErrTimeout) {
 		return nil, context.DeadlineExceeded
@@ -63,7 +76,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return responseTo(request, in), nil
+	body, err := c.decompressor.body(in)
+	if err != nil {
+		return nil, err
+	}
+	return responseTo(request, in, body), nil
 }
 
 // copyRequest makes fasthttp's request of one of net/http.
@@ -82,9 +99,8 @@
 	return nil
 }
 
-// responseTo makes net/http's response of one of fasthttp, which may be released.
-func responseTo(request *http.Request, in *fasthttp.Response) *http.Response {
-	body := bytes.Clone(in.Body())
+// responseTo makes net/http's response with a body of one of fasthttp, which may be released.
+func responseTo(request *http.Request, in *fasthttp.Response, body []byte) *http.Response {
 	response := &http.Response{
 		StatusCode: in.StatusCode(), Status: strconv.Itoa(in.StatusCode()), Proto: "HTTP/1.1",
 		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: request,
--- a/internal/process/transport/server.go
+++ b/internal/process/transport/server.go
@@ -30,18 +30,19 @@
 		routes = append(routes, route{[]byte(service.PathPrefix()), fasthttpadaptor.NewFastHTTPHandler(withServerContext(service))})
 	}
 	return &fasthttp.Server{
-		Handler: dispatch(routes, fallback), NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		Handler: dispatch(routes, new(compressor), fallback), NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		MaxRequestBodySize: maxMessageBytes, IdleTimeout: 2 * idleConnTimeout, ReadTimeout: 2 * idleConnTimeout,
 		DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: discardLogger{},
 	}
 }
 
-// dispatch hands a request to the first route that it fits.
-func dispatch(routes []route, fallback fasthttp.RequestHandler) fasthttp.RequestHandler {
+// dispatch hands a request to the first route that it fits, and compresses large replies of the services.
+func dispatch(routes []route, replies *compressor, fallback fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		for _, r := range routes {
 			if bytes.HasPrefix(ctx.Path(), r.prefix) {
 				r.handler(ctx)
+				replies.apply(ctx)
 				return
 			}
 		}
--- /dev/null
+++ b/internal/testing/simcluster/large_zone_test.go
@@ -0,0 +1,119 @@
+package simcluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"marlreel/internal/distribution/watch"
+	"marlreel/internal/testing/simnet"
+)
+
+const (
+	// largeZoneEdges is how many proxies the largest sites have in one zone.
+	largeZoneEdges = 42
+	// largeChangeRoutes are added by one change of some 370 KB.
+	largeChangeRoutes = 1480
+	// largeSiteApplyTime is config_apply_ms of the largest sites.
+	largeSiteApplyTime = 3 * time.Second
+	// largeSiteCoreRate is 120 Mbit/s.
+	largeSiteCoreRate = 15_000_000
+)
+
+// startLargeZone starts a cluster whose proxies are all in one zone, with the links of the largest sites.
+func startLargeZone(t *testing.T) *Cluster {
+	t.Helper()
+	c := New(Config{
+		Controls: controls, Edges: largeZoneEdges, Zones: zones[:1], Log: logr.Discard(),
+		Net: simnet.Config{Delay: time.Millisecond, Jitter: time.Millisecond, Seed: 1},
+	})
+	t.Cleanup(c.Stop)
+	for i := range 2 {
+		c.AddBackend(slipBackend(fmt.Sprint("i-", i), zones[0]))
+	}
+	c.configureFirst(t, document)
+	c.Sleep(3 * time.Second)
+	for _, edge := range c.Edges {
+		c.Net.SetMachineRate(edge.IP, slowLinkBytesPerSecond)
+	}
+	for _, m := range c.Controls {
+		c.Net.SetMachineRate(m.IP, largeSiteCoreRate)
+	}
+	return c
+}
+
+// largeChange adds routes whose names, hosts and prefixes are drawn, as an operator's are. It returns the call's body and
+// a path of its last route.
+func largeChange(version uint64, routes int) (body, path string) {
+	rng := rand.New(rand.NewPCG(version, 1))
+	var list []string
+	prefix := ""
+	for range routes {
+		prefix = fmt.Sprintf("/%07x-%d/", rng.Uint32()>>4, version)
+		list = append(list, fmt.Sprintf(`{"name":"r-%07x%d","host":"large.example","path_prefix":"%s","route_class":"unsafe",`+
+			`"timeout_ms":%d,"target_latency_ms":%d,"priority":2,"service":"slips","max_attempts":1,"keyless":false,"affinity":false,`+
+			`"resumable":false,"gap_aim_ms":0}`, rng.Uint32()>>4, version, prefix, 900+rng.IntN(900), 100+rng.IntN(200)))
+	}
+	return fmt.Sprintf(`{"config_version":%d,"upsert":{"route_list":[%s]}}`, version, strings.Join(list, ",")), prefix + "1"
+}
+
+// modifyLarge makes a change of so many routes, and returns a path of the last one.
+func (c *Cluster) modifyLarge(t *testing.T, routes int) string {
+	t.Helper()
+	body, path := largeChange(c.version+1, routes)
+	status, answer, err := c.CallOperatorAPI("POST", "/marlreel/config/modify", fmt.Sprint(c.version), body, 4*time.Second)
+	if err != nil || status != 200 {
+		t.Fatalf("a change of %d bytes: %d %s %v", len(body), status, answer, err)
+	}
+	c.version++
+	return path
+}
+
+// countRouting counts the proxies that have a route for a path of the added ones: without one they answer by 404.
+func (c *Cluster) countRouting(path string) int {
+	count := 0
+	for _, edge := range c.Edges {
+		r := slipRequestTo(path)
+		r.Host = "large.example"
+		if got, err := c.Send(edge, r); err == nil && got.Status != 404 {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against CONFIG and DENIED on the largest sites: a change of 1,480 routes reached a zone's 42 proxies on 10
+// Mbit/s after config_apply_ms, as one relay sent it whole to all others.
+func TestLargeChangeIsInForceInALargeZoneInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startLargeZone(t)
+		relayMachine, _ := c.relayOf(watch.TopicState, zones[0])
+		c.Net.TakeTraffic()
+		path := c.modifyLarge(t, largeChangeRoutes)
+		c.Sleep(largeSiteApplyTime)
+		traffic := c.Net.TakeTraffic()
+		sentBy := func(ip string) int64 { return traffic.Total(func(f simnet.Flow) bool { return f.From == ip }) }
+		most := int64(0)
+		for _, edge := range c.Edges {
+			most = max(most, sentBy(edge.IP))
+		}
+		control := int64(0)
+		for _, m := range c.Controls {
+			control += sentBy(m.IP)
+		}
+		t.Logf("the relay sent %d bytes, no proxy more than %d, control %d", sentBy(relayMachine.IP), most, control)
+		is.Equal(c.countRouting("/unknown/1"), 0)
+		is.Equal(c.countRouting(path), largeZoneEdges)
+		is.True(most <= slowLinkBytesPerSecond) // a second of the link, of the three that there are
+		second := c.modifyLarge(t, 1)
+		c.Sleep(largeSiteApplyTime)
+		is.Equal(c.countRouting(second), largeZoneEdges)
+	})
+}
