Agents: the fetch of a state that lags is the last resort, and spread over time

Cause: 0.15 s after a report all agents that lagged fetched the state from control at once, beside what their relay was sending them, and began anew after each timeout: the links of control were full, and the chain waited behind. Change: package catchup decides it, purely: 0.15 s and up to 2 ms for each node later, by the node's name, not while chunks arrive, and after 1.2 s at the latest. Reports go on meanwhile.

--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"marlreel/internal/api"
+	"marlreel/internal/distribution/catchup"
 	"marlreel/internal/distribution/watch"
 	"marlreel/internal/process/logevent"
 	"marlreel/internal/process/timing"
@@ -21,9 +24,6 @@
 	nodeRenewTimeout = 400 * time.Millisecond
 	// nodeRenewBackoff is between two reports that failed.
 	nodeRenewBackoff = 20 * time.Millisecond
-	// catchUpGrace is how much later than a report's answer the watch may bring the replicated state. Raising it delays
-	// changes where the relay hangs, lowering it fetches states from control that are on their way already.
-	catchUpGrace = 150 * time.Millisecond
 	// fetchTimeout bounds one call for the state, and maxFetchTime all of them, where it comes in chunks.
 	fetchTimeout = 500 * time.Millisecond
 	maxFetchTime = 2 * time.Second
@@ -37,10 +37,14 @@
 	store    *watch.Store
 	client   *transport.Client
 	log      logr.Logger
+
+	catchingUp atomic.Bool // one fetch is on its way at a time
+	running    sync.WaitGroup
 }
 
 // run reports until ctx ends. From when active ends on, the node reports that it drains.
 func (m *membership) run(ctx, active context.Context) {
+	defer m.running.Wait()
 	ticker := time.NewTicker(nodeRenewInterval)
 	defer ticker.Stop()
 	draining := active.Done()
@@ -73,16 +77,40 @@
 	if err != nil {
 		return false
 	}
-	if !m.lags(reply.Sequence) {
-		return true
-	}
-	timing.Sleep(ctx, catchUpGrace)
-	if m.lags(reply.Sequence) {
-		m.fetchState(ctx, control)
+	if m.lags(reply.Sequence) && m.catchingUp.CompareAndSwap(false, true) {
+		m.running.Go(func() {
+			defer m.catchingUp.Store(false)
+			m.catchUp(ctx, control, reply.Sequence)
+		})
 	}
 	return true
 }
 
+// catchUp leaves it to the watch to bring the state up to a sequence number, and fetches it from control where that
+// takes too long.
+func (m *membership) catchUp(ctx context.Context, control string, sequence uint64) {
+	began := time.Now()
+	delay := catchup.Delay(m.node.Name, sequence, len(m.store.Nodes()))
+	for ctx.Err() == nil {
+		changed := m.store.Changed()
+		if !m.lags(sequence) {
+			return
+		}
+		remaining := catchup.Remaining(time.Since(began), delay, time.Since(m.store.LastChunk()))
+		if remaining <= 0 {
+			m.fetchState(ctx, control)
+			return
+		}
+		timer := time.NewTimer(remaining)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
 // lags reports whether the replicated state is known here to an earlier sequence number.
 func (m *membership) lags(sequence uint64) bool {
 	known, _ := m.store.Position()
--- a/internal/distribution/watch/snapshot_chunks.go
+++ b/internal/distribution/watch/snapshot_chunks.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"marlreel/internal/api"
@@ -77,6 +79,7 @@
 		return
 	}
 	p.data = append(p.data, chunk.Data...)
+	s.lastChunk = s.now()
 	if uint64(len(p.data)) < p.totalBytes {
 		return
 	}
@@ -87,6 +90,13 @@
 	}
 }
 
+// LastChunk returns when a chunk of a snapshot was received last; the zero time: none was.
+func (s *Store) LastChunk() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastChunk
+}
+
 // continuedBy reports whether a chunk is the next one of this snapshot.
 func (p *partialSnapshot) continuedBy(source string, chunk *api.StatePart) bool {
 	return p.source == source && p.sequence == chunk.Sequence && p.hash == chunk.Hash && p.totalBytes == chunk.Total &&
--- a/internal/distribution/watch/store.go
+++ b/internal/distribution/watch/store.go
@@ -22,6 +22,8 @@
 	log      entryLog
 	encoded  *encodedSnapshot // as last served in chunks; nil: none was
 
+	lastChunk time.Time // when a chunk of a snapshot was received that follows on the ones before
+
 	backends            map[string]*backendRecord // by id
 	departures          []departure               // the last ones, oldest first
 	departuresTrimmedTo uint64                    // subscribers at an earlier revision need the complete list
--- a/internal/process/transport/compression.go
+++ b/internal/process/transport/compression.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
 
 	"github.com/klauspost/compress/zstd"
@@ -16,18 +17,17 @@
 	minCompressedBytes = 2 << 10
 	// compressionWindow is how far back in a body repetitions are found. Raising it costs memory on both sides.
 	compressionWindow = 256 << 10
-	// maxRecentReplies is how many compressed bodies are kept for others who get the same, as all subscribers of a
-	// topic do. Raising it costs memory, and time for looking them through.
-	maxRecentReplies = 4
-	// maxRecentBytes bounds a body that is kept.
-	maxRecentBytes = 1 << 20
+	// maxRecentBytes bounds the bodies that are kept with their compression, for others who get the same, as all
+	// subscribers of a topic do. Raising it costs memory, and time for looking them through.
+	maxRecentBytes = 2 << 20
 )
 
 // compressor compresses replies for clients that accept that. Any goroutine may use it.
 type compressor struct {
 	mu      sync.Mutex
-	encoder *zstd.Encoder // nil: nothing was compressed yet
-	recent  []compressedBody
+	encoder *zstd.Encoder    // nil: nothing was compressed yet
+	recent  []compressedBody // the oldest first
+	bytes   int              // of their plain bodies
 }
 
 // compressedBody is a body as it was and compressed; neither changes.
@@ -60,12 +60,22 @@
 	}
 	compressed := c.encoder.EncodeAll(body, make([]byte, 0, len(body)/4))
 	if len(body) <= maxRecentBytes {
-		c.recent = append(c.recent, compressedBody{bytes.Clone(body), compressed})
-		c.recent = c.recent[max(0, len(c.recent)-maxRecentReplies):]
+		c.keep(compressedBody{bytes.Clone(body), compressed})
 	}
 	return compressed
 }
 
+// keep keeps a body, and drops the oldest that there is no room for beside it.
+func (c *compressor) keep(body compressedBody) {
+	c.recent = append(c.recent, body)
+	c.bytes += len(body.plain)
+	dropped := 0
+	for ; c.bytes > maxRecentBytes; dropped++ {
+		c.bytes -= len(c.recent[dropped].plain)
+	}
+	c.recent = slices.Delete(c.recent, 0, dropped)
+}
+
 func newEncoder() *zstd.Encoder {
 	encoder, _ := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
 		zstd.WithWindowSize(compressionWindow), zstd.WithLowerEncoderMem(true)) // it fails with options that are wrong alone
--- a/internal/process/transport/compression_test.go
+++ b/internal/process/transport/compression_test.go
@@ -103,15 +103,19 @@
 	body := []byte(repetitiveBody(100_000))
 	first := c.compress(body)
 	is.True(&first[0] == &c.compress(bytes.Clone(body))[0])
-	for i := range 3 * maxRecentReplies {
-		other := c.compress([]byte(repetitiveBody(50_000 + i)))
-		is.True(len(other) > 0)
-		is.True(len(c.recent) <= maxRecentReplies)
+	const size = maxRecentBytes / 5
+	for i := range 20 {
+		is.True(len(c.compress([]byte(repetitiveBody(size+i)))) > 0)
+		is.True(len(c.recent) <= 5)
 	}
-	c.compress(make([]byte, maxRecentBytes+1))
+	is.Equal(len(c.recent), 4)
+	is.True(len(c.compress(make([]byte, maxRecentBytes+1))) > 0)
+	is.Equal(len(c.recent), 4) // what is too large to be kept drives nothing out
+	kept := 0
 	for _, known := range c.recent {
-		is.True(len(known.plain) <= maxRecentBytes)
+		kept += len(known.plain)
 	}
+	is.Equal(kept, c.bytes)
 }
 
 // Bodies that are no frames, of an encoding that was not asked for, or larger than a message may be are errors.
--- a/internal/testing/simcluster/large_zone_test.go
+++ b/internal/testing/simcluster/large_zone_test.go
@@ -63,8 +63,8 @@
 	return fmt.Sprintf(`{"config_version":%d,"upsert":{"route_list":[%s]}}`, version, strings.Join(list, ",")), prefix + "1"
 }
 
-// modifyLarge makes a change of so many routes, and returns a path of the last one.
-func (c *Cluster) modifyLarge(t *testing.T, routes int) string {
+// modifyLarge makes a change of so many routes, and returns its size in bytes and a path of the last route.
+func (c *Cluster) modifyLarge(t *testing.T, routes int) (size int64, path string) {
 	t.Helper()
 	body, path := largeChange(c.version+1, routes)
 	status, answer, err := c.CallOperatorAPI("POST", "/marlreel/config/modify", fmt.Sprint(c.version), body, 4*time.Second)
@@ -72,7 +72,7 @@
 		t.Fatalf("a change of %d bytes: %d %s %v", len(body), status, answer, err)
 	}
 	c.version++
-	return path
+	return int64(len(body)), path
 }
 
 // countRouting counts the proxies that have a route for a path of the added ones: without one they answer by 404.
@@ -89,14 +89,14 @@
 }
 
 // Guards against CONFIG and DENIED on the largest sites: a change of 1,480 routes reached a zone's 42 proxies on 10
-// Mbit/s after config_apply_ms, as one relay sent it whole to all others.
+// Mbit/s after config_apply_ms, as one relay sent it whole to all others, and they fetched it from control besides.
 func TestLargeChangeIsInForceInALargeZoneInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := startLargeZone(t)
 		relayMachine, _ := c.relayOf(watch.TopicState, zones[0])
 		c.Net.TakeTraffic()
-		path := c.modifyLarge(t, largeChangeRoutes)
+		size, path := c.modifyLarge(t, largeChangeRoutes)
 		c.Sleep(largeSiteApplyTime)
 		traffic := c.Net.TakeTraffic()
 		sentBy := func(ip string) int64 { return traffic.Total(func(f simnet.Flow) bool { return f.From == ip }) }
@@ -112,7 +112,8 @@
 		is.Equal(c.countRouting("/unknown/1"), 0)
 		is.Equal(c.countRouting(path), largeZoneEdges)
 		is.True(most <= slowLinkBytesPerSecond) // a second of the link, of the three that there are
-		second := c.modifyLarge(t, 1)
+		is.True(control <= (controls+1)*size)   // each control process has it once; the agents get less than one more
+		_, second := c.modifyLarge(t, 1)
 		c.Sleep(largeSiteApplyTime)
 		is.Equal(c.countRouting(second), largeZoneEdges)
 	})
