Configuration: an accepted change is decoded once and not validated again

Change: what a validated change led to is remembered by the document that it changes, so the head's state takes it over; committed changes are merged without validation, as whole documents were decoded before; items that have nothing wrong with them are decoded in one pass, the others as before, so that errors stay the same.

--- a/internal/controlplane/configuration/modify.go
+++ b/internal/controlplane/configuration/modify.go
@@ -43,26 +43,48 @@
 // name are neither decoded nor validated again, but for how they relate to the changed ones, and what was made of a
 // list that it does not touch is shared by both documents.
 func (d *Document) Modify(data []byte) (*Document, *result.Error) {
-	c, err := decodeChange(data)
+	next, checked, err := d.merge(data)
 	if err != nil {
 		return nil, err
 	}
+	if err := combine(next.validate(checked)); err != nil {
+		return nil, err
+	}
+	d.raw.remember(data, next)
+	return next, nil
+}
+
+// Merge does the same for a change that was validated when it was accepted.
+func (d *Document) Merge(data []byte) (*Document, *result.Error) {
+	if next := d.raw.recall(data); next != nil {
+		return next, nil
+	}
+	next, _, err := d.merge(data)
+	return next, err
+}
+
+// merge returns the document that a change leads to, and what of it is to be validated.
+func (d *Document) merge(data []byte) (*Document, scope, *result.Error) {
+	c, err := decodeChange(data)
+	if err != nil {
+		return nil, scope{}, err
+	}
 	old, err := d.raw.split()
 	if err != nil {
-		return nil, err
+		return nil, scope{}, err
 	}
 	newNames := map[string]bool{}
 	routes, err := applyChange(list[Route]{d.Routes, old.routes}, c, routesKey, newNames)
 	if err != nil {
-		return nil, err
+		return nil, scope{}, err
 	}
 	services, err := applyChange(list[Service]{d.Services, old.services}, c, servicesKey, newNames)
 	if err != nil {
-		return nil, err
+		return nil, scope{}, err
 	}
 	subscribers, err := applyChange(list[Subscriber]{d.Subscribers, old.subscribers}, c, subscribersKey, newNames)
 	if err != nil {
-		return nil, err
+		return nil, scope{}, err
 	}
 	next := *d
 	next.Version, next.Routes, next.Services, next.Subscribers = c.Version, routes.values, services.values, subscribers.values
@@ -71,10 +93,7 @@
 	}}
 	next.indexTouched(c)
 	isNew := func(name string) bool { return newNames[name] }
-	if err := combine(next.validate(scope{touches: c.touches, isNew: isNew})); err != nil {
-		return nil, err
-	}
-	return &next, nil
+	return &next, scope{touches: c.touches, isNew: isNew}, nil
 }
 
 // indexTouched makes the tables of those lists anew that a change touches.
@@ -90,6 +109,18 @@
 	}
 }
 
+// listItem is an item of one of the lists, which has a name.
+type listItem interface {
+	Route | Service | Subscriber
+	itemName() string
+}
+
+func (r Route) itemName() string { return r.Name }
+
+func (s Service) itemName() string { return s.Name }
+
+func (s Subscriber) itemName() string { return s.Name }
+
 // list is a list of a document: its items decoded, and as they were sent, in the same order.
 type list[T any] struct {
 	values []T
@@ -104,7 +135,7 @@
 // applyChange applies what a change says of the list under a key. It adds the names of the items that come with
 // the change to newNames. A list that the change does not touch is returned as it is, and so is an absent one from
 // which items are removed.
-func applyChange[T any](old list[T], c *change, key string, newNames map[string]bool) (list[T], *result.Error) {
+func applyChange[T listItem](old list[T], c *change, key string, newNames map[string]bool) (list[T], *result.Error) {
 	if len(c.Upsert[key]) == 0 && (len(c.Remove[key]) == 0 || old.items == nil) {
 		return old, nil
 	}
@@ -119,7 +150,10 @@
 }
 
 // decodeUpserts decodes the items that a change adds or replaces.
-func decodeUpserts[T any](upsert []json.RawMessage) (list[T], *result.Error) {
+func decodeUpserts[T listItem](upsert []json.RawMessage) (list[T], *result.Error) {
+	if decoded, ok := decodeOnce[T](upsert); ok {
+		return decoded, nil
+	}
 	items, err := namedItems(upsert)
 	if err != nil {
 		return list[T]{}, err
@@ -138,6 +172,25 @@
 	return list[T]{values: values, items: items}, nil
 }
 
+// decodeOnce decodes items that have nothing wrong with them, each in one pass. It reports false where one has: what it is
+// takes another look.
+func decodeOnce[T listItem](upsert []json.RawMessage) (list[T], bool) {
+	decoded := list[T]{values: make([]T, len(upsert)), items: make([]rawItem, len(upsert))}
+	names := make(map[string]bool, len(upsert))
+	for i, data := range upsert {
+		if json.Unmarshal(data, &decoded.values[i]) != nil {
+			return list[T]{}, false
+		}
+		name := decoded.values[i].itemName()
+		if name == "" || names[name] {
+			return list[T]{}, false
+		}
+		names[name] = true
+		decoded.items[i] = rawItem{name: name, json: data}
+	}
+	return decoded, true
+}
+
 // merge replaces items of the old list by the upserts of their names, drops those that are removed, and appends the
 // other upserts. An upsert wins over a removal of its name.
 func merge[T any](old, upserts list[T], remove []string) list[T] {
--- a/internal/controlplane/configuration/rawdocument.go
+++ b/internal/controlplane/configuration/rawdocument.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
 	"sync"
@@ -37,6 +38,9 @@
 	mu     sync.Mutex
 	data   []byte
 	fields *rawFields
+
+	change   []byte    // the last validated change of this document; nil: there was none
+	modified *Document // what it led to
 }
 
 func newRawDocument(data []byte) *rawDocument { return &rawDocument{data: data} }
@@ -51,6 +55,23 @@
 	return r.data
 }
 
+// remember keeps what a validated change of this document led to: mostly it is accepted, and applied.
+func (r *rawDocument) remember(change []byte, modified *Document) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.change, r.modified = change, modified
+}
+
+// recall returns what a change led to, if it was the last that was validated; nil: it was not.
+func (r *rawDocument) recall(change []byte) *Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.modified == nil || !bytes.Equal(r.change, change) {
+		return nil
+	}
+	return r.modified
+}
+
 // split returns the document's fields.
 func (r *rawDocument) split() (*rawFields, *result.Error) {
 	r.mu.Lock()
--- a/internal/controlplane/state/configuration.go
+++ b/internal/controlplane/state/configuration.go
@@ -20,7 +20,7 @@
 // Version is that of the configuration in force; 0: none was accepted yet.
 func (m *Machine) Version() uint64 { return m.state.Version }
 
-func (m *Machine) replace(c *api.ReplaceConfiguration, read documentReader) (bool, *result.Error) {
+func (m *Machine) replace(c *api.ReplaceConfiguration, reader documentReader) (bool, *result.Error) {
 	digest := changeDigest(replaceKind, c.BaseVersion, c.Document)
 	if m.wasAccepted(digest) {
 		return false, nil
@@ -28,14 +28,14 @@
 	if c.BaseVersion != m.state.Version {
 		return false, m.conflict(c.BaseVersion)
 	}
-	document, err := read(c.Document)
+	document, err := reader.read(c.Document)
 	if err != nil {
 		return false, err
 	}
 	return m.setDocument(document, digest)
 }
 
-func (m *Machine) modify(c *api.ModifyConfiguration) (bool, *result.Error) {
+func (m *Machine) modify(c *api.ModifyConfiguration, reader documentReader) (bool, *result.Error) {
 	digest := changeDigest(modifyKind, c.BaseVersion, c.Change)
 	if m.wasAccepted(digest) {
 		return false, nil
@@ -43,7 +43,7 @@
 	if c.BaseVersion != m.state.Version || m.document == nil {
 		return false, m.conflict(c.BaseVersion)
 	}
-	document, err := m.document.Modify(c.Change)
+	document, err := reader.modify(m.document, c.Change)
 	if err != nil {
 		return false, err
 	}
--- a/internal/controlplane/state/machine.go
+++ b/internal/controlplane/state/machine.go
@@ -66,25 +66,37 @@
 func (m *Machine) Apply(entry *api.Entry) {
 	for _, operation := range entry.Operations {
 		// One that is rejected changes nothing, on every member alike.
-		_, _ = m.execute(operation, configuration.Decode)
+		_, _ = m.execute(operation, accepted())
 	}
 }
 
 // Execute validates one operation and executes it. It reports whether the state has changed. If not, the error says why
 // the operation was rejected; without an error it had its effect before.
 func (m *Machine) Execute(operation *api.Operation) (bool, *result.Error) {
-	return m.execute(operation, configuration.Parse)
+	return m.execute(operation, proposed())
 }
 
-// documentReader reads a whole document, and validates it or not.
-type documentReader func(data []byte) (*configuration.Document, *result.Error)
+// documentReader makes documents of whole ones and of changes, and validates them or not.
+type documentReader struct {
+	read   func(data []byte) (*configuration.Document, *result.Error)
+	modify func(d *configuration.Document, change []byte) (*configuration.Document, *result.Error)
+}
+
+// proposed reads what is to be validated, and accepted what was.
+func proposed() documentReader {
+	return documentReader{configuration.Parse, (*configuration.Document).Modify}
+}
+
+func accepted() documentReader {
+	return documentReader{configuration.Decode, (*configuration.Document).Merge}
+}
 
-func (m *Machine) execute(operation *api.Operation, read documentReader) (bool, *result.Error) {
+func (m *Machine) execute(operation *api.Operation, reader documentReader) (bool, *result.Error) {
 	switch kind := operation.Kind.(type) {
 	case *api.Operation_Replace:
-		return m.replace(kind.Replace, read)
+		return m.replace(kind.Replace, reader)
 	case *api.Operation_Modify:
-		return m.modify(kind.Modify)
+		return m.modify(kind.Modify, reader)
 	case *api.Operation_Evacuation:
 		return m.evacuate(kind.Evacuation)
 	case *api.Operation_Retire:
