Watch: changes of nodes alone are batched, as those of backends are

Need: each reply on nodes lists all of them, and each node that came made a reply of its own to each subscriber: the bytes of a start grow by the square of the nodes (295 of them on the largest site), at control and at each relay. Change: such changes wait for the batch window of 100 ms. Changes of the replicated state don't wait.

--- a/internal/distribution/watch/cursor.go
+++ b/internal/distribution/watch/cursor.go
@@ -126,7 +126,7 @@
 		}
 	}
 	if changed {
-		s.nodesRevision, s.stateRevision = s.nextRevision(), s.nextRevision()
+		s.nodesRevision = s.nextRevision()
 	}
 	return changed
 }
--- a/internal/distribution/watch/longpoll.go
+++ b/internal/distribution/watch/longpoll.go
@@ -7,9 +7,10 @@
 	"marlreel/internal/api"
 )
 
-// batchWindow is the least time between two replies with changes of backends alone: what changes in between goes in one
-// reply. Changes of the replicated state don't wait. Raising it lets proxies learn of new and departed backends later;
-// lowering it multiplies the replies where many backends change at once, as after a restart of all.
+// batchWindow is the least time between two replies with changes of backends or nodes alone: what changes in between goes
+// in one reply. Changes of the replicated state don't wait. Raising it lets proxies learn of new and departed backends
+// later; lowering it multiplies the replies where many change at once, as after a restart of all. Each reply on nodes
+// lists all of them, so without it the bytes of a start would grow by the square of their number.
 const batchWindow = 100 * time.Millisecond
 
 // HandleWatch serves a subscriber's poll: it replies with what the subscriber lacks as soon as there is something, or
--- a/internal/distribution/watch/longpoll_test.go
+++ b/internal/distribution/watch/longpoll_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,3 +82,31 @@
 		is.Equal(sequence, uint64(0))
 	})
 }
+
+// Guards against bytes that grow by the square of the nodes when all of them start: a subscriber gets the list once a
+// batch window, whatever the size of the site.
+func TestUpdatesOfNodesAreBatched(t *testing.T) {
+	const start = time.Second // in which all nodes report for the first time
+	for _, nodes := range []int{9, 42, 295} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source := New("source", time.Now)
+				subscriber := newTestSubscriber(source, TopicState)
+				subscriber.poll()
+				began := time.Now()
+				for i := range nodes {
+					name := fmt.Sprint("edge-", i)
+					afterDelay(t, start*time.Duration(i)/time.Duration(nodes), func() { source.RecordNode(&api.Node{Name: name}) })
+				}
+				polls := 0
+				for len(subscriber.store.Nodes()) < nodes {
+					subscriber.poll()
+					polls++
+				}
+				is.True(polls <= int(start/batchWindow)+1)
+				is.True(time.Since(began) <= start+batchWindow)
+			})
+		})
+	}
+}
--- a/internal/distribution/watch/nodes.go
+++ b/internal/distribution/watch/nodes.go
@@ -26,7 +26,7 @@
 // publishNodes begins the next revision after a change of the nodes.
 func (s *Store) publishNodes() {
 	s.nodesRevision = s.nextRevision()
-	s.publishState()
+	s.publish()
 }
 
 // recordNode reports whether the report changed anything.
--- a/internal/distribution/watch/store.go
+++ b/internal/distribution/watch/store.go
@@ -31,8 +31,8 @@
 	controlNodes        []*api.ControlNode
 	statuses            statusTable
 
-	// The revisions at which the parts that topics select last changed. The first covers the replicated state, the
-	// nodes and the control processes.
+	// The revisions at which the parts that topics select last changed. The first covers the replicated state and the
+	// control processes.
 	stateRevision   uint64
 	nodesRevision   uint64
 	serviceRevision map[string]uint64
@@ -59,7 +59,7 @@
 	s.changed = make(chan struct{})
 }
 
-// publishState does the same after a change of the replicated state, the nodes or the control processes.
+// publishState does the same after a change of the replicated state or the control processes.
 func (s *Store) publishState() {
 	s.stateRevision = s.nextRevision()
 	s.publish()
@@ -86,7 +86,7 @@
 	}
 	last := s.statusRevision
 	if topics.IncludesState() {
-		last = max(last, s.stateRevision)
+		last = max(last, s.stateRevision, s.nodesRevision)
 	}
 	for service, revision := range s.serviceRevision {
 		if topics.IncludesService(service) {
