Control: the feed takes the state over that the replica has applied already

Change: where the entries follow on what the feed has, it gets a copy of the replica's state, which shares the document. Measured: the tests of the control plane and of the cluster with relays and large changes pass.

--- a/internal/controlplane/replica.go
+++ b/internal/controlplane/replica.go
@@ -118,8 +118,8 @@
 	}
 	if out.SnapshotRestored {
 		r.publishRestored()
-	} else {
-		r.feed.AppendEntries(out.Committed)
+	} else if len(out.Committed) > 0 {
+		r.feed.AppendApplied(out.Committed, r.machine.Clone())
 	}
 	for _, entry := range out.Committed {
 		r.onCommitted(entry)
--- a/internal/distribution/watch/entries.go
+++ b/internal/distribution/watch/entries.go
@@ -66,13 +66,30 @@
 	s.appendEntries(entries)
 }
 
-func (s *Store) appendEntries(entries []*api.Entry) {
+func (s *Store) appendEntries(entries []*api.Entry) { s.append(entries, s.machine.Apply) }
+
+// AppendApplied does the same with the state that the entries led to where they were applied already. The store owns
+// that state from then on.
+func (s *Store) AppendApplied(entries []*api.Entry, machine *state.Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	follows := len(entries) > 0 && entries[0].Sequence == s.sequence+1 && entries[0].PreviousHash == s.hash
+	if !follows {
+		s.appendEntries(entries)
+		return
+	}
+	s.machine = machine
+	s.append(entries, func(*api.Entry) {})
+}
+
+// append adds the entries that directly follow the state, each once it is applied.
+func (s *Store) append(entries []*api.Entry, apply func(*api.Entry)) {
 	applied := false
 	for _, entry := range entries {
 		if entry.Sequence != s.sequence+1 {
 			continue
 		}
-		s.machine.Apply(entry)
+		apply(entry)
 		s.sequence, s.hash = entry.Sequence, entry.Hash
 		s.log.add(entry)
 		applied = true
--- a/internal/distribution/watch/entries_test.go
+++ b/internal/distribution/watch/entries_test.go
@@ -1,12 +1,14 @@
 package watch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"marlreel/internal/api"
+	"marlreel/internal/controlplane/state"
 )
 
 // The entries that are kept for subscribers that lag are bounded in bytes too; who lags further gets the snapshot.
@@ -33,3 +35,31 @@
 	is.Equal(len(source.log.entries), 1) // the last one is kept whatever its size
 	is.True(source.replyTo(&api.WatchRequest{Sequence: 100, Hash: 101}).State != nil)
 }
+
+// Entries that were applied elsewhere lead to the same state, and nothing of them is taken over where they do not follow.
+func TestAppliedEntriesLeadToTheSameState(t *testing.T) {
+	is := is.New(t)
+	entry := func(sequence uint64) *api.Entry {
+		operation := &api.Operation{Kind: &api.Operation_Evacuation{Evacuation: &api.SetEvacuation{Zone: fmt.Sprint("zone-", sequence), Active: true}}}
+		return &api.Entry{Sequence: sequence, PreviousHash: sequence, Hash: sequence + 1, Operations: []*api.Operation{operation}}
+	}
+	zones := func(s *Store) (zones []string) {
+		s.ReadState(func(m *state.Machine) { zones = m.EvacuatedZones() })
+		return zones
+	}
+	first := &api.Entry{Sequence: 1, Hash: 2}
+	applied, elsewhere := New("applied", time.Now), state.New()
+	applied.AppendEntries([]*api.Entry{first})
+	entries := []*api.Entry{entry(2), entry(3)}
+	for _, e := range entries {
+		elsewhere.Apply(e)
+	}
+	applied.AppendApplied(entries, elsewhere.Clone())
+	is.Equal(zones(applied), []string{"zone-2", "zone-3"})
+	sequence, hash := applied.Position()
+	is.True(sequence == 3 && hash == 4)
+	later := entry(5)
+	elsewhere.Apply(later)
+	applied.AppendApplied([]*api.Entry{later}, elsewhere.Clone()) // the one before is missing
+	is.Equal(zones(applied), []string{"zone-2", "zone-3"})
+}
