Agents choose their relays anew only where nodes or services have changed

Change: a plan stands until the nodes or the topics change; who needs their number alone asks for that.

--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -90,7 +90,7 @@
 // takes too long.
 func (m *membership) catchUp(ctx context.Context, control string, sequence uint64) {
 	began := time.Now()
-	delay := catchup.Delay(m.node.Name, sequence, len(m.store.Nodes()))
+	delay := catchup.Delay(m.node.Name, sequence, m.store.NodeCount())
 	for ctx.Err() == nil {
 		changed := m.store.Changed()
 		if !m.lags(sequence) {
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -12,7 +12,7 @@
 	set := vm.NewSet()
 	set.NewGauge("marlreel_feed_fresh", func() float64 { return metricserver.BoolValue(a.store.Fresh(nil)) })
 	set.NewGauge("marlreel_backends", func() float64 { return float64(len(a.store.Backends())) })
-	set.NewGauge("marlreel_nodes", func() float64 { return float64(len(a.store.Nodes())) })
+	set.NewGauge("marlreel_nodes", func() float64 { return float64(a.store.NodeCount()) })
 	set.NewGauge("marlreel_roles_held", func() float64 { return float64(a.leases.count()) })
 	for verdict, label := range map[ledger.Verdict]string{
 		ledger.Granted: "granted", ledger.Exceeded: "exceeded", ledger.NotOwner: "not_owner", ledger.SubscriberUnknown: "subscriber_unknown",
--- a/internal/agent/subscriptions.go
+++ b/internal/agent/subscriptions.go
@@ -29,6 +29,10 @@
 	agent       *Agent
 	running     map[string]context.CancelFunc // by subscriptionKey
 	subscribers sync.WaitGroup
+
+	// What the plan in force was made from.
+	topics        watch.Topics // nil: there is no plan yet
+	nodesRevision uint64       // of the store
 }
 
 func newSubscriptions(a *Agent) *subscriptions {
@@ -50,8 +54,8 @@
 	}
 }
 
-// topics returns what this agent has to watch: the state, and the backends of all services.
-func (s *subscriptions) topics() watch.Topics {
+// neededTopics returns what this agent has to watch: the state, and the backends of all services.
+func (s *subscriptions) neededTopics() watch.Topics {
 	topics := watch.Topics{watch.TopicState}
 	s.agent.store.ReadState(func(m *state.Machine) {
 		document := m.Document()
@@ -69,9 +73,14 @@
 	return subscription.Relay + " " + subscription.Fallback + " " + strings.Join(subscription.Topics, " ")
 }
 
-// adjust stops the subscribers that are not in the plan and starts those that are missing.
+// adjust stops the subscribers that are not in the plan and starts those that are missing, where that may have changed.
 func (s *subscriptions) adjust(ctx context.Context) {
-	topics := s.topics()
+	topics, revision := s.neededTopics(), s.agent.store.Revision()
+	defer s.agent.store.RetainTopics(topics)
+	if slices.Equal(topics, s.topics) && !s.agent.store.NodesChangedSince(s.nodesRevision) {
+		return
+	}
+	s.topics, s.nodesRevision = topics, revision
 	desired := map[string]relay.Subscription{}
 	for _, subscription := range relay.Plan(s.agent.node, s.agent.store.Nodes(), topics) {
 		desired[subscriptionKey(subscription)] = subscription
@@ -90,7 +99,6 @@
 		s.running[key] = cancel
 		s.subscribers.Go(func() { s.subscribe(subscriberCtx, subscription) })
 	}
-	s.agent.store.RetainTopics(topics)
 }
 
 // subscribe watches one source until ctx ends. Where a relay does not answer, its own relay does, and then control.
--- a/internal/dataplane/gateway/metrics.go
+++ b/internal/dataplane/gateway/metrics.go
@@ -150,7 +150,7 @@
 	set.NewGauge("marlreel_ready", func() float64 { return metricserver.BoolValue(g.Ready()) })
 	set.NewGauge("marlreel_feed_fresh", func() float64 { return metricserver.BoolValue(g.state.Fresh(nil)) })
 	set.NewGauge("marlreel_backends", func() float64 { return float64(len(g.state.Backends())) })
-	set.NewGauge("marlreel_nodes", func() float64 { return float64(len(g.state.Nodes())) })
+	set.NewGauge("marlreel_nodes", func() float64 { return float64(g.state.NodeCount()) })
 	set.NewGauge("marlreel_config_version", func() float64 {
 		if document := g.table.Load().document; document != nil {
 			return float64(document.Version)
--- a/internal/dataplane/gateway/routingtable.go
+++ b/internal/dataplane/gateway/routingtable.go
@@ -104,7 +104,7 @@
 // updateServices gives the services of a configuration: those that go on, and those that are started.
 func (g *Gateway) updateServices(ctx context.Context, old *routingTable, document *configuration.Document) map[string]*service {
 	services := map[string]*service{}
-	proxies := len(g.state.Nodes())
+	proxies := g.state.NodeCount()
 	for i := range document.Services {
 		cfg := &document.Services[i]
 		if s := g.updateService(ctx, old.services[cfg.Name], cfg, classesOf(document, cfg.Name), proxies); s != nil {
--- a/internal/distribution/watch/nodes.go
+++ b/internal/distribution/watch/nodes.go
@@ -78,6 +78,13 @@
 	return s.listNodes()
 }
 
+// NodeCount returns how many nodes there are.
+func (s *Store) NodeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.nodes)
+}
+
 func (s *Store) listNodes() []*api.Node {
 	now := s.now()
 	nodes := make([]*api.Node, 0, len(s.nodes))
