Agents: a fetch of the state goes on where a chunk of it was lost

Cause: an agent that fetches the state from control gave it up at the first call that timed out, threw away the chunks that it had, and began anew after the next report. Where nothing has come it gives up as before: the next report may go to another process.

--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -117,20 +117,25 @@
 	return known < sequence
 }
 
-// fetchState reads the replicated state from control itself. Where that fails, the next report finds that it still lags.
+// fetchState reads the replicated state from control itself. Where a chunk of it is lost it goes on behind the ones that
+// it has. Where nothing has come, the next report finds that the state still lags, and may ask another process.
 func (m *membership) fetchState(ctx context.Context, control string) {
 	cursor := watch.NewCursor(watch.Topics{watch.TopicState})
 	fetchCtx, cancel := context.WithTimeout(ctx, maxFetchTime)
 	defer cancel()
-	for {
-		if err := m.fetchOnce(fetchCtx, control, cursor); err != nil {
-			return
+	for fetchCtx.Err() == nil {
+		err := m.fetchOnce(fetchCtx, control, cursor)
+		if cursor.ReceivingSnapshot() {
+			if err != nil {
+				timing.Sleep(fetchCtx, nodeRenewBackoff)
+			}
+			continue
 		}
-		if !cursor.ReceivingSnapshot() {
-			break
+		if err == nil {
+			m.log.V(1).Info(logevent.WatchStateFetched, logevent.KeySource, control)
 		}
+		return
 	}
-	m.log.V(1).Info(logevent.WatchStateFetched, logevent.KeySource, control)
 }
 
 // fetchOnce makes one call for the state, or for a chunk of it.
