--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -25,6 +25,7 @@
 	log            logr.Logger
 	demand         *demandRecorder
 	metrics        *vm.Set
+	refusals       *refusalRecorder
 	table          atomic.Pointer[routingTable]
 	ready          atomic.Bool // it has had a fresh state
 	draining       atomic.Bool // clients are to turn to other proxies
@@ -67,6 +68,7 @@
 	}
 	g.table.Store(&routingTable{services: map[string]*service{}})
 	g.metrics = g.newMetrics()
+	g.refusals = newRefusalRecorder(g.metrics, g.log)
 	return g
 }
 
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -44,6 +44,7 @@
 	}
 	tenant, authorized := authenticate(table.document, route, header.PeekAll(headerAuthorization))
 	if !authorized {
+		g.refusals.record(refusedUnauthenticated)
 		ctx.Error("a known key is needed", fasthttp.StatusUnauthorized)
 		ctx.Response.Header.Set(headerAuthenticate, bearerScheme)
 		return
--- a/internal/dataplane/gateway/quota.go
+++ b/internal/dataplane/gateway/quota.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -32,15 +33,16 @@
 	}
 	cost := subscriber.Cost(parseTokens(string(ctx.Request.Header.Peek(headerTokens))))
 	decision := r.gateway.quota.Acquire(subscriber, cost, r.deadline)
-	switch decision.Verdict {
-	case QuotaAllowed:
+	if decision.Verdict == QuotaAllowed {
 		r.quotaTaken = &decision
 		return true
-	case QuotaExceeded:
-		refuse(ctx, fasthttp.StatusTooManyRequests, decision.RetryAfter)
-	default:
-		refuse(ctx, fasthttp.StatusServiceUnavailable, decision.RetryAfter)
 	}
+	reason, status := refusedQuotaUnknown, fasthttp.StatusServiceUnavailable
+	if decision.Verdict == QuotaExceeded {
+		reason, status = refusedOverQuota, fasthttp.StatusTooManyRequests
+	}
+	r.gateway.refusals.recordTenant(time.Now(), reason, subscriber.Name)
+	refuse(ctx, status, decision.RetryAfter)
 	return false
 }
 
--- /dev/null
+++ b/internal/dataplane/gateway/refusal.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"marlreel/internal/process/logevent"
+	"marlreel/internal/process/metricserver"
+)
+
+// refusal is why the proxy refuses a request by itself.
+type refusal int
+
+// The reasons.
+const (
+	refusedUnauthenticated refusal = iota // its route needs a key, and it has no known one
+	refusedOverQuota                      // its tenant is over its quota
+	refusedQuotaUnknown                   // what is left of its tenant's quota isn't known here
+)
+
+// refusalNames are the values of the metrics' label (docs/METRICS.md).
+var refusalNames = map[refusal]string{
+	refusedUnauthenticated: "unauthenticated", refusedOverQuota: "over_quota", refusedQuotaUnknown: "quota_unknown",
+}
+
+// refusalLogInterval is the time in which one line goes out on refused tenants, however many there are.
+const refusalLogInterval = 10 * time.Second
+
+// refusalRecorder counts refusals, and logs now and then which tenant is refused. Its methods may be called by any
+// goroutine.
+type refusalRecorder struct {
+	counters map[refusal]*vm.Counter
+	log      logr.Logger
+
+	mu    sync.Mutex
+	lines lineLimit
+}
+
+func newRefusalRecorder(set *vm.Set, log logr.Logger) *refusalRecorder {
+	r := &refusalRecorder{counters: map[refusal]*vm.Counter{}, log: log, lines: lineLimit{interval: refusalLogInterval}}
+	for reason, name := range refusalNames {
+		r.counters[reason] = set.NewCounter(metricserver.SeriesName("marlreel_requests_refused_total", metricserver.Label{Key: "reason", Value: name}))
+	}
+	return r
+}
+
+// record counts the refusal of a request that has no tenant.
+func (r *refusalRecorder) record(reason refusal) { r.counters[reason].Inc() }
+
+// recordTenant counts the refusal of a tenant's request.
+func (r *refusalRecorder) recordTenant(now time.Time, reason refusal, tenant string) {
+	r.record(reason)
+	r.mu.Lock()
+	refused, due := r.lines.add(now)
+	r.mu.Unlock()
+	if due {
+		r.log.Info(logevent.TenantRefused, logevent.KeyTenant, tenant, logevent.KeyCause, refusalNames[reason], logevent.KeyRefused, refused)
+	}
+}
+
+// lineLimit bounds log lines to one in an interval.
+type lineLimit struct {
+	interval time.Duration
+	last     time.Time // when the last line went out; zero: never
+	count    int       // of what happened since
+}
+
+// add counts one event. Where a line is due, it returns how many events there were since the last line.
+func (l *lineLimit) add(now time.Time) (count int, due bool) {
+	l.count++
+	if !l.last.IsZero() && now.Sub(l.last) < l.interval {
+		return 0, false
+	}
+	count = l.count
+	l.last, l.count = now, 0
+	return count, true
+}
--- a/internal/process/logevent/logevent.go
+++ b/internal/process/logevent/logevent.go
@@ -91,6 +91,10 @@
 	KeyReplicas = "replicas"
 	// KeyLoading is how many of these load it.
 	KeyLoading = "loading"
+	// KeyTenant is the name of a subscriber of the configuration.
+	KeyTenant = "tenant"
+	// KeyRefused is how many requests of tenants were refused since the last line.
+	KeyRefused = "refused"
 	// KeyOperation is an order to a backend: load or unload.
 	KeyOperation = "operation"
 )
@@ -163,6 +167,8 @@
 	RequestCancelled = "request cancelled by client"
 	// HealthCheckFailed: a health check failed.
 	HealthCheckFailed = "health check failed"
+	// TenantRefused: requests of tenants are refused for their quotas; the line names the last of them.
+	TenantRefused = "tenant refused"
 )
 
 // Messages of every process.
