Keys of subscribers are redacted in comparisons and support bundles

Need: marlreeld config diff and the support bundle showed the configuration as it was sent, keys of subscribers included.

GET /marlreel/config/read stays whole.

--- a/internal/controlplane/configuration/diff.go
+++ b/internal/controlplane/configuration/diff.go
@@ -31,7 +31,7 @@
 
 // Diff returns all differences of two configurations, by path, fields that are not known here included. Items of
 // lists are paired by their names; a list with an item that has none, or with a name twice, is compared as one value.
-// It fails with result.Malformed.
+// Keys of subscribers are redacted, so that a change of one shows without it. It fails with result.Malformed.
 func Diff(before, after []byte) ([]Difference, *result.Error) {
 	oldValue, err := decodeValue(before)
 	if err != nil {
@@ -41,6 +41,8 @@
 	if err != nil {
 		return nil, err
 	}
+	redactKeys(oldValue)
+	redactKeys(newValue)
 	var c comparison
 	c.compare("", oldValue, newValue)
 	return c.differences, nil
--- a/internal/controlplane/operatorclient/bundle.go
+++ b/internal/controlplane/operatorclient/bundle.go
@@ -13,6 +13,8 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/multierr"
+
+	"marlreel/internal/controlplane/configuration"
 )
 
 // maxPartBytes bounds one part of a bundle.
@@ -62,7 +64,7 @@
 }
 
 // WriteBundle writes a gzipped tar of what helps to understand a system's state: the status of each control process,
-// the newest configuration, metrics, and a manifest. It contains nothing of requests. A part that can't be read is
+// the newest configuration with its keys redacted, metrics, and a manifest. It contains nothing of requests. A part that can't be read is
 // named in the manifest with its error; the error that is returned is one of writing to out.
 func (c *Client) WriteBundle(ctx context.Context, out io.Writer, options BundleOptions) (*Manifest, error) {
 	compressed := gzip.NewWriter(out)
@@ -81,7 +83,7 @@
 			return err
 		}
 	}
-	document, err := c.ReadConfiguration(ctx)
+	document, err := c.readRedactedConfiguration(ctx)
 	if err := b.add("configuration.json", "control", document, err); err != nil {
 		return err
 	}
@@ -98,6 +100,19 @@
 	return b.write("manifest.json", manifest)
 }
 
+// readRedactedConfiguration returns the newest configuration without the keys of subscribers.
+func (c *Client) readRedactedConfiguration(ctx context.Context) ([]byte, error) {
+	document, err := c.ReadConfiguration(ctx)
+	if err != nil {
+		return nil, err
+	}
+	redacted, failure := configuration.Redact(document)
+	if failure != nil {
+		return nil, failure
+	}
+	return redacted, nil
+}
+
 // get makes one attempt to read a part.
 func (c *Client) get(address, path string) ([]byte, error) {
 	status, body, err := c.attempt(address, operation{method: http.MethodGet, path: path})
