marlreeld subscribers list and rotate

Need: operators had no way to see tenants without their keys, nor to rotate a key without writing the change by hand.

Measured: tests of cmd/marlreeld pass.

--- a/cmd/marlreeld/compatibility_test.go
+++ b/cmd/marlreeld/compatibility_test.go
@@ -44,8 +44,16 @@
 
 // The subcommands and flags are the operator's, and the deploy file's.
 func TestCompatibilityOfCommandLine(t *testing.T) {
-	var out strings.Builder
-	describe(newCommand(&bytes.Buffer{}), &out)
+	root := newCommand(&bytes.Buffer{})
+	later, _, err := root.Find([]string{"subscribers"}) // it came after commands.txt was recorded
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out, added strings.Builder
+	describe(later, &added)
+	recorded.Check(t, "commands-subscribers.txt", added.String())
+	root.RemoveCommand(later)
+	describe(root, &out)
 	recorded.Check(t, "commands.txt", out.String())
 }
 
--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -55,7 +55,7 @@
 	zone.AddCommand(newZoneEvacuate(flags), newZoneRestore(flags))
 	route := &cobra.Command{Use: "route", Short: "look at routes"}
 	route.AddCommand(newRouteExplain(flags))
-	commands := []*cobra.Command{config, zone, route, newStatus(flags), newBundle(flags)}
+	commands := []*cobra.Command{config, zone, route, newSubscribers(flags), newStatus(flags), newBundle(flags)}
 	for _, command := range commands {
 		flags.addTo(command)
 	}
--- a/cmd/marlreeld/operator_test.go
+++ b/cmd/marlreeld/operator_test.go
@@ -77,6 +77,8 @@
 		{"config", "read"},
 		{"config", "diff", configurationFile(t, smallConfiguration)},
 		{"route", "explain", "a.example", "/"},
+		{"subscribers", "list"},
+		{"subscribers", "rotate", "north"},
 		{"status"},
 		{"bundle", filepath.Join(t.TempDir(), "b.tar.gz")},
 	} {
