--- a/internal/controlplane/store/store_test.go
+++ b/internal/controlplane/store/store_test.go
@@ -42,7 +42,7 @@
 
 // storedChain is a chain of one member with its store on a simulated disk.
 type storedChain struct {
-	t      *rapid.T
+	t      rapid.TB
 	config chain.Config
 	disk   storage.Storage
 	store  *Store
@@ -50,14 +50,14 @@
 	now    time.Duration
 }
 
-func newStoredChain(t *rapid.T, config chain.Config) *storedChain {
+func newStoredChain(t rapid.TB, config chain.Config, machine chain.StateMachine) *storedChain {
 	c := &storedChain{t: t, config: config, disk: storage.NewMemStorage(), now: config.FailureTimeout}
 	c.open()
 	durable := chain.DurableState{Self: testMember(), View: chain.FoundingView([]string{"a"})}
 	if err := c.store.Save(&durable, chain.Changes{Self: true, View: true}); err != nil {
 		t.Fatal(err)
 	}
-	c.node = chain.New(config, durable, noState{}, nil, c.now)
+	c.node = chain.New(config, durable, machine, nil, c.now)
 	return c
 }
 
@@ -107,7 +107,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		config := chain.DefaultConfig(1)
 		config.MaxLogEntries = rapid.IntRange(1, 6).Draw(t, "max log entries")
-		c := newStoredChain(t, config)
+		c := newStoredChain(t, config, noState{})
 		for range 40 { // it agrees with itself on a view
 			c.tick()
 		}
