Engine: room for as many classes of requests as the settings have

Callers saw (by reading; a test shows it): routes that a later configuration adds answer 503 for good, where it brings more distinct classes of routes than a service had room for when its engine started: 64, or twice the first ones. The same where changes in quick succession give classes other names: an index rests for 10 s before it is reused. Cause: the table of indexes was sized once; Reconfigure refused the settings (log line "service update failed"). Fix: where the table is full it grows by as many indexes as there are names, which is enough for all of them to be new. Indexes are reused as before once they have rested, so that the table stays within what changes need in 10 s. Evidence: TestClassesBeyondTheRoomAtTheStartAreServed failed before ("added 0 61" is one too many ... room for 64).

--- a/internal/balancer/stableindex/table.go
+++ b/internal/balancer/stableindex/table.go
@@ -30,6 +30,9 @@
 // New makes a table of at most maxLen indices.
 func New(maxLen int) *Table { return &Table{maxLen: maxLen} }
 
+// Grow makes room for so many indices, where there is less.
+func (t *Table) Grow(maxLen int) { t.maxLen = max(t.maxLen, maxLen) }
+
 // Len is how many indices there are: 0 to Len-1.
 func (t *Table) Len() int { return len(t.slots) }
 
--- a/internal/dataplane/engine/engine_test.go
+++ b/internal/dataplane/engine/engine_test.go
@@ -373,3 +373,28 @@
 		}
 	}
 }
+
+// Guards against routes that were added and never served: settings with more classes than there was room for at the start
+// were refused, and so was every request of a class that came with them.
+func TestClassesBeyondTheRoomAtTheStartAreServed(t *testing.T) {
+	t.Parallel()
+	l := newManualEngine(t, ready("s-1", "127.0.0.1:1"))
+	for generation := range 3 { // each with other names, right behind the one before: those rest before they are reused
+		cfg := testutil.Module(t)
+		for i := range maxClasses {
+			class := cfg.Classes[0]
+			class.Name = fmt.Sprintf("added %d %d", generation, i)
+			cfg.Classes = append(cfg.Classes, class)
+		}
+		if err := l.Reconfigure(cfg); err != nil {
+			t.Fatal(err)
+		}
+		last, known := l.SettingsSnapshot().ClassIndexes[fmt.Sprintf("added %d %d", generation, maxClasses-1)]
+		if !known {
+			t.Fatalf("generation %d: a class is not known", generation)
+		}
+		if c := l.submit(last, time.Minute); len(c.attempts) != 1 {
+			t.Errorf("generation %d: %d attempts of a request of an added class", generation, len(c.attempts))
+		}
+	}
+}
--- a/internal/dataplane/engine/settings.go
+++ b/internal/dataplane/engine/settings.go
@@ -1,13 +1,16 @@
 package engine
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"marlreel/internal/balancer"
+	"marlreel/internal/balancer/stableindex"
 )
 
-// maxClasses bounds the classes, including those that have been removed and are remembered.
+// maxClasses is how many classes there is room for at first, including those that have been removed and are remembered.
+// Settings with more make more room.
 const maxClasses = 64
 
 // SettingsSnapshot is what fronts parse requests by: the settings in force, and the indexes of names in them. It is
@@ -62,8 +65,7 @@
 // field at fault. Calls that are open keep the class they came with. Only on the engine's goroutine.
 func (e *Engine) Reconfigure(next balancer.Config) error {
 	old := e.Settings()
-	trial := *e.classes // Assign leaves what it has and makes a new one
-	indexes, fresh, err := trial.Assign(e.Now(), classNames(next.Classes), e.classOpen)
+	trial, indexes, fresh, err := e.assignClasses(classNames(next.Classes))
 	if err != nil {
 		return fmt.Errorf("settings: Services: %w", err)
 	}
@@ -82,6 +84,18 @@
 	return nil
 }
 
+// assignClasses gives classes their indexes, in a copy of the table that has room for them all. Those that have just been
+// removed keep theirs for a while, so that changes in quick succession need more room than each of them has classes.
+func (e *Engine) assignClasses(names []string) (trial stableindex.Table, indexes, fresh []int, err error) {
+	trial = *e.classes // Assign leaves what it has and makes a new one
+	indexes, fresh, err = trial.Assign(e.Now(), names, e.classOpen)
+	if full := new(stableindex.FullError); errors.As(err, &full) {
+		trial.Grow(full.MaxLen + len(names))
+		indexes, fresh, err = trial.Assign(e.Now(), names, e.classOpen)
+	}
+	return trial, indexes, fresh, err
+}
+
 // classOpen tells whether a call of a class is open.
 func (e *Engine) classOpen(class int) bool {
 	for _, c := range e.calls {
