Gateway: a client that leaves is noticed however long its request takes

Callers saw (GONE, by reading; a test shows it): a backend works on for a client that left later than some 13 s after its request's head, on routes with timeouts of 15 and 20 s. Cause: the watch waits in a read of the client's connection, and the deadline that the server had set for reading the request (header_timeout_ms + 10 s) ended that wait as if there were nothing to watch. Fix: the watch takes the deadline away; the server sets its own before it reads the next request, and stop did the same. Evidence: TestDisconnectIsNoticedAfterTheDeadlineOfTheRequest failed before ("nobody noticed that the client has gone").

--- a/internal/dataplane/gateway/disconnect.go
+++ b/internal/dataplane/gateway/disconnect.go
@@ -31,6 +31,9 @@
 		close(w.done)
 		return w
 	}
+	// The server's deadline was for reading the request, and would end the watch. Setting it fails only on a closed
+	// connection, whose watch ends at once.
+	_ = conn.SetReadDeadline(time.Time{})
 	go w.watch(raw)
 	return w
 }
