Gateway: a resumed stream stays within its route's max_attempts

Cause: the stream counted the attempts of its first call as one, and gave that number to the call that resumes it. Fix: the engine says how many backends may have run the call (Call.Runs: those before it and its own attempts), in the same step in which it takes the retry; a stream is resumed within what is left. Evidence: TestResumedStreamStaysWithinItsAttempts failed before (3 executions), and passes.

--- a/internal/dataplane/engine/call.go
+++ b/internal/dataplane/engine/call.go
@@ -41,6 +41,18 @@
 // Attempts are those made so far. Only on the engine's goroutine.
 func (c *Call) Attempts() []*Attempt { return c.attempts }
 
+// Runs is how many backends may have run the request: in the call's own attempts, and in those before it. Only on the
+// engine's goroutine.
+func (c *Call) Runs() int {
+	runs := c.PriorRuns
+	for _, a := range c.attempts {
+		if !a.ended || a.mayHaveRun {
+			runs++
+		}
+	}
+	return runs
+}
+
 // Answered tells whether the call has its answer, or its client has disconnected. Only on the engine's goroutine.
 func (c *Call) Answered() bool { return c.answered }
 
--- a/internal/dataplane/gateway/service.go
+++ b/internal/dataplane/gateway/service.go
@@ -172,14 +172,22 @@
 	s.engine.Post(func() { s.advisor.SetSharers(s.engine.Now(), names, fresh) })
 }
 
-// takeRetry takes one retry from the budget, for an attempt that the engine knows nothing of.
-func (s *service) takeRetry() bool {
-	taken := make(chan bool, 1)
-	s.engine.Post(func() { taken <- s.advisor.TryRetry(s.engine.Now()) })
+// takeRetry takes one retry from the budget for a call whose answer broke off, unless maxRuns backends may have run it
+// already. It gives how many have.
+func (s *service) takeRetry(c *call, maxRuns int) (runs int, taken bool) {
+	type result struct {
+		runs  int
+		taken bool
+	}
+	results := make(chan result, 1)
+	s.engine.Post(func() {
+		runs := c.Runs()
+		results <- result{runs, runs < maxRuns && s.advisor.TryRetry(s.engine.Now())}
+	})
 	select {
-	case took := <-taken:
-		return took
+	case r := <-results:
+		return r.runs, r.taken
 	case <-s.engine.Done():
-		return false
+		return 0, false
 	}
 }
--- a/internal/dataplane/gateway/streaming.go
+++ b/internal/dataplane/gateway/streaming.go
@@ -39,7 +39,6 @@
 	buffered    []byte // read and not yet passed on
 	deliverable int    // bytes of buffered that may be passed on
 	lastEventID string
-	attempts    int
 	ended       bool // the backend's answer is complete
 	closed      bool
 }
@@ -47,7 +46,7 @@
 var _ io.ReadCloser = (*eventStream)(nil)
 
 func newEventStream(r *clientRequest, reply *httpproxy.Reply) *eventStream {
-	s := &eventStream{request: r, reply: reply, readBuffer: make([]byte, streamBuffer), attempts: 1}
+	s := &eventStream{request: r, reply: reply, readBuffer: make([]byte, streamBuffer)}
 	s.stopWatch = r.breakOnDisconnect(reply)
 	return s
 }
@@ -111,21 +110,23 @@
 	s.deliverable = len(complete)
 }
 
-// mayResume tells whether a stream that broke off may be resumed, and takes a retry from the budget.
-func (s *eventStream) mayResume() bool {
+// mayResume tells whether a stream that broke off may be resumed, and takes a retry from the budget. It gives how many
+// backends have run the request.
+func (s *eventStream) mayResume() (runs int, may bool) {
 	r := s.request
-	if !r.route.Resumable || s.lastEventID == "" || s.attempts >= r.route.AttemptLimit() {
-		return false
+	if !r.route.Resumable || s.lastEventID == "" {
+		return 0, false
 	}
 	if r.disconnected() || time.Until(r.deadline) <= 0 {
-		return false
+		return 0, false
 	}
-	return r.service.takeRetry()
+	return r.service.takeRetry(r.current, r.route.AttemptLimit())
 }
 
 // resume has a stream that broke off continued by another backend, where its route allows that.
 func (s *eventStream) resume() bool {
-	if !s.mayResume() {
+	runs, may := s.mayResume()
+	if !may {
 		return false
 	}
 	r := s.request
@@ -137,7 +138,7 @@
 	if next == nil {
 		return false
 	}
-	next.PriorRuns = s.attempts
+	next.PriorRuns = runs
 	answer := r.execute(next)
 	reply, is := answer.Reply.(*httpproxy.Reply)
 	if !is {
@@ -147,7 +148,6 @@
 		reply.Release(r.gateway.memory, true)
 		return false
 	}
-	s.attempts++
 	s.reply, s.buffered, s.deliverable = reply, s.buffered[:0], 0
 	s.stopWatch = r.breakOnDisconnect(reply)
 	return true
--- a/internal/testing/simcluster/serving_test.go
+++ b/internal/testing/simcluster/serving_test.go
@@ -65,6 +65,32 @@
 	})
 }
 
+// Guards against a stream that more backends run than its route allows: a resumption counted the attempts before the first
+// event as one.
+func TestResumedStreamStaysWithinItsAttempts(t *testing.T) {
+	runWithCluster(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		c.AddBackend(llmBackend("i-5", "west", "m0"))
+		c.Sleep(3 * time.Second)
+		r := chatRequest("m0")
+		r.Prompt, r.Tokens = "c1:20000", "20000,200" // its prompt takes a second, its events another one
+		await := c.sendAsync(t, c.Edges[0], r)
+		c.Sleep(300 * time.Millisecond)
+		before := c.executionsOf(r.ID)
+		is.Equal(len(before), 1)
+		c.backend(before[0].Backend).Kill()
+		c.Sleep(1500 * time.Millisecond)
+		for _, execution := range c.executionsOf(r.ID) {
+			c.backend(execution.Backend).Kill()
+		}
+		got := await()
+		is.Equal(len(c.executionsOf(r.ID)), 2) // max_attempts
+		is.Equal(got.Status, 200)
+		is.True(len(got.Events) > 1)
+		is.True(!got.Complete)
+	})
+}
+
 // An unsafe request runs at most once, and never where its response promises that it did not.
 func TestUnsafeRequestRunsAtMostOnce(t *testing.T) {
 	runWithCluster(t, func(t *testing.T, c *Cluster) {
