--- a/internal/dataplane/gateway/doc.go
+++ b/internal/dataplane/gateway/doc.go
@@ -4,7 +4,8 @@
 // service of the configuration, and the demand that it reports to its agent.
 //
 // What it serves by is the state of the agent beside it, which it watches (internal/distribution/watch): each change
-// makes a new routing table, which is put in force as a whole. It takes no decision on a request: which backend gets
-// it, whether it is retried and what is rejected is decided by internal/balancer, one instance for each service; and it
-// speaks HTTP to backends by internal/dataplane/httpproxy.
+// makes a new routing table, which is put in force as a whole. Where the configuration lists subscribers, a request
+// needs a key by the same table, and its tenant's quota is asked for by a QuotaGate. All else on a request, which
+// backend gets it, whether it is retried and what is rejected, is decided by internal/balancer, one instance for each
+// service; and it speaks HTTP to backends by internal/dataplane/httpproxy.
 package gateway
