--- a/internal/controlplane/configuration/subscriber_test.go
+++ b/internal/controlplane/configuration/subscriber_test.go
@@ -153,7 +153,9 @@
 // Guards against JSON errors, which quote the byte or the number that they stumble over, giving a key away.
 func TestJSONErrorsQuoteNothing(t *testing.T) {
 	is := is.New(t)
-	const key = "8675309"
+	const key, unquoted = "8675309", "~"
+	_, syntax := Parse([]byte(withTenants(`[{"name":"a","access_keys":[` + unquoted + `]}]`)))
+	is.True(syntax != nil && !strings.Contains(syntax.Detail, unquoted))
 	for _, list := range []string{
 		`[{"name":"a","priority":` + key + `.5}]`, `[{"name":"a","access_keys":[` + key + `]}]`, `[{"name":` + key + `}]`, `[` + key + `]`, key,
 	} {
