Simulated operators change subscribers in drawn histories

Need: drawn histories changed routes alone; nothing showed that changes of tenants and keys survive faults of the chain.

Change: operators replace the configuration, rotate keys, add tenants, take last keys and whole tenants away, and try to give a tenant another one's key, which must be refused (210, or 300 where it also builds on another version) without the key in the answer. The register's model is given the text that a change leads to, so a lost or doubled change of tenants breaks it. At the end each agent and control process finds by each key the tenant of the document as it is read.

With the check of shared keys, the raw list, or the index after a change taken out, histories fail.

--- a/internal/controlplane/simulation_histories_test.go
+++ b/internal/controlplane/simulation_histories_test.go
@@ -106,6 +106,7 @@
 			sim.failf("%s knows version %d, fresh %v; %d was acknowledged", a.node.Name, version, a.feed.Fresh(nil), sim.operators.newest.version)
 		}
 	}
+	sim.auditSubscribers()
 	orders := 0
 	for _, a := range sim.agents {
 		orders += a.orders
@@ -151,7 +152,7 @@
 	for _, what := range []string{
 		"a call was held up", "an order came too late", "a write was refused", "power was lost in a write",
 		"a second loss met a repair", "changes were taken while one was cut off for 20 s", "a process left the chain",
-		"a disk was lost right after a replacement", "the head was met", "the tail was met",
+		"a disk was lost right after a replacement", "the head was met", "the tail was met", "a shared key was refused",
 	} {
 		if total[what] == 0 && histories >= 100 {
 			t.Errorf("in %d histories it never happened that %s", histories, what)
--- a/internal/controlplane/simulation_operators_test.go
+++ b/internal/controlplane/simulation_operators_test.go
@@ -47,10 +47,11 @@
 	at      time.Duration
 }
 
-// simulatedDocument is a configuration with one model, and a mark by which it is known.
+// simulatedDocument is a configuration with one model and two tenants, and a mark by which it is known.
 func simulatedDocument(version uint64, mark string) string {
+	const tenants = `"subscribers":[{"name":"north","access_keys":["key of north"]},{"name":"south","access_keys":["key of south"]}],`
 	return strings.NewReplacer(`"config_version":1`, fmt.Sprintf(`"config_version":%d`, version), `"path_prefix":"/"`,
-		fmt.Sprintf(`"path_prefix":"/%s/"`, mark)).Replace(ownedDocument)
+		fmt.Sprintf(`"path_prefix":"/%s/"`, mark), `"limits":{`, tenants+`"limits":{`).Replace(ownedDocument)
 }
 
 func newSimulatedOperators(sim *simulation) *simulatedOperators {
@@ -188,38 +189,46 @@
 	})
 }
 
-// change has a configuration taken on top of the newest one; two operators do so at once.
+// change has a change taken on top of the newest configuration; two operators do so at once.
 func (cl *simulatedOperators) change(operator int, done func()) {
-	sim := cl.sim
 	cl.read(func(s *newestState) {
 		if s == nil {
 			done()
 			return
 		}
 		cl.writes++
-		text := simulatedDocument(s.version+1, fmt.Sprintf("w%d", cl.writes))
-		began, base := sim.now, s.version
-		operation := &api.Operation{Kind: &api.Operation_Replace{Replace: &api.ReplaceConfiguration{BaseVersion: base, Document: []byte(text)}}}
-		cl.operate(operation, func(outcome *result.Error) {
-			answer := linearizability.ConfigurationResponse{Definite: outcome != nil, Committed: outcome != nil && outcome.Code.Succeeded()}
-			if answer.Definite && !answer.Committed && outcome.Code != result.VersionConflict {
-				sim.failf("operator %d: a change on %d was answered with %v", operator, base, outcome)
-			}
-			sim.record("change %d by %d: %v", base, operator, answer)
-			if answer.Committed {
-				cl.taken++
-				if base+1 > cl.newest.version {
-					cl.newest = acknowledged{base + 1, sim.now}
-				}
-			} else if answer.Definite {
-				cl.refused++
+		write := nextWrite(s, cl.writes)
+		began, base := cl.sim.now, s.version
+		cl.operate(write.operation, func(outcome *result.Error) {
+			if write.invalid {
+				cl.checkRefusal(outcome) // it has no effect, whatever the answer: the next reads show that
+			} else {
+				cl.onChanged(operator, began, linearizability.ConfigurationRequest{Base: base, Text: write.text}, outcome)
 			}
-			cl.addConfig(began, linearizability.ConfigurationRequest{Base: base, Text: text}, answer)
 			done()
 		})
 	})
 }
 
+// onChanged records what a valid change was answered.
+func (cl *simulatedOperators) onChanged(operator int, began time.Duration, request linearizability.ConfigurationRequest, outcome *result.Error) {
+	sim, base := cl.sim, request.Base
+	answer := linearizability.ConfigurationResponse{Definite: outcome != nil, Committed: outcome != nil && outcome.Code.Succeeded()}
+	if answer.Definite && !answer.Committed && outcome.Code != result.VersionConflict {
+		sim.failf("operator %d: a change on %d was answered with %v", operator, base, outcome)
+	}
+	sim.record("change %d by %d: %v", base, operator, answer)
+	if answer.Committed {
+		cl.taken++
+		if base+1 > cl.newest.version {
+			cl.newest = acknowledged{base + 1, sim.now}
+		}
+	} else if answer.Definite {
+		cl.refused++
+	}
+	cl.addConfig(began, request, answer)
+}
+
 // evacuate begins or ends an evacuation.
 func (cl *simulatedOperators) evacuate(on bool, done func(known bool)) {
 	sim, began := cl.sim, cl.sim.now
