Backends that answer before they have read a long body have run the request

Cause: all but the last byte is written before anything is read, and whatever comes before the last byte counted as no answer to this request. An answer that echoes the request's id (Dialect.Answers) is its answer: the permit is claimed and the answer passed on, and the connection ends, so that no other bytes ever stand where the body's rest is due. One that breaks off in its head may have been the request's (Reset). What says that nothing ran, and another request's answer, count as before; so does everything where answers carry no id.

--- a/internal/dataplane/gateway/protocol.go
+++ b/internal/dataplane/gateway/protocol.go
@@ -38,6 +38,9 @@
 		},
 		Judge:   classifyAnswer,
 		Matches: answersRequest,
+		Answers: func(m *httpproxy.Message, resp *http.Response) bool {
+			return m.ID != "" && resp.Header.Get(headerRequestID) == m.ID
+		},
 		HealthCheck: func(to *engine.Backend) *httpproxy.Message {
 			return &httpproxy.Message{
 				Method: http.MethodGet, HealthCheck: true,
--- a/internal/dataplane/httpproxy/backendconn.go
+++ b/internal/dataplane/httpproxy/backendconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -83,18 +82,12 @@
 	_ = c.SetDeadline(until)
 	begun := hold > 0 || len(data) > maxSingleWrite
 	if begun {
-		n, err := c.Write(data[:len(data)-1])
+		err := c.writeAhead(data[:len(data)-1], until)
 		if err == nil && hold > 0 {
 			err = c.awaitEarlyAnswer(time.Now().Add(hold), until)
 		}
-		if errors.Is(err, errEarlyAnswer) {
-			if c.earlyRejection(x) {
-				return Reply{result: balancer.Rejected}
-			}
-			c.surplus = c.surplus || c.used && c.hasSurplus()
-		}
-		if err != nil || n < len(data)-1 {
-			return Reply{result: balancer.NotSent, brokeEarly: true}
+		if err != nil {
+			return c.readUnaskedAnswer(x, report)
 		}
 		data = data[len(data)-1:]
 	}
@@ -130,6 +123,11 @@
 	if err != nil {
 		return failedAfterWrite(err)
 	}
+	return c.readRest(x, resp, report)
+}
+
+// readRest reads what follows the head of the answer to a request.
+func (c *backendConn) readRest(x *exchange, resp *http.Response, report []string) Reply {
 	r, err := c.readBody(resp, x)
 	if err != nil {
 		return failedAfterWrite(err)
@@ -150,39 +148,6 @@
 	return r
 }
 
-// errEarlyAnswer is an answer that came before its request was complete.
-var errEarlyAnswer = errors.New("an answer came before its request")
-
-// awaitEarlyAnswer waits until a time for the connection's end, and gives it as an error. What comes before the
-// request is complete is no answer to it, but may be the second one to the request before; read as this one's, its
-// client would get another's.
-func (c *backendConn) awaitEarlyAnswer(until, deadline time.Time) error {
-	if until.After(deadline) {
-		return nil
-	}
-	_ = c.SetReadDeadline(until)
-	defer func() { _ = c.SetReadDeadline(deadline) }()
-	c.readLimit.N = maxHead
-	_, err := c.reader.Peek(1)
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
-		return nil
-	}
-	if err == nil {
-		return errEarlyAnswer
-	}
-	return err
-}
-
-// earlyRejection tells whether what has come early says completely that nothing runs: of whatever request it speaks, this
-// one has not.
-func (c *backendConn) earlyRejection(x *exchange) bool {
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	//nolint:bodyclose // its body is in memory
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(buffered)), nil)
-	return err == nil && x.dialect.Judge(x.backend, x.message, resp) == balancer.Rejected
-}
-
 // maxForeignAnswers is how many answers to other requests are read over in the place of one's own.
 const maxForeignAnswers = 2
 
--- a/internal/dataplane/httpproxy/dialect.go
+++ b/internal/dataplane/httpproxy/dialect.go
@@ -18,6 +18,8 @@
 	Judge func(to *engine.Backend, m *Message, resp *http.Response) balancer.Result
 	// Matches tells whether an answer belongs to the request; nil: every one does.
 	Matches func(m *Message, resp *http.Response) bool
+	// Answers tells whether an answer is the request's for certain, whenever it comes; nil: that can't be told.
+	Answers func(m *Message, resp *http.Response) bool
 	// HealthCheck is the request for a backend's health.
 	HealthCheck func(to *engine.Backend) *Message
 	// ForwardsFailures hands backends' own failures on to the front.
--- /dev/null
+++ b/internal/dataplane/httpproxy/earlyanswer_test.go
@@ -0,0 +1,80 @@
+package httpproxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"marlreel/internal/balancer"
+	"marlreel/internal/dataplane/engine"
+)
+
+// What a backend does once it has said its answer.
+func stopReading(net.Conn, *bufio.Reader)    {}
+func readOn(_ net.Conn, in *bufio.Reader)    { _, _ = io.Copy(io.Discard, in) }
+func endItsSide(c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).CloseWrite() }
+
+const (
+	longBody = 24 << 20 // more than the buffers of a connection hold
+	notRun   = "HTTP/1.1 503 Busy\r\nRequest-Id: mine\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// earlyAnswers are what backends do that have read the head of a request alone.
+var earlyAnswers = map[string]struct {
+	answer   string
+	body     int
+	holdback time.Duration
+	then     func(c net.Conn, in *bufio.Reader)
+	want     balancer.Result
+	keeps    bool // the connection may be kept
+}{
+	"it stops reading":               {identifiedAnswer("mine"), longBody, 0, stopReading, balancer.OK, false},
+	"it ends its side":               {identifiedAnswer("mine"), longBody, 0, endItsSide, balancer.OK, false},
+	"it reads on":                    {identifiedAnswer("mine"), longBody, 0, readOn, balancer.OK, true},
+	"the last byte is held back":     {identifiedAnswer("mine"), 3 * maxSingleWrite, patience / 2, stopReading, balancer.OK, false},
+	"it has not run":                 {notRun, longBody, 0, stopReading, balancer.Rejected, false},
+	"it is the answer to another":    {identifiedAnswer("other"), longBody, 0, stopReading, balancer.NotSent, false},
+	"it breaks off":                  {"HTTP/1.1 20", longBody, 0, endItsSide, balancer.Reset, false},
+	"it ends its side and says none": {"", longBody, 0, endItsSide, balancer.NotSent, false},
+}
+
+// Guards against an unsafe request that runs twice: a backend that answers before it has read a long body has run it, and
+// counted as one that ran nothing, or held its answer up until the request's time was over.
+func TestAnswerBeforeTheBodyIsTheRequestsOwn(t *testing.T) {
+	t.Parallel()
+	for name, test := range earlyAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			over := make(chan struct{})
+			defer close(over)
+			addr := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					_, _ = io.WriteString(c, test.answer)
+					test.then(c, in)
+					<-over
+				}
+			})
+			x := &exchange{
+				backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: identifiedDialect(),
+				message: identifiedMessage("mine", make([]byte, test.body)), deadline: time.Now().Add(patience), holdback: test.holdback,
+			}
+			ends := make(chan Reply, 1)
+			go func() { ends <- x.run(context.Background(), patience, nil) }()
+			select {
+			case r := <-ends:
+				if r.conn != nil {
+					defer r.conn.Close()
+				}
+				if r.result != test.want || r.conn != nil && !test.keeps || r.result == balancer.OK && string(r.body) != "mine" {
+					t.Errorf("%v %q, connection kept: %v; want %v", r.result, r.body, r.conn != nil, test.want)
+				}
+			case <-time.After(patience / 4):
+				t.Error("the answer is held up")
+			}
+		})
+	}
+}
--- a/internal/dataplane/httpproxy/outofturn_test.go
+++ b/internal/dataplane/httpproxy/outofturn_test.go
@@ -19,6 +19,7 @@
 func identifiedDialect() *Dialect {
 	d := platformDialect()
 	d.Matches = func(m *Message, resp *http.Response) bool { return resp.Header.Get("Request-Id") == m.ID }
+	d.Answers = d.Matches
 	return d
 }
 
