--- a/internal/controlplane/simulation_agents_test.go
+++ b/internal/controlplane/simulation_agents_test.go
@@ -71,11 +71,14 @@
 		return
 	}
 	a.asking = true
-	sim, c := a.sim, a.source()
+	sim, c, incarnation := a.sim, a.source(), a.node.Incarnation
 	request := a.feed.NewRequest(a.cursor)
 	call(sim, a.node.Name, c.address, agentTimeout, func(answer func(*api.WatchReply)) {
 		c.run(func() { answer(c.feed.HandleWatch(sim.t.Context(), request, 0)) })
 	}, func(answer **api.WatchReply) {
+		if a.node.Incarnation != incarnation {
+			return // it asked before it lost power
+		}
 		a.asking = false
 		if answer == nil {
 			a.at++
@@ -120,12 +123,12 @@
 
 // renew asks for its lease.
 func (a *simulatedAgent) renew() {
-	sim, asked := a.sim, a.sim.now
+	sim, asked, incarnation := a.sim, a.sim.now, a.node.Incarnation
 	c := sim.controls[sim.rng.IntN(len(sim.controls))]
 	call(sim, a.node.Name, c.address, agentTimeout, func(answer func(*api.LeaseReply)) {
 		c.run(func() { c.lease(a.holder, false, answer) })
 	}, func(answer **api.LeaseReply) {
-		if answer == nil || result.Code((*answer).Code) != result.Committed {
+		if answer == nil || result.Code((*answer).Code) != result.Committed || a.node.Incarnation != incarnation {
 			return
 		}
 		a.leaseExpiry = 0
@@ -152,8 +155,8 @@
 		}
 	}
 	a.orders++
-	token := a.fencingToken
-	sim.datagram(a.node.Name, "backend", func() { sim.backend.onOrder(a.holder, token) })
+	holder, token := a.holder, a.fencingToken // it may have lost power when the order arrives
+	sim.datagram(a.node.Name, "backend", func() { sim.backend.onOrder(holder, token) })
 }
 
 // simulatedBackend takes orders.
--- a/internal/controlplane/simulation_histories_test.go
+++ b/internal/controlplane/simulation_histories_test.go
@@ -24,6 +24,7 @@
 	seed     uint64
 	controls int
 	faults   []simulatedFault
+	final    bool // it ends with the loss of disks and of all power
 }
 
 func (h history) String() string {
@@ -69,6 +70,10 @@
 		sim.coverage[f.kind]++
 		sim.advance(f.rest)
 	}
+	if h.final {
+		sim.record("disks and all power are lost")
+		sim.loseDisksAndPower(rand.New(rand.NewPCG(h.seed, 19)))
+	}
 	sim.heal()
 	sim.recover()
 	sim.operators.auditAnswers()
@@ -116,15 +121,22 @@
 	sim.record("%d taken, %d refused, %d orders under %d tokens", sim.operators.taken, sim.operators.refused, orders, sim.backend.tokens)
 }
 
-// Worlds live through drawn histories. CI plays the first ones; more by WORLD_HISTORIES, from WORLD_FIRST on.
-func TestDrawnWorldHistories(t *testing.T) {
-	histories, first := 100, 0
+// historiesToPlay is how many histories are played, from which number on: so many where WORLD_HISTORIES and WORLD_FIRST
+// don't say otherwise.
+func historiesToPlay(usual int) (histories, first int) {
+	histories = usual
 	if more, err := strconv.Atoi(os.Getenv("WORLD_HISTORIES")); err == nil {
 		histories = more
 	}
 	if from, err := strconv.Atoi(os.Getenv("WORLD_FIRST")); err == nil {
 		first = from
 	}
+	return histories, first
+}
+
+// Worlds live through drawn histories. CI plays the first ones; more by WORLD_HISTORIES, from WORLD_FIRST on.
+func TestDrawnWorldHistories(t *testing.T) {
+	histories, first := historiesToPlay(100)
 	crossed := make(chan map[string]int, histories)
 	t.Run("all", func(t *testing.T) {
 		for number := first; number < first+histories; number++ {
--- a/internal/testing/simcluster/power_loss_test.go
+++ b/internal/testing/simcluster/power_loss_test.go
@@ -1,8 +1,12 @@
 package simcluster
 
 import (
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // controlBootDelay is how much later than the proxies' machines control's are back.
@@ -64,3 +68,39 @@
 		}
 	})
 }
+
+// Guards against the loss of an acknowledged configuration where two disks of five are lost right after it, and all other
+// machines, also the proxies', lose power at that moment.
+func TestConfigurationOutlivesTwoDisksAndAllPower(t *testing.T) {
+	for first := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := startCluster(t, 5, 3)
+			c.replaceConfiguration(t, documentWithSlipsAt("/kept/"), 5*time.Second)
+			for _, m := range []*Machine{c.Controls[first], c.Controls[(first+1)%5]} {
+				m.Kill()
+				m.EraseDisk()
+			}
+			c.losePower(500 * time.Millisecond)
+			const recovery = 10 * time.Second
+			began := time.Now()
+			for _, edge := range c.Edges {
+				for {
+					got, err := c.Send(edge, slipRequestTo("/kept/1"))
+					if err == nil && got.Status == 200 {
+						break
+					}
+					if time.Since(began) > recovery {
+						t.Fatalf("%s does not serve the newest configuration: %d %v", edge.Name, got.Status, err)
+					}
+					c.Sleep(50 * time.Millisecond)
+				}
+			}
+			status, answer, err := c.CallOperatorAPI("GET", "/marlreel/config/read", "", "", 5*time.Second)
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.True(strings.Contains(answer, "/kept/"))
+			t.Logf("disks of %d and the next one: all serve after %v", first, time.Since(began))
+		})
+	}
+}
