--- a/internal/agent/quota.go
+++ b/internal/agent/quota.go
@@ -23,7 +23,7 @@
 }
 
 // quotaOwner counts the quotas of the shards of tenants whose leases this agent holds. Whether it does is looked at for
-// each request, after the moment at which the request counts: so no two owners grant at the same time.
+// each request, at the moment at which the request counts: so no two owners grant at the same time.
 type quotaOwner struct {
 	store  *watch.Store
 	leases leaseHolder
@@ -72,9 +72,7 @@
 	now := time.Since(o.began)
 	o.configure(now)
 	for _, refund := range request.Refunds {
-		if lease, runs := o.lease(refund.Subscriber); runs && lease.FencingToken == refund.FencingToken {
-			o.ledger.Refund(now, lease, refund.Subscriber, refund.Number)
-		}
+		o.ledger.Refund(now, refund.FencingToken, refund.Subscriber, refund.Number)
 	}
 	lease, runs := o.lease(request.Subscriber)
 	answer := ledger.Answer{Verdict: ledger.NotOwner}
@@ -90,7 +88,9 @@
 // lease returns the lease of a tenant's shard, if this agent holds it.
 func (o *quotaOwner) lease(subscriber string) (lease ledger.Lease, runs bool) {
 	held, runs := o.leases.Lease(shard.LeaseKey(shard.Of(subscriber)))
-	return ledger.Lease{FencingToken: held.FencingToken, Since: held.Since.Sub(o.began)}, runs
+	return ledger.Lease{
+		FencingToken: held.FencingToken, Since: held.Since.Sub(o.began), Expiry: held.Expiry.Sub(o.began),
+	}, runs
 }
 
 // configure puts the limits of the newest configuration in force. Called with the lock.
--- a/internal/dataplane/quotaclient/client.go
+++ b/internal/dataplane/quotaclient/client.go
@@ -147,9 +147,17 @@
 	defer cancel()
 	request.Refunds = c.refunds.take(number, began)
 	reply, err := api.NewQuotaOwnerProtobufClient("http://"+asked.address, c.client).AcquireQuota(call, request)
-	now := time.Now()
-	// A process that was stopped meanwhile may find an old answer.
-	if err != nil || now.After(end) {
+	if err != nil {
+		return Decision{}, false
+	}
+	return c.decide(request, reply, began, time.Now(), end)
+}
+
+// decide takes in an owner's reply to a call that began at a time, and had an end. It reports whether that decides the
+// request. A reply that is found after the end, by a process that was stopped meanwhile, may be of any age: what it
+// grants is spent in vain.
+func (c *Client) decide(request *api.AcquireQuotaRequest, reply *api.AcquireQuotaReply, began, now, end time.Time) (Decision, bool) {
+	if now.After(end) {
 		return Decision{}, false
 	}
 	switch reply.Verdict {
--- /dev/null
+++ b/internal/dataplane/quotaclient/histories_test.go
@@ -0,0 +1,456 @@
+package quotaclient
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"marlreel/internal/api"
+	"marlreel/internal/controlplane/lease"
+	"marlreel/internal/quota/ledger"
+	"marlreel/internal/quota/shard"
+	"marlreel/internal/quota/tokenbucket"
+)
+
+const (
+	historyTime = 40 * time.Second
+	// maxSendDelay is the longest time from a client's sending to the call for quota; the call takes the rest of the
+	// delay allowance.
+	maxSendDelay = tokenbucket.DelayAllowance - callTimeout
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+// events is a heap of events, the next one first.
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// node is a machine with a proxy and an agent.
+type node struct {
+	*api.Node
+	client      *Client
+	ledger      *ledger.Ledger
+	leases      map[string]ledger.Lease
+	known       map[string]*api.Ownership // as the node has heard of it
+	version     uint64                    // of the limits that the ledger has
+	frozenUntil time.Duration
+	cutUntil    time.Duration
+}
+
+func (n *node) holder() string { return lease.HolderID(n.Name, n.Incarnation) }
+
+// restart gives a node new processes, which know nothing.
+func (n *node) restart(rule tokenbucket.Rule) {
+	n.Incarnation++
+	n.version = 0
+	n.client = New(Config{Metrics: vm.NewSet()})
+	n.ledger, n.leases, n.known = ledger.New(rule), map[string]ledger.Lease{}, map[string]*api.Ownership{}
+}
+
+// sent is a request that a client has sent.
+type sent struct {
+	at                 time.Duration
+	owed, granted, ran bool
+}
+
+// limitChange says which limit a tenant has from a time on.
+type limitChange struct {
+	at    time.Duration
+	limit tokenbucket.Limit
+}
+
+// history is a drawn run of proxies, owners, leases and faults, on simulated time. An auditor looks at what backends ran.
+type history struct {
+	*rand.Rand
+	now        time.Duration
+	pending    events
+	nodes      []*node
+	manager    *lease.Manager
+	owned      map[string]*api.Ownership
+	lastToken  uint64
+	version    uint64
+	limits     map[string]tokenbucket.Limit
+	changes    map[string][]limitChange
+	requests   map[string][]*sent
+	rule       tokenbucket.Rule
+	cost       float64       // of each request
+	faultGap   time.Duration // the longest between two faults; 0: there are none
+	sendDelay  time.Duration // the longest until a request is asked for
+	faultKinds int           // with or without changes of limits
+	lossy      int           // one message in so many is late, lost or doubled
+	idle       time.Duration // the longest pause of a tenant's requests
+	down       time.Duration // for this long, in every two of them, no backend runs anything; 0: they always do
+}
+
+func newHistory(seed uint64, nodes int, faults bool) *history {
+	h := &history{
+		Rand: rand.New(rand.NewPCG(seed, uint64(nodes))), owned: map[string]*api.Ownership{}, limits: map[string]tokenbucket.Limit{},
+		changes: map[string][]limitChange{}, requests: map[string][]*sent{},
+	}
+	h.rule = tokenbucket.Rule{Window: 8 * time.Second, Excess: 0.1, Slack: 17000}
+	h.cost, h.sendDelay = 2400, 10*time.Millisecond
+	if faults {
+		h.drawFaults()
+	}
+	h.manager = lease.NewManager(lease.NewConfig(3*time.Second, true), func() time.Time { return h.time() })
+	h.manager.OnView(1, true)
+	for i := range nodes {
+		n := &node{Node: &api.Node{Name: fmt.Sprintf("edge-%d", i), Address: strconv.Itoa(i)}}
+		n.restart(h.rule)
+		h.nodes = append(h.nodes, n)
+	}
+	for i := range 3 {
+		h.setLimit(fmt.Sprintf("tenant-%d", i), tokenbucket.Limit{RatePerS: 4200, BurstSize: 16800 * h.Float64(), RequestCost: h.cost})
+	}
+	return h
+}
+
+// drawFaults draws what goes wrong, and a rule that may leave nothing to spare.
+func (h *history) drawFaults() {
+	h.rule.Excess, h.rule.Slack = 0.1*float64(h.IntN(2)), 17000*float64(h.IntN(2))
+	h.cost = []float64{600, 2400}[h.IntN(2)]
+	h.faultGap, h.sendDelay = 2*time.Second+h.upTo(16*time.Second), maxSendDelay
+	h.faultKinds = 4 + h.IntN(2)
+	h.lossy = []int{6, 50}[h.IntN(2)]
+	h.idle = time.Duration(h.IntN(2)) * 16 * time.Second
+	h.down = time.Duration(h.IntN(2)) * (time.Second + h.upTo(4*time.Second))
+}
+
+func (h *history) time() time.Time { return time.Unix(1_700_000_000, 0).Add(h.now) }
+
+func (h *history) after(delay time.Duration, run func()) {
+	heap.Push(&h.pending, event{h.now + delay, run})
+}
+
+// upTo draws a time.
+func (h *history) upTo(limit time.Duration) time.Duration {
+	return time.Duration(h.Int64N(int64(limit)))
+}
+
+// onNode runs something at a node after a delay, or once it is frozen no more; never where it was restarted meanwhile.
+func (h *history) onNode(n *node, delay time.Duration, run func()) {
+	incarnation := n.Incarnation
+	h.after(delay, func() {
+		switch {
+		case n.Incarnation != incarnation:
+		case h.now < n.frozenUntil:
+			h.onNode(n, n.frozenUntil-h.now, run)
+		default:
+			run()
+		}
+	})
+}
+
+// setLimit changes a tenant's limit. Nodes hear of it each in its time.
+func (h *history) setLimit(name string, limit tokenbucket.Limit) {
+	h.version++
+	h.limits[name] = limit
+	h.changes[name] = append(h.changes[name], limitChange{h.now, limit})
+}
+
+// control is a round of the head: it grants leases, and every node hears of the state.
+func (h *history) control() {
+	var records []lease.Record
+	for number := range shard.Count {
+		key := shard.LeaseKey(number)
+		records = append(records, lease.Record{Key: key, Ownership: h.owned[key]})
+	}
+	var nodes []*api.Node
+	for _, n := range h.nodes {
+		nodes = append(nodes, n.Node)
+	}
+	for _, operation := range h.manager.DueGrants(records, nodes) {
+		grant := operation.GetGrant()
+		h.lastToken++
+		h.owned[grant.Key] = &api.Ownership{Key: grant.Key, Holder: grant.Holder, Address: grant.Address, FencingToken: h.lastToken}
+	}
+	owned, limits, version := maps.Clone(h.owned), maps.Clone(h.limits), h.version
+	for _, n := range h.nodes {
+		if h.now < n.cutUntil {
+			continue
+		}
+		h.onNode(n, h.upTo(100*time.Millisecond), func() {
+			n.known = owned
+			if n.version != version {
+				n.version = version
+				n.ledger.Configure(h.now, version, limits)
+			}
+			h.renew(n)
+		})
+	}
+	h.after(150*time.Millisecond, h.control)
+}
+
+// renew has a node renew its leases, from before the call on.
+func (h *history) renew(n *node) {
+	asked, holder := h.now, n.holder()
+	var named []*api.Ownership
+	for _, ownership := range h.owned {
+		if ownership.Holder == holder {
+			named = append(named, ownership)
+		}
+	}
+	if len(named) == 0 || h.now < n.cutUntil {
+		return
+	}
+	renewed := h.manager.Renew(holder, false, named)
+	h.onNode(n, h.upTo(50*time.Millisecond), func() {
+		for _, o := range renewed {
+			held := ledger.Lease{FencingToken: o.FencingToken, Since: h.now, Expiry: asked + h.manager.GrantDuration()}
+			if before := n.leases[o.Key]; before.FencingToken == o.FencingToken {
+				held.Since = before.Since
+			}
+			n.leases[o.Key] = held
+		}
+	})
+}
+
+// sendRequests has clients of a tenant send requests through drawn proxies, at some times the rate of its limit.
+func (h *history) sendRequests(name string, load float64, reference *tokenbucket.Bucket) {
+	r := &sent{at: h.now, owed: reference.Take(h.now, h.cost)}
+	h.requests[name] = append(h.requests[name], r)
+	n := h.nodes[h.IntN(len(h.nodes))]
+	h.onNode(n, h.upTo(h.sendDelay), func() {
+		if h.now-r.at <= maxSendDelay { // a client of a machine that stood still has given up
+			h.ask(n, name, r)
+		}
+	})
+	mean := time.Duration(h.cost / (4200 * load) * float64(time.Second))
+	pause := h.upTo(2 * mean)
+	if h.idle > 0 && load > 1 && h.IntN(40) == 0 {
+		pause = h.upTo(h.idle)
+	}
+	h.after(pause, func() { h.sendRequests(name, load, reference) })
+}
+
+// ask is a proxy's call to the owner that it knows. Calls are lost, late or made twice.
+func (h *history) ask(n *node, name string, r *sent) {
+	began, end := h.time(), h.time().Add(callTimeout)
+	key := shard.LeaseKey(shard.Of(name))
+	ownership := n.known[key]
+	if n.client.refusals.find(name, h.cost, began).Verdict != 0 || ownership == nil {
+		return
+	}
+	index, _ := strconv.Atoi(ownership.Address)
+	owner := h.nodes[index]
+	request := &api.AcquireQuotaRequest{Subscriber: name, Cost: h.cost, Refunds: n.client.refunds.take(shard.Of(name), began)}
+	copies := 1
+	if h.lossy > 0 && h.IntN(h.lossy) == 0 {
+		copies = h.IntN(3)
+	}
+	decided := false
+	for range copies {
+		h.onNode(owner, h.delay(n, owner), func() {
+			reply := owner.answer(h.now, key, request)
+			h.onNode(n, h.delay(owner, n), func() {
+				decision, accepted := n.client.decide(request, reply, began, h.time(), end)
+				if accepted && !decided && decision.Verdict == Granted {
+					h.runOrRefund(n, r, decision)
+				}
+				decided = decided || accepted
+			})
+		})
+	}
+}
+
+// delay is that of a message between two nodes: mostly short, at times long, and beyond the end where one is cut off.
+func (h *history) delay(from, to *node) time.Duration {
+	switch {
+	case from != to && (h.now < from.cutUntil || h.now < to.cutUntil):
+		return historyTime
+	case h.lossy > 0 && h.IntN(h.lossy) == 0:
+		return h.upTo(3 * time.Second)
+	}
+	return time.Millisecond + h.upTo(8*time.Millisecond)
+}
+
+// answer is what the owner's agent does.
+func (n *node) answer(now time.Duration, key string, request *api.AcquireQuotaRequest) *api.AcquireQuotaReply {
+	for _, refund := range request.Refunds {
+		n.ledger.Refund(now, refund.FencingToken, refund.Subscriber, refund.Number)
+	}
+	held := n.leases[key]
+	answer := n.ledger.Acquire(now, held, ledger.Request{Subscriber: request.Subscriber, Cost: request.Cost})
+	switch answer.Verdict {
+	case ledger.Granted:
+		grant := &api.QuotaGrant{Subscriber: request.Subscriber, FencingToken: held.FencingToken, Number: answer.Grant}
+		return &api.AcquireQuotaReply{Verdict: api.QuotaVerdict_QUOTA_GRANTED, Grant: grant}
+	case ledger.Exceeded:
+		return &api.AcquireQuotaReply{Verdict: api.QuotaVerdict_QUOTA_EXCEEDED, RetryAfterMs: uint32(answer.RetryAfter.Milliseconds())}
+	case ledger.NotOwner, ledger.SubscriberUnknown:
+	}
+	return &api.AcquireQuotaReply{}
+}
+
+// runOrRefund has a backend run a request, or not, where its grant goes back.
+func (h *history) runOrRefund(n *node, r *sent, decision Decision) {
+	r.granted = true
+	if h.down == 0 || h.now%(2*h.down) > h.down {
+		r.ran = true
+		return
+	}
+	h.onNode(n, h.upTo(500*time.Millisecond), func() { n.client.Refund(decision) })
+}
+
+// disturb draws faults and changes of limits.
+func (h *history) disturb() {
+	n := h.nodes[h.IntN(len(h.nodes))]
+	if h.IntN(2) == 0 { // an owner
+		if ownership := h.owned[shard.LeaseKey(shard.Of("tenant-0"))]; ownership != nil {
+			index, _ := strconv.Atoi(ownership.Address)
+			n = h.nodes[index]
+		}
+	}
+	switch h.IntN(h.faultKinds) {
+	case 0, 1:
+		n.restart(h.rule)
+	case 2:
+		n.frozenUntil = h.now + h.upTo(6*time.Second)
+	case 3:
+		n.cutUntil = h.now + h.upTo(6*time.Second)
+	case 4:
+		limit := tokenbucket.Limit{RatePerS: 1000 + 5000*h.Float64(), BurstSize: 16800 * h.Float64(), RequestCost: h.cost}
+		name := fmt.Sprintf("tenant-%d", h.IntN(3))
+		h.setLimit(name, limit)
+		if h.IntN(3) == 0 { // it leaves, and returns at once: some nodes hear of both
+			delete(h.limits, name)
+			h.after(h.upTo(time.Second), func() { h.setLimit(name, limit) })
+		}
+	}
+	h.after(h.upTo(h.faultGap), h.disturb)
+}
+
+// play runs the history to its end.
+func (h *history) play() {
+	h.control()
+	for i, load := range []float64{0.8, 4, 8} {
+		name := fmt.Sprintf("tenant-%d", i)
+		limit := h.limits[name]
+		plain := tokenbucket.Parameters{RatePerS: limit.RatePerS, Capacity: limit.BurstSize, Exposure: math.Inf(1)}
+		reference := tokenbucket.NewBucket(plain, 0)
+		h.after(6*time.Second, func() { h.sendRequests(name, load, reference) })
+	}
+	if h.faultGap > 0 {
+		h.after(4*time.Second, h.disturb)
+	}
+	for len(h.pending) > 0 && h.pending[0].at < historyTime {
+		next := heap.Pop(&h.pending).(event)
+		h.now = next.at
+		next.run()
+	}
+}
+
+// worstExcess is the most that any tenant had run in one window, as a part of the rule's bound. Of the limits in force in
+// a window, or within the time that a change may take, the highest counts.
+func (h *history) worstExcess() float64 {
+	const changeTime = 8 * time.Second // no cut or freeze is longer
+	worst := 0.0
+	for name, requests := range h.requests {
+		var ran []time.Duration
+		for _, r := range requests {
+			if r.ran {
+				ran = append(ran, r.at)
+			}
+		}
+		from := 0
+		for to := range ran {
+			for ran[to]-ran[from] > h.rule.Window {
+				from++
+			}
+			bound := h.boundOf(name, ran[from]-changeTime, ran[to]+maxSendDelay+callTimeout)
+			worst = max(worst, float64(to-from+1)*h.cost/bound)
+		}
+	}
+	return worst
+}
+
+// boundOf is the highest bound of the limits that a tenant had between two times.
+func (h *history) boundOf(name string, from, to time.Duration) float64 {
+	bound := 0.0
+	changes := h.changes[name]
+	for i, change := range changes {
+		ended := i+1 < len(changes) && changes[i+1].at < from
+		if change.at <= to && !ended {
+			bound = max(bound, h.rule.Bound(change.limit))
+		}
+	}
+	return bound
+}
+
+// refusedShare is the part of a tenant's requests within its limit that were not granted.
+func (h *history) refusedShare(name string) float64 {
+	owed, refused := 0, 0
+	for _, r := range h.requests[name] {
+		if r.owed {
+			owed++
+		}
+		if r.owed && !r.granted {
+			refused++
+		}
+	}
+	return float64(refused) / float64(max(1, owed))
+}
+
+// playAll plays histories and returns the most that a tenant ran of its bound in a window, and the shares that were refused of
+// what a tenant below its limit asked for, in their order.
+func playAll(t *testing.T, histories, nodes int, faults bool) (worst float64, refused []float64) {
+	t.Helper()
+	for seed := range uint64(max(1, histories)) {
+		h := newHistory(seed, nodes, faults)
+		h.play()
+		excess := h.worstExcess()
+		if excess > 1 {
+			t.Errorf("%d nodes, seed %d: a tenant ran %.3f of its bound in one window", nodes, seed, excess)
+		}
+		worst = max(worst, excess)
+		refused = append(refused, h.refusedShare("tenant-0"))
+	}
+	slices.Sort(refused)
+	t.Logf("%d nodes, faults %v: %d histories, at most %.3f of the bound; refused of what is owed: median %.3f, worst %.3f",
+		nodes, faults, len(refused), worst, refused[len(refused)/2], refused[len(refused)-1])
+	return worst, refused
+}
+
+// In no history does a tenant run more than the rule allows in any window, through however many proxies, takeovers, cuts,
+// freezes, late and doubled calls, refunds and changes of its limit.
+func TestDrawnHistoriesKeepTheBound(t *testing.T) {
+	histories := 160
+	if more, err := strconv.Atoi(os.Getenv("QUOTA_HISTORIES")); err == nil {
+		histories = more
+	}
+	for _, nodes := range []int{3, 30, 295} {
+		playAll(t, histories/(1+nodes/30), nodes, true)
+	}
+}
+
+// Where nothing fails, a tenant below its limit is refused nothing, and others get nearly all that the bound allows.
+func TestCalmHistoriesRefuseNothingOwed(t *testing.T) {
+	for _, nodes := range []int{3, 30} {
+		worst, refused := playAll(t, 10, nodes, false)
+		if refused[len(refused)-1] > 0 || worst < 0.8 {
+			t.Errorf("%d nodes: %v refused, at most %.3f of the bound", nodes, refused, worst)
+		}
+	}
+}
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -22,7 +22,7 @@
 	Granted Verdict = iota + 1
 	// Exceeded: the tenant has spent its quota.
 	Exceeded
-	// NotOwner: a later lease than that of the request is known.
+	// NotOwner: the lease doesn't run, or a later one is known.
 	NotOwner
 	// SubscriberUnknown: the configuration has no such tenant, or is older than the caller's.
 	SubscriberUnknown
@@ -31,8 +31,8 @@
 // Lease is the lease under which an agent counts a shard.
 type Lease struct {
 	FencingToken uint64
-	// Since is a moment since which it was held without a break.
-	Since time.Duration
+	// Since is a moment since which nobody else has held it, and Expiry when it ends.
+	Since, Expiry time.Duration
 }
 
 // Request asks for quota for a request of a tenant.
@@ -79,10 +79,10 @@
 	}
 }
 
-// Acquire answers a request for quota under the lease of the tenant's shard, which has to run at this moment.
+// Acquire answers a request for quota under the lease of the tenant's shard.
 func (l *Ledger) Acquire(now time.Duration, lease Lease, request Request) Answer {
 	tenure := l.tenure(shard.Of(request.Subscriber), lease)
-	if tenure == nil {
+	if now >= lease.Expiry || tenure == nil {
 		return Answer{Verdict: NotOwner}
 	}
 	limit, known := l.limits[request.Subscriber]
@@ -96,10 +96,11 @@
 	return tenure.acquire(now, request, l.lastGrant)
 }
 
-// Refund returns a grant under the lease of the tenant's shard, which has to run at this moment. Grants that are too old,
-// were returned before or were made under another lease are passed over.
-func (l *Ledger) Refund(now time.Duration, lease Lease, subscriber string, grant uint64) {
-	if tenure := l.tenure(shard.Of(subscriber), lease); tenure != nil {
+// Refund returns a grant that was made under a fencing token. Grants that are too old, were returned before or were made
+// by another owner are passed over.
+func (l *Ledger) Refund(now time.Duration, fencingToken uint64, subscriber string, grant uint64) {
+	tenure := l.tenures[shard.Of(subscriber)]
+	if tenure != nil && tenure.fencingToken == fencingToken {
 		tenure.refund(now, subscriber, grant)
 	}
 }
