Gateway: every answer of a proxy that shuts down ends its connection

Cause: the handler says first that the connection ends, and fasthttp's ctx.Error, by which all of the proxy's own answers are made, begins the answer anew. Fix: it is said once the handler has returned, by the server of clients, for whatever answer there is then.

--- a/internal/dataplane/gateway/server.go
+++ b/internal/dataplane/gateway/server.go
@@ -31,13 +31,24 @@
 
 // newFrontServer makes the server for clients.
 func (g *Gateway) newFrontServer(maxConnections int) *fasthttp.Server {
-	server := g.newServer(g.HandleRequest)
+	server := g.newServer(g.endConnectionsWhileDraining(g.HandleRequest))
 	server.MaxRequestBodySize = defaultMaxBodyBytes
 	server.ReadBufferSize = maxHeaderBytes
 	server.Concurrency = maxConnections
 	return server
 }
 
+// endConnectionsWhileDraining has each answer end its connection from when the proxy drains: clients turn to other proxies
+// then. It is said last, as an answer that takes the place of another one begins with nothing set.
+func (g *Gateway) endConnectionsWhileDraining(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		handler(ctx)
+		if g.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // requestConfig bounds a request by the configuration in force.
 func (g *Gateway) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	document := g.table.Load().document
