--- a/internal/controlplane/simulation_histories_test.go
+++ b/internal/controlplane/simulation_histories_test.go
@@ -24,6 +24,7 @@
 	seed     uint64
 	controls int
 	faults   []simulatedFault
+	final    bool // it ends with the loss of disks and of all power
 }
 
 func (h history) String() string {
@@ -69,6 +70,10 @@
 		sim.coverage[f.kind]++
 		sim.advance(f.rest)
 	}
+	if h.final {
+		sim.record("disks and all power are lost")
+		sim.loseDisksAndPower(rand.New(rand.NewPCG(h.seed, 19)))
+	}
 	sim.heal()
 	sim.recover()
 	sim.operators.auditAnswers()
@@ -106,6 +111,7 @@
 			sim.failf("%s knows version %d, fresh %v; %d was acknowledged", a.node.Name, version, a.feed.Fresh(nil), sim.operators.newest.version)
 		}
 	}
+	sim.auditSubscribers()
 	orders := 0
 	for _, a := range sim.agents {
 		orders += a.orders
@@ -116,15 +122,22 @@
 	sim.record("%d taken, %d refused, %d orders under %d tokens", sim.operators.taken, sim.operators.refused, orders, sim.backend.tokens)
 }
 
-// Worlds live through drawn histories. CI plays the first ones; more by WORLD_HISTORIES, from WORLD_FIRST on.
-func TestDrawnWorldHistories(t *testing.T) {
-	histories, first := 100, 0
+// historiesToPlay is how many histories are played, from which number on: so many where WORLD_HISTORIES and WORLD_FIRST
+// don't say otherwise.
+func historiesToPlay(usual int) (histories, first int) {
+	histories = usual
 	if more, err := strconv.Atoi(os.Getenv("WORLD_HISTORIES")); err == nil {
 		histories = more
 	}
 	if from, err := strconv.Atoi(os.Getenv("WORLD_FIRST")); err == nil {
 		first = from
 	}
+	return histories, first
+}
+
+// Worlds live through drawn histories. CI plays the first ones; more by WORLD_HISTORIES, from WORLD_FIRST on.
+func TestDrawnWorldHistories(t *testing.T) {
+	histories, first := historiesToPlay(100)
 	crossed := make(chan map[string]int, histories)
 	t.Run("all", func(t *testing.T) {
 		for number := first; number < first+histories; number++ {
@@ -151,7 +164,7 @@
 	for _, what := range []string{
 		"a call was held up", "an order came too late", "a write was refused", "power was lost in a write",
 		"a second loss met a repair", "changes were taken while one was cut off for 20 s", "a process left the chain",
-		"a disk was lost right after a replacement", "the head was met", "the tail was met",
+		"a disk was lost right after a replacement", "the head was met", "the tail was met", "a shared key was refused",
 	} {
 		if total[what] == 0 && histories >= 100 {
 			t.Errorf("in %d histories it never happened that %s", histories, what)
