Watch: relays pass updates on after 20 ms, in place of a batch window at each level

Need: the tree of a large zone has a level more, and each level batched changes of backends for up to 100 ms, though what it passes on had been batched at the level above. Change: an agent's store batches for 20 ms for other agents. Its proxy, which watches all topics, keeps 100 ms. Measured: TestRelayPassesUpdatesOnSooner; at most 100 + 20 + 20 + 100 ms for an update of backends in a zone of 42, where the flat zone before took 100 + 100 + 100 ms at most (calculated from the windows, not measured).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,6 +54,7 @@
 		},
 		store: watch.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now),
 	}
+	a.store.BatchAsRelay()
 	holder := lease.HolderID(settings.NodeName, incarnation)
 	a.leases = &leases{holder: holder, controls: a.controls, store: a.store, client: a.client}
 	a.quotas = newQuotaOwner(quotaRule(settings.Bounds), a.store, a.leases)
--- a/internal/distribution/watch/longpoll.go
+++ b/internal/distribution/watch/longpoll.go
@@ -13,21 +13,43 @@
 // lists all of them, so without it the bytes of a start would grow by the square of their number.
 const batchWindow = 100 * time.Millisecond
 
+// relayBatchWindow is the same at a relay, for subscribers of some topics: what it passes on was batched before it came.
+// Raising it adds to the delay at each level of a tree of relays; lowering it gains nothing.
+const relayBatchWindow = 20 * time.Millisecond
+
+// BatchAsRelay makes the store, which is filled from other stores, pass on updates sooner.
+func (s *Store) BatchAsRelay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relays = true
+}
+
+// batchWindowFor is the batch window of a subscriber. One of everything gets the updates of several sources.
+func (s *Store) batchWindowFor(topics Topics) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relays && !topics.All() {
+		return relayBatchWindow
+	}
+	return batchWindow
+}
+
 // HandleWatch serves a subscriber's poll: it replies with what the subscriber lacks as soon as there is something, or
 // with nothing new after maxWait or when ctx ends.
 func (s *Store) HandleWatch(ctx context.Context, request *api.WatchRequest, maxWait time.Duration) *api.WatchReply {
 	began := time.Now()
+	window := s.batchWindowFor(request.Topics)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	for {
 		waited := time.Since(began)
 		timedOut := waited >= maxWait || ctx.Err() != nil
-		poll := s.poll(request, waited >= batchWindow, timedOut)
+		poll := s.poll(request, waited >= window, timedOut)
 		if poll.reply != nil {
 			return poll.reply
 		}
 		if poll.batching {
-			timer.Reset(min(batchWindow, maxWait) - waited)
+			timer.Reset(min(window, maxWait) - waited)
 		}
 		select {
 		case <-poll.changed:
--- a/internal/distribution/watch/longpoll_test.go
+++ b/internal/distribution/watch/longpoll_test.go
@@ -83,6 +83,30 @@
 	})
 }
 
+// A relay passes updates of some topics on sooner; its own proxy, which watches everything, gets them batched.
+func TestRelayPassesUpdatesOnSooner(t *testing.T) {
+	for name, c := range map[string]struct {
+		topics []Topic
+		window time.Duration
+	}{
+		"an agent": {[]Topic{ServiceTopic("llm")}, relayBatchWindow}, "its proxy": {nil, batchWindow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source := New("relay", time.Now)
+				source.BatchAsRelay()
+				subscriber := newTestSubscriber(source, c.topics...)
+				subscriber.poll()
+				afterDelay(t, time.Millisecond, func() { source.RecordBackend(backend("a", "llm")) })
+				took, backends := subscriber.poll()
+				is.Equal(took, c.window)
+				is.Equal(backends, 1)
+			})
+		})
+	}
+}
+
 // Guards against bytes that grow by the square of the nodes when all of them start: a subscriber gets the list once a
 // batch window, whatever the size of the site.
 func TestUpdatesOfNodesAreBatched(t *testing.T) {
