Control: large transfers of the state are admitted by a token bucket

The spread of the fetches bounds those alone, not the polls. Others get resource_exhausted, which subscribers of any version take for a source that failed: they pause and ask the next one.

--- a/internal/controlplane/membership_rpc.go
+++ b/internal/controlplane/membership_rpc.go
@@ -26,7 +26,11 @@
 		s.membership.OnWatch(request.Subscriber)
 	}
 	wait := min(maxWatchWait, time.Duration(request.WaitMs)*time.Millisecond)
-	return s.feed.HandleWatch(ctx, request, wait), nil
+	reply := s.feed.HandleWatch(ctx, request, wait)
+	if err := s.transfers.admit(s.clock.now(), reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
 }
 
 // Renew implements api.Control: a node says that it lives.
--- a/internal/controlplane/run.go
+++ b/internal/controlplane/run.go
@@ -82,7 +82,7 @@
 	p.runner = NewReplicaRunner(machine, p.sender, feed, clock)
 	p.membership = NewMembership(self, feed, settings.HeartbeatInterval(), client)
 	p.service = &Service{
-		runner: p.runner, membership: p.membership, feed: feed, self: settings.PeerAddress(), client: client,
+		runner: p.runner, membership: p.membership, feed: feed, transfers: newTransferLimit(), self: settings.PeerAddress(), client: client,
 		clock: clock, fragments: newReassembler(), log: machine.Log,
 	}
 	headOfView := func() (uint64, bool) { return p.view.headOf(settings.PeerAddress()) }
--- a/internal/controlplane/service.go
+++ b/internal/controlplane/service.go
@@ -19,6 +19,7 @@
 	membership *Membership
 	leases     *leaseGranter
 	feed       *watch.Store
+	transfers  *transferLimit
 	self       string // this process's address for its peers
 	client     *transport.Client
 	clock      processClock
