Tests: a change behind a large one is acknowledged at once, and in force in time

Change: TestChangesAreAcknowledgedBehindALargeOne gives 42 proxies the share of control's links that they have among 295, and makes six small changes behind the large one; TestLargeChangeIsInForceInALargeZoneInTime makes its second change while the first is on its way.

--- a/internal/testing/simcluster/large_zone_test.go
+++ b/internal/testing/simcluster/large_zone_test.go
@@ -26,6 +26,10 @@
 	largeSiteApplyTime = 3 * time.Second
 	// largeSiteCoreRate is 120 Mbit/s.
 	largeSiteCoreRate = 15_000_000
+	// largeSiteEdges and largeSiteControls are how many machines share the links of control there.
+	largeSiteEdges, largeSiteControls = 295, 5
+	// sharedCoreRate gives each proxy of the test's one zone the same share of the links of control as on that site.
+	sharedCoreRate = largeSiteCoreRate * largeSiteControls / controls * largeZoneEdges / largeSiteEdges
 )
 
 // startLargeZone starts a cluster whose proxies are all in one zone, with the links of the largest sites.
@@ -69,10 +73,12 @@
 func (c *Cluster) modifyLarge(t *testing.T, routes int) (size int64, path string) {
 	t.Helper()
 	body, path := largeChange(c.version+1, routes)
+	began := time.Now()
 	status, answer, err := c.CallOperatorAPI("POST", "/marlreel/config/modify", fmt.Sprint(c.version), body, 4*time.Second)
 	if err != nil || status != 200 {
 		t.Fatalf("a change of %d bytes: %d %s %v", len(body), status, answer, err)
 	}
+	t.Logf("a change of %d bytes was acknowledged after %v", len(body), time.Since(began))
 	c.version++
 	return int64(len(body)), path
 }
@@ -91,7 +97,8 @@
 }
 
 // Guards against CONFIG and DENIED on the largest sites: a change of 1,480 routes reached a zone's 42 proxies on 10
-// Mbit/s after config_apply_ms, as one relay sent it whole to all others, and they fetched it from control besides.
+// Mbit/s after config_apply_ms, as one relay sent it whole to all others, and they fetched it from control besides; the
+// next change waited behind that. Both are in force in time.
 func TestLargeChangeIsInForceInALargeZoneInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -99,7 +106,9 @@
 		relayMachine, _ := c.relayOf(watch.TopicState, zones[0])
 		c.Net.TakeTraffic()
 		size, path := c.modifyLarge(t, largeChangeRoutes)
-		c.Sleep(largeSiteApplyTime)
+		c.Sleep(largeSiteApplyTime / 6) // while the first is on its way at the latest
+		_, second := c.modifyLarge(t, 1)
+		c.Sleep(largeSiteApplyTime - largeSiteApplyTime/6)
 		traffic := c.Net.TakeTraffic()
 		sentBy := func(ip string) int64 { return traffic.Total(func(f simnet.Flow) bool { return f.From == ip }) }
 		most := int64(0)
@@ -113,11 +122,29 @@
 		t.Logf("the relay sent %d bytes, no proxy more than %d, control %d", sentBy(relayMachine.IP), most, control)
 		is.Equal(c.countRouting("/unknown/1"), 0)
 		is.Equal(c.countRouting(path), largeZoneEdges)
+		c.Sleep(largeSiteApplyTime / 6)
+		is.Equal(c.countRouting(second), largeZoneEdges)
 		is.True(most <= slowLinkBytesPerSecond/2) // at each of three levels half of a third of the time: the rest is others'
 		is.True(control <= (controls+1)*size)     // each control process has it once; the agents get less than one more
-		_, second := c.modifyLarge(t, 1)
-		c.Sleep(largeSiteApplyTime)
-		is.Equal(c.countRouting(second), largeZoneEdges)
+	})
+}
+
+// Guards against changes that were not acknowledged any more on the largest site: the fetches of the large change before
+// them had filled the links of control, behind which the chain's messages waited.
+func TestChangesAreAcknowledgedBehindALargeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startLargeZone(t, largeZoneEdges)
+		for _, m := range c.Controls {
+			c.Net.SetMachineRate(m.IP, sharedCoreRate)
+		}
+		_, path := c.modifyLarge(t, largeChangeRoutes)
+		for range 6 {
+			c.Sleep(largeSiteApplyTime / 6)
+			took := c.modifyConfiguration(t, 30*time.Second)
+			is.True(took < largeSiteApplyTime/6) // a twelfth of ack_ms
+		}
+		is.Equal(c.countRouting(path), largeZoneEdges)
 	})
 }
 
