--- a/internal/testing/simcluster/large_zone_test.go
+++ b/internal/testing/simcluster/large_zone_test.go
@@ -142,6 +142,7 @@
 		for range 6 {
 			c.Sleep(largeSiteApplyTime / 6)
 			took := c.modifyConfiguration(t, 30*time.Second)
+			t.Logf("a small change was acknowledged after %v", took)
 			is.True(took < largeSiteApplyTime/6) // a twelfth of ack_ms
 		}
 		is.Equal(c.countRouting(path), largeZoneEdges)
