Configuration: the first change after a whole configuration splits it faster, and in any case of its keys

Callers saw: nothing so far. A document whose list is written in another case ("Route_List") is decoded, as encoding/json does, but its raw fields were looked up by the exact key: after a change the list was in force and missing in what is stored and read back.

Change: such a key is renamed when the document is split. Names of raw items are taken from the decoded document in place of decoding each item once more.

Evidence: TestModifyKeepsListsWhoseKeysAreInAnotherCase fails without the renaming.

--- a/internal/controlplane/configuration/modify.go
+++ b/internal/controlplane/configuration/modify.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	old, err := d.raw.split()
+	old, err := d.raw.split(d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlplane/configuration/rawdocument.go
+++ b/internal/controlplane/configuration/rawdocument.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 	"sync"
 
 	"marlreel/internal/controlplane/result"
@@ -51,12 +52,12 @@
 	return r.data
 }
 
-// split returns the document's fields.
-func (r *rawDocument) split() (*rawFields, *result.Error) {
+// split returns the fields of the document, whose JSON this is.
+func (r *rawDocument) split(d *Document) (*rawFields, *result.Error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.fields == nil {
-		fields, err := decodeFields(r.data)
+		fields, err := decodeFields(r.data, d)
 		if err != nil {
 			return nil, err
 		}
@@ -65,51 +66,68 @@
 	return r.fields, nil
 }
 
-// decodeFields decodes a document's JSON by field.
-func decodeFields(data []byte) (*rawFields, *result.Error) {
+// decodeFields decodes a document's JSON by field. The items' names are those of the decoded document.
+func decodeFields(data []byte, d *Document) (*rawFields, *result.Error) {
 	all := map[string]json.RawMessage{}
 	if err := decodeJSON(data, &all); err != nil {
 		return nil, result.Errorf(result.Malformed, "configuration in place: %s", describeJSONError(err))
 	}
-	routes, err := decodeList(all[routesKey])
-	if err != nil {
-		return nil, err
+	for _, key := range []string{routesKey, servicesKey, subscribersKey, versionKey} {
+		renameVariant(all, key)
 	}
-	services, err := decodeList(all[servicesKey])
+	routes, err := decodeList(all[routesKey], len(d.Routes), func(i int) string { return d.Routes[i].Name })
 	if err != nil {
 		return nil, err
 	}
-	subscribers, err := decodeOptionalList(all[subscribersKey])
+	services, err := decodeList(all[servicesKey], len(d.Services), func(i int) string { return d.Services[i].Name })
 	if err != nil {
 		return nil, err
 	}
+	var subscribers []rawItem
+	if d.Subscribers != nil {
+		subscribers, err = decodeList(all[subscribersKey], len(d.Subscribers), func(i int) string { return d.Subscribers[i].Name })
+		if err != nil {
+			return nil, err
+		}
+		delete(all, subscribersKey)
+	}
 	for _, key := range []string{routesKey, servicesKey, versionKey} {
 		delete(all, key)
 	}
-	if subscribers != nil {
-		delete(all, subscribersKey)
-	}
 	return &rawFields{routes: routes, services: services, subscribers: subscribers, others: all}, nil
 }
 
-// decodeOptionalList decodes a list whose absence means something else than that it has no items: it returns nil
-// where the list is absent or null.
-func decodeOptionalList(data json.RawMessage) ([]rawItem, *result.Error) {
-	if len(data) == 0 || string(data) == "null" {
-		return nil, nil
+// renameVariant gives the field of a known key that is written in another case, as the document is decoded, that key.
+func renameVariant(fields map[string]json.RawMessage, key string) {
+	if _, exact := fields[key]; exact {
+		return
+	}
+	for name, value := range fields {
+		if strings.EqualFold(name, key) {
+			fields[key] = value
+			delete(fields, name)
+			return
+		}
 	}
-	return decodeList(data)
 }
 
-// decodeList decodes a list of a document; a list that is absent is empty.
-func decodeList(data json.RawMessage) ([]rawItem, *result.Error) {
+// decodeList decodes a list of a document; a list that is absent is empty. name gives the name of each of its count
+// items, so that they need not be decoded again.
+func decodeList(data json.RawMessage, count int, name func(i int) string) ([]rawItem, *result.Error) {
 	var list []json.RawMessage
 	if len(data) > 0 {
 		if err := json.Unmarshal(data, &list); err != nil {
 			return nil, result.Errorf(result.Malformed, "configuration in place: %s", describeJSONError(err))
 		}
 	}
-	return namedItems(list)
+	if len(list) != count { // the key stands in the JSON more than once
+		return namedItems(list)
+	}
+	items := make([]rawItem, count)
+	for i := range list {
+		items[i] = rawItem{name: name(i), json: list[i]}
+	}
+	return items, nil
 }
 
 // namedItems reads the names of a list's items. It fails with result.InvalidField where one has none.
--- a/internal/controlplane/configuration/rotate.go
+++ b/internal/controlplane/configuration/rotate.go
@@ -46,7 +46,7 @@
 
 // changeOfKeys is the change that replaces a tenant's keys and keeps its other fields as they were sent.
 func (d *Document) changeOfKeys(name string, keys []string) ([]byte, *result.Error) {
-	fields, err := d.raw.split()
+	fields, err := d.raw.split(d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlplane/configuration/subscriber_test.go
+++ b/internal/controlplane/configuration/subscriber_test.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// Guards against lists that are in force and lost when they are read back, as their keys are written in another case.
+func TestModifyKeepsListsWhoseKeysAreInAnotherCase(t *testing.T) {
+	is := is.New(t)
+	sent := strings.NewReplacer("subscribers", "Subscribers", "route_list", "Route_List", "service_list", "SERVICE_LIST").Replace(withTenants(tenantList))
+	for _, change := range []string{`{"config_version":4,"remove":{"route_list":["a"]}}`, `{"config_version":4,"remove":{"subscribers":["north"]}}`} {
+		next := modified(t, parsed(t, sent), change)
+		read := parsed(t, string(next.Raw()))
+		is.Equal(asJSON(next), asJSON(read))
+		is.Equal(tenantOf(next, "SECRET3"), "south")
+		is.Equal(tenantOf(read, "SECRET3"), "south")
+		is.True(len(read.Routes) > 0 && len(read.Services) == 2)
+	}
+}
+
 // Guards against a change of one route that hashes the keys of thousands of tenants again.
 func TestModifySharesTheTablesOfUntouchedLists(t *testing.T) {
 	is := is.New(t)
