--- a/internal/controlplane/configuration/modify.go
+++ b/internal/controlplane/configuration/modify.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, scope{}, err
 	}
-	old, err := d.raw.split()
+	old, err := d.raw.split(d)
 	if err != nil {
 		return nil, scope{}, err
 	}
