Quotas: a bucket fills by the limit of a whole window, and holds what the bound leaves

Change: rate = rate_per_s + burst_size / window; the capacity is what excess and slack leave. Refunds and delays are allowed 250 ms in place of 500, which leaves that room. The bound's argument is the same, as its test holds for any rate.

--- a/internal/quota/ledger/tenure.go
+++ b/internal/quota/ledger/tenure.go
@@ -9,7 +9,7 @@
 const (
 	// RefundAge is how old a grant may be that is returned. Raising it gives back more of what was granted in vain;
 	// the bucket's exposure bounds what it can add to a window.
-	RefundAge = 500 * time.Millisecond
+	RefundAge = 250 * time.Millisecond
 	// maxOutstanding bounds the grants of a shard that are remembered so that they can be returned. One beyond it can't.
 	maxOutstanding = 8192
 )
--- a/internal/quota/tokenbucket/rule.go
+++ b/internal/quota/tokenbucket/rule.go
@@ -5,12 +5,7 @@
 const (
 	// DelayAllowance is how long a request may have been under way when it is granted. What a client has sent in a window
 	// is granted within the window and that time, so the bound has to hold for both together.
-	DelayAllowance = 500 * time.Millisecond
-	// excessShare divides the excess that the users' rule allows: a bucket's rate and capacity have one part in so
-	// many, and the rest bears what is outstanding and the delay allowance.
-	excessShare = 4
-	// slackShare divides the slack in the same way: the capacity has one part in so many.
-	slackShare = 2
+	DelayAllowance = 250 * time.Millisecond
 	// minExposure is the least exposure, as time in which the rate fills it, and that of one request is too: where the
 	// rule leaves less, the rate yields.
 	minExposure = 50 * time.Millisecond
@@ -50,14 +45,12 @@
 }
 
 // Parameters returns those of a tenant's bucket: the rate times window and delay allowance, and the exposure, are the
-// rule's bound. The rate is a little above the limit's, so that a tenant that sends by its limit is never refused for
-// the unevenness of its requests.
+// rule's bound. The rate is that of a whole window with its burst, so that a tenant that always sends more than it may
+// gets what its limit allows in each window. The excess and the slack bear the capacity and what is outstanding.
 func (r Rule) Parameters(limit Limit) Parameters {
 	bound, span := r.Bound(limit), (r.Window + DelayAllowance).Seconds()
-	share := 1 + r.Excess/excessShare
 	reserved := max(limit.RatePerS*minExposure.Seconds(), limit.RequestCost)
-	rate := max(0, min(limit.RatePerS*share, (bound-reserved)/span))
+	rate := max(0, min(limit.RatePerS+limit.BurstSize/r.Window.Seconds(), (bound-reserved)/span))
 	exposure := bound - rate*span
-	capacity := min(exposure, max(limit.BurstSize*share+r.Slack/slackShare, limit.RequestCost))
-	return Parameters{RatePerS: rate, Capacity: capacity, Exposure: exposure}
+	return Parameters{RatePerS: rate, Capacity: exposure, Exposure: exposure}
 }
