Quotas: what a backend may have run is never refunded

Cause: refundQuota took the verdict Rejected as a proof that nothing ran. For idempotent requests the balancer rejects also after an attempt that may have run (mayReject: a retry is harmless), and the cost of a run came back. Change: the refund goes by the call's own attempts (engine.Call.Runs): only where no backend can have run it. So a request that timed out with attempts that provably never ran is refunded now, too.

--- a/internal/dataplane/gateway/clientrequest.go
+++ b/internal/dataplane/gateway/clientrequest.go
@@ -15,7 +15,7 @@
 	engine.Call
 	latencyTarget time.Duration      // from its arrival on
 	modelLoaded   bool               // a backend had its model and adapter loaded when it came
-	unsent        bool               // it is over, and no attempt was made; to be read after the answer
+	neverRan      bool               // it is over, and no backend can have run it; to be read after the answer
 	answers       chan engine.Answer // has room for the one answer
 }
 
@@ -26,7 +26,7 @@
 	if reply, is := a.Reply.(*httpproxy.Reply); is {
 		reply.Claim()
 	}
-	c.unsent = len(c.Attempts()) == 0
+	c.neverRan = c.Runs() == 0
 	c.answers <- a
 }
 
@@ -99,7 +99,7 @@
 	s.engine.Post(func() {
 		defer close(ended)
 		s.engine.HandleClientGone(&c.Call)
-		c.unsent = len(c.Attempts()) == 0
+		c.neverRan = c.Runs() == 0
 		select {
 		case answer := <-c.answers:
 			r.discardAnswer(answer)
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -84,7 +84,7 @@
 		}
 	}
 	answer := r.execute(c)
-	r.refundQuota(answer)
+	r.refundQuota()
 	g.writeAnswer(ctx, r, answer)
 }
 
--- a/internal/dataplane/gateway/quota.go
+++ b/internal/dataplane/gateway/quota.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"marlreel/internal/dataplane/engine"
 )
 
 // unknownTokens stands for the tokens of a request that doesn't say them.
@@ -46,13 +44,10 @@
 	return false
 }
 
-// refundQuota gives back what a request took whose answer says that it never ran, or that was never sent.
-func (r *clientRequest) refundQuota(a engine.Answer) {
-	if r.quotaTaken == nil {
-		return
-	}
-	rejected := a.Verdict == engine.Rejected || a.Verdict == engine.Overloaded
-	if rejected || r.current.unsent {
+// refundQuota gives back what a request took that no backend can have run. What its answer promises doesn't say so: an
+// idempotent request may be rejected after an attempt that has run.
+func (r *clientRequest) refundQuota() {
+	if r.quotaTaken != nil && r.current.neverRan {
 		r.gateway.quota.Refund(r.tenant.subscriber, *r.quotaTaken)
 	}
 }
--- a/internal/dataplane/gateway/quota_test.go
+++ b/internal/dataplane/gateway/quota_test.go
@@ -183,7 +183,7 @@
 	}
 	time.AfterFunc(after, func() { close(watcher.disconnected) })
 	answer := r.execute(newCall(r.service, r.route, r.message, nil, 0))
-	r.refundQuota(answer)
+	r.refundQuota()
 	return answer
 }
 
