Gateway: a request whose client has gone before it was read reaches no backend

Fix: the server of clients looks once, with one recv that takes nothing, whether the client is still there, and drops the request where it isn't, as for a client that leaves while its answer is made. What waits longer is the watch's.

--- a/internal/dataplane/gateway/server.go
+++ b/internal/dataplane/gateway/server.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"marlreel/internal/process/bootstrap"
+	"marlreel/internal/sockets"
 )
 
 const (
@@ -31,13 +33,27 @@
 
 // newFrontServer makes the server for clients.
 func (g *Gateway) newFrontServer(maxConnections int) *fasthttp.Server {
-	server := g.newServer(g.endConnectionsWhileDraining(g.HandleRequest))
+	server := g.newServer(g.endConnectionsWhileDraining(dropDeparted(g.HandleRequest)))
 	server.MaxRequestBodySize = defaultMaxBodyBytes
 	server.ReadBufferSize = maxHeaderBytes
 	server.Concurrency = maxConnections
 	return server
 }
 
+// dropDeparted drops requests whose client has gone by the time that they were read: while the process was behind with
+// its work they waited in the socket, and no backend is to have them any more. Who leaves later is noticed by the
+// disconnectWatcher.
+func dropDeparted(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if conn := ctx.Conn(); conn != nil && !sockets.PeerConnected(conn) {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+			return
+		}
+		handler(ctx)
+	}
+}
+
 // endConnectionsWhileDraining has each answer end its connection from when the proxy drains: clients turn to other proxies
 // then. It is said last, as an answer that takes the place of another one begins with nothing set.
 func (g *Gateway) endConnectionsWhileDraining(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
