--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -65,11 +65,15 @@
 		"marlreel/internal/process/logevent":               {},
 		"marlreel/internal/process/transport":              {"marlreel/internal/sockets"},
 		"marlreel/internal/process/host":                   {"marlreel/internal/process/bootstrap", "marlreel/internal/controlplane/store"},
+<<<<<<< HEAD
 		"marlreel/internal/dataplane/gateway":              {"marlreel/internal/balancer", "marlreel/internal/dataplane/engine", "marlreel/internal/dataplane/httpproxy", "marlreel/internal/balancer/prefixcache", "marlreel/internal/balancer/budgetshare", "marlreel/internal/process/budget", "marlreel/internal/api", "marlreel/internal/dataplane/backlog", "marlreel/internal/process/bootstrap", "marlreel/internal/controlplane/configuration", "marlreel/internal/distribution/watch", "marlreel/internal/process/host", "marlreel/internal/process/metricserver", "marlreel/internal/dataplane/routing", "marlreel/internal/controlplane/state", "marlreel/internal/process/transport", "marlreel/internal/process/logevent", "marlreel/internal/dataplane/quotaclient"},
 		"marlreel/internal/dataplane/quotaclient":          {"marlreel/internal/api", "marlreel/internal/controlplane/state", "marlreel/internal/distribution/watch", "marlreel/internal/process/transport", "marlreel/internal/quota/ledger", "marlreel/internal/quota/shard"},
 		"marlreel/internal/quota/shard":                    {},
 		"marlreel/internal/quota/tokenbucket":              {},
 		"marlreel/internal/quota/ledger":                   {"marlreel/internal/quota/shard", "marlreel/internal/quota/tokenbucket"},
+=======
+		"marlreel/internal/dataplane/gateway":              {"marlreel/internal/balancer", "marlreel/internal/dataplane/engine", "marlreel/internal/dataplane/httpproxy", "marlreel/internal/balancer/prefixcache", "marlreel/internal/balancer/budgetshare", "marlreel/internal/process/budget", "marlreel/internal/api", "marlreel/internal/dataplane/backlog", "marlreel/internal/process/bootstrap", "marlreel/internal/controlplane/configuration", "marlreel/internal/distribution/watch", "marlreel/internal/process/host", "marlreel/internal/process/metricserver", "marlreel/internal/dataplane/routing", "marlreel/internal/controlplane/state", "marlreel/internal/process/transport", "marlreel/internal/process/logevent", "marlreel/internal/sockets"},
+>>>>>>> h-ops
 		"marlreel/internal/dataplane/backlog":              {"marlreel/internal/api"},
 		"marlreel/internal/dataplane/routing":              {"marlreel/internal/balancer", "marlreel/internal/balancer/prefixcache", "marlreel/internal/balancer/budgetshare", "marlreel/internal/dataplane/backlog"},
 		"marlreel/internal/process/metricserver":           {"marlreel/internal/process/host", "marlreel/internal/process/logevent", "marlreel/internal/process/transport"},
