Quota client: a broken connection to an owner is made anew

What callers saw: after kept connections between machines are reset, or an agent restarts, each one of them refuses a request that was within its tenant's limit (503). Cause: an owner was asked a second time only where another one had become known; calls are made once by the transport. Change: a call that fails before its time is up is made once more. A request that was counted twice by that is spent in vain, so the bound holds; refunds go along again, and count once at the owner. Evidence: TestBrokenConnectionToTheOwnerIsMadeAnew failed before (verdict Unknown), passes now; the package's tests pass, the drawn histories included.

--- a/internal/dataplane/quotaclient/client.go
+++ b/internal/dataplane/quotaclient/client.go
@@ -96,18 +96,22 @@
 	}
 }
 
-// askOwners asks the owner of the tenant's shard, and once more where another one is known by then.
+// askOwners asks the owner of the tenant's shard, and once more where another one is known by then, or where the connection
+// broke: what a first call has taken is spent in vain then.
 func (c *Client) askOwners(subscriber string, cost float64, deadline time.Time) Decision {
 	number := shard.Of(subscriber)
-	asked := owner{}
+	asked, broken := owner{}, false
+	request := &api.AcquireQuotaRequest{Subscriber: subscriber, Cost: cost}
 	for range maxAttempts {
 		next, version := c.owner(number)
-		if next.address == "" || next == asked {
+		if next.address == "" || next == asked && !broken {
 			break
 		}
-		asked = next
-		request := &api.AcquireQuotaRequest{Subscriber: subscriber, Cost: cost, ConfigurationVersion: version}
-		if decision, answered := c.ask(asked, number, request, deadline); answered {
+		asked, request.ConfigurationVersion = next, version
+		request.Refunds = append(request.Refunds, c.refunds.take(number, time.Now())...)
+		var decision Decision
+		var answered bool
+		if decision, answered, broken = c.ask(asked, request, deadline); answered {
 			return decision
 		}
 	}
@@ -136,8 +140,9 @@
 	return named, version
 }
 
-// ask makes one call. It reports whether the owner has answered in time; a grant that comes later is spent in vain.
-func (c *Client) ask(asked owner, number int, request *api.AcquireQuotaRequest, deadline time.Time) (Decision, bool) {
+// ask makes one call. It reports whether the owner has answered in time; a grant that comes later is spent in vain. A call
+// that failed before its time was up is broken: its connection had ended, mostly.
+func (c *Client) ask(asked owner, request *api.AcquireQuotaRequest, deadline time.Time) (decision Decision, answered, broken bool) {
 	began := time.Now()
 	end := began.Add(callTimeout)
 	if deadline.Before(end) {
@@ -145,12 +150,13 @@
 	}
 	call, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	request.Refunds = c.refunds.take(number, began)
 	reply, err := api.NewQuotaOwnerProtobufClient("http://"+asked.address, c.client).AcquireQuota(call, request)
+	now := time.Now()
 	if err != nil {
-		return Decision{}, false
+		return Decision{}, false, now.Before(end)
 	}
-	return c.decide(request, reply, began, time.Now(), end)
+	decision, answered = c.decide(request, reply, began, now, end)
+	return decision, answered, false
 }
 
 // decide takes in an owner's reply to a call that began at a time, and had an end. It reports whether that decides the
--- a/internal/dataplane/quotaclient/client_test.go
+++ b/internal/dataplane/quotaclient/client_test.go
@@ -1,13 +1,19 @@
 package quotaclient
 
 import (
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"marlreel/internal/api"
+	"marlreel/internal/distribution/watch"
+	"marlreel/internal/process/transport"
 	"marlreel/internal/quota/ledger"
 	"marlreel/internal/quota/shard"
 )
@@ -39,7 +45,9 @@
 		_, decided := c.decide(request, reply, now, now, now)
 		is.True(decided)
 	}
-	find := func(cost float64, after time.Duration) Decision { return c.refusals.find("harbor", cost, now.Add(after)) }
+	find := func(cost float64, after time.Duration) Decision {
+		return c.refusals.find("harbor", cost, now.Add(after))
+	}
 	refused(0) // it costs more than can be saved up: smaller requests may pass
 	is.Equal(find(100, 0), Decision{})
 	refused(40 * time.Millisecond)
@@ -66,3 +74,56 @@
 	}
 	is.Equal(len(q.take(number, now)), maxRefunds)
 }
+
+// recordingOwner grants everything and counts the refunds that come.
+type recordingOwner struct {
+	api.QuotaOwner
+	calls, refunds atomic.Int64
+}
+
+func (o *recordingOwner) AcquireQuota(_ context.Context, request *api.AcquireQuotaRequest) (*api.AcquireQuotaReply, error) {
+	o.calls.Add(1)
+	o.refunds.Add(int64(len(request.Refunds)))
+	return granted, nil
+}
+
+// resettableConn fails once it was reset.
+type resettableConn struct {
+	net.Conn
+	reset *atomic.Bool
+}
+
+func (c resettableConn) Write(p []byte) (int, error) {
+	if c.reset.Swap(false) {
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against requests that are refused below their limit since the kept connection to the owner was reset.
+func TestBrokenConnectionToTheOwnerIsMadeAnew(t *testing.T) {
+	is := is.New(t)
+	listener, owner := fasthttputil.NewInmemoryListener(), new(recordingOwner)
+	served := make(chan error, 1)
+	go func() { served <- transport.NewServer(nil, api.NewQuotaOwnerServer(owner)).Serve(listener) }()
+	store := watch.New("proxy", time.Now)
+	lease := &api.Ownership{Key: shard.LeaseKey(shard.Of("harbor")), Holder: "edge-0/1", Address: "owner", FencingToken: 3}
+	store.InstallSnapshot(1, 1, &api.State{Ownerships: []*api.Ownership{lease}})
+	var reset atomic.Bool
+	c := New(Config{Store: store, Metrics: vm.NewSet(), Dial: func(context.Context, string) (net.Conn, error) {
+		conn, err := listener.Dial()
+		return resettableConn{conn, &reset}, err
+	}})
+	acquire := func() Decision { return c.Acquire("harbor", 100, time.Now().Add(time.Minute)) }
+	first := acquire()
+	is.Equal(first.Verdict, Granted)
+	c.Refund(first)
+	reset.Store(true)
+	is.Equal(acquire().Verdict, Granted)
+	is.True(!reset.Load()) // it was reset
+	is.Equal(owner.calls.Load(), int64(2))
+	is.Equal(owner.refunds.Load(), int64(1)) // what the broken call took along is not lost
+	is.NoErr(listener.Close())
+	is.NoErr(<-served)
+}
