Quotas: of several Token-Count headers the highest counts

What callers saw: a tenant that sends two of them, the first one too low, gets more than its limit; backends get both. Change: the highest value that can be read counts. Evidence: TestHighestOfSeveralTokenCountsCounts failed before (1 in place of 1540), passes now; the package's tests pass.

--- a/internal/dataplane/gateway/quota.go
+++ b/internal/dataplane/gateway/quota.go
@@ -23,13 +23,23 @@
 	return float64(in) + float64(out)
 }
 
+// countedTokens is how many tokens a request counts by all values of its Token-Count. Backends get each of them, and may go
+// by any: the highest counts.
+func countedTokens(values [][]byte) float64 {
+	tokens := float64(unknownTokens)
+	for _, value := range values {
+		tokens = max(tokens, parseTokens(string(value)))
+	}
+	return tokens
+}
+
 // acquireQuota takes what the request costs from its tenant's quota. Where that isn't allowed, it answers the request.
 func (r *clientRequest) acquireQuota(ctx *fasthttp.RequestCtx) (allowed bool) {
 	subscriber := r.tenant.subscriber
 	if r.gateway.quota == nil || subscriber == nil || !subscriber.Limited() {
 		return true
 	}
-	cost := subscriber.Cost(parseTokens(string(ctx.Request.Header.Peek(headerTokens))))
+	cost := subscriber.Cost(countedTokens(ctx.Request.Header.PeekAll(headerTokens)))
 	decision := r.gateway.quota.Acquire(subscriber, cost, r.deadline)
 	if decision.Verdict == QuotaAllowed {
 		r.quotaTaken = &decision
--- a/internal/dataplane/gateway/quota_test.go
+++ b/internal/dataplane/gateway/quota_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// Guards against QUOTA by a request that says its tokens twice, once too low.
+func TestHighestOfSeveralTokenCountsCounts(t *testing.T) {
+	gate := &fakeGate{}
+	runGateway(t, documentOf(t, limited), gate, func(h *harness) {
+		is := is.New(h.t)
+		h.addBackend()
+		for _, headers := range []string{"Token-Count: 0,1\r\nToken-Count: 1460,80\r\n", "token-count: 1460,80\r\nToken-Count: many\r\n"} {
+			status, _ := h.send("/keyed/1", harborCredentials+headers)
+			is.Equal(status, 200)
+		}
+		is.Equal(gate.taken, []float64{1540, 1540})
+	})
+}
+
 // Guards against lost promises: what a quota refuses gets 429 or 503 with Retry-After, and never runs.
 func TestRefusalsByQuota(t *testing.T) {
 	for name, test := range map[string]struct {
