Watch: chunks of a state that has come by another way are dropped

What callers saw: on large sites an agent could stay 'not fresh' until it was restarted, so that its proxy was not ready and its subscribers left it; and an agent's fetch could call control in a tight loop for 2 s (maxFetchTime). Cause: an agent's watch and its fetch from control bring the same state, each by a cursor of its own. Change: a cursor drops the chunks of a state that its store knows already. Evidence: TestChunksOfAKnownStateAreDropped failed before in both cases, passes now; the packages' tests pass (watch, agent).

--- a/internal/distribution/watch/cursor.go
+++ b/internal/distribution/watch/cursor.go
@@ -65,6 +65,9 @@
 	case len(reply.Entries) > 0 && reply.Entries[0].PreviousHash == s.hash:
 		s.appendEntries(reply.Entries)
 	}
+	if cursor.partial != nil && cursor.partial.sequence <= s.sequence {
+		cursor.partial = nil // the state has come by another way, and the source sends no more chunks of it
+	}
 }
 
 // knownBackends returns the ids of the backends that some topics select.
--- a/internal/distribution/watch/snapshot_chunks_test.go
+++ b/internal/distribution/watch/snapshot_chunks_test.go
@@ -141,3 +141,27 @@
 	is.True(!f.cursor.ReceivingSnapshot())
 	f.pollUntil(t, 1, 20, noCheck)
 }
+
+// Guards against a store that is never fresh again, and against fetches that go on without an end: the state that comes in
+// chunks arrives by another way, as an agent's fetch and its watch overtake each other.
+func TestChunksOfAKnownStateAreDropped(t *testing.T) {
+	for name, arrive := range map[string]func(f *testSubscriber){
+		"as a snapshot": func(f *testSubscriber) { f.store.InstallSnapshot(1, 2, f.source.machine.State()) },
+		"and more of it": func(f *testSubscriber) {
+			f.appendConfiguration(2, 2)
+			f.store.InstallSnapshot(2, 3, f.source.machine.State())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newLargeSubscriber()
+			f.appendConfiguration(1, 1)
+			f.pollChunk()
+			is.True(f.cursor.ReceivingSnapshot())
+			arrive(f)
+			f.pollChunk()
+			is.True(!f.cursor.ReceivingSnapshot())
+			is.True(f.store.Fresh(nil))
+		})
+	}
+}
