--- a/internal/balancer/restart_test.go
+++ b/internal/balancer/restart_test.go
@@ -167,7 +167,7 @@
 	d.load, d.retries, d.dies, d.back, d.failedRatio, d.length = 0.65, 1, 14*second, 19*second, 0.12, 40*second
 	d.proxies = proxies
 	w := newStormSimulation(t, d)
-	w.in(3*second-w.now, func() { w.machines[seed%9].Slow(w.now, 5) })
+	w.in(3*second-w.now, func() { w.machines[seed%9].SetSlowdown(w.now, 5) })
 	old := append([]Backend(nil), w.listed...)
 	rng := rand.New(rand.NewPCG(seed, 77))
 	for i := range w.proxies {
--- a/internal/balancer/retrystorm_simulation_test.go
+++ b/internal/balancer/retrystorm_simulation_test.go
@@ -147,10 +147,10 @@
 		w.capacity += 2 * speed
 		mc := machine.Config{
 			Cores: 2, Speed: speed, Slots: 20, Queue: 5,
-			Cold: machine.Cold{From: 0.32, For: 8 * second, Multiple: 2.5, Over: 3 * second},
+			Warmup: machine.Warmup{InitialCapacity: 0.32, Duration: 8 * second, OverloadMultiple: 2.5, OverloadWindow: 3 * second},
 		}
 		if d.slowWhenCrowded {
-			mc.Crowd = machine.Crowd{At: 7, Over: 2500 * milli, Slower: 2.5, Rest: 3 * second, Below: 0.4, Most: 20 * second}
+			mc.Congestion = machine.Congestion{Headroom: 7, Window: 2500 * milli, Slowdown: 2.5, RecoveryWindow: 3 * second, RecoveryUtilization: 0.4, MaxDuration: 20 * second}
 		}
 		w.machines = append(w.machines, machine.New(mc, w.now, true))
 		w.listed = append(w.listed, Backend{ID: BackendID(i + 1), Zone: i % 3, State: Ready, Weight: 1})
@@ -382,7 +382,7 @@
 func (p *stormProxy) CheckHealth(to BackendID) {
 	p.w.in(2*milli, func() {
 		r := OK
-		if i := int(to) - 1; p.w.down[i] || p.w.machines[i].Fallen() {
+		if i := int(to) - 1; p.w.down[i] || p.w.machines[i].Crashed() {
 			r = ConnectFailed
 		}
 		p.b.OnHealthCheck(p.w.now, HealthCheckResult{Backend: to, Result: r, Took: 2 * milli})
@@ -404,7 +404,7 @@
 	}
 	i := int(a.to) - 1
 	m := w.machines[i]
-	if w.down[i] || m.Fallen() {
+	if w.down[i] || m.Crashed() {
 		w.in(milli, func() { a.end(ConnectFailed) })
 		return
 	}
@@ -413,15 +413,15 @@
 	w.nextJob++
 	a.job = w.nextJob
 	w.jobs[a.job] = a.t
-	switch m.Offer(w.now, a.job, machine.Job{Work: fromMillis(work), Wait: fromMillis(1.2 * w.work[u.class]), Until: a.until}) {
-	case machine.Taken:
+	switch m.Submit(w.now, a.job, machine.Job{Work: fromMillis(work), Wait: fromMillis(1.2 * w.work[u.class]), Deadline: a.until}) {
+	case machine.Accepted:
 		if w.now >= 4*second && w.now < w.scenario.length {
 			w.admitted += millis(fromMillis(work))
 		}
 		if u.ran++; u.ran > 1 && w.cfg.Classes[u.class].Effect == Unsafe {
 			w.ranTwice++
 		}
-	case machine.Down:
+	case machine.Unavailable:
 		w.overloads++
 		delete(w.jobs, a.job)
 		w.in(0, func() { a.end(Reset) })
@@ -472,7 +472,7 @@
 			next = min(next, w.due.list[0].at)
 		}
 		for i, x := range w.machines {
-			if at, ok := x.Next(); ok && at < next {
+			if at, ok := x.NextEvent(); ok && at < next {
 				next, m = at, i
 			}
 		}
@@ -488,10 +488,10 @@
 					if a.job != e.ID {
 						continue
 					}
-					switch e.Why {
-					case machine.Done:
+					switch e.Outcome {
+					case machine.Completed:
 						w.in(milli, func() { a.end(OK) })
-					case machine.Fell:
+					case machine.Killed:
 						w.in(0, func() { a.end(Reset) })
 					}
 				}
--- a/internal/balancer/simulation_test.go
+++ b/internal/balancer/simulation_test.go
@@ -155,7 +155,7 @@
 	slower := 1.0
 	for i := range w.faults {
 		f := &w.faults[i]
-		if w.now < f.from || w.now >= f.to || m.Held() < f.minLoad {
+		if w.now < f.from || w.now >= f.to || m.Outstanding() < f.minLoad {
 			continue
 		}
 		if w.rng.Float64() < f.resetRatio {
@@ -188,11 +188,11 @@
 	j.job = w.nextJob
 	w.jobs[j.job] = j
 	work = min(work, 8*w.work[j.class])
-	verdict := m.Offer(w.now, j.job, machine.Job{
+	verdict := m.Submit(w.now, j.job, machine.Job{
 		Work: fromMillis(work * slower),
-		Wait: fromMillis(1.2 * w.work[j.class] * slower), Until: j.until,
+		Wait: fromMillis(1.2 * w.work[j.class] * slower), Deadline: j.until,
 	})
-	if verdict != machine.Taken {
+	if verdict != machine.Accepted {
 		delete(w.jobs, j.job)
 		w.in(milli, func() { j.end(Rejected) })
 	}
@@ -318,7 +318,7 @@
 			next = min(next, w.due.list[0].at)
 		}
 		for i, x := range w.machines {
-			if at, ok := x.Next(); ok && at < next {
+			if at, ok := x.NextEvent(); ok && at < next {
 				next, m = at, i
 			}
 		}
@@ -327,7 +327,7 @@
 			for _, e := range w.machines[m].Advance(w.now) {
 				if j := w.jobs[e.ID]; j != nil {
 					delete(w.jobs, e.ID)
-					if e.Why == machine.Done {
+					if e.Outcome == machine.Completed {
 						j.job = 0
 						w.in(milli, func() { j.end(OK) })
 					}
--- a/internal/balancer/slowstart/slowstart_test.go
+++ b/internal/balancer/slowstart/slowstart_test.go
@@ -45,7 +45,7 @@
 		}
 		delete(w.pending, e.ID)
 		w.served++
-		w.models[q.proxy].RecordOutcome(w.now, e.Why == machine.Done && w.now-q.sentAt <= w.latencyTarget)
+		w.models[q.proxy].RecordOutcome(w.now, e.Outcome == machine.Completed && w.now-q.sentAt <= w.latencyTarget)
 	}
 }
 
@@ -71,7 +71,7 @@
 			w.tokens[i]--
 			w.lastID++
 			w.pending[w.lastID] = pendingRequest{i, w.now}
-			if w.machine.Offer(w.now, w.lastID, machine.Job{Work: w.work}) == machine.QueueFull {
+			if w.machine.Submit(w.now, w.lastID, machine.Job{Work: w.work}) == machine.QueueFull {
 				delete(w.pending, w.lastID)
 				w.models[i].RecordOutcome(w.now, false)
 			}
@@ -93,9 +93,9 @@
 		if alone := time.Duration(float64(work) / speed); alone > target*2/3 {
 			t.Skip("such a machine meets no latency target")
 		}
-		cold := machine.Cold{From: initialCapacity, For: warmupTime, Multiple: 2.5, Over: overloadWindow}
+		cold := machine.Warmup{InitialCapacity: initialCapacity, Duration: warmupTime, OverloadMultiple: 2.5, OverloadWindow: overloadWindow}
 		w := &warmupRun{
-			machine:       machine.New(machine.Config{Cores: cores, Speed: speed, Slots: 40, Queue: 10, Cold: cold}, 0, false),
+			machine:       machine.New(machine.Config{Cores: cores, Speed: speed, Slots: 40, Queue: 10, Warmup: cold}, 0, false),
 			models:        make([]Model, proxies),
 			tokens:        make([]float64, proxies),
 			work:          work,
@@ -110,7 +110,7 @@
 		}
 		for ; w.now < warmupTime; w.now += stepTime {
 			w.completeRequests()
-			if w.machine.Fallen() {
+			if w.machine.Crashed() {
 				t.Fatalf("overloaded at %v", w.now)
 			}
 			w.expireRequests()
--- a/internal/balancer/slowstart_test.go
+++ b/internal/balancer/slowstart_test.go
@@ -118,9 +118,9 @@
 
 func (r *warmupRun) replaceMachines() {
 	k := r.machines
-	warmup := machine.Cold{From: k.initialCapacity, For: k.warmup, Multiple: overloadMultiple, Over: k.window}
+	warmup := machine.Warmup{InitialCapacity: k.initialCapacity, Duration: k.warmup, OverloadMultiple: overloadMultiple, OverloadWindow: k.window}
 	for i := range r.w.machines {
-		cfg := machine.Config{Cores: k.cores, Speed: machineSpeeds[i%3], Slots: 16, Queue: 40, Cold: warmup}
+		cfg := machine.Config{Cores: k.cores, Speed: machineSpeeds[i%3], Slots: 16, Queue: 40, Warmup: warmup}
 		r.w.machines[i] = machine.New(cfg, r.w.now, true)
 	}
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -132,10 +132,13 @@
 		ID: n.ID, Zone: n.Zone, Kind: n.Kind, Warm: warm,
 		Machine: machine.Config{
 			Cores: n.Cores, Speed: float64(n.Permille) / 1000, Slots: n.Slots, Queue: n.Queue,
-			Cold: machine.Cold{From: f.Cold.From, For: f.Cold.For.D(), Multiple: f.Cold.Multiple, Over: f.Cold.Over.D()},
-			Crowd: machine.Crowd{
-				At: f.Crowd.At, Over: f.Crowd.Over.D(), Slower: f.Crowd.Slower, Rest: f.Crowd.Rest.D(),
-				Below: f.Crowd.Below, Most: f.Crowd.Most.D(), OncePerLife: true,
+			Warmup: machine.Warmup{
+				InitialCapacity: f.Cold.From, Duration: f.Cold.For.D(),
+				OverloadMultiple: f.Cold.Multiple, OverloadWindow: f.Cold.Over.D(),
+			},
+			Congestion: machine.Congestion{
+				Headroom: f.Crowd.At, Window: f.Crowd.Over.D(), Slowdown: f.Crowd.Slower,
+				RecoveryWindow: f.Crowd.Rest.D(), RecoveryUtilization: f.Crowd.Below, MaxDuration: f.Crowd.Most.D(), OncePerStart: true,
 			},
 		},
 		Connections: f.Connections, Idle: f.Idle.D(), Handshake: f.Handshake.D(), Probes: f.ProbeWork > 0,
--- a/internal/standin/machine/machine.go
+++ b/internal/standin/machine/machine.go
@@ -1,514 +1,155 @@
-// Package machine models the service of one auction node in time: what a node
-// with so many cores, slots and places to wait would do with the requests that it
-// is given, and when each would be done. It burns no processor time.
-//
-// It is pure: every call carries the time, which must not go back, and nothing
-// here starts a goroutine, opens anything or reads a clock. The node on sockets
-// (package standin) owns one and carries out what it says. It never speaks HTTP.
-//
-// The model, all of it deliberately simple enough to be checked by hand:
-//
-//   - A request holds a slot. It first waits for others (Job.Wait, no core), then
-//     needs Job.Work of a core of speed 1.
-//   - Requests that work share the cores evenly, and none uses more than one core.
-//   - With all slots taken a request waits in a queue, first come, first served; with
-//     the queue full it is turned away unseen.
-//   - After a start the machine can do Cold.From of its capacity, rising evenly to
-//     all of it over Cold.For. If the work offered to it in any Cold.Over, work that
-//     it turned away included, exceeds Cold.Multiple times what it can do at that
-//     moment, it falls over and does nothing until it is started again.
-//   - A neighbour takes a share of the machine; a slow machine has its speed divided.
-//   - A crowded machine (the mean of what it held over Crowd.Over above cores +
-//     Crowd.At x root of cores) is Crowd.Slower times slower until its cores were
-//     busy under Crowd.Below on average for Crowd.Rest, or for Crowd.Most.
 package machine
 
 import (
-	"fmt"
-	"math"
 	"slices"
 	"time"
 )
 
-// Config is a machine. Times are spans, speeds multiples of a yardstick core.
-type Config struct {
-	Cores        int
-	Speed        float64
-	Slots, Queue int
-	Cold         Cold
-	Crowd        Crowd
-}
-
-// Cold is how a machine starts. The zero value starts warm and never falls.
-type Cold struct {
-	From     float64       // share of the capacity at the start
-	For      time.Duration // from the start until all of it is there
-	Multiple float64       // of the present capacity; 0 never falls
-	Over     time.Duration // the window of that budget
-}
-
-// Crowd is how a machine turns slow. A zero Slower never does.
-type Crowd struct {
-	At          float64
-	Over        time.Duration
-	Slower      float64
-	Rest        time.Duration
-	Below       float64
-	Most        time.Duration
-	OncePerLife bool // it turns slow only once
-}
-
-// Validate names the first figure that describes no machine.
-func (c Config) Validate() error {
-	switch {
-	case c.Cores < 1:
-		return fmt.Errorf("cores = %d: at least 1 is needed", c.Cores)
-	case !(c.Speed > 0):
-		return fmt.Errorf("speed = %v: more than 0 is needed", c.Speed)
-	case c.Slots < 1 || c.Queue < 0:
-		return fmt.Errorf("slots = %d, queue = %d: at least 1 and 0 are needed", c.Slots, c.Queue)
-	case c.Cold.For > 0 && !(c.Cold.From > 0 && c.Cold.From <= 1):
-		return fmt.Errorf("cold from = %v: a share above 0 and up to 1 is needed", c.Cold.From)
-	case c.Cold.Multiple != 0 && !(c.Cold.Multiple > 0 && c.Cold.Over > 0):
-		return fmt.Errorf("cold multiple = %v over %v: both have to be above 0", c.Cold.Multiple, c.Cold.Over)
-	case c.Crowd.Slower != 0 && !(c.Crowd.Slower >= 1 && c.Crowd.Over > 0 && c.Crowd.Rest > 0 && c.Crowd.Most > 0):
-		return fmt.Errorf("crowd slower = %v: at least 1 is needed, with over, rest and most above 0", c.Crowd.Slower)
-	}
-	return nil
-}
-
-// Job is what a request asks of a machine.
-type Job struct {
-	Work, Wait time.Duration
-	Until      time.Duration // when nobody waits for it any more; 0 is never
-}
-
-// Verdict is what becomes of an offered job.
-type Verdict uint8
-
-// The verdicts.
-const (
-	Taken     Verdict = iota // it runs, or waits to run
-	QueueFull                // turned away unseen
-	TooLate                  // turned away unseen: nobody waits for it any more
-	Down                     // the machine has fallen over
-)
-
-// Why tells how a job ended.
-type Why uint8
-
-// The ends.
-const (
-	Done    Why = iota
-	Expired     // its Until came; it may have run in part
-	Fell        // the machine fell over under it
-)
-
-// Ended is the end of a job.
-type Ended struct {
-	ID  uint64
-	At  time.Duration
-	Why Why
-	Ran bool // it had left the queue
-}
-
-type phase uint8
-
-const (
-	queued phase = iota
-	waiting
-	working
-)
-
-type job struct {
-	Job
-	id    uint64
-	phase phase
-	ready time.Duration // when its wait for others is over
-	left  float64       // seconds of a yardstick core
-}
-
-type offer struct {
-	at   time.Duration
-	work float64
-}
-
-// mark is the state from a time on.
-type mark struct {
-	at         time.Duration
-	held, busy float64
-}
+// Machine is the state of one machine. It is not safe for concurrent use.
+type Machine struct {
+	cfg       Config
+	now       time.Duration
+	startedAt time.Duration
+	warm      bool // it started with all of its capacity
+	crashed   bool
+	slowdown  float64 // what the speed is divided by
+	neighbour float64 // share of the cores that a noisy neighbour takes
 
-// checkEvery is how often the state of a crowd is looked at between events.
-const checkEvery = 50 * time.Millisecond
+	jobs        []*job // accepted and not ended, in the order of their submission
+	inService   int    // jobs that occupy a slot
+	completions []Completion
 
-// Machine is one machine's state. Not safe for use by several goroutines at once.
-type Machine struct {
-	cfg        Config
-	now        time.Duration
-	started    time.Duration
-	warm       bool // no cold start
-	jobs       []*job
-	inWork     int // jobs that hold a slot
-	slow       float64
-	taken      float64 // a neighbour's share
-	fallen     bool
-	offers     []offer
-	history    []mark
-	crowded    bool
-	wasCrowded bool
-	crowdSince time.Duration
-	checkAt    time.Duration
-	ended      []Ended
+	warmupWork []submittedWork // within the overload window
+	congestion congestionState
 }
 
-// New gives a machine that has started at now, warm or cold.
+// New returns a machine that starts at now. With warm set it has all of its capacity at once.
 func New(cfg Config, now time.Duration, warm bool) *Machine {
-	m := &Machine{cfg: cfg}
+	m := &Machine{cfg: cfg, slowdown: 1}
 	m.Restart(now, warm)
 	return m
 }
 
-// Restart forgets all that the machine held and starts it anew. A neighbour or a
-// slowness stays: they belong to the host and not to the process.
+// Restart drops all jobs without a completion and starts the machine anew. A neighbour and a slowdown stay: they
+// belong to the host and not to the process.
 func (m *Machine) Restart(now time.Duration, warm bool) {
-	slow, taken := m.slow, m.taken
-	if slow == 0 {
-		slow = 1
+	*m = Machine{
+		cfg: m.cfg, now: now, startedAt: now, warm: warm || m.cfg.Warmup.Duration == 0,
+		slowdown: m.slowdown, neighbour: m.neighbour,
 	}
-	*m = Machine{cfg: m.cfg, now: now, started: now, warm: warm || m.cfg.Cold.For == 0, slow: slow, taken: taken}
-	m.note()
+	m.recordLoad()
 }
 
-// Held is how many requests the machine works on or has waiting.
-func (m *Machine) Held() int { return len(m.jobs) }
-
-// InWork is how many of them hold a slot.
-func (m *Machine) InWork() int { return m.inWork }
+// Outstanding returns the number of requests in service or queued.
+func (m *Machine) Outstanding() int { return len(m.jobs) }
 
-// Fallen tells that too much was sent to the machine while it was cold.
-func (m *Machine) Fallen() bool { return m.fallen }
+// InService returns the number of requests that occupy a slot.
+func (m *Machine) InService() int { return m.inService }
 
-// Crowded tells that the machine has turned slow under a crowd.
-func (m *Machine) Crowded() bool { return m.crowded }
-
-// ColdShare is the share of its capacity that the machine has at a time, by its start alone.
-func (m *Machine) ColdShare(at time.Duration) float64 {
-	since := at - m.started
-	if m.warm || since >= m.cfg.Cold.For {
-		return 1
-	}
-	return m.cfg.Cold.From + (1-m.cfg.Cold.From)*since.Seconds()/m.cfg.Cold.For.Seconds()
-}
+// Crashed tells whether the machine was overloaded while it warmed up.
+func (m *Machine) Crashed() bool { return m.crashed }
 
-// Slow divides the machine's speed from now on; 1 restores it.
-func (m *Machine) Slow(now time.Duration, by float64) {
+// SetSlowdown divides the machine's speed from now on; 1 restores it.
+func (m *Machine) SetSlowdown(now time.Duration, divisor float64) {
+	const minDivisor = 1e-6 // keeps the speed finite
 	m.Advance(now)
-	m.slow = max(by, 1e-6)
-	m.note()
+	m.slowdown = max(divisor, minDivisor)
+	m.recordLoad()
 }
 
-// Neighbour lets another program take a share of the machine from now on; 0 ends it.
-func (m *Machine) Neighbour(now time.Duration, share float64) {
+// SetNeighbour lets another program take a share of the cores from now on; 0 ends it.
+func (m *Machine) SetNeighbour(now time.Duration, share float64) {
+	const maxShare = 0.99 // leaves the machine able to complete its jobs
 	m.Advance(now)
-	m.taken = min(max(share, 0), 0.99)
-	m.note()
+	m.neighbour = min(max(share, 0), maxShare)
+	m.recordLoad()
 }
 
-// Offer gives the machine a job at now, under a name that no job in hand has.
-func (m *Machine) Offer(now time.Duration, id uint64, j Job) Verdict {
+// Submit gives the machine a job at now. The ID must differ from those of all outstanding jobs.
+func (m *Machine) Submit(now time.Duration, id uint64, j Job) Admission {
 	m.Advance(now)
-	if m.fallen {
-		return Down
+	if m.crashed || m.overloadedBy(j.Work) {
+		return Unavailable
 	}
-	if m.press(j.Work) {
-		return Down
+	if j.Deadline != 0 && j.Deadline <= now {
+		return DeadlinePassed
 	}
-	if j.Until != 0 && j.Until <= now {
-		return TooLate
-	}
-	if m.inWork >= m.cfg.Slots && len(m.jobs)-m.inWork >= m.cfg.Queue {
+	if m.inService >= m.cfg.Slots && len(m.jobs)-m.inService >= m.cfg.Queue {
 		return QueueFull
 	}
-	m.jobs = append(m.jobs, &job{Job: j, id: id, left: j.Work.Seconds()})
-	m.fill()
-	m.note()
+	m.jobs = append(m.jobs, &job{Job: j, id: id, remaining: j.Work.Seconds()})
+	m.assignSlots()
+	m.recordLoad()
 	m.settle()
-	return Taken
+	return Accepted
 }
 
-// press counts work against a cold machine's budget, and tells whether it fell.
-func (m *Machine) press(work time.Duration) bool {
-	c := m.cfg.Cold
-	share := m.ColdShare(m.now)
-	if c.Multiple == 0 || share >= 1 {
-		m.offers = nil
-		return false
-	}
-	m.offers = append(m.offers, offer{m.now, work.Seconds()})
-	sum, first := 0.0, 0
-	for i, o := range m.offers {
-		if m.now-o.at >= c.Over {
-			first = i + 1
-			continue
-		}
-		sum += o.work
-	}
-	m.offers = m.offers[first:]
-	if sum <= c.Multiple*share*float64(m.cfg.Cores)*m.cfg.Speed*c.Over.Seconds() {
-		return false
-	}
-	m.fallen = true
-	for _, j := range m.jobs {
-		m.ended = append(m.ended, Ended{j.id, m.now, Fell, j.phase != queued})
-	}
-	m.jobs, m.inWork = nil, 0
-	m.note()
-	return true
-}
-
-// Cancel ends a job for which nobody waits any more, and tells whether it had left the queue.
-func (m *Machine) Cancel(now time.Duration, id uint64) (ran bool) {
+// Cancel drops a job without a completion, and tells whether it had left the queue. An unknown ID is ignored.
+func (m *Machine) Cancel(now time.Duration, id uint64) (started bool) {
 	m.Advance(now)
-	for i, j := range m.jobs {
-		if j.id == id {
-			ran = j.phase != queued
-			m.remove(i)
-			m.fill()
-			m.note()
-			m.settle()
-			break
-		}
+	i := slices.IndexFunc(m.jobs, func(j *job) bool { return j.id == id })
+	if i < 0 {
+		return false
 	}
-	return ran
+	started = m.jobs[i].started()
+	m.remove(i)
+	m.recordLoad()
+	m.settle()
+	return started
 }
 
+// remove takes a job out and gives its slot to the next in the queue.
 func (m *Machine) remove(i int) {
-	if m.jobs[i].phase != queued {
-		m.inWork--
+	if m.jobs[i].started() {
+		m.inService--
 	}
 	m.jobs = slices.Delete(m.jobs, i, i+1)
+	m.assignSlots()
 }
 
-// fill gives free slots to those who wait.
-func (m *Machine) fill() {
+// assignSlots starts queued jobs while slots are free.
+func (m *Machine) assignSlots() {
 	for _, j := range m.jobs {
-		if m.inWork >= m.cfg.Slots {
+		if m.inService >= m.cfg.Slots {
 			return
 		}
 		if j.phase == queued {
-			j.phase, j.ready = waiting, m.now+j.Wait
-			m.inWork++
+			j.phase, j.readyAt = waiting, m.now+j.Wait
+			m.inService++
 		}
 	}
 }
 
-// settle moves on whoever needs no time for it.
+// settle applies all changes that are due at the present time.
 func (m *Machine) settle() {
-	for {
-		again := false
-		for i := 0; i < len(m.jobs); i++ {
-			j := m.jobs[i]
-			why := Done
-			switch {
-			case j.Until != 0 && j.Until <= m.now:
-				why = Expired
-			case j.phase == waiting && j.ready <= m.now:
-				j.phase, again = working, true
-				continue
-			case j.phase == working && j.left <= 1e-9:
-			default:
-				continue
-			}
-			m.ended = append(m.ended, Ended{j.id, m.now, why, j.phase != queued})
-			m.remove(i)
-			m.fill()
-			again = true
-			break
-		}
-		if !again {
-			return
-		}
-		m.note()
-	}
-}
-
-// running is how many jobs use a core, and the rate at which each gets work done,
-// in yardstick seconds a second, by all but the cold start.
-func (m *Machine) running() (n int, rate float64) {
-	for _, j := range m.jobs {
-		if j.phase == working {
-			n++
-		}
-	}
-	if n == 0 {
-		return 0, 0
-	}
-	rate = m.cfg.Speed / m.slow * min(1, float64(m.cfg.Cores)*(1-m.taken)/float64(n))
-	if m.crowded {
-		rate /= m.cfg.Crowd.Slower
-	}
-	return n, rate
-}
-
-// warmth is the integral of ColdShare over a span from now on, in seconds.
-func (m *Machine) warmth(span float64) float64 {
-	end := (m.started + m.cfg.Cold.For - m.now).Seconds()
-	if m.warm || end <= 0 {
-		return span
-	}
-	slope := (1 - m.cfg.Cold.From) / m.cfg.Cold.For.Seconds()
-	x := min(span, end)
-	return m.ColdShare(m.now)*x + slope*x*x/2 + max(0, span-end)
-}
-
-// spanFor is the span from now on over which warmth reaches need.
-func (m *Machine) spanFor(need float64) float64 {
-	end := (m.started + m.cfg.Cold.For - m.now).Seconds()
-	if m.warm || end <= 0 {
-		return need
-	}
-	if all := m.warmth(end); need >= all {
-		return end + need - all
-	}
-	share, slope := m.ColdShare(m.now), (1-m.cfg.Cold.From)/m.cfg.Cold.For.Seconds()
-	if slope < 1e-12 {
-		return need / share
-	}
-	return (math.Sqrt(share*share+2*slope*need) - share) / slope
-}
-
-// Next is the time of the next change that comes by itself. It gives false where none does.
-func (m *Machine) Next() (time.Duration, bool) {
-	next, found := time.Duration(math.MaxInt64), false
-	at := func(t time.Duration) {
-		next, found = min(next, max(t, m.now)), true
-	}
-	least := math.Inf(1)
-	for _, j := range m.jobs {
-		if j.Until != 0 {
-			at(j.Until)
-		}
-		switch j.phase {
-		case waiting:
-			at(j.ready)
-		case working:
-			least = min(least, j.left)
-		}
-	}
-	if n, rate := m.running(); n > 0 {
-		// Rounded up, so that the work is done by then.
-		span := math.Ceil(m.spanFor(least/rate) * float64(time.Second))
-		if span < float64(math.MaxInt64/2) {
-			at(m.now + time.Duration(span))
-		}
-	}
-	if m.cfg.Crowd.Slower > 0 && !m.fallen && (m.crowded || m.pressed()) {
-		at(m.checkAt)
+	for m.settlePass() {
+		m.recordLoad()
 	}
-	return next, found
 }
 
-// Advance brings the machine to now and gives the jobs that ended since the last
-// call, in the order of their ends.
-func (m *Machine) Advance(now time.Duration) []Ended {
-	for {
-		next, found := m.Next()
-		if !found || next > now {
-			break
+// settlePass goes through the jobs once, and tells whether it changed any. A job that gets a slot in a pass may be
+// due at once, which takes a further pass.
+func (m *Machine) settlePass() (changed bool) {
+	for i := 0; i < len(m.jobs); i++ {
+		j := m.jobs[i]
+		if outcome, ended := j.outcome(m.now); ended {
+			m.completions = append(m.completions, Completion{ID: j.id, At: m.now, Outcome: outcome, Started: j.started()})
+			m.remove(i)
+			return true
 		}
-		m.moveTo(next)
-		m.settle()
-		m.crowd()
-	}
-	m.moveTo(max(now, m.now))
-	m.crowd()
-	return m.ended
-}
-
-// Take gives the ends that Advance, Offer and Cancel have gathered, once.
-func (m *Machine) Take() []Ended {
-	e := m.ended
-	m.ended = nil
-	return e
-}
-
-// moveTo lets the time pass without an event.
-func (m *Machine) moveTo(t time.Duration) {
-	if t <= m.now {
-		return
-	}
-	if n, rate := m.running(); n > 0 {
-		done := rate * m.warmth((t - m.now).Seconds())
-		for _, j := range m.jobs {
-			if j.phase == working {
-				j.left = max(0, j.left-done)
-			}
+		if j.phase == waiting && j.readyAt <= m.now {
+			j.phase, changed = computing, true
 		}
 	}
-	m.now = t
+	return changed
 }
 
-// ---- crowds ----
-
-func (m *Machine) threshold() float64 {
-	c := float64(m.cfg.Cores)
-	return c + m.cfg.Crowd.At*math.Sqrt(c)
-}
-
-// pressed tells that the machine may turn slow without a further event.
-func (m *Machine) pressed() bool {
-	return float64(len(m.jobs)) > m.threshold() && !(m.wasCrowded && m.cfg.Crowd.OncePerLife)
-}
-
-// note writes the present state down, for means over time.
-func (m *Machine) note() {
-	if m.cfg.Crowd.Slower == 0 {
-		return
-	}
-	n, _ := m.running()
-	k := mark{m.now, float64(len(m.jobs)), min(1, float64(n)/float64(m.cfg.Cores))}
-	if last := len(m.history) - 1; last >= 0 && m.history[last].at == m.now {
-		m.history[last] = k
-	} else {
-		m.history = append(m.history, k)
-	}
-	oldest, keep := m.now-max(m.cfg.Crowd.Over, m.cfg.Crowd.Rest), 0
-	for keep+1 < len(m.history) && m.history[keep+1].at <= oldest {
-		keep++
-	}
-	m.history = m.history[keep:]
-}
-
-// mean is a figure's mean over the last span; before the start it was 0.
-func (m *Machine) mean(span time.Duration, of func(mark) float64) float64 {
-	from, sum, until := m.now-span, 0.0, m.now
-	for i := len(m.history) - 1; i >= 0 && until > from; i-- {
-		k := m.history[i]
-		sum += of(k) * (until - max(k.at, from)).Seconds()
-		until = k.at
-	}
-	return sum / span.Seconds()
-}
-
-// crowd decides whether the machine turns slow, or comes back.
-func (m *Machine) crowd() {
-	c := m.cfg.Crowd
-	if c.Slower == 0 || m.now < m.checkAt {
-		return
-	}
-	m.checkAt = m.now + checkEvery
-	if !m.crowded {
-		if (m.wasCrowded && c.OncePerLife) || m.mean(c.Over, func(k mark) float64 { return k.held }) <= m.threshold() {
-			return
-		}
-		m.crowded, m.wasCrowded, m.crowdSince = true, true, m.now
-		m.note()
-		return
-	}
-	since := m.now - m.crowdSince
-	if since >= c.Most || since >= c.Rest && m.mean(c.Rest, func(k mark) float64 { return k.busy }) < c.Below {
-		m.crowded = false
-		m.note()
+// crash ends all jobs.
+func (m *Machine) crash() {
+	m.crashed = true
+	for _, j := range m.jobs {
+		m.completions = append(m.completions, Completion{ID: j.id, At: m.now, Outcome: Killed, Started: j.started()})
 	}
+	m.jobs, m.inService = nil, 0
+	m.recordLoad()
 }
--- a/internal/standin/machine/machine_test.go
+++ b/internal/standin/machine/machine_test.go
@@ -10,22 +10,22 @@
 
 const ms = time.Millisecond
 
-func plain() Config { return Config{Cores: 2, Speed: 1, Slots: 4, Queue: 2} }
+func testConfig() Config { return Config{Cores: 2, Speed: 1, Slots: 4, Queue: 2} }
 
 // run gives the ends of all that happens until a time.
-func run(m *Machine, until time.Duration) []Ended {
+func run(m *Machine, until time.Duration) []Completion {
 	m.Advance(until)
-	return m.Take()
+	return m.TakeCompletions()
 }
 
-func endsAt(t *testing.T, got []Ended, want ...Ended) {
+func checkCompletions(t *testing.T, got []Completion, want ...Completion) {
 	t.Helper()
 	if len(got) != len(want) {
 		t.Fatalf("ends %+v, want %+v", got, want)
 	}
 	for i, w := range want {
 		g := got[i]
-		if g.ID != w.ID || g.Why != w.Why || g.Ran != w.Ran || (g.At-w.At).Abs() > 2*time.Microsecond {
+		if g.ID != w.ID || g.Outcome != w.Outcome || g.Started != w.Started || (g.At-w.At).Abs() > 2*time.Microsecond {
 			t.Errorf("end %d is %+v, want %+v", i, g, w)
 		}
 	}
@@ -34,65 +34,65 @@
 // Three jobs of 60 ms on two cores get two thirds of a core each: 90 ms. A job
 // alone uses one core and no more.
 func TestCoresAreShared(t *testing.T) {
-	m := New(plain(), 0, true)
+	m := New(testConfig(), 0, true)
 	for id := range uint64(3) {
-		if v := m.Offer(0, id, Job{Work: 60 * ms}); v != Taken {
+		if v := m.Submit(0, id, Job{Work: 60 * ms}); v != Accepted {
 			t.Fatalf("job %d: %v", id, v)
 		}
 	}
-	endsAt(t, run(m, time.Second), Ended{0, 90 * ms, Done, true}, Ended{1, 90 * ms, Done, true}, Ended{2, 90 * ms, Done, true})
-	m.Offer(time.Second, 3, Job{Work: 60 * ms})
-	endsAt(t, run(m, 2*time.Second), Ended{3, 1060 * ms, Done, true})
+	checkCompletions(t, run(m, time.Second), Completion{0, 90 * ms, Completed, true}, Completion{1, 90 * ms, Completed, true}, Completion{2, 90 * ms, Completed, true})
+	m.Submit(time.Second, 3, Job{Work: 60 * ms})
+	checkCompletions(t, run(m, 2*time.Second), Completion{3, 1060 * ms, Completed, true})
 }
 
 // The first job runs alone for 30 ms, then three share: of its 60 ms 30 are left,
 // at two thirds 45 ms more; the others have 30 of 60 left then and two cores.
-func TestSharesChangeWithTheCrowd(t *testing.T) {
-	m := New(plain(), 0, true)
-	m.Offer(0, 1, Job{Work: 60 * ms})
-	m.Offer(30*ms, 2, Job{Work: 60 * ms})
-	m.Offer(30*ms, 3, Job{Work: 60 * ms})
-	endsAt(t, run(m, time.Second), Ended{1, 75 * ms, Done, true}, Ended{2, 105 * ms, Done, true}, Ended{3, 105 * ms, Done, true})
+func TestSharesChangeWithConcurrency(t *testing.T) {
+	m := New(testConfig(), 0, true)
+	m.Submit(0, 1, Job{Work: 60 * ms})
+	m.Submit(30*ms, 2, Job{Work: 60 * ms})
+	m.Submit(30*ms, 3, Job{Work: 60 * ms})
+	checkCompletions(t, run(m, time.Second), Completion{1, 75 * ms, Completed, true}, Completion{2, 105 * ms, Completed, true}, Completion{3, 105 * ms, Completed, true})
 }
 
 // A wait holds a slot and no core. Four slots, two places to wait, the seventh is turned away.
 func TestSlotsAndQueue(t *testing.T) {
-	m := New(plain(), 0, true)
+	m := New(testConfig(), 0, true)
 	for id := range uint64(6) {
-		if v := m.Offer(0, id, Job{Work: 10 * ms, Wait: 50 * ms}); v != Taken {
+		if v := m.Submit(0, id, Job{Work: 10 * ms, Wait: 50 * ms}); v != Accepted {
 			t.Fatalf("job %d: %v", id, v)
 		}
 	}
-	if v := m.Offer(0, 6, Job{Work: 10 * ms}); v != QueueFull {
+	if v := m.Submit(0, 6, Job{Work: 10 * ms}); v != QueueFull {
 		t.Errorf("the seventh: %v", v)
 	}
-	if m.Held() != 6 || m.InWork() != 4 {
-		t.Errorf("held %d, in work %d", m.Held(), m.InWork())
+	if m.Outstanding() != 6 || m.InService() != 4 {
+		t.Errorf("outstanding %d, in service %d", m.Outstanding(), m.InService())
 	}
 	// Four wait 50 ms, then share two cores: 20 ms. The other two follow: 50 + 10.
 	got := run(m, time.Second)
 	if len(got) != 6 || (got[3].At-70*ms).Abs() > ms || (got[5].At-130*ms).Abs() > ms {
 		t.Errorf("ends %+v", got)
 	}
-	if v := m.Offer(2*time.Second, 7, Job{Work: ms, Until: time.Second}); v != TooLate {
+	if v := m.Submit(2*time.Second, 7, Job{Work: ms, Deadline: time.Second}); v != DeadlinePassed {
 		t.Errorf("one that is over: %v", v)
 	}
 }
 
 // One in the queue has not run when it is cancelled, and its place is free then.
 func TestCancelAndExpiry(t *testing.T) {
-	cfg := plain()
+	cfg := testConfig()
 	cfg.Cores, cfg.Slots, cfg.Queue = 1, 1, 1
 	m := New(cfg, 0, true)
-	m.Offer(0, 1, Job{Work: 100 * ms, Until: 40 * ms})
-	m.Offer(0, 2, Job{Work: 100 * ms})
+	m.Submit(0, 1, Job{Work: 100 * ms, Deadline: 40 * ms})
+	m.Submit(0, 2, Job{Work: 100 * ms})
 	if m.Cancel(10*ms, 2) {
 		t.Error("one that waited is said to have run")
 	}
-	m.Offer(10*ms, 3, Job{Work: 100 * ms, Until: 20 * ms})
-	endsAt(t, run(m, 30*ms), Ended{3, 20 * ms, Expired, false})
-	endsAt(t, run(m, time.Second), Ended{1, 40 * ms, Expired, true})
-	m.Offer(time.Second, 4, Job{Work: 100 * ms})
+	m.Submit(10*ms, 3, Job{Work: 100 * ms, Deadline: 20 * ms})
+	checkCompletions(t, run(m, 30*ms), Completion{3, 20 * ms, DeadlineExceeded, false})
+	checkCompletions(t, run(m, time.Second), Completion{1, 40 * ms, DeadlineExceeded, true})
+	m.Submit(time.Second, 4, Job{Work: 100 * ms})
 	if !m.Cancel(1010*ms, 4) {
 		t.Error("one in work is said not to have run")
 	}
@@ -101,207 +101,224 @@
 // From 0.32 to 1 over 8 s: after 4 s it can do 0.66. The first second of a core
 // gives 0.32 + 0.68/16 = 0.3625 s of work, so that much work takes a second.
 func TestColdStart(t *testing.T) {
-	cfg := plain()
-	cfg.Cold = Cold{From: 0.32, For: 8 * time.Second}
+	cfg := testConfig()
+	cfg.Warmup = Warmup{InitialCapacity: 0.32, Duration: 8 * time.Second}
 	m := New(cfg, time.Second, false)
 	for at, want := range map[time.Duration]float64{time.Second: 0.32, 5 * time.Second: 0.66, 9 * time.Second: 1, time.Minute: 1} {
-		if got := m.ColdShare(at); math.Abs(got-want) > 1e-9 {
+		if got := m.Capacity(at); math.Abs(got-want) > 1e-9 {
 			t.Errorf("share at %v is %v, want %v", at, got, want)
 		}
 	}
-	m.Offer(time.Second, 1, Job{Work: 362500 * time.Microsecond})
-	endsAt(t, run(m, 3*time.Second), Ended{1, 2 * time.Second, Done, true})
+	m.Submit(time.Second, 1, Job{Work: 362500 * time.Microsecond})
+	checkCompletions(t, run(m, 3*time.Second), Completion{1, 2 * time.Second, Completed, true})
 	// The whole of the cold start gives 8 x 0.66 = 5.28 s; a core's second more is warm.
 	m.Restart(10*time.Second, false)
-	m.Offer(10*time.Second, 2, Job{Work: 6280 * ms})
-	endsAt(t, run(m, time.Minute), Ended{2, 19 * time.Second, Done, true})
+	m.Submit(10*time.Second, 2, Job{Work: 6280 * ms})
+	checkCompletions(t, run(m, time.Minute), Completion{2, 19 * time.Second, Completed, true})
 }
 
 // 2 cores at 0.32 can do 0.64 a second; 2.5 times that over 3 s are 4.8 s of work.
-func TestFallsOverWhenPushedCold(t *testing.T) {
-	cfg := plain()
+func TestOverloadWhileWarmingUpCrashes(t *testing.T) {
+	cfg := testConfig()
 	cfg.Slots = 100
-	cfg.Cold = Cold{From: 0.32, For: 1000 * time.Hour, Multiple: 2.5, Over: 3 * time.Second}
-	offer := func(m *Machine, at, work time.Duration, id uint64) Verdict {
-		return m.Offer(at, id, Job{Work: work})
+	cfg.Warmup = Warmup{InitialCapacity: 0.32, Duration: 1000 * time.Hour, OverloadMultiple: 2.5, OverloadWindow: 3 * time.Second}
+	submit := func(m *Machine, at, work time.Duration, id uint64) Admission {
+		return m.Submit(at, id, Job{Work: work})
 	}
 	m := New(cfg, 0, false)
-	if v := offer(m, 0, 4700*ms, 1); v != Taken {
+	if v := submit(m, 0, 4700*ms, 1); v != Accepted {
 		t.Fatalf("4.7 s of work: %v", v)
 	}
-	if v := offer(m, 2*time.Second, 200*ms, 2); v != Down || !m.Fallen() {
+	if v := submit(m, 2*time.Second, 200*ms, 2); v != Unavailable || !m.Crashed() {
 		t.Errorf("4.9 s of work in 2 s: %v", v)
 	}
-	endsAt(t, m.Take(), Ended{1, 2 * time.Second, Fell, true})
-	if v := offer(m, time.Hour, ms, 3); v != Down {
+	checkCompletions(t, m.TakeCompletions(), Completion{1, 2 * time.Second, Killed, true})
+	if v := submit(m, time.Hour, ms, 3); v != Unavailable {
 		t.Errorf("it came up again by itself: %v", v)
 	}
 	m.Restart(time.Hour, false)
-	if v := offer(m, time.Hour, 4700*ms, 4); v != Taken {
+	if v := submit(m, time.Hour, 4700*ms, 4); v != Accepted {
 		t.Errorf("after a start: %v", v)
 	}
-	if v := offer(m, time.Hour+3*time.Second, 200*ms, 5); v != Taken {
+	if v := submit(m, time.Hour+3*time.Second, 200*ms, 5); v != Accepted {
 		t.Errorf("the first work is out of the window: %v", v)
 	}
 	warm := New(cfg, 0, true)
-	if v := offer(warm, 0, time.Minute, 1); v != Taken {
+	if v := submit(warm, 0, time.Minute, 1); v != Accepted {
 		t.Errorf("a warm one: %v", v)
 	}
 }
 
 // Work that is turned away counts against the budget too.
-func TestTurnedAwayWorkPresses(t *testing.T) {
-	cfg := plain()
+func TestRejectedWorkCountsTowardsOverload(t *testing.T) {
+	cfg := testConfig()
 	cfg.Slots, cfg.Queue = 1, 0
-	cfg.Cold = Cold{From: 0.5, For: time.Hour, Multiple: 2, Over: time.Second}
+	cfg.Warmup = Warmup{InitialCapacity: 0.5, Duration: time.Hour, OverloadMultiple: 2, OverloadWindow: time.Second}
 	m := New(cfg, 0, false) // a budget of 2 s
-	m.Offer(0, 1, Job{Work: 500 * ms})
+	m.Submit(0, 1, Job{Work: 500 * ms})
 	for id := uint64(2); id <= 4; id++ {
-		if v := m.Offer(0, id, Job{Work: 500 * ms}); v != QueueFull {
+		if v := m.Submit(0, id, Job{Work: 500 * ms}); v != QueueFull {
 			t.Fatalf("job %d: %v", id, v)
 		}
 	}
-	if v := m.Offer(0, 5, Job{Work: 500 * ms}); v != Down {
+	if v := m.Submit(0, 5, Job{Work: 500 * ms}); v != Unavailable {
 		t.Errorf("past the budget: %v", v)
 	}
 }
 
 // A neighbour that takes half leaves one core's worth of two; a slowness of 3 thirds the speed.
-func TestNeighbourAndSlowness(t *testing.T) {
-	m := New(plain(), 0, true)
-	m.Neighbour(0, 0.5)
-	m.Offer(0, 1, Job{Work: 60 * ms})
-	m.Offer(0, 2, Job{Work: 60 * ms})
+func TestNeighbourAndSlowdown(t *testing.T) {
+	m := New(testConfig(), 0, true)
+	m.SetNeighbour(0, 0.5)
+	m.Submit(0, 1, Job{Work: 60 * ms})
+	m.Submit(0, 2, Job{Work: 60 * ms})
 	m.Advance(60 * ms) // each has had 30 ms
-	m.Neighbour(60*ms, 0)
-	m.Slow(60*ms, 3)
-	endsAt(t, run(m, time.Second), Ended{1, 150 * ms, Done, true}, Ended{2, 150 * ms, Done, true})
+	m.SetNeighbour(60*ms, 0)
+	m.SetSlowdown(60*ms, 3)
+	checkCompletions(t, run(m, time.Second), Completion{1, 150 * ms, Completed, true}, Completion{2, 150 * ms, Completed, true})
 }
 
 // 2 cores + 1 x root 2 are 3.41: four held for longer than the window's share turn
 // it slow; it comes back when it was idle for a second.
-func TestCrowding(t *testing.T) {
-	cfg := plain()
+func TestCongestion(t *testing.T) {
+	cfg := testConfig()
 	cfg.Slots = 10
-	cfg.Crowd = Crowd{At: 1, Over: time.Second, Slower: 2, Rest: time.Second, Below: 0.25, Most: 20 * time.Second}
+	cfg.Congestion = Congestion{Headroom: 1, Window: time.Second, Slowdown: 2, RecoveryWindow: time.Second, RecoveryUtilization: 0.25, MaxDuration: 20 * time.Second}
 	m := New(cfg, 0, true)
 	for id := range uint64(4) {
-		m.Offer(0, id, Job{Work: 2 * time.Second}) // 4 s on two cores
+		m.Submit(0, id, Job{Work: 2 * time.Second}) // 4 s on two cores
 	}
 	m.Advance(800 * ms) // a mean of 3.2 over the last second
-	if m.Crowded() {
+	if m.Congested() {
 		t.Error("slow before the mean says so")
 	}
 	m.Advance(950 * ms) // 3.8
-	if !m.Crowded() {
+	if !m.Congested() {
 		t.Fatal("not slow under a crowd")
 	}
 	ends := run(m, 20*time.Second)
 	if len(ends) != 4 || ends[3].At < 6*time.Second || ends[3].At > 8*time.Second {
 		t.Errorf("half the speed from about 0.9 s on ends at about 7.1 s: %+v", ends)
 	}
-	if m.Crowded() {
+	if m.Congested() {
 		t.Error("still slow long after the last request")
 	}
-	cfg.Crowd.Most = 2 * time.Second
+	cfg.Congestion.MaxDuration = 2 * time.Second
 	m = New(cfg, 0, true)
 	for id := range uint64(8) {
-		m.Offer(0, id, Job{Work: time.Minute})
+		m.Submit(0, id, Job{Work: time.Minute})
 	}
 	m.Advance(700 * ms)
-	was := m.Crowded()
-	m.Advance(700*ms + cfg.Crowd.Most + 50*ms)
-	if !was || !m.wasCrowded {
+	was := m.Congested()
+	m.Advance(700*ms + cfg.Congestion.MaxDuration + 50*ms)
+	if !was || !m.congestion.occurred {
 		t.Error("eight for 0.7 s are no crowd")
 	}
 }
 
-func TestBadMachines(t *testing.T) {
+func TestValidate(t *testing.T) {
 	for name, spoil := range map[string]func(*Config){
 		"no cores":     func(c *Config) { c.Cores = 0 },
 		"no speed":     func(c *Config) { c.Speed = 0 },
 		"not a number": func(c *Config) { c.Speed = math.NaN() },
 		"no slots":     func(c *Config) { c.Slots = 0 },
-		"cold":         func(c *Config) { c.Cold = Cold{From: 1.2, For: time.Second} },
-		"budget":       func(c *Config) { c.Cold.Multiple = 2 },
-		"crowd":        func(c *Config) { c.Crowd.Slower = 0.5 },
+		"cold":         func(c *Config) { c.Warmup = Warmup{InitialCapacity: 1.2, Duration: time.Second} },
+		"budget":       func(c *Config) { c.Warmup.OverloadMultiple = 2 },
+		"crowd":        func(c *Config) { c.Congestion.Slowdown = 0.5 },
 	} {
-		c := plain()
+		c := testConfig()
 		spoil(&c)
 		if c.Validate() == nil {
 			t.Errorf("%s: taken", name)
 		}
 	}
-	if err := plain().Validate(); err != nil {
+	if err := testConfig().Validate(); err != nil {
 		t.Error(err)
 	}
 }
 
-// Whatever comes in whatever order: each job that was taken ends once, or was
-// cancelled, or is held; no more work is done than the cores can do; ends come in
-// order; and slots are never exceeded.
-func TestAnySequenceKeepsTheBooks(t *testing.T) {
+// modelRun plays a drawn sequence of calls and checks the invariants after each.
+type modelRun struct {
+	machine *Machine
+	now     time.Duration
+	lastID  uint64
+	open    map[uint64]time.Duration // work of the jobs that were accepted and have not ended
+	done    float64                  // seconds of completed work
+	lastEnd time.Duration
+}
+
+func (r *modelRun) collect(t *rapid.T) {
+	for _, e := range r.machine.TakeCompletions() {
+		work, open := r.open[e.ID]
+		if !open {
+			t.Fatalf("job %d ended and was not open", e.ID)
+		}
+		delete(r.open, e.ID)
+		if e.At < r.lastEnd || e.At > r.now {
+			t.Fatalf("an end at %v after one at %v, now %v", e.At, r.lastEnd, r.now)
+		}
+		r.lastEnd = e.At
+		if e.Outcome == Completed {
+			r.done += work.Seconds()
+		}
+	}
+}
+
+func (r *modelRun) submit(t *rapid.T) {
+	r.lastID++
+	j := Job{
+		Work: time.Duration(rapid.IntRange(0, 300).Draw(t, "work")) * ms,
+		Wait: time.Duration(rapid.IntRange(0, 100).Draw(t, "wait")) * ms,
+	}
+	if rapid.Bool().Draw(t, "limit") {
+		j.Deadline = r.now + time.Duration(rapid.IntRange(1, 400).Draw(t, "deadline"))*ms
+	}
+	if r.machine.Submit(r.now, r.lastID, j) == Accepted {
+		r.open[r.lastID] = j.Work
+	}
+}
+
+func (r *modelRun) step(t *rapid.T) {
+	r.now += time.Duration(rapid.IntRange(0, 200_000).Draw(t, "us")) * time.Microsecond
+	switch rapid.IntRange(0, 9).Draw(t, "call") {
+	case 0:
+		r.machine.SetSlowdown(r.now, rapid.Float64Range(1, 5).Draw(t, "slowdown"))
+	case 1:
+		r.machine.SetNeighbour(r.now, rapid.Float64Range(0, 0.9).Draw(t, "share"))
+	case 2:
+		if r.lastID > 0 {
+			r.machine.Cancel(r.now, r.lastID)
+			r.collect(t)
+			delete(r.open, r.lastID)
+		}
+	default:
+		r.submit(t)
+	}
+	r.machine.Advance(r.now)
+	r.collect(t)
+}
+
+// Whatever is called in whatever order: each job that was accepted ends once, or was cancelled, or is outstanding; no
+// more work is done than the cores can do; completions come in order; and slots are never exceeded.
+func TestAnySequenceKeepsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{
 			Cores: rapid.IntRange(1, 4).Draw(t, "cores"), Speed: rapid.Float64Range(0.2, 3).Draw(t, "speed"),
 			Slots: rapid.IntRange(1, 6).Draw(t, "slots"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"),
-			Cold:  Cold{From: 0.3, For: 2 * time.Second, Multiple: 3, Over: time.Second},
-			Crowd: Crowd{At: 0.5, Over: 300 * ms, Slower: 2, Rest: 200 * ms, Below: 0.5, Most: time.Second},
-		}
-		m := New(cfg, 0, rapid.Bool().Draw(t, "warm"))
-		now, id := time.Duration(0), uint64(0)
-		open := map[uint64]time.Duration{} // its work
-		done, last := 0.0, time.Duration(0)
-		collect := func() {
-			for _, e := range m.Take() {
-				work, was := open[e.ID]
-				if !was {
-					t.Fatalf("job %d ended and was not open", e.ID)
-				}
-				delete(open, e.ID)
-				if e.At < last || e.At > now {
-					t.Fatalf("an end at %v after one at %v, now %v", e.At, last, now)
-				}
-				last = e.At
-				if e.Why == Done {
-					done += work.Seconds()
-				}
-			}
+			Warmup: Warmup{InitialCapacity: 0.3, Duration: 2 * time.Second, OverloadMultiple: 3, OverloadWindow: time.Second},
+			Congestion: Congestion{
+				Headroom: 0.5, Window: 300 * ms, Slowdown: 2, RecoveryWindow: 200 * ms, RecoveryUtilization: 0.5, MaxDuration: time.Second,
+			},
 		}
+		r := modelRun{machine: New(cfg, 0, rapid.Bool().Draw(t, "warm")), open: map[uint64]time.Duration{}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(0, 200_000).Draw(t, "us")) * time.Microsecond
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
-			case 0:
-				m.Slow(now, rapid.Float64Range(1, 5).Draw(t, "slow"))
-			case 1:
-				m.Neighbour(now, rapid.Float64Range(0, 0.9).Draw(t, "share"))
-			case 2:
-				if id > 0 {
-					m.Cancel(now, id)
-					collect()
-					delete(open, id)
-				}
-			default:
-				id++
-				j := Job{
-					Work: time.Duration(rapid.IntRange(0, 300).Draw(t, "work")) * ms,
-					Wait: time.Duration(rapid.IntRange(0, 100).Draw(t, "wait")) * ms,
-				}
-				if rapid.Bool().Draw(t, "limit") {
-					j.Until = now + time.Duration(rapid.IntRange(1, 400).Draw(t, "until"))*ms
-				}
-				if m.Offer(now, id, j) == Taken {
-					open[id] = j.Work
-				}
-			}
-			m.Advance(now)
-			collect()
-			if m.InWork() > cfg.Slots || m.Held() > cfg.Slots+cfg.Queue || m.Held() != len(open) {
-				t.Fatalf("in work %d, held %d, open %d", m.InWork(), m.Held(), len(open))
+			r.step(t)
+			if m := r.machine; m.InService() > cfg.Slots || m.Outstanding() > cfg.Slots+cfg.Queue || m.Outstanding() != len(r.open) {
+				t.Fatalf("in service %d, outstanding %d, open %d", m.InService(), m.Outstanding(), len(r.open))
 			}
 		}
-		if most := now.Seconds()*float64(cfg.Cores)*cfg.Speed + 1e-6; done > most {
-			t.Fatalf("%v s of work were done where %v could be", done, most)
+		if most := r.now.Seconds()*float64(cfg.Cores)*cfg.Speed + 1e-6; r.done > most {
+			t.Fatalf("%v s of work were done where %v could be", r.done, most)
 		}
 	})
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -77,7 +77,7 @@
 	mu        sync.Mutex
 	machine   *machine.Machine
 	timer     *time.Timer
-	open      map[uint64]chan machine.Ended
+	open      map[uint64]chan machine.Completion
 	lastJob   uint64
 	listeners []net.Listener
 	conns     map[net.Conn]bool
@@ -106,7 +106,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = NewClock()
 	}
-	n := &Node{cfg: cfg, open: map[uint64]chan machine.Ended{}, conns: map[net.Conn]bool{}, slow: 1, dead: true}
+	n := &Node{cfg: cfg, open: map[uint64]chan machine.Completion{}, conns: map[net.Conn]bool{}, slow: 1, dead: true}
 	n.machine = machine.New(cfg.Machine, cfg.Clock.Now(), cfg.Warm)
 	if err := n.Return(cfg.Warm); err != nil {
 		n.Close()
@@ -125,12 +125,12 @@
 
 // Slow divides its speed; 1 restores it.
 func (n *Node) Slow(by float64) {
-	n.command(func(now time.Duration) { n.slow = by; n.machine.Slow(now, by) })
+	n.command(func(now time.Duration) { n.slow = by; n.machine.SetSlowdown(now, by) })
 }
 
 // Neighbour lets another program take a share of its machine; 0 ends that.
 func (n *Node) Neighbour(share float64) {
-	n.command(func(now time.Duration) { n.taken = share; n.machine.Neighbour(now, share) })
+	n.command(func(now time.Duration) { n.taken = share; n.machine.SetNeighbour(now, share) })
 }
 
 // Errors makes a share of its answers a 500, drawn from the requests' ids.
@@ -156,7 +156,7 @@
 	n.closeAll()
 	for id, c := range n.open {
 		delete(n.open, id)
-		c <- machine.Ended{ID: id, Why: machine.Fell}
+		c <- machine.Completion{ID: id, Outcome: machine.Killed}
 	}
 }
 
@@ -211,7 +211,7 @@
 		n.life++
 		n.coldUntil = 0
 		if !warm {
-			n.coldUntil = now + n.cfg.Machine.Cold.For
+			n.coldUntil = now + n.cfg.Machine.Warmup.Duration
 			n.cfg.Journal.event(NodeEvent{n.cfg.ID, now, StartedCold})
 		}
 	}
@@ -278,7 +278,7 @@
 
 func (n *Node) word() string {
 	switch now := n.cfg.Clock.Now(); {
-	case n.machine.Fallen():
+	case n.machine.Crashed():
 		return "fallen"
 	case n.dead:
 		return "dead"
@@ -286,7 +286,7 @@
 		return "vanished"
 	case n.draining:
 		return "draining"
-	case n.machine.Crowded():
+	case n.machine.Congested():
 		return "crowded"
 	case now < n.coldUntil:
 		return "cold"
@@ -310,7 +310,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.pump()
-	n.cfg.Journal.sample(Sample{n.cfg.Clock.Now(), n.cfg.ID, n.word(), n.machine.Held(), n.machine.InWork(), len(n.conns)})
+	n.cfg.Journal.sample(Sample{n.cfg.Clock.Now(), n.cfg.ID, n.word(), n.machine.Outstanding(), n.machine.InService(), len(n.conns)})
 }
 
 // Connections is how many are open.
@@ -327,18 +327,18 @@
 func (n *Node) pump() {
 	now := n.cfg.Clock.Now()
 	n.machine.Advance(now)
-	for _, e := range n.machine.Take() {
+	for _, e := range n.machine.TakeCompletions() {
 		if c := n.open[e.ID]; c != nil {
 			delete(n.open, e.ID)
 			c <- e // has room
 		}
 	}
-	if n.machine.Fallen() && !n.dead {
+	if n.machine.Crashed() && !n.dead {
 		n.noteState()
 		n.down()
 	}
 	n.noteState()
-	next, found := n.machine.Next()
+	next, found := n.machine.NextEvent()
 	if !found || n.dead {
 		return
 	}
--- a/internal/standin/node_test.go
+++ b/internal/standin/node_test.go
@@ -146,7 +146,7 @@
 func TestDeathAndReturn(t *testing.T) {
 	t.Parallel()
 	cfg := quick()
-	cfg.Machine.Cold = machine.Cold{From: 0.5, For: time.Hour}
+	cfg.Machine.Warmup = machine.Warmup{InitialCapacity: 0.5, Duration: time.Hour}
 	cfg.Demand = func(id, _ string) (machine.Job, bool) {
 		if id == "1" {
 			return machine.Job{Work: time.Hour}, true
@@ -382,7 +382,7 @@
 	t.Parallel()
 	cfg := quick()
 	cfg.Warm = false
-	cfg.Machine.Cold = machine.Cold{From: 0.1, For: time.Hour, Multiple: 1, Over: time.Second} // a budget of 0.2 s
+	cfg.Machine.Warmup = machine.Warmup{InitialCapacity: 0.1, Duration: time.Hour, OverloadMultiple: 1, OverloadWindow: time.Second} // a budget of 0.2 s
 	cfg.Demand = func(string, string) (machine.Job, bool) { return machine.Job{Work: 150 * time.Millisecond}, true }
 	n := startNode(t, cfg)
 	a, b := dial(t, n.Addr()), dial(t, n.Addr())
--- a/internal/standin/node_work.go
+++ b/internal/standin/node_work.go
@@ -93,7 +93,7 @@
 // placed is a request that the machine has taken.
 type placed struct {
 	id      uint64
-	ended   chan machine.Ended
+	ended   chan machine.Completion
 	first   bool // it is the first of its key in the group
 	failing bool // it is to end with an error
 }
@@ -113,7 +113,7 @@
 	}
 	s.Work = job.Work
 	if left > 0 {
-		job.Until = s.Whole + left
+		job.Deadline = s.Whole + left
 	}
 	p, end, over := n.place(s, job, left, full, gone)
 	if over {
@@ -153,9 +153,9 @@
 		return p, endServed, true
 	case verdict == machine.QueueFull:
 		return p, endFull, true
-	case verdict == machine.TooLate:
+	case verdict == machine.DeadlinePassed:
 		return p, endOver, true
-	case verdict == machine.Down: // the reset of its connection is the answer
+	case verdict == machine.Unavailable: // the reset of its connection is the answer
 		n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
 		return p, endGone, true
 	}
@@ -164,7 +164,7 @@
 
 // offer asks the machine to take a request, and notes what that did. repeated: its group has run it before, and it is
 // dropped. Called with the lock.
-func (n *Node) offer(s *Send, job machine.Job, full bool, p *placed) (verdict machine.Verdict, repeated bool) {
+func (n *Node) offer(s *Send, job machine.Job, full bool, p *placed) (verdict machine.Admission, repeated bool) {
 	now, grouped := n.cfg.Clock.Now(), s.Key != "" && n.cfg.Group != nil
 	if n.draining || full {
 		s.Effect = TurnedAway
@@ -172,21 +172,21 @@
 	}
 	if grouped && !n.cfg.Group.first(s.Key, now) {
 		s.Effect = Dropped
-		return machine.Taken, true
+		return machine.Accepted, true
 	}
 	p.first = grouped
 	n.lastJob++
 	p.id = n.lastJob
-	verdict = n.machine.Offer(now, p.id, job)
-	if verdict == machine.Taken {
-		p.ended = make(chan machine.Ended, 1)
+	verdict = n.machine.Submit(now, p.id, job)
+	if verdict == machine.Accepted {
+		p.ended = make(chan machine.Completion, 1)
 		n.open[p.id] = p.ended
 	}
 	s.Effect = TurnedAway
-	if verdict == machine.Taken || verdict == machine.Down {
+	if verdict == machine.Accepted || verdict == machine.Unavailable {
 		s.Effect = Ran
 	}
-	if p.first && verdict != machine.Taken {
+	if p.first && verdict != machine.Accepted {
 		n.cfg.Group.forget(s.Key)
 	}
 	return verdict, false
@@ -196,16 +196,16 @@
 func (n *Node) await(s *Send, p placed, gone <-chan struct{}) ending {
 	select {
 	case e := <-p.ended:
-		if !e.Ran && p.first {
+		if !e.Started && p.first {
 			n.cfg.Group.forget(s.Key)
 		}
 		switch {
-		case e.Why == machine.Expired && !e.Ran:
+		case e.Outcome == machine.DeadlineExceeded && !e.Started:
 			return endOver // nothing of it ran, and it won't
-		case e.Why == machine.Expired:
+		case e.Outcome == machine.DeadlineExceeded:
 			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
 			return endExpired
-		case e.Why != machine.Done:
+		case e.Outcome != machine.Completed:
 			n.cfg.Journal.end(s, "", 0, n.cfg.Clock.Now())
 			return endGone
 		case p.failing:
@@ -245,7 +245,7 @@
 		return
 	}
 	n.lastJob++
-	n.machine.Offer(n.cfg.Clock.Now(), n.lastJob, machine.Job{Work: s.Work})
+	n.machine.Submit(n.cfg.Clock.Now(), n.lastJob, machine.Job{Work: s.Work})
 	n.pump()
 	draining := n.draining
 	n.mu.Unlock()
@@ -268,11 +268,11 @@
 	for _, f := range n.cfg.Report {
 		switch f {
 		case "inflight", "busy_reqs":
-			values[f] = float64(n.machine.InWork())
+			values[f] = float64(n.machine.InService())
 		case "queue", "pending":
-			values[f] = float64(n.machine.Held() - n.machine.InWork())
+			values[f] = float64(n.machine.Outstanding() - n.machine.InService())
 		case "util":
-			values[f] = min(1, float64(n.machine.InWork())/float64(n.cfg.Machine.Cores))
+			values[f] = min(1, float64(n.machine.InService())/float64(n.cfg.Machine.Cores))
 		default:
 			values[f] = 0
 		}
