Fleet rules: package transition, strictest settings as in balancer/idempotency

Need: Meet, Lapsed, Follows and Contradiction said neither what they take nor when; the package's name said nothing, and the balancer calls the same notion Strictest already.

Change: internal/fleet/rules is internal/fleet/transition with doc, strictest and conflict as files: Strictest (a function for each of classes, tenants, obligations and caps), WithoutLease, Conflict, ValidateSuccessor (errors by eris, texts as they were). Callers, the import directions and the design page follow. The test keeps all assertions.

--- a/cmd/marlreelctl/fleet_diff.go
+++ b/cmd/marlreelctl/fleet_diff.go
@@ -11,7 +11,7 @@
 
 	"marlreel/internal/balancer"
 	"marlreel/internal/fleet"
-	"marlreel/internal/fleet/rules"
+	"marlreel/internal/fleet/transition"
 	"marlreel/internal/simwire"
 )
 
@@ -35,8 +35,8 @@
 	}
 	printDifferences(s.out, a.values, b.values)
 	if a.parsed != nil && b.parsed != nil {
-		if why := rules.Contradiction(*a.parsed, *b.parsed); why != "" {
-			fmt.Fprintf(s.out, "they contradict each other (%s): while one takes the other's place, only what both allow is done\n", why)
+		if conflict := transition.Conflict(*a.parsed, *b.parsed); conflict != "" {
+			fmt.Fprintf(s.out, "they contradict each other (%s): while one takes the other's place, only what both allow is done\n", conflict)
 		}
 	}
 	return nil
--- a/internal/config/shared_settings.go
+++ b/internal/config/shared_settings.go
@@ -6,7 +6,7 @@
 	"maps"
 
 	"marlreel/internal/balancer"
-	"marlreel/internal/fleet/rules"
+	"marlreel/internal/fleet/transition"
 )
 
 // localKeys of the settings differ from one proxy to the next.
@@ -71,7 +71,7 @@
 		if err := previous.CheckReload(next); err != nil {
 			return err
 		}
-		if err := rules.Follows(previous.Settings, next.Settings); err != nil {
+		if err := transition.ValidateSuccessor(previous.Settings, next.Settings); err != nil {
 			return err
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,7 +19,7 @@
 	"marlreel/internal/fleet/agree"
 	"marlreel/internal/fleet/disk"
 	"marlreel/internal/fleet/peers"
-	"marlreel/internal/fleet/rules"
+	"marlreel/internal/fleet/transition"
 )
 
 // Rules are what a proxy goes by.
@@ -331,7 +331,7 @@
 	if len(all) == 0 {
 		return balancer.Config{}
 	}
-	return rules.Lapsed(all)
+	return transition.WithoutLease(all)
 }
 
 // adopt puts a state in force.
@@ -367,7 +367,7 @@
 			return
 		}
 		r.Versions = []uint64{s.Open, v.Number}
-		r.InForce = rules.Meet(old, newest)
+		r.InForce = transition.Strictest(old, newest)
 	}
 	r.Strict = f.strictOf([]balancer.Config{newest})
 	f.adopted = s
