Fleet: a file a concern, the field's terms, and tests of three proxies that agree

Need: fleet.go did transport, disk, settings, requests and lists in 632 lines, with words of its own (Rule, Told, Look, Sight, Apart, tells); nothing tested the package but its formats.

Change: fleet, messages, storage, settings, requests, proposals, membershipreports, memberships, operatorsocket, status, errors, config. Settings for Rules, Host with ApplySettings, ExtendLease, ParseSettings, StateChanged and ReadyBackends, Propose and its kin over askLeader, CompareMemberships, Status in Go's names. JSON keys, settings, log lines, texts and recorded bytes stay; docs/ERRORS.md follows two renamed types. The settings until the fleet is heard are made before its goroutine starts: reading them later could meet that goroutine's writing (found by reading; the race detector showed nothing). ProposeFile's wait for the first version ends with its context.

Tests: TestCompatibilityOperators is divided, with all assertions. New: versions come into force at three proxies, memberships are reported and compared, requests of a closed fleet fail. Each passes on the code before as well (names put back, a trial that is not kept).

Measured: the package's tests three times under -race, its linter without findings, TestImportDirections.

--- a/cmd/marlreelctl/errors.go
+++ b/cmd/marlreelctl/errors.go
@@ -23,7 +23,7 @@
 }
 
 // RejectedError is what a proxy answered in place of carrying a command out.
-type RejectedError struct{ Reply fleet.Reply }
+type RejectedError struct{ Reply fleet.ErrorReply }
 
 func (e *RejectedError) Error() string { return e.Reply.Error }
 
--- a/cmd/marlreelctl/fleet.go
+++ b/cmd/marlreelctl/fleet.go
@@ -83,7 +83,7 @@
 		return &UnreachableProxyError{s.path, err}
 	}
 	if resp.StatusCode != http.StatusOK {
-		var reply fleet.Reply
+		var reply fleet.ErrorReply
 		if json.Unmarshal(data, &reply) != nil || reply.Error == "" {
 			return &UnreachableProxyError{s.path, errors.New(resp.Status)}
 		}
@@ -114,23 +114,23 @@
 	var holders []agree.Holder
 	holdersErr := s.call(http.MethodGet, "/fleet/holders", nil, nil, &holders)
 	if c.Fleet.JSON {
-		return s.printJSON(map[string]any{"members": st.Members, "holders": holders, "leader": st.Leader, "keepers": st.View.Keepers})
+		return s.printJSON(map[string]any{"members": st.Members, "holders": holders, "leader": st.Leader, "keepers": st.State.Keepers})
 	}
 	leader := st.Leader
 	if leader == "" {
 		leader = "nobody that is known"
 	}
-	fmt.Fprintf(s.out, "fleet %s, agreed within %v; %s leads\n", st.Fleet, st.Within, leader)
+	fmt.Fprintf(s.out, "fleet %s, agreed within %v; %s leads\n", st.Fleet, st.AgreeWithin, leader)
 	fmt.Fprintf(s.out, "%-16s %-8s %-22s %-7s %-8s %-10s %s\n", "proxy", "state", "address", "keeper", "goes by", "lease left", "list")
 	for _, m := range st.Members {
 		isKeeper := ""
-		if slices.ContainsFunc(st.View.Keepers, func(k agree.Seat) bool { return k.Name == m.Name }) {
+		if slices.ContainsFunc(st.State.Keepers, func(k agree.Seat) bool { return k.Name == m.Name }) {
 			isKeeper = "yes"
 		}
 		version, leaseLeft, list := "-", "-", ""
 		for _, h := range holders {
 			if h.Name == m.Name {
-				version = versionInForce(h, st.View.Seq)
+				version = versionInForce(h, st.State.Seq)
 				leaseLeft = h.Left.Round(10 * time.Millisecond).String()
 				list = fmt.Sprintf("%s %d, %d nodes", h.Lists.Source, h.Lists.Revision, h.Lists.Count)
 			}
@@ -163,25 +163,25 @@
 		return err
 	}
 	if c.Fleet.JSON {
-		return s.printJSON(st.View)
+		return s.printJSON(st.State)
 	}
 	fmt.Fprintf(s.out, "%-8s %-17s %-20s %-24s %s\n", "version", "text", "decided at", "by", "why")
-	for _, v := range st.View.Versions {
+	for _, v := range st.State.Versions {
 		status := ""
 		switch {
-		case v.Number == st.View.Open && st.View.Opening():
+		case v.Number == st.State.Open && st.State.Opening():
 			status = "  (in force, the next one is being taken)"
-		case v.Number == st.View.Open:
+		case v.Number == st.State.Open:
 			status = "  (in force)"
-		case v.Number > st.View.Open:
+		case v.Number > st.State.Open:
 			status = "  (being taken: what it forbids holds, what it allows does not yet)"
 		}
 		fmt.Fprintf(s.out, "%-8d %-17s %-20s %-24s %s%s\n", v.Number, v.Hash, v.At.Format("2006-01-02 15:04:05"), v.By, v.Why, status)
 	}
-	if st.Strict {
+	if st.LeaseExpired {
 		fmt.Fprintln(s.out, "this proxy has no lease: nothing that may have run goes again, until it hears the keepers")
 	}
-	if st.Differs {
+	if st.FileDiffers {
 		fmt.Fprintln(s.out, "this proxy's own file says something else: what the fleet agreed on counts")
 	}
 	return nil
@@ -301,7 +301,7 @@
 type listsCmd struct{}
 
 func (listsCmd) Run(s *fleetSite, c *cli) error {
-	var visibility fleet.Sight
+	var visibility fleet.MembershipComparison
 	if err := s.call(http.MethodGet, "/fleet/lists", nil, nil, &visibility); err != nil {
 		return err
 	}
@@ -312,13 +312,13 @@
 	for _, p := range visibility.Proxies {
 		fmt.Fprintf(s.out, "%-16s %-10s %-10d %d\n", p.Proxy, p.Source, p.Revision, p.Ready)
 	}
-	for _, name := range visibility.Silent {
+	for _, name := range visibility.Unresponsive {
 		fmt.Fprintf(s.out, "%-16s did not answer\n", name)
 	}
-	for _, p := range visibility.Partly {
-		fmt.Fprintf(s.out, "%s is seen by %s, and not by %s\n", p.Name, strings.Join(p.SeenBy, ", "), strings.Join(p.Not, ", "))
+	for _, p := range visibility.Partial {
+		fmt.Fprintf(s.out, "%s is seen by %s, and not by %s\n", p.Name, strings.Join(p.ReadyAt, ", "), strings.Join(p.NotReadyAt, ", "))
 	}
-	if len(visibility.Partly) == 0 {
+	if len(visibility.Partial) == 0 {
 		fmt.Fprintln(s.out, "all that answered see the same nodes")
 	}
 	return nil
--- a/cmd/marlreelctl/fleet_diff.go
+++ b/cmd/marlreelctl/fleet_diff.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return sharedText(versionOrPath)
 	}
-	version, exists := status.View.Get(number)
+	version, exists := status.State.Get(number)
 	if !exists || version.Text == "" {
 		return "", &fleet.NoVersionError{Version: number}
 	}
--- a/internal/fleet/clock_other.go
+++ b/internal/fleet/clock_other.go
@@ -4,6 +4,6 @@
 
 import "time"
 
-// Now goes on while the process is stopped. Over a machine's sleep it goes by the time of day, which may be set:
-// where it matters, run on Linux.
+// Now returns a time that advances while the process is stopped and its machine suspended. It is the wall clock, which
+// may be set: leases are safe on Linux alone.
 func Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/fleet/compatibility_test.go
+++ b/internal/fleet/compatibility_test.go
@@ -27,15 +27,16 @@
 func compatibilityStatus() *Status {
 	lists := agree.Lists{Source: "etcd", Revision: 17, Count: 12, Hash: 99}
 	return &Status{
-		Fleet: "pier", Proxy: "n0", Boot: 6, Within: 5 * time.Second, Versions: []uint64{1, 2}, Since: compatibilityTime, Strict: true, LeaseFor: 2500 * time.Millisecond,
-		Held: 40, Heard: 41, Leader: "n1", Keeper: "votes", Leads: true, Differs: true, List: lists, Behind: 3, Joined: true, Taken: true, Sent: 1234,
+		Fleet: "pier", Proxy: "n0", Boot: 6, AgreeWithin: 5 * time.Second, Versions: []uint64{1, 2}, InForceSince: compatibilityTime, LeaseExpired: true, LeaseRemaining: 2500 * time.Millisecond,
+		AppliedSequence: 40, LatestSequence: 41, Leader: "n1", KeeperPhase: "votes", IsLeader: true, FileDiffers: true,
+		Membership: lists, RevisionsBehind: 3, Joined: true, NameTaken: true, SentBytes: 1234,
 		Members: []peers.Member{
 			{Name: "n0", Address: "127.0.0.1:7946", State: "alive", Boot: 6, Started: compatibilityTime, Since: compatibilityTime},
 			{Name: "n1", State: "suspect"},
 			{Name: "n2", State: "gone"},
 		},
-		Holders: []agree.Holder{{Name: "n0", Held: 40, Left: time.Second, Lists: lists}}, Apart: []string{"n2"},
-		View: &agree.State{Seq: 41, Open: 1, Versions: []agree.Version{{Number: 1, Hash: "h", By: "n0", At: compatibilityTime, Text: "{}"}}, Floors: map[string]agree.Floor{"etcd": {Revision: 17}}},
+		Holders: []agree.Holder{{Name: "n0", Held: 40, Left: time.Second, Lists: lists}}, Divergent: []string{"n2"},
+		State: &agree.State{Seq: 41, Open: 1, Versions: []agree.Version{{Number: 1, Hash: "h", By: "n0", At: compatibilityTime, Text: "{}"}}, Floors: map[string]agree.Floor{"etcd": {Revision: 17}}},
 	}
 }
 
@@ -43,14 +44,14 @@
 func TestCompatibilityJSON(t *testing.T) {
 	for name, v := range map[string]any{
 		"status.json":       compatibilityStatus(),
-		"status-empty.json": &Status{View: &agree.State{}},
-		"sight.json": Sight{
-			Proxies: []Seen{{Proxy: "n0", Source: "etcd", Revision: 17, Ready: 12}}, Silent: []string{"n2"},
-			Partly: []Partial{{Name: "a1", SeenBy: []string{"n0"}, Not: []string{"n1"}}},
+		"status-empty.json": &Status{State: &agree.State{}},
+		"sight.json": MembershipComparison{
+			Proxies: []ProxyMembership{{Proxy: "n0", Source: "etcd", Revision: 17, Ready: 12}}, Unresponsive: []string{"n2"},
+			Partial: []PartlyReadyBackend{{Name: "a1", ReadyAt: []string{"n0"}, NotReadyAt: []string{"n1"}}},
 		},
-		"sight-empty.json":   Sight{},
-		"refusal.json":       Reply{Error: "e", Advice: "a", Version: 2, By: "n0"},
-		"refusal-least.json": Reply{Error: "e"},
+		"sight-empty.json":   MembershipComparison{},
+		"refusal.json":       ErrorReply{Error: "e", Advice: "a", Version: 2, By: "n0"},
+		"refusal-least.json": ErrorReply{Error: "e"},
 	} {
 		got, err := json.MarshalIndent(v, "", " ")
 		if err != nil {
@@ -58,7 +59,7 @@
 		}
 		recorded.Check(t, name, string(append(got, '\n')))
 	}
-	for name, into := range map[string]any{"status.json": new(Status), "sight.json": new(Sight), "refusal.json": new(Reply)} {
+	for name, into := range map[string]any{"status.json": new(Status), "sight.json": new(MembershipComparison), "refusal.json": new(ErrorReply)} {
 		recorded, err := os.ReadFile(filepath.Join("testdata", "compatibility", name))
 		if err != nil {
 			t.Fatal(err)
@@ -73,59 +74,136 @@
 }
 
 // The fleet's lines of /control/counters.
-func TestCompatibilityFigures(t *testing.T) {
+func TestCompatibilityMetrics(t *testing.T) {
 	f := &Fleet{}
 	f.status.Store(compatibilityStatus())
-	recorded.Check(t, "counters.txt", string(f.Figures([]byte("proxy.before:1|c\n"))))
+	recorded.Check(t, "counters.txt", string(f.AppendMetrics([]byte("proxy.before:1|c\n"))))
 }
 
-// The operators' socket: its name and mode, its paths, methods and parameters, what each asks the keeper that leads,
-// and the status of a refusal.
-func TestCompatibilityOperators(t *testing.T) {
-	dir, err := os.MkdirTemp("", "fleet") // a socket's path is short
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer os.RemoveAll(dir)
-	state := compatibilityStatus().View
-	f := &Fleet{events: make(chan func(), 8), done: make(chan struct{}), asks: map[string]*ask{}, member: agree.NewMember(agree.Config{Name: "n0"}, state)}
-	f.o.Proxy, f.o.Dir, f.o.AgreeWithin = "n0", dir, DefaultConfig().AgreeWithin
-	f.o.Check = func(before []string, text string) error {
+// operatorRequests are sent to the operators' socket one after the other.
+var operatorRequests = []struct{ method, path, body string }{
+	{"GET", "/fleet", ""},
+	{"GET", "/fleet/holders", ""},
+	{"GET", "/fleet/newest", ""},
+	{"POST", "/fleet/check", "{}"},
+	{"POST", "/fleet/check", "bad"},
+	{"POST", "/fleet/propose?by=ana&why=quicker&base=1", `{"Tick":6}`},
+	{"POST", "/fleet/propose", `{"Tick":7}`},
+	{"POST", "/fleet/propose?why=refuse+it&base=1", `{"Tick":7}`},
+	{"POST", "/fleet/propose?base=one", "{}"},
+	{"POST", "/fleet/rollback?version=1&by=ana", ""},
+	{"POST", "/fleet/rollback?version=9", ""},
+	{"POST", "/fleet/rollback", ""},
+	{"POST", "/fleet/keepers?name=n3&add=true", ""},
+	{"POST", "/fleet/keepers?name=n3&add=false", ""},
+	{"POST", "/fleet/floor?source=etcd", ""},
+	{"POST", "/fleet", ""},
+	{"POST", "/fleet/lists", ""},
+	{"GET", "/fleet/propose", ""},
+	{"GET", "/other", ""},
+}
+
+// operatedFleet is a fleet whose goroutine is the test's, with a leader who answers at once.
+type operatedFleet struct {
+	*Fleet
+	asked strings.Builder // what the leader was asked; to be read once over is closed
+	over  chan struct{}
+}
+
+func newOperatedFleet(dir string) *operatedFleet {
+	state := compatibilityStatus().State
+	f := &operatedFleet{over: make(chan struct{}), Fleet: &Fleet{
+		events: make(chan func(), 8), done: make(chan struct{}), requests: map[string]*leaderRequest{},
+		member: agree.NewMember(agree.Config{Name: "n0"}, state),
+	}}
+	f.options.Proxy, f.options.Dir, f.options.AgreeWithin = "n0", dir, DefaultConfig().AgreeWithin
+	f.options.Check = func(before []string, text string) error {
 		if text == "bad" {
 			return errors.New("no settings")
 		}
 		return nil
 	}
 	f.status.Store(compatibilityStatus())
-	var asked strings.Builder
-	over := make(chan struct{})
-	go func() { // the fleet's goroutine, with a leader who answers at once
-		defer close(over)
-		for event := range f.events {
-			event()
-			for id, a := range f.asks {
-				fmt.Fprintf(&asked, "  asks %s\n", agree.Encode(a.msg))
-				r := agree.Result{ID: id, Version: 2, By: "n0"}
-				if p := a.msg.Propose; p != nil && p.Why == "refuse it" {
-					r.Refused = "another version was decided first"
-				}
-				f.answered(r)
+	go f.answerRequests()
+	return f
+}
+
+// answerRequests runs the fleet's events until they are closed.
+func (f *operatedFleet) answerRequests() {
+	defer close(f.over)
+	for event := range f.events {
+		event()
+		for id, request := range f.requests {
+			fmt.Fprintf(&f.asked, "  asks %s\n", agree.Encode(request.message))
+			r := agree.Result{ID: id, Version: 2, By: "n0"}
+			if p := request.message.Propose; p != nil && p.Why == "refuse it" {
+				r.Refused = "another version was decided first"
 			}
+			f.completeRequest(r)
 		}
-	}()
-	ctx, stop := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	go func() { served <- f.Serve(ctx) }()
-	path := filepath.Join(dir, "fleet.sock")
+	}
+}
+
+// awaitSocket waits until a Unix socket is served.
+func awaitSocket(t *testing.T, path string) {
+	t.Helper()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("unix", path); err == nil {
 			c.Close()
-			break
+			return
 		}
 		if time.Now().After(end) {
 			t.Fatal("nothing is served at fleet.sock")
 		}
 	}
+}
+
+// recordOperatorRequest sends a request and returns it with its answer, as they are recorded.
+func recordOperatorRequest(t *testing.T, client *http.Client, method, path, body string) string {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://fleet"+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(answer)
+	switch {
+	case resp.StatusCode == http.StatusConflict: // the words for people may change
+		text = regexp.MustCompile(`"(error|advice)":"[^"]*"`).ReplaceAllString(text, `"$1":"WORDS"`)
+	case resp.StatusCode != http.StatusOK:
+		text = ""
+	case path == "/fleet":
+		text = "the status, as in status.json\n"
+		var s Status
+		if err := json.Unmarshal(answer, &s); err != nil || s.Fleet != "pier" {
+			t.Errorf("%s: %v", answer, err)
+		}
+	}
+	return fmt.Sprintf("--- %s %s %s\n%d %s\n%s", method, path, body, resp.StatusCode, resp.Header.Get("Content-Type"), text)
+}
+
+// The operators' socket: its name and mode, its paths, methods and parameters, what each asks the keeper that leads,
+// and the status of a refusal.
+func TestCompatibilityOperators(t *testing.T) {
+	dir, err := os.MkdirTemp("", "fleet") // a socket's path is short
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	f := newOperatedFleet(dir)
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- f.ServeOperators(ctx) }()
+	path := filepath.Join(dir, "fleet.sock")
+	awaitSocket(t, path)
 	if i, err := os.Stat(path); err != nil || i.Mode().Perm() != 0o600 {
 		t.Errorf("the socket's mode: %v, %v", i.Mode(), err)
 	}
@@ -133,58 +211,15 @@
 		return new(net.Dialer).DialContext(ctx, "unix", path)
 	}}}
 	var got strings.Builder
-	for _, c := range []struct{ method, path, body string }{
-		{"GET", "/fleet", ""},
-		{"GET", "/fleet/holders", ""},
-		{"GET", "/fleet/newest", ""},
-		{"POST", "/fleet/check", "{}"},
-		{"POST", "/fleet/check", "bad"},
-		{"POST", "/fleet/propose?by=ana&why=quicker&base=1", `{"Tick":6}`},
-		{"POST", "/fleet/propose", `{"Tick":7}`},
-		{"POST", "/fleet/propose?why=refuse+it&base=1", `{"Tick":7}`},
-		{"POST", "/fleet/propose?base=one", "{}"},
-		{"POST", "/fleet/rollback?version=1&by=ana", ""},
-		{"POST", "/fleet/rollback?version=9", ""},
-		{"POST", "/fleet/rollback", ""},
-		{"POST", "/fleet/keepers?name=n3&add=true", ""},
-		{"POST", "/fleet/keepers?name=n3&add=false", ""},
-		{"POST", "/fleet/floor?source=etcd", ""},
-		{"POST", "/fleet", ""},
-		{"POST", "/fleet/lists", ""},
-		{"GET", "/fleet/propose", ""},
-		{"GET", "/other", ""},
-	} {
-		r, err := http.NewRequestWithContext(t.Context(), c.method, "http://fleet"+c.path, strings.NewReader(c.body))
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp, err := client.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		text := string(body)
-		switch {
-		case resp.StatusCode == http.StatusConflict: // the words for people may change
-			text = regexp.MustCompile(`"(error|advice)":"[^"]*"`).ReplaceAllString(text, `"$1":"WORDS"`)
-		case resp.StatusCode != http.StatusOK:
-			text = ""
-		case c.path == "/fleet":
-			text = "the status, as in status.json\n"
-			var s Status
-			if err := json.Unmarshal(body, &s); err != nil || s.Fleet != "pier" {
-				t.Errorf("%s: %v", body, err)
-			}
-		}
-		fmt.Fprintf(&got, "--- %s %s %s\n%d %s\n%s", c.method, c.path, c.body, resp.StatusCode, resp.Header.Get("Content-Type"), text)
+	for _, r := range operatorRequests {
+		got.WriteString(recordOperatorRequest(t, client, r.method, r.path, r.body))
 	}
 	stop()
 	if err := <-served; err != nil {
 		t.Error(err)
 	}
 	close(f.events)
-	<-over
-	got.WriteString("--- asked of the leader\n" + regexp.MustCompile(`"at":"[^"]*"`).ReplaceAllString(asked.String(), `"at":"TIME"`))
+	<-f.over
+	got.WriteString("--- asked of the leader\n" + regexp.MustCompile(`"at":"[^"]*"`).ReplaceAllString(f.asked.String(), `"at":"TIME"`))
 	recorded.Check(t, "operators.txt", got.String())
 }
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -4,24 +4,50 @@
 	"fmt"
 	"strings"
 
+	"marlreel/internal/actionable"
 	"marlreel/internal/fleet/agree"
 )
 
-// NoLeaderError is a question that no keeper which leads has answered.
+var (
+	_ actionable.Error = (*ConfigError)(nil)
+	_ actionable.Error = (*NoLeaderError)(nil)
+	_ actionable.Error = (*RefusedError)(nil)
+	_ actionable.Error = (*StaleFileError)(nil)
+	_ actionable.Error = (*NoVersionError)(nil)
+	_ actionable.Error = (*VersionError)(nil)
+	_ actionable.Error = (*StaleMembershipError)(nil)
+	_ actionable.Error = (*DivergentMembershipsError)(nil)
+	_ actionable.Error = (*SocketError)(nil)
+)
+
+// ConfigError is a key of [fleet] that can't be used.
+type ConfigError struct{ Key, Want string }
+
+// Error implements error.
+func (e *ConfigError) Error() string { return e.Key + " " + e.Want }
+
+// Advice implements actionable.Error.
+func (e *ConfigError) Advice() string {
+	return "mend the key in the file of --config; 'marlreel --check' tells whether it is good"
+}
+
+// NoLeaderError is a request that no consensus member which leads has answered in time.
 type NoLeaderError struct{ Keepers []string }
 
+// Error implements error.
 func (e *NoLeaderError) Error() string {
 	return "no keeper that leads has answered: " + strings.Join(e.Keepers, ", ")
 }
 
-// Advice says what an operator can do.
+// Advice implements actionable.Error.
 func (e *NoLeaderError) Advice() string {
 	return "see with 'marlreelctl fleet members' whether a majority of the keepers lives and reaches one another; what was proposed may still be decided: look at 'marlreelctl fleet versions' before proposing it again"
 }
 
-// RefusedError is a proposal that was not taken.
+// RefusedError is a proposal that was rejected.
 type RefusedError struct{ Result agree.Result }
 
+// Error implements error.
 func (e *RefusedError) Error() string {
 	if e.Result.Version != 0 {
 		return fmt.Sprintf("refused: %s: version %d, by %s", e.Result.Refused, e.Result.Version, e.Result.By)
@@ -32,7 +58,7 @@
 	return "refused: " + e.Result.Refused
 }
 
-// Advice says what an operator can do.
+// Advice implements actionable.Error.
 func (e *RefusedError) Advice() string {
 	if e.Result.Version != 0 {
 		return "look at what was decided with 'marlreelctl fleet diff', and propose again on top of it"
@@ -43,14 +69,15 @@
 // StaleFileError is a file whose text a newer version has replaced.
 type StaleFileError struct {
 	Version, Newest uint64
-	By              string
+	By              string // who proposed the newest version
 }
 
+// Error implements error.
 func (e *StaleFileError) Error() string {
 	return fmt.Sprintf("the file is version %d, which version %d by %s has replaced", e.Version, e.Newest, e.By)
 }
 
-// Advice says what an operator can do.
+// Advice implements actionable.Error.
 func (e *StaleFileError) Advice() string {
 	return fmt.Sprintf("put the newest file on this proxy; to go back on purpose: 'marlreelctl fleet rollback %d'", e.Version)
 }
@@ -58,58 +85,81 @@
 // NoVersionError is a version whose text is not kept.
 type NoVersionError struct{ Version uint64 }
 
+// Error implements error.
 func (e *NoVersionError) Error() string {
 	return fmt.Sprintf("the text of version %d is not kept", e.Version)
 }
 
-// Advice says what an operator can do.
+// Advice implements actionable.Error.
 func (e *NoVersionError) Advice() string {
 	return "see with 'marlreelctl fleet versions' which are, or propose a file"
 }
 
-// VersionError is a decided version that this proxy can't go by.
+// VersionError is a decided version that this proxy can't apply.
 type VersionError struct {
 	Version uint64
 	Err     error
 }
 
+// Error implements error.
 func (e *VersionError) Error() string {
 	return fmt.Sprintf("version %d can't be gone by here: %v", e.Version, e.Err)
 }
+
+// Unwrap returns the cause.
 func (e *VersionError) Unwrap() error { return e.Err }
 
-// Advice says what an operator can do.
+// Advice implements actionable.Error.
 func (e *VersionError) Advice() string {
 	return "this proxy goes by the strict rules until a version comes that it can go by: look at what it names, and propose one"
 }
 
-// OldListError is a list under the fleet's floor.
-type OldListError struct {
-	Source   string
-	Has, Got int64
+// StaleMembershipError is a membership below the fleet's revision floor.
+type StaleMembershipError struct {
+	Source          string
+	Revision, Floor int64
 }
 
-func (e *OldListError) Error() string {
-	return fmt.Sprintf("this proxy's list of the %s is old: revision %d, and others have %d", e.Source, e.Has, e.Got)
+// Error implements error.
+func (e *StaleMembershipError) Error() string {
+	return fmt.Sprintf("this proxy's list of the %s is old: revision %d, and others have %d", e.Source, e.Revision, e.Floor)
 }
 
-// Advice says what an operator can do.
-func (e *OldListError) Advice() string {
+// Advice implements actionable.Error.
+func (e *StaleMembershipError) Advice() string {
 	return "see whether this proxy reaches its discovery; if the source's revisions began anew: 'marlreelctl fleet floor reset SOURCE'"
 }
 
-// ApartError is that proxies have different lists of one revision.
-type ApartError struct {
+// DivergentMembershipsError is that proxies have different memberships at one revision of one source.
+type DivergentMembershipsError struct {
 	Source   string
 	Revision int64
-	Names    []string
+	Proxies  []string
 }
 
-func (e *ApartError) Error() string {
-	return fmt.Sprintf("at revision %d of the %s other lists are seen by %s", e.Revision, e.Source, strings.Join(e.Names, ", "))
+// Error implements error.
+func (e *DivergentMembershipsError) Error() string {
+	return fmt.Sprintf("at revision %d of the %s other lists are seen by %s", e.Revision, e.Source, strings.Join(e.Proxies, ", "))
 }
 
-// Advice says what an operator can do.
-func (e *ApartError) Advice() string {
+// Advice implements actionable.Error.
+func (e *DivergentMembershipsError) Advice() string {
 	return "see with 'marlreelctl fleet lists' which backends only some of them see: their sources differ"
 }
+
+// SocketError is an operators' socket that can't be served.
+type SocketError struct {
+	Path string
+	Err  error
+}
+
+// Error implements error.
+func (e *SocketError) Error() string { return "the operators' socket " + e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SocketError) Unwrap() error { return e.Err }
+
+// Advice implements actionable.Error.
+func (e *SocketError) Advice() string {
+	return "let fleet.dir be a folder that this proxy may write to, with a path of at most 90 characters"
+}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -9,107 +9,139 @@
 	"marlreel/internal/fleet/peers"
 )
 
-// Status is how this proxy stands in its fleet, as the door and the operators' socket say it.
+// Status is this proxy's part in its fleet, as the control address and the operators' socket show it.
 type Status struct {
-	Fleet    string         `json:"fleet"`
-	Proxy    string         `json:"proxy"`
-	Boot     uint64         `json:"boot"`
-	Within   time.Duration  `json:"agree_within_ns"`
-	Versions []uint64       `json:"versions"` // in force here
-	Since    time.Time      `json:"since"`    // when they came into force here
-	Strict   bool           `json:"strict"`   // no lease runs
-	LeaseFor time.Duration  `json:"lease_ns"` // what is left of it
-	Held     uint64         `json:"held"`     // the state in force
-	Heard    uint64         `json:"heard"`    // the newest state heard
-	Leader   string         `json:"leader"`   // "" is not known
-	Keeper   string         `json:"keeper"`   // what this proxy is at as a keeper; "" is none
-	Leads    bool           `json:"leads"`    // this one leads
-	Differs  bool           `json:"differs"`  // this proxy's own file says something else than the newest version
-	List     agree.Lists    `json:"list"`     // which list this proxy goes by
-	Behind   int64          `json:"behind"`   // by how many revisions that list lies under the fleet's floor
-	Joined   bool           `json:"joined"`   // it can be reached by others
-	Taken    bool           `json:"taken"`    // another process uses its name
-	Sent     int64          `json:"sent_bytes"`
-	Members  []peers.Member `json:"members"`
-	Holders  []agree.Holder `json:"holders,omitempty"` // where this one leads: who may hold a lease, and on what
-	Apart    []string       `json:"apart,omitempty"`   // where this one leads: whose lists differ at one revision
-	View     *agree.State   `json:"view"`
+	Fleet           string         `json:"fleet"`
+	Proxy           string         `json:"proxy"`
+	Boot            uint64         `json:"boot"` // another number with each process
+	AgreeWithin     time.Duration  `json:"agree_within_ns"`
+	Versions        []uint64       `json:"versions"`   // in force here
+	InForceSince    time.Time      `json:"since"`      // of these versions
+	LeaseExpired    bool           `json:"strict"`     // or never granted
+	LeaseRemaining  time.Duration  `json:"lease_ns"`   // 0 where it has expired
+	AppliedSequence uint64         `json:"held"`       // of the state in force here
+	LatestSequence  uint64         `json:"heard"`      // of the newest state known here
+	Leader          string         `json:"leader"`     // "" is not known
+	KeeperPhase     string         `json:"keeper"`     // of this proxy as a consensus member; "" is none
+	IsLeader        bool           `json:"leads"`      // this proxy leads
+	FileDiffers     bool           `json:"differs"`    // this proxy's file from the newest version
+	Membership      agree.Lists    `json:"list"`       // that this proxy goes by
+	RevisionsBehind int64          `json:"behind"`     // of that membership below the revision floor
+	Joined          bool           `json:"joined"`     // others can reach this proxy
+	NameTaken       bool           `json:"taken"`      // another process uses its name
+	SentBytes       int64          `json:"sent_bytes"` // to peers
+	Members         []peers.Member `json:"members"`
+	Holders         []agree.Holder `json:"holders,omitempty"` // at the leader: who may hold a lease, and on what
+	Divergent       []string       `json:"apart,omitempty"`   // at the leader: whose membership differs from this proxy's at the same revision
+	State           *agree.State   `json:"view"`              // the newest known here
 }
 
-// publish makes the status that others read.
+// Status returns this proxy's part in its fleet as it was a few ticks ago at most. It may be called on any goroutine,
+// and the result must not be modified.
+func (f *Fleet) Status() *Status { return f.status.Load() }
+
+// publish renews the status, and logs what it shows to be wrong.
 func (f *Fleet) publish() {
-	now := Now()
-	s := &Status{
-		Fleet: f.o.Name, Proxy: f.o.Proxy, Boot: f.cfg.Boot, Within: f.o.AgreeWithin.D(), Since: f.ruledAt, Strict: !f.member.Valid(now), Held: f.member.Held(),
-		Leader: f.member.Leader(), List: f.lists, Joined: f.peers != nil, View: f.member.View(),
-	}
-	if !s.Strict {
-		s.LeaseFor = f.member.Until() - now
+	s := f.currentStatus()
+	f.status.Store(s)
+	f.warnOfStaleMembership(s.RevisionsBehind)
+	if len(s.Divergent) > 0 {
+		f.warnOnce("fleet-lists-apart "+strings.Join(s.Divergent, ","), &DivergentMembershipsError{f.membership.Source, f.membership.Revision, s.Divergent})
 	}
-	s.Heard = s.View.Seq
-	if f.ruled != nil {
-		v, _ := f.ruled.Newest()
-		s.Versions = []uint64{v.Number}
-		if f.ruled.Opening() {
-			s.Versions = []uint64{f.ruled.Open, v.Number}
-		}
+}
+
+func (f *Fleet) currentStatus() *Status {
+	now, state := Now(), f.member.View()
+	s := &Status{
+		Fleet: f.options.Name, Proxy: f.options.Proxy, Boot: f.cfg.Boot, AgreeWithin: f.options.AgreeWithin.D(),
+		Versions: f.appliedVersions(), InForceSince: f.appliedAt, LeaseExpired: !f.member.Valid(now),
+		AppliedSequence: f.member.Held(), LatestSequence: state.Seq, Leader: f.member.Leader(),
+		Membership: f.membership, RevisionsBehind: f.revisionsBehind(state), Joined: f.peers != nil, State: state,
 	}
-	if v, some := s.View.Newest(); some {
-		s.Differs = v.Hash != f.fileHash
+	if !s.LeaseExpired {
+		s.LeaseRemaining = f.member.Until() - now
 	}
-	if floor := s.View.Floors[f.lists.Source]; floor.Revision > f.lists.Revision && f.lists.Source != "" {
-		s.Behind = floor.Revision - f.lists.Revision
+	if newest, exists := state.Newest(); exists {
+		s.FileDiffers = newest.Hash != f.fileHash
 	}
 	if k := f.keeper; k != nil {
-		s.Keeper, s.Leads, s.Holders = k.Phase(), k.Leads(), k.Holders()
-	}
-	// At one revision of one source all have the same list, or some see what others don't.
-	for _, h := range s.Holders {
-		if h.Lists.Source == f.lists.Source && h.Lists.Revision == f.lists.Revision && h.Lists.Hash != f.lists.Hash {
-			s.Apart = append(s.Apart, h.Name)
-		}
+		s.KeeperPhase, s.IsLeader, s.Holders = k.Phase(), k.Leads(), k.Holders()
 	}
+	s.Divergent = f.divergent(s.Holders)
 	if f.peers != nil {
-		s.Members, s.Sent, s.Taken = f.peers.Members(), f.peers.Sent(), f.peers.Taken()
+		s.Members, s.SentBytes, s.NameTaken = f.peers.Members(), f.peers.Sent(), f.peers.Taken()
 	}
-	f.status.Store(s)
-	// A list that stays under the floor is old: its proxy is told.
-	switch {
-	case s.Behind == 0:
-		f.floorAt = time.Time{}
-		f.saidOnce["fleet-list-old"] = false
-	case f.floorAt.IsZero():
-		f.floorAt = time.Now()
-	case time.Since(f.floorAt) > f.o.AgreeWithin.D():
-		f.warnOnce("fleet-list-old", &OldListError{f.lists.Source, f.lists.Revision, f.lists.Revision + s.Behind})
+	return s
+}
+
+// appliedVersions returns the versions in force here, as in Settings.
+func (f *Fleet) appliedVersions() []uint64 {
+	if f.applied == nil {
+		return nil
 	}
-	if len(s.Apart) > 0 {
-		f.warnOnce("fleet-lists-apart "+strings.Join(s.Apart, ","), &ApartError{f.lists.Source, f.lists.Revision, s.Apart})
+	newest, _ := f.applied.Newest()
+	if f.applied.Opening() {
+		return []uint64{f.applied.Open, newest.Number}
 	}
+	return []uint64{newest.Number}
 }
 
-// Status is how this proxy stands. Any goroutine; what it gives is never changed.
-func (f *Fleet) Status() *Status { return f.status.Load() }
+// revisionsBehind returns by how much the membership lies below its source's revision floor.
+func (f *Fleet) revisionsBehind(state *agree.State) int64 {
+	if f.membership.Source == "" {
+		return 0
+	}
+	return max(0, state.Floors[f.membership.Source].Revision-f.membership.Revision)
+}
 
-// Figures appends this proxy's gauges to what the door tells. Any goroutine.
-func (f *Fleet) Figures(b []byte) []byte {
-	s := f.status.Load()
-	n := func(yes bool) int {
-		if yes {
-			return 1
+// divergent returns the lease holders whose membership differs from this proxy's at one revision of one source, where
+// all should be equal.
+func (f *Fleet) divergent(holders []agree.Holder) []string {
+	var names []string
+	for _, holder := range holders {
+		theirs, own := holder.Lists, f.membership
+		if theirs.Source == own.Source && theirs.Revision == own.Revision && theirs.Hash != own.Hash {
+			names = append(names, holder.Name)
 		}
-		return 0
 	}
+	return names
+}
+
+// warnOfStaleMembership warns of a membership that stays below the revision floor for longer than agree-within.
+func (f *Fleet) warnOfStaleMembership(behind int64) {
+	const event = "fleet-list-old"
+	switch {
+	case behind == 0:
+		f.staleSince = time.Time{}
+		f.logged[event] = false
+	case f.staleSince.IsZero():
+		f.staleSince = time.Now()
+	case time.Since(f.staleSince) > f.options.AgreeWithin.D():
+		f.warnOnce(event, &StaleMembershipError{f.membership.Source, f.membership.Revision, f.membership.Revision + behind})
+	}
+}
+
+// AppendMetrics appends this proxy's gauges to the lines of /control/counters. It may be called on any goroutine.
+func (f *Fleet) AppendMetrics(b []byte) []byte {
+	s := f.status.Load()
 	newest := uint64(0)
 	if len(s.Versions) > 0 {
 		newest = s.Versions[len(s.Versions)-1]
 	}
 	alive := 0
-	for _, m := range s.Members {
-		if m.State == "alive" {
+	for _, member := range s.Members {
+		if member.State == "alive" {
 			alive++
 		}
 	}
 	return fmt.Appendf(b, "proxy.fleet.version:%d|g\nproxy.fleet.strict:%d|g\nproxy.fleet.lease_ms:%d|g\nproxy.fleet.leads:%d|g\nproxy.fleet.alive:%d|g\nproxy.fleet.behind:%d|g\n",
-		newest, n(s.Strict), s.LeaseFor.Milliseconds(), n(s.Leads), alive, s.Behind)
+		newest, flag(s.LeaseExpired), s.LeaseRemaining.Milliseconds(), flag(s.IsLeader), alive, s.RevisionsBehind)
+}
+
+// flag is a boolean as a gauge's value.
+func flag(set bool) int {
+	if set {
+		return 1
+	}
+	return 0
 }
--- /dev/null
+++ b/internal/fleet/storage.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"errors"
+	"math"
+
+	"marlreel/internal/fleet/agree"
+	"marlreel/internal/fleet/disk"
+)
+
+const (
+	eventDiskFailed = "fleet-disk-failed"
+	never           = math.MaxInt // a tick that does not come
+)
+
+func (f *Fleet) openDisk() {
+	if f.options.Dir == "" {
+		return
+	}
+	d, err := disk.Open(f.options.Dir, f.options.Name, f.options.Proxy)
+	if err != nil {
+		f.warnOnce("fleet-disk "+err.Error(), err)
+		f.nextDisk = f.ticks + retryOpenDiskTicks
+		if errors.Is(err, disk.ErrOwner) {
+			f.nextDisk = never
+		}
+		return
+	}
+	f.disk = d
+}
+
+// loadState returns the fleet's state that an earlier process heard last, or nil.
+func (f *Fleet) loadState() *agree.State {
+	if f.disk == nil {
+		return nil
+	}
+	saved, err := f.disk.View()
+	if err != nil {
+		f.warn("fleet-view-lost", err)
+	}
+	return saved
+}
+
+// startKeeper makes this proxy a consensus member with what its disk holds.
+func (f *Fleet) startKeeper() {
+	saved, err := f.disk.Load(f.random.Uint64()>>12 | 1)
+	if err == nil {
+		f.keeper, err = agree.NewKeeper(f.cfg, Now(), saved)
+	}
+	if err != nil {
+		f.stopKeeper(err)
+		return
+	}
+	if f.logged[eventDiskFailed] {
+		f.logged[eventDiskFailed] = false
+		f.options.Log.Info("the keeper's disk takes what it is given again", "event", "fleet-disk-well")
+	}
+}
+
+// stopKeeper ends the consensus member until its disk can be loaded again: what it was about to send rests on what
+// could not be saved.
+func (f *Fleet) stopKeeper(err error) {
+	f.keeper = nil
+	f.warnOnce(eventDiskFailed, err)
+	f.nextDisk = f.ticks + retryKeeperTicks
+}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -31,14 +31,14 @@
 	fleet *fleet.Fleet
 	lists *overlay
 	trace *trace
-	ruled atomic.Pointer[fleet.Rules]
+	ruled atomic.Pointer[fleet.Settings]
 }
 
 // enlist makes a proxy a member of its fleet. Nothing runs yet; the engine goes by the strict rules of the file
 // until the fleet is heard.
 func (p *parts) enlist(cfg *config.Platform, own *config.Operator, log *slog.Logger) (*member, error) {
 	m := &member{parts: p, cfg: cfg, lease: &engine.Lease{Clock: fleet.Now}}
-	m.lists = &overlay{Engine: p.engine, own: map[string]engine.Entry{}, held: map[string]bool{}, told: func(l agree.Lists, ends []agree.End) { m.fleet.List(l, ends) }}
+	m.lists = &overlay{Engine: p.engine, own: map[string]engine.Entry{}, held: map[string]bool{}, told: func(l agree.Lists, ends []agree.End) { m.fleet.ReportMembership(l, ends) }}
 	p.engine.SetLease(m.lease)
 	if own.Fleet.Trace != "" {
 		var err error
@@ -54,17 +54,17 @@
 	if err != nil {
 		return nil, err
 	}
-	first := m.fleet.First(cfg.Settings)
-	if err := p.engine.ReconfigureLeased(first.InForce, first.Strict); err != nil {
+	first := m.fleet.InitialSettings(cfg.Settings)
+	if err := p.engine.ReconfigureLeased(first.InForce, first.WithoutLease); err != nil {
 		return nil, err
 	}
 	return m, nil
 }
 
-// Rule implements fleet.Host.
-func (m *member) Rule(r fleet.Rules, done func(error)) {
+// ApplySettings implements fleet.Host.
+func (m *member) ApplySettings(r fleet.Settings, done func(error)) {
 	m.parts.engine.Post(func() {
-		err := m.parts.engine.ReconfigureLeased(r.InForce, r.Strict)
+		err := m.parts.engine.ReconfigureLeased(r.InForce, r.WithoutLease)
 		if err == nil {
 			m.ruled.Store(&r)
 			if m.parts.counts != nil {
@@ -78,14 +78,16 @@
 	})
 }
 
-// Extend implements fleet.Host.
-func (m *member) Extend(until time.Duration) { m.lease.Extend(until) }
+// ExtendLease implements fleet.Host.
+func (m *member) ExtendLease(until time.Duration) { m.lease.Extend(until) }
 
-// Parse implements fleet.Host.
-func (m *member) Parse(text string) (balancer.Config, error) { return m.cfg.ParseSharedSettings(text) }
+// ParseSettings implements fleet.Host.
+func (m *member) ParseSettings(text string) (balancer.Config, error) {
+	return m.cfg.ParseSharedSettings(text)
+}
 
-// Told implements fleet.Host.
-func (m *member) Told(s *agree.State) {
+// StateChanged implements fleet.Host.
+func (m *member) StateChanged(s *agree.State) {
 	m.parts.engine.Post(func() {
 		m.lists.tell(s)
 		if m.trace != nil && len(s.Ends) > 0 {
@@ -94,8 +96,8 @@
 	})
 }
 
-// Names implements fleet.Host.
-func (m *member) Names(done func(agree.Lists, []string)) {
+// ReadyBackends implements fleet.Host.
+func (m *member) ReadyBackends(done func(agree.Lists, []string)) {
 	m.parts.engine.Post(func() {
 		var ready []string
 		for name, e := range m.lists.own {
@@ -316,8 +318,8 @@
 	}
 }
 
-func (t *trace) rule(r fleet.Rules) {
-	t.line(traceRule{time.Now().UnixNano(), r.Seq, r.Versions})
+func (t *trace) rule(r fleet.Settings) {
+	t.line(traceRule{time.Now().UnixNano(), r.Sequence, r.Versions})
 }
 
 // OnAttemptStarted implements engine.Observer.
@@ -327,7 +329,7 @@
 		act.Class = s.Classes[a.Call.Class].Name
 	}
 	if r := t.member.ruled.Load(); r != nil {
-		act.Seq = r.Seq
+		act.Seq = r.Sequence
 	}
 	t.line(act)
 }
--- a/internal/proxy/imports_test.go
+++ b/internal/proxy/imports_test.go
@@ -45,7 +45,7 @@
 		"marlreel/internal/fleet/agree":                    {},
 		"marlreel/internal/fleet/disk":                     {"marlreel/internal/actionable", "marlreel/internal/fleet/agree"},
 		"marlreel/internal/fleet/peers":                    {},
-		"marlreel/internal/fleet":                          {"marlreel/internal/balancer", "marlreel/internal/fleet/agree", "marlreel/internal/fleet/disk", "marlreel/internal/fleet/peers", "marlreel/internal/fleet/transition", "marlreel/internal/stricttoml"},
+		"marlreel/internal/fleet":                          {"marlreel/internal/actionable", "marlreel/internal/balancer", "marlreel/internal/fleet/agree", "marlreel/internal/fleet/disk", "marlreel/internal/fleet/peers", "marlreel/internal/fleet/transition", "marlreel/internal/stricttoml"},
 		"marlreel/internal/experiment":                     {"marlreel/internal/stricttoml"},
 		"marlreel/internal/config":                         {"marlreel/internal/balancer", "marlreel/internal/discovery/platformwatch", "marlreel/internal/stricttoml", "marlreel/internal/simwire", "marlreel/internal/dataplane/msgpackrpc", "marlreel/internal/discovery/registry", "marlreel/internal/fleet", "marlreel/internal/fleet/transition", "marlreel/internal/process/logs"},
 		"marlreel/internal/balancer/staleness":             {"marlreel/internal/process/learnedstate"},
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -323,7 +323,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		if err := p.member.fleet.Serve(ctx); err != nil {
+		if err := p.member.fleet.ServeOperators(ctx); err != nil {
 			logger.Warn(err.Error(), "event", "fleet-socket", "do", actionable.AdviceFor(err))
 		}
 	}()
@@ -376,7 +376,7 @@
 	b = p.counts.Append(b)
 	b = metrics.AppendCounter(b, "surplus_answers", p.carrier.SurplusAnswers())
 	if p.member != nil {
-		b = p.member.fleet.Figures(b)
+		b = p.member.fleet.AppendMetrics(b)
 	}
 	return b
 }
