--- a/cmd/rehearse/experiment_test.go
+++ b/cmd/rehearse/experiment_test.go
@@ -33,49 +33,40 @@
 	return filepath.Join(dir, "pair.toml"), filepath.Join(dir, "r.db")
 }
 
-// An experiment is planned, played until its budget is spent, gone on with, shown, exported and forgotten.
-func TestExperiment(t *testing.T) {
-	file, store := plainPair(t, `budget = "6s"`)
-	code, out, errs := call(t, "experiment", file, "--dry-run")
-	if code != 0 || strings.Count(out, "seed ") != 4 || !strings.Contains(out, "about 16s, and the budget is 6s") {
-		t.Fatalf("%d\n%s%s", code, out, errs)
-	}
-	dir := filepath.Join(t.TempDir(), "page")
-	left := 4
-	for round := 0; left > 0; round++ {
-		code, out, errs = call(t, "experiment", file, "--store", store, "--out", dir, "--json")
+// playUntilComplete plays an experiment of four runs until none is missing, each time until its budget is spent.
+func playUntilComplete(t *testing.T, file, store, folder string) {
+	t.Helper()
+	missing := 4
+	for round := 0; missing > 0; round++ {
+		code, out, errs := call(t, "experiment", file, "--store", store, "--out", folder, "--json")
 		var a experiment.Analysis
 		if err := json.Unmarshal([]byte(out), &a); code != 0 && code != exitBroken || err != nil {
 			t.Fatalf("round %d: %d, %v\n%s%s", round, code, err, out, errs)
 		}
-		if a.Missing >= left || round > 8 { // a void run leaves as many missing once
-			t.Fatalf("round %d: %d runs missing, and %d were\n%s", round, a.Missing, left, errs)
+		if a.Missing >= missing || round > 8 { // a void run leaves as many missing once
+			t.Fatalf("round %d: %d runs missing, and %d were\n%s", round, a.Missing, missing, errs)
 		}
-		if left = a.Missing; left > 0 && !strings.Contains(errs, "the budget of 6s is spent") {
+		if missing = a.Missing; missing > 0 && !strings.Contains(errs, "the budget of 6s is spent") {
 			t.Errorf("%s", errs)
 		}
 	}
+}
+
+// An experiment is planned, played until its budget is spent, gone on with, shown, exported and forgotten.
+func TestExperiment(t *testing.T) {
+	file, store := plainPair(t, `budget = "6s"`)
+	code, out, errs := call(t, "experiment", file, "--dry-run")
+	if code != 0 || strings.Count(out, "seed ") != 4 || !strings.Contains(out, "about 16s, and the budget is 6s") {
+		t.Fatalf("%d\n%s%s", code, out, errs)
+	}
+	folder := filepath.Join(t.TempDir(), "page")
+	playUntilComplete(t, file, store, folder)
 	for _, name := range []string{"pair.md", "pair.csv", "pair-service.svg"} {
-		if i, err := os.Stat(filepath.Join(dir, name)); err != nil || i.Size() == 0 {
+		if i, err := os.Stat(filepath.Join(folder, name)); err != nil || i.Size() == 0 {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if code, out, errs = call(t, "results", "list", "--store", store); code != 0 || !strings.Contains(out, "pair") || !strings.Contains(out, " of 4 runs count, 0 to be played") {
-		t.Errorf("list: %d\n%s%s", code, out, errs)
-	}
-	if code, out, _ = call(t, "results", "show", "pair", "--store", store); code != 0 || !strings.Contains(out, "too few pairs") {
-		t.Errorf("show: %d\n%s", code, out)
-	}
-	if code, out, _ = call(t, "results", "export", "pair", "--store", store); code != 0 || !strings.HasPrefix(out, "experiment,arm,level,seed,figure,value\n") {
-		t.Errorf("csv: %d\n%s", code, out)
-	}
-	var e experiment.Exported
-	if code, out, _ = call(t, "results", "export", "pair", "--json", "--store", store); code != 0 || json.Unmarshal([]byte(out), &e) != nil || len(e.Runs) != 4 || len(e.Runs[0].Tries) == 0 {
-		t.Errorf("json: %d\n%s", code, out)
-	}
-	if code, _, errs = call(t, "results", "show", "pear", "--store", store); code != exitUsage || !strings.Contains(errs, `no experiment "pear"; there are [pair]`) {
-		t.Errorf("another: %d, %s", code, errs)
-	}
+	checkResults(t, store)
 	// The day is edited: the results so far are another's.
 	day := filepath.Join(filepath.Dir(file), "day.toml")
 	if err := os.WriteFile(day, []byte(strings.Replace(tiny, "rate = 30", "rate = 31", 1)), 0o600); err != nil {
@@ -92,6 +83,27 @@
 	}
 }
 
+// checkResults lists, shows and exports the results of a complete experiment.
+func checkResults(t *testing.T, store string) {
+	t.Helper()
+	if code, out, errs := call(t, "results", "list", "--store", store); code != 0 || !strings.Contains(out, "pair") || !strings.Contains(out, " of 4 runs count, 0 to be played") {
+		t.Errorf("list: %d\n%s%s", code, out, errs)
+	}
+	if code, out, _ := call(t, "results", "show", "pair", "--store", store); code != 0 || !strings.Contains(out, "too few pairs") {
+		t.Errorf("show: %d\n%s", code, out)
+	}
+	if code, out, _ := call(t, "results", "export", "pair", "--store", store); code != 0 || !strings.HasPrefix(out, "experiment,arm,level,seed,figure,value\n") {
+		t.Errorf("csv: %d\n%s", code, out)
+	}
+	var e experiment.Exported
+	if code, out, _ := call(t, "results", "export", "pair", "--json", "--store", store); code != 0 || json.Unmarshal([]byte(out), &e) != nil || len(e.Runs) != 4 || len(e.Runs[0].Tries) == 0 {
+		t.Errorf("json: %d\n%s", code, out)
+	}
+	if code, _, errs := call(t, "results", "show", "pear", "--store", store); code != exitUsage || !strings.Contains(errs, `no experiment "pear"; there are [pair]`) {
+		t.Errorf("another: %d, %s", code, errs)
+	}
+}
+
 func TestExperimentWrongUse(t *testing.T) {
 	t.Parallel()
 	file, store := plainPair(t, "")
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -152,12 +152,19 @@
 	}
 }
 
-// up serves at its address until it is told to end; its lines are requests that work.
-func TestUp(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "marlreel")
-	if out, err := exec.Command("go", "build", "-o", bin, "marlreel/cmd/marlreel").CombinedOutput(); err != nil {
+// buildDaemon builds the daemon, and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "marlreel")
+	if out, err := exec.Command("go", "build", "-o", path, "marlreel/cmd/marlreel").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	return path
+}
+
+// up serves at its address until it is told to end; its lines are requests that work.
+func TestUp(t *testing.T) {
+	daemon := buildDaemon(t)
 	addr, err := standin.Address()
 	if err != nil {
 		t.Fatal(err)
@@ -168,7 +175,7 @@
 	ended := make(chan int, 1)
 	var errs bytes.Buffer
 	go func() {
-		ended <- run(ctx, []string{"up", "--marlreel", bin, "--listen", addr, "--nodes", "2"}, w, &errs)
+		ended <- run(ctx, []string{"up", "--marlreel", daemon, "--listen", addr, "--nodes", "2"}, w, &errs)
 		w.Close()
 	}()
 	var text strings.Builder
@@ -180,35 +187,12 @@
 			t.Fatalf("it ended: %s %s", text.String(), errs.String())
 		}
 	}
-	go io.Copy(io.Discard, r)
+	go func() { _, _ = io.Copy(io.Discard, r) }()
 	if got := strings.Count(text.String(), "curl -i"); got != 5 {
 		t.Errorf("%d lines to try in %s", got, text.String())
 	}
 	for i, class := range []string{"lot-list", "bid", "pickup"} {
-		method := http.MethodPost
-		if class == "lot-list" {
-			method = http.MethodGet
-		}
-		q, err := http.NewRequest(method, "http://"+addr+"/"+class+"/7f3a9c21", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		q.Header.Set("X-Correlation-Id", fmt.Sprintf("%016x", i+1))
-		q.Header.Set("X-Account", "primorje")
-		q.Header.Set("X-Time-Left", "1200m")
-		if class == "pickup" {
-			q.Header.Set("Idempotency-Key", "k")
-		}
-		resp, err := http.DefaultClient.Do(q)
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		// On a machine that stalls it may be refused or fail; what it may not be is a bad request.
-		if resp.StatusCode >= 400 && resp.StatusCode < 500 {
-			t.Errorf("%s: %d %s", class, resp.StatusCode, body)
-		}
+		requestClass(t, addr, class, i+1)
 	}
 	cancel()
 	if code := <-ended; code != exitKept {
@@ -221,13 +205,39 @@
 	ln.Close()
 }
 
+// requestClass sends a request of a class. On a machine that stalls it may be refused or fail; what it may not be is a
+// bad request.
+func requestClass(t *testing.T, addr, class string, number int) {
+	t.Helper()
+	method := http.MethodPost
+	if class == "lot-list" {
+		method = http.MethodGet
+	}
+	q, err := http.NewRequest(method, "http://"+addr+"/"+class+"/7f3a9c21", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("X-Correlation-Id", fmt.Sprintf("%016x", number))
+	q.Header.Set("X-Account", "primorje")
+	q.Header.Set("X-Time-Left", "1200m")
+	if class == "pickup" {
+		q.Header.Set("Idempotency-Key", "k")
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+		t.Errorf("%s: %d %s", class, resp.StatusCode, body)
+	}
+}
+
 // Both protocols through real daemons, with nodes dying, draining and rejoining cold and
 // a proxy restarted: nothing is lost and nothing doubled.
 func TestBothProtocols(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "marlreel")
-	if out, err := exec.Command("go", "build", "-o", bin, "marlreel/cmd/marlreel").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	daemon := buildDaemon(t)
 	text, err := scenarios.Files.ReadFile("scales.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -243,7 +253,7 @@
 		}
 		short = strings.ReplaceAll(short, old, with)
 	}
-	code, out, errs := call(t, "run", write(t, short), "--marlreel", bin, "--json")
+	code, out, errs := call(t, "run", write(t, short), "--marlreel", daemon, "--json")
 	var rep rehearsal.Report
 	if err := json.Unmarshal([]byte(out), &rep); err != nil {
 		t.Fatalf("exit %d, %v: %s", code, err, errs)
