Agents: a relay that trickles chunks of a state is left after 0.8 s

Cause: the reviewer's sum of the constants: report 0.6 s, wait 1.2 s, fetch 0.2 to 0.4 s are over the 2.0 s of config_apply_ms on small sites, where a relay's link is choked and the state is over 64 KB. Change: the wait is 0.8 s at most, 1.6 to 1.8 s in all. Measured: tests of catchup and transport; no run of such a relay.

--- a/internal/distribution/catchup/catchup.go
+++ b/internal/distribution/catchup/catchup.go
@@ -22,7 +22,7 @@
 	// stallTimeout is after what time without a further chunk the source counts as one that hangs.
 	stallTimeout = 400 * time.Millisecond
 	// maxWait bounds the wait for a source that delivers, however slowly.
-	maxWait = 1200 * time.Millisecond
+	maxWait = 800 * time.Millisecond
 )
 
 // Delay returns for how long a node that lags behind a sequence number leaves it to its source, among so many nodes.
--- a/internal/process/transport/dial.go
+++ b/internal/process/transport/dial.go
@@ -20,7 +20,7 @@
 // DialFunc makes a connection to an address, a host and a port.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// dialer makes connections within a timeout. fasthttp gives no context to dial by: its calls' deadlines bound them too.
+// dialer makes connections within a timeout. fasthttp gives no context to dial by, and a call waits for its dial: the timeout can end a call later than its deadline.
 type dialer struct {
 	dial    DialFunc
 	timeout time.Duration
