Gateway: what ends connections while draining stands once

Need: since the server of clients says so after the handler; the handler's own word was overwritten. Change: it is gone.

--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -24,9 +24,6 @@
 // HandleRequest answers a client's request.
 func (g *Gateway) HandleRequest(ctx *fasthttp.RequestCtx) {
 	arrived := time.Now()
-	if g.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	table := g.table.Load()
 	if g.closing.Load() {
 		reject(ctx, updateRetryAfter)
