--- a/internal/testing/simcluster/quota_test.go
+++ b/internal/testing/simcluster/quota_test.go
@@ -118,12 +118,14 @@
 			senders.Go(func() { traffic.sendFrom(c, edge, 400*time.Millisecond, until) })
 		}
 		for range 3 {
-			c.Sleep(6 * time.Second)
+			c.Sleep(3 * time.Second)
 			owner := c.quotaOwner(t, "harbor")
 			traffic.markNow()
 			killed := time.Now()
-			owner.Kill()
+			var ended sync.WaitGroup
+			ended.Go(owner.Kill)
 			c.Sleep(4 * time.Second)
+			ended.Wait()
 			owner.Start()
 			traffic.mu.Lock()
 			t.Logf("after the owner was killed the next request was served after %v", traffic.first.Sub(killed))
