--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -55,7 +55,9 @@
 	zone.AddCommand(newZoneEvacuate(flags), newZoneRestore(flags))
 	route := &cobra.Command{Use: "route", Short: "look at routes"}
 	route.AddCommand(newRouteExplain(flags))
-	commands := []*cobra.Command{config, zone, route, newStatus(flags), newBundle(flags)}
+	quota := &cobra.Command{Use: "quota", Short: "look at tenants' quotas"}
+	quota.AddCommand(newQuotaShow(flags))
+	commands := []*cobra.Command{config, zone, route, quota, newStatus(flags), newBundle(flags)}
 	for _, command := range commands {
 		flags.addTo(command)
 	}
--- a/internal/controlplane/operator_handlers.go
+++ b/internal/controlplane/operator_handlers.go
@@ -19,6 +19,7 @@
 	pathModify     = "/marlreel/config/modify"
 	pathRead       = "/marlreel/config/read"
 	pathStatus     = "/marlreel/status"
+	pathQuotas     = "/marlreel/quotas"
 	pathEvacuation = "/marlreel/evacuation/"
 	pathBackends   = "/marlreel/backends/"
 
@@ -50,6 +51,8 @@
 		s.handleRead(ctx)
 	case ctx.IsGet() && path == pathStatus:
 		s.handleStatus(ctx)
+	case ctx.IsGet() && path == pathQuotas:
+		s.handleQuotas(ctx)
 	default:
 		rejectPath(ctx, path)
 	}
--- a/internal/controlplane/operatorclient/client.go
+++ b/internal/controlplane/operatorclient/client.go
@@ -72,6 +72,11 @@
 	return c.call(ctx, operation{method: http.MethodGet, path: "/marlreel/status"})
 }
 
+// Quotas returns the tenants' quotas as their owners count them, as JSON (controlplane.QuotaReport).
+func (c *Client) Quotas(ctx context.Context) ([]byte, error) {
+	return c.call(ctx, operation{method: http.MethodGet, path: "/marlreel/quotas"})
+}
+
 func formatVersion(version uint64) string { return strconv.FormatUint(version, 10) }
 
 // operation is a call to control's interface.
--- a/internal/dataplane/quotaclient/client_test.go
+++ b/internal/dataplane/quotaclient/client_test.go
@@ -39,7 +39,9 @@
 		_, decided := c.decide(request, reply, now, now, now)
 		is.True(decided)
 	}
-	find := func(cost float64, after time.Duration) Decision { return c.refusals.find("harbor", cost, now.Add(after)) }
+	find := func(cost float64, after time.Duration) Decision {
+		return c.refusals.find("harbor", cost, now.Add(after))
+	}
 	refused(0) // it costs more than can be saved up: smaller requests may pass
 	is.Equal(find(100, 0), Decision{})
 	refused(40 * time.Millisecond)
--- a/internal/testing/simcluster/quota_test.go
+++ b/internal/testing/simcluster/quota_test.go
@@ -1,6 +1,7 @@
 package simcluster
 
 import (
+	"encoding/json"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"marlreel/internal/controlplane"
 	"marlreel/internal/quota/shard"
 	"marlreel/internal/testing/fakesystem"
 )
@@ -176,3 +178,34 @@
 		is.Equal(held, shard.Count)
 	})
 }
+
+// The operator sees a tenant's quota at whichever agent counts it, and which owners don't answer.
+func TestOperatorSeesQuotas(t *testing.T) {
+	runWithCluster(t, func(t *testing.T, c *Cluster) {
+		is := is.New(t)
+		c.putSubscribers(t, quotaTenant)
+		c.Sleep(5 * time.Second)
+		r := chatRequest("m0")
+		r.Key = harborKey
+		is.Equal(c.send(t, c.Edges[0], r).Status, 200)
+		owner := c.quotaOwner(t, "harbor")
+		report := func() (report controlplane.QuotaReport) {
+			status, body, err := c.callControl(c.Controls[1], "GET", "/marlreel/quotas", "", "")
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.True(!strings.Contains(body, harborKey))
+			is.NoErr(json.Unmarshal([]byte(body), &report))
+			return report
+		}
+		seen := report()
+		is.Equal(len(seen.Unresponsive), 0)
+		is.Equal(len(seen.Quotas), 1)
+		quota := seen.Quotas[0]
+		is.Equal(quota.Subscriber, "harbor")
+		is.Equal(quota.Owner, owner.Name)
+		is.Equal(quota.Granted, quotaCost)
+		is.Equal(quota.RatePerS, quotaRate)
+		c.isolate(owner) // its leases run on for a while
+		is.True(slices.Contains(report().Unresponsive, shard.LeaseKey(shard.Of("harbor"))))
+	})
+}
