Quotas: the recorded schema of their calls

The checks of system.proto's schema now take the file as a parameter; its recorded files stay as they were, and the calls of tenantquota.proto have one of their own.

--- a/internal/api/compatibility_test.go
+++ b/internal/api/compatibility_test.go
@@ -60,9 +60,9 @@
 	return fmt.Sprintf("/twirp/%s/%s", method.Parent().FullName(), method.Name())
 }
 
-func methods() []protoreflect.MethodDescriptor {
+func methods(file protoreflect.FileDescriptor) []protoreflect.MethodDescriptor {
 	var all []protoreflect.MethodDescriptor
-	services := File_system_proto.Services()
+	services := file.Services()
 	for i := range services.Len() {
 		for j := range services.Get(i).Methods().Len() {
 			all = append(all, services.Get(i).Methods().Get(j))
@@ -74,13 +74,13 @@
 	return all
 }
 
-func newSchema() *schema {
+func newSchema(file protoreflect.FileDescriptor) *schema {
 	s := &schema{number: map[protoreflect.FullName]int{}}
-	for _, method := range methods() {
+	for _, method := range methods(file) {
 		s.visit(method.Input(), methodPath(method)+" request")
 		s.visit(method.Output(), methodPath(method)+" reply")
 	}
-	messages := File_system_proto.Messages()
+	messages := file.Messages()
 	for i := range messages.Len() {
 		s.visit(messages.Get(i), "no service")
 	}
@@ -108,9 +108,15 @@
 }
 
 func TestCompatibilityOfSchema(t *testing.T) {
-	s := newSchema()
+	recorded.Check(t, "schema.txt", schemaText(File_system_proto))
+	recorded.Check(t, "schema-tenantquota.txt", schemaText(File_tenantquota_proto))
+}
+
+// schemaText words what the services and messages of a file are on the wire.
+func schemaText(file protoreflect.FileDescriptor) string {
+	s := newSchema(file)
 	var out strings.Builder
-	for _, method := range methods() {
+	for _, method := range methods(file) {
 		fmt.Fprintf(&out, "%s: message %d -> message %d, streams %t %t\n", methodPath(method),
 			s.number[method.Input().FullName()], s.number[method.Output().FullName()],
 			method.IsStreamingClient(), method.IsStreamingServer())
@@ -124,14 +130,14 @@
 			fmt.Fprintf(&out, "  reserved %v\n", message.ReservedRanges().Get(j))
 		}
 	}
-	enums := File_system_proto.Enums()
+	enums := file.Enums()
 	for i := range enums.Len() {
 		fmt.Fprintf(&out, "enum %d\n", i)
 		for j := range enums.Get(i).Values().Len() {
 			fmt.Fprintf(&out, "  %d\n", enums.Get(i).Values().Get(j).Number())
 		}
 	}
-	recorded.Check(t, "schema.txt", out.String())
+	return out.String()
 }
 
 // sampler fills messages with values that differ from field to field.
@@ -251,7 +257,7 @@
 // the same generated types as the program does, and compares the content and the bytes that
 // are sent for it today.
 func TestCompatibilityOfMessages(t *testing.T) {
-	for i, sample := range newSchema().samples() {
+	for i, sample := range newSchema(File_system_proto).samples() {
 		t.Run(sample.name, func(t *testing.T) {
 			bytesFile := filepath.Join("testdata", "compatibility", "messages", sample.name+".hex")
 			if os.Getenv(writeCompatibility) != "" {
@@ -283,7 +289,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := len(newSchema().samples()); len(recorded) != want {
+	if want := len(newSchema(File_system_proto).samples()); len(recorded) != want {
 		t.Errorf("%d samples are recorded, and there are %d kinds of messages", len(recorded), want)
 	}
 }
