--- a/internal/api/tenantquota.twirp.go
+++ b/internal/api/tenantquota.twirp.go
@@ -6,22 +6,18 @@
 
 package api
 
-import (
-	context "context"
-	json "encoding/json"
-	fmt "fmt"
-	io "io"
-	http "net/http"
-	strconv "strconv"
-	strings "strings"
-)
-
-import (
-	twirp "github.com/twitchtv/twirp"
-	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-	protojson "google.golang.org/protobuf/encoding/protojson"
-	proto "google.golang.org/protobuf/proto"
-)
+import context "context"
+import fmt "fmt"
+import http "net/http"
+import io "io"
+import json "encoding/json"
+import strconv "strconv"
+import strings "strings"
+
+import protojson "google.golang.org/protobuf/encoding/protojson"
+import proto "google.golang.org/protobuf/proto"
+import twirp "github.com/twitchtv/twirp"
+import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
