Quotas: an owner without power delays a refusal by 150 ms, not 250

Callers saw: the first request of a proxy to an owner that has lost its power was refused after 250 ms, beyond a quarter of an 800 ms target. Cause: the dial has a timeout of its own, which the call's deadline does not cut. Change: the client's dial is bounded by the call's timeout. Without it the new test fails: 250ms != 150ms.

--- a/internal/dataplane/quotaclient/client.go
+++ b/internal/dataplane/quotaclient/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
@@ -74,11 +75,20 @@
 // New returns a client.
 func New(config Config) *Client {
 	return &Client{
-		config: config, client: transport.NewClient(config.Dial), refunds: newRefundQueue(), refusals: newRefusalCache(),
+		config: config, client: transport.NewClient(dialInTime(config.Dial)), refunds: newRefundQueue(), refusals: newRefusalCache(),
 		results: newResults(config.Metrics),
 	}
 }
 
+// dialInTime bounds the making of a connection by what a call may take: a machine without power answers nothing.
+func dialInTime(dial transport.DialFunc) transport.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return dial(dialCtx, address)
+	}
+}
+
 // Acquire takes a cost from a tenant's quota. It returns within the timeouts of maxAttempts calls, and by the deadline.
 func (c *Client) Acquire(subscriber string, cost float64, deadline time.Time) Decision {
 	decision, asked := c.refusals.find(subscriber, cost, time.Now()), false
--- a/internal/dataplane/quotaclient/client_test.go
+++ b/internal/dataplane/quotaclient/client_test.go
@@ -1,13 +1,17 @@
 package quotaclient
 
 import (
+	"context"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"marlreel/internal/api"
+	"marlreel/internal/distribution/watch"
 	"marlreel/internal/quota/ledger"
 	"marlreel/internal/quota/shard"
 )
@@ -30,6 +34,27 @@
 	is.True(!decided)
 }
 
+// idleConnectionLifetime is after what time fasthttp's goroutine for idle connections has ended, on a simulated clock.
+const idleConnectionLifetime = 5 * time.Minute
+
+// Guards against refusals that come too late for another attempt: an owner without power delays them by one call.
+func TestSilentOwnerDelaysARefusalByOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := watch.New("proxy", time.Now)
+		key := shard.LeaseKey(shard.Of("harbor"))
+		store.InstallSnapshot(1, 1, &api.State{Ownerships: []*api.Ownership{{Key: key, Holder: "edge-1/1", Address: "10.0.0.1:1", FencingToken: 1}}})
+		silent := func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c, began := New(Config{Store: store, Dial: silent, Metrics: vm.NewSet()}), time.Now()
+		is.Equal(c.Acquire("harbor", 100, began.Add(time.Second)), Decision{Verdict: Unknown, RetryAfter: unknownRetryAfter})
+		is.Equal(time.Since(began), callTimeout)
+		time.Sleep(idleConnectionLifetime)
+	})
+}
+
 // An owner's refusal counts for as much or more, until when it says, and for maxLocalRefusal at most.
 func TestRefusalCountsForAWhile(t *testing.T) {
 	is := is.New(t)
