--- a/cmd/marlreeld/operator.go
+++ b/cmd/marlreeld/operator.go
@@ -57,7 +57,7 @@
 	route.AddCommand(newRouteExplain(flags))
 	quota := &cobra.Command{Use: "quota", Short: "look at tenants' quotas"}
 	quota.AddCommand(newQuotaShow(flags))
-	commands := []*cobra.Command{config, zone, route, quota, newStatus(flags), newBundle(flags)}
+	commands := []*cobra.Command{config, zone, route, newSubscribers(flags), quota, newStatus(flags), newBundle(flags)}
 	for _, command := range commands {
 		flags.addTo(command)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,12 +48,13 @@
 	settings := machine.Settings
 	incarnation := rand.Uint64()
 	a := &Agent{
-		settings: settings, client: transport.NewClient(machine.Network.Dial), log: machine.Log,
+		settings: settings, client: transport.NewCompressedClient(machine.Network.Dial), log: machine.Log,
 		node: &api.Node{
 			Name: settings.NodeName, Address: settings.PeerAddress(), Zone: settings.Zone, Incarnation: incarnation,
 		},
 		store: watch.New(fmt.Sprintf("%s/%x", settings.NodeName, incarnation), time.Now),
 	}
+	a.store.BatchAsRelay()
 	holder := lease.HolderID(settings.NodeName, incarnation)
 	a.leases = &leases{holder: holder, controls: a.controls, store: a.store, client: a.client}
 	a.quotas = newQuotaOwner(quotaRule(settings.Bounds), a.store, a.leases)
--- a/internal/dataplane/gateway/handler.go
+++ b/internal/dataplane/gateway/handler.go
@@ -24,9 +24,6 @@
 // HandleRequest answers a client's request.
 func (g *Gateway) HandleRequest(ctx *fasthttp.RequestCtx) {
 	arrived := time.Now()
-	if g.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	table := g.table.Load()
 	if g.closing.Load() {
 		reject(ctx, updateRetryAfter)
@@ -44,6 +41,7 @@
 	}
 	tenant, authorized := authenticate(table.document, route, header.PeekAll(headerAuthorization))
 	if !authorized {
+		g.refusals.record(refusedUnauthenticated)
 		ctx.Error("a known key is needed", fasthttp.StatusUnauthorized)
 		ctx.Response.Header.Set(headerAuthenticate, bearerScheme)
 		return
@@ -83,7 +81,7 @@
 		}
 	}
 	answer := r.execute(c)
-	r.refundQuota(answer)
+	r.refundQuota()
 	g.writeAnswer(ctx, r, answer)
 }
 
--- a/internal/dataplane/gateway/quota.go
+++ b/internal/dataplane/gateway/quota.go
@@ -3,10 +3,9 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"marlreel/internal/dataplane/engine"
 )
 
 // unknownTokens stands for the tokens of a request that doesn't say them.
@@ -24,33 +23,41 @@
 	return float64(in) + float64(out)
 }
 
+// countedTokens is how many tokens a request counts by all values of its Token-Count. Backends get each of them, and may go
+// by any: the highest counts.
+func countedTokens(values [][]byte) float64 {
+	tokens := float64(unknownTokens)
+	for _, value := range values {
+		tokens = max(tokens, parseTokens(string(value)))
+	}
+	return tokens
+}
+
 // acquireQuota takes what the request costs from its tenant's quota. Where that isn't allowed, it answers the request.
 func (r *clientRequest) acquireQuota(ctx *fasthttp.RequestCtx) (allowed bool) {
 	subscriber := r.tenant.subscriber
 	if r.gateway.quota == nil || subscriber == nil || !subscriber.Limited() {
 		return true
 	}
-	cost := subscriber.Cost(parseTokens(string(ctx.Request.Header.Peek(headerTokens))))
+	cost := subscriber.Cost(countedTokens(ctx.Request.Header.PeekAll(headerTokens)))
 	decision := r.gateway.quota.Acquire(subscriber, cost, r.deadline)
-	switch decision.Verdict {
-	case QuotaAllowed:
+	if decision.Verdict == QuotaAllowed {
 		r.quotaTaken = &decision
 		return true
-	case QuotaExceeded:
-		refuse(ctx, fasthttp.StatusTooManyRequests, decision.RetryAfter)
-	default:
-		refuse(ctx, fasthttp.StatusServiceUnavailable, decision.RetryAfter)
 	}
+	reason, status := refusedQuotaUnknown, fasthttp.StatusServiceUnavailable
+	if decision.Verdict == QuotaExceeded {
+		reason, status = refusedOverQuota, fasthttp.StatusTooManyRequests
+	}
+	r.gateway.refusals.recordTenant(time.Now(), reason, subscriber.Name)
+	refuse(ctx, status, decision.RetryAfter)
 	return false
 }
 
-// refundQuota gives back what a request took whose answer says that it never ran, or that was never sent.
-func (r *clientRequest) refundQuota(a engine.Answer) {
-	if r.quotaTaken == nil {
-		return
-	}
-	rejected := a.Verdict == engine.Rejected || a.Verdict == engine.Overloaded
-	if rejected || r.current.unsent {
+// refundQuota gives back what a request took that no backend can have run. What its answer promises doesn't say so: an
+// idempotent request may be rejected after an attempt that has run.
+func (r *clientRequest) refundQuota() {
+	if r.quotaTaken != nil && r.current.neverRan {
 		r.gateway.quota.Refund(r.tenant.subscriber, *r.quotaTaken)
 	}
 }
--- a/internal/dataplane/quotaclient/client.go
+++ b/internal/dataplane/quotaclient/client.go
@@ -75,17 +75,17 @@
 // New returns a client.
 func New(config Config) *Client {
 	return &Client{
-		config: config, client: transport.NewClient(dialInTime(config.Dial)), refunds: newRefundQueue(), refusals: newRefusalCache(),
+		config: config, client: transport.NewClient(dialWithinCall(config.Dial)), refunds: newRefundQueue(), refusals: newRefusalCache(),
 		results: newResults(config.Metrics),
 	}
 }
 
-// dialInTime bounds the making of a connection by what a call may take: a machine without power answers nothing.
-func dialInTime(dial transport.DialFunc) transport.DialFunc {
+// dialWithinCall bounds the making of a connection by callTimeout: the call that waits for it isn't cancelled before.
+func dialWithinCall(dial transport.DialFunc) transport.DialFunc {
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		return dial(dialCtx, address)
+		return dial(ctx, address)
 	}
 }
 
@@ -106,18 +106,22 @@
 	}
 }
 
-// askOwners asks the owner of the tenant's shard, and once more where another one is known by then.
+// askOwners asks the owner of the tenant's shard, and once more where another one is known by then, or where the connection
+// broke: what a first call has taken is spent in vain then.
 func (c *Client) askOwners(subscriber string, cost float64, deadline time.Time) Decision {
 	number := shard.Of(subscriber)
-	asked := owner{}
+	asked, broken := owner{}, false
+	request := &api.AcquireQuotaRequest{Subscriber: subscriber, Cost: cost}
 	for range maxAttempts {
 		next, version := c.owner(number)
-		if next.address == "" || next == asked {
+		if next.address == "" || next == asked && !broken {
 			break
 		}
-		asked = next
-		request := &api.AcquireQuotaRequest{Subscriber: subscriber, Cost: cost, ConfigurationVersion: version}
-		if decision, answered := c.ask(asked, number, request, deadline); answered {
+		asked, request.ConfigurationVersion = next, version
+		request.Refunds = append(request.Refunds, c.refunds.take(number, time.Now())...)
+		var decision Decision
+		var answered bool
+		if decision, answered, broken = c.ask(asked, request, deadline); answered {
 			return decision
 		}
 	}
@@ -146,8 +150,9 @@
 	return named, version
 }
 
-// ask makes one call. It reports whether the owner has answered in time; a grant that comes later is spent in vain.
-func (c *Client) ask(asked owner, number int, request *api.AcquireQuotaRequest, deadline time.Time) (Decision, bool) {
+// ask makes one call. It reports whether the owner has answered in time; a grant that comes later is spent in vain. A call
+// that failed before its time was up is broken: its connection had ended, mostly.
+func (c *Client) ask(asked owner, request *api.AcquireQuotaRequest, deadline time.Time) (decision Decision, answered, broken bool) {
 	began := time.Now()
 	end := began.Add(callTimeout)
 	if deadline.Before(end) {
@@ -155,12 +160,13 @@
 	}
 	call, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	request.Refunds = c.refunds.take(number, began)
 	reply, err := api.NewQuotaOwnerProtobufClient("http://"+asked.address, c.client).AcquireQuota(call, request)
+	now := time.Now()
 	if err != nil {
-		return Decision{}, false
+		return Decision{}, false, now.Before(end)
 	}
-	return c.decide(request, reply, began, time.Now(), end)
+	decision, answered = c.decide(request, reply, began, now, end)
+	return decision, answered, false
 }
 
 // decide takes in an owner's reply to a call that began at a time, and had an end. It reports whether that decides the
--- a/internal/distribution/watch/cursor.go
+++ b/internal/distribution/watch/cursor.go
@@ -65,6 +65,9 @@
 	case len(reply.Entries) > 0 && reply.Entries[0].PreviousHash == s.hash:
 		s.appendEntries(reply.Entries)
 	}
+	if cursor.partial != nil && cursor.partial.sequence <= s.sequence {
+		cursor.partial = nil // the state has come by another way, and the source sends no more chunks of it
+	}
 }
 
 // knownBackends returns the ids of the backends that some topics select.
@@ -126,7 +129,7 @@
 		}
 	}
 	if changed {
-		s.nodesRevision, s.stateRevision = s.nextRevision(), s.nextRevision()
+		s.nodesRevision = s.nextRevision()
 	}
 	return changed
 }
--- a/internal/distribution/watch/longpoll_test.go
+++ b/internal/distribution/watch/longpoll_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,3 +82,55 @@
 		is.Equal(sequence, uint64(0))
 	})
 }
+
+// A relay passes updates of some topics on sooner; its own proxy, which watches everything, gets them batched.
+func TestRelayPassesUpdatesOnSooner(t *testing.T) {
+	for name, c := range map[string]struct {
+		topics []Topic
+		window time.Duration
+	}{
+		"an agent": {[]Topic{ServiceTopic("llm")}, relayBatchWindow}, "its proxy": {nil, batchWindow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source := New("relay", time.Now)
+				source.BatchAsRelay()
+				subscriber := newTestSubscriber(source, c.topics...)
+				subscriber.poll()
+				afterDelay(t, time.Millisecond, func() { source.RecordBackend(backend("a", "llm")) })
+				took, backends := subscriber.poll()
+				is.Equal(took, c.window)
+				is.Equal(backends, 1)
+			})
+		})
+	}
+}
+
+// Guards against bytes that grow by the square of the nodes when all of them start: a subscriber gets the list once a
+// batch window, whatever the size of the site.
+func TestUpdatesOfNodesAreBatched(t *testing.T) {
+	const start = time.Second // in which all nodes report for the first time
+	for _, nodes := range []int{9, 42, 295} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source := New("source", time.Now)
+				subscriber := newTestSubscriber(source, TopicState)
+				subscriber.poll()
+				began := time.Now()
+				for i := range nodes {
+					name := fmt.Sprint("edge-", i)
+					afterDelay(t, start*time.Duration(i)/time.Duration(nodes), func() { source.RecordNode(&api.Node{Name: name}) })
+				}
+				polls := 0
+				for len(subscriber.store.Nodes()) < nodes {
+					subscriber.poll()
+					polls++
+				}
+				is.True(polls <= int(start/batchWindow)+1)
+				is.True(time.Since(began) <= start+batchWindow)
+			})
+		})
+	}
+}
--- a/internal/distribution/watch/nodes.go
+++ b/internal/distribution/watch/nodes.go
@@ -26,7 +26,7 @@
 // publishNodes begins the next revision after a change of the nodes.
 func (s *Store) publishNodes() {
 	s.nodesRevision = s.nextRevision()
-	s.publishState()
+	s.publish()
 }
 
 // recordNode reports whether the report changed anything.
@@ -78,6 +78,13 @@
 	return s.listNodes()
 }
 
+// NodeCount returns how many nodes there are.
+func (s *Store) NodeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.nodes)
+}
+
 func (s *Store) listNodes() []*api.Node {
 	now := s.now()
 	nodes := make([]*api.Node, 0, len(s.nodes))
--- a/internal/distribution/watch/store.go
+++ b/internal/distribution/watch/store.go
@@ -15,6 +15,7 @@
 	source   string // identifies this store, and the incarnation of its process, to subscribers
 	revision uint64
 	changed  chan struct{} // closed at the next revision
+	relays   bool          // it is filled from other stores: see BatchAsRelay
 
 	machine  *state.Machine // the replicated state after the entry at sequence
 	sequence uint64
@@ -22,6 +23,8 @@
 	log      entryLog
 	encoded  *encodedSnapshot // as last served in chunks; nil: none was
 
+	lastChunk time.Time // when a chunk of a snapshot was received that follows on the ones before
+
 	backends            map[string]*backendRecord // by id
 	departures          []departure               // the last ones, oldest first
 	departuresTrimmedTo uint64                    // subscribers at an earlier revision need the complete list
@@ -29,8 +32,8 @@
 	controlNodes        []*api.ControlNode
 	statuses            statusTable
 
-	// The revisions at which the parts that topics select last changed. The first covers the replicated state, the
-	// nodes and the control processes.
+	// The revisions at which the parts that topics select last changed. The first covers the replicated state and the
+	// control processes.
 	stateRevision   uint64
 	nodesRevision   uint64
 	serviceRevision map[string]uint64
@@ -57,7 +60,7 @@
 	s.changed = make(chan struct{})
 }
 
-// publishState does the same after a change of the replicated state, the nodes or the control processes.
+// publishState does the same after a change of the replicated state or the control processes.
 func (s *Store) publishState() {
 	s.stateRevision = s.nextRevision()
 	s.publish()
@@ -84,7 +87,7 @@
 	}
 	last := s.statusRevision
 	if topics.IncludesState() {
-		last = max(last, s.stateRevision)
+		last = max(last, s.stateRevision, s.nodesRevision)
 	}
 	for service, revision := range s.serviceRevision {
 		if topics.IncludesService(service) {
