TestDrawnRPCMisbehaviour: the stand-in glues nothing to half an answer

Cause: the test's own backend. Its way "half of it, and the end" wrote without the connection's lock and left the close to its caller, so an answer that was due later (AfterFunc) could be written behind the half. "call-11" and the first three bytes of the next answer, 94 01 ce, make up the ten bytes of the text that the half had announced: a valid answer with the right id, which no proxy can tell from a good one. The program is not at fault.

Change: the half is written and the connection closed under the lock, as in one write of a backend that dies; later writes fail. What callers' answers are checked for is unchanged, and so are the draws.

--- a/internal/proxy/rpcmisbehaviour_test.go
+++ b/internal/proxy/rpcmisbehaviour_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -29,6 +31,19 @@
 	return b.rng.IntN(n)
 }
 
+// The strange ways of an answer.
+const (
+	strangeTwice = iota
+	strangeNobodys
+	strangePieces
+	strangeHalf
+	strangeNoise
+	strangeReset
+	strangeShort
+	strangeFailure
+	strangeWays // how many there are
+)
+
 // rpcConn is a connection on which answers are written whole, one after the other.
 type rpcConn struct {
 	net.Conn
@@ -43,6 +58,14 @@
 	_, _ = c.Write(text[cut:])
 }
 
+// writeLast writes the last bytes of the connection: answers that are due later are not written behind them.
+func (c *rpcConn) writeLast(text []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.Write(text) // as in write
+	c.Close()
+}
+
 func rpcMessage(parts ...any) []byte {
 	text, err := msgpack.Marshal(parts)
 	if err != nil {
@@ -64,31 +87,60 @@
 			continue
 		}
 		b.strange.Add(1)
-		switch b.draw(8) {
-		case 0: // twice
-			c.write(append(good, good...), len(good))
-			time.AfterFunc(time.Duration(b.draw(5000))*time.Microsecond, func() { c.write(good, 0) })
-		case 1: // to a call that nobody made
-			c.write(append(rpcMessage(1, q.id+100_000, nil, "nobody's"), good...), 0)
-		case 2: // in pieces
-			c.write(good, 1+b.draw(len(good)-1))
-		case 3: // half of it, and the end
-			_, _ = c.Write(good[:1+b.draw(len(good)-1)])
-			return
-		case 4: // another kind of message, and noise behind it
-			c.write(append(rpcMessage(2, "notice", []any{1}), 0xc1), 0)
-			return
-		case 5:
-			reset(conn)
+		if !b.answerStrangely(c, q, good, b.draw(strangeWays)) {
 			return
-		case 6: // an answer of too few parts
-			c.write(rpcMessage(1, q.id, nil), 0)
-		case 7: // a failure
-			c.write(rpcMessage(1, q.id, map[string]any{"$failed": true, "message": "error"}, nil), 0)
 		}
 	}
 }
 
+// answerStrangely answers a call in a strange way, and returns false if the connection ends with that.
+func (b *misbehavingRPCBackend) answerStrangely(c *rpcConn, q scripted, good []byte, way int) bool {
+	switch way {
+	case strangeTwice:
+		c.write(append(good, good...), len(good))
+		time.AfterFunc(time.Duration(b.draw(5000))*time.Microsecond, func() { c.write(good, 0) })
+	case strangeNobodys: // to a call that nobody made
+		c.write(append(rpcMessage(1, q.id+100_000, nil, "nobody's"), good...), 0)
+	case strangePieces:
+		c.write(good, 1+b.draw(len(good)-1))
+	case strangeHalf: // half of it, and the end
+		c.writeLast(good[:1+b.draw(len(good)-1)])
+		return false
+	case strangeNoise: // another kind of message, and noise behind it
+		c.write(append(rpcMessage(2, "notice", []any{1}), 0xc1), 0)
+		return false
+	case strangeReset:
+		reset(c.Conn)
+		return false
+	case strangeShort: // an answer of too few parts
+		c.write(rpcMessage(1, q.id, nil), 0)
+	case strangeFailure:
+		c.write(rpcMessage(1, q.id, map[string]any{"$failed": true, "message": "error"}, nil), 0)
+	}
+	return true
+}
+
+// Guards against a stand-in that glues the answer to another call to half an answer: a proxy can't tell these from one answer.
+func TestStandInWritesNothingBehindHalfAnAnswer(t *testing.T) {
+	t.Parallel()
+	near, far := net.Pipe()
+	read := make(chan []byte, 1)
+	go func() {
+		text, _ := io.ReadAll(far) // what has come by the connection's end
+		read <- text
+	}()
+	b := &misbehavingRPCBackend{rng: rand.New(rand.NewPCG(drawnSeed(t), 0))}
+	c := &rpcConn{Conn: near}
+	good := rpcMessage(1, uint32(1), nil, []any{"call-1"})
+	goesOn := b.answerStrangely(c, scripted{id: 1}, good, strangeHalf)
+	c.write(rpcMessage(1, uint32(2), nil, []any{"call-2"}), 0) // due before serve's caller has closed the connection
+	near.Close()
+	text := receive(t, read, "the connection's end")
+	if goesOn || len(text) == 0 || len(text) >= len(good) || !bytes.HasPrefix(good, text) {
+		t.Errorf("%q came in place of the first part of %q", text, good)
+	}
+}
+
 // rpcCaller makes calls on connections of its own, some of them many at once, and checks each answer by its parameters.
 type rpcCaller struct {
 	t    *testing.T
