TestHistories: a killed proxy is away from the signal on, not from when its end is heard of

Cause: the harness counted a proxy as away from when cmd.Wait told of its end. Between the signal and that, the kernel still takes connections into the dying process's backlog and resets them; on a busy machine the wait is told more than Slack (50 ms) after the reset. Kill now notes the beginning before it sends the signal, as Stop does.

TestHistories itself was not played again.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -528,8 +528,12 @@
 	p.mu.Unlock()
 }
 
-// Kill ends its process at once.
+// Kill ends its process at once. The proxy is away from the signal on: a dying process still has connections in its
+// backlog, which the system resets, and its end is heard of later than that.
 func (p *Proxy) Kill() {
+	p.mu.Lock()
+	p.begin()
+	p.mu.Unlock()
 	p.Signal(syscall.SIGKILL)
 	<-p.ended
 }
