TestReadersOfAKilledProcessHoldItsLock: wait for the readers' end, not 5 s of a busy machine

Seen once at load 15 to 70, after 5.77 s: 'round 0: store ...: another process has it open: one at a time'.

Cause: the test's readers, eight calls that copy 2 GB each, held the dead process's lock for longer than Open's default of 5 s; how long they take depends on the machine. Forced by a bound of 400 ms: the same words, 3 of 3 times. The test now gives Open a minute and waits for the lock's end; TestDefaultLockTimeout holds the default of 5 s without a clock.

--- a/internal/experiment/lock_test.go
+++ b/internal/experiment/lock_test.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// Unless the configuration says otherwise, a killed process's lock is waited for as long as its readers usually take.
+func TestDefaultLockTimeout(t *testing.T) {
+	t.Parallel()
+	begin := time.Now()
+	if got := (OpenConfig{}).begin(begin).deadline.Sub(begin); got != 5*time.Second {
+		t.Errorf("it is %v", got)
+	}
+}
+
 // largeChildBytes is what a child called "large" has in its memory, so that one read of it takes long.
 const largeChildBytes = 32 << 20
 
@@ -122,7 +131,8 @@
 }
 
 // TestKilled was red now and then: a killed process's lock lasts as long as somebody reads its memory or its mappings
-// in /proc, since the lock goes with the last mapping of the file. A store is opened all the same.
+// in /proc, since the lock goes with the last mapping of the file. A store is opened all the same, as soon as the last
+// read is over: how long these readers take depends on the machine, and the lock's end is the event that is waited for.
 func TestReadersOfAKilledProcessHoldItsLock(t *testing.T) {
 	t.Parallel()
 	if runtime.GOOS != "linux" {
@@ -146,7 +156,7 @@
 		time.Sleep(50 * time.Millisecond) // the readers are within their calls
 		cmd.Process.Kill()
 		cmd.Wait()
-		store, err := Open(path, OpenConfig{OnLockWait: func(time.Duration) { held++ }})
+		store, err := Open(path, OpenConfig{LockTimeout: time.Minute, OnLockWait: func(time.Duration) { held++ }})
 		if err != nil {
 			t.Fatalf("round %d: %v", round, err)
 		}
