A storm ends in silence: the ratios of what decays alike never changed

What callers saw: after failures with no request behind them, the phase stayed 'rising' or 'storm' (until the sums underflow, by calculation some 12 minutes), so that jobs in the background, as writing what was learnt, did not start.

Cause: the model's ratios are quotients of sums that decay alike. Where next to nothing is left of both, the evidence now counts as none; the phase goes by recovering to calm.

--- a/internal/balancer/retrystorm/model.go
+++ b/internal/balancer/retrystorm/model.go
@@ -41,6 +41,7 @@
 	fallingThreshold   = 0.04            // below it for calmAfter: the storm is over
 	stormThreshold     = 0.10            // ratio of arrivals that are retries
 	calmAfter          = 2 * time.Second // how long it must be quiet
+	silenceThreshold   = 0.05            // arrivals, and ends, within it: none has come for seconds
 	minStateDuration   = 300 * time.Millisecond
 	scheduleSlot       = 50 * time.Millisecond // of the schedule of retries
 	scheduleSlots      = 128
@@ -208,12 +209,20 @@
 	return e
 }
 
+// isSilent says that requests have neither come nor ended for so long that their ratios are evidence of nothing.
+func (m *Model) isSilent(now time.Duration) bool {
+	return m.arrivals.Value(now, rateWindow) < silenceThreshold && m.ends.Value(now, rateWindow) < silenceThreshold
+}
+
 // Evaluate moves to another phase where the evidence says so, and gives a log line where it did.
 func (m *Model) Evaluate(now time.Duration) (line string, changed bool) {
 	if m.stateSince == 0 {
 		m.stateSince = now // the first evaluation: times count from whenever the clock began
 	}
 	e := m.Evidence(now)
+	if m.isSilent(now) {
+		e = Evidence{} // what decays alike keeps its ratio, however little is left
+	}
 	enough := m.ends.Value(now, rateWindow) >= minEnds
 	bad := enough && e.FailureRatio > risingThreshold
 	if enough && e.FailureRatio >= fallingThreshold {
--- a/internal/balancer/retrystorm/model_test.go
+++ b/internal/balancer/retrystorm/model_test.go
@@ -277,3 +277,44 @@
 func fadeOf(perSecond float64, now time.Duration) decay.Sum {
 	return decay.NewSum(perSecond*rateWindow.Seconds(), now)
 }
+
+// A proxy whose last requests failed stayed in the phase that they had brought for as long as no others came: ratios
+// of what decays alike do not change.
+func TestSilenceEndsAStorm(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		retried bool
+		state   State
+	}{
+		{"failed", false, Rising},
+		{"failed and retried", true, Storm},
+	} {
+		m, now := model(), time.Second
+		evaluate := func() {
+			now += 100 * time.Millisecond
+			m.Evaluate(now)
+		}
+		evaluate()
+		for range 10 {
+			for range 5 {
+				m.RecordArrival(now, 0, c.retried)
+				m.RecordEnd(now, 0, now, 0, false)
+			}
+			evaluate()
+		}
+		if m.State() != c.state {
+			t.Fatalf("%s: it is %v", c.name, m.State())
+		}
+		evaluate()
+		if m.State() != c.state {
+			t.Errorf("%s: it is %v as soon as nothing came for 100 ms", c.name, m.State())
+		}
+		for range 100 {
+			evaluate()
+		}
+		if m.State() != Calm {
+			t.Errorf("%s: after 10 s without a request it is %v", c.name, m.State())
+		}
+	}
+}
--- a/internal/proxy/keep_test.go
+++ b/internal/proxy/keep_test.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"log"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -126,6 +128,26 @@
 	})
 }
 
+// Where the last requests had failed and no others came, what was learnt was not written down any more.
+func TestMemoriesAreWrittenInTheSilenceAfterFailures(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	ends := rawBackend(t, func(c net.Conn, in *bufio.Reader) {
+		readRequest(in)
+		c.Close()
+	})
+	p := startWith(t, testConfig(t, closedAddr(t), ready("s-1", ends)), remembering(t, dir))
+	eventually(t, "many failures and retries", func() bool {
+		do(t, newRequest(t, p, "bid", "x"))
+		return strings.Contains(p.log.String(), "storm, after")
+	})
+	silentSince := time.Now()
+	eventually(t, "a memory that is written in the silence", func() bool {
+		r, err := statefile.Open(dir, "n0").Load()
+		return err == nil && r != nil && r.WrittenAt.Wall.After(silentSince.Add(time.Second))
+	})
+}
+
 // A disk that is slow holds up nobody, and is said once; one that works again, too. A stop does not wait for a
 // disk that hangs.
 func TestSlowDisks(t *testing.T) {
