Review, case 2: a stream without a length that stops inside an event looks complete

A server's stream may have no length and end with its connection. When it is closed in the middle of an event, the proxy ends the client's answer with a last chunk, so the lost events are not noticed.

No code changes outside review/.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -18,6 +18,8 @@
 	program = "target/marlreeld"
 	// hostName is the host of all routes.
 	hostName = "ficu95.example"
+	// modelName is the model of all model requests.
+	modelName = "daka510000"
 	// controlCount is the number of core machines of a small site.
 	controlCount = 3
 	// slackPorts is how many internal ports a machine has besides the first.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -65,6 +65,8 @@
 		switch name {
 		case "health":
 			result, err = healthCase(c, trouble)
+		case "unframed":
+			result, err = unframedCase(c, trouble)
 		default:
 			err = errors.New("no such case")
 		}
