--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,9 @@
 	os.Exit(int(play(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")))
 }
 
+// edgesOf is how many edge machines a case has.
+var edgesOf = map[string]int{"health": 1, "unframed": 1, "freeze": 4}
+
 // timeLimit is how long a case may take.
 const timeLimit = 112 * time.Second
 
@@ -55,7 +58,7 @@
 	}
 	defer rec.close()
 	rec.line("case %s, with its disruption: %t", name, trouble)
-	c, err := startCluster(rec, 1)
+	c, err := startCluster(rec, edgesOf[name])
 	if c != nil {
 		defer c.stop()
 		go c.stopEarly()
@@ -67,6 +70,8 @@
 			result, err = healthCase(c, trouble)
 		case "unframed":
 			result, err = unframedCase(c, trouble)
+		case "freeze":
+			result, err = freezeCase(c, trouble)
 		default:
 			err = errors.New("no such case")
 		}
