Add review case 4: an unsafe request with a long body runs twice after a crash

An independent review looks for faults in what the users' rules promise. The stand-ins (review/standin-2, built by review/build-2.sh) are a server of the protocol, clients and an operator; they play against the programs of the deploy file.

Case 4 kills a server that has begun work on an unsafe request whose long body isn't all written. The proxy sends the request to another server: TWICE.

--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,92 @@
+// Command standin-2 holds the stand-ins of the second review: a server of the users' protocol, clients and an operator,
+// and the cases that play them against the programs of the deploy file. review/build-2.sh builds it.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// The exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// caseTimeout ends a case that takes too long.
+const caseTimeout = 110 * time.Second
+
+// play runs one case. It reports whether the rule was broken.
+type play func(s *system, trouble bool) (broken bool, err error)
+
+var plays = map[string]play{
+	"upload": playUpload, "health": playHealth, "cut": playCut, "shed": playShed, "place": playPlace,
+	"freeze": playFreeze,
+}
+
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == "server" {
+		serveBackend(os.Args[2:])
+		return
+	}
+	if len(os.Args) > 1 && os.Args[1] == "neighbour" {
+		for number := uint64(1); number > 0; number += 2 {
+			_ = number // it never ends by itself
+		}
+	}
+	name := flag.String("case", "", "the case to play")
+	folder := flag.String("record", ".", "the folder of record.txt")
+	flag.Parse()
+	os.Exit(run(*name, *folder, os.Getenv("TROUBLE") != "0"))
+}
+
+// run plays a case and returns the exit code.
+func run(name, folder string, trouble bool) int {
+	file, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer file.Close()
+	r := newRecord(file)
+	r.add("case %s, trouble %v", name, trouble)
+	s, err := newSystem(r)
+	if err != nil {
+		r.add("can't run: %v", err)
+		return exitFailed
+	}
+	defer s.stop()
+	type outcome struct {
+		broken bool
+		err    error
+	}
+	outcomes := make(chan outcome, 1)
+	go func() {
+		broken, err := plays[name](s, trouble)
+		outcomes <- outcome{broken, err}
+	}()
+	select {
+	case o := <-outcomes:
+		return conclude(r, o.broken, o.err)
+	case <-time.After(caseTimeout):
+		return conclude(r, false, errTooLong)
+	}
+}
+
+// conclude records the result of a case and returns its exit code.
+func conclude(r *record, broken bool, err error) int {
+	switch {
+	case broken:
+		r.add("BROKEN: the rule was broken")
+		return exitBroken
+	case err != nil:
+		r.add("can't run: %v", err)
+		return exitFailed
+	}
+	r.add("HELD: the rule held")
+	return exitHeld
+}
