--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -59,7 +61,9 @@
 		r.add("can't run: %v", err)
 		return exitFailed
 	}
-	defer s.stop()
+	defer stopAll()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
 	type outcome struct {
 		broken bool
 		err    error
@@ -72,6 +76,8 @@
 	select {
 	case o := <-outcomes:
 		return conclude(r, o.broken, o.err)
+	case <-stopped:
+		return conclude(r, false, errStopped)
 	case <-time.After(caseTimeout):
 		return conclude(r, false, errTooLong)
 	}
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -9,7 +9,10 @@
 	"time"
 )
 
-var errTooLong = errors.New("the case takes too long")
+var (
+	errTooLong = errors.New("the case takes too long")
+	errStopped = errors.New("the case was stopped")
+)
 
 // record writes what is sent, answered and run, with the time since its start.
 type record struct {
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -39,6 +39,20 @@
 	http      *http.Client
 }
 
+// systems are all systems of this process, which stopAll ends.
+var (
+	systemsMu sync.Mutex
+	systems   []*system
+)
+
+func stopAll() {
+	systemsMu.Lock()
+	defer systemsMu.Unlock()
+	for _, s := range systems {
+		s.stop()
+	}
+}
+
 // newSystem starts the processes. The roles run with the commands of the deploy file.
 func newSystem(r *record) (*system, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
@@ -52,6 +66,9 @@
 	if err := s.chooseAddresses(); err != nil {
 		return nil, err
 	}
+	systemsMu.Lock()
+	systems = append(systems, s)
+	systemsMu.Unlock()
 	for i := 1; i <= controls; i++ {
 		if err := s.startRole(fmt.Sprintf("core-%d", i), "control", s.ip(i)); err != nil {
 			s.stop()
