--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -51,7 +51,10 @@
 		answers := make(chan answer, 1)
 		go func() { answers <- s.send(id, "/tally/declaration", nil, body, 10*time.Second) }()
 		server, begun := s.record.awaitRun(id, 5*time.Second)
-		if begun && trouble && number == 1 {
+		if !begun {
+			return broken, errors.New("no server has begun work on a request")
+		}
+		if trouble && number == 1 {
 			time.Sleep(100 * time.Millisecond)
 			s.kill(server)
 		}
--- a/review/standin-2/freeze.go
+++ b/review/standin-2/freeze.go
@@ -94,7 +94,9 @@
 	if !s.tallyRuns() {
 		return false, errors.New("the route isn't served")
 	}
-	s.crowd(trouble)
+	if complete := s.crowd(trouble); !trouble && complete < places/2 {
+		return false, errors.New("the streams aren't served")
+	}
 	time.Sleep(4 * time.Second) // the machine is in touch again after in_touch_ms
 	if status, err := s.configure(2, 1, document(2, chatRoute)); err != nil || status != http.StatusOK {
 		return false, fmt.Errorf("the second configuration: %d, %w", status, err)
@@ -117,9 +119,10 @@
 	return len(s.record.runsOf(id)) > 0
 }
 
-// crowd sends requests for streams that take all places, and returns when the clients have their streams or have left.
+// crowd sends requests for streams that take all places, and returns how many were complete when the clients have
+// their streams or have left.
 // One half comes before the freeze, the other half in its last second, when the first half's clients have left.
-func (s *system) crowd(trouble bool) {
+func (s *system) crowd(trouble bool) (served int64) {
 	var complete atomic.Int64
 	var clients sync.WaitGroup
 	come := func() {
@@ -144,6 +147,7 @@
 	}
 	clients.Wait()
 	s.record.add("of %d streams, %d were complete", places, complete.Load())
+	return complete.Load()
 }
 
 // allLate sends requests for streams, and reports whether eight or more of them, and over a quarter, have no answer
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -36,14 +35,14 @@
 		return
 	}
 	name := flag.String("case", "", "the case to play")
-	folder := flag.String("record", ".", "the folder of record.txt")
+	path := flag.String("record", "record.txt", "the file of the record")
 	flag.Parse()
-	os.Exit(run(*name, *folder, os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(*name, *path, os.Getenv("TROUBLE") != "0"))
 }
 
 // run plays a case and returns the exit code.
-func run(name, folder string, trouble bool) int {
-	file, err := os.Create(filepath.Join(folder, "record.txt"))
+func run(name, path string, trouble bool) int {
+	file, err := os.Create(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -35,6 +35,7 @@
 	net       string // the first three numbers of all its addresses
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
+	stopped   bool // no further process may be started
 	waiting   sync.WaitGroup
 	http      *http.Client
 }
@@ -43,11 +44,13 @@
 var (
 	systemsMu sync.Mutex
 	systems   []*system
+	ended     bool // stopAll was called
 )
 
 func stopAll() {
 	systemsMu.Lock()
 	defer systemsMu.Unlock()
+	ended = true
 	for _, s := range systems {
 		s.stop()
 	}
@@ -68,6 +71,7 @@
 	}
 	systemsMu.Lock()
 	systems = append(systems, s)
+	s.stopped = ended
 	systemsMu.Unlock()
 	for i := 1; i <= controls; i++ {
 		if err := s.startRole(fmt.Sprintf("core-%d", i), "control", s.ip(i)); err != nil {
@@ -184,11 +188,14 @@
 
 // start starts a process, which stop ends.
 func (s *system) start(name string, command *exec.Cmd) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return errStopped
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.processes[name] = command
 	s.record.add("started %s, process %d", name, command.Process.Pid)
 	return nil
@@ -207,6 +214,7 @@
 // stop ends all processes and removes the folder.
 func (s *system) stop() {
 	s.mu.Lock()
+	s.stopped = true
 	for _, command := range s.processes {
 		_ = command.Process.Kill()
 		_ = command.Wait()
