knownred: a build's output may be a long line

It decodes event by event now.

Measured: seen on this machine, where the compiler prints a line for each fused multiplication, with -check; TestParseListingWithLongBuildOutput failed before. -check passes.

--- a/internal/tools/knownred/knownred_test.go
+++ b/internal/tools/knownred/knownred_test.go
@@ -105,3 +105,16 @@
 	is.NoErr(err)
 	is.Equal(tests, suite{"m/a": {"TestOne"}, "m/b": nil})
 }
+
+// Guards against a build whose output is a long line: CI ended there, before any test.
+func TestParseListingWithLongBuildOutput(t *testing.T) {
+	is := is.New(t)
+	const length = 1 << 17
+	tests, err := parseListing([]byte(`{"ImportPath":"m/a","Action":"build-output","Output":"` + strings.Repeat("x", length) + `"}
+{"Action":"output","Package":"m/a","Output":"TestOne\n"}
+`))
+	is.NoErr(err)
+	is.Equal(tests, suite{"m/a": {"TestOne"}})
+	_, err = parseListing([]byte(`{"Action":`))
+	is.True(err != nil) // the output is incomplete
+}
--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"os/exec"
@@ -90,10 +90,14 @@
 // parseListing parses the output of go test -json -list.
 func parseListing(listed []byte) (suite, error) {
 	tests := make(suite)
-	lines := bufio.NewScanner(bytes.NewReader(listed))
-	for lines.Scan() {
+	events := json.NewDecoder(bytes.NewReader(listed))
+	for {
 		var event struct{ Package, Output string }
-		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+		err := events.Decode(&event)
+		if errors.Is(err, io.EOF) {
+			return tests, nil
+		}
+		if err != nil {
 			return nil, eris.Wrap(err, "parsing the output of go test -list")
 		}
 		if event.Package == "" {
@@ -105,7 +109,6 @@
 		}
 		tests[event.Package] = names
 	}
-	return tests, eris.Wrap(lines.Err(), "reading the output of go test -list")
 }
 
 func output(ctx context.Context, arguments ...string) ([]byte, error) {
