Streams whose lines end with CR or CR LF are forwarded event by event, and resumed

What callers saw: such a stream arrived all at once at its end, or in pieces of 1 MiB, and was cut in place of being resumed. An ID with a CR inside went into the header of the resumed request. After an event of over 1 MiB its ID was forgotten, so that the resumed stream brought it again.

Cause: the gateway looked for two LF in a row, and for IDs only in what was still in its buffer.

Change: it uses the scanner of internal/dataplane/eventstream, which keeps its place and the ID from part to part. What came before the end of a stream is forwarded before the end is looked at, and the end is kept. An ID with control characters can't be sent in a header: its stream isn't resumed. Large answers of other formats on routes without streams are no longer held back for an empty line.

--- a/internal/dataplane/gateway/request.go
+++ b/internal/dataplane/gateway/request.go
@@ -17,6 +17,8 @@
 const (
 	// maxPromptParts bounds the parts of a prompt that are parsed.
 	maxPromptParts = 64
+	// asciiDelete is the last of the control characters, and the only one above the space.
+	asciiDelete = 0x7f
 	// maxRequestTimeout bounds the timeout of a request.
 	maxRequestTimeout = 2 * time.Minute
 )
@@ -93,6 +95,12 @@
 	return &next
 }
 
+// isHeaderValue reports whether an event's ID is present and can be sent in a header.
+func isHeaderValue(id string) bool {
+	isControl := func(r rune) bool { return r < ' ' || r == asciiDelete }
+	return strings.TrimSpace(id) != "" && strings.IndexFunc(id, isControl) < 0
+}
+
 // parseNeeds returns the model, adapter and tokens that a request names, and its estimated work; nil if it names no
 // model. Malformed numbers count as 0, and the prompt ends before the first malformed part.
 func parseNeeds(header *fasthttp.RequestHeader) (*balancer.Needs, time.Duration) {
--- a/internal/dataplane/gateway/streaming.go
+++ b/internal/dataplane/gateway/streaming.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"sync"
@@ -10,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"marlreel/internal/dataplane/engine"
+	"marlreel/internal/dataplane/eventstream"
 	"marlreel/internal/dataplane/httpproxy"
 )
 
@@ -23,14 +23,9 @@
 // errStreamBroken says that a stream broke off and could not be resumed.
 var errStreamBroken = eris.New("event stream broke off and could not be resumed")
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// eventStream forwards a stream of server-sent events (WHATWG HTML, 9.2) event by event. An incomplete event is
-// buffered, so that a stream that breaks off can be resumed by another backend, after the last event that the client
-// has.
+// eventStream forwards an answer as it arrives; a stream of server-sent events (WHATWG HTML, 9.2) event by event. An
+// incomplete event is buffered, so that a stream that breaks off can be resumed by another backend, after the last event
+// that the client has.
 type eventStream struct {
 	request     *clientRequest
 	reply       *httpproxy.Reply // nil after a failed resumption
@@ -38,8 +33,9 @@
 	readBuffer  []byte
 	buffered    []byte // read and not yet forwarded
 	deliverable int    // bytes of buffered that may be forwarded
-	lastEventID string
-	ended       bool // the backend's answer is complete
+	scanner     eventstream.Scanner
+	broken      bool  // the backend's answer has broken off, and has not been resumed
+	end         error // what Read returns once all is forwarded: io.EOF, errStreamBroken, or nil if the stream goes on
 	closed      bool
 }
 
@@ -72,22 +68,14 @@
 // Read implements io.Reader: one or more complete events at a time.
 func (s *eventStream) Read(p []byte) (int, error) {
 	for s.deliverable == 0 {
-		if s.ended {
-			return 0, io.EOF
+		if s.end != nil {
+			return 0, s.end
 		}
-		n, err := s.reply.Read(s.readBuffer, s.request.deadline)
-		s.buffered = append(s.buffered, s.readBuffer[:n]...)
-		s.scanEvents()
-		switch {
-		case errors.Is(err, io.EOF):
-			s.ended, s.deliverable = true, len(s.buffered)
-		case err != nil:
-			if s.deliverable == 0 && !s.resume() {
-				return 0, errStreamBroken
-			}
-		case len(s.buffered) > maxBufferedEvent:
-			s.deliverable = len(s.buffered)
+		if s.broken && !s.resume() {
+			s.end = errStreamBroken
+			continue
 		}
+		s.receive()
 	}
 	n := copy(p, s.buffered[:s.deliverable])
 	s.buffered = append(s.buffered[:0], s.buffered[n:]...)
@@ -95,26 +83,41 @@
 	return n, nil
 }
 
-// scanEvents finds how much of the buffer are complete events, and the ID of the last one.
-func (s *eventStream) scanEvents() {
-	end := bytes.LastIndex(s.buffered, eventEnd)
-	if end < 0 {
+// receive reads the next part of the backend's answer. What came before its end is forwarded first.
+func (s *eventStream) receive() {
+	n, err := s.reply.Read(s.readBuffer, s.request.deadline)
+	s.buffer(s.readBuffer[:n])
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		s.end, s.deliverable = io.EOF, len(s.buffered)
+	default:
+		s.broken = true
+	}
+}
+
+// buffer buffers a part of the answer, and finds how much of the buffer may be forwarded: complete events only, unless an
+// event is too long to be buffered.
+func (s *eventStream) buffer(part []byte) {
+	buffered := len(s.buffered)
+	s.buffered = append(s.buffered, part...)
+	if !s.reply.HasEvents() {
+		s.deliverable = len(s.buffered)
 		return
 	}
-	complete := s.buffered[:end+len(eventEnd)]
-	for line := range bytes.SplitSeq(complete[s.deliverable:], []byte("\n")) {
-		if bytes.HasPrefix(line, idField) {
-			s.lastEventID = string(bytes.TrimSpace(line[len(idField):]))
-		}
+	if boundary := s.scanner.Scan(part); boundary >= 0 {
+		s.deliverable = buffered + boundary
+	}
+	if s.deliverable == 0 && len(s.buffered) > maxBufferedEvent {
+		s.deliverable = len(s.buffered)
 	}
-	s.deliverable = len(complete)
 }
 
 // mayResume reports whether a stream that broke off may be resumed, and takes a retry from the budget if so. runs is how
 // many backends may have run the request.
 func (s *eventStream) mayResume() (runs int, may bool) {
 	r := s.request
-	if !r.route.Resumable || s.lastEventID == "" {
+	if !r.route.Resumable || !isHeaderValue(s.scanner.LastID()) {
 		return 0, false
 	}
 	if r.disconnected() || time.Until(r.deadline) <= 0 {
@@ -135,7 +138,7 @@
 	s.stopWatch()
 	s.reply.Release(r.gateway.memory, false)
 	s.reply = nil
-	next := newCall(r.service, r.route, resumeMessage(r.message, s.lastEventID), r.needs, r.work)
+	next := newCall(r.service, r.route, resumeMessage(r.message, s.scanner.LastID()), r.needs, r.work)
 	if next == nil {
 		return false
 	}
@@ -149,7 +152,8 @@
 		reply.Release(r.gateway.memory, true)
 		return false
 	}
-	s.reply, s.buffered, s.deliverable = reply, s.buffered[:0], 0
+	s.reply, s.broken = reply, false
+	s.buffered, s.scanner = s.buffered[:0], eventstream.ResumeAfter(s.scanner.LastID())
 	s.stopWatch = r.breakOnDisconnect(reply)
 	return true
 }
@@ -163,8 +167,9 @@
 	s.stopWatch()
 	s.request.disconnect.stop()
 	if s.reply != nil {
-		s.request.reportStreamEnd(s.ended && s.deliverable == 0)
-		s.reply.Release(s.request.gateway.memory, s.ended)
+		complete := errors.Is(s.end, io.EOF)
+		s.request.reportStreamEnd(complete && s.deliverable == 0)
+		s.reply.Release(s.request.gateway.memory, complete)
 	}
 	return nil
 }
--- a/internal/dataplane/gateway/streaming_test.go
+++ b/internal/dataplane/gateway/streaming_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,61 @@
 	"marlreel/internal/testutil"
 )
 
+// lineEnds are the ends of a line that the event format allows.
+var lineEnds = map[string]string{"LF": "\n", "CR": "\r", "CR LF": "\r\n"}
+
+// Guards against streams that are held back, cut or resumed in the wrong place because their lines don't end with LF: each
+// event arrives while the backend waits to send the next one, a half event is dropped, and the stream is resumed.
+func TestStreamsWithEachLineEnd(t *testing.T) {
+	t.Parallel()
+	for name, lineEnd := range lineEnds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			withEnds := func(parts []string) []string {
+				for i := range parts {
+					parts[i] = strings.ReplaceAll(parts[i], "\n", lineEnd)
+				}
+				return parts
+			}
+			seen := make(chan struct{}) // the client has the first event
+			answer := func(c net.Conn, r *http.Request) {
+				head := headOf(r, "text/event-stream") + "Connection: close\r\n\r\n"
+				if last := r.Header.Get(headerLastEvent); last != "" {
+					is.Equal(last, "2")
+					_, err := io.WriteString(c, head+strings.Join(withEnds(eventParts(3, lastEvent)), ""))
+					is.NoErr(err)
+					is.NoErr(c.Close())
+					return
+				}
+				parts := withEnds(eventParts(1, 3))
+				_, err := io.WriteString(c, head+parts[0])
+				is.NoErr(err)
+				testutil.Receive(t, seen, "the first event at the client")
+				_, err = io.WriteString(c, parts[1]+parts[2][:len(parts[2])/2])
+				is.NoErr(err)
+				is.NoErr(c.Close())
+			}
+			front := serveBackends(t, answeringBackend(t, answer), answeringBackend(t, answer))
+			conn := testutil.Dial(t, front)
+			defer conn.Close()
+			_, err := io.WriteString(conn, "POST /resumed/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 9c41\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer response.Body.Close()
+			want := strings.Join(withEnds(eventParts(1, lastEvent)), "")
+			first := make([]byte, len(withEnds(eventParts(1, 1))[0]))
+			_, err = io.ReadFull(response.Body, first)
+			is.NoErr(err)
+			close(seen)
+			rest, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(string(first)+string(rest), want)
+		})
+	}
+}
+
 // Guards against a stream of whole events that counts as cut because of its line ends or of what stands between events.
 func TestWholeStreamsEndComplete(t *testing.T) {
 	t.Parallel()
@@ -59,6 +115,30 @@
 	}
 }
 
+// Guards against a stale ID after an event that was forwarded in parts: its ID is known though its beginning has left the
+// buffer, so that it doesn't arrive a second time.
+func TestResumedAfterALongEvent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	long := "id: 2\ndata: " + strings.Repeat("x", 2*maxBufferedEvent) + "\n\n"
+	answer := func(c net.Conn, r *http.Request) {
+		body := eventParts(1, 1)[0] + long
+		if last := r.Header.Get(headerLastEvent); last != "" {
+			is.Equal(last, "2")
+			_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", headOf(r, "text/event-stream"), len(eventParts(3, 3)[0]), eventParts(3, 3)[0])
+			is.NoErr(err)
+			return
+		}
+		_, err := io.WriteString(c, headOf(r, "text/event-stream")+"Connection: close\r\n\r\n"+body+"id: 3")
+		is.NoErr(err)
+		is.NoErr(c.Close())
+	}
+	front := serveBackends(t, answeringBackend(t, answer), answeringBackend(t, answer))
+	got := request(t, front, "/resumed/1", testutil.Patience)
+	is.True(got.complete)
+	is.Equal(got.body, eventParts(1, 1)[0]+long+eventParts(3, 3)[0])
+}
+
 const (
 	// slowReadPause is how long a slow client pauses, and readsBetweenPauses how often it reads before the next pause.
 	slowReadPause      = 5 * time.Millisecond
--- a/internal/dataplane/httpproxy/backendconn.go
+++ b/internal/dataplane/httpproxy/backendconn.go
@@ -133,6 +133,7 @@
 		return failedAfterWrite(err)
 	}
 	r.status, r.header, r.load = resp.StatusCode, resp.Header, parseLoadReport(resp.Header, report)
+	r.events = x.message.Streaming || isEventStream(x.message, resp)
 	r.result = x.dialect.Judge(x.backend, x.message, resp)
 	if r.stream != nil {
 		if r.result == balancer.OK {
--- a/internal/dataplane/httpproxy/exchange.go
+++ b/internal/dataplane/httpproxy/exchange.go
@@ -46,6 +46,7 @@
 	header      http.Header
 	body        []byte
 	stream      *answerStream // the body if it is streamed; body is empty then
+	events      bool          // the body is forwarded event by event
 	reserved    int           // bytes acquired from the budget
 	claimed     bool          // a front has taken it over and releases it
 	load        []float32
--- a/internal/dataplane/httpproxy/reply.go
+++ b/internal/dataplane/httpproxy/reply.go
@@ -27,6 +27,9 @@
 // Streaming reports whether the body has to be read piece by piece with Read.
 func (r *Reply) Streaming() bool { return r.stream != nil }
 
+// HasEvents reports whether the body is, or by its request should be, a stream of server-sent events.
+func (r *Reply) HasEvents() bool { return r.events }
+
 // Read reads the next part of a streamed body as it arrives. It returns io.EOF only at the end of
 // a complete body. until is the deadline of the read.
 func (r *Reply) Read(p []byte, until time.Time) (int, error) {
