A stream isn't resumed after a part of an event was forwarded

What callers saw: an event of over 1 MiB is forwarded before it is complete. If its stream broke off then, the resumed stream began inside that event, so that pieces of two runs were joined (ORDER).

Cause: the gateway didn't keep that the client had a part of an event. Change: it does, until the event is complete, and cuts such a stream.

Measured: TestPartlyForwardedEventIsNotResumed failed before.

--- a/internal/dataplane/gateway/streaming.go
+++ b/internal/dataplane/gateway/streaming.go
@@ -34,6 +34,7 @@
 	buffered    []byte // read and not yet forwarded
 	deliverable int    // bytes of buffered that may be forwarded
 	scanner     eventstream.Scanner
+	partlySent  bool  // the client has a part of an incomplete event
 	broken      bool  // the backend's answer has broken off, and has not been resumed
 	end         error // what Read returns once all is forwarded: io.EOF, errStreamBroken, or nil if the stream goes on
 	closed      bool
@@ -106,10 +107,10 @@
 		return
 	}
 	if boundary := s.scanner.Scan(part); boundary >= 0 {
-		s.deliverable = buffered + boundary
+		s.deliverable, s.partlySent = buffered+boundary, false
 	}
 	if s.deliverable == 0 && len(s.buffered) > maxBufferedEvent {
-		s.deliverable = len(s.buffered)
+		s.deliverable, s.partlySent = len(s.buffered), true
 	}
 }
 
@@ -117,7 +118,7 @@
 // many backends may have run the request.
 func (s *eventStream) mayResume() (runs int, may bool) {
 	r := s.request
-	if !r.route.Resumable || !isHeaderValue(s.scanner.LastID()) {
+	if !r.route.Resumable || s.partlySent || !isHeaderValue(s.scanner.LastID()) {
 		return 0, false
 	}
 	if r.disconnected() || time.Until(r.deadline) <= 0 {
--- a/internal/dataplane/gateway/streaming_test.go
+++ b/internal/dataplane/gateway/streaming_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,6 +116,26 @@
 	}
 }
 
+// Guards against two runs joined in one event: a stream that breaks off after a part of an event has been forwarded, as the
+// event is too long to be buffered, is not resumed.
+func TestPartlyForwardedEventIsNotResumed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var resumed atomic.Bool
+	answer := func(c net.Conn, r *http.Request) {
+		resumed.Store(resumed.Load() || r.Header.Get(headerLastEvent) != "")
+		long := "id: 2\ndata: " + strings.Repeat("x", 2*maxBufferedEvent)
+		_, err := io.WriteString(c, headOf(r, "text/event-stream")+"Connection: close\r\n\r\n"+eventParts(1, 1)[0]+long)
+		is.NoErr(err)
+		is.NoErr(c.Close())
+	}
+	front := serveBackends(t, answeringBackend(t, answer), answeringBackend(t, answer))
+	got := request(t, front, "/resumed/1", testutil.Patience)
+	is.True(!got.complete)
+	is.True(strings.HasPrefix(got.body, eventParts(1, 1)[0]+"id: 2\ndata: xxx"))
+	is.True(!resumed.Load())
+}
+
 // Guards against a stale ID after an event that was forwarded in parts: its ID is known though its beginning has left the
 // buffer, so that it doesn't arrive a second time.
 func TestResumedAfterALongEvent(t *testing.T) {
