MessagePack-RPC: a message that comes together with the end of its connection counts

A read may bring bytes and the end at once. The messages among those bytes were dropped and their calls answered as failed. Kernel sockets give the end in a read of its own, so that no caller is known to have seen this. The reader now handles the bytes first, and the next read returns the end.

Measured: TestReplyInTheReadOfTheEnd failed before. TestEndOfAReply is the column of replies in the table of ends (length, close, reset, silence); it passed before too.

--- a/internal/dataplane/msgpackrpc/message_reader.go
+++ b/internal/dataplane/msgpackrpc/message_reader.go
@@ -33,7 +33,7 @@
 func (r *messageReader) isEmpty() bool { return len(r.buffer) == 0 }
 
 // fill waits for bytes and reads them into the buffer. The buffer grows only when it is full, up to readBufferBytes more
-// than the longest message.
+// than the longest message. If the end of the connection comes together with bytes, the next call returns it.
 func (r *messageReader) fill() error {
 	if len(r.buffer) == cap(r.buffer) {
 		capacity := min(2*cap(r.buffer), r.scanner.limits.MaxMessageBytes+readBufferBytes)
@@ -43,5 +43,8 @@
 	}
 	n, err := r.conn.Read(r.buffer[len(r.buffer):cap(r.buffer)])
 	r.buffer = r.buffer[:len(r.buffer)+n]
+	if n > 0 {
+		return nil
+	}
 	return err
 }
