A client that reads nothing of its answer is given up

What was seen: a client that asks for a stream and reads nothing held its backend, the connection to it and a goroutine without a bound; the deadline of the request ends reads alone.

Change: writes of a stream end 10 s after the request's deadline, those of other answers 10 s after they began (fasthttp's WriteTimeout). A client that is slow but done by then gets all of its answer.

--- a/internal/dataplane/gateway/server.go
+++ b/internal/dataplane/gateway/server.go
@@ -27,7 +27,7 @@
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{}, HeaderReceived: g.requestConfig,
-		IdleTimeout: defaultIdleTimeout, ReadTimeout: defaultReadTimeout,
+		IdleTimeout: defaultIdleTimeout, ReadTimeout: defaultReadTimeout, WriteTimeout: clientStallTimeout,
 	}
 }
 
--- a/internal/dataplane/gateway/streaming.go
+++ b/internal/dataplane/gateway/streaming.go
@@ -16,6 +16,8 @@
 const (
 	// streamBuffer is how much of a stream is read at a time, in bytes.
 	streamBuffer = 4 << 10
+	// clientStallTimeout is how long a client may take nothing of its answer; of a stream, from its request's deadline on.
+	clientStallTimeout = 10 * time.Second
 	// maxBufferedEvent bounds the part of an incomplete event that is buffered, in bytes.
 	maxBufferedEvent = 1 << 20
 )
@@ -68,6 +70,7 @@
 
 // Read implements io.Reader: one or more complete events at a time.
 func (s *eventStream) Read(p []byte) (int, error) {
+	s.setWriteDeadline()
 	for s.deliverable == 0 {
 		if s.end != nil {
 			return 0, s.end
@@ -84,6 +87,12 @@
 	return n, nil
 }
 
+// setWriteDeadline bounds the next write. Without a deadline, a client that reads nothing would hold its backend for as long
+// as it likes. It fails only on a closed connection, as does the write.
+func (s *eventStream) setWriteDeadline() {
+	_ = s.request.client.SetWriteDeadline(s.request.deadline.Add(clientStallTimeout))
+}
+
 // receive reads the next part of the backend's answer. What came before its end is forwarded first.
 func (s *eventStream) receive() {
 	n, err := s.reply.Read(s.readBuffer, s.request.deadline)
--- a/internal/dataplane/gateway/streaming_test.go
+++ b/internal/dataplane/gateway/streaming_test.go
@@ -214,3 +214,24 @@
 	}
 	return p.in.Read(b)
 }
+
+// Guards against a backend and a connection that are held for as long as a client reads nothing.
+func TestStreamOfAClientThatReadsNothingEnds(t *testing.T) {
+	t.Parallel()
+	released := make(chan struct{})
+	front := serveBackends(t, answeringBackend(t, func(c net.Conn, r *http.Request) {
+		defer close(released)
+		_, err := io.WriteString(c, headOf(r, "text/event-stream")+"Connection: close\r\n\r\n")
+		event := "data: " + strings.Repeat("z", 1<<16) + "\n\n"
+		for err == nil {
+			_, err = io.WriteString(c, event)
+		}
+	}))
+	conn := testutil.Dial(t, front)
+	defer conn.Close()
+	_, err := fmt.Fprintf(conn, "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 9c41\r\nTime-Remaining: %d\r\nContent-Length: 0\r\n\r\n", deadlineWait.Milliseconds())
+	if err != nil {
+		t.Fatal(err)
+	}
+	testutil.Receive(t, released, "the backend's connection to end")
+}
