--- a/internal/testing/fakesystem/backend.go
+++ b/internal/testing/fakesystem/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -78,6 +79,9 @@
 	receivedOrders    []ReceivedOrder
 	violations        []string
 	cachedPrefixes    map[string]bool // cached prompt parts, as "MODEL PART"
+	streamFault       StreamFault
+	streamRandom      *rand.Rand      // nil before the first StreamFault
+	cutStreams        map[string]bool // the IDs of requests whose streams were cut
 }
 
 // NewBackend creates a backend on a network. Serve starts it.
@@ -85,6 +89,7 @@
 	b := &Backend{
 		cfg: cfg, network: network, client: transport.NewHTTPClient(network.Dial),
 		adapters: map[string]map[string]bool{}, everLoaded: map[string]bool{}, cachedPrefixes: map[string]bool{},
+		cutStreams: map[string]bool{},
 	}
 	for _, model := range cfg.Models {
 		b.adapters[model] = map[string]bool{}
--- a/internal/testing/fakesystem/request.go
+++ b/internal/testing/fakesystem/request.go
@@ -88,7 +88,7 @@
 		rejectUnexecuted(ctx, status)
 		return
 	}
-	ctx.Response.Header.Set("Server-Seal", "seal."+b.cfg.ID+"."+r.id)
+	ctx.Response.Header.Set("Server-Seal", b.sealOf(r.id))
 	if r.model == "" {
 		defer b.release()
 		time.Sleep(b.cfg.RequestTime)
@@ -96,11 +96,19 @@
 		return
 	}
 	time.Sleep(prefill)
-	ctx.SetContentType("text/event-stream")
+	stream := b.newEventStream(r)
+	if unframed, cut := b.drawStreamEnd(stream); unframed {
+		b.sendUnframed(ctx, stream, cut)
+		return
+	}
+	ctx.SetContentType(eventMediaType)
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStream(b.newEventStream(r), -1)
+	ctx.SetBodyStream(stream, -1)
 }
 
+// sealOf returns the seal of the answer to a request.
+func (b *Backend) sealOf(request string) string { return "seal." + b.cfg.ID + "." + request }
+
 // admit takes a slot for a request and returns the prefill time of its prompt and StatusOK, or the HTTP status of the
 // rejection.
 func (b *Backend) admit(r modelRequest) (time.Duration, int) {
--- a/internal/testing/fakesystem/stream.go
+++ b/internal/testing/fakesystem/stream.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// eventMediaType is the media type of streams.
+const eventMediaType = "text/event-stream"
+
+// eventOf returns an event as it is sent.
+func eventOf(request string, id int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, EventText(request, id))
+}
+
 // EventText returns the data of an event. It does not depend on the backend.
 func EventText(request string, id int) string { return fmt.Sprintf("%s token %d", request, id) }
 
@@ -34,7 +42,7 @@
 		return 0, io.EOF
 	}
 	time.Sleep(s.eventTime)
-	n := copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", s.next, EventText(s.request, s.next)))
+	n := copy(p, eventOf(s.request, s.next))
 	s.next++
 	return n, nil
 }
--- a/internal/testing/simcluster/history_faults_test.go
+++ b/internal/testing/simcluster/history_faults_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"marlreel/internal/testing/fakesystem"
 )
 
 // clusterFault is a fault of a cluster. machine and other select the affected machines, modulo the number of candidates.
@@ -39,6 +41,23 @@
 	m.Start()
 }
 
+// usualStreamFault is how streams end in all histories: some have no length, and a few of these are cut.
+func usualStreamFault(seed int) fakesystem.StreamFault {
+	return fakesystem.StreamFault{Unframed: 0.5, Cut: 0.1, Seed: uint64(seed)}
+}
+
+// frequentStreamFault is how streams end during the fault cut-streams: most have no length, and most of these are cut.
+func frequentStreamFault(seed int) fakesystem.StreamFault {
+	return fakesystem.StreamFault{Unframed: 0.8, Cut: 0.6, Seed: uint64(seed)}
+}
+
+// setStreamFault changes how the streams of all backends end.
+func (c *Cluster) setStreamFault(fault fakesystem.StreamFault) {
+	for _, b := range c.Backends {
+		b.SetStreamFault(fault)
+	}
+}
+
 // clusterFaults maps each kind of fault to the function that injects it. The faults stay within fault_tolerance: one disk
 // is lost at a time, and its machine gets time to catch up.
 var clusterFaults = map[string]func(c *Cluster, f clusterFault){
@@ -103,6 +122,12 @@
 		c.Sleep(2 * f.lasts)
 		c.Net.Isolate(holder.IP, c.addresses(), false)
 	},
+	// Backends send streams without a length, and cut most of them.
+	"cut-streams": func(c *Cluster, f clusterFault) {
+		c.setStreamFault(frequentStreamFault(f.machine))
+		c.Sleep(f.lasts)
+		c.setStreamFault(usualStreamFault(f.other))
+	},
 	// A backend is killed without detaching, and a new one is added.
 	"kill-backend": func(c *Cluster, f clusterFault) {
 		number := f.machine % len(c.Backends)
@@ -111,7 +136,7 @@
 		c.Sleep(f.lasts)
 		id, zone := fmt.Sprintf("r-%d", len(c.Backends)), zones[f.other%len(zones)]
 		if old.Service() == "llm" {
-			c.AddBackend(busyModelBackend(id, zone, "m0"))
+			c.AddBackend(busyModelBackend(id, zone, "m0")).SetStreamFault(usualStreamFault(f.other))
 			return
 		}
 		c.AddBackend(busySlipBackend(id, zone))
--- a/internal/testing/simcluster/history_test.go
+++ b/internal/testing/simcluster/history_test.go
@@ -70,9 +70,10 @@
 }
 
 // runClusterHistory injects faults during traffic and configuration changes, and returns all violations.
-func runClusterHistory(t *testing.T, faults []clusterFault) []string {
+func runClusterHistory(t *testing.T, seed int, faults []clusterFault) []string {
 	t.Helper()
 	c := startHistoryCluster(t)
+	c.setStreamFault(usualStreamFault(seed))
 	r := &historyRun{cluster: c, over: make(chan struct{}), changesOver: make(chan struct{})}
 	r.register.begin(historyDocument("/mark/")(1))
 	r.start()
@@ -116,7 +117,7 @@
 			t.Parallel()
 			faults := drawClusterHistory(number)
 			synctest.Test(t, func(t *testing.T) {
-				violations := runClusterHistory(t, faults)
+				violations := runClusterHistory(t, number, faults)
 				if len(violations) == 0 {
 					return
 				}
--- a/internal/testing/simnet/conn.go
+++ b/internal/testing/simnet/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,6 +17,7 @@
 	read, write   *deadline
 	closed        chan struct{}
 	once          sync.Once
+	resetsOnClose atomic.Bool // set by SetLinger
 }
 
 var _ net.Conn = (*conn)(nil)
@@ -132,6 +134,9 @@
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		close(c.closed)
+		if c.resetsOnClose.Load() {
+			c.reset()
+		}
 		c.out.finish()
 		c.in.fail(net.ErrClosed)
 		c.machine.network.mu.Lock()
@@ -141,6 +146,12 @@
 	return nil
 }
 
+// SetLinger is as of net.TCPConn: after SetLinger(0), Close resets the connection. Other times are not simulated.
+func (c *conn) SetLinger(seconds int) error {
+	c.resetsOnClose.Store(seconds == 0)
+	return nil
+}
+
 // reset fails both directions immediately, without delivering bytes in flight.
 func (c *conn) reset() {
 	err := opError("read", "tcp", syscall.ECONNRESET)
--- a/internal/tools/mutants/main_test.go
+++ b/internal/tools/mutants/main_test.go
@@ -16,12 +16,13 @@
 func TestListedMutantsFitTheCode(t *testing.T) {
 	is := is.New(t)
 	t.Chdir("../../..")
-	files, err := filepath.Glob("internal/controlplane/testdata/mutants.toml")
-	is.NoErr(err)
-	below, err := filepath.Glob("internal/controlplane/*/testdata/mutants.toml")
-	is.NoErr(err)
-	files = append(files, below...)
-	is.Equal(len(files), 2) // those of the control plane and of its chain package
+	var files []string
+	for _, pattern := range []string{"internal/*/testdata/mutants.toml", "internal/*/*/testdata/mutants.toml"} {
+		found, err := filepath.Glob(pattern)
+		is.NoErr(err)
+		files = append(files, found...)
+	}
+	is.Equal(len(files), 5) // control plane, chain, gateway, httpproxy, quotaclient
 	for _, path := range files {
 		data, err := os.ReadFile(path)
 		is.NoErr(err)
