--- a/cmd/marlreeld/process_test.go
+++ b/cmd/marlreeld/process_test.go
@@ -101,23 +101,37 @@
 
 func (p *process) start() {
 	p.t.Helper()
-	path := p.writeSettings()
+	if err := p.startWith(p.writeSettings()); err != nil {
+		p.t.Fatal(err)
+	}
+	p.settings.FirstStart = false
+}
+
+// startWith starts the process with a settings file.
+func (p *process) startWith(path string) error {
 	p.command = exec.Command(p.program())
 	p.command.Env = append(os.Environ(), bootstrap.SettingsVariable+"="+path, roleVariable+"="+p.role, "GOMAXPROCS=2")
 	p.command.Stderr = p.output
 	in, err := p.command.StdinPipe()
 	if err != nil {
-		p.t.Fatal(err)
+		return err
 	}
 	out, err := p.command.StdoutPipe()
 	if err != nil {
-		p.t.Fatal(err)
+		return err
 	}
 	p.commands, p.answers = in, bufio.NewReader(out)
-	if err := p.command.Start(); err != nil {
-		p.t.Fatal(err)
+	return p.command.Start()
+}
+
+// awaitRunning waits until the process runs its role, and so handles signals.
+func (p *process) awaitRunning() error {
+	fmt.Fprintln(p.commands, "heal", p.settings.IP) // no partition is from a machine to itself
+	line, err := p.answers.ReadString('\n')
+	if err == nil && line != "done\n" {
+		err = fmt.Errorf("unexpected answer %q", line)
 	}
-	p.settings.FirstStart = false
+	return err
 }
 
 // signal sends the process a signal.
--- a/cmd/marlreeld/system_test.go
+++ b/cmd/marlreeld/system_test.go
@@ -88,6 +88,12 @@
 
 // startSystemFrom is startSystem with processes of the given versions.
 func startSystemFrom(t *testing.T, programs *versions) *testSystem {
+	t.Helper()
+	return startSystemOfSize(t, programs, edgeCount)
+}
+
+// startSystemOfSize is startSystemFrom with the given number of machines at the edge.
+func startSystemOfSize(t *testing.T, programs *versions, edges int) *testSystem {
 	t.Helper()
 	s := &testSystem{
 		t: t, folder: t.TempDir(), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}, statuses: map[string]int{},
@@ -101,7 +107,7 @@
 		}
 		s.controls = append(s.controls, s.startProcess("control", settings))
 	}
-	for i := range edgeCount {
+	for i := range edges {
 		name, ip := fmt.Sprintf("edge-%d", i), s.loopbackIP(2, i)
 		s.edges = append(s.edges, s.startProcess("agent", s.testSettings(name, ip, i)), s.startProcess("proxy", s.testSettings(name, ip, i)))
 	}
