msgpackrpc: tests start their backends with the shared stand-in

Three tests had each its own loop that accepts connections. They use testutil.RawBackend now. The package comment of httpproxy says what the close of a connection means for a body.

--- a/internal/dataplane/httpproxy/doc.go
+++ b/internal/dataplane/httpproxy/doc.go
@@ -18,6 +18,10 @@
 //	it breaks, or the answer is malformed, after that     Reset           no
 //	no answer until the deadline                          Timeout         no
 //
+// A body without a length ends with its connection. If it is a stream of events and stops inside one, it has broken off
+// (eventBodyReader); of any other body that is unknown, and the close is its end. docs/design/answer-ends.md lists what a
+// client sees of each end.
+//
 // A surplus answer is one that no request asked for, such as a second answer to an earlier request. The next request on
 // the connection must not receive it.
 //
--- a/internal/dataplane/msgpackrpc/backend_conn_test.go
+++ b/internal/dataplane/msgpackrpc/backend_conn_test.go
@@ -1,6 +1,7 @@
 package msgpackrpc
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -203,44 +204,13 @@
 // silentBackend starts a backend that accepts connections and never answers. It returns its address.
 func silentBackend(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-		}
-	}()
-	return ln.Addr().String()
+	return testutil.RawBackend(t, func(c net.Conn, _ *bufio.Reader) { _, _ = io.Copy(io.Discard, c) }) // until it is closed
 }
 
 // echoBackend starts a backend that answers every call with its parameters. It returns its address.
 func echoBackend(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				answerAll(c)
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	return testutil.RawBackend(t, func(c net.Conn, _ *bufio.Reader) { answerAll(c) })
 }
 
 // answerAll answers every call on a connection with its parameters, until the connection ends.
--- a/internal/dataplane/msgpackrpc/bodyend_test.go
+++ b/internal/dataplane/msgpackrpc/bodyend_test.go
@@ -1,6 +1,7 @@
 package msgpackrpc
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -32,26 +33,11 @@
 // endingBackend starts a backend that answers each call with a reply that lacks cut bytes, or all but one if cut is negative.
 func endingBackend(t *testing.T, cut int, end func(c *net.TCPConn)) (address string) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go answerAndEnd(c.(*net.TCPConn), cut, end)
-		}
-	}()
-	return ln.Addr().String()
+	return testutil.RawBackend(t, func(c net.Conn, _ *bufio.Reader) { answerAndEnd(c.(*net.TCPConn), cut, end) })
 }
 
 // answerAndEnd answers the first call on a connection, and ends the reply.
 func answerAndEnd(c *net.TCPConn, cut int, end func(c *net.TCPConn)) {
-	defer c.Close()
 	r := newMessageReader(c, wideLimits)
 	for {
 		m, complete, err := r.next()
