--- a/internal/proxy/misbehaviour_test.go
+++ b/internal/proxy/misbehaviour_test.go
@@ -94,6 +94,9 @@
 		whole := inChunks(append(drawnAnswer(id), "more"...))
 		return whole[:len(whole)-len("re\r\n0\r\n\r\n")]
 	})},
+	{"events that stop inside one", ends(func(id string) []byte {
+		return append(append([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: one\n\ndata: "), drawnAnswer(id)...), '\n')
+	})},
 	{"204 with a body behind it", keeps(func(id string) []byte {
 		return append([]byte("HTTP/1.1 204 No Content\r\n\r\n"), drawnAnswer(id)...)
 	})},
