--- a/internal/dataplane/httpproxy/bodyend_test.go
+++ b/internal/dataplane/httpproxy/bodyend_test.go
@@ -40,7 +40,7 @@
 	run()
 	conn := testutil.Dial(t, ln.Addr().String())
 	defer conn.Close()
-	send(t, conn, fmt.Sprintf("GET /lot-list/1 HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: %016x\r\nX-Account: obala\r\nX-Time-Left: 900m\r\n\r\n", lastName.Add(1)))
+	send(t, conn, fmt.Sprintf("GET /lot-list/1 HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: %016x\r\nX-Account: obala\r\nX-Time-Left: 900m\r\n\r\n", lastRequestID.Add(1)))
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/dataplane/httpproxy/carrier_test.go
+++ b/internal/dataplane/httpproxy/carrier_test.go
@@ -18,8 +18,8 @@
 func TestCancelClosesTheConnection(t *testing.T) {
 	t.Parallel()
 	addr, got := silent(t)
-	l := stillEngine(t, ready("s-1", addr))
-	r := l.ask(1, time.Minute)
+	l := newManualEngine(t, ready("s-1", addr))
+	r := l.startCall(1, time.Minute)
 	receive(t, got, "the attempt")
 	l.Dispatch(func() { l.HandleClientGone(&r.Call) })
 	if r.Attempts()[0].Ended() {
@@ -45,10 +45,10 @@
 			_, _ = io.WriteString(c, okAnswer)
 		}
 	})
-	l := stillEngine(t, ready("s-1", addr))
+	l := newManualEngine(t, ready("s-1", addr))
 	before := l.TimerCount()
 	for range 20 {
-		r := l.ask(1, maxSpan)
+		r := l.startCall(1, maxSpan)
 		for len(r.answers) == 0 {
 			l.Dispatch(receive(t, l.Events(), "the attempt's end"))
 		}
@@ -64,9 +64,9 @@
 func TestReplacedBackendsLeaveNothing(t *testing.T) {
 	t.Parallel()
 	addr, conns := testutil.Counting(t, "s")
-	l := stillEngine(t, ready("s-0", addr))
+	l := newManualEngine(t, ready("s-0", addr))
 	serve := func() {
-		r := l.ask(1, time.Minute)
+		r := l.startCall(1, time.Minute)
 		for len(r.answers) == 0 {
 			l.Dispatch(receive(t, l.Events(), "the attempt's end"))
 		}
@@ -111,8 +111,8 @@
 			close(closed)
 		}
 	})
-	l := stillEngine(t, ready("s-1", addr))
-	r := l.ask(1, time.Minute)
+	l := newManualEngine(t, ready("s-1", addr))
+	r := l.startCall(1, time.Minute)
 	receive(t, came, "the attempt")
 	l.Dispatch(func() {
 		l.ApplyMembership(engine.Membership{Kind: balancer.MembershipFull, Version: 2, Entries: []engine.Entry{ready("s-2", addr)}})
@@ -134,7 +134,7 @@
 // The names of load report values and the utility of a request must follow the current settings, not the initial ones.
 func TestCarrierReconfigure(t *testing.T) {
 	t.Parallel()
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	next := testutil.Module(t)
 	for i := range next.Classes {
 		next.Classes[i].Value *= 4
--- a/internal/dataplane/httpproxy/clientconns_test.go
+++ b/internal/dataplane/httpproxy/clientconns_test.go
@@ -172,7 +172,7 @@
 // A shutdown must end silent connections, and return at once and without an error.
 func TestShutdownEndsSilentConnections(t *testing.T) {
 	t.Parallel()
-	front := stillEngine(t).front
+	front := newManualEngine(t).front
 	front.SetMaxConnections(9)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -227,7 +227,7 @@
 // Both figures include the client's end, which is in this process too.
 func TestSilentConnectionsAreCheap(t *testing.T) {
 	const many = 300
-	front := stillEngine(t).front
+	front := newManualEngine(t).front
 	front.SetMaxConnections(2 * many)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/dataplane/httpproxy/compatibility_sent_test.go
+++ b/internal/dataplane/httpproxy/compatibility_sent_test.go
@@ -43,7 +43,7 @@
 
 // The bytes sent to backends: client requests with the forwarded headers, and a health check.
 func TestCompatibilityToBackends(t *testing.T) {
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	c, left, a := l.front.parse(goodRequest(), l.front.engine.SettingsSnapshot())
 	if a.status != 0 {
 		t.Fatalf("%d %s", a.status, a.body)
@@ -102,7 +102,7 @@
 
 // The answers to requests that are rejected by the proxy itself.
 func TestCompatibilityRefusedRequests(t *testing.T) {
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	get := func() *http.Request {
 		r := httptest.NewRequest(http.MethodGet, "/lot-list", nil)
 		r.Header.Set("X-Correlation-Id", "00000000000000ac")
@@ -146,7 +146,7 @@
 
 // The answers to clients for each verdict of the engine, and the headers of a backend's answer that are forwarded.
 func TestCompatibilityVerdicts(t *testing.T) {
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	var got strings.Builder
 	for _, v := range []struct {
 		name   string
@@ -241,7 +241,7 @@
 
 // The answers of /ready at the clients' address.
 func TestCompatibilityReady(t *testing.T) {
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	var got strings.Builder
 	for _, ready := range []bool{false, true} {
 		l.front.SetReady(ready)
--- a/internal/dataplane/httpproxy/crossing_test.go
+++ b/internal/dataplane/httpproxy/crossing_test.go
@@ -110,14 +110,14 @@
 
 // served is a serving front with a running engine.
 type served struct {
-	*still
+	*manualEngine
 	ln     *gates
 	closed chan struct{} // gets a value when a connection has been closed and its handler has returned
 }
 
 func serveFront(t *testing.T, read func(p []byte), entries ...engine.Entry) *served {
 	t.Helper()
-	l := &served{still: stillEngine(t), closed: make(chan struct{}, 8)}
+	l := &served{manualEngine: newManualEngine(t), closed: make(chan struct{}, 8)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -153,7 +153,7 @@
 // get returns a request for a listing.
 func get(about string) string {
 	return fmt.Sprintf("GET /lot-list/%s HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: %016x\r\nX-Account: obala\r\nX-Time-Left: 12000m\r\n\r\n",
-		about, lastName.Add(1))
+		about, lastRequestID.Add(1))
 }
 
 // answering starts a backend that sends the path of each request to the channel and answers with a body of n bytes.
@@ -464,14 +464,14 @@
 			}
 		})))
 	}
-	l := stillEngine(t, entries...)
+	l := newManualEngine(t, entries...)
 	cfg := testutil.Module(t)
 	const window = 150 * time.Millisecond
 	cfg.Classes[2].IdempotencyWindow = window
 	if err := l.Reconfigure(cfg); err != nil {
 		t.Fatal(err)
 	}
-	r := l.ask(2, time.Minute)
+	r := l.startCall(2, time.Minute)
 	first := l.Now()
 	r.ClientConnected = func() bool { // called after the dial and before the write
 		if len(r.Attempts()) > 1 {
--- a/internal/dataplane/httpproxy/front_test.go
+++ b/internal/dataplane/httpproxy/front_test.go
@@ -15,7 +15,7 @@
 // connections must stay open for at least 2 s.
 func TestServerTimeoutsMeetClientLimits(t *testing.T) {
 	t.Parallel()
-	h := stillEngine(t).front.server
+	h := newManualEngine(t).front.server
 	if h.ReadHeaderTimeout >= 3*time.Second || h.ReadTimeout >= 3*time.Second || h.IdleTimeout < 2*time.Second {
 		t.Errorf("head %v, request %v, idle %v", h.ReadHeaderTimeout, h.ReadTimeout, h.IdleTimeout)
 	}
@@ -24,7 +24,7 @@
 // The timeout that a client asks for is limited to that of its class.
 func TestClientTimeoutIsBoundedByTheClass(t *testing.T) {
 	t.Parallel()
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	r := httptest.NewRequest(http.MethodGet, "/lot-list", nil)
 	r.Header.Set(headerID, "00000000000000aa")
 	r.Header.Set(headerAccount, "obala")
@@ -39,7 +39,7 @@
 // provide one. Errors that a retry can't fix get none.
 func TestRetryAfterOfRejectedRequests(t *testing.T) {
 	t.Parallel()
-	l := stillEngine(t)
+	l := newManualEngine(t)
 	want := strconv.FormatFloat(l.RetryAfter().Seconds(), 'f', 3, 64)
 	if l.RetryAfter() == 0 {
 		t.Fatal("the settings provide no Retry-After")
@@ -69,18 +69,18 @@
 // Without a membership list the proxy can't serve, and /ready must say so.
 func TestNotReadyWithoutMembership(t *testing.T) {
 	t.Parallel()
-	l := stillEngine(t)
-	ask := func() int {
+	l := newManualEngine(t)
+	startCall := func() int {
 		w := httptest.NewRecorder()
 		l.front.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
 		return w.Code
 	}
 	l.Dispatch(func() { l.ApplyMembership(engine.Membership{Kind: balancer.MembershipCached}) })
-	if got := ask(); got != http.StatusServiceUnavailable {
+	if got := startCall(); got != http.StatusServiceUnavailable {
 		t.Errorf("/ready before any list: %d", got)
 	}
 	l.Dispatch(func() { l.ApplyMembership(engine.Membership{Kind: balancer.MembershipFull, Version: 1}) })
-	if got := ask(); got != http.StatusOK {
+	if got := startCall(); got != http.StatusOK {
 		t.Errorf("/ready with discovery's list: %d", got)
 	}
 }
--- a/internal/dataplane/httpproxy/handover_test.go
+++ b/internal/dataplane/httpproxy/handover_test.go
@@ -35,7 +35,7 @@
 // servingLater returns a front whose engine doesn't run before run is called.
 func servingLater(t *testing.T, entries ...engine.Entry) (front *Front, ln net.Listener, run func()) {
 	t.Helper()
-	front = stillEngine(t, entries...).front
+	front = newManualEngine(t, entries...).front
 	front.SetMaxConnections(64)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -305,7 +305,7 @@
 		next.server.Handler = http.HandlerFunc(echo)
 		client := testutil.Dial(t, ln.Addr().String())
 		in := bufio.NewReader(client)
-		ask := func() {
+		startCall := func() {
 			t.Helper()
 			send(t, client, "POST /bid/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
 			resp, err := http.ReadResponse(in, nil)
@@ -317,7 +317,7 @@
 				t.Errorf("%d %q", resp.StatusCode, body)
 			}
 		}
-		ask()
+		startCall()
 		var taken, offered atomic.Int64
 		transfer := transferTo(t, next, &taken)
 		old.HandOver(func(state []byte, c, b net.Conn) bool {
@@ -325,8 +325,8 @@
 			return takes && transfer(state, c, b)
 		})
 		eventually(t, "the connection to be offered", func() bool { return offered.Load() == 1 })
-		ask()
-		ask()
+		startCall()
+		startCall()
 		if got := taken.Load() == 1; got != takes {
 			t.Errorf("handed over: %v", got)
 		}
--- a/internal/dataplane/httpproxy/harness_test.go
+++ b/internal/dataplane/httpproxy/harness_test.go
@@ -49,16 +49,16 @@
 	return engine.Entry{Name: name, Addr: addr, State: balancer.Ready, Weight: 1}
 }
 
-// still is an engine whose events the test dispatches itself, with the front and the carrier of this package.
-type still struct {
+// manualEngine is an engine whose events the test dispatches itself, with the front and the carrier of this package.
+type manualEngine struct {
 	*engine.Engine
 	carrier *Carrier
 	front   *Front
 }
 
-func stillEngine(t *testing.T, entries ...engine.Entry) *still {
+func newManualEngine(t *testing.T, entries ...engine.Entry) *manualEngine {
 	t.Helper()
-	l := &still{}
+	l := &manualEngine{}
 	e, err := engine.New(engine.Config{Settings: testutil.Module(t), Seed: 1, Logf: t.Logf, OnFirstMembership: func() { l.front.SetReady(true) }})
 	if err != nil {
 		t.Fatal(err)
@@ -73,13 +73,13 @@
 	return l
 }
 
-var lastName atomic.Uint64
+var lastRequestID atomic.Uint64
 
-// ask starts a call of a class, with the given time to its deadline.
-func (l *still) ask(class int, left time.Duration) *call {
+// startCall starts a call of a class, with the given time to its deadline.
+func (l *manualEngine) startCall(class int, left time.Duration) *call {
 	now := l.Now()
 	r := &call{
-		Call:    engine.Call{ClientRequestID: fmt.Sprintf("%016x", lastName.Add(1)), Carrier: l.carrier, Payload: probeMessage("origin.svc")},
+		Call:    engine.Call{ClientRequestID: fmt.Sprintf("%016x", lastRequestID.Add(1)), Carrier: l.carrier, Payload: probeMessage("origin.svc")},
 		answers: make(chan answer, 1),
 	}
 	r.Front, r.Class, r.Deadline = r, class, now+left
