A request of the system may run once its head is written, not only once its body is

Cause: the HTTP carrier knew one rule, that of the proxy in service ("A backend begins a request when its last byte has come"), and served both protocols with it. The permit was claimed for the last byte of the body, and whatever ended the attempt before was NotSent: a break, silence, an answer to another request, the engine's withdrawal and its timeout.

Now the dialect names the moment (ExecutionStart): after the body for the platform, as before; after the head for the system. The byte that is held back while a connection's life is in doubt, and before which the permit is claimed, is the last of that part. The rest of a long request is written while its answer is awaited, so that an early answer is read at once, an answer to another request is skipped and the own one awaited, and a break after the head counts as a reset.

Why this works: the permit is what withdrawal, expiry, leased settings and "may have run" go by, so that all of them follow the moment at which it is claimed.

--- a/internal/balancer/connections/model.go
+++ b/internal/balancer/connections/model.go
@@ -143,7 +143,7 @@
 type Outcome struct {
 	Broken   bool          // it broke after the request's first bytes were written, and before an answer
 	After    time.Duration // if it broke: time since those bytes were written
-	Complete bool          // the last byte had been written, so the request may have run
+	Complete bool          // so much of the request had been written that it may have run
 }
 
 // RecordOutcome records how a use ended.
@@ -299,7 +299,7 @@
 	return m.hazards(now, backend, zone)[cell(u)]
 }
 
-// The holdback is how long the last byte of a request is held back after the others were written.
+// The holdback is how long the byte with which a backend may begin a request is held back after those before it were written.
 const (
 	initialHoldback   = 1 * time.Millisecond
 	minHoldback       = 300 * time.Microsecond
@@ -309,9 +309,9 @@
 	holdbackThreshold = 0.005
 )
 
-// Holdback returns how long the last byte of a request should be held back after the others were written. A backend
-// begins a request only when its last byte has arrived, so a connection that breaks before then proves that nothing
-// ran. Where hardly any connection breaks that early it is 0: one write and no wait.
+// Holdback returns how long the byte with which a backend may begin a request should be held back after those before it were
+// written: a connection that breaks before then proves that nothing ran. Where hardly any connection breaks that early it is
+// 0: one write and no wait.
 func (m *Model) Holdback(now time.Duration, backend uint32, zone int) time.Duration {
 	h, w := m.cfg.PriorReused, m.cfg.Weight
 	for _, l := range [3]*level{&m.all, m.zones[zone], m.backends[backend]} {
--- a/internal/dataplane/engine/attempt.go
+++ b/internal/dataplane/engine/attempt.go
@@ -12,7 +12,7 @@
 	Reply         any       // the answer for the front, if Result is OK or Declined
 	CompletesCall bool      // the call ends with this attempt and counts as served
 	Streaming     bool      // with OK: the reply is the beginning of a stream
-	ClientGone    bool      // with NotSent: the call's client was found to have disconnected
+	ClientGone    bool      // with NotSent or Cancelled: the call's client was found to have disconnected
 	Load          []float32 // a load report, in the order of the settings; nil if there is none
 }
 
@@ -39,7 +39,7 @@
 // StartedAt returns when the attempt began, on the engine's clock.
 func (a *Attempt) StartedAt() time.Duration { return a.startedAt }
 
-// MarkWritten records that the attempt's last byte has been written. Any goroutine may call it.
+// MarkWritten records that so much of the attempt has been written that it may run. Any goroutine may call it.
 func (a *Attempt) MarkWritten() {
 	if a.engine != nil { // nil in tests of carriers
 		a.engine.writtenAttempts.Add(1)
@@ -55,7 +55,7 @@
 	}
 }
 
-// withdraw ends an attempt that has not been written, or reports false if its permit can't be revoked.
+// withdraw ends an attempt that can't have run yet, or reports false if its permit can't be revoked.
 func (a *Attempt) withdraw() bool {
 	if !a.Permit.Revoke() {
 		return false
@@ -156,7 +156,7 @@
 	if a.ended {
 		return
 	}
-	if a.Permit.Revoke() { // not yet written: the carrier was still connecting
+	if a.Permit.Revoke() { // it can't have run: the carrier was still connecting, or writing the part before
 		a.stop()
 		a.End(AttemptEnd{Result: balancer.ConnectFailed})
 		return
--- a/internal/dataplane/engine/call.go
+++ b/internal/dataplane/engine/call.go
@@ -198,7 +198,7 @@
 	return true
 }
 
-// finish ends a call and withdraws its attempts that are not yet written.
+// finish ends a call and withdraws its attempts that can't have run yet.
 func (e *Engine) finish(c *Call) {
 	c.answered = true
 	e.StopTimer(c.deadlineTimer)
--- a/internal/dataplane/engine/engine.go
+++ b/internal/dataplane/engine/engine.go
@@ -85,7 +85,7 @@
 	recentIDs         *recentIDs // request IDs set by clients
 	lastID            balancer.RequestID
 	onFirstMembership func()
-	writtenAttempts   atomic.Uint64 // attempts written completely
+	writtenAttempts   atomic.Uint64 // attempts of which so much was written that they may run
 	lease             *Lease        // on the settings in force; nil if they never expire
 	leased            leasedSettings
 }
@@ -149,7 +149,7 @@
 // DeferredCount returns how many deferred events have not run yet.
 func (e *Engine) DeferredCount() int { return len(e.deferred) }
 
-// WrittenAttempts returns how many attempts have been written completely. Any goroutine may call it.
+// WrittenAttempts returns of how many attempts so much has been written that they may run. Any goroutine may call it.
 func (e *Engine) WrittenAttempts() uint64 { return e.writtenAttempts.Load() }
 
 // BackendCount returns how many backends the membership has. Only on the engine's goroutine.
--- a/internal/dataplane/engine/leasedsettings.go
+++ b/internal/dataplane/engine/leasedsettings.go
@@ -33,7 +33,7 @@
 func (e *Engine) SetLease(l *Lease) { e.lease = l }
 
 // ReconfigureLeased atomically replaces the settings for a valid lease and those for an expired one. If either is
-// invalid, it changes nothing and returns an error. Started attempts that are not yet written are withdrawn if the new
+// invalid, it changes nothing and returns an error. Started attempts that can't have run yet are withdrawn if the new
 // settings forbid them. Only on the engine's goroutine.
 func (e *Engine) ReconfigureLeased(whileValid, afterExpiry balancer.Config) error {
 	expired := e.lease.Expired()
@@ -59,7 +59,7 @@
 	return nil
 }
 
-// withdrawForbidden withdraws a call's attempts that are not yet written and that new settings forbid.
+// withdrawForbidden withdraws a call's attempts that can't have run yet and that new settings forbid.
 func (e *Engine) withdrawForbidden(c *Call) {
 	for _, a := range c.attempts {
 		if a.ended || !a.Permit.Available() {
--- a/internal/dataplane/engine/permit.go
+++ b/internal/dataplane/engine/permit.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// Permit is the right to write one attempt completely. The carrier claims it and the engine revokes it, concurrently;
-// the first of them decides whether the last byte is written, and so whether a backend can run the attempt.
+// Permit is the right to write the byte of an attempt with which a backend may begin to run it; which byte that is depends on
+// the protocol. The carrier claims it and the engine revokes it, concurrently; the first of them decides whether that byte is
+// written.
 type Permit struct {
 	state         atomic.Int32
 	lease         *Lease        // nil if there is none
 	needsLease    bool          // the permit may only be claimed while the lease is valid
 	expiresAt     time.Duration // on the lease's clock: when the attempt times out
-	writeDeadline time.Time     // the last byte must be written before; zero means no limit
+	writeDeadline time.Time     // that byte must be written before; zero means no limit
 }
 
 const (
@@ -22,8 +23,8 @@
 	permitExpired
 )
 
-// TryClaim claims the permit. The carrier calls it just before the last byte. If it returns false, that byte must not
-// be written, and if other bytes of the attempt have been written, their connection must be closed. Any goroutine may
+// TryClaim claims the permit. The carrier calls it just before that byte. If it returns false, the byte must not be
+// written, and if other bytes of the attempt have been written, their connection must be closed. Any goroutine may
 // call it.
 //
 // It checks the lease and the idempotency window, because the process may have been stopped since the engine started
@@ -54,5 +55,5 @@
 // Available reports whether the permit can still be claimed. Any goroutine may call it.
 func (p *Permit) Available() bool { return p.state.Load() == permitAvailable }
 
-// Claimed reports whether the attempt may have been written. Any goroutine may call it.
+// Claimed reports whether the attempt may have run. Any goroutine may call it.
 func (p *Permit) Claimed() bool { return p.state.Load() == permitClaimed }
--- a/internal/dataplane/gateway/bodyend_test.go
+++ b/internal/dataplane/gateway/bodyend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,12 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
-
-	"marlreel/internal/api"
-	"marlreel/internal/balancer/budgetshare"
-	"marlreel/internal/controlplane/configuration"
-	"marlreel/internal/distribution/watch"
 	"marlreel/internal/testutil"
 )
 
@@ -31,45 +24,7 @@
 // are real, as resets and closes are the kernel's.
 func serveBackends(t *testing.T, backends ...string) (front string) {
 	t.Helper()
-	document, decodeErr := configuration.Decode([]byte(streamingDocument))
-	if decodeErr != nil {
-		t.Fatal(decodeErr)
-	}
-	dialer := &net.Dialer{}
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
-	}
-	g := New(Config{
-		Dial: dial, Name: "edge-1", Zone: "z", Zones: []string{"z"}, BodyBytes: 8 << 20, MaxConnections: 64, Log: logr.Discard(),
-		Budgets: SharedBudgets{Retry: budgetshare.RetryConfig{Ratio: 10, Window: 10 * time.Second}},
-	}, watch.New("edge-1", time.Now))
-	s, startErr := g.newService(context.Background(), document.Service("s"), classesOf(document, "s"), 1)
-	if startErr != nil {
-		t.Fatal(startErr)
-	}
-	g.table.Store(&routingTable{document: document, services: map[string]*service{"s": s}})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := g.newFrontServer(64)
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(listener) }()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-ended
-		s.cancel()
-		<-s.engine.Done()
-	})
-	var list []*api.Backend
-	for i, address := range backends {
-		list = append(list, &api.Backend{Id: fmt.Sprintf("i-%d", i), Service: "s", Address: address, Zone: "z", Slots: 64})
-	}
-	s.setBackends(list, g.identity, nil)
-	known := make(chan struct{})
-	s.engine.Post(func() { close(known) })
-	testutil.Receive(t, known, "the backends to be known")
-	return listener.Addr().String()
+	return serveDocument(t, streamingDocument, backends...).front
 }
 
 // received is an answer as a client received it.
--- a/internal/dataplane/gateway/protocol.go
+++ b/internal/dataplane/gateway/protocol.go
@@ -33,6 +33,7 @@
 // returns the service's path for health checks.
 func newDialect(healthPath func() string) *httpproxy.Dialect {
 	return &httpproxy.Dialect{
+		ExecutionStart: httpproxy.StartsAfterHead,
 		AppendAttemptHeaders: func(head []byte, to *engine.Backend, wait time.Duration) []byte {
 			head = append(append(append(head, headerExpected+": "...), to.Name...), "\r\n"...)
 			head = append(head, headerRemaining+": "...)
--- a/internal/dataplane/httpproxy/answerstream.go
+++ b/internal/dataplane/httpproxy/answerstream.go
@@ -29,8 +29,9 @@
 	conn     *backendConn
 	first    []byte
 	body     io.Reader
-	length   int64 // of the whole body; -1: unknown
-	reusable bool  // the connection can be reused after the last byte
+	length   int64      // of the whole body; -1: unknown
+	reusable bool       // the connection can be reused after the last byte
+	request  *bodyWrite // of the request's body, if the answer began before its end; else nil
 
 	// returnConn returns the connection to the pool; nil means that it is closed. Any goroutine may call it.
 	returnConn func(*backendConn)
@@ -51,7 +52,8 @@
 // finish returns or closes the connection; complete says that the whole body has been read.
 func (d *answerStream) finish(complete bool) {
 	c := d.conn
-	if complete && d.reusable && c.reader.Buffered() == 0 {
+	written := d.request == nil || complete && d.request.stop()
+	if complete && written && d.reusable && c.reader.Buffered() == 0 {
 		_ = c.SetDeadline(time.Time{})
 	} else {
 		c.Close()
--- a/internal/dataplane/httpproxy/backendconn.go
+++ b/internal/dataplane/httpproxy/backendconn.go
@@ -23,7 +23,7 @@
 	lastRejected bool          // its last answer was a rejection
 	restUntil    time.Duration // on the engine's clock; before it, the connection is used only if there is no other
 
-	writtenAt  time.Time     // when the request's last byte was written
+	writtenAt  time.Time     // when so much of the request was written that it may run
 	answerTime time.Duration // from then until the answer's first byte; 0: there was none
 	used       bool          // it has carried a request before the current one
 	surplus    bool          // a surplus answer came: while it was idle, or in the place of another answer
@@ -70,46 +70,63 @@
 }
 
 // maxSingleWrite is the size in bytes up to which a request is written in a single write: it fits into any send buffer. The
-// write of a longer request may block, so its last byte is written separately, if the permit is still available by then.
+// write of a longer request may block, so the byte with which a backend may begin the request is written separately, if the
+// permit is still available by then.
 const maxSingleWrite = 4 << 10
 
-// roundTrip writes a request and reads its answer. If the last byte is held back for a moment and
-// the connection breaks in this time, the request can't have run: a backend starts a request
-// when it has received its last byte. The result is then NotSent, as the break says something about
-// the connection and not about the backend: a crashed backend refuses the next connection.
+// roundTrip writes a request and reads its answer.
 func (c *backendConn) roundTrip(x *exchange, data []byte, report []string) Reply {
-	until, hold := x.deadline, x.holdback
-	_ = c.SetDeadline(until)
-	begun := hold > 0 || len(data) > maxSingleWrite
+	_ = c.SetDeadline(x.deadline)
+	runnable := x.dialect.ExecutionStart.runnableLength(len(data), len(x.message.Body))
+	var rest []byte
+	if len(data) > maxSingleWrite {
+		data, rest = data[:runnable], data[runnable:]
+	}
+	if end, written := c.writeRunnable(x, data, runnable-1, report); !written {
+		return end
+	}
+	if len(rest) == 0 {
+		return c.readAnswer(x, report)
+	}
+	return c.readAnswerDuring(x, c.startBodyWrite(rest), report)
+}
+
+// writeRunnable writes the part of a request with which a backend may begin to run it. last is the index of the byte before
+// which the request can't have run: if the write may block, or is held back for a moment, the bytes before it are written
+// first, and the permit is claimed right before it. If the connection breaks before that byte is written, the result is
+// NotSent, as the break says something about the connection and not about the backend: a crashed backend refuses the next
+// connection. If written is false, the attempt has ended with the returned reply.
+func (c *backendConn) writeRunnable(x *exchange, data []byte, last int, report []string) (end Reply, written bool) {
+	begun := x.holdback > 0 || last >= maxSingleWrite
 	if begun {
-		err := c.writeAhead(data[:len(data)-1], until)
-		if err == nil && hold > 0 {
-			err = c.awaitEarlyAnswer(time.Now().Add(hold), until)
+		err := c.writeAhead(data[:last], x.deadline)
+		if err == nil && x.holdback > 0 {
+			err = c.awaitEarlyAnswer(time.Now().Add(x.holdback), x.deadline)
 		}
 		if err != nil {
-			return c.readUnsolicitedAnswer(x, report)
+			return c.readUnsolicitedAnswer(x, report), false
 		}
-		data = data[len(data)-1:]
+		data, last = data[last:], 0
 	}
 	if !x.permit.TryClaim() {
 		if begun { // the next request must not complete the part that has been written
-			return Reply{result: balancer.NotSent}
+			return Reply{result: balancer.NotSent}, false
 		}
 		_ = c.SetDeadline(time.Time{})
-		return Reply{result: balancer.NotSent, conn: c}
+		return Reply{result: balancer.NotSent, conn: c}, false
 	}
 	n, err := c.Write(data)
-	if n < len(data) {
-		return Reply{result: balancer.NotSent, brokeEarly: true}
+	if n <= last {
+		return Reply{result: balancer.NotSent, brokeEarly: true}, false
 	}
 	if err != nil {
-		return failedAfterWrite(err)
+		return failedAfterWrite(err), false
 	}
 	c.markWritten(x)
-	return c.readAnswer(x, report)
+	return Reply{}, true
 }
 
-// markWritten records that a request's last byte has been written.
+// markWritten records that so much of a request has been written that it may run.
 func (c *backendConn) markWritten(x *exchange) {
 	c.writtenAt, c.answerTime = time.Now(), 0
 	if x.attempt != nil {
@@ -117,7 +134,7 @@
 	}
 }
 
-// readAnswer reads the answer to the request that has been written.
+// readAnswer reads the answer to a request that may run.
 func (c *backendConn) readAnswer(x *exchange, report []string) Reply {
 	resp, err := c.readOwnHead(x) //nolint:bodyclose // readBody reads it from the connection
 	if err != nil {
@@ -219,7 +236,7 @@
 	return nil, errMalformedAnswer
 }
 
-// failedAfterWrite returns the outcome of an attempt that was written and not answered. The request may have run.
+// failedAfterWrite returns the outcome of an attempt that may have run and was not answered.
 func failedAfterWrite(err error) Reply {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
--- a/internal/dataplane/httpproxy/dialect.go
+++ b/internal/dataplane/httpproxy/dialect.go
@@ -11,6 +11,8 @@
 
 // Dialect is the part of the protocol between a proxy and its backends that differs from platform to platform.
 type Dialect struct {
+	// ExecutionStart is how much of a request a backend needs before it may begin to run it.
+	ExecutionStart ExecutionStart
 	// AppendAttemptHeaders appends the headers that an attempt adds to those of its request: the time that the
 	// backend has for it, and which backend it is addressed to.
 	AppendAttemptHeaders func(head []byte, to *engine.Backend, wait time.Duration) []byte
@@ -32,6 +34,7 @@
 // platformDialect is the dialect of the platform that pushes lists of backends.
 func platformDialect() *Dialect {
 	return &Dialect{
+		ExecutionStart: StartsAfterBody,
 		AppendAttemptHeaders: func(head []byte, _ *engine.Backend, wait time.Duration) []byte {
 			head = append(head, headerTimeout+": "...)
 			head = strconv.AppendInt(head, max(1, wait.Microseconds()), 10)
--- a/internal/dataplane/httpproxy/earlyanswer.go
+++ b/internal/dataplane/httpproxy/earlyanswer.go
@@ -19,7 +19,7 @@
 	earlyHeadTimeout = time.Second
 )
 
-// writeAhead writes the part of a request that may be sent before the permit is claimed. A backend that answers early may
+// writeAhead writes the part of a request with which it can't run yet, before the permit is claimed. A backend that answers early may
 // never read the rest: errEarlyAnswer means that bytes have arrived from it and that the write is incomplete.
 func (c *backendConn) writeAhead(data []byte, until time.Time) error {
 	defer func() { _ = c.SetWriteDeadline(until) }()
@@ -68,7 +68,7 @@
 }
 
 // earlyRejection reports whether a complete rejection is buffered. Whichever request it belongs to, the current one has
-// not run: its last byte has not been written.
+// not run: the byte with which a backend may begin it has not been written.
 func (c *backendConn) earlyRejection(x *exchange) bool {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	//nolint:bodyclose // its body is in memory
@@ -76,8 +76,8 @@
 	return err == nil && x.dialect.Judge(x.backend, x.message, resp) == balancer.Rejected
 }
 
-// readUnsolicitedAnswer reads an answer, if there is one, to a request whose last byte has not been written and never will
-// be, as the connection is closed. An answer that certainly belongs to the request shows that the backend has run it.
+// readUnsolicitedAnswer reads an answer, if there is one, to a request of which too little has been written for it to run, and
+// to which nothing is added, as the connection is closed. An answer that certainly belongs to the request shows that the backend has run it.
 func (c *backendConn) readUnsolicitedAnswer(x *exchange, report []string) Reply {
 	unsent := Reply{result: balancer.NotSent, brokeEarly: true}
 	c.readLimit.N = maxHead
--- a/internal/dataplane/httpproxy/exchange.go
+++ b/internal/dataplane/httpproxy/exchange.go
@@ -30,11 +30,11 @@
 	deadline time.Time
 	permit   *engine.Permit
 
-	attempt         *engine.Attempt // notified when the last byte is written; nil for a health check
+	attempt         *engine.Attempt // notified when the request may run; nil for a health check
 	clientConnected func() bool     // whether the client is still connected; nil: unknown
 	memory          *budget.Budget
 	receiving       bool          // the request is still being received, and its deadline is not known yet
-	holdback        time.Duration // how long the last byte is held back; 0: not at all
+	holdback        time.Duration // how long the byte with which the request may run is held back; 0: not at all
 	dialled         bool          // run opened a new connection
 }
 
@@ -50,14 +50,14 @@
 	reserved    int           // bytes acquired from the budget
 	claimed     bool          // a front has taken it over and releases it
 	load        []float32
-	brokeEarly  bool                // the connection broke before the request's last byte was written
-	clientGone  bool                // the request was not sent, since its client has disconnected
+	brokeEarly  bool                // the connection broke before the request could run
+	clientGone  bool                // the request was not sent completely, since its client has disconnected
 	surplus     bool                // an answer that no request asked for came on the connection
 	connOutcome connections.Outcome // for the connection model
 }
 
-// run carries out the exchange. The package comment lists the outcomes: until the last byte is written the request can't
-// have run; from then on it may have.
+// run carries out the exchange. The package comment lists the outcomes; the dialect's ExecutionStart says from which byte on
+// the request may have run.
 func (x *exchange) run(ctx context.Context, connectTimeout time.Duration, loadMetrics []string) (r Reply) {
 	c := x.conn
 	// A surplus answer, or the end of the connection, may have arrived since it was taken from the pool. The surplus answer
@@ -86,7 +86,6 @@
 	data := x.message.encode(x.dialect, x.backend, x.deadline.Sub(began)) // minus the time for dialing
 	if x.message.upload != nil {
 		r = c.sendUpload(ctx, x, data, loadMetrics)
-		x.message.upload.endRead()
 	} else {
 		r = c.roundTrip(x, data, loadMetrics)
 	}
--- a/internal/dataplane/httpproxy/frontanswer.go
+++ b/internal/dataplane/httpproxy/frontanswer.go
@@ -95,7 +95,7 @@
 // writeStream sends an answer whose body has not been received completely yet.
 func (s *Front) writeStream(w http.ResponseWriter, r *http.Request, req *call, a answer) {
 	d := a.reply.stream
-	if s.handsOver {
+	if s.handsOver && d.request == nil { // another process couldn't go on with the request's body
 		err := s.handStream(w, r, d, w.Header())
 		handedOver := errors.Is(err, errHandedOver)
 		d.reusable = d.reusable && !handedOver
--- a/internal/dataplane/httpproxy/message.go
+++ b/internal/dataplane/httpproxy/message.go
@@ -43,8 +43,8 @@
 	return &Message{Method: r.Method, Head: head, Body: body, upload: up}
 }
 
-// encode encodes the whole message, so that a single write sends it and the number of bytes
-// written tells whether the last byte was sent.
+// encode encodes the whole message, so that a single write sends it and the number of bytes written tells whether it may run.
+// The body comes last.
 func (m *Message) encode(dialect *Dialect, to *engine.Backend, timeout time.Duration) []byte {
 	const spare = 160
 	data := append(make([]byte, 0, len(m.Head)+spare+len(m.Body)), m.Head...)
--- a/internal/dataplane/httpproxy/sendupload.go
+++ b/internal/dataplane/httpproxy/sendupload.go
@@ -11,11 +11,18 @@
 	"marlreel/internal/balancer"
 )
 
-// sendUpload writes a request whose body arrives in pieces, each as it arrives, and reads its
-// answer. The backend starts the request only when it has received the last byte, so the permit
-// is claimed only for the last piece, and a failure before that counts as a request that was
-// never sent.
+// sendUpload writes a request whose body arrives in pieces, each as it arrives, and reads its answer.
 func (c *backendConn) sendUpload(ctx context.Context, x *exchange, head []byte, report []string) Reply {
+	if x.dialect.ExecutionStart == StartsAfterHead {
+		return c.sendUploadAfterHead(ctx, x, head, report)
+	}
+	defer x.message.upload.endRead()
+	return c.sendUploadWhole(ctx, x, head, report)
+}
+
+// sendUploadWhole is sendUpload where a backend starts a request only when it has received the last byte. So the permit is
+// claimed only for the last piece, and a failure before that counts as a request that was never sent.
+func (c *backendConn) sendUploadWhole(ctx context.Context, x *exchange, head []byte, report []string) Reply {
 	unsent := Reply{result: balancer.NotSent, brokeEarly: true}
 	u := x.message.upload
 	var at uploadCursor
@@ -32,10 +39,7 @@
 		if last && !x.permit.TryClaim() || !last && !x.permit.Available() {
 			return Reply{result: balancer.NotSent}
 		}
-		parts := net.Buffers{head, p}
-		if chunked {
-			parts = net.Buffers{head, chunkSize(len(p)), p, chunkEnd(len(p), last)}
-		}
+		parts := append(net.Buffers{head}, pieceParts(p, last, chunked)...)
 		head = nil
 		_ = c.SetWriteDeadline(time.Now().Add(stallTimeout))
 		if _, err := parts.WriteTo(c.Conn); err != nil {
@@ -78,6 +82,29 @@
 	return Reply{result: balancer.Rejected}
 }
 
+// pieceParts returns a piece of a body as it is written.
+func pieceParts(p []byte, last, chunked bool) net.Buffers {
+	if !chunked {
+		return net.Buffers{p}
+	}
+	return net.Buffers{chunkSize(len(p)), p, chunkEnd(len(p), last)}
+}
+
+// sendUploadAfterHead is sendUpload where a backend may start a request after its head. So the permit is claimed before the
+// head's last byte, and whatever ends the exchange after that, the request may have run.
+func (c *backendConn) sendUploadAfterHead(ctx context.Context, x *exchange, head []byte, report []string) Reply {
+	_ = c.SetDeadline(time.Now().Add(stallTimeout))
+	if end, written := c.writeRunnable(x, head, len(head)-1, report); !written {
+		x.message.upload.endRead()
+		return end
+	}
+	_ = c.SetReadDeadline(x.deadline)
+	if x.receiving { // the engine enforces the deadline
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	return c.readAnswerDuring(x, c.startUploadWrite(ctx, x), report)
+}
+
 func chunkSize(n int) []byte {
 	if n == 0 {
 		return nil
