--- a/internal/dataplane/httpproxy/outofturn_test.go
+++ b/internal/dataplane/httpproxy/outofturn_test.go
@@ -110,7 +110,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.stream.conn.Close()
 	return string(r.stream.first) + string(rest)
 }
 
@@ -165,7 +164,7 @@
 	if !second.surplus {
 		t.Error("the surplus is not noticed")
 	}
-	if second.conn != nil {
+	if second.conn != nil { // also the connection of a stream
 		second.conn.Close()
 	}
 }
