Histories and the soak have servers that begin requests at the head and break them off

The fake backends began every request after its last byte, as their HTTP server hands a request on when it is complete.

They now begin most requests once they have the head, drawn by the seed, and go on in one of these ways: they read the body and answer; send another request's answer first; answer before they have read the body, successfully or not; reset or close the connection; or fall silent. Histories have the fault break-starts, which raises both shares, long bodies for a quarter of the requests that may run once, and max_attempts 3; the soak has bodies just below max_body_bytes and backends with small windows. Each request's runs are counted by its id, as before.

--- a/cmd/marlreeld/keepalive_test.go
+++ b/cmd/marlreeld/keepalive_test.go
@@ -29,6 +29,10 @@
 	// soakEvents is how many events a stream has, and maxClientPause bounds the pause between two requests.
 	soakEvents     = 30
 	maxClientPause = 80 * time.Millisecond
+	// One in longOneIn of the plain requests has a body of longBodyBytes: just below max_body_bytes, and more than fits into
+	// the buffers of a connection whose backend doesn't read.
+	longOneIn     = 4
+	longBodyBytes = 4_100_000
 	// unreadyOneIn: while a proxy isn't ready, clients still make one in this many of their connections to it.
 	unreadyOneIn = 10
 )
@@ -133,7 +137,7 @@
 			c.violation("%s: %q received on a connection without a request in flight", proxy.settings.NodeName, unread[:count])
 			return
 		}
-		if !c.exchange(conn, reader, proxy, rng.IntN(4) == 0, n > 0) {
+		if !c.exchange(conn, reader, proxy, rng, n > 0) {
 			return
 		}
 		sleep(time.Duration(rng.Int64N(int64(maxClientPause))))
@@ -141,14 +145,17 @@
 }
 
 // exchange sends a request, streaming or plain, and reads its answer. It reports whether the connection can be reused.
-func (c *keepAliveClients) exchange(conn net.Conn, reader *bufio.Reader, proxy *process, stream, reusedConn bool) (keep bool) {
-	id := c.nextID()
-	path, headers := "/slip/1", ""
+func (c *keepAliveClients) exchange(conn net.Conn, reader *bufio.Reader, proxy *process, rng *rand.Rand, reusedConn bool) (keep bool) {
+	id, stream := c.nextID(), rng.IntN(4) == 0
+	path, headers, body := "/slip/1", "", "x"
+	if long := rng.IntN(longOneIn) == 0; long && !stream {
+		body = longBody
+	}
 	if stream {
 		path, headers = "/chat/1", fmt.Sprintf("Model: m0\r\nToken-Count: 20,%d\r\nPrompt-Prefix: %s:20\r\n", 2*soakEvents, id)
 	}
 	_ = conn.SetDeadline(time.Now().Add(clientTimeout)) // on a closed connection the write below fails
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nTime-Remaining: 8000\r\n%sContent-Length: 1\r\n\r\nx", path, id, headers)
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nTime-Remaining: 8000\r\n%sContent-Length: %d\r\n\r\n%s", path, id, headers, len(body), body)
 	if _, err := io.WriteString(conn, text); err != nil {
 		return false // the request was not sent completely
 	}
@@ -159,15 +166,18 @@
 		return false
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
+	received, err := io.ReadAll(answer.Body)
 	if err != nil {
 		c.recordBroken(brokenRequest{id: id, proxy: proxy.settings.NodeName, begun: true, cause: err}, sent)
 		return false
 	}
-	c.recordAnswer(id, answer, string(body), stream, reusedConn)
+	c.recordAnswer(id, answer, string(received), stream, reusedConn)
 	return !answer.Close
 }
 
+// longBody is the body of long requests.
+var longBody = strings.Repeat("x", longBodyBytes)
+
 // nextID returns the id of the next request.
 func (s *testSystem) nextID() string {
 	s.mu.Lock()
@@ -222,7 +232,10 @@
 		}
 		maps.Copy(cut, b.CutStreams())
 	}
-	crossed, brokenByCut := 0, 0
+	crossed, brokenByCut, brokenStarts := 0, 0, 0
+	for _, b := range c.backends {
+		brokenStarts += b.BrokenStarts()
+	}
 	for _, b := range c.broken {
 		if cut[b.id] && b.begun {
 			brokenByCut++
@@ -240,8 +253,8 @@
 	for _, violation := range c.violations {
 		c.t.Error(violation)
 	}
-	c.t.Logf("answers by status %v, %d on reused connections; %d requests crossed with the close of their connection; backends cut %d streams, of which %d reached their clients cut",
-		c.answers, c.reused, crossed, len(cut), brokenByCut)
+	c.t.Logf("answers by status %v, %d on reused connections; %d requests crossed with the close of their connection; backends cut %d streams, of which %d reached their clients cut, and broke %d requests off",
+		c.answers, c.reused, crossed, len(cut), brokenByCut, brokenStarts)
 	if c.answers[http.StatusOK] == 0 || c.reused == 0 {
 		c.t.Error("no request was served on a reused connection")
 	}
--- a/cmd/marlreeld/soak_test.go
+++ b/cmd/marlreeld/soak_test.go
@@ -39,11 +39,18 @@
 	return fakesystem.StreamFault{Unframed: 0.5, Cut: 0.1, Seed: seed}
 }
 
+// soakEarlyStart is when the requests of the soak begin: most of them when their heads are in, and some of these end before
+// their bodies are.
+func soakEarlyStart(seed uint64) fakesystem.EarlyStart {
+	return fakesystem.EarlyStart{Share: 0.7, Broken: 0.1, Seed: seed}
+}
+
 // soakDocument is testDocument with an additional streaming route.
 func soakDocument(version uint64, path string) string {
 	return strings.NewReplacer(
 		`"service_list":[`, `"service_list":[{"name":"llm","health_path":"/health","conn_limit":300,"engine":{"slots":64,"kv_capacity":100000,`+
 			`"weights_mb":200000,"adapter_capacity":8,"load_per_s":4,"model_list":[{"name":"m0","weights_mb":60000,"load_time_s":3}]}},`,
+		`"service":"slips","max_attempts":1`, `"service":"slips","max_attempts":3`,
 		`"route_list":[`, `"route_list":[{"name":"chat","host":"a.example","path_prefix":"/chat/","route_class":"streaming","timeout_ms":8000,`+
 			`"target_latency_ms":800,"priority":1,"service":"llm","max_attempts":2,"affinity":true,"resumable":true,"gap_aim_ms":400},`,
 	).Replace(testDocument(version, path))
@@ -249,13 +256,16 @@
 }
 
 // Guards against lost, repeated or cut answers, and against processes that end by themselves, while signals, restarts and
-// configuration changes come in series and overlap, backends cut streams, and clients reuse their connections until the
-// proxy closes them. The test doesn't run in parallel, as the other tests of this package start many processes already.
+// configuration changes come in series and overlap, backends cut streams and break requests off whose bodies are not in yet,
+// and clients reuse their connections until the proxy closes them. The test doesn't run in parallel, as the other tests of this package start many processes already.
 func TestNoAnswerIsLostInASoakOfSignals(t *testing.T) {
 	seed, span, edges := soakParameters()
 	t.Logf("seed %d for %v with %d processes (%s, %s, %s)", seed, span, controlCount+2*edges, soakSeedVariable, soakSecondsVariable, soakEdgesVariable)
 	s := startSystemOfSize(t, readVersions(t), edges)
 	s.document = soakDocument
+	for i, b := range s.backends {
+		b.SetEarlyStart(soakEarlyStart(seed + uint64(i)))
+	}
 	for i := range 2 {
 		s.startBackend(fakesystem.BackendConfig{
 			ID: fmt.Sprintf("i-%d", i), Service: "llm", Zone: zoneNames[i], Slots: 64, Models: []string{"m0"}, CapacityMB: 200000,
--- a/internal/testing/fakesystem/backend.go
+++ b/internal/testing/fakesystem/backend.go
@@ -82,6 +82,9 @@
 	streamFault       StreamFault
 	streamRandom      *rand.Rand      // nil before the first StreamFault
 	cutStreams        map[string]bool // the IDs of requests whose streams were cut
+	earlyStart        EarlyStart
+	startRandom       *rand.Rand // nil before the first EarlyStart
+	brokenStarts      int        // requests that have begun and ended before their bodies were received
 }
 
 // NewBackend creates a backend on a network. Serve starts it.
@@ -97,6 +100,7 @@
 	}
 	b.server = &fasthttp.Server{
 		Handler: b.handle, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{}, IdleTimeout: idleTimeout,
+		StreamRequestBody: true, // so that requests can begin when their heads are in
 	}
 	return b
 }
@@ -116,6 +120,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "listening for backend %s", b.cfg.ID)
 	}
+	if err := limitWindow(listener); err != nil {
+		return eris.Wrapf(err, "limiting the receive window of backend %s", b.cfg.ID)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var background sync.WaitGroup
 	background.Go(func() { b.sendHeartbeats(ctx) })
--- a/internal/testing/fakesystem/cutstream.go
+++ b/internal/testing/fakesystem/cutstream.go
@@ -93,10 +93,7 @@
 
 // endCut makes the close of a connection a reset if the cut demands it.
 func endCut(conn net.Conn, cut streamCut) {
-	if wrapped, ok := conn.(interface{ UnsafeConn() net.Conn }); ok {
-		conn = wrapped.UnsafeConn()
-	}
-	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok && cut.resets {
-		_ = socket.SetLinger(0) // fails only on a closed connection
+	if cut.resets {
+		resetOnClose(conn)
 	}
 }
--- a/internal/testing/fakesystem/request.go
+++ b/internal/testing/fakesystem/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -83,19 +84,35 @@
 		rejectUnexecuted(ctx, fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	end, delay := b.drawStart()
+	if end == startsAfterBody && !receiveBody(ctx) {
+		ctx.Conn().Close()
+		return
+	}
 	prefill, status := b.admit(r)
 	if status != fasthttp.StatusOK {
 		rejectUnexecuted(ctx, status)
 		return
 	}
+	if end > foreignAnswer {
+		defer b.release()
+		time.Sleep(delay)
+		b.endEarly(ctx, r.id, end)
+		return
+	}
+	if end == foreignAnswer {
+		_, _ = io.WriteString(ctx.Conn(), b.rawAnswer("200 OK", "other "+r.id)) // an error is met again below
+	}
 	ctx.Response.Header.Set("Server-Seal", b.sealOf(r.id))
 	if r.model == "" {
 		defer b.release()
 		time.Sleep(b.cfg.RequestTime)
-		ctx.SetBodyString("done " + r.id)
+		b.finishBody(ctx, end)
+		ctx.SetBodyString(answerOf(r.id))
 		return
 	}
 	time.Sleep(prefill)
+	b.finishBody(ctx, end)
 	stream := b.newEventStream(r)
 	if unframed, cut := b.drawStreamEnd(stream); unframed {
 		b.sendUnframed(ctx, stream, cut)
@@ -106,6 +123,9 @@
 	ctx.SetBodyStream(stream, -1)
 }
 
+// answerOf returns the body of the answer to a request without a model.
+func answerOf(request string) string { return "done " + request }
+
 // sealOf returns the seal of the answer to a request.
 func (b *Backend) sealOf(request string) string { return "seal." + b.cfg.ID + "." + request }
 
--- a/internal/testing/simcluster/history_checks_test.go
+++ b/internal/testing/simcluster/history_checks_test.go
@@ -97,19 +97,20 @@
 // checkActivity checks that a history contains the kinds of events that the other checks need.
 func (r *historyRun) checkActivity(t *testing.T) {
 	t.Helper()
-	statuses, orders, tokens, cuts := map[int]int{}, 0, map[uint64]bool{}, 0
+	statuses, orders, tokens, cuts, broken := map[int]int{}, 0, map[uint64]bool{}, 0, 0
 	for _, request := range r.onceRequests {
 		statuses[request.status]++
 	}
 	for _, b := range r.cluster.Backends {
 		cuts += len(b.CutStreams())
+		broken += b.BrokenStarts()
 		for _, order := range b.ReceivedOrders() {
 			orders++
 			tokens[order.FencingToken] = true
 		}
 	}
-	t.Logf("requests by status %v, %d streams, %d cut by backends, %d orders with %d fencing tokens, %d operator calls", statuses, r.streams,
-		cuts, orders, len(tokens), len(r.register.operations))
+	t.Logf("requests by status %v, %d that backends broke off, %d streams, %d cut by backends, %d orders with %d fencing tokens, %d operator calls",
+		statuses, broken, r.streams, cuts, orders, len(tokens), len(r.register.operations))
 	if statuses[200] == 0 || r.streams == 0 || orders == 0 || len(r.register.operations) == 0 {
 		r.violation("the history lacks served requests, complete streams, orders or operator calls to check")
 	}
--- a/internal/testing/simcluster/history_faults_test.go
+++ b/internal/testing/simcluster/history_faults_test.go
@@ -58,6 +58,26 @@
 	}
 }
 
+// usualEarlyStart is when requests begin in all histories: most of them when their heads are in, and a few of these end before
+// their bodies are.
+func usualEarlyStart(seed int) fakesystem.EarlyStart {
+	return fakesystem.EarlyStart{Share: 0.7, Broken: 0.1, Seed: uint64(seed)}
+}
+
+// frequentEarlyStart is when requests begin during the fault break-starts.
+func frequentEarlyStart(seed int) fakesystem.EarlyStart {
+	return fakesystem.EarlyStart{Share: 1, Broken: 0.5, Seed: uint64(seed)}
+}
+
+// setEarlyStart changes when the requests of all backends without models begin.
+func (c *Cluster) setEarlyStart(start fakesystem.EarlyStart) {
+	for _, b := range c.Backends {
+		if b.Service() != "llm" {
+			b.SetEarlyStart(start)
+		}
+	}
+}
+
 // clusterFaults maps each kind of fault to the function that injects it. The faults stay within fault_tolerance: one disk
 // is lost at a time, and its machine gets time to catch up.
 var clusterFaults = map[string]func(c *Cluster, f clusterFault){
@@ -128,6 +148,12 @@
 		c.Sleep(f.lasts)
 		c.setStreamFault(usualStreamFault(f.other))
 	},
+	// Backends begin requests when their heads are in, and end a half of them before their bodies are.
+	"break-starts": func(c *Cluster, f clusterFault) {
+		c.setEarlyStart(frequentEarlyStart(f.machine))
+		c.Sleep(f.lasts)
+		c.setEarlyStart(usualEarlyStart(f.other))
+	},
 	// A backend is killed without detaching, and a new one is added.
 	"kill-backend": func(c *Cluster, f clusterFault) {
 		number := f.machine % len(c.Backends)
@@ -139,7 +165,7 @@
 			c.AddBackend(busyModelBackend(id, zone, "m0")).SetStreamFault(usualStreamFault(f.other))
 			return
 		}
-		c.AddBackend(busySlipBackend(id, zone))
+		c.AddBackend(busySlipBackend(id, zone)).SetEarlyStart(usualEarlyStart(f.other))
 	},
 }
 
--- a/internal/testing/simcluster/history_fixture_test.go
+++ b/internal/testing/simcluster/history_fixture_test.go
@@ -35,6 +35,7 @@
 		route := fmt.Sprintf(`{"name":"mark","host":"a.example","path_prefix":"%s","route_class":"unsafe","timeout_ms":2000,`+
 			`"target_latency_ms":150,"priority":2,"service":"slips","max_attempts":1},`, prefix)
 		return strings.NewReplacer(`"weights_mb":200000`, fmt.Sprintf(`"weights_mb":%d`, historyCapacityMB), `"load_time_s":3`, `"load_time_s":0.6`,
+			`"service":"slips","max_attempts":1`, `"service":"slips","max_attempts":3`,
 			`{"name":"slip"`, route+`{"name":"slip"`).Replace(document(version))
 	}
 }
--- a/internal/testing/simcluster/history_run_test.go
+++ b/internal/testing/simcluster/history_run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,9 +51,15 @@
 	})
 }
 
-// sendOnce sends an unsafe request.
-func (r *historyRun) sendOnce(edge *Machine) {
+// longBody is a body that doesn't fit into the window of a connection whose backend doesn't read.
+var longBody = strings.Repeat("x", 400<<10)
+
+// sendOnce sends an unsafe request. Every fourth one has a long body.
+func (r *historyRun) sendOnce(edge *Machine, number int) {
 	request := slipRequest()
+	if number%4 == 0 {
+		request.Body = longBody
+	}
 	got, err := r.cluster.Send(edge, request)
 	if err != nil {
 		got.Status = 0
--- a/internal/testing/simcluster/history_test.go
+++ b/internal/testing/simcluster/history_test.go
@@ -57,7 +57,11 @@
 	r.repeat(r.over, 300*time.Millisecond, r.read)
 	for _, edge := range r.cluster.Edges {
 		for range 3 {
-			r.repeat(r.over, 100*time.Millisecond, func() { r.sendOnce(edge) })
+			sent := 0
+			r.repeat(r.over, 100*time.Millisecond, func() {
+				sent++
+				r.sendOnce(edge, sent)
+			})
 		}
 	}
 	for _, edge := range r.cluster.Edges {
@@ -74,6 +78,7 @@
 	t.Helper()
 	c := startHistoryCluster(t)
 	c.setStreamFault(usualStreamFault(seed))
+	c.setEarlyStart(usualEarlyStart(seed))
 	r := &historyRun{cluster: c, over: make(chan struct{}), changesOver: make(chan struct{})}
 	r.register.begin(historyDocument("/mark/")(1))
 	r.start()
