--- a/internal/testing/fakesystem/backend.go
+++ b/internal/testing/fakesystem/backend.go
@@ -83,8 +83,9 @@
 	streamRandom      *rand.Rand      // nil before the first StreamFault
 	cutStreams        map[string]bool // the IDs of requests whose streams were cut
 	earlyStart        EarlyStart
-	startRandom       *rand.Rand // nil before the first EarlyStart
-	brokenStarts      int        // requests that have begun and ended before their bodies were received
+	startRandom       *rand.Rand              // nil before the first EarlyStart
+	starts            map[string]requestStart // requests that have begun, by ID, until their handler is called
+	brokenStarts      int                     // requests that have begun and ended before their bodies were received
 }
 
 // NewBackend creates a backend on a network. Serve starts it.
@@ -92,7 +93,7 @@
 	b := &Backend{
 		cfg: cfg, network: network, client: transport.NewHTTPClient(network.Dial),
 		adapters: map[string]map[string]bool{}, everLoaded: map[string]bool{}, cachedPrefixes: map[string]bool{},
-		cutStreams: map[string]bool{},
+		cutStreams: map[string]bool{}, starts: map[string]requestStart{},
 	}
 	for _, model := range cfg.Models {
 		b.adapters[model] = map[string]bool{}
@@ -100,7 +101,7 @@
 	}
 	b.server = &fasthttp.Server{
 		Handler: b.handle, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{}, IdleTimeout: idleTimeout,
-		StreamRequestBody: true, // so that requests can begin when their heads are in
+		StreamRequestBody: true, HeaderReceived: b.startEarly,
 	}
 	return b
 }
--- a/internal/testing/fakesystem/earlystart.go
+++ b/internal/testing/fakesystem/earlystart.go
@@ -26,8 +26,7 @@
 
 // The ways. Those from earlyAnswer on end before the body was received.
 const (
-	startsAfterBody   earlyEnd = iota // it doesn't begin early
-	answersAfterBody                  // it is answered after the body
+	answersAfterBody  earlyEnd = iota // it is answered after the body
 	foreignAnswer                     // an answer to another request comes before the body, its own answer after it
 	earlyAnswer                       // it is answered successfully
 	earlyFailure                      // it is answered with an error
@@ -58,18 +57,43 @@
 	return b.brokenStarts
 }
 
-// drawStart draws when a request begins, and how it goes on.
-func (b *Backend) drawStart() (end earlyEnd, delay time.Duration) {
+// requestStart is how a request goes on that has begun early.
+type requestStart struct {
+	end   earlyEnd
+	delay time.Duration // until it ends, if that is before its body was received
+}
+
+// endsBeforeBody reports whether the request ends before its body was received.
+func (s requestStart) endsBeforeBody() bool { return s.end >= earlyAnswer }
+
+// startEarly draws whether a request begins now that its head was received, and how it goes on then. The server calls it.
+func (b *Backend) startEarly(header *fasthttp.RequestHeader) (none fasthttp.RequestConfig) {
+	r := readModelRequest(header)
+	if r.id == "" || b.isForOther(header) { // health checks, orders and the like have no ID
+		return none
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.startRandom == nil || b.startRandom.Float64() >= b.earlyStart.Share {
-		return startsAfterBody, 0
+	if b.startRandom == nil || b.startRandom.Float64() >= b.earlyStart.Share || b.admission(r) != fasthttp.StatusOK {
+		return none
 	}
-	if b.startRandom.Float64() >= b.earlyStart.Broken {
-		return answersAfterBody, 0
+	var start requestStart
+	if b.startRandom.Float64() < b.earlyStart.Broken {
+		start.end = foreignAnswer + earlyEnd(b.startRandom.IntN(numberOfEarlyEnds-int(foreignAnswer)))
+		start.delay = time.Duration(b.startRandom.Int64N(int64(maxBreakDelay)))
 	}
-	end = foreignAnswer + earlyEnd(b.startRandom.IntN(numberOfEarlyEnds-int(foreignAnswer)))
-	return end, time.Duration(b.startRandom.Int64N(int64(maxBreakDelay)))
+	b.starts[r.id] = start
+	b.recordExecution(r)
+	return none
+}
+
+// takeStart returns how a request goes on that has begun early, or false.
+func (b *Backend) takeStart(id string) (start requestStart, begun bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	start, begun = b.starts[id]
+	delete(b.starts, id)
+	return start, begun
 }
 
 // receiveBody reads the body of a request, and returns false if its connection broke before the end.
@@ -82,9 +106,9 @@
 	return err == nil && n >= int64(ctx.Request.Header.ContentLength())
 }
 
-// finishBody reads the body of a request that has begun early and is about to be answered.
-func (b *Backend) finishBody(ctx *fasthttp.RequestCtx, end earlyEnd) {
-	if end != startsAfterBody && !receiveBody(ctx) {
+// finishBody reads the body of a request that is about to be answered, if it has begun early.
+func (b *Backend) finishBody(ctx *fasthttp.RequestCtx, begun bool) {
+	if begun && !receiveBody(ctx) {
 		ctx.Conn().Close()
 	}
 }
--- a/internal/testing/fakesystem/order.go
+++ b/internal/testing/fakesystem/order.go
@@ -42,7 +42,7 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	if b.isForOther(ctx) {
+	if b.isForOther(&ctx.Request.Header) {
 		rejectUnexecuted(ctx, fasthttp.StatusMisdirectedRequest)
 		return
 	}
--- a/internal/testing/fakesystem/request.go
+++ b/internal/testing/fakesystem/request.go
@@ -49,8 +49,8 @@
 }
 
 // isForOther reports whether a request was meant for another backend that had this address before.
-func (b *Backend) isForOther(ctx *fasthttp.RequestCtx) bool {
-	expected := string(ctx.Request.Header.Peek("Expected-Backend"))
+func (b *Backend) isForOther(header *fasthttp.RequestHeader) bool {
+	expected := string(header.Peek("Expected-Backend"))
 	return expected != "" && expected != b.cfg.ID
 }
 
@@ -80,39 +80,39 @@
 func (b *Backend) handleRequest(ctx *fasthttp.RequestCtx) {
 	r := readModelRequest(&ctx.Request.Header)
 	ctx.Response.Header.Set("Request-Id", r.id)
-	if b.isForOther(ctx) {
+	if b.isForOther(&ctx.Request.Header) {
 		rejectUnexecuted(ctx, fasthttp.StatusMisdirectedRequest)
 		return
 	}
-	end, delay := b.drawStart()
-	if end == startsAfterBody && !receiveBody(ctx) {
+	start, begun := b.takeStart(r.id)
+	if !begun && !receiveBody(ctx) {
 		ctx.Conn().Close()
 		return
 	}
-	prefill, status := b.admit(r)
+	prefill, status := b.admit(r, begun)
 	if status != fasthttp.StatusOK {
 		rejectUnexecuted(ctx, status)
 		return
 	}
-	if end > foreignAnswer {
+	if start.endsBeforeBody() {
 		defer b.release()
-		time.Sleep(delay)
-		b.endEarly(ctx, r.id, end)
+		time.Sleep(start.delay)
+		b.endEarly(ctx, r.id, start.end)
 		return
 	}
-	if end == foreignAnswer {
+	if start.end == foreignAnswer {
 		_, _ = io.WriteString(ctx.Conn(), b.rawAnswer("200 OK", "other "+r.id)) // an error is met again below
 	}
 	ctx.Response.Header.Set("Server-Seal", b.sealOf(r.id))
 	if r.model == "" {
 		defer b.release()
 		time.Sleep(b.cfg.RequestTime)
-		b.finishBody(ctx, end)
+		b.finishBody(ctx, begun)
 		ctx.SetBodyString(answerOf(r.id))
 		return
 	}
 	time.Sleep(prefill)
-	b.finishBody(ctx, end)
+	b.finishBody(ctx, begun)
 	stream := b.newEventStream(r)
 	if unframed, cut := b.drawStreamEnd(stream); unframed {
 		b.sendUnframed(ctx, stream, cut)
@@ -130,19 +130,34 @@
 func (b *Backend) sealOf(request string) string { return "seal." + b.cfg.ID + "." + request }
 
 // admit takes a slot for a request and returns the prefill time of its prompt and StatusOK, or the HTTP status of the
-// rejection.
-func (b *Backend) admit(r modelRequest) (time.Duration, int) {
+// rejection. A request that has begun is not rejected.
+func (b *Backend) admit(r modelRequest, begun bool) (time.Duration, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !begun {
+		if status := b.admission(r); status != fasthttp.StatusOK {
+			return 0, status
+		}
+		b.recordExecution(r)
+	}
+	b.running++
+	return b.prefillTime(r.model, r.prompt), fasthttp.StatusOK
+}
+
+// admission returns StatusOK if a request can be executed now, or the HTTP status of the rejection. The caller holds the lock.
+func (b *Backend) admission(r modelRequest) int {
 	if r.model != "" && !b.isLoaded(r.model, r.adapter) {
-		return 0, fasthttp.StatusMisdirectedRequest
+		return fasthttp.StatusMisdirectedRequest
 	}
 	if b.running >= b.cfg.Slots {
-		return 0, fasthttp.StatusServiceUnavailable
+		return fasthttp.StatusServiceUnavailable
 	}
-	b.running++
+	return fasthttp.StatusOK
+}
+
+// recordExecution records that the execution of a request begins. The caller holds the lock.
+func (b *Backend) recordExecution(r modelRequest) {
 	b.executions = append(b.executions, Execution{Request: r.id, Backend: b.cfg.ID, LastEventID: r.lastEventID, Header: r.header})
-	return b.prefillTime(r.model, r.prompt), fasthttp.StatusOK
 }
 
 // isLoaded reports whether a model is loaded, and the adapter if one is named. The caller holds the lock.
