The head of a long request is held back on a used connection, where it may run after its head

Need: until now the last byte of a request's body was the one in doubt, so that a connection which was closed while idle, without a word, showed while a long body was being written, and cost an unsafe request nothing. Since the request may run after its head, the head and the body go out one after the other, and that break would count as one after which the request may have run.

Shorter requests are as before: all of them went out in one write, or in two without a wait.

Test: TestLongRequestsOnUsedConnectionsAreHeldBack; that the holdback shows the break is in TestEndOfAnAttempt.

--- a/internal/balancer/connections/model.go
+++ b/internal/balancer/connections/model.go
@@ -323,9 +323,12 @@
 	if h < holdbackThreshold {
 		return 0
 	}
-	return m.holdback
+	return m.CurrentHoldback()
 }
 
+// CurrentHoldback returns how long a byte is held back where it is: most connections that break early break within this time.
+func (m *Model) CurrentHoldback() time.Duration { return m.holdback }
+
 // Dial is the result of Choose that means a new connection.
 const Dial = -1
 
--- a/internal/dataplane/httpproxy/attemptend_test.go
+++ b/internal/dataplane/httpproxy/attemptend_test.go
@@ -364,3 +364,32 @@
 	defer u.mu.Unlock()
 	return u.readers == 0
 }
+
+// Guards against losing a long unsafe request to a connection that was closed while idle: while its body was written, the
+// break used to show before the request could run; where it may run after its head, the head is held back for that.
+func TestLongRequestsOnUsedConnectionsAreHeldBack(t *testing.T) {
+	t.Parallel()
+	l := newManualEngine(t)
+	afterHead := identifiedDialect()
+	afterHead.ExecutionStart = StartsAfterHead
+	for _, c := range []struct {
+		name     string
+		dialect  *Dialect
+		used     bool
+		body     int
+		heldBack bool
+	}{
+		{"long, used connection", afterHead, true, maxBufferedBody + 1, true},
+		{"long, new connection", afterHead, false, maxBufferedBody + 1, false},
+		{"short, used connection", afterHead, true, maxBufferedBody, false},
+		{"it may run after its body", platformDialect(), true, maxBufferedBody + 1, false},
+	} {
+		x := &exchange{backend: engine.NewBackend("s-1", "10.0.0.1:80", true), dialect: c.dialect, message: identifiedMessage("mine", make([]byte, c.body))}
+		if c.used {
+			x.conn = newBackendConn(nil, nil)
+		}
+		if got := l.carrier.holdback(x, l.Now()); (got > 0) != c.heldBack {
+			t.Errorf("%s: held back for %v", c.name, got)
+		}
+	}
+}
--- a/internal/dataplane/httpproxy/carrier.go
+++ b/internal/dataplane/httpproxy/carrier.go
@@ -186,7 +186,7 @@
 		return nil
 	}
 	x.memory, x.dialect, x.dial = c.memory, c.dialect, c.dial
-	x.holdback = c.pool.model.Holdback(now, uint32(x.backend.ID), x.backend.Zone)
+	x.holdback = c.holdback(x, now)
 	ctx, cancel := context.WithCancel(c.ctx)
 	loadMetrics := c.loadMetrics
 	go func() {
@@ -203,6 +203,18 @@
 	return cancel
 }
 
+// holdback returns how long the byte with which a request may run is held back. Where that is the last byte of the head, a
+// long request on a used connection is always held back for a moment: it takes far longer than that wait, and a connection
+// that was closed while idle is noticed before the request counts as one that may have run.
+func (c *Carrier) holdback(x *exchange, now time.Duration) time.Duration {
+	model := c.pool.model
+	long := x.message.upload != nil || len(x.message.Body) > maxBufferedBody
+	if x.conn != nil && long && x.dialect.ExecutionStart == StartsAfterHead {
+		return model.CurrentHoldback()
+	}
+	return model.Holdback(now, uint32(x.backend.ID), x.backend.Zone)
+}
+
 // finishExchange returns the connection to the pool and reports the outcome. It must run on the engine's goroutine.
 func (c *Carrier) finishExchange(x *exchange, r *Reply, end func(engine.AttemptEnd)) {
 	if r.conn != nil {
