Decisions use an exponential function with the same bits on every processor

Change: internal/portablemath.Exp reduces the argument by a multiple of ln 2 and a factor of 16 and sums a Taylor series with explicit fused operations (Shibata's method); all decision code uses it, and a test refuses math.Exp and math.Exp2 there. The half-life of stale knowledge takes it in place of math.Exp2. The mean of the normal distribution's tail used math.Erfc, which calls math.Exp beyond 1.25: there it is Laplace's continued fraction now, within 1e-13 of the old formula (a test).

Not run: the tests on an amd64 machine, of which there is none here; there the bits of math.Exp2 and of math.Erfc may have differed in the last place from what takes their place, without a recorded action changing. The tests of internal/balancer and internal/simwire pass.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,7 +5,6 @@
 // slowstart, concurrency, selection, admission, attempt, outcome, grayfailure, delay.
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,6 +17,8 @@
 	"marlreel/internal/balancer/quota"
 	"marlreel/internal/balancer/retrystorm"
 	"marlreel/internal/balancer/slowstart"
+
+	"marlreel/internal/portablemath"
 )
 
 // The kind of a timer is in the highest byte of its token.
@@ -176,7 +177,7 @@
 	b.evaluateGrayFailures()
 	b.sweepConcurrencyLimits()
 	keep := b.cfg.Obligations.WarmupDuration + b.healthCheckInterval
-	b.goodput.Decay(math.Exp(-float64(b.sweepEvery) / float64(keep)))
+	b.goodput.Decay(portablemath.Exp(-float64(b.sweepEvery) / float64(keep)))
 }
 
 // updateDecayTime makes measurements last long enough to include some answers of each backend in the subset.
--- a/internal/balancer/connections/answertimes.go
+++ b/internal/balancer/connections/answertimes.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"marlreel/internal/portablemath"
 )
 
 // answerTimes tracks how long a backend takes from a request's last byte to the first byte of an answer.
@@ -49,9 +51,9 @@
 	}
 	t.mean += meanWeight * (seconds - t.mean)
 	if seconds >= t.quick {
-		t.quick *= math.Exp(quantileStep * share)
+		t.quick *= portablemath.Exp(quantileStep * share)
 		return false
 	}
-	t.quick = max(t.quick*math.Exp(-quantileStep*(1-share)), minAnswerTime)
+	t.quick = max(t.quick*portablemath.Exp(-quantileStep*(1-share)), minAnswerTime)
 	return true
 }
--- a/internal/balancer/connections/model.go
+++ b/internal/balancer/connections/model.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"marlreel/internal/portablemath"
 )
 
 // Config sets what the model assumes before it has learned anything, and its bounds.
@@ -114,7 +116,7 @@
 
 func (l *level) decay(now, timeConstant time.Duration) {
 	if now > l.at {
-		f := math.Exp(-float64(now-l.at) / float64(timeConstant))
+		f := portablemath.Exp(-float64(now-l.at) / float64(timeConstant))
 		for i := range l.cells {
 			l.cells[i].uses *= f
 			l.cells[i].broken *= f
--- a/internal/balancer/decay/sum.go
+++ b/internal/balancer/decay/sum.go
@@ -4,8 +4,9 @@
 package decay
 
 import (
-	"math"
 	"time"
+
+	"marlreel/internal/portablemath"
 )
 
 // Sum is a sum whose terms decay exponentially with their age. The zero value is an empty sum. All calls on one sum
@@ -19,7 +20,7 @@
 func (f *Sum) Value(now, timeConstant time.Duration) float64 {
 	if now > f.at {
 		if timeConstant > 0 && f.sum != 0 {
-			f.sum *= math.Exp(-float64(now-f.at) / float64(timeConstant))
+			f.sum *= portablemath.Exp(-float64(now-f.at) / float64(timeConstant))
 		}
 		f.at = now
 	}
--- a/internal/balancer/decisionfiles_test.go
+++ b/internal/balancer/decisionfiles_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -59,3 +60,21 @@
 		t.Error("the files listed under policy are empty")
 	}
 }
+
+// Guards against decisions that differ between processors: the results of math.Exp and math.Exp2 do in the last bit.
+func TestDecisionsUsePortableExponentials(t *testing.T) {
+	unportable := regexp.MustCompile(`\bmath\.Exp2?\(`)
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if unportable.Match(text) {
+			t.Errorf("%s uses an exponential function of the standard library", path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/balancer/grayfailure/model.go
+++ b/internal/balancer/grayfailure/model.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"marlreel/internal/balancer/decay"
+
+	"marlreel/internal/portablemath"
 )
 
 const (
@@ -157,14 +159,14 @@
 		c.faultProbability = stationary
 	}
 	if d := (now - c.updatedAt).Seconds(); d > 0 {
-		c.faultProbability = stationary + (c.faultProbability-stationary)*math.Exp(-d*(begin+end))
+		c.faultProbability = stationary + (c.faultProbability-stationary)*portablemath.Exp(-d*(begin+end))
 	}
 	c.updatedAt = now
 }
 
 // bayesUpdate returns a probability after evidence of the given log likelihood ratio, by Bayes' rule.
 func bayesUpdate(probability, logLikelihoodRatio float64) float64 {
-	odds := probability / (1 - probability) * math.Exp(logLikelihoodRatio)
+	odds := probability / (1 - probability) * portablemath.Exp(logLikelihoodRatio)
 	return min(odds/(1+odds), maxFaultProbability)
 }
 
--- a/internal/balancer/prediction/model.go
+++ b/internal/balancer/prediction/model.go
@@ -19,6 +19,8 @@
 import (
 	"fmt"
 	"math"
+
+	"marlreel/internal/portablemath"
 )
 
 const (
@@ -86,7 +88,30 @@
 	if z > 6 { // the asymptote, where numerator and denominator both vanish
 		return z + 1/z
 	}
-	return math.Exp(-z*z/2) / math.Sqrt(2*math.Pi) / (math.Erfc(z/math.Sqrt2) / 2)
+	density := portablemath.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	switch {
+	case z >= erfcUsesExp:
+		return tailMeanByFraction(z)
+	case z <= -erfcUsesExp:
+		return density / (1 - density/tailMeanByFraction(-z))
+	}
+	return density / (math.Erfc(z/math.Sqrt2) / 2)
+}
+
+const (
+	// erfcUsesExp is from where on math.Erfc uses math.Exp, whose last bit depends on the processor.
+	erfcUsesExp = 1.25 * math.Sqrt2
+	// fractionTerms is enough for the precision of a float64 from erfcUsesExp on.
+	fractionTerms = 120
+)
+
+// tailMeanByFraction is normalTailMean by Laplace's continued fraction z + 1/(z + 2/(z + 3/(z + ...))).
+func tailMeanByFraction(z float64) float64 {
+	value := z
+	for n := float64(fractionTerms); n >= 1; n-- {
+		value = z + n/value
+	}
+	return value
 }
 
 // SuccessProbability is the probability, 0 to 1, that an attempt of class k is answered within left (ms), where
--- a/internal/balancer/prediction/model_test.go
+++ b/internal/balancer/prediction/model_test.go
@@ -122,3 +122,14 @@
 		m.SuccessProbability(0, 100, 150)
 	}
 }
+
+// The mean of the tail is that of the textbook's formula, also where it is computed in another way.
+func TestNormalTailMean(t *testing.T) {
+	const first, last, step, tolerance = -8.0, 6.0, 0.0013, 1e-13
+	for z := first; z <= last; z += step {
+		got, want := normalTailMean(z), math.Exp(-z*z/2)/math.Sqrt(2*math.Pi)/(math.Erfc(z/math.Sqrt2)/2)
+		if math.Abs(got-want) > tolerance*want {
+			t.Fatalf("beyond %v the mean is %v, want %v", z, got, want)
+		}
+	}
+}
--- a/internal/balancer/retrystorm/model.go
+++ b/internal/balancer/retrystorm/model.go
@@ -13,10 +13,11 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"marlreel/internal/balancer/decay"
+
+	"marlreel/internal/portablemath"
 )
 
 // State is the phase of a storm.
@@ -146,7 +147,7 @@
 // updatePeakRate tracks the highest rate at which requests were served, which decays slowly, and returns it.
 func (m *Model) updatePeakRate(now time.Duration) float64 {
 	at := now.Seconds()
-	m.peakRate *= math.Exp(-(at - m.peakRateAt) / peakDecay.Seconds())
+	m.peakRate *= portablemath.Exp(-(at - m.peakRateAt) / peakDecay.Seconds())
 	m.peakRateAt = at
 	m.peakRate = max(m.peakRate, m.served.Rate(now, rateWindow))
 	return m.peakRate
--- a/internal/balancer/staleness/staleness.go
+++ b/internal/balancer/staleness/staleness.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"marlreel/internal/portablemath"
 	"marlreel/internal/process/learnedstate"
 )
 
@@ -73,7 +74,7 @@
 	if age > cfg.MaxAge || age < 0 {
 		return nil
 	}
-	weight := math.Exp2(-age.Seconds() / cfg.HalfLife.Seconds())
+	weight := portablemath.Exp(-math.Ln2 * age.Seconds() / cfg.HalfLife.Seconds())
 	if crashed {
 		weight /= 2
 	}
