Recorded files are compared by one function

Need: internal/rehearsal, internal/experiment and internal/fleet/peers had a copy each of what internal/testing/recorded does (docs/ROADMAP.md). Change: they use it; missing files are written with WRITE_COMPATIBILITY, as everywhere, in place of MARLREEL_WRITE_COMPATIBILITY. The comparison is the same, byte by byte, and the recorded files are unchanged.

--- a/internal/experiment/compatibility_sent_test.go
+++ b/internal/experiment/compatibility_sent_test.go
@@ -1,9 +1,6 @@
 package experiment
 
 import (
-	"bytes"
-	"errors"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -15,25 +12,26 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"marlreel/experiments"
+	"marlreel/internal/testing/recorded"
 )
 
 // The keys of experiment files match the recorded ones.
 func TestCompatibilityExperimentKeys(t *testing.T) {
 	keys := settingsKeys(reflect.TypeFor[File](), "")
 	slices.Sort(keys)
-	compareRecorded(t, "experiment-keys.txt", []byte(strings.Join(keys, "\n")+"\n"))
+	recorded.Check(t, "experiment-keys.txt", strings.Join(keys, "\n")+"\n")
 }
 
 // The names of figures and questions match the recorded ones.
 func TestCompatibilityFigures(t *testing.T) {
-	compareRecorded(t, "figures.txt", []byte(strings.Join(append(slices.Clone(figures), questions...), "\n")+"\n"))
+	recorded.Check(t, "figures.txt", strings.Join(append(slices.Clone(figures), questions...), "\n")+"\n")
 }
 
 // Recorded experiment files can be parsed, and encode to the same keys and values.
 func TestCompatibilityExperiments(t *testing.T) {
 	for _, name := range []string{"amnesia", "compare", "fleet", "recovery", "tipping"} {
 		t.Run(name, func(t *testing.T) {
-			if os.Getenv(writeCompatibility) != "" {
+			if recorded.Writing() {
 				shipped, err := experiments.Files.ReadFile(name + ".toml")
 				if err != nil {
 					t.Fatal(err)
@@ -46,13 +44,13 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				compareRecorded(t, name+".toml", text)
+				recorded.Check(t, name+".toml", string(text))
 			}
-			recorded, err := os.ReadFile(filepath.Join("testdata", "compatibility", name+".toml"))
+			stored, err := os.ReadFile(filepath.Join("testdata", "compatibility", name+".toml"))
 			if err != nil {
 				t.Fatal(err)
 			}
-			f, err := Parse(name+".toml", recorded)
+			f, err := Parse(name+".toml", stored)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -60,7 +58,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			compareRecorded(t, name+".toml", got)
+			recorded.Check(t, name+".toml", string(got))
 		})
 	}
 }
@@ -70,7 +68,7 @@
 	for name, typ := range map[string]reflect.Type{"analysis-keys.txt": reflect.TypeFor[Analysis](), "export-keys.txt": reflect.TypeFor[Exported]()} {
 		keys := reportKeys(typ, "")
 		slices.Sort(keys)
-		compareRecorded(t, name, []byte(strings.Join(keys, "\n")+"\n"))
+		recorded.Check(t, name, strings.Join(keys, "\n")+"\n")
 	}
 }
 
@@ -130,30 +128,3 @@
 	}
 	return keys
 }
-
-// The files under testdata/compatibility were written by the code of commit 6fb9894. Do not regenerate them: a difference
-// means that a format which others read has changed. If this environment variable is set, missing files are written;
-// existing ones are never overwritten.
-const writeCompatibility = "MARLREEL_WRITE_COMPATIBILITY"
-
-// compareRecorded checks that got equals a recorded file.
-func compareRecorded(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", "compatibility", name)
-	want, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) && os.Getenv(writeCompatibility) != "" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs\n got %s\nwant %s", name, got, want)
-	}
-}
--- a/internal/fleet/peers/compatibility_test.go
+++ b/internal/fleet/peers/compatibility_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
-	"io/fs"
 	"net"
 	"os"
 	"path/filepath"
@@ -12,6 +10,7 @@
 	"testing"
 	"time"
 
+	"marlreel/internal/testing/recorded"
 	"marlreel/internal/testutil"
 )
 
@@ -19,25 +18,25 @@
 func TestCompatibilityMeta(t *testing.T) {
 	started := time.Date(2026, 11, 30, 8, 15, 0, 250_000_000, time.UTC)
 	p := &Peers{cfg: Config{Fleet: "pier", Name: "n0", Boot: 77, Started: started, Refused: func(error) {}}, known: map[string]Member{}, reported: map[string]bool{}}
-	compareRecorded(t, "meta.json", append(delegate{p}.NodeMeta(512), '\n'))
+	recorded.Check(t, "meta.json", string(append(delegate{p}.NodeMeta(512), '\n')))
 }
 
 // A frame between peers is the length of the sender's name in one byte, the name, and the message.
 func TestCompatibilityFrame(t *testing.T) {
-	recorded, err := os.ReadFile(filepath.Join("testdata", "compatibility", "frames.txt"))
+	stored, err := os.ReadFile(filepath.Join("testdata", "compatibility", "frames.txt"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	var got strings.Builder
 	p := &Peers{cfg: Config{Receive: func(from string, data []byte) { fmt.Fprintf(&got, "from %q: %q\n", from, data) }}}
-	for line := range strings.Lines(string(recorded)) {
+	for line := range strings.Lines(string(stored)) {
 		var frame []byte
 		if _, err := fmt.Sscanf(line, "%x", &frame); err != nil {
 			t.Fatal(err)
 		}
 		delegate{p}.NotifyMsg(frame)
 	}
-	compareRecorded(t, "frames-read.txt", []byte(got.String()))
+	recorded.Check(t, "frames-read.txt", got.String())
 }
 
 // A datagram to a peer, here without a key, ends with such a frame.
@@ -63,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareRecorded(t, "datagram.txt", []byte(fmt.Sprintf("%x\n", packet[:n])))
+	recorded.Check(t, "datagram.txt", fmt.Sprintf("%x\n", packet[:n]))
 	if frame := append([]byte("\x02n0"), `{"f":1,"nudge":42}`...); !bytes.HasSuffix(packet[:n], frame) {
 		t.Errorf("%q does not end with %q", packet[:n], frame)
 	}
@@ -99,32 +98,5 @@
 
 // The states of a member, as in the JSON of the status.
 func TestCompatibilityStates(t *testing.T) {
-	compareRecorded(t, "states.txt", []byte(strings.Join([]string{alive, suspect, gone}, "\n")+"\n"))
-}
-
-// The files under testdata/compatibility were written by the code of commit 6fb9894. They must not be rewritten: a
-// difference means that a format has changed which other releases read. If this variable is set, missing files are
-// written; existing ones are never overwritten.
-const writeCompatibility = "MARLREEL_WRITE_COMPATIBILITY"
-
-// compareRecorded compares bytes with a recorded file.
-func compareRecorded(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", "compatibility", name)
-	want, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) && os.Getenv(writeCompatibility) != "" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs\n got %s\nwant %s", name, got, want)
-	}
+	recorded.Check(t, "states.txt", strings.Join([]string{alive, suspect, gone}, "\n")+"\n")
 }
--- a/internal/rehearsal/compatibility_sent_test.go
+++ b/internal/rehearsal/compatibility_sent_test.go
@@ -1,10 +1,7 @@
 package rehearsal
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -16,31 +13,32 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"marlreel/internal/standin"
+	"marlreel/internal/testing/recorded"
 )
 
 // The keys of scenario files don't change.
 func TestCompatibilityScenarioKeys(t *testing.T) {
 	keys := settingsKeys(reflect.TypeFor[Scenario](), "")
 	slices.Sort(keys)
-	compareRecorded(t, "scenario-keys.txt", []byte(strings.Join(keys, "\n")+"\n"))
+	recorded.Check(t, "scenario-keys.txt", strings.Join(keys, "\n")+"\n")
 }
 
 // Scenarios that were recorded in full are read, and encoded again with the same keys and values.
 func TestCompatibilityScenarios(t *testing.T) {
 	for _, name := range []string{"morning", "upgrade", "retune", "split-rules", "scales", "registry-lost", "gray", "crowd", "bulk", "resets", "gray-listings", "amnesia"} {
 		t.Run(name, func(t *testing.T) {
-			if os.Getenv(writeCompatibility) != "" {
+			if recorded.Writing() {
 				text, err := toml.Marshal(loadShipped(t, name))
 				if err != nil {
 					t.Fatal(err)
 				}
-				compareRecorded(t, name+".toml", text)
+				recorded.Check(t, name+".toml", string(text))
 			}
-			recorded, err := os.ReadFile(filepath.Join("testdata", "compatibility", name+".toml"))
+			stored, err := os.ReadFile(filepath.Join("testdata", "compatibility", name+".toml"))
 			if err != nil {
 				t.Fatal(err)
 			}
-			s, err := Parse(name+".toml", recorded)
+			s, err := Parse(name+".toml", stored)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -48,9 +46,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			compareRecorded(t, name+".toml", got)
+			recorded.Check(t, name+".toml", string(got))
 			// A seed must give the same schedule in all versions.
-			compareRecorded(t, name+"-schedule.txt", []byte(Draw(s, 7).Digest()+"\n"))
+			recorded.Check(t, name+"-schedule.txt", Draw(s, 7).Digest()+"\n")
 		})
 	}
 }
@@ -74,8 +72,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareRecorded(t, "plan.json", append(text, '\n'))
-	compareRecorded(t, "plan-digest.txt", []byte(p.Digest()+"\n"))
+	recorded.Check(t, "plan.json", string(append(text, '\n')))
+	recorded.Check(t, "plan-digest.txt", p.Digest()+"\n")
 }
 
 // The names of the kinds of fault, and of the values of how, don't change.
@@ -85,7 +83,7 @@
 		words = append(words, strings.Fields(line)[0])
 	}
 	words = append(append(append(words, "how:"), partialHows...), brokenHows...)
-	compareRecorded(t, "fault-words.txt", []byte(strings.Join(words, "\n")+"\n"))
+	recorded.Check(t, "fault-words.txt", strings.Join(words, "\n")+"\n")
 }
 
 // The configuration of a proxy under test doesn't change: the platform's JSON and the operator's file.
@@ -96,14 +94,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		compareRecorded(t, name+"-platform.json", append(got, '\n'))
+		recorded.Check(t, name+"-platform.json", string(append(got, '\n')))
 	}
 	registry := ""
 	for _, name := range []string{"scales", "registry-lost"} {
 		if name == "registry-lost" {
 			registry = "http://127.0.0.1:2379"
 		}
-		compareRecorded(t, name+"-operator.toml", []byte(loadShipped(t, name).OwnFile(1, "127.0.0.1:7801", registry, "/run/day", nil)))
+		recorded.Check(t, name+"-operator.toml", loadShipped(t, name).OwnFile(1, "127.0.0.1:7801", registry, "/run/day", nil))
 	}
 }
 
@@ -112,7 +110,7 @@
 	for name, typ := range map[string]reflect.Type{"report-keys.txt": reflect.TypeFor[Report](), "comparison-keys.txt": reflect.TypeFor[Comparison]()} {
 		keys := reportKeys(typ, "")
 		slices.Sort(keys)
-		compareRecorded(t, name, []byte(strings.Join(keys, "\n")+"\n"))
+		recorded.Check(t, name, strings.Join(keys, "\n")+"\n")
 	}
 }
 
@@ -172,30 +170,3 @@
 	}
 	return keys
 }
-
-// The files under testdata/compatibility were written by the code of commit 6fb9894. They must not be regenerated: a
-// difference means that a format which others read has changed. If the variable below is set, only missing files are
-// written.
-const writeCompatibility = "MARLREEL_WRITE_COMPATIBILITY"
-
-// compareRecorded compares bytes with a recorded file.
-func compareRecorded(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", "compatibility", name)
-	want, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) && os.Getenv(writeCompatibility) != "" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs\n got %s\nwant %s", name, got, want)
-	}
-}
--- a/internal/testing/recorded/recorded.go
+++ b/internal/testing/recorded/recorded.go
@@ -19,13 +19,16 @@
 // writeVariable is the environment variable that makes Check write files that don't exist yet.
 const writeVariable = "WRITE_COMPATIBILITY"
 
+// Writing reports whether files that don't exist yet are written.
+func Writing() bool { return os.Getenv(writeVariable) != "" }
+
 func pathOf(name string) string { return filepath.Join("testdata", "compatibility", name) }
 
 // Check fails the test if got differs from the recorded file.
 func Check(t testing.TB, name, got string) {
 	t.Helper()
 	_, err := os.Stat(pathOf(name))
-	if errors.Is(err, fs.ErrNotExist) && os.Getenv(writeVariable) != "" {
+	if errors.Is(err, fs.ErrNotExist) && Writing() {
 		write(t, name, got)
 	}
 	if want := string(Read(t, name)); got != want {
