TestAnswersOutOfTurnAreDropped: its backend doesn't fail a test that is over

Cause: in the moment "while the connection is idle" the proxy dials a second connection, and the backend repeats its answer there too, after the test may have closed it; the failed write called t.Fatal on a goroutine of its own, and the test binary panicked ("Fail in goroutine after ... has completed"). Seen once in 14 runs of the package with the race detector beside a load of 14 (one run before these failed too, and its output wasn't kept); the test could do so before, with half as many cells.

Change: the write of the repeated answer isn't checked. Nothing is weaker: that the surplus arrived is checked at the proxy ("the surplus is not noticed"). TestEndOfAnAttempt's goroutines take the connection as it is when they start: the race detector had found them reading it while the next trial replaced it, in the test alone.

Measured: the test 30 times in a row; the package with the race detector four times without a report after the second change.

--- a/internal/dataplane/httpproxy/attemptend_test.go
+++ b/internal/dataplane/httpproxy/attemptend_test.go
@@ -174,28 +174,23 @@
 	ctx := a.begin()
 	ended := make(chan Reply, 1)
 	go func() { ended <- a.x.run(ctx, patience, nil) }()
-	var received atomic.Int64
-	go func() {
-		buffer := make([]byte, pieceSize)
-		for {
-			n, err := a.backend.Read(buffer)
-			received.Add(int64(n))
-			if err != nil {
-				return
-			}
-		}
-	}()
+	received := make(chan int64, 1)
+	go func(backend net.Conn) {
+		n, _ := io.Copy(io.Discard, backend) // it ends with the connection
+		received <- n
+	}(a.backend)
 	time.Sleep(trialDeadline / 2)
 	a.cancel()
 	r := <-ended
 	a.finish(&r)
-	return int(received.Load()), a.head
+	return int(<-received), a.head
 }
 
 // answers sends an answer and leaves the connection open.
 func (a *attemptTrial) answers(text string) {
 	a.near.unread.Store(true)
-	go func() { _, _ = io.WriteString(a.backend, text) }() // the proxy may close the connection before it has read it
+	backend := a.backend
+	go func() { _, _ = io.WriteString(backend, text) }() // the proxy may close the connection before it has read it
 }
 
 // closes closes the backend's end.
@@ -341,7 +336,8 @@
 					ctx := a.begin()
 					ended := make(chan Reply, 1)
 					go func() { ended <- a.x.run(ctx, patience, nil) }()
-					go func() { _, _ = io.Copy(io.Discard, a.backend) }()
+					backend := a.backend
+					go func() { _, _ = io.Copy(io.Discard, backend) }()
 					time.Sleep(time.Second)
 					close(a.breakUpload)
 					r := <-ended
--- a/internal/dataplane/httpproxy/outofturn_test.go
+++ b/internal/dataplane/httpproxy/outofturn_test.go
@@ -51,7 +51,9 @@
 		if !ok {
 			return
 		}
-		again := func() { send(t, c, identifiedAnswer(first.Header.Get("Request-Id"))) }
+		again := func() { // fails where the proxy has already closed the connection, as it does with a second one
+			_, _ = io.WriteString(c, identifiedAnswer(first.Header.Get("Request-Id")))
+		}
 		send(t, c, identifiedAnswer(first.Header.Get("Request-Id")))
 		if moment == whileIdle || moment == betweenTakeAndWrite {
 			<-surplus
