Histories drain backends that break requests off meanwhile

Need: the histories killed backends in the middle of a body, but drained none. The draws of all histories change with the number of kinds.

--- a/internal/testing/simcluster/history_faults_test.go
+++ b/internal/testing/simcluster/history_faults_test.go
@@ -156,19 +156,34 @@
 	},
 	// A backend is killed without detaching, and a new one is added.
 	"kill-backend": func(c *Cluster, f clusterFault) {
-		number := f.machine % len(c.Backends)
-		old := c.Backends[number]
+		old := c.Backends[f.machine%len(c.Backends)]
 		old.Kill()
 		c.Sleep(f.lasts)
-		id, zone := fmt.Sprintf("r-%d", len(c.Backends)), zones[f.other%len(zones)]
-		if old.Service() == "llm" {
-			c.AddBackend(busyModelBackend(id, zone, "m0")).SetStreamFault(usualStreamFault(f.other))
-			return
+		c.replaceBackend(old, f.other)
+	},
+	// A backend drains, breaks requests off meanwhile, and ends without waiting for the others; a new one is added.
+	"drain-backend": func(c *Cluster, f clusterFault) {
+		old := c.Backends[f.machine%len(c.Backends)]
+		if old.Service() != "llm" {
+			old.SetEarlyStart(frequentEarlyStart(f.machine))
 		}
-		c.AddBackend(busySlipBackend(id, zone)).SetEarlyStart(usualEarlyStart(f.other))
+		old.Drain()
+		c.Sleep(f.lasts)
+		old.Kill()
+		c.replaceBackend(old, f.other)
 	},
 }
 
+// replaceBackend adds a backend of the same service as one that has ended.
+func (c *Cluster) replaceBackend(old *Backend, seed int) {
+	id, zone := fmt.Sprintf("r-%d", len(c.Backends)), zones[seed%len(zones)]
+	if old.Service() == "llm" {
+		c.AddBackend(busyModelBackend(id, zone, "m0")).SetStreamFault(usualStreamFault(seed))
+		return
+	}
+	c.AddBackend(busySlipBackend(id, zone)).SetEarlyStart(usualEarlyStart(seed))
+}
+
 // drawClusterHistory generates the random faults of a history from its number, the seed.
 func drawClusterHistory(number int) []clusterFault {
 	rng := rand.New(rand.NewPCG(uint64(number), 5))
