--- a/internal/dataplane/httpproxy/attemptend_test.go
+++ b/internal/dataplane/httpproxy/attemptend_test.go
@@ -282,7 +282,8 @@
 	if a.start == StartsAfterBody && end.name == "an answer to another request" {
 		want = balancer.OK // its answers don't tell requests apart
 	}
-	if r.result != want && !(want == balancer.NotSent && r.result.NeverRan()) {
+	sameProof := want == balancer.NotSent && r.result.NeverRan()
+	if r.result != want && !sameProof {
 		a.t.Errorf("the result is %d, want %d (a backend has read %d of %d bytes, and may run it from %d on)", r.result, want, reads, total, runnable)
 	}
 	if r.conn != nil && reads < total {
@@ -294,7 +295,8 @@
 	if blamed := r.connOutcome.Broken; blamed && (r.result == balancer.Cancelled || r.result == balancer.OK) {
 		a.t.Errorf("the connection is blamed for result %d", r.result)
 	}
-	if r.result == balancer.Reset && !(r.connOutcome.Broken && r.connOutcome.Complete) {
+	recordedAsBreak := r.connOutcome.Broken && r.connOutcome.Complete
+	if r.result == balancer.Reset && !recordedAsBreak {
 		a.t.Error("a break after which the request may have run isn't recorded as one")
 	}
 }
