--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -18,7 +18,7 @@
 	"marlreel/internal/balancer/retrystorm"
 	"marlreel/internal/balancer/slowstart"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 // The kind of a timer is in the highest byte of its token.
--- a/internal/balancer/connections/answertimes.go
+++ b/internal/balancer/connections/answertimes.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 // answerTimes tracks how long a backend takes from a request's last byte to the first byte of an answer.
--- a/internal/balancer/connections/model.go
+++ b/internal/balancer/connections/model.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 // Config sets what the model assumes before it has learned anything, and its bounds.
--- a/internal/balancer/decay/sum.go
+++ b/internal/balancer/decay/sum.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 // Sum is a sum whose terms decay exponentially with their age. The zero value is an empty sum. All calls on one sum
--- a/internal/balancer/grayfailure/model.go
+++ b/internal/balancer/grayfailure/model.go
@@ -6,7 +6,7 @@
 
 	"marlreel/internal/balancer/decay"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 const (
--- a/internal/balancer/prediction/model.go
+++ b/internal/balancer/prediction/model.go
@@ -20,7 +20,7 @@
 	"fmt"
 	"math"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 const (
--- a/internal/balancer/retrystorm/model.go
+++ b/internal/balancer/retrystorm/model.go
@@ -17,7 +17,7 @@
 
 	"marlreel/internal/balancer/decay"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 )
 
 // State is the phase of a storm.
--- a/internal/balancer/staleness/staleness.go
+++ b/internal/balancer/staleness/staleness.go
@@ -12,7 +12,7 @@
 	"slices"
 	"time"
 
-	"marlreel/internal/portablemath"
+	"marlreel/internal/balancer/portablemath"
 	"marlreel/internal/process/learnedstate"
 )
 
