Tests wait for WaitTimeout

Change: the constant is named for what it is, in testutil and where packages alias it; the value is the same. Measured: go vet of all packages; the tests of httpproxy and adminserver pass.

--- a/cmd/marlreel/handover_test.go
+++ b/cmd/marlreel/handover_test.go
@@ -201,7 +201,7 @@
 // ready waits until the process reports that it is ready.
 func (p *platform) ready(q *process) {
 	p.t.Helper()
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+	for until := time.Now().Add(waitTimeout); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		resp, err := http.Get("http://" + q.control + "/control/ready")
 		if err != nil {
 			continue
@@ -230,7 +230,7 @@
 		if q.err != nil {
 			p.t.Errorf("ended with %v:\n%s", q.err, q.log.String())
 		}
-	case <-time.After(patience): // the exit time itself is measured by the benchmark, as this machine may be slow
+	case <-time.After(waitTimeout): // the exit time itself is measured by the benchmark, as this machine may be slow
 		q.kill()
 		p.t.Errorf("the process does not exit:\n%s", q.log.String())
 	}
--- a/cmd/marlreel/learnedstate_test.go
+++ b/cmd/marlreel/learnedstate_test.go
@@ -38,7 +38,7 @@
 		p.t.Fatal(err)
 	}
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(patience))
+	c.SetDeadline(time.Now().Add(waitTimeout))
 	fmt.Fprintf(c, "GET /lot-list/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: a\r\nX-Time-Left: 1000m\r\nX-Correlation-Id: %016x\r\n\r\n", n)
 	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
 		p.t.Fatal(err)
@@ -69,7 +69,7 @@
 	old := p.start(p.dir)
 	p.ready(old)
 	n := 0
-	for until := time.Now().Add(patience); old.metric(t, "ejected") != "1|g"; n++ {
+	for until := time.Now().Add(waitTimeout); old.metric(t, "ejected") != "1|g"; n++ {
 		if time.Now().After(until) {
 			t.Fatalf("the dead node is not ejected: %s", old.metric(t, "ejected"))
 		}
@@ -77,7 +77,7 @@
 	}
 	next := p.start(p.dir)
 	p.ready(next)
-	for until := time.Now().Add(patience); next.metric(t, "ejected") != "1|g"; time.Sleep(5 * time.Millisecond) {
+	for until := time.Now().Add(waitTimeout); next.metric(t, "ejected") != "1|g"; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(until) {
 			t.Errorf("the next process does not know that the dead node is ejected: %s", next.log.String())
 			break
--- a/cmd/marlreel/limits_test.go
+++ b/cmd/marlreel/limits_test.go
@@ -105,7 +105,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		c.SetDeadline(time.Now().Add(patience))
+		c.SetDeadline(time.Now().Add(waitTimeout))
 		fmt.Fprintf(c, "GET /lot-list/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: a\r\nX-Time-Left: 1000m\r\nX-Correlation-Id: %016x\r\n\r\n", i+1)
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || resp.StatusCode != 200 || resp.ContentLength != 32<<20 {
@@ -174,7 +174,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		good.SetDeadline(time.Now().Add(patience))
+		good.SetDeadline(time.Now().Add(waitTimeout))
 		fmt.Fprintf(good, "GET /lot-list/x HTTP/1.1\r\nHost: origin.svc\r\nX-Account: a\r\nX-Time-Left: 1000m\r\nX-Correlation-Id: %016x\r\n\r\n", i+1)
 		resp, err := http.ReadResponse(bufio.NewReader(good), nil)
 		if err != nil || resp.StatusCode != 200 {
@@ -234,7 +234,7 @@
 		}
 		q.hup()
 		want := fmt.Sprintf("%d|c", n+1)
-		for until := time.Now().Add(patience); metric("sighup_rejected") != want; time.Sleep(5 * time.Millisecond) {
+		for until := time.Now().Add(waitTimeout); metric("sighup_rejected") != want; time.Sleep(5 * time.Millisecond) {
 			if time.Now().After(until) {
 				t.Fatalf("%.40q: %s were rejected, want %s", text, metric("sighup_rejected"), want)
 			}
--- a/cmd/marlreel/main_test.go
+++ b/cmd/marlreel/main_test.go
@@ -14,7 +14,7 @@
 	"marlreel/internal/standin"
 )
 
-const patience = 30 * time.Second
+const waitTimeout = 30 * time.Second
 
 // With MARLREEL_TEST_CHILD set, the test binary runs as the daemon.
 func TestMain(m *testing.M) {
@@ -45,7 +45,7 @@
 	t.Helper()
 	select {
 	case v = <-c:
-	case <-time.After(patience):
+	case <-time.After(waitTimeout):
 		t.Fatalf("timed out waiting for %s", what)
 	}
 	return v
--- a/cmd/marlreel/thirty_test.go
+++ b/cmd/marlreel/thirty_test.go
@@ -98,7 +98,7 @@
 	for n, i := range which {
 		wg.Go(func() {
 			client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-			for took[n] = time.Hour; time.Since(began) < patience; time.Sleep(20 * time.Millisecond) {
+			for took[n] = time.Hour; time.Since(began) < waitTimeout; time.Sleep(20 * time.Millisecond) {
 				resp, err := client.Get("http://" + b.addrs[i] + "/ready")
 				if err != nil {
 					continue
@@ -402,7 +402,7 @@
 	b := newProcessGroup(t, "pushed", d.Addr, known...)
 	b.limit = 256
 	b.launch(0)
-	if took := b.ready([]int{0}); took[0] > patience {
+	if took := b.ready([]int{0}); took[0] > waitTimeout {
 		t.Fatalf("not ready:\n%s", b.processes[0].log.String())
 	}
 	d.Down(true)
--- a/internal/dataplane/gateway/attemptend_test.go
+++ b/internal/dataplane/gateway/attemptend_test.go
@@ -265,7 +265,7 @@
 	t.Helper()
 	wait := end.wait
 	if wait == 0 {
-		wait = testutil.Patience
+		wait = testutil.WaitTimeout
 	}
 	conn := testutil.Dial(t, g.front)
 	defer conn.Close()
--- a/internal/dataplane/gateway/bodyend_test.go
+++ b/internal/dataplane/gateway/bodyend_test.go
@@ -114,7 +114,7 @@
 	if end.TimesOut {
 		return deadlineWait
 	}
-	return testutil.Patience
+	return testutil.WaitTimeout
 }
 
 // Guards against an answer that ended early and appears complete: each way in which a body can end, for each way in which
--- a/internal/dataplane/gateway/disconnect_test.go
+++ b/internal/dataplane/gateway/disconnect_test.go
@@ -63,7 +63,7 @@
 	is.NoErr(client.Close())
 	select {
 	case <-watcher.disconnected:
-	case <-time.After(testutil.Patience):
+	case <-time.After(testutil.WaitTimeout):
 		t.Error("the watcher did not notice that the client disconnected")
 	}
 }
--- a/internal/dataplane/gateway/streaming_test.go
+++ b/internal/dataplane/gateway/streaming_test.go
@@ -86,7 +86,7 @@
 				is.NoErr(err)
 				is.NoErr(c.Close())
 			}))
-			is.Equal(request(t, front, "/stream/1", testutil.Patience), received{http.StatusOK, body, true})
+			is.Equal(request(t, front, "/stream/1", testutil.WaitTimeout), received{http.StatusOK, body, true})
 		})
 	}
 }
@@ -110,8 +110,8 @@
 				is.NoErr(err)
 				is.NoErr(conn.Close())
 			}))
-			is.Equal(request(t, front, "/stream/1", testutil.Patience), received{c.status, body, true})
-			is.Equal(request(t, front, "/plain/1", testutil.Patience), received{c.status, body, true})
+			is.Equal(request(t, front, "/stream/1", testutil.WaitTimeout), received{c.status, body, true})
+			is.Equal(request(t, front, "/plain/1", testutil.WaitTimeout), received{c.status, body, true})
 		})
 	}
 }
@@ -130,7 +130,7 @@
 		is.NoErr(c.Close())
 	}
 	front := serveBackends(t, answeringBackend(t, answer), answeringBackend(t, answer))
-	got := request(t, front, "/resumed/1", testutil.Patience)
+	got := request(t, front, "/resumed/1", testutil.WaitTimeout)
 	is.True(!got.complete)
 	is.True(strings.HasPrefix(got.body, eventParts(1, 1)[0]+"id: 2\ndata: xxx"))
 	is.True(!resumed.Load())
@@ -155,7 +155,7 @@
 		is.NoErr(c.Close())
 	}
 	front := serveBackends(t, answeringBackend(t, answer), answeringBackend(t, answer))
-	got := request(t, front, "/resumed/1", testutil.Patience)
+	got := request(t, front, "/resumed/1", testutil.WaitTimeout)
 	is.True(got.complete)
 	is.Equal(got.body, eventParts(1, 1)[0]+long+eventParts(3, 3)[0])
 }
--- a/internal/dataplane/httpproxy/attemptend_test.go
+++ b/internal/dataplane/httpproxy/attemptend_test.go
@@ -142,7 +142,7 @@
 func (a *attemptTrial) run(reads int, act func()) Reply {
 	ctx := a.begin()
 	ended := make(chan Reply, 1)
-	go func() { ended <- a.x.run(ctx, patience, nil) }()
+	go func() { ended <- a.x.run(ctx, waitTimeout, nil) }()
 	_, err := io.ReadFull(a.backend, make([]byte, reads))
 	if err != nil {
 		a.t.Fatalf("the backend has not got %d bytes: %v", reads, err)
@@ -173,7 +173,7 @@
 func (a *attemptTrial) encodedLength() (total, head int) {
 	ctx := a.begin()
 	ended := make(chan Reply, 1)
-	go func() { ended <- a.x.run(ctx, patience, nil) }()
+	go func() { ended <- a.x.run(ctx, waitTimeout, nil) }()
 	received := make(chan int64, 1)
 	go func(backend net.Conn) {
 		n, _ := io.Copy(io.Discard, backend) // it ends with the connection
@@ -337,7 +337,7 @@
 					a := &attemptTrial{t: t, start: start, breaks: true, way: sending{body: 3 * pieceSize, upload: true, chunked: chunked}}
 					ctx := a.begin()
 					ended := make(chan Reply, 1)
-					go func() { ended <- a.x.run(ctx, patience, nil) }()
+					go func() { ended <- a.x.run(ctx, waitTimeout, nil) }()
 					backend := a.backend
 					go func() { _, _ = io.Copy(io.Discard, backend) }()
 					time.Sleep(time.Second)
--- a/internal/dataplane/httpproxy/crossing_test.go
+++ b/internal/dataplane/httpproxy/crossing_test.go
@@ -308,7 +308,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
 	send(t, c, get("first")+get("second")+strings.Repeat("x", 16<<10))
 	receive(t, l.closed, "the close by the proxy")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -358,8 +358,8 @@
 	}
 	defer passed.Close()
 	checkNoDelay("a client that was handed over", passed)
-	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(patience)}
-	r := x.run(t.Context(), patience, nil)
+	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(waitTimeout)}
+	r := x.run(t.Context(), waitTimeout, nil)
 	if r.conn == nil {
 		t.Fatalf("%+v", r)
 	}
@@ -377,10 +377,10 @@
 	})
 	x = &exchange{
 		backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr),
-		deadline: time.Now().Add(patience), holdback: patience / 2,
+		deadline: time.Now().Add(waitTimeout), holdback: waitTimeout / 2,
 	}
 	ended = make(chan Reply, 1)
-	go func() { ended <- x.run(context.Background(), patience, nil) }()
+	go func() { ended <- x.run(context.Background(), waitTimeout, nil) }()
 	receive(t, begun, "the first bytes")
 	return x, ended
 }
@@ -434,9 +434,9 @@
 	t.Parallel()
 	addr, got := silent(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(patience)}
+	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(waitTimeout)}
 	ended := make(chan Reply, 1)
-	go func() { ended <- x.run(ctx, patience, nil) }()
+	go func() { ended <- x.run(ctx, waitTimeout, nil) }()
 	receive(t, got, "the request")
 	cancel()
 	if r := receive(t, ended, "the attempt's end"); r.result != balancer.Cancelled || r.connOutcome.Broken {
--- a/internal/dataplane/httpproxy/earlyanswer_test.go
+++ b/internal/dataplane/httpproxy/earlyanswer_test.go
@@ -35,7 +35,7 @@
 	"it stops reading":               {identifiedAnswer("mine"), longBody, 0, stopReading, balancer.OK, false},
 	"it ends its side":               {identifiedAnswer("mine"), longBody, 0, endItsSide, balancer.OK, false},
 	"it reads on":                    {identifiedAnswer("mine"), longBody, 0, readOn, balancer.OK, true},
-	"the last byte is held back":     {identifiedAnswer("mine"), 3 * maxSingleWrite, patience / 2, stopReading, balancer.OK, false},
+	"the last byte is held back":     {identifiedAnswer("mine"), 3 * maxSingleWrite, waitTimeout / 2, stopReading, balancer.OK, false},
 	"it has not run":                 {notRun, longBody, 0, stopReading, balancer.Rejected, false},
 	"it is the answer to another":    {identifiedAnswer("other"), longBody, 0, stopReading, balancer.NotSent, false},
 	"it breaks off":                  {"HTTP/1.1 20", longBody, 0, endItsSide, balancer.Reset, false},
@@ -60,10 +60,10 @@
 			})
 			x := &exchange{
 				backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: identifiedDialect(),
-				message: identifiedMessage("mine", make([]byte, test.body)), deadline: time.Now().Add(patience), holdback: test.holdback,
+				message: identifiedMessage("mine", make([]byte, test.body)), deadline: time.Now().Add(waitTimeout), holdback: test.holdback,
 			}
 			ends := make(chan Reply, 1)
-			go func() { ends <- x.run(context.Background(), patience, nil) }()
+			go func() { ends <- x.run(context.Background(), waitTimeout, nil) }()
 			select {
 			case r := <-ends:
 				if r.conn != nil {
@@ -72,7 +72,7 @@
 				if r.result != test.want || r.conn != nil && !test.keeps || r.result == balancer.OK && string(r.body) != "mine" {
 					t.Errorf("%v %q, connection kept: %v; want %v", r.result, r.body, r.conn != nil, test.want)
 				}
-			case <-time.After(patience / 4):
+			case <-time.After(waitTimeout / 4):
 				t.Error("the answer is not read in time")
 			}
 		})
--- a/internal/dataplane/httpproxy/exchange_test.go
+++ b/internal/dataplane/httpproxy/exchange_test.go
@@ -29,9 +29,9 @@
 			n, _ := io.Copy(io.Discard, in)
 			got <- n
 		})
-		x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(patience)}
+		x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(waitTimeout)}
 		spoil(x)
-		r := x.run(context.Background(), patience, nil)
+		r := x.run(context.Background(), waitTimeout, nil)
 		if r.result != balancer.NotSent || r.conn == nil {
 			t.Fatalf("%s: %+v", name, r)
 		}
@@ -47,7 +47,7 @@
 	t.Parallel()
 	addr, got := silent(t)
 	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(time.Second)}
-	if r := x.run(context.Background(), patience, nil); r.result != balancer.Timeout || r.conn != nil {
+	if r := x.run(context.Background(), waitTimeout, nil); r.result != balancer.Timeout || r.conn != nil {
 		t.Errorf("%+v", r)
 	}
 	receive(t, got, "the request")
@@ -66,7 +66,7 @@
 		}
 	})
 	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(2 * time.Second)}
-	r := x.run(context.Background(), patience, nil)
+	r := x.run(context.Background(), waitTimeout, nil)
 	if r.conn == nil {
 		t.Fatalf("the connection was not kept: %+v", r)
 	}
@@ -86,8 +86,8 @@
 			readRequest(in)
 		}
 	})
-	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(patience)}
-	r := x.run(context.Background(), patience, nil)
+	x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(waitTimeout)}
+	r := x.run(context.Background(), waitTimeout, nil)
 	if r.result != balancer.OK || string(r.body) != "served" || r.conn != nil {
 		t.Errorf("%v %q, connection kept: %v", r.result, r.body, r.conn != nil)
 	}
@@ -138,15 +138,15 @@
 					_, _ = in.ReadByte() // stays open
 				}
 			})
-			x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(patience)}
+			x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(waitTimeout)}
 			ends := make(chan Reply, 1)
-			go func() { ends <- x.run(context.Background(), patience, nil) }()
+			go func() { ends <- x.run(context.Background(), waitTimeout, nil) }()
 			select {
 			case r := <-ends:
 				if r.result != balancer.Reset || r.conn != nil {
 					t.Errorf("%v, connection kept: %v", r.result, r.conn != nil)
 				}
-			case <-time.After(patience / 2):
+			case <-time.After(waitTimeout / 2):
 				t.Error("the attempt has not ended before its deadline")
 			}
 		})
@@ -173,8 +173,8 @@
 		}
 	})
 	exchangeOn := func(c *backendConn) Reply {
-		x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), conn: c, dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(patience)}
-		return x.run(context.Background(), patience, nil)
+		x := &exchange{backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), conn: c, dialect: platformDialect(), message: probeMessage(addr), deadline: time.Now().Add(waitTimeout)}
+		return x.run(context.Background(), waitTimeout, nil)
 	}
 	first := exchangeOn(nil)
 	if first.conn == nil {
--- a/internal/dataplane/httpproxy/handover_test.go
+++ b/internal/dataplane/httpproxy/handover_test.go
@@ -160,7 +160,7 @@
 			t.Fatal(err)
 		}
 		defer client.Close()
-		if err := client.SetDeadline(time.Now().Add(testutil.Patience)); err != nil {
+		if err := client.SetDeadline(time.Now().Add(testutil.WaitTimeout)); err != nil {
 			t.Fatal(err)
 		}
 		send(t, client, d.text[:d.cut])
--- a/internal/dataplane/httpproxy/harness_test.go
+++ b/internal/dataplane/httpproxy/harness_test.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	patience = testutil.Patience
-	okAnswer = testutil.OKAnswer
+	waitTimeout = testutil.WaitTimeout
+	okAnswer    = testutil.OKAnswer
 )
 
 func eventually(t *testing.T, what string, reached func() bool) {
--- a/internal/dataplane/httpproxy/outofturn_test.go
+++ b/internal/dataplane/httpproxy/outofturn_test.go
@@ -138,13 +138,13 @@
 		message.Streaming = streaming && conn != nil
 		x := &exchange{
 			backend: backend, permit: new(engine.Permit), conn: conn, dialect: identifiedDialect(), holdback: c.holdback,
-			message: message, deadline: time.Now().Add(patience),
+			message: message, deadline: time.Now().Add(waitTimeout),
 			clientConnected: func() bool { beforeWrite(); return true },
 		}
 		if conn == nil {
 			x.holdback = 0
 		}
-		return x.run(t.Context(), patience, nil)
+		return x.run(t.Context(), waitTimeout, nil)
 	}
 	first := run("first", nil, func() {})
 	if first.result != balancer.OK || first.conn == nil {
@@ -182,9 +182,9 @@
 	})
 	x := &exchange{
 		backend: engine.NewBackend("s-1", addr, true), permit: new(engine.Permit), dialect: platformDialect(),
-		message: probeMessage(addr), deadline: time.Now().Add(patience),
+		message: probeMessage(addr), deadline: time.Now().Add(waitTimeout),
 	}
-	if r := x.run(t.Context(), patience, nil); r.result != balancer.OK || r.conn != nil {
+	if r := x.run(t.Context(), waitTimeout, nil); r.result != balancer.OK || r.conn != nil {
 		t.Errorf("%v, the connection is kept: %t", r.result, r.conn != nil)
 	}
 }
--- a/internal/dataplane/httpproxy/streamrelay_test.go
+++ b/internal/dataplane/httpproxy/streamrelay_test.go
@@ -135,7 +135,7 @@
 		h.pieces = rapid.IntRange(1, 9).Draw(rt, "pieces")
 		h.running.Go(func() { h.writeAsBackend(farBackend) })
 		h.running.Go(func() { h.run(t, startedRelay(h.form, client, backend, len(h.body))) })
-		if err := farClient.SetReadDeadline(time.Now().Add(testutil.Patience)); err != nil {
+		if err := farClient.SetReadDeadline(time.Now().Add(testutil.WaitTimeout)); err != nil {
 			t.Fatal(err)
 		}
 		resp, err := http.ReadResponse(bufio.NewReader(farClient), nil)
--- a/internal/process/adminserver/compatibility_test.go
+++ b/internal/process/adminserver/compatibility_test.go
@@ -47,7 +47,7 @@
 	} {
 		ready.Store(c.ready)
 		conn := testutil.Dial(t, ln.Addr().String())
-		if err := conn.SetReadDeadline(time.Now().Add(testutil.Patience)); err != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(testutil.WaitTimeout)); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: n0\r\n\r\n", c.call); err != nil {
--- a/internal/process/adminserver/server_test.go
+++ b/internal/process/adminserver/server_test.go
@@ -117,7 +117,7 @@
 		}
 	}
 	for i, c := range incomplete {
-		if err := c.SetReadDeadline(time.Now().Add(testutil.Patience)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(testutil.WaitTimeout)); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := io.Copy(io.Discard, c); testutil.IsTimeout(err) { // half a request may get an error response first
--- a/internal/process/handover/transfer_test.go
+++ b/internal/process/handover/transfer_test.go
@@ -213,7 +213,7 @@
 		t.Error(err)
 		return
 	}
-	for come, end := 0, time.Now().Add(testutil.Patience); come < n && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for come, end := 0, time.Now().Add(testutil.WaitTimeout); come < n && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if err := raw.Control(func(fd uintptr) { come, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
 			t.Error(err)
 			return
--- a/internal/proxy/badanswers_test.go
+++ b/internal/proxy/badanswers_test.go
@@ -84,7 +84,7 @@
 				p := start(t, testConfig(t, closedAddr(t), ready("s-1", addr)))
 				r := newRequest(t, p, "bid", "")
 				r.Header.Set("X-Time-Left", "400m")
-				client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+				client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 				resp, err := client.Do(r)
 				if err != nil {
 					t.Fatalf("no answer: %v", err)
--- a/internal/proxy/clientleaves_test.go
+++ b/internal/proxy/clientleaves_test.go
@@ -272,7 +272,7 @@
 				})))
 			}
 			p := startWith(t, testConfig(t, closedAddr(t), list...), rpcSettings())
-			c, err := net.DialTimeout("tcp", p.rpc, patience)
+			c, err := net.DialTimeout("tcp", p.rpc, waitTimeout)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -40,7 +40,7 @@
 // sendTraffic sends requests until the test ends, and counts those not served.
 func sendTraffic(t *testing.T, p *running) (lost *atomic.Int64) {
 	lost = new(atomic.Int64)
-	client := &http.Client{Timeout: patience}
+	client := &http.Client{Timeout: waitTimeout}
 	stop, done := make(chan struct{}), make(chan struct{})
 	t.Cleanup(func() { close(stop); <-done; client.CloseIdleConnections() })
 	go func() {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	patience     = testutil.Patience
+	waitTimeout  = testutil.WaitTimeout
 	testSettings = testutil.Settings
 	okAnswer     = testutil.OKAnswer
 	// The limits of the HTTP front.
@@ -212,7 +212,7 @@
 
 func do(t *testing.T, r *http.Request) (int, string, http.Header) {
 	t.Helper()
-	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
 		t.Fatalf("%s %s: no answer: %v", r.Method, r.URL, err)
--- a/internal/proxy/misbehaviour_test.go
+++ b/internal/proxy/misbehaviour_test.go
@@ -198,7 +198,7 @@
 		return
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
 	var ids []string
 	var text []byte
 	for range count {
--- a/internal/proxy/partial_test.go
+++ b/internal/proxy/partial_test.go
@@ -25,7 +25,7 @@
 	got := map[string]map[int]int{}
 	var wg sync.WaitGroup
 	for range clients {
-		client := &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+		client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 		var requests []*http.Request
 		for i := range n {
 			requests = append(requests, newRequest(t, p, class(i), ""))
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -225,7 +225,7 @@
 	}
 	answers := make(chan got, 2)
 	ask := func() {
-		resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{}}).Do(newRequest(t, p, "bid", "x"))
+		resp, err := (&http.Client{Timeout: waitTimeout, Transport: &http.Transport{}}).Do(newRequest(t, p, "bid", "x"))
 		if err != nil {
 			answers <- got{err: err}
 			return
@@ -240,7 +240,7 @@
 		case <-came:
 		case a := <-answers:
 			t.Fatalf("%s did not reach a backend: %d %v", what, a.status, a.err)
-		case <-time.After(patience):
+		case <-time.After(waitTimeout):
 			t.Fatalf("%s was never accepted", what)
 		}
 	}
@@ -248,7 +248,7 @@
 	p.stop()
 	// The shutdown has begun, and connections are still accepted.
 	eventually(t, "an answer that ends its connection", func() bool {
-		resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{}}).Get(p.url + "/ready")
+		resp, err := (&http.Client{Timeout: waitTimeout, Transport: &http.Transport{}}).Get(p.url + "/ready")
 		if err != nil {
 			t.Fatalf("after the signal: %v", err)
 		}
--- a/internal/proxy/rpc_test.go
+++ b/internal/proxy/rpc_test.go
@@ -143,7 +143,7 @@
 
 func caller(t *testing.T, addr string) *standin.RPCClient {
 	t.Helper()
-	c, err := net.DialTimeout("tcp", addr, patience)
+	c, err := net.DialTimeout("tcp", addr, waitTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -500,7 +500,7 @@
 			return true
 		case <-got: // it was answered while the list had neither instance
 			return false
-		case <-time.After(patience / 2):
+		case <-time.After(waitTimeout / 2):
 			return false
 		}
 	})
@@ -548,7 +548,7 @@
 		defer close(dropped)
 		for id := uint32(1); ; id++ {
 			data, _ := msgpack.Marshal([]any{0, id, "list", []any{}})
-			slow.SetWriteDeadline(time.Now().Add(patience))
+			slow.SetWriteDeadline(time.Now().Add(waitTimeout))
 			if _, err := slow.Write(data); err != nil {
 				return
 			}
--- a/internal/proxy/rpcmisbehaviour_test.go
+++ b/internal/proxy/rpcmisbehaviour_test.go
@@ -152,7 +152,7 @@
 
 // connection makes count calls on one connection, or leaves in the middle of a call.
 func (m *rpcCaller) connection(count int) {
-	conn, err := net.DialTimeout("tcp", m.p.rpc, patience)
+	conn, err := net.DialTimeout("tcp", m.p.rpc, waitTimeout)
 	if err != nil {
 		m.t.Error(err)
 		return
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -58,7 +58,7 @@
 	for _, p := range append(pieces, "") {
 		select {
 		case h.write <- p:
-		case <-time.After(patience):
+		case <-time.After(waitTimeout):
 			t.Fatal("the backend does not accept the next piece of the answer")
 		}
 	}
--- a/internal/proxy/storm_test.go
+++ b/internal/proxy/storm_test.go
@@ -115,7 +115,7 @@
 	answer := make([]byte, 4096)
 	got := 0
 	one := func() {
-		c.SetDeadline(time.Now().Add(patience)) // for each request, as the time for all depends on the machine
+		c.SetDeadline(time.Now().Add(waitTimeout)) // for each request, as the time for all depends on the machine
 		copy(ask[id:id+16], fmt.Sprintf("%016x", lastRequestID.Add(1)))
 		if _, err := c.Write(ask); err != nil {
 			tb.Fatal(err)
--- a/internal/proxy/surplus_test.go
+++ b/internal/proxy/surplus_test.go
@@ -105,7 +105,7 @@
 	for i := range callers {
 		ended.Go(func() {
 			pauses := rand.New(rand.NewPCG(drawnSeed(t), uint64(1000+i)))
-			client := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+			client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
 			for range exchanges / callers {
 				time.Sleep(time.Duration(pauses.IntN(10000)) * time.Microsecond)
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -21,8 +21,8 @@
 	"marlreel/internal/standin"
 )
 
-// Patience is how long a test waits for an expected event. It is generous and says nothing about speed.
-const Patience = 20 * time.Second
+// WaitTimeout is how long a test waits for an expected event. It is generous and says nothing about speed.
+const WaitTimeout = 20 * time.Second
 
 // Settings are the settings of a proxy in the zone koper, with one request class of each
 // effect: lot-list (safe), bid (unsafe) and pickup (safe with an idempotency key).
@@ -47,22 +47,22 @@
 	return c
 }
 
-// Receive waits for a value on c and fails the test if none arrives within Patience.
+// Receive waits for a value on c and fails the test if none arrives within WaitTimeout.
 func Receive[T any](t testing.TB, c <-chan T, what string) T {
 	t.Helper()
 	select {
 	case v := <-c:
 		return v
-	case <-time.After(Patience):
+	case <-time.After(WaitTimeout):
 		t.Fatalf("timed out waiting for %s", what)
 		panic("unreachable")
 	}
 }
 
-// Eventually polls until reached returns true, for states that no event announces. It fails the test after Patience.
+// Eventually polls until reached returns true, for states that no event announces. It fails the test after WaitTimeout.
 func Eventually(t testing.TB, what string, reached func() bool) {
 	t.Helper()
-	for end := time.Now().Add(Patience); !reached(); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(WaitTimeout); !reached(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("timed out waiting for %s", what)
 		}
@@ -153,7 +153,7 @@
 	return l.buf.String()
 }
 
-// Dial opens a connection with a deadline of Patience; it is closed when the test ends.
+// Dial opens a connection with a deadline of WaitTimeout; it is closed when the test ends.
 func Dial(t testing.TB, addr string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
@@ -161,7 +161,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(Patience))
+	_ = c.SetDeadline(time.Now().Add(WaitTimeout))
 	return c
 }
 
